Lay the workspace, the vocabulary and the borders

Cause: an empty repository. The borders come first, so that callers, links, control, the coordination parts and the stand-in can be built side by side.

Change: crates for the model (names, terms, positions, error kinds, the document and its validation), the wire messages, the process shell (timer service, logs, metrics, spans, health pages) and the border between callers and databases in the entry.

Before: nothing. Conclusion: the shared types are settled enough to build on.

--- /dev/null
+++ b/crates/daisyseam-bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-in database, load, experiments and the demo.
--- /dev/null
+++ b/crates/daisyseam-coord/src/drain.rs
@@ -0,0 +1,1 @@
+//! Graceful stops: what must end before an instance or a database may go.
--- /dev/null
+++ b/crates/daisyseam-coord/src/fair_queue.rs
@@ -0,0 +1,1 @@
+//! Weighted fair queue across organisations by measured service time.
--- /dev/null
+++ b/crates/daisyseam-coord/src/fleet.rs
@@ -0,0 +1,1 @@
+//! The replicated state: documents, instances, databases, groups, and the view made of them.
--- /dev/null
+++ b/crates/daisyseam-coord/src/membership.rs
@@ -0,0 +1,1 @@
+//! Membership by heartbeat, with incarnations.
--- /dev/null
+++ b/crates/daisyseam-coord/src/moment.rs
@@ -0,0 +1,54 @@
+//! A point on the monotonic clock of one process.
+
+use std::{
+    ops::{
+        Add,
+        Sub, //
+    },
+    time::Duration, //
+};
+
+/// Time since an origin that the embedding process chooses; never compared across processes.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Moment(Duration);
+
+impl Moment {
+    /// The origin.
+    pub const ORIGIN: Self = Self(Duration::ZERO);
+
+    /// Makes the moment that lies this long after the origin.
+    pub const fn after_origin(since: Duration) -> Self {
+        Self(since)
+    }
+
+    /// Makes the moment that lies this many milliseconds after the origin.
+    pub const fn from_millis(millis: u64) -> Self {
+        Self(Duration::from_millis(millis))
+    }
+
+    /// Returns the time since the origin.
+    pub const fn since_origin(self) -> Duration {
+        self.0
+    }
+
+    /// Returns the time since an earlier moment, or zero if it lies later.
+    pub fn since(self, earlier: Self) -> Duration {
+        self.0.saturating_sub(earlier.0)
+    }
+}
+
+impl Add<Duration> for Moment {
+    type Output = Self;
+
+    fn add(self, duration: Duration) -> Self {
+        Self(self.0.saturating_add(duration))
+    }
+}
+
+impl Sub<Duration> for Moment {
+    type Output = Self;
+
+    fn sub(self, duration: Duration) -> Self {
+        Self(self.0.saturating_sub(duration))
+    }
+}
--- /dev/null
+++ b/crates/daisyseam-coord/src/outcome.rs
@@ -0,0 +1,1 @@
+//! Resolution of commits whose answer was lost.
--- /dev/null
+++ b/crates/daisyseam-coord/src/overload.rs
@@ -0,0 +1,1 @@
+//! Adaptive concurrency for one database.
--- /dev/null
+++ b/crates/daisyseam-coord/src/promotion.rs
@@ -0,0 +1,1 @@
+//! The promotion of a database to primary.
--- /dev/null
+++ b/crates/daisyseam-coord/src/quota.rs
@@ -0,0 +1,1 @@
+//! Rates and bursts counted over the whole fleet by escrow.
--- /dev/null
+++ b/crates/daisyseam-coord/src/retry.rs
@@ -0,0 +1,1 @@
+//! Retry budgets, back-off and deadlines.
--- /dev/null
+++ b/crates/daisyseam-coord/src/route.rs
@@ -0,0 +1,1 @@
+//! The choice among the databases of a group.
--- /dev/null
+++ b/crates/daisyseam-coord/src/view_lease.rs
@@ -0,0 +1,1 @@
+//! Leases on a view, with a stated bound on clock drift.
--- /dev/null
+++ b/crates/daisyseam-ctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operator command line.
--- /dev/null
+++ b/crates/daisyseam-entry/src/lib.rs
@@ -0,0 +1,25 @@
+//! The entry daemon: callers, peers, databases, announcements.
+//!
+//! `caller` speaks PostgreSQL to callers and decides what a statement needs; it reaches databases
+//! only through a [`LinkBroker`]. Everything behind that trait (routing, queues, slots, peers)
+//! knows nothing of callers.
+
+mod broker;
+mod view_cell;
+
+pub use crate::{
+    broker::{
+        DatabaseLink,
+        LinkBroker,
+        LinkError,
+        LinkOrder,
+        OpenedLink,
+        RateGate,
+        StatementAccess,
+        TransactionFate, //
+    },
+    view_cell::{
+        HeldView,
+        ViewCell, //
+    }, //
+};
--- /dev/null
+++ b/crates/daisyseam-model/src/lib.rs
@@ -0,0 +1,46 @@
+//! The vocabulary that every part of daisyseam shares.
+//!
+//! Identifiers, terms and log positions, the view that control hands out, the configuration
+//! document, and the closed list of error kinds with its table.
+
+pub mod announce;
+pub mod document;
+mod error;
+mod id;
+mod position;
+mod view;
+
+pub use crate::{
+    error::{
+        ErrorKind,
+        Execution,
+        KindRow,
+        RequestError, //
+    },
+    id::{
+        ClusterId,
+        DataCentreId,
+        GroupId,
+        InstanceId,
+        InvalidName,
+        OrganisationId,
+        RegionId,
+        ServiceId,
+        UpstreamId, //
+    },
+    position::{
+        LogPosition,
+        Position,
+        Term, //
+    },
+    view::{
+        DocumentNumber,
+        FleetView,
+        GroupView,
+        Incarnation,
+        InstanceView,
+        PrimaryState,
+        UpstreamView,
+        ViewNumber, //
+    }, //
+};
--- /dev/null
+++ b/crates/daisyseam-model/src/view.rs
@@ -0,0 +1,132 @@
+//! The view: what control has decided and every instance acts on while its lease holds.
+
+use crate::{
+    DataCentreId,
+    GroupId,
+    InstanceId,
+    LogPosition,
+    Term,
+    UpstreamId,
+    document::Document, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::Arc, //
+};
+
+/// Number of an accepted document; each accepted document has the number after its predecessor.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+#[serde(transparent)]
+pub struct DocumentNumber(pub u64);
+
+/// Number of a view; every change of the view raises it by one.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+#[serde(transparent)]
+pub struct ViewNumber(pub u64);
+
+/// Tells a restarted process from its former self; given by control, never given twice.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+#[serde(transparent)]
+pub struct Incarnation(pub u64);
+
+/// Everything an entry instance needs to decide on its own while its view lease holds.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct FleetView {
+    /// Number of this view.
+    pub number: ViewNumber,
+    /// Number of the document in force.
+    pub document_number: DocumentNumber,
+    /// The document in force; none before the first submission.
+    pub document: Option<Arc<Document>>,
+    /// State of each database group.
+    pub groups: BTreeMap<GroupId, GroupView>,
+    /// Databases that have announced themselves.
+    pub upstreams: BTreeMap<UpstreamId, UpstreamView>,
+    /// Entry instances that are members.
+    pub instances: BTreeMap<InstanceId, InstanceView>,
+}
+
+/// The state of one database group.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct GroupView {
+    /// Highest term given so far.
+    pub term: Term,
+    /// Who holds that term.
+    pub primary: PrimaryState,
+    /// Start of the present lineage: the place from which the primary of `term` went on.
+    pub lineage_start: LogPosition,
+}
+
+/// Who may take writes of a group.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum PrimaryState {
+    /// Nobody: the former primary is fenced and no other is chosen yet.
+    Fenced,
+    /// A planned move: running transactions finish, new ones are held.
+    Draining(UpstreamId),
+    /// This database, until the view says otherwise.
+    Active(UpstreamId),
+}
+
+impl PrimaryState {
+    /// Returns the database that may take new transactions.
+    pub fn active(&self) -> Option<&UpstreamId> {
+        match self {
+            Self::Active(upstream) => Some(upstream),
+            Self::Fenced | Self::Draining(_) => None,
+        }
+    }
+}
+
+/// One announced database.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct UpstreamView {
+    /// Group it belongs to.
+    pub group: GroupId,
+    /// Data centre it runs in.
+    pub data_centre: DataCentreId,
+    /// Address of its PostgreSQL port.
+    pub address: SocketAddr,
+    /// Address of its HTTP port for promotion and state.
+    pub admin_address: SocketAddr,
+    /// Entry instance that holds its connections; none while a hand-over waits for a lease.
+    pub holder: Option<InstanceId>,
+    /// Whether it is leaving: no new work, running work finishes.
+    pub leaving: bool,
+}
+
+/// One entry instance.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct InstanceView {
+    /// Its present incarnation.
+    pub incarnation: Incarnation,
+    /// Data centre it runs in.
+    pub data_centre: DataCentreId,
+    /// Address on which it answers its peers.
+    pub peer_address: SocketAddr,
+    /// Whether it is stopping: it takes no new holdings.
+    pub leaving: bool,
+}
+
+impl FleetView {
+    /// Returns the databases of a group, in the order of their names.
+    pub fn members<'a>(
+        &'a self,
+        group: &'a GroupId,
+    ) -> impl Iterator<Item = (&'a UpstreamId, &'a UpstreamView)> {
+        self.upstreams
+            .iter()
+            .filter(move |(_, upstream)| &upstream.group == group)
+    }
+}
--- /dev/null
+++ b/crates/daisyseam-model/tests/document.rs
@@ -0,0 +1,106 @@
+//! The validation of documents: every problem at once, with its place.
+
+use daisyseam_model::document::{
+    DOCUMENT_BYTES_MAX,
+    Document,
+    Problem,
+    Severity, //
+};
+use proptest::prelude::*;
+use test_case::test_case;
+
+const SOUND: &str = r#"number = 1
+cluster = "shellrest"
+
+[[region]]
+name = "khomas"
+
+[[data_centre]]
+name = "khomas-1"
+region = "khomas"
+
+[[group]]
+name = "bookings-db"
+databases = 3
+slots = 5
+
+[[service]]
+name = "bookings"
+group = "bookings-db"
+
+[[organisation]]
+name = "swakop-boarding"
+rate = 50
+burst = 100
+
+[[organisation.key]]
+hash = "sha256:0000000000000000000000000000000000000000000000000000000000000001"
+"#;
+
+fn errors(text: &str) -> Vec<Problem> {
+    Document::parse(text).expect_err("the document has errors")
+}
+
+#[test]
+fn a_sound_document_is_read_without_a_problem() {
+    let (document, problems) = Document::check(SOUND);
+    assert_eq!(problems, Vec::new());
+    let document = document.expect("there is a document");
+    assert_eq!(document.organisations["swakop-boarding"].burst, 100.0);
+    assert_eq!(document.groups["bookings-db"].slots, 5);
+}
+
+#[test]
+fn every_problem_is_listed_with_its_place() {
+    let text = SOUND
+        .replace("databases = 3", "databases = 0")
+        .replace("rate = 50", "rate = 0")
+        .replace("group = \"bookings-db\"", "group = \"missing\"")
+        .replace("region = \"khomas\"\n", "region = \"Khomas!\"\n");
+    let problems = errors(&text);
+    let places: Vec<_> = problems.iter().map(|problem| problem.line).collect();
+    assert_eq!(places, [9, 13, 18, 22], "{problems:?}");
+    assert!(problems.iter().all(|problem| problem.column > 1));
+}
+
+#[test_case("cluster = \"shellrest\"", "cluster = 3", "text"; "a number for a name")]
+#[test_case("burst = 100", "burst = 100\nshade = 1", "not known"; "an unknown key")]
+#[test_case("databases = 3", "databases = 3\ncapacity = -1", "outside"; "a negative capacity")]
+#[test_case("rate = 50", "rate = 50\nweight = 4294967296", "outside"; "a weight that overflows")]
+#[test_case("sha256:00", "sha256:zz", "64 hexadecimal"; "a hash that is none")]
+#[test_case("region = \"khomas\"\n", "region = \"khomas\"\nstate = \"out\"\n", "at least one"; "the last data centre taken out")]
+#[test_case("group = \"bookings-db\"", "group = \"other\"", "not in the document"; "a group that is missing")]
+fn a_wrong_value_is_an_error(from: &str, to: &str, words: &str) {
+    let problems = errors(&SOUND.replace(from, to));
+    assert!(
+        problems
+            .iter()
+            .any(|problem| problem.severity == Severity::Error && problem.message.contains(words)),
+        "{problems:?}"
+    );
+}
+
+#[test]
+fn an_oversized_document_is_refused_before_it_is_read() {
+    let text = "#".repeat(DOCUMENT_BYTES_MAX + 1);
+    assert_eq!(errors(&text).len(), 1);
+}
+
+proptest! {
+    #[test]
+    fn arbitrary_text_never_panics(text in ".{0,400}") {
+        let (document, problems) = Document::check(&text);
+        let refused = problems.iter().any(|problem| problem.severity == Severity::Error);
+        prop_assert_eq!(document.is_none(), refused);
+    }
+
+    #[test]
+    fn a_damaged_document_never_panics(at in 0..SOUND.len(), byte in 0_u8..128) {
+        let mut bytes = SOUND.as_bytes().to_vec();
+        bytes[at] = byte;
+        let text = String::from_utf8(bytes).expect("ASCII stays ASCII");
+        let (document, problems) = Document::check(&text);
+        let refused = problems.iter().any(|problem| problem.severity == Severity::Error);
+        prop_assert_eq!(document.is_none(), refused);
+    }
+}
--- /dev/null
+++ b/crates/daisyseam-runtime/src/lib.rs
@@ -0,0 +1,66 @@
+//! The shell that every daemon shares.
+//!
+//! Checked settings, JSON logs, metrics, spans, the one timer service, health pages and the
+//! signal that asks for a graceful stop.
+
+mod dialer;
+mod health;
+mod logs;
+mod metrics;
+mod settings;
+mod shutdown;
+mod span;
+mod timer;
+
+pub use crate::{
+    dialer::Dialer,
+    health::{
+        HealthServer,
+        HealthState, //
+    },
+    logs::{
+        LogsError,
+        start_logs, //
+    },
+    metrics::{
+        MetricClient,
+        MetricsError, //
+    },
+    settings::{
+        SettingProblem,
+        SettingReader, //
+    },
+    shutdown::{
+        StopSignal,
+        stop_on_signal, //
+    },
+    span::{
+        HopSpan,
+        SpanExporter,
+        TraceContext, //
+    },
+    timer::{
+        TimerService,
+        TimerTicket, //
+    }, //
+};
+
+/// Exit codes that every program of the system shares.
+pub mod exit {
+    /// Everything went as asked.
+    pub const SUCCESS: i32 = 0;
+    /// Something failed while the program ran.
+    pub const FAILURE: i32 = 1;
+    /// The command line or a setting is not valid.
+    pub const USAGE: i32 = 2;
+    /// The graceful stop was cut short by its deadline.
+    pub const STOP_DEADLINE: i32 = 3;
+    /// The data folder is damaged or belongs to another instance.
+    pub const DATA_FOLDER: i32 = 4;
+    /// The document has errors.
+    pub const INVALID_DOCUMENT: i32 = 5;
+    /// Another submission won the number.
+    pub const LOST_RACE: i32 = 6;
+    /// No control instance answered.
+    pub const UNREACHABLE: i32 = 7;
+}
--- /dev/null
+++ b/crates/daisyseam-runtime/src/metrics.rs
@@ -0,0 +1,100 @@
+//! Metrics by the StatsD protocol, and the same counters for the status page.
+
+use cadence::{
+    Counted,
+    Gauged,
+    NopMetricSink,
+    QueuingMetricSink,
+    StatsdClient,
+    Timed,
+    UdpMetricSink, //
+};
+use displaydoc::Display;
+use parking_lot::Mutex;
+use std::{
+    collections::BTreeMap,
+    error::Error,
+    io,
+    net::{
+        SocketAddr,
+        UdpSocket, //
+    },
+    sync::Arc,
+    time::Duration, //
+};
+
+/// Prefix of every metric.
+const PREFIX: &str = "daisyseam";
+
+/// Why metrics could not start.
+#[derive(Debug, Display)]
+pub enum MetricsError {
+    /// the socket for metrics cannot be opened: {0}
+    Socket(io::Error),
+    /// the address for metrics cannot be used: {0}
+    Address(cadence::MetricError),
+}
+
+impl Error for MetricsError {}
+
+/// Sends metrics and keeps the counters; cheap to clone.
+#[derive(Clone)]
+pub struct MetricClient {
+    client: Arc<StatsdClient>,
+    counters: Arc<Mutex<BTreeMap<&'static str, u64>>>,
+}
+
+impl MetricClient {
+    /// Sends metrics to an address, or nowhere.
+    ///
+    /// # Errors
+    ///
+    /// [`MetricsError`] when no socket can be opened.
+    pub fn new(target: Option<SocketAddr>) -> Result<Self, MetricsError> {
+        let client = match target {
+            None => StatsdClient::from_sink(PREFIX, NopMetricSink),
+            Some(target) => {
+                let local = if target.is_ipv4() {
+                    "0.0.0.0:0"
+                } else {
+                    "[::]:0"
+                };
+                let socket = UdpSocket::bind(local).map_err(MetricsError::Socket)?;
+                socket.set_nonblocking(true).map_err(MetricsError::Socket)?;
+                let sink = UdpMetricSink::from(target, socket).map_err(MetricsError::Address)?;
+                StatsdClient::from_sink(PREFIX, QueuingMetricSink::from(sink))
+            }
+        };
+        Ok(Self {
+            client: Arc::new(client),
+            counters: Arc::default(),
+        })
+    }
+
+    /// Adds one to a counter.
+    pub fn count(&self, name: &'static str) {
+        self.add(name, 1);
+    }
+
+    /// Adds to a counter.
+    pub fn add(&self, name: &'static str, amount: u64) {
+        *self.counters.lock().entry(name).or_default() += amount;
+        // A metric that cannot be sent must not disturb a request.
+        let _ = self.client.count(name, amount);
+    }
+
+    /// Reports a present value.
+    pub fn gauge(&self, name: &'static str, value: u64) {
+        let _ = self.client.gauge(name, value);
+    }
+
+    /// Reports how long something took.
+    pub fn time(&self, name: &'static str, duration: Duration) {
+        let _ = self.client.time(name, duration);
+    }
+
+    /// Returns the counters so far.
+    pub fn counters(&self) -> BTreeMap<&'static str, u64> {
+        self.counters.lock().clone()
+    }
+}
--- /dev/null
+++ b/crates/daisyseam-store/src/lib.rs
@@ -0,0 +1,1 @@
+//! The data folder: write-ahead log, snapshots, recovery.
--- /dev/null
+++ b/crates/daisyseam-wire/src/control.rs
@@ -0,0 +1,574 @@
+//! Messages to and between control instances.
+
+use crate::view::WireView;
+
+/// Any message to or between control instances.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct ControlMessage {
+    /// The message proper.
+    #[prost(
+        oneof = "control_message::Body",
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19"
+    )]
+    pub body: Option<control_message::Body>,
+}
+
+/// The bodies of a [`ControlMessage`].
+pub mod control_message {
+    /// One message to or between control instances.
+    #[derive(Clone, PartialEq, prost::Oneof)]
+    pub enum Body {
+        /// An instance introduces itself.
+        #[prost(message, tag = "1")]
+        Hello(super::Hello),
+        /// Its incarnation is given.
+        #[prost(message, tag = "2")]
+        Welcome(super::Welcome),
+        /// Another control instance leads.
+        #[prost(message, tag = "3")]
+        NotLeader(super::NotLeader),
+        /// An instance asks for its lease.
+        #[prost(message, tag = "4")]
+        Heartbeat(super::Heartbeat),
+        /// The lease, and what has changed.
+        #[prost(message, tag = "5")]
+        HeartbeatReply(super::HeartbeatReply),
+        /// Submits a document.
+        #[prost(message, tag = "6")]
+        Submit(super::SubmitRequest),
+        /// What became of it.
+        #[prost(message, tag = "7")]
+        Submitted(super::SubmitReply),
+        /// Asks for a document.
+        #[prost(message, tag = "8")]
+        Show(super::ShowRequest),
+        /// The document.
+        #[prost(message, tag = "9")]
+        Shown(super::ShowReply),
+        /// Asks for the accepted documents.
+        #[prost(message, tag = "10")]
+        History(super::HistoryRequest),
+        /// The accepted documents.
+        #[prost(message, tag = "11")]
+        HistoryShown(super::HistoryReply),
+        /// Asks for the state of the fleet.
+        #[prost(message, tag = "12")]
+        Status(super::StatusRequest),
+        /// The state of the fleet.
+        #[prost(message, tag = "13")]
+        StatusShown(super::StatusReply),
+        /// Asks for a vote.
+        #[prost(message, tag = "14")]
+        Vote(super::VoteRequest),
+        /// A vote.
+        #[prost(message, tag = "15")]
+        Voted(super::VoteReply),
+        /// Entries of the log.
+        #[prost(message, tag = "16")]
+        Append(super::AppendRequest),
+        /// Whether they were appended.
+        #[prost(message, tag = "17")]
+        Appended(super::AppendReply),
+        /// A piece of a snapshot.
+        #[prost(message, tag = "18")]
+        Snapshot(super::SnapshotChunk),
+        /// Whether it was taken.
+        #[prost(message, tag = "19")]
+        SnapshotTaken(super::SnapshotReply),
+    }
+}
+
+/// An entry instance introduces itself after it has connected.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Hello {
+    /// Its name.
+    #[prost(string, tag = "1")]
+    pub instance: String,
+    /// Incarnation it had before on this process; 0 for a process that has just started.
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    /// Data centre it runs in.
+    #[prost(string, tag = "3")]
+    pub data_centre: String,
+    /// Address on which it answers its peers.
+    #[prost(string, tag = "4")]
+    pub peer_address: String,
+    /// Number of the view it holds; 0 for none.
+    #[prost(uint64, tag = "5")]
+    pub view: u64,
+}
+
+/// The leader takes an instance in.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Welcome {
+    /// Its incarnation from now on.
+    #[prost(uint64, tag = "1")]
+    pub incarnation: u64,
+}
+
+/// The asked instance does not lead.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct NotLeader {
+    /// Address of the leader if it is known, else empty.
+    #[prost(string, tag = "1")]
+    pub leader: String,
+    /// Term of the log.
+    #[prost(uint64, tag = "2")]
+    pub term: u64,
+}
+
+/// What one organisation asked for at one instance.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct DemandReport {
+    /// Organisation.
+    #[prost(string, tag = "1")]
+    pub organisation: String,
+    /// Statements a second it wanted, admitted or not.
+    #[prost(double, tag = "2")]
+    pub wanted_rate: f64,
+    /// Rate share that is held, in statements a second.
+    #[prost(double, tag = "3")]
+    pub rate_share: f64,
+    /// Burst share that is held, in statements.
+    #[prost(double, tag = "4")]
+    pub burst_share: f64,
+    /// Part of the rate share that the instance has given up for good.
+    #[prost(double, tag = "5")]
+    pub returned_rate: f64,
+    /// Part of the burst share that it has given up for good.
+    #[prost(double, tag = "6")]
+    pub returned_burst: f64,
+    /// Unused tokens within `returned_burst`.
+    #[prost(double, tag = "7")]
+    pub returned_tokens: f64,
+    /// Number of the last grant that was applied; a returned part counts once for it.
+    #[prost(uint64, tag = "8")]
+    pub grant: u64,
+}
+
+/// An announcement of a database, passed on by the instance that took it.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct UpstreamReport {
+    /// Database.
+    #[prost(string, tag = "1")]
+    pub upstream: String,
+    /// Group.
+    #[prost(string, tag = "2")]
+    pub group: String,
+    /// Data centre.
+    #[prost(string, tag = "3")]
+    pub data_centre: String,
+    /// Address of its PostgreSQL port.
+    #[prost(string, tag = "4")]
+    pub address: String,
+    /// Address of its HTTP port.
+    #[prost(string, tag = "5")]
+    pub admin_address: String,
+    /// Term it is in.
+    #[prost(uint64, tag = "6")]
+    pub term: u64,
+    /// Its log position.
+    #[prost(uint64, tag = "7")]
+    pub position: u64,
+    /// Whether it takes writes.
+    #[prost(bool, tag = "8")]
+    pub primary: bool,
+    /// Whether it says that it is leaving.
+    #[prost(bool, tag = "9")]
+    pub leaving: bool,
+    /// Time since the announcement came in, in milliseconds.
+    #[prost(uint64, tag = "10")]
+    pub age_ms: u64,
+}
+
+/// What a holder sees of a database that it holds.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct HealthReport {
+    /// Database.
+    #[prost(string, tag = "1")]
+    pub upstream: String,
+    /// Whether it answers.
+    #[prost(bool, tag = "2")]
+    pub reachable: bool,
+    /// Term it is in.
+    #[prost(uint64, tag = "3")]
+    pub term: u64,
+    /// Its log position.
+    #[prost(uint64, tag = "4")]
+    pub position: u64,
+    /// Whether it takes writes.
+    #[prost(bool, tag = "5")]
+    pub primary: bool,
+    /// Time since its last answer, in milliseconds.
+    #[prost(uint64, tag = "6")]
+    pub silent_ms: u64,
+    /// View under which this instance holds its connections; 0 when it has let go of them.
+    #[prost(uint64, tag = "7")]
+    pub held_for_view: u64,
+}
+
+/// What an instance has open at a group that is being moved.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct GroupReport {
+    /// Group.
+    #[prost(string, tag = "1")]
+    pub group: String,
+    /// Term that is draining.
+    #[prost(uint64, tag = "2")]
+    pub term: u64,
+    /// Transactions still open there.
+    #[prost(uint64, tag = "3")]
+    pub open_transactions: u64,
+}
+
+/// Asks for a lease and reports.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Heartbeat {
+    /// Counts the heartbeats of this incarnation.
+    #[prost(uint64, tag = "1")]
+    pub sequence: u64,
+    /// Incarnation of the sender.
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    /// Number of the view that the sender acts on; all earlier views are out of use there.
+    #[prost(uint64, tag = "3")]
+    pub view: u64,
+    /// Whether the sender is stopping.
+    #[prost(bool, tag = "4")]
+    pub leaving: bool,
+    /// Demand, for organisations where it changed.
+    #[prost(message, repeated, tag = "5")]
+    pub demand: Vec<DemandReport>,
+    /// Announcements since the last heartbeat.
+    #[prost(message, repeated, tag = "6")]
+    pub upstreams: Vec<UpstreamReport>,
+    /// Held databases whose health changed.
+    #[prost(message, repeated, tag = "7")]
+    pub health: Vec<HealthReport>,
+    /// Groups that are draining.
+    #[prost(message, repeated, tag = "8")]
+    pub groups: Vec<GroupReport>,
+    /// Name of the sender.
+    #[prost(string, tag = "9")]
+    pub instance: String,
+    /// Digest of the view that the sender acts on.
+    #[prost(uint64, tag = "10")]
+    pub view_digest: u64,
+}
+
+/// Gives an instance a part of an organisation's rate and burst.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct ShareGrant {
+    /// Organisation.
+    #[prost(string, tag = "1")]
+    pub organisation: String,
+    /// Rate that is added, in statements a second.
+    #[prost(double, tag = "2")]
+    pub rate: f64,
+    /// Burst that is added, in statements.
+    #[prost(double, tag = "3")]
+    pub burst: f64,
+    /// Tokens that come with it; never more than `burst`.
+    #[prost(double, tag = "4")]
+    pub tokens: f64,
+    /// Number of this grant; a repeated number is ignored.
+    #[prost(uint64, tag = "5")]
+    pub grant: u64,
+    /// Rate that the instance is asked to return.
+    #[prost(double, tag = "6")]
+    pub surrender_rate: f64,
+    /// Burst that the instance is asked to return.
+    #[prost(double, tag = "7")]
+    pub surrender_burst: f64,
+}
+
+/// The lease, and what has changed.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct HeartbeatReply {
+    /// Sequence of the heartbeat that is answered.
+    #[prost(uint64, tag = "1")]
+    pub sequence: u64,
+    /// The lease holds for this long from the moment the heartbeat was sent, in milliseconds; 0 for no lease.
+    #[prost(uint64, tag = "2")]
+    pub lease_ms: u64,
+    /// Changes from the sender's view to the newest, or the whole view.
+    #[prost(message, optional, tag = "3")]
+    pub update: Option<WireView>,
+    /// Shares.
+    #[prost(message, repeated, tag = "4")]
+    pub grants: Vec<ShareGrant>,
+}
+
+/// Submits a document in place of the one with a stated number.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct SubmitRequest {
+    /// Identifier that a resend repeats.
+    #[prost(string, tag = "1")]
+    pub id: String,
+    /// Number of the document it replaces; 0 for the first.
+    #[prost(uint64, tag = "2")]
+    pub replaces: u64,
+    /// The document.
+    #[prost(string, tag = "3")]
+    pub text: String,
+    /// Who submits it, for the history.
+    #[prost(string, tag = "4")]
+    pub operator: String,
+}
+
+/// What became of a submission.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct SubmitReply {
+    /// Whether it was accepted.
+    #[prost(bool, tag = "1")]
+    pub accepted: bool,
+    /// Number of the document now in force.
+    #[prost(uint64, tag = "2")]
+    pub number: u64,
+    /// Identifier of the submission that has the number it asked for, when another won.
+    #[prost(string, tag = "3")]
+    pub winner: String,
+    /// Problems of the document, one a line.
+    #[prost(string, repeated, tag = "4")]
+    pub problems: Vec<String>,
+    /// Why it was refused, else empty.
+    #[prost(string, tag = "5")]
+    pub error: String,
+    /// Whether nothing was decided and the caller should ask again.
+    #[prost(bool, tag = "6")]
+    pub busy: bool,
+}
+
+/// Asks for a document.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct ShowRequest {
+    /// Its number; 0 for the one in force.
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+    /// Whether the answer must be the newest; else it may be stale.
+    #[prost(bool, tag = "2")]
+    pub linearizable: bool,
+}
+
+/// A document.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct ShowReply {
+    /// Its number; 0 if there is none.
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+    /// Its text.
+    #[prost(string, tag = "2")]
+    pub text: String,
+    /// Whether the answer may be stale.
+    #[prost(bool, tag = "3")]
+    pub stale: bool,
+}
+
+/// Asks for the accepted documents.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct HistoryRequest {
+    /// Most entries wanted, newest first.
+    #[prost(uint64, tag = "1")]
+    pub limit: u64,
+}
+
+/// One accepted document.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct HistoryEntry {
+    /// Its number.
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+    /// Identifier of its submission.
+    #[prost(string, tag = "2")]
+    pub id: String,
+    /// Who submitted it.
+    #[prost(string, tag = "3")]
+    pub operator: String,
+    /// When it was accepted by the leader's clock, in milliseconds since 1970.
+    #[prost(uint64, tag = "4")]
+    pub accepted_unix_ms: u64,
+}
+
+/// The accepted documents.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct HistoryReply {
+    /// Newest first.
+    #[prost(message, repeated, tag = "1")]
+    pub entries: Vec<HistoryEntry>,
+    /// Whether the answer may be stale.
+    #[prost(bool, tag = "2")]
+    pub stale: bool,
+}
+
+/// Asks for the state of the fleet.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct StatusRequest {}
+
+/// The state of the fleet.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct StatusReply {
+    /// The state as JSON.
+    #[prost(string, tag = "1")]
+    pub json: String,
+    /// Whether the answer may be stale.
+    #[prost(bool, tag = "2")]
+    pub stale: bool,
+}
+
+/// Asks for a vote, or whether one would be given.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct VoteRequest {
+    /// Sender.
+    #[prost(string, tag = "1")]
+    pub from: String,
+    /// Term of the election.
+    #[prost(uint64, tag = "2")]
+    pub term: u64,
+    /// Index of the candidate's last entry.
+    #[prost(uint64, tag = "3")]
+    pub last_index: u64,
+    /// Term of that entry.
+    #[prost(uint64, tag = "4")]
+    pub last_term: u64,
+    /// Whether this only asks.
+    #[prost(bool, tag = "5")]
+    pub pre_vote: bool,
+}
+
+/// A vote.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct VoteReply {
+    /// Sender.
+    #[prost(string, tag = "1")]
+    pub from: String,
+    /// Term of the sender, or of the pre-vote that is answered.
+    #[prost(uint64, tag = "2")]
+    pub term: u64,
+    /// Whether it is given.
+    #[prost(bool, tag = "3")]
+    pub granted: bool,
+    /// Whether it answers a pre-vote.
+    #[prost(bool, tag = "4")]
+    pub pre_vote: bool,
+}
+
+/// One entry of the log.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct LogEntry {
+    /// Index.
+    #[prost(uint64, tag = "1")]
+    pub index: u64,
+    /// Term.
+    #[prost(uint64, tag = "2")]
+    pub term: u64,
+    /// Kind of the payload: 0 none, 1 command, 2 membership.
+    #[prost(uint32, tag = "3")]
+    pub kind: u32,
+    /// Payload.
+    #[prost(bytes = "bytes", tag = "4")]
+    pub payload: bytes::Bytes,
+}
+
+/// Entries of the log, or none as a heartbeat.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct AppendRequest {
+    /// Sender.
+    #[prost(string, tag = "1")]
+    pub from: String,
+    /// Term of the leader.
+    #[prost(uint64, tag = "2")]
+    pub term: u64,
+    /// Index before the first entry.
+    #[prost(uint64, tag = "3")]
+    pub previous_index: u64,
+    /// Term at that index.
+    #[prost(uint64, tag = "4")]
+    pub previous_term: u64,
+    /// Index up to which the log is committed.
+    #[prost(uint64, tag = "5")]
+    pub commit: u64,
+    /// The entries.
+    #[prost(message, repeated, tag = "6")]
+    pub entries: Vec<LogEntry>,
+    /// Counts the rounds of the leader, for its lease.
+    #[prost(uint64, tag = "7")]
+    pub round: u64,
+}
+
+/// Whether entries were appended.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct AppendReply {
+    /// Sender.
+    #[prost(string, tag = "1")]
+    pub from: String,
+    /// Term of the sender.
+    #[prost(uint64, tag = "2")]
+    pub term: u64,
+    /// Whether they were appended and synced.
+    #[prost(bool, tag = "3")]
+    pub success: bool,
+    /// Last index known to agree.
+    #[prost(uint64, tag = "4")]
+    pub match_index: u64,
+    /// Where the leader may try next.
+    #[prost(uint64, tag = "5")]
+    pub hint_index: u64,
+    /// Round that is answered.
+    #[prost(uint64, tag = "6")]
+    pub round: u64,
+}
+
+/// A piece of a snapshot.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct SnapshotChunk {
+    /// Sender.
+    #[prost(string, tag = "1")]
+    pub from: String,
+    /// Term of the leader.
+    #[prost(uint64, tag = "2")]
+    pub term: u64,
+    /// Last index in the snapshot.
+    #[prost(uint64, tag = "3")]
+    pub last_index: u64,
+    /// Term at that index.
+    #[prost(uint64, tag = "4")]
+    pub last_term: u64,
+    /// Offset of this piece, in bytes.
+    #[prost(uint64, tag = "5")]
+    pub offset: u64,
+    /// Length of the whole, in bytes.
+    #[prost(uint64, tag = "6")]
+    pub total: u64,
+    /// The piece.
+    #[prost(bytes = "bytes", tag = "7")]
+    pub bytes: bytes::Bytes,
+    /// Encoded membership at that index.
+    #[prost(bytes = "bytes", tag = "8")]
+    pub members: bytes::Bytes,
+    /// Round of the leader.
+    #[prost(uint64, tag = "9")]
+    pub round: u64,
+}
+
+/// How much of a snapshot was taken.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct SnapshotReply {
+    /// Sender.
+    #[prost(string, tag = "1")]
+    pub from: String,
+    /// Term of the sender.
+    #[prost(uint64, tag = "2")]
+    pub term: u64,
+    /// Last index of that snapshot.
+    #[prost(uint64, tag = "3")]
+    pub last_index: u64,
+    /// Offset that is wanted next.
+    #[prost(uint64, tag = "4")]
+    pub next_offset: u64,
+    /// Whether all of it is synced.
+    #[prost(bool, tag = "5")]
+    pub done: bool,
+    /// Round that is answered.
+    #[prost(uint64, tag = "6")]
+    pub round: u64,
+}
--- /dev/null
+++ b/crates/daisyseam-wire/src/lib.rs
@@ -0,0 +1,80 @@
+//! Messages and framing between the processes of the system.
+//!
+//! Every connection carries length-delimited frames, each one [`Envelope`] with the protocol
+//! version and the cluster it belongs to; [`MessageStream`] refuses frames of another cluster or a
+//! future version.
+
+mod control;
+mod convert;
+mod envelope;
+mod peer;
+mod stream;
+mod view;
+
+pub use crate::{
+    control::{
+        AppendReply,
+        AppendRequest,
+        ControlMessage,
+        DemandReport,
+        GroupReport,
+        HealthReport,
+        Heartbeat,
+        HeartbeatReply,
+        Hello,
+        HistoryEntry,
+        HistoryReply,
+        HistoryRequest,
+        LogEntry,
+        NotLeader,
+        ShareGrant,
+        ShowReply,
+        ShowRequest,
+        SnapshotChunk,
+        SnapshotReply,
+        StatusReply,
+        StatusRequest,
+        SubmitReply,
+        SubmitRequest,
+        UpstreamReport,
+        VoteReply,
+        VoteRequest,
+        Welcome,
+        control_message, //
+    },
+    convert::ConvertError,
+    envelope::{
+        Envelope,
+        PROTOCOL_VERSION, //
+    },
+    peer::{
+        AwaitReply,
+        AwaitRequest,
+        CancelLink,
+        LinkData,
+        LinkGranted,
+        LinkRefused,
+        LinkRelease,
+        LinkReply,
+        LinkRequest,
+        PeerMessage,
+        ProbeReply,
+        ProbeRequest,
+        WirePosition,
+        peer_message, //
+    },
+    stream::{
+        FRAME_BYTES_MAX,
+        MessageReceiver,
+        MessageSender,
+        MessageStream,
+        StreamError, //
+    },
+    view::{
+        DocumentPatch,
+        WireGroup,
+        WireInstance,
+        WireUpstream,
+        WireView, //
+    }, //
+};
