Add the operator command line and the document's schema

Cause: documents could be validated but not compared, submitted or shown.

Change: daisyseam-ctl with check, diff, submit, show, history, status, key new and schema, in text or JSON, with exit codes of its own for an invalid document, a lost race and an unreachable control. A submission repeats its id until an answer comes, so that a lost answer cannot submit twice.

Before: no operator program.

--- a/crates/daisyseam-model/src/document.rs
+++ b/crates/daisyseam-model/src/document.rs
@@ -3,10 +3,14 @@
 mod parse;
 mod problem;
 mod read;
-
-pub use self::problem::{
-    Problem,
-    Severity, //
+mod schema;
+
+pub use self::{
+    problem::{
+        Problem,
+        Severity, //
+    },
+    schema::document_schema, //
 };
 use crate::{
     ClusterId,
--- a/crates/daisyseam-runtime/src/lib.rs
+++ b/crates/daisyseam-runtime/src/lib.rs
@@ -7,6 +7,7 @@
 mod health;
 mod logs;
 mod metrics;
+mod operator;
 mod settings;
 mod shutdown;
 mod span;
@@ -26,6 +27,10 @@
         MetricClient,
         MetricsError, //
     },
+    operator::{
+        OperatorClient,
+        OperatorError, //
+    },
     settings::{
         SettingProblem,
         SettingReader, //
