--- a/crates/daisyseam-entry/src/lib.rs
+++ b/crates/daisyseam-entry/src/lib.rs
@@ -5,6 +5,7 @@
 //! knows nothing of callers.
 
 mod broker;
+pub mod caller;
 mod view_cell;
 
 pub use crate::{
