--- a/crates/daisyseam-coord/src/lib.rs
+++ b/crates/daisyseam-coord/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod outcome;
 pub mod overload;
 pub mod promotion;
+pub mod quorum;
 pub mod quota;
 pub mod retry;
 pub mod route;
