--- a/crates/daisyseam-coord/examples/quorum_table.rs
+++ b/crates/daisyseam-coord/examples/quorum_table.rs
@@ -13,7 +13,9 @@
 const DATA_CENTRE_DOWN: f64 = 0.001;
 
 fn main() {
-    println!("| system | members | data centres | write quorum | independent | with data centres |");
+    println!(
+        "| system | members | data centres | write quorum | independent | with data centres |"
+    );
     println!("| --- | --- | --- | --- | --- | --- |");
     for (members, centres) in [(3, 3), (5, 3), (5, 5), (9, 3), (13, 6)] {
         let system = MajorityQuorum { members };
