Split rates and bursts over the fleet by escrow

Cause: an even static split refuses within the rate, and counting apart goes over it. Change: a ledger for control's leader and a set of token buckets for each instance; shares have leases, tokens travel with burst, messages carry totals, a new ledger adopts what is reported within one lease. The messages of heartbeats change with it. Granting full tokens, skipping the wait of a new ledger or ignoring a lapsed lease makes it fail.

--- /dev/null
+++ b/crates/daisyseam-coord/src/quota/account.rs
@@ -0,0 +1,278 @@
+//! One rate in the ledger: what each holder has of it and what is free.
+
+use super::{
+    DemandEntry,
+    GrantEntry,
+    HandedTotal,
+    HolderId,
+    MILLI,
+    RateKey,
+    RateShare,
+    bucket::TokenStore,
+    split::{
+        SplitHolder,
+        scale,
+        split, //
+    }, //
+};
+use crate::Moment;
+use std::collections::BTreeMap;
+
+/// A share that lies nearer to its target than one part in so many is left as it is.
+const SLACK_DIVISOR: u64 = 20;
+
+/// The account of one rate.
+///
+/// The free part is a bucket too: it accrues tokens, which go along when it is granted.
+#[derive(Debug)]
+pub(super) struct Account {
+    total: RateShare,
+    /// Sum of the shares of all entries; may exceed the total after that has been lowered.
+    held: RateShare,
+    pool: TokenStore,
+    entries: BTreeMap<HolderId, AccountEntry>,
+}
+
+impl Account {
+    /// Opens an account; nothing is free and nothing accrues before `open_from`.
+    pub(super) fn new(open_from: Moment, total: RateShare) -> Self {
+        Self {
+            total,
+            held: RateShare::default(),
+            pool: TokenStore::starting_at(open_from),
+            entries: BTreeMap::new(),
+        }
+    }
+
+    pub(super) fn total(&self) -> RateShare {
+        self.total
+    }
+
+    pub(super) fn held(&self) -> RateShare {
+        self.held
+    }
+
+    pub(super) fn is_closed(&self) -> bool {
+        self.total.is_empty() && self.entries.is_empty()
+    }
+
+    pub(super) fn set_total(&mut self, now: Moment, total: RateShare) {
+        self.pool.advance(now, self.free());
+        self.total = total;
+        self.pool.clamp(self.free());
+    }
+
+    /// Enters what a holder says.
+    pub(super) fn enter(&mut self, now: Moment, holder: &HolderId, told: &DemandEntry) {
+        self.pool.advance(now, self.free());
+        let base = told.base;
+        let held = &mut self.held;
+        let entry = self.entries.entry(holder.clone()).or_insert_with(|| {
+            *held = held.plus(base);
+            AccountEntry::new(base)
+        });
+        let before = (entry.share(), entry.returned.tokens);
+        entry.wanted = told.wanted;
+        entry.applied = entry.applied.latest(told.applied);
+        entry.returned = entry.returned.latest(told.returned);
+        let handed = before.0.saturating_sub(entry.share());
+        let tokens = (entry.returned.tokens - before.1).min(handed.burst);
+        *held = held.saturating_sub(handed);
+        let free = self.free();
+        self.pool.add_milli(tokens);
+        self.pool.clamp(free);
+    }
+
+    /// Takes back all that a holder has; its tokens are lost.
+    pub(super) fn forget(&mut self, now: Moment, holder: &HolderId) {
+        self.pool.advance(now, self.free());
+        if let Some(entry) = self.entries.remove(holder) {
+            self.held = self.held.saturating_sub(entry.share());
+        }
+    }
+
+    /// Returns what a holder does not know yet.
+    pub(super) fn news(&self, key: &RateKey, holder: &HolderId) -> Option<GrantEntry> {
+        let entry = self.entries.get(holder)?;
+        let asked = entry.asked.saturating_sub(entry.returned.share);
+        let known = entry.granted == entry.applied && asked.is_empty();
+        (!known).then(|| GrantEntry {
+            key: key.clone(),
+            granted: entry.granted,
+            asked: entry.asked,
+        })
+    }
+
+    /// Grants what is free to holders below their target and asks those above it to return.
+    ///
+    /// `seats` lists all holders and whether each is leaving. Returns whether somebody waits for
+    /// a turn, so that time alone will change the split.
+    pub(super) fn rebalance(&mut self, now: Moment, seats: &[(HolderId, bool)]) -> bool {
+        self.pool.advance(now, self.free());
+        self.seat(seats);
+        let holders: Vec<SplitHolder> = seats
+            .iter()
+            .filter_map(|(holder, leaving)| Some(self.entries.get(holder)?.split_view(*leaving)))
+            .collect();
+        let targets = split(self.total, &holders, now);
+        let seated = seats
+            .iter()
+            .filter(|(holder, _)| self.entries.contains_key(holder));
+        let targets: Vec<(HolderId, RateShare)> = seated
+            .map(|(holder, _)| holder.clone())
+            .zip(targets)
+            .collect();
+        let unmet = self.grant(&targets);
+        self.ask(&targets, unmet);
+        let mut waits = false;
+        for entry in self.entries.values_mut() {
+            waits |= entry.note_turn(now);
+        }
+        waits
+    }
+
+    /// Gives each holder an entry if the burst has room for a token of each.
+    fn seat(&mut self, seats: &[(HolderId, bool)]) {
+        let staying = seats.iter().filter(|(_, leaving)| !leaving);
+        if self.total.burst / MILLI < staying.clone().count() as u64 {
+            return;
+        }
+        for (holder, _) in staying {
+            self.entries
+                .entry(holder.clone())
+                .or_insert_with(|| AccountEntry::new(RateShare::default()));
+        }
+    }
+
+    /// Hands out what is free in proportion to what is missing; returns whether more is missing.
+    fn grant(&mut self, targets: &[(HolderId, RateShare)]) -> bool {
+        let needs: Vec<RateShare> = targets
+            .iter()
+            .map(|(holder, target)| self.entries[holder].need(*target))
+            .collect();
+        let missing = needs
+            .iter()
+            .fold(RateShare::default(), |sum, need| sum.plus(*need));
+        let free = self.free();
+        let given = RateShare {
+            rate: missing.rate.min(free.rate),
+            burst: missing.burst.min(free.burst),
+        };
+        let tokens = self.pool.whole_milli().min(given.burst);
+        for ((holder, _), need) in targets.iter().zip(needs) {
+            let share = RateShare {
+                rate: scale(need.rate, given.rate, missing.rate.max(1)),
+                burst: scale(need.burst, given.burst, missing.burst.max(1)),
+            };
+            let along = scale(tokens, share.burst, given.burst.max(1)).min(share.burst);
+            if let Some(entry) = self.entries.get_mut(holder) {
+                entry.granted.share = entry.granted.share.plus(share);
+                entry.granted.tokens += along;
+                self.held = self.held.plus(share);
+                self.pool.take_milli(along);
+            }
+        }
+        self.pool.clamp(self.free());
+        assert!(
+            (given.rate == 0 || self.held.rate <= self.total.rate)
+                && (given.burst == 0 || self.held.burst <= self.total.burst),
+            "more was granted than there is"
+        );
+        !missing.fits(free)
+    }
+
+    fn ask(&mut self, targets: &[(HolderId, RateShare)], unmet: bool) {
+        let over = !self.held.fits(self.total);
+        for (holder, target) in targets {
+            if let Some(entry) = self.entries.get_mut(holder) {
+                let part = match (over, unmet) {
+                    (true, _) => entry.share().saturating_sub(*target),
+                    (false, true) => entry.surplus(*target),
+                    (false, false) => RateShare::default(),
+                };
+                entry.asked = entry.returned.share.plus(part);
+            }
+        }
+    }
+
+    fn free(&self) -> RateShare {
+        self.total.saturating_sub(self.held)
+    }
+}
+
+/// What one holder has of an account.
+#[derive(Debug)]
+struct AccountEntry {
+    wanted: u64,
+    base: RateShare,
+    granted: HandedTotal,
+    applied: HandedTotal,
+    returned: HandedTotal,
+    asked: RateShare,
+    without_since: Option<Moment>,
+}
+
+impl AccountEntry {
+    fn new(base: RateShare) -> Self {
+        Self {
+            wanted: 0,
+            base,
+            granted: HandedTotal::default(),
+            applied: HandedTotal::default(),
+            returned: HandedTotal::default(),
+            asked: RateShare::default(),
+            without_since: None,
+        }
+    }
+
+    /// Returns the most that the holder can have now.
+    fn share(&self) -> RateShare {
+        self.base
+            .plus(self.granted.share)
+            .saturating_sub(self.returned.share)
+    }
+
+    fn split_view(&self, leaving: bool) -> SplitHolder {
+        SplitHolder {
+            wanted: self.wanted,
+            burst: self.share().burst,
+            without_since: self.without_since,
+            leaving,
+        }
+    }
+
+    /// Returns what is missing to the target, if it matters.
+    fn need(&self, target: RateShare) -> RateShare {
+        let share = self.share();
+        let part = |have: u64, want: u64| {
+            let missing = want.saturating_sub(have);
+            let matters = missing > want / SLACK_DIVISOR;
+            if matters { missing } else { 0 }
+        };
+        RateShare {
+            rate: part(share.rate, target.rate),
+            burst: part(share.burst, target.burst),
+        }
+    }
+
+    /// Returns what lies over the target, if it matters.
+    fn surplus(&self, target: RateShare) -> RateShare {
+        let share = self.share();
+        let part = |have: u64, want: u64| {
+            let over = have.saturating_sub(want);
+            let matters = over > have / SLACK_DIVISOR;
+            if matters { over } else { 0 }
+        };
+        RateShare {
+            rate: part(share.rate, target.rate),
+            burst: part(share.burst, target.burst),
+        }
+    }
+
+    /// Notes since when a wanted token has had no room; returns whether it has none now.
+    fn note_turn(&mut self, now: Moment) -> bool {
+        let without = self.wanted > 0 && self.share().burst < MILLI;
+        self.without_since = without.then(|| self.without_since.unwrap_or(now));
+        without
+    }
+}
--- /dev/null
+++ b/crates/daisyseam-coord/src/quota/bucket.rs
@@ -0,0 +1,232 @@
+//! A token bucket whose rate and burst come and go.
+
+use super::{
+    DemandEntry,
+    HandedTotal,
+    MILLI,
+    RateKey,
+    RateShare,
+    demand::{
+        DemandMeter,
+        WaitingLine, //
+    }, //
+};
+use crate::Moment;
+use std::time::Duration;
+
+/// Fine units in a thousandth of a token: a rate in thousandths a second times nanoseconds gives
+/// fine units without rounding.
+const FINE_PER_MILLI: u128 = 1_000_000_000;
+
+/// Fine units in a token.
+const FINE_PER_TOKEN: u128 = FINE_PER_MILLI * MILLI as u128;
+
+/// Tokens that accrue at a rate up to a capacity.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct TokenStore {
+    fine: u128,
+    at: Moment,
+}
+
+impl TokenStore {
+    pub(super) fn starting_at(at: Moment) -> Self {
+        Self { fine: 0, at }
+    }
+
+    /// Adds what has accrued since the last call.
+    pub(super) fn advance(&mut self, now: Moment, share: RateShare) {
+        let passed = now.since(self.at).as_nanos();
+        self.fine += passed * u128::from(share.rate);
+        self.at = self.at.max(now);
+        self.clamp(share);
+    }
+
+    /// Drops what the capacity does not hold.
+    pub(super) fn clamp(&mut self, share: RateShare) {
+        self.fine = self.fine.min(u128::from(share.burst) * FINE_PER_MILLI);
+    }
+
+    pub(super) fn take_one(&mut self) -> bool {
+        if self.fine < FINE_PER_TOKEN {
+            return false;
+        }
+        self.fine -= FINE_PER_TOKEN;
+        true
+    }
+
+    pub(super) fn whole_milli(&self) -> u64 {
+        u64::try_from(self.fine / FINE_PER_MILLI).unwrap_or(u64::MAX)
+    }
+
+    pub(super) fn add_milli(&mut self, tokens: u64) {
+        self.fine += u128::from(tokens) * FINE_PER_MILLI;
+    }
+
+    pub(super) fn take_milli(&mut self, tokens: u64) {
+        let fine = u128::from(tokens) * FINE_PER_MILLI;
+        assert!(fine <= self.fine, "more tokens were taken than there are");
+        self.fine -= fine;
+    }
+
+    /// Returns the time until so many tokens are there; none if they never will be.
+    fn time_until(&self, tokens: usize, rate: u64) -> Option<Duration> {
+        let wanted = tokens as u128 * FINE_PER_TOKEN;
+        let missing = wanted.saturating_sub(self.fine);
+        if missing == 0 {
+            return Some(Duration::ZERO);
+        }
+        let nanos = missing.div_ceil(u128::from(rate).max(1));
+        (rate > 0).then(|| Duration::from_nanos(u64::try_from(nanos).unwrap_or(u64::MAX)))
+    }
+}
+
+/// The share of one rate at one instance.
+///
+/// # Examples
+///
+/// ```
+/// use daisyseam_coord::{Moment, quota::{HandedTotal, RateShare, ShareBucket}};
+///
+/// let share = RateShare { rate: 10_000, burst: 2_000 };
+/// let mut bucket = ShareBucket::new(Moment::ORIGIN);
+/// bucket.apply(Moment::ORIGIN, HandedTotal { share, tokens: 0 }, RateShare::default());
+/// assert!(!bucket.take(Moment::ORIGIN));
+/// assert!(bucket.take(Moment::from_millis(100)));
+/// ```
+#[derive(Clone, Debug)]
+pub struct ShareBucket {
+    base: RateShare,
+    granted: HandedTotal,
+    returned: HandedTotal,
+    tokens: TokenStore,
+    demand: DemandMeter,
+    waiting: WaitingLine,
+}
+
+impl ShareBucket {
+    /// Makes a bucket without a share.
+    pub fn new(now: Moment) -> Self {
+        Self {
+            base: RateShare::default(),
+            granted: HandedTotal::default(),
+            returned: HandedTotal::default(),
+            tokens: TokenStore::starting_at(now),
+            demand: DemandMeter::default(),
+            waiting: WaitingLine::default(),
+        }
+    }
+
+    /// Returns what is held now.
+    pub fn share(&self) -> RateShare {
+        self.base
+            .plus(self.granted.share)
+            .saturating_sub(self.returned.share)
+    }
+
+    /// Counts a request, whatever becomes of it.
+    pub fn count(&mut self, now: Moment) {
+        self.demand.count(now);
+    }
+
+    /// Takes a token if there is one.
+    pub fn take(&mut self, now: Moment) -> bool {
+        self.tokens.advance(now, self.share());
+        self.tokens.take_one()
+    }
+
+    /// Says what waits for a token here.
+    pub fn set_waiting(&mut self, waiting: WaitingLine) {
+        self.waiting = waiting;
+    }
+
+    /// Returns whether something waits and the share is less than what is wanted.
+    pub(super) fn is_short(&self, now: Moment) -> bool {
+        self.waiting.length > 0 && self.share().rate < self.wanted(now)
+    }
+
+    /// Returns the time until so many tokens have accrued at the present share, counted without
+    /// the bound on what can be kept; none if they never will be.
+    pub fn time_until(&mut self, now: Moment, tokens: usize) -> Option<Duration> {
+        let share = self.share();
+        self.tokens.advance(now, share);
+        if share.burst < MILLI {
+            return None;
+        }
+        self.tokens.time_until(tokens, share.rate)
+    }
+
+    /// Returns the wanted rate in thousandths of a statement a second.
+    pub fn wanted(&self, now: Moment) -> u64 {
+        self.demand.wanted(now, self.waiting)
+    }
+
+    /// Applies the newest totals: what was granted, and what is to be returned.
+    pub fn apply(&mut self, now: Moment, granted: HandedTotal, asked: RateShare) {
+        self.tokens.advance(now, self.share());
+        let latest = self.granted.latest(granted);
+        self.tokens.add_milli(latest.tokens - self.granted.tokens);
+        self.granted = latest;
+        self.tokens.clamp(self.share());
+        self.surrender(asked.saturating_sub(self.returned.share));
+    }
+
+    /// Returns all that is held, with its tokens.
+    pub fn surrender_all(&mut self, now: Moment) {
+        self.tokens.advance(now, self.share());
+        self.surrender(self.share());
+    }
+
+    /// Gives up all that is held, without its tokens: the lease on it has run out.
+    pub(super) fn lapse(&mut self, end: Moment) {
+        self.returned.share = self.base.plus(self.granted.share);
+        self.tokens = TokenStore::starting_at(end);
+    }
+
+    /// Starts a holding at another ledger with what is held.
+    pub(super) fn rebase(&mut self, now: Moment) {
+        self.tokens.advance(now, self.share());
+        self.base = self.share();
+        self.granted = HandedTotal::default();
+        self.returned = HandedTotal::default();
+    }
+
+    pub(super) fn returned(&self) -> HandedTotal {
+        self.returned
+    }
+
+    /// Returns whether anything has come in during this holding.
+    pub(super) fn was_granted(&self) -> bool {
+        !self.base.is_empty() || self.granted != HandedTotal::default()
+    }
+
+    pub(super) fn entry(&self, key: &RateKey, now: Moment) -> DemandEntry {
+        DemandEntry {
+            key: key.clone(),
+            wanted: self.wanted(now),
+            base: self.base,
+            applied: self.granted,
+            returned: self.returned,
+        }
+    }
+
+    /// Returns a part; its tokens go along in proportion, and what no longer fits besides.
+    fn surrender(&mut self, part: RateShare) {
+        let held = self.share();
+        let part = RateShare {
+            rate: part.rate.min(held.rate),
+            burst: part.burst.min(held.burst),
+        };
+        self.returned.share = self.returned.share.plus(part);
+        if part.burst == 0 {
+            return;
+        }
+        let tokens = self.tokens.whole_milli();
+        let along = u128::from(tokens) * u128::from(part.burst) / u128::from(held.burst);
+        let along = u64::try_from(along).unwrap_or(u64::MAX);
+        let spilled = tokens.saturating_sub(held.burst - part.burst);
+        let moved = along.max(spilled).min(part.burst);
+        self.tokens.take_milli(moved);
+        self.returned.tokens += moved;
+        self.tokens.clamp(self.share());
+    }
+}
--- /dev/null
+++ b/crates/daisyseam-coord/src/quota/set.rs
@@ -0,0 +1,323 @@
+//! All buckets of one instance and the lease on them.
+
+use super::{
+    DemandEntry,
+    HoldingId,
+    MILLI,
+    RateKey,
+    RateShare,
+    ShareBucket,
+    ShareReply,
+    ShareReport,
+    WaitingLine, //
+};
+use crate::Moment;
+use std::{
+    collections::BTreeMap,
+    time::Duration, //
+};
+
+/// A wanted rate is reported again when it has changed by more than one part in so many.
+const DEMAND_STEP_DIVISOR: u64 = 8;
+
+/// Least time between two reports.
+const EAGER_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Time for which reports follow each other closely after demand has leapt.
+const EAGER_TIME: Duration = Duration::from_millis(600);
+
+/// Why a token cannot be had now.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum NoToken {
+    /// The organisation or open route is not in the document.
+    UnknownKey,
+    /// The tokens of the present share are used up; so long until the next at that share, none
+    /// while there is no share.
+    Wait(Option<Duration>),
+}
+
+/// The shares of one instance.
+///
+/// # Examples
+///
+/// ```
+/// use daisyseam_coord::{Moment, quota::{BucketSet, NoToken, RateKey, RateShare}};
+///
+/// let key = RateKey::parse("keepers").unwrap();
+/// let total = RateShare::from_document(10.0, 5.0);
+/// let mut set = BucketSet::new();
+/// set.set_totals(Moment::ORIGIN, [(key.clone(), total)]);
+/// set.count(Moment::ORIGIN, &key);
+/// // No share has been granted yet.
+/// assert_eq!(set.take(Moment::ORIGIN, &key), Err(NoToken::Wait(None)));
+/// assert_eq!(set.report(Moment::ORIGIN, 1).entries[0].wanted, 5_000);
+/// ```
+#[derive(Debug, Default)]
+pub struct BucketSet {
+    holding: HoldingId,
+    valid_until: Moment,
+    leaving: bool,
+    last_report: Moment,
+    eager_until: Moment,
+    buckets: BTreeMap<RateKey, KeptBucket>,
+}
+
+impl BucketSet {
+    /// Makes a set without shares.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes over the rates and bursts of the document in force.
+    ///
+    /// The bucket of a key that is gone stays while the ledger may have granted to it.
+    pub fn set_totals<I>(&mut self, now: Moment, totals: I)
+    where
+        I: IntoIterator<Item = (RateKey, RateShare)>,
+    {
+        for bucket in self.buckets.values_mut() {
+            bucket.total = None;
+        }
+        for (key, total) in totals {
+            let kept = self.buckets.entry(key);
+            kept.or_insert_with(|| KeptBucket::new(now)).total = Some(total);
+        }
+        self.buckets
+            .retain(|_, kept| kept.total.is_some() || kept.bucket.was_granted());
+    }
+
+    /// Counts a request for a key, once, whatever becomes of it.
+    pub fn count(&mut self, now: Moment, key: &RateKey) {
+        if let Some(kept) = self.buckets.get_mut(key) {
+            kept.bucket.count(now);
+        }
+    }
+
+    /// Says what waits for a token of a key.
+    pub fn set_waiting(&mut self, key: &RateKey, waiting: WaitingLine) {
+        if let Some(kept) = self.buckets.get_mut(key) {
+            kept.bucket.set_waiting(waiting);
+        }
+    }
+
+    /// Takes a token.
+    ///
+    /// # Errors
+    ///
+    /// [`NoToken`] says why there is none.
+    pub fn take(&mut self, now: Moment, key: &RateKey) -> Result<(), NoToken> {
+        self.end_lapsed(now);
+        let kept = self.known(key).ok_or(NoToken::UnknownKey)?;
+        if kept.bucket.take(now) {
+            return Ok(());
+        }
+        Err(NoToken::Wait(kept.bucket.time_until(now, 1)))
+    }
+
+    /// Returns the least time that a request has to wait behind others, were the whole rate of
+    /// the organisation at this instance; a request that cannot wait so long is refused at once.
+    pub fn least_wait(&mut self, key: &RateKey, ahead: usize) -> Duration {
+        let Some(total) = self.known(key).and_then(|kept| kept.total) else {
+            return Duration::ZERO;
+        };
+        if total.rate == 0 {
+            return Duration::MAX;
+        }
+        Duration::from_secs_f64((ahead as u64 * MILLI) as f64 / total.rate as f64)
+    }
+
+    /// Returns the time after which a refused request may come back: when those that wait have
+    /// been served and a token is left at the present share, or at an even chance of the whole
+    /// rate while there is no share.
+    pub fn retry_after(&mut self, now: Moment, key: &RateKey, waiting: usize) -> Duration {
+        self.end_lapsed(now);
+        let least = self.least_wait(key, waiting + 1);
+        let Some(kept) = self.known(key) else {
+            return Duration::ZERO;
+        };
+        let own = kept.bucket.time_until(now, waiting + 1);
+        own.unwrap_or(least * 2).max(least)
+    }
+
+    /// Returns the share that is held for a key.
+    pub fn share(&mut self, now: Moment, key: &RateKey) -> RateShare {
+        self.end_lapsed(now);
+        let kept = self.buckets.get(key);
+        kept.map(|kept| kept.bucket.share()).unwrap_or_default()
+    }
+
+    /// Returns the moment until which the shares may be used.
+    pub fn valid_until(&self) -> Moment {
+        self.valid_until
+    }
+
+    /// Returns all shares for good: the instance is stopping.
+    pub fn leave(&mut self, now: Moment) {
+        self.end_lapsed(now);
+        self.leaving = true;
+        for kept in self.buckets.values_mut() {
+            kept.bucket.surrender_all(now);
+        }
+    }
+
+    /// Returns whether a report should not wait for the next heartbeat.
+    ///
+    /// That is so when something has been returned that another may need, and for a while after
+    /// demand here has leapt past the share.
+    pub fn is_report_due(&mut self, now: Moment) -> bool {
+        if now >= self.valid_until || now.since(self.last_report) < EAGER_INTERVAL {
+            return false;
+        }
+        let mut due = false;
+        for kept in self.buckets.values() {
+            if kept.has_leapt(now) {
+                self.eager_until = now + EAGER_TIME;
+            }
+            due |= kept.has_returned() || now < self.eager_until && kept.bucket.is_short(now);
+        }
+        due
+    }
+
+    /// Says what the ledger must know; `sequence` grows with each report.
+    pub fn report(&mut self, now: Moment, sequence: u64) -> ShareReport {
+        self.end_lapsed(now);
+        self.last_report = now;
+        let mut entries = Vec::new();
+        for (key, kept) in &mut self.buckets {
+            let entry = kept.bucket.entry(key, now);
+            if kept.must_tell(&entry) {
+                kept.sent = Some((sequence, entry.clone()));
+                entries.push(entry);
+            }
+        }
+        ShareReport {
+            holding: self.holding,
+            sequence,
+            leaving: self.leaving,
+            entries,
+        }
+    }
+
+    /// Applies the answer to a report that was sent at `sent`.
+    ///
+    /// Returns whether something was granted or the lease was prolonged.
+    pub fn apply(
+        &mut self,
+        now: Moment,
+        sent: Moment,
+        lease: Duration,
+        reply: &ShareReply,
+    ) -> bool {
+        self.end_lapsed(now);
+        if reply.holding < self.holding {
+            return false;
+        }
+        if reply.holding > self.holding {
+            self.rebase(now, reply.holding);
+        }
+        if reply.renewed {
+            self.valid_until = self.valid_until.max(sent + lease);
+            self.acknowledge(reply.sequence);
+        }
+        if now >= self.valid_until {
+            return false;
+        }
+        for grant in &reply.grants {
+            if let Some(kept) = self.buckets.get_mut(&grant.key) {
+                kept.bucket.apply(now, grant.granted, grant.asked);
+                if self.leaving || kept.total.is_none() {
+                    kept.bucket.surrender_all(now);
+                }
+            }
+        }
+        reply.renewed || !reply.grants.is_empty()
+    }
+
+    fn known(&mut self, key: &RateKey) -> Option<&mut KeptBucket> {
+        self.buckets
+            .get_mut(key)
+            .filter(|kept| kept.total.is_some())
+    }
+
+    fn end_lapsed(&mut self, now: Moment) {
+        if now < self.valid_until {
+            return;
+        }
+        for kept in self.buckets.values_mut() {
+            kept.bucket.lapse(now);
+        }
+    }
+
+    fn rebase(&mut self, now: Moment, holding: HoldingId) {
+        let same_ledger = holding.epoch == self.holding.epoch;
+        self.holding = holding;
+        for kept in self.buckets.values_mut() {
+            if same_ledger {
+                // This ledger has counted the former holding as over.
+                kept.bucket.lapse(now);
+            }
+            kept.bucket.rebase(now);
+            kept.sent = None;
+            kept.acked = None;
+        }
+    }
+
+    fn acknowledge(&mut self, sequence: u64) {
+        for kept in self.buckets.values_mut() {
+            let told = kept.sent.take_if(|(sent, _)| *sent <= sequence);
+            if let Some((_, entry)) = told {
+                kept.acked = Some(entry);
+            }
+        }
+    }
+}
+
+#[derive(Debug)]
+struct KeptBucket {
+    bucket: ShareBucket,
+    /// What the document gives to the whole fleet; none once the key is gone.
+    total: Option<RateShare>,
+    sent: Option<(u64, DemandEntry)>,
+    acked: Option<DemandEntry>,
+}
+
+impl KeptBucket {
+    fn new(now: Moment) -> Self {
+        Self {
+            bucket: ShareBucket::new(now),
+            total: None,
+            sent: None,
+            acked: None,
+        }
+    }
+
+    /// Returns what the ledger was told last, whether or not it has answered.
+    fn told(&self) -> Option<&DemandEntry> {
+        let sent = self.sent.as_ref().map(|(_, entry)| entry);
+        sent.or(self.acked.as_ref())
+    }
+
+    /// Returns whether more has been returned than was told.
+    fn has_returned(&self) -> bool {
+        self.told()
+            .is_some_and(|told| told.returned != self.bucket.returned())
+    }
+
+    /// Returns whether the demand has grown to more than twice of what was told.
+    fn has_leapt(&self, now: Moment) -> bool {
+        let told = self.told().map_or(0, |told| told.wanted);
+        self.bucket.is_short(now) && self.bucket.wanted(now) > 2 * told + MILLI
+    }
+
+    /// Returns whether the ledger is not known to know this, but for small changes of demand.
+    fn must_tell(&self, entry: &DemandEntry) -> bool {
+        let Some(acked) = &self.acked else {
+            return entry.wanted > 0 || !entry.base.is_empty() || entry.applied != entry.returned;
+        };
+        let step = acked.wanted / DEMAND_STEP_DIVISOR;
+        entry.wanted.abs_diff(acked.wanted) > step
+            || entry.base != acked.base
+            || entry.applied != acked.applied
+            || entry.returned != acked.returned
+    }
+}
--- /dev/null
+++ b/crates/daisyseam-coord/tests/quota.rs
@@ -0,0 +1,535 @@
+//! Escrow of rates: nothing over the whole under any loss, quick moves, even and fair splits.
+
+use daisyseam_coord::{
+    Moment,
+    quota::{
+        BucketSet,
+        HolderId,
+        MILLI,
+        QuotaLedger,
+        RateKey,
+        RateShare,
+        ShareReply,
+        ShareReport,
+        WaitingLine, //
+    }, //
+};
+use daisyseam_model::{
+    Incarnation,
+    InstanceId, //
+};
+use proptest::prelude::*;
+use rand::{
+    Rng,
+    SeedableRng, //
+};
+use rand_chacha::ChaCha8Rng;
+use std::{
+    collections::BTreeMap,
+    time::Duration, //
+};
+
+const LEASE: Duration = Duration::from_millis(1_000);
+const DRIFT_PERMILLE: u64 = 50;
+const LEDGER_LEASE: Duration = Duration::from_millis(1_000 + DRIFT_PERMILLE + 60);
+const HEARTBEAT: Duration = Duration::from_millis(200);
+
+fn key() -> RateKey {
+    RateKey::parse("keepers").unwrap()
+}
+
+/// One bucket of the whole rate and burst, full at the start.
+struct IdealBucket {
+    fine: u128,
+    at: Moment,
+    total: RateShare,
+}
+
+impl IdealBucket {
+    const TOKEN: u128 = 1_000_000_000_000;
+
+    fn new(total: RateShare) -> Self {
+        let fine = u128::from(total.burst) * 1_000_000_000;
+        let at = Moment::ORIGIN;
+        Self { fine, at, total }
+    }
+
+    fn take(&mut self, now: Moment) -> bool {
+        let room = u128::from(self.total.burst) * 1_000_000_000;
+        self.fine += now.since(self.at).as_nanos() * u128::from(self.total.rate);
+        self.fine = self.fine.min(room);
+        self.at = now;
+        let enough = self.fine >= Self::TOKEN;
+        self.fine = self.fine.saturating_sub(Self::TOKEN);
+        enough
+    }
+}
+
+struct Entry {
+    holder: HolderId,
+    set: BucketSet,
+    sequence: u64,
+    sent: BTreeMap<u64, Moment>,
+    cut_until: Moment,
+    /// The clock of this entry, in thousandths of true time.
+    clock_permille: u64,
+    waiting: WaitingLine,
+}
+
+impl Entry {
+    fn local(&self, now: Moment) -> Moment {
+        let nanos = now.since_origin().as_nanos() as u64;
+        Moment::after_origin(Duration::from_nanos(nanos / 1_000 * self.clock_permille))
+    }
+}
+
+enum Event {
+    Beat(usize),
+    Report(usize, HolderId, ShareReport),
+    Reply(usize, HolderId, ShareReply),
+}
+
+/// How badly messages fare.
+#[derive(Clone, Copy, Debug)]
+struct Weather {
+    lost_percent: u32,
+    doubled_percent: u32,
+    delay_ms_max: u64,
+}
+
+const CALM: Weather = Weather {
+    lost_percent: 0,
+    doubled_percent: 0,
+    delay_ms_max: 20,
+};
+
+struct Fleet {
+    entries: Vec<Entry>,
+    ledger: Option<QuotaLedger>,
+    epoch: u64,
+    total: RateShare,
+    events: BTreeMap<(Moment, u64), Event>,
+    counter: u64,
+    now: Moment,
+    random: ChaCha8Rng,
+    weather: Weather,
+}
+
+impl Fleet {
+    fn new(count: usize, total: RateShare, weather: Weather, seed: u64) -> Self {
+        let entries = (0..count).map(|index| Entry {
+            holder: HolderId {
+                instance: InstanceId::new(&format!("entry-{index}")).unwrap(),
+                incarnation: Incarnation(1),
+            },
+            set: BucketSet::new(),
+            sequence: 0,
+            sent: BTreeMap::new(),
+            cut_until: Moment::ORIGIN,
+            clock_permille: 1_000,
+            waiting: WaitingLine::default(),
+        });
+        let mut fleet = Self {
+            entries: entries.collect(),
+            ledger: None,
+            epoch: 0,
+            total,
+            events: BTreeMap::new(),
+            counter: 0,
+            now: Moment::ORIGIN,
+            random: ChaCha8Rng::seed_from_u64(seed),
+            weather,
+        };
+        for index in 0..count {
+            fleet.entries[index]
+                .set
+                .set_totals(Moment::ORIGIN, [(key(), total)]);
+            let first = Duration::from_millis(fleet.random.random_range(0..200));
+            fleet.at(Moment::ORIGIN + first, Event::Beat(index));
+        }
+        fleet.elect();
+        fleet
+    }
+
+    fn elect(&mut self) {
+        self.epoch += 1;
+        let mut ledger = QuotaLedger::new(self.epoch, self.now, LEDGER_LEASE);
+        ledger.set_totals(self.now, [(key(), self.total)]);
+        self.ledger = Some(ledger);
+    }
+
+    fn kill(&mut self, index: usize) {
+        let entry = &mut self.entries[index];
+        entry.holder.incarnation.0 += 1;
+        entry.set = BucketSet::new();
+        entry.sequence = 0;
+        entry.sent.clear();
+        let now = entry.local(self.now);
+        self.entries[index]
+            .set
+            .set_totals(now, [(key(), self.total)]);
+    }
+
+    fn at(&mut self, moment: Moment, event: Event) {
+        self.counter += 1;
+        self.events.insert((moment, self.counter), event);
+    }
+
+    /// Puts a message on its way, or does not.
+    fn send(&mut self, index: usize, event: impl Fn() -> Event) {
+        if self.entries[index].cut_until > self.now {
+            return;
+        }
+        let copies = match self.random.random_range(0..100) {
+            roll if roll < self.weather.lost_percent => 0,
+            roll if roll < self.weather.lost_percent + self.weather.doubled_percent => 2,
+            _ => 1,
+        };
+        for _ in 0..copies {
+            let delay = self.random.random_range(1..=self.weather.delay_ms_max);
+            self.at(self.now + Duration::from_millis(delay), event());
+        }
+    }
+
+    fn run_until(&mut self, end: Moment) {
+        while let Some(((at, _), _)) = self.events.first_key_value() {
+            if *at > end {
+                break;
+            }
+            let ((at, _), event) = self.events.pop_first().unwrap();
+            self.now = at;
+            self.handle(event);
+            self.check_sum();
+        }
+        self.now = end;
+        self.beat_eagerly();
+    }
+
+    /// Sends a report.
+    fn beat(&mut self, index: usize) {
+        let now = self.entries[index].local(self.now);
+        let entry = &mut self.entries[index];
+        entry.sequence += 1;
+        entry.sent.insert(entry.sequence, now);
+        let report = entry.set.report(now, entry.sequence);
+        let holder = entry.holder.clone();
+        self.send(index, || {
+            Event::Report(index, holder.clone(), report.clone())
+        });
+    }
+
+    /// Sends the reports that do not wait for the next heartbeat.
+    fn beat_eagerly(&mut self) {
+        for index in 0..self.entries.len() {
+            let now = self.entries[index].local(self.now);
+            let entry = &mut self.entries[index];
+            entry.set.set_waiting(&key(), entry.waiting);
+            if entry.set.is_report_due(now) {
+                self.beat(index);
+            }
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Beat(index) => {
+                self.beat(index);
+                self.at(self.now + HEARTBEAT, Event::Beat(index));
+            }
+            Event::Report(index, holder, report) => {
+                let now = self.now;
+                let ledger = self.ledger.as_mut();
+                if let Some(reply) = ledger.and_then(|ledger| ledger.report(now, &holder, &report))
+                {
+                    self.send(index, || Event::Reply(index, holder.clone(), reply.clone()));
+                }
+            }
+            Event::Reply(index, holder, reply) => {
+                let now = self.entries[index].local(self.now);
+                let entry = &mut self.entries[index];
+                if entry.holder == holder {
+                    let sent = entry.sent[&reply.sequence];
+                    entry.set.apply(now, sent, LEASE, &reply);
+                }
+            }
+        }
+    }
+
+    /// The shares of all instances never add up to more than the whole.
+    fn check_sum(&mut self) {
+        let (mut rate, mut burst) = (0, 0);
+        for entry in &mut self.entries {
+            let now = entry.local(self.now);
+            let share = entry.set.share(now, &key());
+            rate += share.rate;
+            burst += share.burst;
+        }
+        assert!(rate <= self.total.rate, "{rate} of {}", self.total.rate);
+        assert!(burst <= self.total.burst, "{burst} of {}", self.total.burst);
+    }
+
+    fn take(&mut self, index: usize) -> bool {
+        let entry = &mut self.entries[index];
+        let now = entry.local(self.now);
+        entry.set.count(now, &key());
+        entry.set.take(now, &key()).is_ok()
+    }
+
+    fn rate_of(&mut self, index: usize) -> u64 {
+        let now = self.entries[index].local(self.now);
+        self.entries[index].set.share(now, &key()).rate
+    }
+}
+
+fn millis(millis: u64) -> Moment {
+    Moment::from_millis(millis)
+}
+
+proptest! {
+    /// Whatever is lost, doubled, reordered, killed, cut off or elected anew: all instances
+    /// together admit no more than one bucket of the whole would.
+    #[test]
+    fn the_fleet_admits_no_more_than_one_bucket(
+        seed in any::<u64>(),
+        count in 1_usize..7,
+        rate in 1_u64..300,
+        burst in 1_u64..60,
+        lost_percent in 0_u32..40,
+        doubled_percent in 0_u32..20,
+        delay_ms_max in 1_u64..900,
+        drift_permille in 0_u64..=DRIFT_PERMILLE,
+        faults in prop::collection::vec((0_u8..4, 0_usize..7, 1_u64..2_500), 0..12),
+    ) {
+        let total = RateShare { rate: rate * MILLI, burst: burst * MILLI };
+        let weather = Weather { lost_percent, doubled_percent, delay_ms_max };
+        let mut fleet = Fleet::new(count, total, weather, seed);
+        for index in (0..count).step_by(2) {
+            fleet.entries[index].clock_permille = 1_000 + drift_permille;
+        }
+        // A clock that runs fast makes tokens that much faster; nothing else may.
+        let counted = RateShare { rate: total.rate * (1_000 + drift_permille) / 1_000 + 1, ..total };
+        let mut ideal = IdealBucket::new(counted);
+        let mut faults = faults.into_iter();
+        let mut next_fault = millis(1_500);
+        let mut elect_at = None;
+        let mut busy = 0;
+        for step in 0..2_000_u64 {
+            let now = millis(step * 5);
+            fleet.run_until(now);
+            if elect_at.is_some_and(|at| at <= now) {
+                elect_at = None;
+                fleet.elect();
+            }
+            if now >= next_fault && let Some((fault, target, wait)) = faults.next() {
+                next_fault = now + Duration::from_millis(wait);
+                let target = target % count;
+                match fault {
+                    0 => fleet.kill(target),
+                    1 => fleet.entries[target].cut_until = now + Duration::from_millis(wait * 2),
+                    2 => {
+                        fleet.ledger = None;
+                        elect_at = Some(now + Duration::from_millis(wait / 4));
+                    }
+                    _ => busy = target,
+                }
+            }
+            for _ in 0..fleet.random.random_range(0..4) {
+                let index = if fleet.random.random_bool(0.7) {
+                    busy % count
+                } else {
+                    fleet.random.random_range(0..count)
+                };
+                if fleet.take(index) {
+                    prop_assert!(ideal.take(now), "more was admitted than the whole allows");
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn shares_start_even() {
+    let total = RateShare::from_document(90.0, 45.0);
+    let mut fleet = Fleet::new(9, total, CALM, 1);
+    fleet.run_until(millis(3_000));
+    for index in 0..9 {
+        assert_eq!(fleet.rate_of(index), 10 * MILLI);
+    }
+}
+
+#[test]
+fn the_whole_rate_follows_demand_within_a_second() {
+    let total = RateShare::from_document(200.0, 50.0);
+    let mut fleet = Fleet::new(9, total, CALM, 2);
+    let mut busy = 0;
+    for step in 0..2_000_u64 {
+        let now = millis(step * 5);
+        fleet.run_until(now);
+        if step % 400 == 0 {
+            busy = (step / 400) as usize % 9;
+        }
+        // 190 a second, all at one entry; five seconds in, and a second after each move, it has
+        // the rate for it.
+        let asked = (step + 1) * 950 / 1_000 - step * 950 / 1_000;
+        for _ in 0..asked {
+            fleet.take(busy);
+        }
+        if step >= 400 && step % 400 >= 200 {
+            let rate = fleet.rate_of(busy);
+            assert!(rate >= 170 * MILLI, "{rate} at {now:?}");
+        }
+    }
+}
+
+/// Requests that wait up to five seconds, in the order in which they came.
+struct WaitLine {
+    waiting: std::collections::VecDeque<Moment>,
+    refused: u64,
+    asked: u64,
+}
+
+#[test]
+fn requests_within_the_rate_are_not_refused_while_demand_moves() {
+    let total = RateShare::from_document(200.0, 50.0);
+    let mut fleet = Fleet::new(9, total, CALM, 3);
+    let mut lines: Vec<WaitLine> = (0..9)
+        .map(|_| WaitLine {
+            waiting: Default::default(),
+            refused: 0,
+            asked: 0,
+        })
+        .collect();
+    let mut busy = 0;
+    for step in 400..6_000_u64 {
+        let now = millis(step * 5);
+        fleet.run_until(now);
+        if step % 300 == 0 {
+            busy = fleet.random.random_range(0..9);
+        }
+        let asked = (step + 1) * 950 / 1_000 - step * 950 / 1_000;
+        for _ in 0..asked {
+            let local = fleet.entries[busy].local(now);
+            fleet.entries[busy].set.count(local, &key());
+            lines[busy].waiting.push_back(now);
+            lines[busy].asked += 1;
+        }
+        for (index, line) in lines.iter_mut().enumerate() {
+            while let Some(since) = line.waiting.front() {
+                if now.since(*since) > Duration::from_secs(5) {
+                    line.refused += 1;
+                } else if fleet.entries[index].set.take(now, &key()).is_err() {
+                    break;
+                }
+                line.waiting.pop_front();
+            }
+            fleet.entries[index].waiting = WaitingLine {
+                length: line.waiting.len(),
+                oldest: line.waiting.front().copied().unwrap_or(now),
+            };
+        }
+    }
+    let asked: u64 = lines.iter().map(|line| line.asked).sum();
+    let refused: u64 = lines.iter().map(|line| line.refused).sum();
+    assert!(asked > 5_000);
+    assert_eq!(refused, 0);
+}
+
+#[test]
+fn the_share_of_a_lost_instance_comes_back_after_its_lease() {
+    let total = RateShare::from_document(100.0, 100.0);
+    let mut fleet = Fleet::new(2, total, CALM, 4);
+    fleet.run_until(millis(3_000));
+    fleet.entries[0].cut_until = millis(60_000);
+    fleet.run_until(millis(3_900));
+    assert_eq!(fleet.rate_of(1), 50 * MILLI);
+    fleet.run_until(millis(5_500));
+    assert_eq!((fleet.rate_of(0), fleet.rate_of(1)), (0, 100 * MILLI));
+}
+
+#[test]
+fn a_new_ledger_adopts_what_is_held_and_stops_nobody() {
+    let total = RateShare::from_document(100.0, 100.0);
+    let mut fleet = Fleet::new(4, total, CALM, 5);
+    fleet.run_until(millis(3_000));
+    fleet.elect();
+    for step in 0..100 {
+        fleet.run_until(millis(3_000 + step * 20));
+        for index in 0..4 {
+            assert_eq!(fleet.rate_of(index), 25 * MILLI);
+        }
+    }
+    let held = fleet.ledger.as_ref().unwrap().outstanding(&key());
+    assert_eq!(held, total);
+}
+
+#[test]
+fn a_lower_rate_is_in_force_once_it_was_returned() {
+    let total = RateShare::from_document(100.0, 100.0);
+    let mut fleet = Fleet::new(4, total, CALM, 6);
+    fleet.run_until(millis(3_000));
+    let less = RateShare::from_document(40.0, 8.0);
+    let now = fleet.now;
+    let ledger = fleet.ledger.as_mut().unwrap();
+    ledger.set_totals(now, [(key(), less)]);
+    assert_eq!(ledger.outstanding(&key()), total);
+    fleet.run_until(millis(4_000));
+    fleet.total = less;
+    fleet.check_sum();
+    assert_eq!(fleet.rate_of(0), 10 * MILLI);
+    let ledger = fleet.ledger.as_ref().unwrap();
+    assert_eq!(ledger.outstanding(&key()), less);
+}
+
+#[test]
+fn a_leaving_instance_hands_its_tokens_over() {
+    let total = RateShare::from_document(0.1, 100.0);
+    let mut fleet = Fleet::new(2, RateShare::from_document(100.0, 100.0), CALM, 7);
+    fleet.run_until(millis(5_000));
+    // From here on next to nothing accrues, so what the other can spend was handed over.
+    let now = fleet.now;
+    fleet
+        .ledger
+        .as_mut()
+        .unwrap()
+        .set_totals(now, [(key(), total)]);
+    fleet.run_until(millis(6_500));
+    fleet.total = total;
+    let now = fleet.now;
+    fleet.entries[0].set.leave(now);
+    fleet.run_until(millis(8_000));
+    let spent = (0..200).filter(|_| fleet.take(1)).count();
+    assert!(spent >= 95, "{spent}");
+    assert!(!fleet.take(0));
+}
+
+#[test]
+fn a_burst_below_the_number_of_instances_goes_round() {
+    let total = RateShare::from_document(50.0, 2.0);
+    let mut fleet = Fleet::new(6, total, CALM, 8);
+    let mut admitted = [0; 6];
+    for step in 0..6_000_u64 {
+        fleet.run_until(millis(step * 10));
+        for (index, count) in admitted.iter_mut().enumerate() {
+            fleet.entries[index].waiting = WaitingLine {
+                length: 1,
+                oldest: millis(step * 10),
+            };
+            if fleet.take(index) {
+                *count += 1;
+            }
+        }
+    }
+    assert!(admitted.iter().all(|count| *count > 50), "{admitted:?}");
+}
+
+#[test]
+fn a_lapsed_lease_stops_the_share() {
+    let total = RateShare::from_document(100.0, 100.0);
+    let mut fleet = Fleet::new(1, total, CALM, 9);
+    fleet.run_until(millis(3_000));
+    assert!(fleet.take(0));
+    fleet.entries[0].cut_until = millis(60_000);
+    fleet.run_until(millis(4_300));
+    assert!(!fleet.take(0));
+    assert_eq!(fleet.rate_of(0), 0);
+}
--- a/crates/daisyseam-wire/src/control.rs
+++ b/crates/daisyseam-wire/src/control.rs
@@ -1,6 +1,12 @@
 //! Messages to and between control instances.
 
-use crate::view::WireView;
+use crate::{
+    share::{
+        WireShareReply,
+        WireShareReport, //
+    },
+    view::WireView, //
+};
 
 /// Any message to or between control instances.
 #[derive(Clone, PartialEq, prost::Message)]
@@ -117,35 +123,6 @@
     pub term: u64,
 }
 
-/// What one organisation asked for at one instance.
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct DemandReport {
-    /// Organisation.
-    #[prost(string, tag = "1")]
-    pub organisation: String,
-    /// Statements a second it wanted, admitted or not.
-    #[prost(double, tag = "2")]
-    pub wanted_rate: f64,
-    /// Rate share that is held, in statements a second.
-    #[prost(double, tag = "3")]
-    pub rate_share: f64,
-    /// Burst share that is held, in statements.
-    #[prost(double, tag = "4")]
-    pub burst_share: f64,
-    /// Part of the rate share that the instance has given up for good.
-    #[prost(double, tag = "5")]
-    pub returned_rate: f64,
-    /// Part of the burst share that it has given up for good.
-    #[prost(double, tag = "6")]
-    pub returned_burst: f64,
-    /// Unused tokens within `returned_burst`.
-    #[prost(double, tag = "7")]
-    pub returned_tokens: f64,
-    /// Number of the last grant that was applied; a returned part counts once for it.
-    #[prost(uint64, tag = "8")]
-    pub grant: u64,
-}
-
 /// An announcement of a database, passed on by the instance that took it.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct UpstreamReport {
@@ -236,9 +213,9 @@
     /// Whether the sender is stopping.
     #[prost(bool, tag = "4")]
     pub leaving: bool,
-    /// Demand, for organisations where it changed.
-    #[prost(message, repeated, tag = "5")]
-    pub demand: Vec<DemandReport>,
+    /// Shares of rates that the sender holds and wants.
+    #[prost(message, optional, tag = "5")]
+    pub shares: Option<WireShareReport>,
     /// Announcements since the last heartbeat.
     #[prost(message, repeated, tag = "6")]
     pub upstreams: Vec<UpstreamReport>,
@@ -256,32 +233,6 @@
     pub view_digest: u64,
 }
 
-/// Gives an instance a part of an organisation's rate and burst.
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct ShareGrant {
-    /// Organisation.
-    #[prost(string, tag = "1")]
-    pub organisation: String,
-    /// Rate that is added, in statements a second.
-    #[prost(double, tag = "2")]
-    pub rate: f64,
-    /// Burst that is added, in statements.
-    #[prost(double, tag = "3")]
-    pub burst: f64,
-    /// Tokens that come with it; never more than `burst`.
-    #[prost(double, tag = "4")]
-    pub tokens: f64,
-    /// Number of this grant; a repeated number is ignored.
-    #[prost(uint64, tag = "5")]
-    pub grant: u64,
-    /// Rate that the instance is asked to return.
-    #[prost(double, tag = "6")]
-    pub surrender_rate: f64,
-    /// Burst that the instance is asked to return.
-    #[prost(double, tag = "7")]
-    pub surrender_burst: f64,
-}
-
 /// The lease, and what has changed.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct HeartbeatReply {
@@ -294,9 +245,9 @@
     /// Changes from the sender's view to the newest, or the whole view.
     #[prost(message, optional, tag = "3")]
     pub update: Option<WireView>,
-    /// Shares.
-    #[prost(message, repeated, tag = "4")]
-    pub grants: Vec<ShareGrant>,
+    /// Shares of rates that the receiver gets and is to return.
+    #[prost(message, optional, tag = "4")]
+    pub shares: Option<WireShareReply>,
 }
 
 /// Submits a document in place of the one with a stated number.
--- a/crates/daisyseam-wire/src/lib.rs
+++ b/crates/daisyseam-wire/src/lib.rs
@@ -8,6 +8,7 @@
 mod convert;
 mod envelope;
 mod peer;
+mod share;
 mod stream;
 mod view;
 
@@ -16,7 +17,6 @@
         AppendReply,
         AppendRequest,
         ControlMessage,
-        DemandReport,
         GroupReport,
         HealthReport,
         Heartbeat,
@@ -27,7 +27,6 @@
         HistoryRequest,
         LogEntry,
         NotLeader,
-        ShareGrant,
         ShowReply,
         ShowRequest,
         SnapshotChunk,
@@ -63,6 +62,13 @@
         WirePosition,
         peer_message, //
     },
+    share::{
+        WireDemand,
+        WireGrant,
+        WireShare,
+        WireShareReply,
+        WireShareReport, //
+    },
     stream::{
         FRAME_BYTES_MAX,
         MessageReceiver,
