Add the stand-in database

Tests of failover, sessions and slots need databases with terms and log positions, and none may come from outside.

--- a/crates/daisyseam-bench/src/lib.rs
+++ b/crates/daisyseam-bench/src/lib.rs
@@ -1,1 +1,3 @@
 //! Stand-in database, load, experiments and the demo.
+
+pub mod standin;
