--- /dev/null
+++ b/crates/daisyseam-coord/tests/breaker.rs
@@ -0,0 +1,111 @@
+//! Outliers are ejected and come back, and one member always stays.
+
+use daisyseam_coord::{
+    Moment,
+    breaker::{
+        BreakerPolicy,
+        MemberState,
+        OutlierBreaker, //
+    }, //
+};
+use proptest::prelude::*;
+use std::time::Duration;
+
+const FAST: Duration = Duration::from_millis(5);
+
+fn breaker(count: usize) -> OutlierBreaker<usize> {
+    let mut breaker = OutlierBreaker::new(BreakerPolicy::default());
+    breaker.set_members(0..count);
+    breaker
+}
+
+#[test]
+fn failures_in_a_row_eject_and_one_try_readmits() {
+    let mut breaker = breaker(3);
+    for _ in 0..5 {
+        breaker.failed(Moment::ORIGIN, &0);
+    }
+    let back = Moment::from_millis(1_000);
+    assert_eq!(breaker.state(Moment::ORIGIN, &0), MemberState::Open(back));
+    assert!(!breaker.enter(Moment::ORIGIN, &0));
+    assert_eq!(breaker.state(back, &0), MemberState::HalfOpen);
+    assert!(breaker.enter(back, &0));
+    assert!(
+        !breaker.enter(back, &0),
+        "a second request may not try it too"
+    );
+    breaker.succeeded(back, &0, FAST);
+    assert_eq!(breaker.state(back, &0), MemberState::Closed);
+}
+
+#[test]
+fn a_failed_try_ejects_for_longer() {
+    let mut breaker = breaker(3);
+    for _ in 0..5 {
+        breaker.failed(Moment::ORIGIN, &0);
+    }
+    let back = Moment::from_millis(1_000);
+    assert!(breaker.enter(back, &0));
+    breaker.failed(back, &0);
+    let later = Moment::from_millis(3_000);
+    assert_eq!(breaker.state(back, &0), MemberState::Open(later));
+}
+
+#[test]
+fn a_slow_member_is_ejected() {
+    let mut breaker = breaker(3);
+    for _ in 0..50 {
+        breaker.succeeded(Moment::ORIGIN, &1, FAST);
+        breaker.succeeded(Moment::ORIGIN, &2, FAST);
+        breaker.succeeded(Moment::ORIGIN, &0, FAST * 40);
+    }
+    assert!(matches!(
+        breaker.state(Moment::ORIGIN, &0),
+        MemberState::Open(_)
+    ));
+    assert_eq!(breaker.state(Moment::ORIGIN, &1), MemberState::Closed);
+}
+
+#[test]
+fn members_that_are_all_slow_are_no_outliers() {
+    let mut breaker = breaker(3);
+    for round in 0..300 {
+        breaker.succeeded(Moment::ORIGIN, &(round % 3), FAST * 100);
+    }
+    for member in 0..3 {
+        assert_eq!(breaker.state(Moment::ORIGIN, &member), MemberState::Closed);
+    }
+}
+
+#[test]
+fn when_the_last_good_member_goes_an_ejected_one_is_taken_back() {
+    let mut breaker = breaker(2);
+    for _ in 0..5 {
+        breaker.failed(Moment::ORIGIN, &0);
+    }
+    breaker.set_members([0]);
+    assert_eq!(breaker.state(Moment::ORIGIN, &0), MemberState::Closed);
+}
+
+proptest! {
+    /// Whatever happens, at least one member takes work.
+    #[test]
+    fn the_last_one_is_never_ejected(
+        count in 1_usize..6,
+        events in prop::collection::vec((0_usize..6, 0_u8..3, 0_u64..500), 0..400),
+    ) {
+        let mut breaker = breaker(count);
+        let mut now = Moment::ORIGIN;
+        for (member, event, step) in events {
+            now = now + Duration::from_millis(step);
+            let member = member % count;
+            breaker.enter(now, &member);
+            match event {
+                0 => breaker.succeeded(now, &member, FAST * (1 + member as u32 * 30)),
+                _ => breaker.failed(now, &member),
+            }
+            let closed = (0..count).filter(|member| breaker.state(now, member) == MemberState::Closed);
+            prop_assert!(closed.count() >= 1);
+        }
+    }
+}
