--- /dev/null
+++ b/crates/daisyseam-entry/src/fleet.rs
@@ -0,0 +1,21 @@
+//! The fleet as one broker of links: routing, failover, confirmation of commits, rates.
+
+mod broker;
+mod confirm;
+mod fate;
+mod gate;
+mod known;
+mod link;
+mod open;
+
+pub use self::{
+    broker::{
+        BrokerSettings,
+        FleetBroker, //
+    },
+    gate::FleetGate,
+    link::{
+        FleetLink,
+        TransactionCounts, //
+    }, //
+};
--- /dev/null
+++ b/crates/daisyseam-entry/src/fleet/broker.rs
@@ -0,0 +1,259 @@
+//! The broker that callers reach databases through.
+
+use super::{
+    known::{
+        KnownPositions,
+        PrimarySamples, //
+    },
+    link::{
+        FleetLink,
+        TransactionCounts, //
+    }, //
+};
+use crate::{
+    LinkBroker,
+    LinkOrder,
+    OpenedLink,
+    TransactionFate,
+    ViewCell,
+    holder::HolderTable,
+    peer::PeerClient, //
+};
+use daisyseam_model::{
+    DataCentreId,
+    ErrorKind,
+    FleetView,
+    GroupId,
+    InstanceId,
+    LogPosition,
+    RequestError,
+    Term,
+    UpstreamId,
+    announce::UpstreamRole, //
+};
+use daisyseam_runtime::{
+    MetricClient,
+    TimerService, //
+};
+use parking_lot::Mutex;
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration, //
+};
+use tokio::time::Instant;
+
+/// Longest time that a request is held while this instance has no lease.
+pub(super) const VIEW_WAIT: Duration = Duration::from_secs(2);
+
+/// Time between two attempts when the view has not changed.
+pub(super) const RETRY_PAUSE: Duration = Duration::from_millis(25);
+
+/// What the broker needs.
+#[derive(Clone)]
+pub struct BrokerSettings {
+    /// This instance.
+    pub instance: InstanceId,
+    /// Its data centre.
+    pub data_centre: DataCentreId,
+    /// The view.
+    pub cell: ViewCell,
+    /// The databases held here.
+    pub table: HolderTable,
+    /// Other instances.
+    pub peers: PeerClient,
+    /// Timer service.
+    pub timer: TimerService,
+    /// Metrics.
+    pub metrics: MetricClient,
+}
+
+/// Opens links anywhere in the fleet; cheap to clone.
+#[derive(Clone)]
+pub struct FleetBroker {
+    pub(super) shared: Arc<BrokerShared>,
+}
+
+pub(super) struct BrokerShared {
+    pub(super) settings: BrokerSettings,
+    pub(super) known: KnownPositions,
+    pub(super) samples: PrimarySamples,
+    pub(super) counts: TransactionCounts,
+    barriers: Mutex<BTreeMap<GroupId, Arc<BarrierShare>>>,
+}
+
+/// The last answer of a group's primary, and who asks for the next.
+type BarrierShare = tokio::sync::Mutex<Option<BarrierAnswer>>;
+
+#[derive(Clone)]
+struct BarrierAnswer {
+    asked: Instant,
+    position: LogPosition,
+}
+
+/// Where the holder of a database is.
+pub(super) enum HolderPlace {
+    /// This instance.
+    Here,
+    /// Another instance, at this address.
+    Peer(SocketAddr),
+}
+
+impl FleetBroker {
+    /// Makes a broker.
+    pub fn new(settings: BrokerSettings) -> Self {
+        let shared = BrokerShared {
+            settings,
+            known: KnownPositions::default(),
+            samples: PrimarySamples::default(),
+            counts: TransactionCounts::default(),
+            barriers: Mutex::default(),
+        };
+        Self {
+            shared: Arc::new(shared),
+        }
+    }
+
+    /// Returns the counts of open transactions.
+    pub fn counts(&self) -> &TransactionCounts {
+        &self.shared.counts
+    }
+
+    pub(super) fn settings(&self) -> &BrokerSettings {
+        &self.shared.settings
+    }
+
+    /// Returns where the holder of a database is, if it has one.
+    pub(super) fn place(&self, view: &FleetView, upstream: &UpstreamId) -> Option<HolderPlace> {
+        let holder = view.upstreams.get(upstream)?.holder.as_ref()?;
+        if *holder == self.settings().instance {
+            return Some(HolderPlace::Here);
+        }
+        let instance = view.instances.get(holder)?;
+        Some(HolderPlace::Peer(instance.peer_address))
+    }
+
+    /// Waits for the next view or a short time, but not past a moment; returns whether there is
+    /// time left.
+    pub(super) async fn pause(&self, deadline: Instant) -> bool {
+        let mut changes = self.settings().cell.subscribe();
+        let until = deadline.min(Instant::now() + RETRY_PAUSE);
+        let _ = self.settings().timer.within(until, changes.changed()).await;
+        Instant::now() < deadline
+    }
+
+    /// Returns the view, waiting a while for a lease that has lapsed.
+    pub(super) async fn view(&self, deadline: Instant) -> Result<Arc<FleetView>, RequestError> {
+        let cell = &self.settings().cell;
+        let until = deadline.min(Instant::now() + VIEW_WAIT);
+        let mut changes = cell.subscribe();
+        loop {
+            match cell.valid() {
+                Ok(view) => return Ok(view),
+                Err(kind) => {
+                    let changed = changes.changed();
+                    let in_time = self.settings().timer.within(until, changed).await;
+                    in_time.ok_or(kind)?.map_err(|_| kind)?;
+                }
+            }
+        }
+    }
+
+    async fn ask_primary(
+        &self,
+        group: &GroupId,
+        deadline: Instant,
+    ) -> Result<BarrierAnswer, RequestError> {
+        loop {
+            let view = self.view(deadline).await?;
+            let entry = view.groups.get(group);
+            if let Some(entry) = entry
+                && let Some(primary) = entry.primary.active()
+            {
+                let asked = Instant::now();
+                let position = self.probe(&view, primary, entry.term, deadline).await;
+                if let Some(position) = position {
+                    self.shared.samples.add(group, asked, position);
+                    self.shared.known.learn(primary, position);
+                    return Ok(BarrierAnswer { asked, position });
+                }
+            }
+            if !self.pause(deadline).await {
+                return Err(ErrorKind::NoPrimary.into());
+            }
+        }
+    }
+
+    /// Asks the primary of a term for its position.
+    async fn probe(
+        &self,
+        view: &FleetView,
+        primary: &UpstreamId,
+        term: Term,
+        deadline: Instant,
+    ) -> Option<LogPosition> {
+        let position = match self.place(view, primary)? {
+            HolderPlace::Here => {
+                let handle = self.settings().table.get(primary)?;
+                let state = handle.fresh(deadline).await?;
+                (state.role == UpstreamRole::Primary).then_some(state.end)?
+            }
+            HolderPlace::Peer(address) => {
+                let probed = self.settings().peers.probe(address, primary, deadline);
+                let reply = probed.await.ok().filter(|reply| !reply.replica)?;
+                LogPosition::from(reply.position?)
+            }
+        };
+        (position.term == term).then_some(position)
+    }
+}
+
+impl LinkBroker for FleetBroker {
+    type Link = FleetLink;
+
+    async fn open(&self, order: LinkOrder<'_>) -> Result<OpenedLink<FleetLink>, RequestError> {
+        self.open_link(order).await
+    }
+
+    async fn confirm(
+        &self,
+        group: &GroupId,
+        at: LogPosition,
+        deadline: Instant,
+    ) -> Result<(), RequestError> {
+        self.confirm_commit(group, at, deadline).await
+    }
+
+    async fn barrier(
+        &self,
+        group: &GroupId,
+        deadline: Instant,
+    ) -> Result<LogPosition, RequestError> {
+        let called = Instant::now();
+        let share = {
+            let mut barriers = self.shared.barriers.lock();
+            Arc::clone(barriers.entry(group.clone()).or_default())
+        };
+        let timer = &self.settings().timer;
+        let locked = timer.within(deadline, share.lock()).await;
+        let mut answer = locked.ok_or(ErrorKind::NoPrimary)?;
+        // An answer that was asked for after this call serves it as well.
+        if let Some(shared) = answer.as_ref().filter(|answer| answer.asked >= called) {
+            return Ok(shared.position);
+        }
+        let fresh = self.ask_primary(group, deadline).await?;
+        *answer = Some(fresh.clone());
+        Ok(fresh.position)
+    }
+
+    async fn fate(
+        &self,
+        group: &GroupId,
+        term: Term,
+        xid: u64,
+        deadline: Instant,
+    ) -> TransactionFate {
+        self.find_fate(group, term, xid, deadline).await
+    }
+}
--- /dev/null
+++ b/crates/daisyseam-entry/src/fleet/link.rs
@@ -0,0 +1,129 @@
+//! A link to a database that is held here or by a peer.
+
+use crate::{
+    DatabaseLink,
+    LinkError,
+    holder::PooledConnection,
+    peer::PeerLink, //
+};
+use daisyseam_model::{
+    GroupId,
+    Term, //
+};
+use parking_lot::Mutex;
+use pgwire::messages::{
+    PgWireBackendMessage,
+    PgWireFrontendMessage, //
+};
+use std::{
+    collections::BTreeMap,
+    sync::Arc, //
+};
+
+/// One link of this instance's callers; dropping it closes the database's connection.
+pub struct FleetLink {
+    end: LinkEnd,
+    // Counted until the link is gone.
+    _open: Option<TransactionGuard>,
+}
+
+enum LinkEnd {
+    Local(Box<PooledConnection>),
+    Peer(Box<PeerLink>),
+}
+
+impl FleetLink {
+    pub(super) fn local(pooled: PooledConnection, open: Option<TransactionGuard>) -> Self {
+        Self {
+            end: LinkEnd::Local(Box::new(pooled)),
+            _open: open,
+        }
+    }
+
+    pub(super) fn peer(link: PeerLink, open: Option<TransactionGuard>) -> Self {
+        Self {
+            end: LinkEnd::Peer(Box::new(link)),
+            _open: open,
+        }
+    }
+}
+
+impl DatabaseLink for FleetLink {
+    async fn send(&mut self, message: PgWireFrontendMessage) -> Result<(), LinkError> {
+        match &mut self.end {
+            LinkEnd::Local(pooled) => pooled.connection().split().0.send(&message).await,
+            LinkEnd::Peer(link) => link.send(message).await,
+        }
+    }
+
+    async fn flush(&mut self) -> Result<(), LinkError> {
+        match &mut self.end {
+            LinkEnd::Local(pooled) => pooled.connection().flush().await,
+            LinkEnd::Peer(link) => link.flush().await,
+        }
+    }
+
+    async fn receive(&mut self) -> Result<PgWireBackendMessage, LinkError> {
+        match &mut self.end {
+            LinkEnd::Local(pooled) => pooled.connection().split().1.receive().await,
+            LinkEnd::Peer(link) => link.receive().await,
+        }
+    }
+
+    async fn cancel(&mut self) {
+        match &mut self.end {
+            LinkEnd::Local(pooled) => pooled.connection().cancel_order().send().await,
+            LinkEnd::Peer(link) => link.cancel().await,
+        }
+    }
+
+    fn release(self) {
+        match self.end {
+            LinkEnd::Local(pooled) => pooled.release(),
+            LinkEnd::Peer(link) => link.release(),
+        }
+    }
+}
+
+/// Counts the transactions that may write and the commits that wait to be confirmed, by term.
+#[derive(Clone, Debug, Default)]
+pub struct TransactionCounts {
+    counts: Arc<Mutex<BTreeMap<(GroupId, Term), u64>>>,
+}
+
+impl TransactionCounts {
+    /// Returns how many are open at a group in a term.
+    pub fn open(&self, group: &GroupId, term: Term) -> u64 {
+        let counts = self.counts.lock();
+        counts.get(&(group.clone(), term)).copied().unwrap_or(0)
+    }
+
+    /// Counts one until the guard is dropped.
+    pub(super) fn enter(&self, group: &GroupId, term: Term) -> TransactionGuard {
+        let key = (group.clone(), term);
+        *self.counts.lock().entry(key.clone()).or_default() += 1;
+        TransactionGuard {
+            counts: self.clone(),
+            key,
+        }
+    }
+}
+
+/// One counted transaction.
+#[derive(Debug)]
+pub(super) struct TransactionGuard {
+    counts: TransactionCounts,
+    key: (GroupId, Term),
+}
+
+impl Drop for TransactionGuard {
+    fn drop(&mut self) {
+        let mut counts = self.counts.counts.lock();
+        if let Some(count) = counts.get_mut(&self.key) {
+            *count -= 1;
+            if *count == 0 {
+                counts.remove(&self.key);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/daisyseam-entry/src/holder/admission.rs
@@ -0,0 +1,125 @@
+//! Whether a held database may be used at this moment.
+
+use super::sight::UpstreamSight;
+use crate::ViewCell;
+use daisyseam_model::{
+    ErrorKind,
+    FleetView,
+    GroupView,
+    InstanceId,
+    LogPosition,
+    RequestError,
+    Term,
+    UpstreamId,
+    announce::{
+        UpstreamRole,
+        UpstreamState, //
+    }, //
+};
+
+/// Why a database may not be used.
+#[derive(Debug)]
+pub(super) enum AdmissionRefusal {
+    /// The view does not allow it.
+    View(RequestError),
+    /// What is known of the database does not fit the view; newer knowledge may.
+    State(RequestError),
+}
+
+impl From<AdmissionRefusal> for RequestError {
+    fn from(refusal: AdmissionRefusal) -> Self {
+        match refusal {
+            AdmissionRefusal::View(error) | AdmissionRefusal::State(error) => error,
+        }
+    }
+}
+
+/// Checks one held database against the view.
+#[derive(Clone, Debug)]
+pub(super) struct AdmissionCheck {
+    pub(super) instance: InstanceId,
+    pub(super) upstream: UpstreamId,
+}
+
+impl AdmissionCheck {
+    /// Returns the database's position if it may be used as the primary of a term, or for reads.
+    pub(super) fn admit(
+        &self,
+        cell: &ViewCell,
+        sight: &UpstreamSight,
+        term: Option<Term>,
+    ) -> Result<LogPosition, AdmissionRefusal> {
+        let view = cell
+            .valid()
+            .map_err(|kind| AdmissionRefusal::View(kind.into()))?;
+        let group = self.check_view(&view, term)?;
+        let Some(state) = sight
+            .state
+            .as_ref()
+            .filter(|_| sight.silent_since.is_none())
+        else {
+            return Err(AdmissionRefusal::State(unreachable_error(
+                "it does not tell its state",
+            )));
+        };
+        let fits = match term {
+            Some(term) => is_primary_of(state, term),
+            None => is_in_lineage(state, group),
+        };
+        if fits {
+            Ok(state.end)
+        } else {
+            Err(AdmissionRefusal::State(unreachable_error(
+                "its term or role does not fit the view",
+            )))
+        }
+    }
+
+    fn check_view<'a>(
+        &self,
+        view: &'a FleetView,
+        term: Option<Term>,
+    ) -> Result<&'a GroupView, AdmissionRefusal> {
+        let refuse = |kind: ErrorKind, detail: &str| {
+            Err(AdmissionRefusal::View(RequestError::new(kind, detail)))
+        };
+        let held = view
+            .upstreams
+            .get(&self.upstream)
+            .filter(|upstream| upstream.holder.as_ref() == Some(&self.instance));
+        let Some(upstream) = held else {
+            return refuse(ErrorKind::UpstreamUnreachable, "it is held elsewhere");
+        };
+        let Some(group) = view.groups.get(&upstream.group) else {
+            return refuse(ErrorKind::NoPrimary, "its group is not known");
+        };
+        let Some(term) = term else {
+            if upstream.leaving {
+                return refuse(ErrorKind::UpstreamUnreachable, "it is leaving");
+            }
+            return Ok(group);
+        };
+        if group.term == term && group.primary.active() == Some(&self.upstream) {
+            Ok(group)
+        } else {
+            refuse(ErrorKind::NoPrimary, "it is not the primary of that term")
+        }
+    }
+}
+
+/// Returns whether a database is the primary of exactly this term.
+pub(crate) fn is_primary_of(state: &UpstreamState, term: Term) -> bool {
+    state.role == UpstreamRole::Primary && state.promised == term
+}
+
+/// Returns whether a database's log lies within the lineage of the view.
+///
+/// A log of an older term is a prefix of the lineage only up to the place where the present
+/// primary went on; what lies past it is a dead history.
+pub(crate) fn is_in_lineage(state: &UpstreamState, group: &GroupView) -> bool {
+    state.end.term == group.term || state.end <= group.lineage_start
+}
+
+fn unreachable_error(detail: &str) -> RequestError {
+    RequestError::new(ErrorKind::UpstreamUnreachable, detail)
+}
--- /dev/null
+++ b/crates/daisyseam-entry/src/holder/handle.rs
@@ -0,0 +1,359 @@
+//! The handle through which one held database is used.
+
+use super::{
+    admission::{
+        AdmissionCheck,
+        AdmissionRefusal, //
+    },
+    pool::{
+        HolderActor,
+        HolderMessage, //
+    },
+    pooled::LoanTerms,
+    queue::{
+        Lent,
+        SlotWaiter, //
+    },
+    registry::ConnectionRegistry,
+    sight::{
+        SightWatch,
+        UpstreamSight, //
+    }, //
+};
+use crate::{
+    ViewCell,
+    database::{
+        DatabaseTarget,
+        UpstreamProbe, //
+    }, //
+};
+use daisyseam_model::{
+    ErrorKind,
+    GroupId,
+    InstanceId,
+    LogPosition,
+    OrganisationId,
+    RequestError,
+    Term,
+    UpstreamId,
+    announce::UpstreamState, //
+};
+use daisyseam_runtime::{
+    Dialer,
+    TimerService, //
+};
+use displaydoc::Display;
+use ractor::{
+    Actor,
+    ActorRef,
+    SpawnErr, //
+};
+use std::{
+    error::Error,
+    sync::{
+        Arc,
+        atomic::{
+            AtomicUsize,
+            Ordering, //
+        }, //
+    },
+    time::Duration, //
+};
+use tokio::{
+    sync::oneshot,
+    time::Instant, //
+};
+
+/// Longest wait for an answer that shows whether the database fits the view by now.
+const REFRESH_WAIT: Duration = Duration::from_millis(500);
+
+/// What a holder needs.
+#[derive(Clone)]
+pub struct HolderSettings {
+    /// This instance.
+    pub instance: InstanceId,
+    /// The database.
+    pub upstream: UpstreamId,
+    /// Its group.
+    pub group: GroupId,
+    /// Where it is and how to log in.
+    pub target: Arc<DatabaseTarget>,
+    /// What it may use.
+    pub limits: HolderLimits,
+    /// The view.
+    pub cell: ViewCell,
+    /// Outgoing connections.
+    pub dialer: Dialer,
+    /// Timer service.
+    pub timer: TimerService,
+}
+
+/// What a holder may use.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct HolderLimits {
+    /// Most connections to the database.
+    pub slots: usize,
+    /// Most requests that wait for one.
+    pub queue_length: usize,
+}
+
+/// An order for a connection of a held database.
+#[derive(Clone, Debug)]
+pub struct HolderOrder {
+    /// Organisation on whose behalf; none for an open route.
+    pub organisation: Option<OrganisationId>,
+    /// Term in which the database must be primary; none for any role.
+    pub term: Option<Term>,
+    /// Position that it must have reached.
+    pub floor: Option<LogPosition>,
+    /// Longest wait for the position.
+    pub catch_up: Duration,
+    /// Moment after which the order is refused.
+    pub deadline: Instant,
+}
+
+/// Why a holder lends no connection; nothing was run.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum HolderRefusal {
+    /// The database has not reached the floor; this is where it is.
+    Behind(LogPosition),
+    /// Any other reason.
+    Refused(RequestError),
+}
+
+/// the holder of a database cannot start: {0}
+#[derive(Debug, Display)]
+pub struct HolderError(SpawnErr);
+
+impl Error for HolderError {}
+
+/// What a pool has at the moment.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct PoolCounts {
+    /// Connections, those that are being opened too.
+    pub open: usize,
+    /// Connections that are lent out.
+    pub lent: usize,
+    /// Requests that wait.
+    pub queued: usize,
+}
+
+/// Talks to the holder of one database; cheap to clone.
+#[derive(Clone)]
+pub struct HolderHandle {
+    shared: Arc<HolderShared>,
+    actor: ActorRef<HolderMessage>,
+}
+
+impl HolderHandle {
+    /// Starts to hold a database.
+    ///
+    /// # Errors
+    ///
+    /// [`HolderError`] when the actor cannot be started.
+    pub async fn start<P: UpstreamProbe>(
+        settings: HolderSettings,
+        probe: P,
+    ) -> Result<Self, HolderError> {
+        let check = AdmissionCheck {
+            instance: settings.instance.clone(),
+            upstream: settings.upstream.clone(),
+        };
+        let shared = Arc::new(HolderShared {
+            sight: SightWatch::start(probe, settings.timer.clone()),
+            registry: Arc::default(),
+            counts: SharedCounts::default(),
+            check,
+            settings,
+        });
+        let (actor, _) = Actor::spawn(None, HolderActor, Arc::clone(&shared))
+            .await
+            .map_err(HolderError)?;
+        Ok(Self { shared, actor })
+    }
+
+    /// Returns what the holder was started with.
+    pub fn settings(&self) -> &HolderSettings {
+        &self.shared.settings
+    }
+
+    /// Returns whether both are handles of one holder.
+    pub fn is(&self, other: &Self) -> bool {
+        Arc::ptr_eq(&self.shared, &other.shared)
+    }
+
+    /// Returns what is known of the database.
+    pub fn sight(&self) -> UpstreamSight {
+        self.shared.sight.sight()
+    }
+
+    /// Returns what the pool has at the moment.
+    pub fn counts(&self) -> PoolCounts {
+        self.shared.counts.load()
+    }
+
+    /// Lends a connection out, together with the position that the database has reached.
+    ///
+    /// # Errors
+    ///
+    /// [`HolderRefusal`] when the database may not be used, is behind, or has no slot in time.
+    pub async fn lend(&self, order: HolderOrder) -> Lent {
+        let position = self.await_fit(order.term, order.deadline).await?;
+        if let Some(floor) = order.floor.filter(|floor| position < *floor) {
+            self.await_floor(floor, &order).await?;
+        }
+        let (reply, lent) = oneshot::channel();
+        let waiter = SlotWaiter {
+            terms: LoanTerms {
+                organisation: order.organisation,
+                term: order.term,
+            },
+            deadline: order.deadline,
+            reply,
+        };
+        if self.actor.cast(HolderMessage::Lend(waiter)).is_err() {
+            return Err(HolderRefusal::Refused(let_go_error()));
+        }
+        match self
+            .shared
+            .settings
+            .timer
+            .within(order.deadline, lent)
+            .await
+        {
+            Some(Ok(lent)) => lent,
+            Some(Err(_)) => Err(HolderRefusal::Refused(let_go_error())),
+            None => Err(HolderRefusal::Refused(ErrorKind::DeadlineBeforeSend.into())),
+        }
+    }
+
+    /// Waits until the database reports a position in exactly its term; returns its state then.
+    pub async fn reached(&self, at: LogPosition, deadline: Instant) -> Option<UpstreamState> {
+        let fits = |state: &UpstreamState| state.end.term == at.term && state.end >= at;
+        self.shared.sight.until(at, deadline, fits).await
+    }
+
+    /// Returns a state that was read after this call, or nothing by the deadline.
+    pub async fn fresh(&self, deadline: Instant) -> Option<UpstreamState> {
+        self.shared.sight.fresh(deadline).await
+    }
+
+    /// Asks the database at once; used when the view of its group has changed.
+    pub fn refresh(&self) {
+        self.shared.sight.refresh();
+    }
+
+    /// Changes what the holder may use.
+    pub fn set_limits(&self, limits: HolderLimits) {
+        let _ = self.actor.cast(HolderMessage::Limits(limits));
+    }
+
+    /// Closes every connection at once, whoever uses it; new ones may be opened afterwards.
+    pub fn close_all(&self) {
+        self.shared.registry.close_all();
+        let _ = self.actor.cast(HolderMessage::DropIdle);
+    }
+
+    /// Closes the connections that run transactions of a term before this one.
+    pub fn close_below(&self, term: Term) {
+        self.shared.registry.close_below(term);
+    }
+
+    /// Lets go of the database: lends nothing more, waits for running transactions, but not past
+    /// the deadline, and returns when every connection is closed.
+    pub async fn let_go(&self, deadline: Instant) {
+        let (reply, closed) = oneshot::channel();
+        if self.actor.cast(HolderMessage::LetGo(reply)).is_err() {
+            return;
+        }
+        self.shared.settings.timer.within(deadline, closed).await;
+        self.shared.registry.close_all();
+        self.actor.stop(None);
+    }
+
+    async fn await_fit(
+        &self,
+        term: Option<Term>,
+        deadline: Instant,
+    ) -> Result<LogPosition, HolderRefusal> {
+        let shared = &self.shared;
+        match shared.admit(term) {
+            Ok(position) => return Ok(position),
+            Err(AdmissionRefusal::View(error)) => return Err(HolderRefusal::Refused(error)),
+            Err(AdmissionRefusal::State(_)) => {}
+        }
+        let deadline = deadline.min(Instant::now() + REFRESH_WAIT);
+        shared.sight.fresh(deadline).await;
+        shared
+            .admit(term)
+            .map_err(|refusal| HolderRefusal::Refused(refusal.into()))
+    }
+
+    async fn await_floor(
+        &self,
+        floor: LogPosition,
+        order: &HolderOrder,
+    ) -> Result<(), HolderRefusal> {
+        let deadline = order.deadline.min(Instant::now() + order.catch_up);
+        let reached = |state: &UpstreamState| state.end >= floor;
+        if self
+            .shared
+            .sight
+            .until(floor, deadline, reached)
+            .await
+            .is_some()
+        {
+            return Ok(());
+        }
+        let state = self.shared.sight.sight().state;
+        Err(HolderRefusal::Behind(
+            state.map(|state| state.end).unwrap_or_default(),
+        ))
+    }
+}
+
+/// What the handle and the actor share.
+pub(super) struct HolderShared {
+    pub(super) settings: HolderSettings,
+    pub(super) registry: Arc<ConnectionRegistry>,
+    pub(super) counts: SharedCounts,
+    sight: SightWatch,
+    check: AdmissionCheck,
+}
+
+impl HolderShared {
+    /// Returns the database's position if it may be used at this moment.
+    pub(super) fn admit(&self, term: Option<Term>) -> Result<LogPosition, AdmissionRefusal> {
+        let sight = self.sight.sight();
+        self.check.admit(&self.settings.cell, &sight, term)
+    }
+}
+
+/// The newest [`PoolCounts`].
+#[derive(Debug, Default)]
+pub(super) struct SharedCounts {
+    open: AtomicUsize,
+    lent: AtomicUsize,
+    queued: AtomicUsize,
+}
+
+impl SharedCounts {
+    fn load(&self) -> PoolCounts {
+        PoolCounts {
+            open: self.open.load(Ordering::Relaxed),
+            lent: self.lent.load(Ordering::Relaxed),
+            queued: self.queued.load(Ordering::Relaxed),
+        }
+    }
+
+    pub(super) fn store(&self, counts: PoolCounts) {
+        self.open.store(counts.open, Ordering::Relaxed);
+        self.lent.store(counts.lent, Ordering::Relaxed);
+        self.queued.store(counts.queued, Ordering::Relaxed);
+    }
+}
+
+/// Says that the database is held by another instance from now on.
+pub(super) fn let_go_error() -> RequestError {
+    RequestError::new(ErrorKind::UpstreamUnreachable, "it is being handed over")
+}
--- /dev/null
+++ b/crates/daisyseam-entry/src/holder/pool.rs
@@ -0,0 +1,316 @@
+//! The actor that owns the pool and the queue of one held database.
+
+use super::{
+    handle::{
+        HolderLimits,
+        HolderShared,
+        PoolCounts,
+        let_go_error, //
+    },
+    pooled::{
+        HeldConnection,
+        PooledConnection,
+        RegisteredNumber,
+        ServedLoan,
+        SlotTicket, //
+    },
+    queue::{
+        SlotQueue,
+        SlotWaiter, //
+    }, //
+};
+use crate::database::{
+    DatabaseConnection,
+    OpenError, //
+};
+use daisyseam_model::{
+    ErrorKind,
+    LogPosition,
+    RequestError, //
+};
+use ractor::{
+    Actor,
+    ActorProcessingErr,
+    ActorRef, //
+};
+use rand::Rng;
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+use tokio::{
+    sync::oneshot,
+    time::Instant, //
+};
+
+/// Most connections that are being opened to one database at once.
+const OPENING_MAX: usize = 2;
+
+/// Connections kept ready beyond those in use.
+const READY_AHEAD: usize = 1;
+
+/// First time after a failed opening before the next.
+const OPEN_BACKOFF: Duration = Duration::from_millis(20);
+
+/// Longest time after a failed opening before the next.
+const OPEN_BACKOFF_MAX: Duration = Duration::from_millis(500);
+
+/// What the actor is told.
+#[derive(Debug)]
+pub(super) enum HolderMessage {
+    /// Somebody wants a connection.
+    Lend(SlotWaiter),
+    /// A connection came back clean.
+    Returned(Box<HeldConnection>, ServedLoan),
+    /// A connection that was lent out is being closed.
+    Broken(ServedLoan),
+    /// A connection is closed and its slot free.
+    Freed,
+    /// A connection was opened, or not.
+    Opened(Result<Box<HeldConnection>, OpenError>),
+    /// Another connection may be tried.
+    Retry,
+    /// The limits have changed.
+    Limits(HolderLimits),
+    /// Idle connections are to be dropped.
+    DropIdle,
+    /// Nothing more is lent; answered when no connection is left.
+    LetGo(oneshot::Sender<()>),
+}
+
+/// The actor.
+pub(super) struct HolderActor;
+
+impl Actor for HolderActor {
+    type Msg = HolderMessage;
+    type State = HolderPool;
+    type Arguments = Arc<HolderShared>;
+
+    async fn pre_start(
+        &self,
+        myself: ActorRef<HolderMessage>,
+        shared: Arc<HolderShared>,
+    ) -> Result<HolderPool, ActorProcessingErr> {
+        let mut pool = HolderPool {
+            limits: shared.settings.limits,
+            shared,
+            myself,
+            idle: Vec::new(),
+            queue: SlotQueue::default(),
+            open: 0,
+            opening: 0,
+            lent: 0,
+            backoff: OPEN_BACKOFF,
+            backing_off: false,
+            letting_go: None,
+        };
+        pool.open_ahead();
+        Ok(pool)
+    }
+
+    async fn handle(
+        &self,
+        _myself: ActorRef<HolderMessage>,
+        message: HolderMessage,
+        pool: &mut HolderPool,
+    ) -> Result<(), ActorProcessingErr> {
+        pool.handle(message);
+        Ok(())
+    }
+}
+
+/// The connections and the queue of one database.
+pub(super) struct HolderPool {
+    shared: Arc<HolderShared>,
+    myself: ActorRef<HolderMessage>,
+    limits: HolderLimits,
+    idle: Vec<HeldConnection>,
+    queue: SlotQueue,
+    open: usize,
+    opening: usize,
+    lent: usize,
+    backoff: Duration,
+    backing_off: bool,
+    letting_go: Option<oneshot::Sender<()>>,
+}
+
+impl HolderPool {
+    fn handle(&mut self, message: HolderMessage) {
+        match message {
+            HolderMessage::Lend(waiter) => self.enqueue(waiter),
+            HolderMessage::Returned(held, _) => {
+                self.lent -= 1;
+                self.take_back(*held);
+            }
+            HolderMessage::Broken(_) => self.lent -= 1,
+            HolderMessage::Freed => self.open -= 1,
+            HolderMessage::Opened(result) => self.opened(result),
+            HolderMessage::Retry => self.backing_off = false,
+            HolderMessage::Limits(limits) => self.limits = limits,
+            HolderMessage::DropIdle => self.idle.clear(),
+            HolderMessage::LetGo(reply) => {
+                self.queue.refuse_all(&let_go_error());
+                self.letting_go = Some(reply);
+            }
+        }
+        self.serve();
+        self.open_ahead();
+        self.finish_letting_go();
+        self.shared.counts.store(PoolCounts {
+            open: self.open,
+            lent: self.lent,
+            queued: self.queue.len(),
+        });
+    }
+
+    fn enqueue(&mut self, waiter: SlotWaiter) {
+        if self.letting_go.is_some() {
+            waiter.refuse(let_go_error());
+            return;
+        }
+        self.queue.push(waiter, self.limits.queue_length);
+    }
+
+    /// Lends idle connections to those that wait.
+    fn serve(&mut self) {
+        let now = Instant::now();
+        while let Some(held) = self.take_idle() {
+            let Some(waiter) = self.queue.pop(now) else {
+                self.idle.push(held);
+                return;
+            };
+            match self.shared.admit(waiter.terms.term) {
+                Ok(position) => self.lend(held, waiter, position),
+                Err(refusal) => {
+                    self.idle.push(held);
+                    waiter.refuse(refusal.into());
+                }
+            }
+        }
+    }
+
+    fn lend(&mut self, held: HeldConnection, waiter: SlotWaiter, position: LogPosition) {
+        self.lent += 1;
+        assert!(
+            self.lent <= self.open,
+            "more connections are lent out than are open"
+        );
+        let pooled = PooledConnection::new(held, waiter.terms);
+        // One that gave up at this very moment leaves the connection unused.
+        if let Err(Ok((pooled, _))) = waiter.reply.send(Ok((pooled, position))) {
+            pooled.release();
+        }
+    }
+
+    fn take_back(&mut self, held: HeldConnection) {
+        if self.open <= self.limits.slots && self.letting_go.is_none() {
+            self.idle.push(held);
+        }
+    }
+
+    fn take_idle(&mut self) -> Option<HeldConnection> {
+        while let Some(held) = self.idle.pop() {
+            if held.connection.is_alive() {
+                return Some(held);
+            }
+        }
+        None
+    }
+
+    /// Opens connections that are wanted or will be soon, a few at once.
+    fn open_ahead(&mut self) {
+        if self.letting_go.is_some() || self.backing_off {
+            return;
+        }
+        let wanted = self.lent + self.queue.len() + READY_AHEAD;
+        let wanted = wanted.min(self.limits.slots);
+        while self.open < wanted && self.opening < OPENING_MAX {
+            self.open += 1;
+            self.opening += 1;
+            assert!(
+                self.open <= self.limits.slots,
+                "more connections than the database admits"
+            );
+            self.spawn_opening();
+        }
+    }
+
+    fn spawn_opening(&self) {
+        let shared = Arc::clone(&self.shared);
+        let actor = self.myself.clone();
+        let ticket = SlotTicket::new(actor.clone());
+        tokio::spawn(async move {
+            let opened = open_held(&shared, ticket).await;
+            let _ = actor.cast(HolderMessage::Opened(opened));
+        });
+    }
+
+    fn opened(&mut self, result: Result<Box<HeldConnection>, OpenError>) {
+        self.opening -= 1;
+        match result {
+            Ok(held) => {
+                self.backoff = OPEN_BACKOFF;
+                self.take_back(*held);
+            }
+            Err(error) => self.opening_failed(&error),
+        }
+    }
+
+    fn opening_failed(&mut self, error: &OpenError) {
+        let upstream = &self.shared.settings.upstream;
+        log::warn!("a connection to database {upstream} could not be opened: {error}");
+        if self.lent == 0 && self.idle.is_empty() && self.opening == 0 {
+            let detail = error.to_string();
+            self.queue
+                .refuse_all(&RequestError::new(ErrorKind::UpstreamUnreachable, detail));
+        }
+        if self.backing_off {
+            return;
+        }
+        self.backing_off = true;
+        let delay = self.backoff.mul_f64(rand::rng().random_range(0.5..1.0));
+        self.backoff = (self.backoff * 2).min(OPEN_BACKOFF_MAX);
+        let ticket = self.shared.settings.timer.after(delay);
+        let actor = self.myself.clone();
+        tokio::spawn(async move {
+            ticket.await;
+            let _ = actor.cast(HolderMessage::Retry);
+        });
+    }
+
+    fn finish_letting_go(&mut self) {
+        if self.letting_go.is_none() {
+            return;
+        }
+        self.idle.clear();
+        if self.open == 0
+            && let Some(reply) = self.letting_go.take()
+        {
+            // Nothing is lent from here on: the handle stops the actor.
+            self.limits.slots = 0;
+            let _ = reply.send(());
+        }
+    }
+}
+
+async fn open_held(
+    shared: &HolderShared,
+    ticket: SlotTicket,
+) -> Result<Box<HeldConnection>, OpenError> {
+    let settings = &shared.settings;
+    let epoch = shared.registry.epoch();
+    let opened = DatabaseConnection::open(&settings.target, settings.dialer, &settings.timer);
+    let connection = opened.await?;
+    let number = shared
+        .registry
+        .add(connection.closer(), epoch)
+        .ok_or(OpenError::Revoked)?;
+    Ok(Box::new(HeldConnection {
+        connection,
+        number: RegisteredNumber {
+            registry: Arc::clone(&shared.registry),
+            number,
+        },
+        ticket,
+    }))
+}
--- /dev/null
+++ b/crates/daisyseam-entry/src/holder/registry.rs
@@ -0,0 +1,94 @@
+//! Every connection to one held database, so that all can be closed at once from outside.
+
+use crate::database::ConnectionCloser;
+use daisyseam_model::Term;
+use parking_lot::Mutex;
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Arc,
+        Weak, //
+    }, //
+};
+
+/// The connections to one database.
+#[derive(Debug, Default)]
+pub(super) struct ConnectionRegistry {
+    entries: Mutex<RegistryEntries>,
+}
+
+#[derive(Debug, Default)]
+struct RegistryEntries {
+    connections: BTreeMap<u64, ConnectionEntry>,
+    next_number: u64,
+    epoch: u64,
+}
+
+#[derive(Debug)]
+struct ConnectionEntry {
+    closer: Weak<ConnectionCloser>,
+    lent_in: Option<Term>,
+}
+
+impl ConnectionRegistry {
+    /// Returns the present epoch; every closing of all connections starts the next.
+    pub(super) fn epoch(&self) -> u64 {
+        self.entries.lock().epoch
+    }
+
+    /// Takes a connection in that was opened in an epoch; returns nothing if that one is over.
+    pub(super) fn add(&self, closer: &Arc<ConnectionCloser>, epoch: u64) -> Option<u64> {
+        let mut entries = self.entries.lock();
+        if entries.epoch != epoch {
+            return None;
+        }
+        entries.next_number += 1;
+        let number = entries.next_number;
+        let entry = ConnectionEntry {
+            closer: Arc::downgrade(closer),
+            lent_in: None,
+        };
+        entries.connections.insert(number, entry);
+        Some(number)
+    }
+
+    /// Records for which primary's term a connection is lent out; none when it is idle.
+    pub(super) fn lend(&self, number: u64, term: Option<Term>) {
+        if let Some(entry) = self.entries.lock().connections.get_mut(&number) {
+            entry.lent_in = term;
+        }
+    }
+
+    /// Forgets a connection.
+    pub(super) fn remove(&self, number: u64) {
+        self.entries.lock().connections.remove(&number);
+    }
+
+    /// Closes every connection, those that are being opened too.
+    pub(super) fn close_all(&self) {
+        let mut entries = self.entries.lock();
+        entries.epoch += 1;
+        entries
+            .connections
+            .values()
+            .for_each(ConnectionEntry::close);
+    }
+
+    /// Closes connections that are lent out for a primary whose term is over.
+    pub(super) fn close_below(&self, term: Term) {
+        let entries = self.entries.lock();
+        entries
+            .connections
+            .values()
+            .filter(|entry| entry.lent_in.is_some_and(|lent| lent < term))
+            .for_each(ConnectionEntry::close);
+    }
+}
+
+impl ConnectionEntry {
+    fn close(&self) {
+        if let Some(closer) = self.closer.upgrade() {
+            closer.close();
+        }
+    }
+}
--- /dev/null
+++ b/crates/daisyseam-entry/src/holder/sight.rs
@@ -0,0 +1,266 @@
+//! What is known of a database's position: prompt when somebody waits, cheap when nobody does.
+
+use crate::database::{
+    ProbeError,
+    UpstreamProbe, //
+};
+use daisyseam_model::{
+    LogPosition,
+    announce::UpstreamState, //
+};
+use daisyseam_runtime::TimerService;
+use parking_lot::Mutex;
+use std::{
+    collections::BTreeMap,
+    sync::Arc,
+    time::Duration, //
+};
+use tokio::{
+    sync::{
+        Notify,
+        watch, //
+    },
+    task::JoinHandle,
+    time::Instant, //
+};
+
+/// Time between two questions while nobody waits.
+const IDLE_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Time after which a question counts as missed.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Longest wait that a database is asked to keep an answer for.
+const LONG_POLL: Duration = Duration::from_millis(1_000);
+
+/// Time after a failed long poll before the next.
+const LONG_POLL_RETRY: Duration = Duration::from_millis(50);
+
+/// What was last heard of a database.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct UpstreamSight {
+    /// Its state, if it ever answered.
+    pub state: Option<UpstreamState>,
+    /// A moment after which the state was read.
+    pub asked_at: Option<Instant>,
+    /// When its last answer came in.
+    pub heard_at: Option<Instant>,
+    /// Since when it has not answered; none while it answers.
+    pub silent_since: Option<Instant>,
+}
+
+/// Keeps an [`UpstreamSight`] up to date until it is dropped.
+pub struct SightWatch {
+    shared: Arc<SightShared>,
+    tasks: [JoinHandle<()>; 2],
+}
+
+impl SightWatch {
+    /// Starts to watch a database.
+    pub fn start<P: UpstreamProbe>(probe: P, timer: TimerService) -> Self {
+        let shared = Arc::new(SightShared {
+            sight: watch::Sender::default(),
+            wanted: Mutex::default(),
+            wanted_changed: Notify::new(),
+            refresh: watch::Sender::new(Instant::now()),
+            timer,
+        });
+        let refresh = refresh_loop(Arc::clone(&shared), probe.clone());
+        let poll = long_poll_loop(Arc::clone(&shared), probe);
+        Self {
+            tasks: [tokio::spawn(refresh), tokio::spawn(poll)],
+            shared,
+        }
+    }
+
+    /// Returns what is known.
+    pub fn sight(&self) -> UpstreamSight {
+        self.shared.sight.borrow().clone()
+    }
+
+    /// Asks the database at once, without waiting for the answer.
+    pub fn refresh(&self) {
+        self.shared.want_refresh(Instant::now());
+    }
+
+    /// Returns a state that was read after this call, or nothing by the deadline.
+    ///
+    /// Concurrent calls share questions.
+    pub async fn fresh(&self, deadline: Instant) -> Option<UpstreamState> {
+        let called = Instant::now();
+        let mut receiver = self.shared.sight.subscribe();
+        self.shared.want_refresh(called);
+        let answered = receiver.wait_for(|sight| sight.asked_at.is_some_and(|at| at >= called));
+        let sight = self.shared.timer.within(deadline, answered).await?.ok()?;
+        sight.state.clone()
+    }
+
+    /// Waits until the state fits, and returns it; returns nothing by the deadline.
+    ///
+    /// `at` is the position that the database is asked to report promptly.
+    pub async fn until(
+        &self,
+        at: LogPosition,
+        deadline: Instant,
+        fits: impl Fn(&UpstreamState) -> bool,
+    ) -> Option<UpstreamState> {
+        let mut receiver = self.shared.sight.subscribe();
+        let _wanted = WantedGuard::new(&self.shared, at);
+        let reached = receiver.wait_for(|sight| sight.state.as_ref().is_some_and(&fits));
+        let sight = self.shared.timer.within(deadline, reached).await?.ok()?;
+        sight.state.clone()
+    }
+}
+
+impl Drop for SightWatch {
+    fn drop(&mut self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+}
+
+struct SightShared {
+    sight: watch::Sender<UpstreamSight>,
+    wanted: Mutex<BTreeMap<LogPosition, usize>>,
+    wanted_changed: Notify,
+    refresh: watch::Sender<Instant>,
+    timer: TimerService,
+}
+
+impl SightShared {
+    fn want_refresh(&self, at: Instant) {
+        self.refresh.send_if_modified(|wanted| {
+            let later = at > *wanted;
+            if later {
+                *wanted = at;
+            }
+            later
+        });
+    }
+
+    /// Returns the lowest position that somebody waits for and that is not known to be reached.
+    fn lowest_wanted(&self) -> Option<LogPosition> {
+        let end = self.sight.borrow().state.as_ref().map(|state| state.end);
+        let wanted = self.wanted.lock();
+        wanted
+            .keys()
+            .copied()
+            .find(|at| end.is_none_or(|end| end < *at))
+    }
+
+    fn publish(&self, asked: Instant, result: Result<UpstreamState, ProbeError>) {
+        let now = Instant::now();
+        self.sight.send_modify(|sight| match result {
+            Ok(state) => {
+                // Answers of two questions may overtake each other; the older one must not win.
+                let later = sight.heard_at.is_none_or(|heard| asked >= heard);
+                let further = sight
+                    .state
+                    .as_ref()
+                    .is_none_or(|held| (state.promised, state.end) >= (held.promised, held.end));
+                if later || further {
+                    sight.state = Some(state);
+                }
+                sight.asked_at = sight.asked_at.max(Some(asked));
+                sight.heard_at = Some(now);
+                sight.silent_since = None;
+            }
+            Err(error) => {
+                if sight.silent_since.is_none() {
+                    log::info!("a database does not tell its state: {error}");
+                }
+                // An answer that came in meanwhile proves more than this failure.
+                if sight.heard_at.is_none_or(|heard| heard <= asked) {
+                    sight.silent_since.get_or_insert(asked);
+                }
+            }
+        });
+    }
+
+    fn publish_timeout(&self, asked: Instant) {
+        self.sight.send_modify(|sight| {
+            if sight.heard_at.is_none_or(|heard| heard <= asked) {
+                sight.silent_since.get_or_insert(asked);
+            }
+        });
+    }
+}
+
+/// Keeps a position wanted until it is dropped.
+struct WantedGuard<'a> {
+    shared: &'a SightShared,
+    at: LogPosition,
+}
+
+impl<'a> WantedGuard<'a> {
+    fn new(shared: &'a SightShared, at: LogPosition) -> Self {
+        *shared.wanted.lock().entry(at).or_default() += 1;
+        shared.wanted_changed.notify_one();
+        Self { shared, at }
+    }
+}
+
+impl Drop for WantedGuard<'_> {
+    fn drop(&mut self) {
+        let mut wanted = self.shared.wanted.lock();
+        if let Some(count) = wanted.get_mut(&self.at) {
+            *count -= 1;
+            if *count == 0 {
+                wanted.remove(&self.at);
+            }
+        }
+    }
+}
+
+async fn refresh_loop<P: UpstreamProbe>(shared: Arc<SightShared>, probe: P) {
+    let mut refresh = shared.refresh.subscribe();
+    loop {
+        let asked = Instant::now();
+        let deadline = asked + PROBE_TIMEOUT;
+        match shared.timer.within(deadline, probe.state()).await {
+            Some(result) => shared.publish(asked, result),
+            None => shared.publish_timeout(asked),
+        }
+        // A failure that is answered at once must not become a busy loop.
+        let failing = shared.sight.borrow().silent_since.is_some();
+        if failing {
+            shared.timer.after(LONG_POLL_RETRY).await;
+        }
+        let wanted = refresh.wait_for(|wanted| *wanted > asked);
+        if let Some(Err(_)) = shared.timer.within(asked + IDLE_INTERVAL, wanted).await {
+            return;
+        }
+    }
+}
+
+async fn long_poll_loop<P: UpstreamProbe>(shared: Arc<SightShared>, probe: P) {
+    loop {
+        let Some(at) = shared.lowest_wanted() else {
+            shared.wanted_changed.notified().await;
+            continue;
+        };
+        let asked = Instant::now();
+        let answer = probe.wait_state(at, LONG_POLL);
+        let answer = shared
+            .timer
+            .within(asked + LONG_POLL + PROBE_TIMEOUT, answer);
+        tokio::select! {
+            result = answer => match result {
+                Some(Ok(state)) => shared.publish(asked, Ok(state)),
+                Some(Err(_)) | None => shared.timer.after(LONG_POLL_RETRY).await,
+            },
+            () = lower_wanted(&shared, at) => {}
+        }
+    }
+}
+
+/// Waits until somebody waits for a lower position, or nobody for this one.
+async fn lower_wanted(shared: &SightShared, at: LogPosition) {
+    loop {
+        shared.wanted_changed.notified().await;
+        if shared.lowest_wanted().is_none_or(|lowest| lowest < at) {
+            return;
+        }
+    }
+}
--- a/crates/daisyseam-entry/src/lib.rs
+++ b/crates/daisyseam-entry/src/lib.rs
@@ -4,8 +4,14 @@
 //! only through a [`LinkBroker`]. Everything behind that trait (routing, queues, slots, peers)
 //! knows nothing of callers.
 
+pub mod announce;
 mod broker;
 pub mod caller;
+pub mod database;
+pub mod fleet;
+pub mod holder;
+pub mod peer;
+pub mod settings;
 mod view_cell;
 
 pub use crate::{
--- /dev/null
+++ b/crates/daisyseam-entry/src/peer/client.rs
@@ -0,0 +1,300 @@
+//! Asks other instances for links and positions.
+
+use super::{
+    connection::{
+        IncarnationCell,
+        PeerConnection,
+        RequestId, //
+    },
+    link::PeerLink, //
+};
+use crate::holder::HolderRefusal;
+use daisyseam_model::{
+    ClusterId,
+    ErrorKind,
+    LogPosition,
+    RequestError,
+    UpstreamId, //
+};
+use daisyseam_runtime::{
+    Dialer,
+    TimerService, //
+};
+use daisyseam_wire::{
+    AwaitReply,
+    AwaitRequest,
+    LinkGranted,
+    LinkRefused,
+    LinkRequest,
+    ProbeReply,
+    ProbeRequest,
+    StreamError,
+    peer_message::Body, //
+};
+use displaydoc::Display;
+use parking_lot::Mutex;
+use std::{
+    collections::BTreeMap,
+    error::Error,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{
+            AtomicU64,
+            Ordering, //
+        }, //
+    },
+    time::Duration, //
+};
+use tokio::time::Instant;
+
+/// Label under which a holder says that its database is behind the floor.
+pub(super) const BEHIND: &str = "behind";
+
+/// Name that stands for the organisation on an open route.
+pub(crate) const OPEN_ROUTE: &str = "open";
+
+/// Longest time that connecting to a peer may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Time that an answer may take beyond the wait that was asked for.
+const ANSWER_GRACE: Duration = Duration::from_millis(500);
+
+/// Connections kept ready to one peer.
+const IDLE_MAX: usize = 64;
+
+/// What the client needs.
+#[derive(Clone)]
+pub struct PeerSettings {
+    /// Cluster.
+    pub cluster: ClusterId,
+    /// Incarnation of this instance.
+    pub incarnation: IncarnationCell,
+    /// Outgoing connections.
+    pub dialer: Dialer,
+    /// Timer service.
+    pub timer: TimerService,
+}
+
+/// Why a peer gave no answer; nothing was run.
+#[derive(Debug, Display)]
+pub enum PeerError {
+    /// the peer cannot be reached: {0}
+    Stream(StreamError),
+    /// the peer did not answer in time
+    Timeout,
+}
+
+impl Error for PeerError {}
+
+impl From<StreamError> for PeerError {
+    fn from(error: StreamError) -> Self {
+        Self::Stream(error)
+    }
+}
+
+impl From<std::io::Error> for PeerError {
+    fn from(error: std::io::Error) -> Self {
+        Self::Stream(error.into())
+    }
+}
+
+impl From<PeerError> for RequestError {
+    fn from(error: PeerError) -> Self {
+        Self::new(ErrorKind::UpstreamUnreachable, error.to_string())
+    }
+}
+
+/// Asks other instances; cheap to clone.
+#[derive(Clone)]
+pub struct PeerClient {
+    shared: Arc<PeerShared>,
+}
+
+struct PeerShared {
+    settings: PeerSettings,
+    next_request: AtomicU64,
+    idle: Mutex<BTreeMap<SocketAddr, Vec<PeerConnection>>>,
+}
+
+impl PeerClient {
+    /// Makes a client without connections.
+    pub fn new(settings: PeerSettings) -> Self {
+        let shared = PeerShared {
+            settings,
+            next_request: AtomicU64::new(1),
+            idle: Mutex::default(),
+        };
+        Self {
+            shared: Arc::new(shared),
+        }
+    }
+
+    /// Asks a holder for a link.
+    ///
+    /// # Errors
+    ///
+    /// [`HolderRefusal`]; nothing was run.
+    pub async fn open(
+        &self,
+        address: SocketAddr,
+        request: LinkRequest,
+        deadline: Instant,
+    ) -> Result<(PeerLink, LinkGranted), HolderRefusal> {
+        let late = deadline + ANSWER_GRACE;
+        let opened = self.exchange(address, Body::Open(request), late).await;
+        let (connection, id, body) =
+            opened.map_err(|error| HolderRefusal::Refused(error.into()))?;
+        match body {
+            Body::Granted(granted) => {
+                let link = PeerLink::new(self.clone(), address, connection, id);
+                Ok((link, granted))
+            }
+            Body::Refused(refused) => {
+                self.put_back(address, connection);
+                Err(read_refusal(refused))
+            }
+            _ => Err(HolderRefusal::Refused(unexpected().into())),
+        }
+    }
+
+    /// Asks a holder to tell when a database has reached a position in exactly its term.
+    ///
+    /// # Errors
+    ///
+    /// [`PeerError`] when there is no answer.
+    pub async fn await_position(
+        &self,
+        address: SocketAddr,
+        upstream: &UpstreamId,
+        at: LogPosition,
+        deadline: Instant,
+    ) -> Result<AwaitReply, PeerError> {
+        let request = AwaitRequest {
+            upstream: upstream.to_string(),
+            position: Some(at.into()),
+            wait_ms: millis_until(deadline),
+        };
+        let late = deadline + ANSWER_GRACE;
+        let (connection, _, body) = self.exchange(address, Body::Await(request), late).await?;
+        match body {
+            Body::Awaited(reply) => {
+                self.put_back(address, connection);
+                Ok(reply)
+            }
+            _ => Err(unexpected()),
+        }
+    }
+
+    /// Asks a holder for a database's position, read after the request came in.
+    ///
+    /// # Errors
+    ///
+    /// [`PeerError`] when there is no answer.
+    pub async fn probe(
+        &self,
+        address: SocketAddr,
+        upstream: &UpstreamId,
+        deadline: Instant,
+    ) -> Result<ProbeReply, PeerError> {
+        let request = ProbeRequest {
+            upstream: upstream.to_string(),
+        };
+        let (connection, _, body) = self
+            .exchange(address, Body::Probe(request), deadline)
+            .await?;
+        match body {
+            Body::Probed(reply) => {
+                self.put_back(address, connection);
+                Ok(reply)
+            }
+            _ => Err(unexpected()),
+        }
+    }
+
+    /// Keeps a connection for the next request.
+    pub(super) fn put_back(&self, address: SocketAddr, connection: PeerConnection) {
+        let mut idle = self.shared.idle.lock();
+        let connections = idle.entry(address).or_default();
+        if connections.len() < IDLE_MAX {
+            connections.push(connection);
+        }
+    }
+
+    /// Sends a request and receives the first answer.
+    ///
+    /// A kept connection may have been closed by the other end; asking again on a new one is
+    /// safe, since no request here runs anything before its first answer.
+    async fn exchange(
+        &self,
+        address: SocketAddr,
+        body: Body,
+        deadline: Instant,
+    ) -> Result<(PeerConnection, RequestId, Body), PeerError> {
+        let timer = &self.shared.settings.timer;
+        let exchange = async {
+            while let Some(connection) = self.take_idle(address) {
+                if let Ok(answered) = self.ask(connection, body.clone()).await {
+                    return Ok(answered);
+                }
+            }
+            let connection = self.connect(address).await?;
+            Ok(self.ask(connection, body.clone()).await?)
+        };
+        let answered = timer.within(deadline, exchange).await;
+        answered.unwrap_or(Err(PeerError::Timeout))
+    }
+
+    async fn ask(
+        &self,
+        mut connection: PeerConnection,
+        body: Body,
+    ) -> Result<(PeerConnection, RequestId, Body), StreamError> {
+        let id = RequestId {
+            incarnation: self.shared.settings.incarnation.get().0,
+            request: self.shared.next_request.fetch_add(1, Ordering::Relaxed),
+        };
+        connection.send(id, body).await?;
+        let answer = connection.receive(id).await?;
+        Ok((connection, id, answer))
+    }
+
+    async fn connect(&self, address: SocketAddr) -> Result<PeerConnection, PeerError> {
+        let settings = &self.shared.settings;
+        let deadline = settings.timer.now() + CONNECT_TIMEOUT;
+        let connected = settings.dialer.connect(address);
+        let socket = settings.timer.within(deadline, connected).await;
+        let socket = socket.ok_or(PeerError::Timeout)??;
+        Ok(PeerConnection::new(socket, settings.cluster.clone()))
+    }
+
+    fn take_idle(&self, address: SocketAddr) -> Option<PeerConnection> {
+        self.shared.idle.lock().get_mut(&address)?.pop()
+    }
+}
+
+/// Returns the whole milliseconds until a moment.
+pub(crate) fn millis_until(moment: Instant) -> u64 {
+    let left = moment.saturating_duration_since(Instant::now());
+    u64::try_from(left.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn unexpected() -> PeerError {
+    PeerError::Stream(StreamError::Closed)
+}
+
+fn read_refusal(refused: LinkRefused) -> HolderRefusal {
+    if refused.kind == BEHIND {
+        let position = refused.position.unwrap_or_default();
+        return HolderRefusal::Behind(position.into());
+    }
+    let kind = ErrorKind::ALL
+        .into_iter()
+        .find(|kind| kind.row().label == refused.kind);
+    let kind = kind.unwrap_or(ErrorKind::UpstreamUnreachable);
+    let error = RequestError::new(kind, refused.detail);
+    HolderRefusal::Refused(match refused.retry_after_ms {
+        0 => error,
+        millis => error.with_retry_after(Duration::from_millis(millis)),
+    })
+}
--- /dev/null
+++ b/crates/daisyseam-entry/src/peer/connection.rs
@@ -0,0 +1,100 @@
+//! One connection between two entry instances.
+
+use daisyseam_model::{
+    ClusterId,
+    Incarnation, //
+};
+use daisyseam_wire::{
+    MessageReceiver,
+    MessageSender,
+    MessageStream,
+    PeerMessage,
+    StreamError,
+    peer_message::Body, //
+};
+use std::sync::{
+    Arc,
+    atomic::{
+        AtomicU64,
+        Ordering, //
+    }, //
+};
+use tokio::net::TcpStream;
+
+/// Bytes of protocol data in one message, at most.
+pub(super) const CHUNK_BYTES: usize = 256 << 10;
+
+/// The present incarnation of this instance, shared by its parts.
+#[derive(Clone, Debug, Default)]
+pub struct IncarnationCell(Arc<AtomicU64>);
+
+impl IncarnationCell {
+    /// Returns the incarnation; zero before control has given one.
+    pub fn get(&self) -> Incarnation {
+        Incarnation(self.0.load(Ordering::Acquire))
+    }
+
+    /// Replaces it.
+    pub fn set(&self, incarnation: Incarnation) {
+        self.0.store(incarnation.0, Ordering::Release);
+    }
+}
+
+/// Who asked, and the number of the request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) struct RequestId {
+    pub(super) incarnation: u64,
+    pub(super) request: u64,
+}
+
+impl RequestId {
+    pub(super) fn of(message: &PeerMessage) -> Self {
+        Self {
+            incarnation: message.incarnation,
+            request: message.request,
+        }
+    }
+
+    pub(super) fn message(self, body: Body) -> PeerMessage {
+        PeerMessage {
+            incarnation: self.incarnation,
+            request: self.request,
+            body: Some(body),
+        }
+    }
+}
+
+/// A connection whose two ways can be used at once.
+pub(super) struct PeerConnection {
+    pub(super) sender: MessageSender<TcpStream, PeerMessage>,
+    pub(super) receiver: MessageReceiver<TcpStream, PeerMessage>,
+}
+
+impl PeerConnection {
+    pub(super) fn new(socket: TcpStream, cluster: ClusterId) -> Self {
+        let (sender, receiver) = MessageStream::new(socket, cluster).split();
+        Self { sender, receiver }
+    }
+
+    pub(super) async fn send(&mut self, id: RequestId, body: Body) -> Result<(), StreamError> {
+        self.sender.send(&id.message(body)).await
+    }
+
+    /// Receives the body of the next message that belongs to a request.
+    pub(super) async fn receive(&mut self, id: RequestId) -> Result<Body, StreamError> {
+        receive_for(&mut self.receiver, id).await
+    }
+}
+
+/// Receives the body of the next message; one of another request ends the use of the connection.
+pub(super) async fn receive_for(
+    receiver: &mut MessageReceiver<TcpStream, PeerMessage>,
+    id: RequestId,
+) -> Result<Body, StreamError> {
+    let message = receiver.receive().await?;
+    if RequestId::of(&message) != id {
+        log::warn!("a peer's message belongs to another request; the connection is closed");
+        return Err(StreamError::Closed);
+    }
+    message.body.ok_or(StreamError::Closed)
+}
--- /dev/null
+++ b/crates/daisyseam-entry/src/peer/link.rs
@@ -0,0 +1,188 @@
+//! A link to a database that another instance holds.
+
+use super::{
+    client::PeerClient,
+    connection::{
+        CHUNK_BYTES,
+        PeerConnection,
+        RequestId,
+        receive_for, //
+    }, //
+};
+use crate::{
+    DatabaseLink,
+    LinkError,
+    database::decode_context, //
+};
+use bytes::BytesMut;
+use daisyseam_wire::{
+    CancelLink,
+    LinkData,
+    LinkRelease,
+    MessageReceiver,
+    PeerMessage,
+    StreamError,
+    peer_message::Body, //
+};
+use pgwire::messages::{
+    DecodeContext,
+    PgWireBackendMessage,
+    PgWireFrontendMessage, //
+};
+use std::{
+    future::pending,
+    net::SocketAddr, //
+};
+use tokio::net::TcpStream;
+
+/// Most bytes that are read ahead while the peer does not take more.
+const READ_AHEAD_BYTES: usize = 1 << 20;
+
+/// A link that is relayed by the holder; dropping it closes the database's connection.
+pub struct PeerLink {
+    client: PeerClient,
+    address: SocketAddr,
+    connection: PeerConnection,
+    id: RequestId,
+    outgoing: BytesMut,
+    incoming: IncomingBytes,
+    sending: bool,
+}
+
+impl PeerLink {
+    pub(super) fn new(
+        client: PeerClient,
+        address: SocketAddr,
+        connection: PeerConnection,
+        id: RequestId,
+    ) -> Self {
+        Self {
+            client,
+            address,
+            connection,
+            id,
+            outgoing: BytesMut::new(),
+            incoming: IncomingBytes {
+                buffer: BytesMut::new(),
+                context: decode_context(),
+                lost: None,
+            },
+            sending: false,
+        }
+    }
+
+    async fn send_body(&mut self, body: Body) -> Result<(), LinkError> {
+        if self.sending {
+            return Err(LinkError("an earlier message was cut off".to_owned()));
+        }
+        self.sending = true;
+        let message = self.id.message(body);
+        let PeerConnection { sender, receiver } = &mut self.connection;
+        let incoming = &mut self.incoming;
+        let id = self.id;
+        let read_ahead = async {
+            while incoming.buffer.len() < READ_AHEAD_BYTES && incoming.lost.is_none() {
+                incoming.read(receiver, id).await;
+            }
+            pending::<()>().await;
+        };
+        let sent = tokio::select! {
+            biased;
+            sent = sender.send(&message) => sent,
+            () = read_ahead => unreachable!("reading ahead never ends"),
+        };
+        self.sending = false;
+        sent.map_err(broken)
+    }
+}
+
+impl DatabaseLink for PeerLink {
+    async fn send(&mut self, message: PgWireFrontendMessage) -> Result<(), LinkError> {
+        message
+            .encode(&mut self.outgoing)
+            .map_err(|error| LinkError(error.to_string()))?;
+        if self.outgoing.len() >= CHUNK_BYTES {
+            self.flush().await?;
+        }
+        Ok(())
+    }
+
+    async fn flush(&mut self) -> Result<(), LinkError> {
+        while !self.outgoing.is_empty() {
+            let length = self.outgoing.len().min(CHUNK_BYTES);
+            let bytes = self.outgoing.split_to(length).freeze();
+            self.send_body(Body::Request(LinkData { bytes })).await?;
+        }
+        Ok(())
+    }
+
+    async fn receive(&mut self) -> Result<PgWireBackendMessage, LinkError> {
+        loop {
+            if let Some(message) = self.incoming.next()? {
+                return Ok(message);
+            }
+            if let Some(error) = &self.incoming.lost {
+                return Err(error.clone());
+            }
+            self.incoming
+                .read(&mut self.connection.receiver, self.id)
+                .await;
+        }
+    }
+
+    async fn cancel(&mut self) {
+        let target = self.id.request;
+        // A link that is broken has nothing left to cancel.
+        let _ = self.send_body(Body::Cancel(CancelLink { target })).await;
+    }
+
+    fn release(mut self) {
+        let unfinished = self.sending || !self.outgoing.is_empty();
+        if unfinished || self.incoming.lost.is_some() || !self.incoming.buffer.is_empty() {
+            return;
+        }
+        tokio::spawn(async move {
+            let release = Body::Release(LinkRelease { clean: true });
+            if self.connection.send(self.id, release).await.is_ok() {
+                self.client.put_back(self.address, self.connection);
+            }
+        });
+    }
+}
+
+/// What has come in and was not handed out yet.
+struct IncomingBytes {
+    buffer: BytesMut,
+    context: DecodeContext,
+    lost: Option<LinkError>,
+}
+
+impl IncomingBytes {
+    fn next(&mut self) -> Result<Option<PgWireBackendMessage>, LinkError> {
+        PgWireBackendMessage::decode(&mut self.buffer, &self.context)
+            .map_err(|error| LinkError(error.to_string()))
+    }
+
+    /// Takes the next piece in, or notes that there will be none.
+    async fn read(
+        &mut self,
+        receiver: &mut MessageReceiver<TcpStream, PeerMessage>,
+        id: RequestId,
+    ) {
+        match receive_for(receiver, id).await {
+            Ok(Body::Reply(reply)) => {
+                self.buffer.extend_from_slice(&reply.bytes);
+                if reply.lost {
+                    let words = "the holder lost the database's connection";
+                    self.lost = Some(LinkError(words.to_owned()));
+                }
+            }
+            Ok(_) => self.lost = Some(broken(StreamError::Closed)),
+            Err(error) => self.lost = Some(broken(error)),
+        }
+    }
+}
+
+fn broken(error: StreamError) -> LinkError {
+    LinkError(error.to_string())
+}
--- /dev/null
+++ b/crates/daisyseam-entry/src/peer/server.rs
@@ -0,0 +1,436 @@
+//! Answers other instances: relays links to the databases held here and tells their positions.
+
+use super::{
+    client::{
+        BEHIND,
+        OPEN_ROUTE, //
+    },
+    connection::{
+        CHUNK_BYTES,
+        PeerConnection,
+        RequestId,
+        receive_for, //
+    }, //
+};
+use crate::{
+    LinkError,
+    database::{
+        CancelOrder,
+        ConnectionReader,
+        ConnectionWriter,
+        DatabaseConnection,
+        decode_context, //
+    },
+    holder::{
+        HolderHandle,
+        HolderOrder,
+        HolderRefusal,
+        HolderTable,
+        PooledConnection, //
+    }, //
+};
+use bytes::BytesMut;
+use daisyseam_model::{
+    ClusterId,
+    ErrorKind,
+    LogPosition,
+    RequestError,
+    Term,
+    UpstreamId,
+    announce::UpstreamRole, //
+};
+use daisyseam_runtime::{
+    SpanExporter,
+    TimerService,
+    TraceContext, //
+};
+use daisyseam_wire::{
+    AwaitReply,
+    AwaitRequest,
+    LinkGranted,
+    LinkRefused,
+    LinkReply,
+    LinkRequest,
+    MessageReceiver,
+    MessageSender,
+    PeerMessage,
+    ProbeReply,
+    ProbeRequest,
+    StreamError,
+    peer_message::Body, //
+};
+use pgwire::messages::PgWireFrontendMessage;
+use std::{
+    future::Future,
+    io,
+    net::SocketAddr,
+    time::Duration, //
+};
+use tokio::{
+    net::{
+        TcpListener,
+        TcpStream, //
+    },
+    task::{
+        AbortHandle,
+        JoinSet, //
+    },
+    time::Instant, //
+};
+
+/// Longest wait that a peer may ask for.
+const WAIT_MAX: Duration = Duration::from_secs(60);
+
+/// Longest wait for the answer to a probe.
+const PROBE_WAIT: Duration = Duration::from_secs(1);
+
+/// Time after a failed accept before the next.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// What the server needs.
+#[derive(Clone)]
+pub struct ServerSettings {
+    /// Cluster.
+    pub cluster: ClusterId,
+    /// The databases held here.
+    pub table: HolderTable,
+    /// Timer service.
+    pub timer: TimerService,
+    /// Where spans go.
+    pub spans: SpanExporter,
+}
+
+/// Serves peers until it is dropped; running links end then.
+pub struct PeerServer {
+    address: SocketAddr,
+    task: AbortHandle,
+}
+
+impl PeerServer {
+    /// Starts to serve peers.
+    ///
+    /// # Errors
+    ///
+    /// When the listener has no address.
+    pub fn start(listener: TcpListener, settings: ServerSettings) -> io::Result<Self> {
+        let address = listener.local_addr()?;
+        let task = tokio::spawn(accept_loop(listener, settings));
+        Ok(Self {
+            address,
+            task: task.abort_handle(),
+        })
+    }
+
+    /// Returns the address that is served.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+impl Drop for PeerServer {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn accept_loop(listener: TcpListener, settings: ServerSettings) {
+    // Dropping the set ends the connections with the server.
+    let mut sessions = JoinSet::new();
+    loop {
+        match listener.accept().await {
+            Ok((socket, _)) => {
+                let settings = settings.clone();
+                sessions.spawn(serve(socket, settings));
+            }
+            Err(error) => {
+                log::warn!("a peer's connection could not be accepted: {error}");
+                settings.timer.after(ACCEPT_PAUSE).await;
+            }
+        }
+        while sessions.try_join_next().is_some() {}
+    }
+}
+
+async fn serve(socket: TcpStream, settings: ServerSettings) {
+    if socket.set_nodelay(true).is_err() {
+        return;
+    }
+    let connection = PeerConnection::new(socket, settings.cluster.clone());
+    let mut session = PeerSession {
+        connection,
+        settings,
+        incarnation: None,
+    };
+    match session.run().await {
+        Ok(()) | Err(StreamError::Closed) => {}
+        Err(error) => log::info!("a peer's connection ended: {error}"),
+    }
+}
+
+/// One connection of a peer.
+struct PeerSession {
+    connection: PeerConnection,
+    settings: ServerSettings,
+    incarnation: Option<u64>,
+}
+
+impl PeerSession {
+    async fn run(&mut self) -> Result<(), StreamError> {
+        loop {
+            let message = self.connection.receiver.receive().await?;
+            let id = RequestId::of(&message);
+            if id.incarnation == 0
+                || *self.incarnation.get_or_insert(id.incarnation) != id.incarnation
+            {
+                log::warn!("a peer's incarnation does not fit; its connection is closed");
+                return Ok(());
+            }
+            match message.body {
+                Some(Body::Open(request)) => self.open(id, request).await?,
+                Some(Body::Await(request)) => self.await_position(id, request).await?,
+                Some(Body::Probe(request)) => self.probe(id, request).await?,
+                _ => return Ok(()),
+            }
+        }
+    }
+
+    async fn open(&mut self, id: RequestId, request: LinkRequest) -> Result<(), StreamError> {
+        let parent = TraceContext::parse(&request.traceparent);
+        let mut span = self.settings.spans.start("relay", parent);
+        span.set("upstream", &request.upstream);
+        let asked = Instant::now();
+        let lent = lend(&self.settings.table, &request);
+        let lent = unless_closed(&mut self.connection.receiver, lent).await?;
+        let (mut pooled, position) = match lent {
+            Ok(lent) => lent,
+            Err(refusal) => {
+                let refused = Body::Refused(write_refusal(refusal));
+                return self.connection.send(id, refused).await;
+            }
+        };
+        let queued = asked.elapsed().as_micros();
+        let granted = LinkGranted {
+            position: Some(position.into()),
+            queued_us: u64::try_from(queued).unwrap_or(u64::MAX),
+        };
+        if let Err(error) = self.connection.send(id, Body::Granted(granted)).await {
+            // The peer never saw the link, so nothing was sent through it.
+            pooled.release();
+            return Err(error);
+        }
+        match self.relay(id, pooled.connection()).await {
+            RelayEnd::Released(clean) => {
+                if clean {
+                    pooled.release();
+                }
+                Ok(())
+            }
+            RelayEnd::DatabaseLost(error) => {
+                log::info!("a relayed link ended: {error}");
+                let lost = LinkReply {
+                    bytes: bytes::Bytes::new(),
+                    lost: true,
+                };
+                drop(pooled);
+                self.connection.send(id, Body::Reply(lost)).await?;
+                Err(StreamError::Closed)
+            }
+            RelayEnd::PeerLost(error) => Err(error),
+        }
+    }
+
+    /// Carries messages both ways at once until the link is given back or one end is lost.
+    async fn relay(&mut self, id: RequestId, connection: &mut DatabaseConnection) -> RelayEnd {
+        let order = connection.cancel_order();
+        let PeerConnection { sender, receiver } = &mut self.connection;
+        let (writer, reader) = connection.split();
+        tokio::select! {
+            end = carry_up(id, receiver, writer, &order) => end,
+            end = carry_down(id, reader, sender) => end,
+        }
+    }
+
+    async fn await_position(
+        &mut self,
+        id: RequestId,
+        request: AwaitRequest,
+    ) -> Result<(), StreamError> {
+        let waiting = reached(&self.settings.table, &request);
+        let reply = unless_closed(&mut self.connection.receiver, waiting).await?;
+        self.connection.send(id, Body::Awaited(reply)).await
+    }
+
+    async fn probe(&mut self, id: RequestId, request: ProbeRequest) -> Result<(), StreamError> {
+        let probing = probed(&self.settings.table, &request);
+        let reply = unless_closed(&mut self.connection.receiver, probing).await?;
+        self.connection.send(id, Body::Probed(reply)).await
+    }
+}
+
+/// How a relayed link ended.
+enum RelayEnd {
+    /// The peer gave it back, and says whether it saw the last answer.
+    Released(bool),
+    /// The database's connection broke.
+    DatabaseLost(LinkError),
+    /// The peer's connection broke.
+    PeerLost(StreamError),
+}
+
+async fn carry_up(
+    id: RequestId,
+    receiver: &mut MessageReceiver<TcpStream, PeerMessage>,
+    writer: &mut ConnectionWriter,
+    order: &CancelOrder,
+) -> RelayEnd {
+    let mut buffer = BytesMut::new();
+    loop {
+        match receive_for(receiver, id).await {
+            Ok(Body::Request(data)) => {
+                buffer.extend_from_slice(&data.bytes);
+                if let Err(error) = send_whole(&mut buffer, writer).await {
+                    return RelayEnd::DatabaseLost(error);
+                }
+            }
+            Ok(Body::Cancel(cancel)) if cancel.target == id.request => {
+                tokio::spawn(order.clone().send());
+            }
+            Ok(Body::Release(release)) => {
+                return RelayEnd::Released(release.clean && buffer.is_empty());
+            }
+            Ok(_) => return RelayEnd::PeerLost(StreamError::Closed),
+            Err(error) => return RelayEnd::PeerLost(error),
+        }
+    }
+}
+
+/// Sends the messages that have come in whole.
+async fn send_whole(buffer: &mut BytesMut, writer: &mut ConnectionWriter) -> Result<(), LinkError> {
+    let context = decode_context();
+    loop {
+        let message = PgWireFrontendMessage::decode(buffer, &context)
+            .map_err(|error| LinkError(error.to_string()))?;
+        match message {
+            Some(message) => writer.send(&message).await?,
+            None => return writer.flush().await,
+        }
+    }
+}
+
+async fn carry_down(
+    id: RequestId,
+    reader: &mut ConnectionReader,
+    sender: &mut MessageSender<TcpStream, PeerMessage>,
+) -> RelayEnd {
+    loop {
+        let bytes = match next_batch(reader).await {
+            Ok(batch) => batch.freeze(),
+            Err(error) => return RelayEnd::DatabaseLost(error),
+        };
+        let reply = Body::Reply(LinkReply { bytes, lost: false });
+        if let Err(error) = sender.send(&id.message(reply)).await {
+            return RelayEnd::PeerLost(error);
+        }
+    }
+}
+
+/// Waits for a message and takes those along that have come in with it.
+async fn next_batch(reader: &mut ConnectionReader) -> Result<BytesMut, LinkError> {
+    let mut batch = BytesMut::new();
+    let mut message = Some(reader.receive().await?);
+    while let Some(next) = message.take() {
+        next.encode(&mut batch)
+            .map_err(|error| LinkError(error.to_string()))?;
+        if batch.len() < CHUNK_BYTES {
+            // An error behind whole messages shows again at the next receive.
+            message = reader.buffered().unwrap_or_default();
+        }
+    }
+    Ok(batch)
+}
+
+/// Waits for a future, unless the peer closes its connection or speaks out of turn.
+async fn unless_closed<F: Future>(
+    receiver: &mut MessageReceiver<TcpStream, PeerMessage>,
+    future: F,
+) -> Result<F::Output, StreamError> {
+    tokio::select! {
+        biased;
+        output = future => Ok(output),
+        message = receiver.receive() => Err(message.err().unwrap_or(StreamError::Closed)),
+    }
+}
+
+async fn lend(
+    table: &HolderTable,
+    request: &LinkRequest,
+) -> Result<(PooledConnection, LogPosition), HolderRefusal> {
+    let Some(handle) = find(table, &request.upstream) else {
+        return Err(HolderRefusal::Refused(RequestError::new(
+            ErrorKind::UpstreamUnreachable,
+            "it is not held by the asked instance",
+        )));
+    };
+    let order = HolderOrder {
+        // No organisation is named after an open route.
+        organisation: Some(request.organisation.as_str())
+            .filter(|name| *name != OPEN_ROUTE)
+            .and_then(|name| name.parse().ok()),
+        term: (request.term != 0).then_some(Term(request.term)),
+        floor: request.floor.map(LogPosition::from),
+        catch_up: bounded(request.catch_up_ms),
+        deadline: Instant::now() + bounded(request.queue_ms),
+    };
+    handle.lend(order).await
+}
+
+async fn reached(table: &HolderTable, request: &AwaitRequest) -> AwaitReply {
+    let at = LogPosition::from(request.position.unwrap_or_default());
+    let Some(handle) = find(table, &request.upstream) else {
+        return AwaitReply::default();
+    };
+    let deadline = Instant::now() + bounded(request.wait_ms);
+    let state = handle.reached(at, deadline).await;
+    let known = handle.sight().state;
+    AwaitReply {
+        reached: state.is_some(),
+        position: state.or(known).map(|state| state.end.into()),
+    }
+}
+
+async fn probed(table: &HolderTable, request: &ProbeRequest) -> ProbeReply {
+    let Some(handle) = find(table, &request.upstream) else {
+        return ProbeReply::default();
+    };
+    let state = handle.fresh(Instant::now() + PROBE_WAIT).await;
+    ProbeReply {
+        position: state.as_ref().map(|state| state.end.into()),
+        replica: state.is_some_and(|state| state.role != UpstreamRole::Primary),
+    }
+}
+
+fn find(table: &HolderTable, upstream: &str) -> Option<HolderHandle> {
+    table.get(&upstream.parse::<UpstreamId>().ok()?)
+}
+
+fn bounded(millis: u64) -> Duration {
+    Duration::from_millis(millis).min(WAIT_MAX)
+}
+
+fn write_refusal(refusal: HolderRefusal) -> LinkRefused {
+    match refusal {
+        HolderRefusal::Behind(position) => LinkRefused {
+            kind: BEHIND.to_owned(),
+            position: Some(position.into()),
+            ..LinkRefused::default()
+        },
+        HolderRefusal::Refused(error) => LinkRefused {
+            kind: error.kind.row().label.to_owned(),
+            detail: error.detail,
+            retry_after_ms: error.retry_after.map_or(0, |delay| {
+                u64::try_from(delay.as_millis()).unwrap_or(u64::MAX).max(1)
+            }),
+            position: None,
+        },
+    }
+}
