Start the entry daemon: lease, holders, announcements, health pages

The entry daemon had no shell round its parts. It now keeps its lease and view from control, holds the databases that the view gives it, passes announcements on and stops gracefully. Slots are shared by the fair queue.

--- /dev/null
+++ b/crates/daisyseam-entry/src/control_client.rs
@@ -0,0 +1,172 @@
+//! Keeps this instance's lease and view: one connection to the leading control instance.
+
+mod health;
+mod keeper;
+mod session;
+
+use crate::{
+    ViewCell,
+    announce::AnnouncementBook,
+    fleet::{
+        FleetGate,
+        TransactionCounts, //
+    },
+    holder::HolderTable,
+    peer::IncarnationCell, //
+};
+use daisyseam_model::{
+    ClusterId,
+    DataCentreId,
+    InstanceId,
+    ViewNumber, //
+};
+use daisyseam_runtime::{
+    Dialer,
+    StopSignal,
+    TimerService, //
+};
+use keeper::ViewKeeper;
+use rand::Rng;
+use session::{
+    ControlSession,
+    SessionEnd, //
+};
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
+use tokio::{
+    sync::watch,
+    task::AbortHandle,
+    time::Instant, //
+};
+
+/// Shortest and longest time before the next control instance is tried.
+const RECONNECT_MIN: Duration = Duration::from_millis(20);
+const RECONNECT_MAX: Duration = Duration::from_millis(150);
+
+/// What the client needs.
+#[derive(Clone)]
+pub struct ClientSettings {
+    /// Cluster.
+    pub cluster: ClusterId,
+    /// This instance.
+    pub instance: InstanceId,
+    /// Its data centre.
+    pub data_centre: DataCentreId,
+    /// Address that other instances reach it at.
+    pub peer_address: SocketAddr,
+    /// Control instances.
+    pub control: Vec<SocketAddr>,
+    /// Its incarnation, filled in by the client.
+    pub incarnation: IncarnationCell,
+    /// The view, filled in by the client.
+    pub cell: ViewCell,
+    /// The databases held here.
+    pub table: HolderTable,
+    /// Announcements to pass on.
+    pub book: AnnouncementBook,
+    /// Open transactions to report.
+    pub counts: TransactionCounts,
+    /// Rates, for demand and shares.
+    pub gate: FleetGate,
+    /// Outgoing connections.
+    pub dialer: Dialer,
+    /// Timer service.
+    pub timer: TimerService,
+    /// Given when the instance is leaving.
+    pub stop: StopSignal,
+}
+
+/// Keeps the lease until it is dropped.
+pub struct ControlClient {
+    confirmed: watch::Receiver<ViewNumber>,
+    tasks: [AbortHandle; 2],
+}
+
+impl ControlClient {
+    /// Starts to look for the leader and to keep the lease.
+    pub fn start(settings: ClientSettings) -> Self {
+        let keeper = ViewKeeper::new(settings.cell.clone(), settings.table.clone());
+        let confirmed = keeper.subscribe();
+        let lease = end_links_with_lease(
+            settings.cell.clone(),
+            settings.table.clone(),
+            settings.timer.clone(),
+        );
+        let follow = follow_leader(settings, keeper);
+        Self {
+            confirmed,
+            tasks: [
+                tokio::spawn(follow).abort_handle(),
+                tokio::spawn(lease).abort_handle(),
+            ],
+        }
+    }
+
+    /// Returns the view up to which nothing older is acted on here.
+    pub fn confirmed(&self) -> ViewNumber {
+        *self.confirmed.borrow()
+    }
+}
+
+impl Drop for ControlClient {
+    fn drop(&mut self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+}
+
+/// Goes from control instance to control instance until one leads, and stays with it.
+async fn follow_leader(settings: ClientSettings, mut keeper: ViewKeeper) {
+    let mut next = rand::rng().random_range(0..settings.control.len().max(1));
+    let mut leader = None;
+    loop {
+        let target = leader.take().or_else(|| {
+            next = (next + 1) % settings.control.len().max(1);
+            settings.control.get(next).copied()
+        });
+        let Some(target) = target else {
+            log::error!("no control instance is named");
+            return;
+        };
+        let session = ControlSession::open(&settings, &mut keeper, target).await;
+        let end = match session {
+            Ok(session) => session.run().await,
+            Err(end) => end,
+        };
+        match end {
+            SessionEnd::NotLeader(hint) => {
+                leader = hint.filter(|hint| *hint != target);
+            }
+            SessionEnd::Failed(why) => log::info!("control instance {target}: {why}"),
+        }
+        if leader.is_none() {
+            let pause = rand::rng().random_range(RECONNECT_MIN..RECONNECT_MAX);
+            settings.timer.after(pause).await;
+        }
+    }
+}
+
+/// Closes every connection to a database at the moment when the lease runs out.
+async fn end_links_with_lease(cell: ViewCell, table: HolderTable, timer: TimerService) {
+    let mut changes = cell.subscribe();
+    loop {
+        let until = cell.held().lease_until;
+        match until.filter(|until| *until > Instant::now()) {
+            Some(until) => {
+                timer.within(until, changes.changed()).await;
+            }
+            None => {
+                if until.is_some() {
+                    log::warn!("the lease has run out; every link ends");
+                    table.close_all();
+                }
+                if changes.changed().await.is_err() {
+                    return;
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/daisyseam-entry/src/control_client/health.rs
@@ -0,0 +1,118 @@
+//! What control is told of the databases held here.
+
+use crate::{
+    fleet::TransactionCounts,
+    holder::{
+        HolderHandle,
+        HolderTable,
+        UpstreamSight, //
+    }, //
+};
+use daisyseam_model::{
+    FleetView,
+    PrimaryState,
+    Term,
+    UpstreamId,
+    ViewNumber,
+    announce::UpstreamRole, //
+};
+use daisyseam_wire::{
+    GroupReport,
+    HealthReport, //
+};
+use std::{
+    collections::BTreeMap,
+    time::Duration, //
+};
+use tokio::time::Instant;
+
+/// Time after which a database's health is told again though nothing has changed.
+const REPEAT: Duration = Duration::from_secs(1);
+
+/// Remembers what was told, so that only changes are told again.
+#[derive(Default)]
+pub(super) struct HealthTeller {
+    told: BTreeMap<UpstreamId, (ToldHealth, Instant)>,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct ToldHealth {
+    reachable: bool,
+    term: Term,
+    primary: bool,
+}
+
+impl HealthTeller {
+    /// Returns the reports that are due; a database that does not answer is told of every time.
+    pub(super) fn reports(&mut self, table: &HolderTable, view: ViewNumber) -> Vec<HealthReport> {
+        let now = Instant::now();
+        let handles = table.all();
+        self.told.retain(|upstream, _| {
+            let held = |handle: &HolderHandle| handle.settings().upstream == *upstream;
+            handles.iter().any(held)
+        });
+        let mut reports = Vec::new();
+        for handle in &handles {
+            let upstream = &handle.settings().upstream;
+            let sight = handle.sight();
+            let Some(health) = health(&sight) else {
+                continue;
+            };
+            let told = self.told.get(upstream);
+            let known = told.is_some_and(|(told, at)| *told == health && now < *at + REPEAT);
+            if known && health.reachable {
+                continue;
+            }
+            self.told.insert(upstream.clone(), (health, now));
+            reports.push(report(upstream, &sight, health, view));
+        }
+        reports
+    }
+}
+
+/// Returns how many transactions are open at each group that is being moved.
+pub(super) fn group_reports(view: &FleetView, counts: &TransactionCounts) -> Vec<GroupReport> {
+    view.groups
+        .iter()
+        .filter(|(_, group)| matches!(group.primary, PrimaryState::Draining(_)))
+        .map(|(name, group)| GroupReport {
+            group: name.to_string(),
+            term: group.term.0,
+            open_transactions: counts.open(name, group.term),
+        })
+        .collect()
+}
+
+/// Returns nothing while the database has not been asked yet.
+fn health(sight: &UpstreamSight) -> Option<ToldHealth> {
+    if sight.state.is_none() && sight.silent_since.is_none() {
+        return None;
+    }
+    let state = sight.state.as_ref();
+    Some(ToldHealth {
+        reachable: sight.silent_since.is_none(),
+        term: state.map_or(Term(0), |state| state.end.term),
+        primary: state.is_some_and(|state| state.role == UpstreamRole::Primary),
+    })
+}
+
+fn report(
+    upstream: &UpstreamId,
+    sight: &UpstreamSight,
+    health: ToldHealth,
+    view: ViewNumber,
+) -> HealthReport {
+    let silent = sight.silent_since.map(|since| since.elapsed());
+    let position = sight.state.as_ref().map(|state| state.end.position.0);
+    HealthReport {
+        upstream: upstream.to_string(),
+        reachable: health.reachable,
+        term: health.term.0,
+        position: position.unwrap_or(0),
+        primary: health.primary,
+        silent_ms: silent.map_or(0, |silent| {
+            u64::try_from(silent.as_millis()).unwrap_or(u64::MAX)
+        }),
+        held_for_view: view.0,
+    }
+}
--- /dev/null
+++ b/crates/daisyseam-entry/src/control_client/session.rs
@@ -0,0 +1,232 @@
+//! One connection to one control instance.
+
+use super::{
+    ClientSettings,
+    health::{
+        HealthTeller,
+        group_reports, //
+    },
+    keeper::ViewKeeper, //
+};
+use daisyseam_model::Incarnation;
+use daisyseam_wire::{
+    ControlMessage,
+    Heartbeat,
+    HeartbeatReply,
+    Hello,
+    MessageReceiver,
+    MessageSender,
+    MessageStream,
+    NotLeader,
+    StreamError,
+    control_message::Body, //
+};
+use std::{
+    collections::VecDeque,
+    net::SocketAddr,
+    time::Duration, //
+};
+use tokio::{
+    net::TcpStream,
+    time::Instant, //
+};
+
+/// Time between two heartbeats.
+const HEARTBEAT: Duration = Duration::from_millis(200);
+
+/// Time without any answer after which another control instance is tried.
+const SILENCE_MAX: Duration = Duration::from_millis(500);
+
+/// Longest time that connecting and being welcomed may take.
+const WELCOME_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Why a session ended.
+pub(super) enum SessionEnd {
+    /// Another instance leads; its address, if it is known.
+    NotLeader(Option<SocketAddr>),
+    /// The connection failed or made no sense.
+    Failed(String),
+}
+
+impl From<StreamError> for SessionEnd {
+    fn from(error: StreamError) -> Self {
+        Self::Failed(error.to_string())
+    }
+}
+
+impl From<NotLeader> for SessionEnd {
+    fn from(message: NotLeader) -> Self {
+        Self::NotLeader(message.leader.parse().ok())
+    }
+}
+
+/// A connection on which this instance has been welcomed.
+pub(super) struct ControlSession<'a> {
+    settings: &'a ClientSettings,
+    keeper: &'a mut ViewKeeper,
+    sender: MessageSender<TcpStream, ControlMessage>,
+    receiver: MessageReceiver<TcpStream, ControlMessage>,
+    teller: HealthTeller,
+    sent: VecDeque<(u64, Instant)>,
+    sequence: u64,
+    heard_at: Instant,
+    next_beat: Instant,
+}
+
+impl<'a> ControlSession<'a> {
+    /// Connects, introduces this instance and waits to be welcomed.
+    pub(super) async fn open(
+        settings: &'a ClientSettings,
+        keeper: &'a mut ViewKeeper,
+        target: SocketAddr,
+    ) -> Result<Self, SessionEnd> {
+        let deadline = settings.timer.now() + WELCOME_TIMEOUT;
+        let welcomed = introduce(settings, keeper, target);
+        let welcomed = settings.timer.within(deadline, welcomed).await;
+        let stream = welcomed.ok_or(SessionEnd::Failed("it does not answer".to_owned()))??;
+        let (sender, receiver) = stream.split();
+        let now = Instant::now();
+        Ok(Self {
+            settings,
+            keeper,
+            sender,
+            receiver,
+            teller: HealthTeller::default(),
+            sent: VecDeque::new(),
+            sequence: 0,
+            heard_at: now,
+            next_beat: now,
+        })
+    }
+
+    /// Keeps the lease until the connection ends.
+    pub(super) async fn run(mut self) -> SessionEnd {
+        let mut leaving = self.settings.stop.is_stopping();
+        loop {
+            let timer = &self.settings.timer;
+            let done = tokio::select! {
+                message = self.receiver.receive() => match message {
+                    Ok(message) => self.handle(message.body).await,
+                    Err(error) => Err(error.into()),
+                },
+                () = self.keeper.confirm_next() => {
+                    self.next_beat = Instant::now();
+                    Ok(())
+                }
+                () = self.settings.stop.stopped(), if !leaving => {
+                    leaving = true;
+                    self.next_beat = Instant::now();
+                    Ok(())
+                }
+                () = timer.at(self.next_beat) => self.beat().await,
+                () = timer.at(self.heard_at + SILENCE_MAX) => {
+                    Err(SessionEnd::Failed("it has fallen silent".to_owned()))
+                }
+            };
+            if let Err(end) = done {
+                return end;
+            }
+        }
+    }
+
+    async fn beat(&mut self) -> Result<(), SessionEnd> {
+        self.sequence += 1;
+        let settings = self.settings;
+        let view = self.keeper.named();
+        let held = settings.cell.held();
+        let heartbeat = Heartbeat {
+            sequence: self.sequence,
+            incarnation: settings.incarnation.get().0,
+            view: view.0,
+            leaving: settings.stop.is_stopping(),
+            demand: settings.gate.demand(),
+            upstreams: settings.book.take(),
+            health: self.teller.reports(&settings.table, view),
+            groups: group_reports(&held.view, &settings.counts),
+            instance: settings.instance.to_string(),
+            view_digest: self.keeper.digest(),
+        };
+        let now = Instant::now();
+        self.sent.push_back((self.sequence, now));
+        self.next_beat = now + HEARTBEAT;
+        let message = ControlMessage {
+            body: Some(Body::Heartbeat(heartbeat)),
+        };
+        let sent = self.sender.send(&message);
+        match settings.timer.within(now + SILENCE_MAX, sent).await {
+            Some(sent) => Ok(sent?),
+            None => Err(SessionEnd::Failed("it takes nothing more".to_owned())),
+        }
+    }
+
+    async fn handle(&mut self, body: Option<Body>) -> Result<(), SessionEnd> {
+        match body {
+            Some(Body::HeartbeatReply(reply)) => self.replied(reply).await,
+            Some(Body::NotLeader(message)) => Err(message.into()),
+            _ => Err(SessionEnd::Failed(
+                "it sent what nobody asked for".to_owned(),
+            )),
+        }
+    }
+
+    async fn replied(&mut self, reply: HeartbeatReply) -> Result<(), SessionEnd> {
+        self.heard_at = Instant::now();
+        let Some(sent) = self.sent_at(reply.sequence) else {
+            return Err(SessionEnd::Failed(
+                "it answered what was not asked".to_owned(),
+            ));
+        };
+        if let Some(update) = &reply.update {
+            // Without the update the lease would be one on a view that is over.
+            self.keeper
+                .apply(update)
+                .await
+                .map_err(|error| SessionEnd::Failed(error.to_string()))?;
+        }
+        self.settings.gate.grant(&reply.grants);
+        if reply.lease_ms > 0 {
+            self.keeper
+                .extend(sent + Duration::from_millis(reply.lease_ms));
+        }
+        Ok(())
+    }
+
+    /// Returns when a heartbeat was sent, and forgets the earlier ones.
+    fn sent_at(&mut self, sequence: u64) -> Option<Instant> {
+        while let Some((number, at)) = self.sent.pop_front() {
+            if number == sequence {
+                return Some(at);
+            }
+        }
+        None
+    }
+}
+
+async fn introduce(
+    settings: &ClientSettings,
+    keeper: &ViewKeeper,
+    target: SocketAddr,
+) -> Result<MessageStream<TcpStream, ControlMessage>, SessionEnd> {
+    let socket = settings.dialer.connect(target).await;
+    let socket = socket.map_err(|error| SessionEnd::Failed(error.to_string()))?;
+    let mut stream = MessageStream::new(socket, settings.cluster.clone());
+    let hello = Hello {
+        instance: settings.instance.to_string(),
+        incarnation: settings.incarnation.get().0,
+        data_centre: settings.data_centre.to_string(),
+        peer_address: settings.peer_address.to_string(),
+        view: keeper.named().0,
+    };
+    let message = ControlMessage {
+        body: Some(Body::Hello(hello)),
+    };
+    stream.send(&message).await?;
+    match stream.receive().await?.body {
+        Some(Body::Welcome(welcome)) => {
+            settings.incarnation.set(Incarnation(welcome.incarnation));
+            Ok(stream)
+        }
+        Some(Body::NotLeader(message)) => Err(message.into()),
+        _ => Err(SessionEnd::Failed("it did not welcome this".to_owned())),
+    }
+}
--- a/crates/daisyseam-entry/src/fleet/gate.rs
+++ b/crates/daisyseam-entry/src/fleet/gate.rs
@@ -12,6 +12,10 @@
     ServiceId, //
 };
 use daisyseam_runtime::TimerService;
+use daisyseam_wire::{
+    DemandReport,
+    ShareGrant, //
+};
 use parking_lot::Mutex;
 use std::{
     collections::BTreeMap,
@@ -64,6 +68,14 @@
         }
     }
 
+    /// Returns what organisations have asked for, for control to move shares to.
+    pub fn demand(&self) -> Vec<DemandReport> {
+        Vec::new()
+    }
+
+    /// Takes shares in.
+    pub fn grant(&self, _grants: &[ShareGrant]) {}
+
     async fn take(&self, key: BucketKey, deadline: Instant) -> Result<(), RequestError> {
         loop {
             let view = self.shared.cell.valid()?;
--- a/crates/daisyseam-entry/src/holder/handle.rs
+++ b/crates/daisyseam-entry/src/holder/handle.rs
@@ -9,7 +9,6 @@
         HolderActor,
         HolderMessage, //
     },
-    pooled::LoanTerms,
     queue::{
         Lent,
         SlotWaiter, //
@@ -50,6 +49,7 @@
 };
 use std::{
     error::Error,
+    num::NonZeroU32,
     sync::{
         Arc,
         atomic::{
@@ -204,10 +204,9 @@
         }
         let (reply, lent) = oneshot::channel();
         let waiter = SlotWaiter {
-            terms: LoanTerms {
-                organisation: order.organisation,
-                term: order.term,
-            },
+            weight: self.weight(order.organisation.as_ref()),
+            flow: order.organisation,
+            term: order.term,
             deadline: order.deadline,
             reply,
         };
@@ -271,6 +270,17 @@
         self.actor.stop(None);
     }
 
+    fn weight(&self, organisation: Option<&OrganisationId>) -> NonZeroU32 {
+        let held = self.shared.settings.cell.held();
+        let document = held.view.document.as_deref();
+        let entry = document
+            .zip(organisation)
+            .and_then(|(document, organisation)| document.organisations.get(organisation));
+        entry
+            .and_then(|entry| NonZeroU32::new(entry.weight))
+            .unwrap_or(NonZeroU32::MIN)
+    }
+
     async fn await_fit(
         &self,
         term: Option<Term>,
--- a/crates/daisyseam-entry/src/holder/pool.rs
+++ b/crates/daisyseam-entry/src/holder/pool.rs
@@ -11,7 +11,6 @@
         HeldConnection,
         PooledConnection,
         RegisteredNumber,
-        ServedLoan,
         SlotTicket, //
     },
     queue::{
@@ -23,6 +22,7 @@
     DatabaseConnection,
     OpenError, //
 };
+use daisyseam_coord::fair_queue::ServiceNumber;
 use daisyseam_model::{
     ErrorKind,
     LogPosition,
@@ -38,10 +38,7 @@
     sync::Arc,
     time::Duration, //
 };
-use tokio::{
-    sync::oneshot,
-    time::Instant, //
-};
+use tokio::sync::oneshot;
 
 /// Most connections that are being opened to one database at once.
 const OPENING_MAX: usize = 2;
@@ -61,9 +58,9 @@
     /// Somebody wants a connection.
     Lend(SlotWaiter),
     /// A connection came back clean.
-    Returned(Box<HeldConnection>, ServedLoan),
+    Returned(Box<HeldConnection>, ServiceNumber),
     /// A connection that was lent out is being closed.
-    Broken(ServedLoan),
+    Broken(ServiceNumber),
     /// A connection is closed and its slot free.
     Freed,
     /// A connection was opened, or not.
@@ -93,10 +90,10 @@
     ) -> Result<HolderPool, ActorProcessingErr> {
         let mut pool = HolderPool {
             limits: shared.settings.limits,
+            queue: SlotQueue::new(shared.settings.limits),
             shared,
             myself,
             idle: Vec::new(),
-            queue: SlotQueue::default(),
             open: 0,
             opening: 0,
             lent: 0,
@@ -138,15 +135,18 @@
     fn handle(&mut self, message: HolderMessage) {
         match message {
             HolderMessage::Lend(waiter) => self.enqueue(waiter),
-            HolderMessage::Returned(held, _) => {
-                self.lent -= 1;
+            HolderMessage::Returned(held, service) => {
+                self.finish(service);
                 self.take_back(*held);
             }
-            HolderMessage::Broken(_) => self.lent -= 1,
+            HolderMessage::Broken(service) => self.finish(service),
             HolderMessage::Freed => self.open -= 1,
             HolderMessage::Opened(result) => self.opened(result),
             HolderMessage::Retry => self.backing_off = false,
-            HolderMessage::Limits(limits) => self.limits = limits,
+            HolderMessage::Limits(limits) => {
+                self.limits = limits;
+                self.queue.set_limits(limits);
+            }
             HolderMessage::DropIdle => self.idle.clear(),
             HolderMessage::LetGo(reply) => {
                 self.queue.refuse_all(&let_go_error());
@@ -168,40 +168,51 @@
             waiter.refuse(let_go_error());
             return;
         }
-        self.queue.push(waiter, self.limits.queue_length);
+        self.queue.push(waiter);
     }
 
     /// Lends idle connections to those that wait.
     fn serve(&mut self) {
-        let now = Instant::now();
         while let Some(held) = self.take_idle() {
-            let Some(waiter) = self.queue.pop(now) else {
+            let Some((service, waiter)) = self.queue.pop() else {
                 self.idle.push(held);
                 return;
             };
-            match self.shared.admit(waiter.terms.term) {
-                Ok(position) => self.lend(held, waiter, position),
+            match self.shared.admit(waiter.term) {
+                Ok(position) => self.lend(held, service, waiter, position),
                 Err(refusal) => {
                     self.idle.push(held);
+                    self.queue.finish(service);
                     waiter.refuse(refusal.into());
                 }
             }
         }
     }
 
-    fn lend(&mut self, held: HeldConnection, waiter: SlotWaiter, position: LogPosition) {
+    fn lend(
+        &mut self,
+        held: HeldConnection,
+        service: ServiceNumber,
+        waiter: SlotWaiter,
+        position: LogPosition,
+    ) {
         self.lent += 1;
         assert!(
             self.lent <= self.open,
             "more connections are lent out than are open"
         );
-        let pooled = PooledConnection::new(held, waiter.terms);
+        let pooled = PooledConnection::new(held, service, waiter.term);
         // One that gave up at this very moment leaves the connection unused.
         if let Err(Ok((pooled, _))) = waiter.reply.send(Ok((pooled, position))) {
             pooled.release();
         }
     }
 
+    fn finish(&mut self, service: ServiceNumber) {
+        self.lent -= 1;
+        self.queue.finish(service);
+    }
+
     fn take_back(&mut self, held: HeldConnection) {
         if self.open <= self.limits.slots && self.letting_go.is_none() {
             self.idle.push(held);
--- a/crates/daisyseam-entry/src/holder/pooled.rs
+++ b/crates/daisyseam-entry/src/holder/pooled.rs
@@ -5,16 +5,10 @@
     registry::ConnectionRegistry, //
 };
 use crate::database::DatabaseConnection;
-use daisyseam_model::{
-    OrganisationId,
-    Term, //
-};
+use daisyseam_coord::fair_queue::ServiceNumber;
+use daisyseam_model::Term;
 use ractor::ActorRef;
-use std::{
-    sync::Arc,
-    time::Duration, //
-};
-use tokio::time::Instant;
+use std::sync::Arc;
 
 /// One of the database's slots; dropping it frees the slot.
 #[derive(Debug)]
@@ -56,29 +50,21 @@
     }
 }
 
-/// What a connection was lent out for.
-#[derive(Clone, Debug)]
-pub(super) struct LoanTerms {
-    pub(super) organisation: Option<OrganisationId>,
-    pub(super) term: Option<Term>,
-}
-
 /// A connection that is lent out; dropping it closes the connection unless it was released clean.
 #[derive(Debug)]
 pub struct PooledConnection {
     held: Option<HeldConnection>,
-    terms: LoanTerms,
-    lent_at: Instant,
+    service: ServiceNumber,
     released: bool,
 }
 
 impl PooledConnection {
-    pub(super) fn new(held: HeldConnection, terms: LoanTerms) -> Self {
-        held.number.registry.lend(held.number.number, terms.term);
+    /// Lends a connection out, for the primary of a term or for reads.
+    pub(super) fn new(held: HeldConnection, service: ServiceNumber, term: Option<Term>) -> Self {
+        held.number.registry.lend(held.number.number, term);
         Self {
             held: Some(held),
-            terms,
-            lent_at: Instant::now(),
+            service,
             released: false,
         }
     }
@@ -102,30 +88,19 @@
         let Some(held) = self.held.take() else {
             return;
         };
-        let served = ServedLoan {
-            organisation: self.terms.organisation.take(),
-            duration: self.lent_at.elapsed(),
-        };
         held.number.registry.lend(held.number.number, None);
         let actor = held.ticket.actor.clone();
         if self.released && held.connection.is_clean() {
-            let message = HolderMessage::Returned(Box::new(held), served);
+            let message = HolderMessage::Returned(Box::new(held), self.service);
             // The message comes back, and with it the connection, if the actor has ended.
             let _ = actor.cast(message);
             return;
         }
-        let _ = actor.cast(HolderMessage::Broken(served));
+        let _ = actor.cast(HolderMessage::Broken(self.service));
         abandon(held);
     }
 }
 
-/// How long an organisation had a connection.
-#[derive(Clone, Debug)]
-pub(super) struct ServedLoan {
-    pub(super) organisation: Option<OrganisationId>,
-    pub(super) duration: Duration,
-}
-
 /// Closes a connection; its slot is free once the database was told to stop what it ran there.
 fn abandon(held: HeldConnection) {
     let HeldConnection {
--- a/crates/daisyseam-entry/src/holder/queue.rs
+++ b/crates/daisyseam-entry/src/holder/queue.rs
@@ -1,30 +1,51 @@
 //! Who waits for a slot of one database.
 
 use super::{
-    handle::HolderRefusal,
-    pooled::{
-        LoanTerms,
-        PooledConnection, //
+    handle::{
+        HolderLimits,
+        HolderRefusal, //
+    },
+    pooled::PooledConnection, //
+};
+use daisyseam_coord::{
+    Moment,
+    fair_queue::{
+        FairQueue,
+        Popped,
+        PushRefusal,
+        QueueLimits,
+        QueueOrder,
+        ServiceNumber, //
     }, //
 };
 use daisyseam_model::{
     ErrorKind,
     LogPosition,
-    RequestError, //
+    OrganisationId,
+    RequestError,
+    Term, //
 };
-use std::collections::VecDeque;
+use std::num::NonZeroU32;
 use tokio::{
     sync::oneshot,
     time::Instant, //
 };
 
+/// Slots from which on one is kept free of any single organisation.
+const SLOTS_TO_SHARE: usize = 3;
+
 /// A connection and the position that its database had reached when it was lent out.
 pub(super) type Lent = Result<(PooledConnection, LogPosition), HolderRefusal>;
 
+/// An organisation, or none for open routes together.
+pub(super) type SlotFlow = Option<OrganisationId>;
+
 /// One that waits for a slot.
 #[derive(Debug)]
 pub(super) struct SlotWaiter {
-    pub(super) terms: LoanTerms,
+    pub(super) flow: SlotFlow,
+    pub(super) weight: NonZeroU32,
+    pub(super) term: Option<Term>,
     pub(super) deadline: Instant,
     pub(super) reply: oneshot::Sender<Lent>,
 }
@@ -36,60 +57,94 @@
     }
 }
 
-/// Those that wait, first come, first served.
-#[derive(Debug, Default)]
+/// Those that wait, served fairly by the time that their organisations have had connections.
 pub(super) struct SlotQueue {
-    waiters: VecDeque<SlotWaiter>,
+    queue: FairQueue<SlotFlow, SlotWaiter>,
+    origin: Instant,
 }
 
 impl SlotQueue {
+    pub(super) fn new(limits: HolderLimits) -> Self {
+        Self {
+            queue: FairQueue::new(queue_limits(limits)),
+            origin: Instant::now(),
+        }
+    }
+
     pub(super) fn len(&self) -> usize {
-        self.waiters.len()
+        self.queue.len()
     }
 
-    /// Takes one in, or refuses it when the queue is full.
-    pub(super) fn push(&mut self, waiter: SlotWaiter, length_max: usize) {
-        if self.waiters.len() >= length_max {
-            self.purge(Instant::now());
-        }
-        if self.waiters.len() >= length_max {
-            waiter.refuse(ErrorKind::QueueFull.into());
-            return;
-        }
-        self.waiters.push_back(waiter);
+    pub(super) fn set_limits(&mut self, limits: HolderLimits) {
+        self.queue.set_limits(queue_limits(limits));
     }
 
-    /// Takes out the next one that still waits and has time left.
-    pub(super) fn pop(&mut self, now: Instant) -> Option<SlotWaiter> {
-        while let Some(waiter) = self.waiters.pop_front() {
-            if waiter.reply.is_closed() {
-                continue;
+    /// Takes one in, or refuses it.
+    pub(super) fn push(&mut self, waiter: SlotWaiter) {
+        let now = self.moment(Instant::now());
+        let flow = waiter.flow.clone();
+        let order = QueueOrder {
+            flow: &flow,
+            weight: waiter.weight,
+            deadline: self.moment(waiter.deadline),
+        };
+        match self.queue.push(now, order, waiter) {
+            Ok(pushed) => {
+                if let Some(evicted) = pushed.evicted {
+                    evicted.refuse(ErrorKind::QueueFull.into());
+                }
             }
-            if waiter.deadline <= now {
+            Err((PushRefusal::Late, waiter)) => {
                 waiter.refuse(ErrorKind::DeadlineBeforeSend.into());
-                continue;
             }
-            return Some(waiter);
+            Err((PushRefusal::FlowFull | PushRefusal::QueueFull, waiter)) => {
+                waiter.refuse(ErrorKind::QueueFull.into());
+            }
         }
-        None
     }
 
-    /// Drops those that have given up or are late.
-    pub(super) fn purge(&mut self, now: Instant) {
-        let waiters = std::mem::take(&mut self.waiters);
-        for waiter in waiters {
-            if waiter.deadline <= now {
-                waiter.refuse(ErrorKind::DeadlineBeforeSend.into());
-            } else if !waiter.reply.is_closed() {
-                self.waiters.push_back(waiter);
+    /// Takes out the next one that still waits and has time left; its service must be finished.
+    pub(super) fn pop(&mut self) -> Option<(ServiceNumber, SlotWaiter)> {
+        let now = self.moment(Instant::now());
+        loop {
+            match self.queue.pop(now)? {
+                Popped::Late(waiter) => waiter.refuse(ErrorKind::DeadlineBeforeSend.into()),
+                Popped::Serve { service, item, .. } if item.reply.is_closed() => {
+                    self.queue.finish(now, service);
+                }
+                Popped::Serve { service, item, .. } => return Some((service, item)),
             }
         }
     }
 
-    /// Refuses all.
+    /// Ends a service.
+    pub(super) fn finish(&mut self, service: ServiceNumber) {
+        self.queue.finish(self.moment(Instant::now()), service);
+    }
+
+    /// Refuses all that wait.
     pub(super) fn refuse_all(&mut self, error: &RequestError) {
-        for waiter in self.waiters.drain(..) {
+        let end = Moment::after_origin(std::time::Duration::MAX);
+        while let Some(waiter) = self.queue.take_late(end) {
             waiter.refuse(error.clone());
         }
     }
+
+    fn moment(&self, at: Instant) -> Moment {
+        Moment::after_origin(at.saturating_duration_since(self.origin))
+    }
+}
+
+fn queue_limits(limits: HolderLimits) -> QueueLimits {
+    let slots = limits.slots.max(1);
+    let length = limits.queue_length.max(1);
+    QueueLimits {
+        length,
+        flow_length: length,
+        flow_in_service: if slots >= SLOTS_TO_SHARE {
+            slots - 1
+        } else {
+            slots
+        },
+    }
 }
--- a/crates/daisyseam-entry/src/lib.rs
+++ b/crates/daisyseam-entry/src/lib.rs
@@ -7,11 +7,13 @@
 pub mod announce;
 mod broker;
 pub mod caller;
+pub mod control_client;
+mod daemon;
 pub mod database;
 pub mod fleet;
 pub mod holder;
 pub mod peer;
-pub mod settings;
+mod settings;
 mod view_cell;
 
 pub use crate::{
@@ -25,6 +27,14 @@
         StatementAccess,
         TransactionFate, //
     },
+    daemon::{
+        EntryDaemon,
+        StartError, //
+    },
+    settings::{
+        EntryArguments,
+        EntrySettings, //
+    },
     view_cell::{
         HeldView,
         ViewCell, //
