Secure connections between processes with mutual TLS and roles

Cause: anything that reaches a control or peer port could speak to it.

Change: PeerSecurity wraps a connection in mutual TLS; the certificate's DNS name ROLE.CLUSTER.daisyseam says what the process is, and each side checks that the other's role may do what it is about to do.

Before: plain connections only.

Conclusion: the daemons do not use it yet.

--- a/crates/daisyseam-wire/src/lib.rs
+++ b/crates/daisyseam-wire/src/lib.rs
@@ -8,6 +8,7 @@
 mod convert;
 mod envelope;
 mod peer;
+mod security;
 mod share;
 mod stream;
 mod view;
@@ -62,6 +63,13 @@
         WirePosition,
         peer_message, //
     },
+    security::{
+        PeerRole,
+        PeerSecurity,
+        PeerSocket,
+        SecurityError,
+        SecurityFiles, //
+    },
     share::{
         WireDemand,
         WireGrant,
