Follow the share messages of the heartbeat

The messages for shares of rates were replaced while the daemon was written against the former ones, so main did not build. The daemon speaks the new ones; shares are not used yet.

--- a/crates/daisyseam-entry/src/control_client/session.rs
+++ b/crates/daisyseam-entry/src/control_client/session.rs
@@ -139,7 +139,7 @@
             incarnation: settings.incarnation.get().0,
             view: view.0,
             leaving: settings.stop.is_stopping(),
-            demand: settings.gate.demand(),
+            shares: settings.gate.demand(),
             upstreams: settings.book.take(),
             health: self.teller.reports(&settings.table, view),
             groups: group_reports(&held.view, &settings.counts),
@@ -183,7 +183,9 @@
                 .await
                 .map_err(|error| SessionEnd::Failed(error.to_string()))?;
         }
-        self.settings.gate.grant(&reply.grants);
+        if let Some(shares) = &reply.shares {
+            self.settings.gate.grant(shares);
+        }
         if reply.lease_ms > 0 {
             self.keeper
                 .extend(sent + Duration::from_millis(reply.lease_ms));
--- a/crates/daisyseam-entry/src/fleet/gate.rs
+++ b/crates/daisyseam-entry/src/fleet/gate.rs
@@ -13,8 +13,8 @@
 };
 use daisyseam_runtime::TimerService;
 use daisyseam_wire::{
-    DemandReport,
-    ShareGrant, //
+    WireShareReply,
+    WireShareReport, //
 };
 use parking_lot::Mutex;
 use std::{
@@ -69,12 +69,12 @@
     }
 
     /// Returns what organisations have asked for, for control to move shares to.
-    pub fn demand(&self) -> Vec<DemandReport> {
-        Vec::new()
+    pub fn demand(&self) -> Option<WireShareReport> {
+        None
     }
 
     /// Takes shares in.
-    pub fn grant(&self, _grants: &[ShareGrant]) {}
+    pub fn grant(&self, _reply: &WireShareReply) {}
 
     async fn take(&self, key: BucketKey, deadline: Instant) -> Result<(), RequestError> {
         loop {
