--- a/crates/daisyseam-console/src/server.rs
+++ b/crates/daisyseam-console/src/server.rs
@@ -58,6 +58,7 @@
             settings.cluster,
             settings.control,
             Dialer::default(),
+            settings.security,
             timer.clone(),
             settings.patience,
         );
--- a/crates/daisyseam-console/src/settings.rs
+++ b/crates/daisyseam-console/src/settings.rs
@@ -3,9 +3,11 @@
 use argh::FromArgs;
 use daisyseam_model::ClusterId;
 use daisyseam_runtime::{
+    SecurityFlags,
     SettingProblem,
     SettingReader, //
 };
+use daisyseam_wire::PeerSecurity;
 use std::{
     net::SocketAddr,
     path::PathBuf,
@@ -36,6 +38,15 @@
     /// longest wait for control, in milliseconds, 5000 by default
     #[argh(option)]
     pub patience: Option<String>,
+    /// certificates of the fleet's authority, PEM
+    #[argh(option)]
+    pub tls_authority: Option<String>,
+    /// the console's certificate in the role of an operator, PEM
+    #[argh(option)]
+    pub tls_certificate: Option<String>,
+    /// key of that certificate, PEM
+    #[argh(option)]
+    pub tls_key: Option<String>,
     /// set the cookie for HTTPS only; for a console behind a TLS terminator
     #[argh(switch)]
     pub secure_cookie: bool,
@@ -45,7 +56,7 @@
 }
 
 /// Checked settings of the console.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct ConsoleSettings {
     /// Name of the cluster.
     pub cluster: ClusterId,
@@ -57,6 +68,8 @@
     pub operators: PathBuf,
     /// Longest wait for control.
     pub patience: Duration,
+    /// How connections to control are secured.
+    pub security: PeerSecurity,
     /// Whether the cookie is for HTTPS only.
     pub secure_cookie: bool,
 }
@@ -80,14 +93,25 @@
         let listen = reader.with_default("listen", options.listen, local);
         let operators: Option<PathBuf> = reader.required("operators", options.operators);
         let patience = reader.millis("patience", options.patience, PATIENCE);
-        let settings = cluster.zip(operators).map(|(cluster, operators)| Self {
+        let flags = SecurityFlags {
+            authority: options.tls_authority,
+            certificate: options.tls_certificate,
+            key: options.tls_key,
+        };
+        let cluster: Option<ClusterId> = cluster;
+        let security = cluster
+            .as_ref()
+            .and_then(|cluster| flags.read(&mut reader, cluster));
+        let read = cluster.zip(operators).zip(security);
+        let ((cluster, operators), security) = reader.finish(read)?;
+        Ok(Self {
             cluster,
             control,
             listen,
             operators,
             patience,
+            security,
             secure_cookie: options.secure_cookie,
-        });
-        reader.finish(settings)
+        })
     }
 }
--- a/crates/daisyseam-console/tests/console.rs
+++ b/crates/daisyseam-console/tests/console.rs
@@ -13,6 +13,7 @@
 use daisyseam_wire::{
     ControlMessage,
     MessageStream,
+    PeerSecurity,
     ShowReply,
     StatusReply,
     SubmitReply,
@@ -136,6 +137,7 @@
             listen: SocketAddr::from(([127, 0, 0, 1], 0)),
             operators: operators.path().to_owned(),
             patience: Duration::from_secs(20),
+            security: PeerSecurity::plain(ClusterId::new("brandvold").expect("a name")),
             secure_cookie: false,
         };
         let server = ConsoleServer::start(settings).await.expect("it starts");
--- a/crates/daisyseam-ctl/src/command.rs
+++ b/crates/daisyseam-ctl/src/command.rs
@@ -17,6 +17,15 @@
     /// longest wait for an answer, in milliseconds, 10000 by default (DAISYSEAM_PATIENCE)
     #[argh(option)]
     pub patience: Option<String>,
+    /// certificates of the fleet's authority, PEM (DAISYSEAM_TLS_AUTHORITY)
+    #[argh(option)]
+    pub tls_authority: Option<String>,
+    /// the operator's certificate, PEM (DAISYSEAM_TLS_CERTIFICATE)
+    #[argh(option)]
+    pub tls_certificate: Option<String>,
+    /// key of that certificate, PEM (DAISYSEAM_TLS_KEY)
+    #[argh(option)]
+    pub tls_key: Option<String>,
     /// print one JSON object in place of text
     #[argh(switch)]
     pub json: bool,
--- a/crates/daisyseam-ctl/src/run.rs
+++ b/crates/daisyseam-ctl/src/run.rs
@@ -26,6 +26,7 @@
 use daisyseam_runtime::{
     Dialer,
     OperatorClient,
+    SecurityFlags,
     SettingReader,
     TimerService, //
 };
@@ -85,14 +86,23 @@
     if addresses.is_empty() {
         reader.problem("control", "names no control instance".to_owned());
     }
-    let cluster = reader
-        .finish(cluster)
+    let flags = SecurityFlags {
+        authority: options.tls_authority.clone(),
+        certificate: options.tls_certificate.clone(),
+        key: options.tls_key.clone(),
+    };
+    let security = cluster
+        .as_ref()
+        .and_then(|cluster| flags.read(&mut reader, cluster));
+    let (cluster, security) = reader
+        .finish(cluster.zip(security))
         .map_err(|problems| CtlFailure::Settings(SettingList(problems)))?;
     let timer = TimerService::start();
     Ok(OperatorClient::new(
         cluster,
         addresses,
         Dialer::default(),
+        security,
         timer,
         patience,
     ))
--- a/crates/daisyseam-ctl/tests/commands.rs
+++ b/crates/daisyseam-ctl/tests/commands.rs
@@ -48,7 +48,7 @@
 /// What the scripted instance does with one connection.
 enum Turn {
     /// Answers.
-    Answer(Body),
+    Answer(Box<Body>),
     /// Closes the connection after it has read the request.
     Hang,
 }
@@ -66,7 +66,7 @@
             let request = stream.receive().await.expect("a request");
             requests.push(request.body.expect("a body"));
             if let Turn::Answer(body) = turn {
-                let reply = ControlMessage { body: Some(body) };
+                let reply = ControlMessage { body: Some(*body) };
                 stream.send(&reply).await.expect("the client listens");
             }
         }
@@ -100,12 +100,12 @@
 
 #[tokio::test]
 async fn a_submission_follows_the_leader_and_repeats_its_id() {
-    let (leader, leading) = scripted(vec![Turn::Hang, Turn::Answer(accepted(2))]).await;
+    let (leader, leading) = scripted(vec![Turn::Hang, Turn::Answer(Box::new(accepted(2)))]).await;
     let not_leader = || {
-        Turn::Answer(Body::NotLeader(NotLeader {
+        Turn::Answer(Box::new(Body::NotLeader(NotLeader {
             leader: leader.to_string(),
             term: 3,
-        }))
+        })))
     };
     let (follower, following) = scripted(vec![not_leader(), not_leader()]).await;
     let file = document_file(DOCUMENT);
@@ -128,7 +128,7 @@
         winner: "other".to_owned(),
         ..SubmitReply::default()
     };
-    let (address, _task) = scripted(vec![Turn::Answer(Body::Submitted(reply))]).await;
+    let (address, _task) = scripted(vec![Turn::Answer(Box::new(Body::Submitted(reply)))]).await;
     let file = document_file(DOCUMENT);
     let path = file.path().to_str().expect("a path");
     let failure = run(&address.to_string(), &["submit", path])
@@ -145,8 +145,8 @@
         ..SubmitReply::default()
     };
     let turns = vec![
-        Turn::Answer(Body::Submitted(busy)),
-        Turn::Answer(accepted(2)),
+        Turn::Answer(Box::new(Body::Submitted(busy))),
+        Turn::Answer(Box::new(accepted(2))),
     ];
     let (address, task) = scripted(turns).await;
     let file = document_file(DOCUMENT);
@@ -164,7 +164,7 @@
         text: DOCUMENT.replace("rate = 5", "rate = 4"),
         stale: false,
     };
-    let (address, _task) = scripted(vec![Turn::Answer(Body::Shown(shown))]).await;
+    let (address, _task) = scripted(vec![Turn::Answer(Box::new(Body::Shown(shown)))]).await;
     let file = document_file(DOCUMENT);
     let path = file.path().to_str().expect("a path");
     let output = run(&address.to_string(), &["diff", path])
@@ -199,7 +199,10 @@
 
 #[tokio::test]
 async fn a_missing_document_is_a_failure() {
-    let (address, _task) = scripted(vec![Turn::Answer(Body::Shown(ShowReply::default()))]).await;
+    let (address, _task) = scripted(vec![Turn::Answer(Box::new(Body::Shown(
+        ShowReply::default(),
+    )))])
+    .await;
     let failure = run(&address.to_string(), &["show", "--number", "9"])
         .await
         .expect_err("there is none");
--- a/crates/daisyseam-runtime/src/lib.rs
+++ b/crates/daisyseam-runtime/src/lib.rs
@@ -8,6 +8,7 @@
 mod logs;
 mod metrics;
 mod operator;
+mod security;
 mod settings;
 mod shutdown;
 mod span;
@@ -31,6 +32,7 @@
         OperatorClient,
         OperatorError, //
     },
+    security::SecurityFlags,
     settings::{
         SettingProblem,
         SettingReader, //
--- a/crates/daisyseam-runtime/src/operator.rs
+++ b/crates/daisyseam-runtime/src/operator.rs
@@ -10,6 +10,8 @@
     HistoryEntry,
     HistoryRequest,
     MessageStream,
+    PeerRole,
+    PeerSecurity,
     ShowReply,
     ShowRequest,
     StatusReply,
@@ -24,10 +26,7 @@
     net::SocketAddr,
     time::Duration, //
 };
-use tokio::{
-    net::TcpStream,
-    time::Instant, //
-};
+use tokio::time::Instant;
 
 /// Longest wait for one control instance to answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(3);
@@ -54,6 +53,7 @@
     cluster: ClusterId,
     addresses: Vec<SocketAddr>,
     dialer: Dialer,
+    security: PeerSecurity,
     timer: TimerService,
     patience: Duration,
 }
@@ -64,6 +64,7 @@
         cluster: ClusterId,
         addresses: Vec<SocketAddr>,
         dialer: Dialer,
+        security: PeerSecurity,
         timer: TimerService,
         patience: Duration,
     ) -> Self {
@@ -71,6 +72,7 @@
             cluster,
             addresses,
             dialer,
+            security,
             timer,
             patience,
         }
@@ -184,8 +186,8 @@
         let until = deadline.min(self.timer.now() + ANSWER_TIMEOUT);
         let exchange = async {
             let socket = self.dialer.connect(target).await?;
-            let mut stream =
-                MessageStream::<TcpStream, ControlMessage>::new(socket, self.cluster.clone());
+            let socket = self.security.client(socket, PeerRole::Control).await?;
+            let mut stream = MessageStream::<_, ControlMessage>::new(socket, self.cluster.clone());
             stream.send(request).await?;
             let reply = stream.receive().await?;
             reply.body.ok_or_else(|| "the answer is empty".into())
