--- /dev/null
+++ b/crates/daisyseam-entry/src/caller/key_guard.rs
@@ -0,0 +1,88 @@
+//! Finds a caller's key in what the caller sends, without keeping the key.
+
+use rand::Rng;
+use sha2::{
+    Digest,
+    Sha256, //
+};
+use subtle::ConstantTimeEq;
+
+/// Modulus of the fingerprint, a Mersenne prime.
+const MODULUS: u64 = (1 << 61) - 1;
+
+/// Remembers a key by its length, its SHA-256 and a fingerprint under a random base.
+///
+/// The fingerprint rolls over the bytes that are searched; where it matches, the hash decides.
+#[derive(Clone, Debug)]
+pub(super) struct KeyGuard {
+    length: usize,
+    hash: [u8; 32],
+    base: u64,
+    /// The base to the power of `length - 1`.
+    highest: u64,
+    fingerprint: u64,
+}
+
+impl KeyGuard {
+    /// Makes a guard for a key that holds at least one byte.
+    pub(super) fn new(key: &[u8]) -> Option<Self> {
+        let length = key.len();
+        let power = length.checked_sub(1)?;
+        let base = rand::rng().random_range(256..MODULUS);
+        let highest = (0..power).fold(1, |product, _| multiply(product, base));
+        Some(Self {
+            length,
+            hash: Sha256::digest(key).into(),
+            base,
+            highest,
+            fingerprint: fingerprint(key, base),
+        })
+    }
+
+    /// Returns the hash of the key.
+    pub(super) fn hash(&self) -> &[u8; 32] {
+        &self.hash
+    }
+
+    /// Returns whether the key stands anywhere in the bytes.
+    pub(super) fn is_in(&self, bytes: &[u8]) -> bool {
+        if bytes.len() < self.length {
+            return false;
+        }
+        let mut rolling = fingerprint(&bytes[..self.length], self.base);
+        if self.matches(rolling, &bytes[..self.length]) {
+            return true;
+        }
+        for end in self.length..bytes.len() {
+            let start = end - self.length;
+            let leaving = multiply(u64::from(bytes[start]), self.highest);
+            rolling = (rolling + MODULUS - leaving) % MODULUS;
+            rolling = push(rolling, bytes[end], self.base);
+            if self.matches(rolling, &bytes[start + 1..=end]) {
+                return true;
+            }
+        }
+        false
+    }
+
+    fn matches(&self, rolling: u64, window: &[u8]) -> bool {
+        rolling == self.fingerprint && {
+            let hash: [u8; 32] = Sha256::digest(window).into();
+            hash.ct_eq(&self.hash).into()
+        }
+    }
+}
+
+fn fingerprint(bytes: &[u8], base: u64) -> u64 {
+    bytes.iter().fold(0, |sum, byte| push(sum, *byte, base))
+}
+
+fn push(sum: u64, byte: u8, base: u64) -> u64 {
+    (multiply(sum, base) + u64::from(byte)) % MODULUS
+}
+
+fn multiply(left: u64, right: u64) -> u64 {
+    let product = u128::from(left) * u128::from(right) % u128::from(MODULUS);
+    // The remainder is below the modulus, which fits.
+    u64::try_from(product).unwrap_or_default()
+}
--- a/crates/daisyseam-entry/src/caller/server.rs
+++ b/crates/daisyseam-entry/src/caller/server.rs
@@ -1,5 +1,10 @@
 //! The listener for callers.
 
+use super::{
+    cancel::CancelRegistry,
+    startup,
+    statement_cache::StatementCache, //
+};
 use crate::{
     LinkBroker,
     RateGate,
@@ -8,6 +13,7 @@
 use daisyseam_model::{
     ClusterId,
     DataCentreId,
+    ErrorKind,
     InstanceId, //
 };
 use daisyseam_runtime::{
@@ -18,10 +24,15 @@
 };
 use std::{
     io,
-    net::SocketAddr, //
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration, //
 };
 use tokio::{
-    net::TcpListener,
+    net::{
+        TcpListener,
+        TcpStream, //
+    },
     sync::watch,
     task::AbortHandle, //
 };
@@ -53,10 +64,31 @@
     pub tls: Option<TlsAcceptor>,
 }
 
+/// What all sessions of a listener share.
+pub(super) struct CallerShared<B, G> {
+    pub(super) context: CallerContext<B, G>,
+    pub(super) cancels: CancelRegistry,
+    pub(super) cache: StatementCache,
+    open: watch::Sender<usize>,
+}
+
+impl<B, G> CallerShared<B, G> {
+    /// Returns how many caller connections are open.
+    pub(super) fn connections(&self) -> usize {
+        *self.open.borrow()
+    }
+
+    /// Counts an error that is answered.
+    pub(super) fn count_error(&self, kind: ErrorKind) {
+        self.context.metrics.count("caller.errors");
+        self.context.metrics.count(kind.row().label);
+    }
+}
+
 /// Serves callers until it is dropped.
 pub struct CallerServer {
     address: SocketAddr,
-    connections: watch::Sender<usize>,
+    open: watch::Sender<usize>,
     accepting: AbortHandle,
 }
 
@@ -71,11 +103,17 @@
         context: CallerContext<B, G>,
     ) -> io::Result<Self> {
         let address = listener.local_addr()?;
-        let connections = watch::Sender::new(0);
-        let accepting = tokio::spawn(accept_all(listener, context));
+        let open = watch::Sender::new(0);
+        let shared = Arc::new(CallerShared {
+            context,
+            cancels: CancelRegistry::default(),
+            cache: StatementCache::default(),
+            open: open.clone(),
+        });
+        let accepting = tokio::spawn(accept_all(listener, shared));
         Ok(Self {
             address,
-            connections,
+            open,
             accepting: accepting.abort_handle(),
         })
     }
@@ -87,15 +125,15 @@
 
     /// Returns how many caller connections are open.
     pub fn connections(&self) -> usize {
-        *self.connections.borrow()
+        *self.open.borrow()
     }
 
     /// Waits until no caller connection is open; once the stop signal is given they close at
     /// the end of their transactions.
     pub async fn drained(&self) {
-        let mut connections = self.connections.subscribe();
+        let mut open = self.open.subscribe();
         // The sender lives in `self`, so waiting cannot fail.
-        let _ = connections.wait_for(|open| *open == 0).await;
+        let _ = open.wait_for(|open| *open == 0).await;
     }
 }
 
@@ -106,12 +144,47 @@
     }
 }
 
+/// Counts a connection for as long as it is open.
+struct ConnectionGuard(watch::Sender<usize>);
+
+impl ConnectionGuard {
+    fn new(open: &watch::Sender<usize>) -> Self {
+        open.send_modify(|open| *open += 1);
+        Self(open.clone())
+    }
+}
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        self.0.send_modify(|open| *open -= 1);
+    }
+}
+
 async fn accept_all<B: LinkBroker, G: RateGate>(
     listener: TcpListener,
-    context: CallerContext<B, G>,
+    shared: Arc<CallerShared<B, G>>,
 ) {
-    while let Ok((stream, _)) = listener.accept().await {
-        log::debug!("{} closes a caller: not served yet", context.instance);
-        drop(stream);
+    /// Pause after a failed accept, so that a lack of descriptors does not spin.
+    const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let guard = ConnectionGuard::new(&shared.open);
+                tokio::spawn(serve(stream, Arc::clone(&shared), guard));
+            }
+            Err(error) => {
+                log::warn!("a caller cannot be accepted: {error}");
+                shared.context.timer.after(ACCEPT_PAUSE).await;
+            }
+        }
     }
 }
+
+async fn serve<B: LinkBroker, G: RateGate>(
+    stream: TcpStream,
+    shared: Arc<CallerShared<B, G>>,
+    _guard: ConnectionGuard,
+) {
+    startup::serve(stream, shared).await;
+}
--- /dev/null
+++ b/crates/daisyseam-entry/src/caller/session.rs
@@ -0,0 +1,339 @@
+//! One caller's session: what it carries, and the loop over its messages.
+
+mod autocommit;
+mod batch;
+mod block;
+mod commit;
+mod idle;
+mod local;
+mod request;
+mod simple;
+
+use self::{
+    batch::MessageBatch,
+    block::TransactionBlock, //
+};
+use super::{
+    answer::{
+        SendProgress,
+        error_answer, //
+    },
+    cancel::CancelTicket,
+    classify::SessionSetting,
+    codec::{
+        CallerFrame,
+        FrameError, //
+    },
+    exchange::CallerStream,
+    identity::CallerIdentity,
+    prepared::PreparedText,
+    server::CallerShared,
+    startup::StartupSettings, //
+};
+use crate::{
+    LinkBroker,
+    RateGate, //
+};
+use daisyseam_coord::floor::{
+    SessionFloor,
+    TokenScope, //
+};
+use daisyseam_model::{
+    ErrorKind,
+    GroupId,
+    LogPosition,
+    RequestError, //
+};
+use daisyseam_runtime::TraceContext;
+use futures_util::SinkExt;
+use pgwire::messages::{
+    PgWireBackendMessage,
+    PgWireFrontendMessage,
+    response::ReadyForQuery,
+    startup::ParameterStatus, //
+};
+use smallvec::SmallVec;
+use std::{
+    collections::HashMap,
+    sync::Arc,
+    time::Duration, //
+};
+use tokio::{
+    io::{
+        AsyncRead,
+        AsyncWrite, //
+    },
+    sync::watch,
+    time::Instant, //
+};
+
+/// Name of the parameter that reports the session token.
+const TOKEN_PARAMETER: &str = "daisyseam.session";
+
+/// One caller's session.
+pub(super) struct CallerSession<B: LinkBroker, G, S> {
+    pub(super) shared: Arc<CallerShared<B, G>>,
+    pub(super) stream: CallerStream<S>,
+    pub(super) ticket: CancelTicket,
+    identity: CallerIdentity,
+    changes: watch::Receiver<()>,
+    /// Group that serves the service, as the last checked view says.
+    group: Option<GroupId>,
+    floor: SessionFloor,
+    /// Floor that the caller was told last.
+    reported: Option<LogPosition>,
+    /// Whether the floor comes from a token alone.
+    floor_claimed: bool,
+    carried: SmallVec<[CarriedSetting; 2]>,
+    max_age: Option<Duration>,
+    trace: Option<TraceContext>,
+    statements: HashMap<String, Arc<PreparedText>>,
+    portals: HashMap<String, Arc<PreparedText>>,
+    batch: MessageBatch,
+    block: TransactionBlock<B::Link>,
+    progress: SendProgress,
+    /// Messages of the present unit that were answered before an error, if there was one.
+    parts_done: usize,
+    /// Moment at which the session leaves a data centre that is out.
+    leave_at: Option<Instant>,
+}
+
+/// A setting of the database that is repeated before each request.
+#[derive(Clone, Debug)]
+struct CarriedSetting {
+    name: String,
+    value: String,
+}
+
+/// Why a request does not end well.
+#[derive(Debug)]
+enum RequestTrouble {
+    /// The caller is told why.
+    Refused(RequestError),
+    /// The connection ends.
+    Closed,
+}
+
+impl From<ErrorKind> for RequestTrouble {
+    fn from(kind: ErrorKind) -> Self {
+        Self::Refused(kind.into())
+    }
+}
+
+impl From<RequestError> for RequestTrouble {
+    fn from(error: RequestError) -> Self {
+        Self::Refused(error)
+    }
+}
+
+impl From<FrameError> for RequestTrouble {
+    fn from(error: FrameError) -> Self {
+        match error {
+            FrameError::Io(_) => Self::Closed,
+            FrameError::Request(error) => Self::Refused(error),
+        }
+    }
+}
+
+impl<B, G, S> CallerSession<B, G, S>
+where
+    B: LinkBroker,
+    G: RateGate,
+    S: AsyncRead + AsyncWrite + Unpin,
+{
+    /// Makes the session of a caller that was admitted.
+    pub(super) fn new(
+        stream: CallerStream<S>,
+        shared: Arc<CallerShared<B, G>>,
+        identity: CallerIdentity,
+        ticket: CancelTicket,
+    ) -> Self {
+        Self {
+            changes: shared.context.view.subscribe(),
+            shared,
+            stream,
+            ticket,
+            identity,
+            group: None,
+            floor: SessionFloor::default(),
+            reported: None,
+            floor_claimed: false,
+            carried: SmallVec::new(),
+            max_age: None,
+            trace: None,
+            statements: HashMap::new(),
+            portals: HashMap::new(),
+            batch: MessageBatch::default(),
+            block: TransactionBlock::Idle,
+            progress: SendProgress::Unsent,
+            parts_done: 0,
+            leave_at: None,
+        }
+    }
+
+    /// Takes over what the start-up packet sets.
+    ///
+    /// # Errors
+    ///
+    /// When a token is not valid here.
+    pub(super) fn start_with(&mut self, settings: StartupSettings) -> Result<(), RequestError> {
+        let (_, group) = self.identity.check(&self.shared.context.view)?;
+        self.group = Some(group);
+        self.trace = settings.trace;
+        for setting in settings.settings {
+            self.apply(setting)?;
+        }
+        Ok(())
+    }
+
+    /// Serves the caller until it leaves or is told to.
+    pub(super) async fn run(&mut self) {
+        let mut went = self.ready().await;
+        while went.is_ok() {
+            went = match self.wait().await {
+                Ok(frame) => Box::pin(self.handle(frame)).await,
+                Err(trouble) => Err(trouble),
+            };
+        }
+        if let Err(RequestTrouble::Refused(error)) = went {
+            self.say_goodbye(&error).await;
+        }
+        self.abandon_block().await;
+    }
+
+    async fn handle(&mut self, frame: CallerFrame) -> Result<(), RequestTrouble> {
+        self.progress = SendProgress::Unsent;
+        let message = match frame {
+            CallerFrame::Message(message) => message,
+            CallerFrame::Refused {
+                extended: true,
+                error,
+            } => {
+                self.batch.fail(error);
+                return Ok(());
+            }
+            CallerFrame::Refused { error, .. } => {
+                return self.conclude(Err(error.into())).await;
+            }
+        };
+        match message {
+            PgWireFrontendMessage::Query(query) => {
+                let result = self.run_query(query.query).await;
+                self.conclude(result).await
+            }
+            PgWireFrontendMessage::Sync(_) => self.sync().await,
+            PgWireFrontendMessage::Flush(_) => self.flush().await,
+            PgWireFrontendMessage::Terminate(_) => Err(RequestTrouble::Closed),
+            // Left over from a copy that was refused.
+            PgWireFrontendMessage::CopyData(_)
+            | PgWireFrontendMessage::CopyDone(_)
+            | PgWireFrontendMessage::CopyFail(_) => Ok(()),
+            message if message.is_extended_query() => self.add_to_batch(message),
+            _ => {
+                let words = "this message has no place here";
+                Err(RequestError::new(ErrorKind::ProtocolViolation, words).into())
+            }
+        }
+    }
+
+    /// Answers the end of a request, with an error if it has one.
+    async fn conclude(&mut self, result: Result<(), RequestTrouble>) -> Result<(), RequestTrouble> {
+        if let Err(trouble) = result {
+            self.answer_trouble(trouble).await?;
+        }
+        self.ready().await
+    }
+
+    /// Answers an error; an error that ends the connection is passed on.
+    async fn answer_trouble(&mut self, trouble: RequestTrouble) -> Result<(), RequestTrouble> {
+        let RequestTrouble::Refused(mut error) = trouble else {
+            return Err(trouble);
+        };
+        error.kind = self.progress.settle(error.kind);
+        if error.kind.row().closes {
+            return Err(RequestTrouble::Refused(error));
+        }
+        self.shared.count_error(error.kind);
+        self.block.fail();
+        let answer = error_answer(&error, self.progress);
+        self.stream.feed(answer).await?;
+        Ok(())
+    }
+
+    /// Tells the caller that its session is ready, and where it stands if that changed.
+    async fn ready(&mut self) -> Result<(), RequestTrouble> {
+        self.report_floor().await?;
+        let ready = ReadyForQuery::new(self.block.status());
+        let message = PgWireBackendMessage::ReadyForQuery(ready);
+        self.stream.feed(message).await?;
+        Ok(())
+    }
+
+    async fn report_floor(&mut self) -> Result<(), RequestTrouble> {
+        if self.floor.position() == self.reported {
+            return Ok(());
+        }
+        let Some(token) = self.scope().and_then(|scope| self.floor.token(scope)) else {
+            return Ok(());
+        };
+        let status = ParameterStatus::new(TOKEN_PARAMETER.to_owned(), token);
+        self.stream
+            .feed(PgWireBackendMessage::ParameterStatus(status))
+            .await?;
+        self.reported = self.floor.position();
+        Ok(())
+    }
+
+    fn scope(&self) -> Option<TokenScope<'_>> {
+        Some(TokenScope {
+            cluster: &self.shared.context.cluster,
+            organisation: self.identity.organisation(),
+            group: self.group.as_ref()?,
+        })
+    }
+
+    /// Changes what the session carries.
+    fn apply(&mut self, setting: SessionSetting) -> Result<(), RequestError> {
+        match setting {
+            SessionSetting::Carried { name, value } => {
+                self.carried.retain(|carried| carried.name != name);
+                self.carried.push(CarriedSetting { name, value });
+            }
+            SessionSetting::MaxAge(age) => self.max_age = age,
+            SessionSetting::Token(token) => self.accept_token(&token)?,
+            SessionSetting::ApplicationName(_) | SessionSetting::Fixed => {}
+        }
+        Ok(())
+    }
+
+    fn accept_token(&mut self, token: &str) -> Result<(), RequestError> {
+        let mut floor = self.floor;
+        let accepted = match self.scope() {
+            Some(scope) => floor.accept(token, scope),
+            None => return Err(ErrorKind::UnknownService.into()),
+        };
+        accepted.map_err(|error| RequestError::new(ErrorKind::InvalidToken, error.to_string()))?;
+        self.check_term(floor)?;
+        self.floor_claimed |= floor != self.floor;
+        self.floor = floor;
+        Ok(())
+    }
+
+    /// Refuses a position in a term that was never given.
+    fn check_term(&self, floor: SessionFloor) -> Result<(), RequestError> {
+        let held = self.shared.context.view.held();
+        let group = self
+            .group
+            .as_ref()
+            .and_then(|name| held.view.groups.get(name));
+        let future = match (floor.position(), group) {
+            (Some(position), Some(group)) => position.term > group.term,
+            _ => false,
+        };
+        if future {
+            let words = "the token names a term that is not known here";
+            return Err(RequestError::new(ErrorKind::InvalidToken, words));
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/daisyseam-entry/src/caller/session/batch.rs
@@ -0,0 +1,391 @@
+//! The extended protocol: messages are collected up to `Sync` or `Flush` and run as units.
+
+use super::{
+    CallerSession,
+    RequestTrouble,
+    block::{
+        BlockStart,
+        TransactionBlock, //
+    },
+    request::{
+        RequestUnit,
+        UnitNeeds, //
+    },
+    simple::refuse, //
+};
+use crate::{
+    LinkBroker,
+    RateGate,
+    caller::{
+        classify::StatementKind,
+        prepared::{
+            BatchPart,
+            BoundPortal,
+            LocalAnswer,
+            PreparedText, //
+        }, //
+    }, //
+};
+use daisyseam_model::{
+    ErrorKind,
+    RequestError, //
+};
+use futures_util::SinkExt;
+use pgwire::messages::{
+    PgWireFrontendMessage,
+    extendedquery::{
+        Bind,
+        Close,
+        Describe,
+        Execute,
+        Parse,
+        TARGET_TYPE_BYTE_STATEMENT, //
+    }, //
+};
+use std::sync::Arc;
+use tokio::io::{
+    AsyncRead,
+    AsyncWrite, //
+};
+
+/// Most statements that a session keeps prepared.
+const STATEMENTS_MAX: usize = 4_096;
+
+/// Bytes that a message takes up beside its texts and values.
+const MESSAGE_OVERHEAD_BYTES: usize = 64;
+
+/// The messages since the last `Sync` or `Flush`.
+#[derive(Debug, Default)]
+pub(super) struct MessageBatch {
+    parts: Vec<BatchPart>,
+    bytes: usize,
+    /// Error that is answered when the batch runs.
+    failure: Option<RequestError>,
+    /// Whether an error was answered since the last `Sync`.
+    skipping: bool,
+}
+
+impl MessageBatch {
+    /// Returns whether nothing waits for a `Sync`.
+    pub(super) fn is_empty(&self) -> bool {
+        self.parts.is_empty() && self.failure.is_none() && !self.skipping
+    }
+
+    /// Refuses the batch; the first reason stays.
+    pub(super) fn fail(&mut self, error: RequestError) {
+        if self.failure.is_none() && !self.skipping {
+            self.failure = Some(error);
+        }
+    }
+}
+
+impl<B, G, S> CallerSession<B, G, S>
+where
+    B: LinkBroker,
+    G: RateGate,
+    S: AsyncRead + AsyncWrite + Unpin,
+{
+    /// Takes a message of the extended protocol.
+    pub(super) fn add_to_batch(
+        &mut self,
+        message: PgWireFrontendMessage,
+    ) -> Result<(), RequestTrouble> {
+        if self.batch.skipping || self.batch.failure.is_some() {
+            return Ok(());
+        }
+        let part = match message {
+            PgWireFrontendMessage::Parse(parse) => self.take_parse(parse),
+            PgWireFrontendMessage::Bind(bind) => self.take_bind(bind),
+            PgWireFrontendMessage::Describe(describe) => self.take_describe(describe),
+            PgWireFrontendMessage::Execute(execute) => self.take_execute(execute),
+            PgWireFrontendMessage::Close(close) => Ok(self.take_close(close)),
+            _ => Err(ErrorKind::ProtocolViolation.into()),
+        };
+        match part {
+            Ok(part) => self.push_part(part),
+            Err(error) => self.batch.fail(error),
+        }
+        Ok(())
+    }
+
+    fn push_part(&mut self, part: BatchPart) {
+        if self.batch.failure.is_some() {
+            return;
+        }
+        let held = self.shared.context.view.held();
+        let document = held.view.document.as_ref();
+        let limit = document.map_or(0, |document| document.limits.message_bytes);
+        self.batch.bytes += part_bytes(&part);
+        if self.batch.bytes > limit {
+            let words = "the messages before Sync are larger than one message may be";
+            let error = RequestError::new(ErrorKind::MessageTooLarge, words);
+            let parts = std::mem::take(&mut self.batch.parts);
+            self.forget_statements(&parts);
+            self.batch.fail(error);
+        } else {
+            self.batch.parts.push(part);
+        }
+    }
+
+    fn take_parse(&mut self, parse: Parse) -> Result<BatchPart, RequestError> {
+        let class = self.shared.cache.classify(&parse.query);
+        if class.statements.len() > 1 {
+            let words = "a prepared statement is one statement";
+            return Err(RequestError::new(ErrorKind::StatementUnclear, words));
+        }
+        if let Some(statement) = class.statements.first() {
+            refuse(&statement.kind)?;
+        }
+        if self.statements.len() >= STATEMENTS_MAX {
+            let words = "too many statements are prepared; close some";
+            return Err(RequestError::new(ErrorKind::FeatureUnsupported, words));
+        }
+        let name = parse.name.unwrap_or_default();
+        if !name.is_empty() && self.statements.contains_key(&name) {
+            let words = "a statement of this name is prepared already";
+            return Err(RequestError::new(ErrorKind::StatementUnclear, words));
+        }
+        let statement = Arc::new(PreparedText {
+            text: parse.query,
+            types: parse.type_oids,
+            class,
+        });
+        self.statements.insert(name.clone(), Arc::clone(&statement));
+        if statement.is_local() {
+            return Ok(BatchPart::Answer(LocalAnswer::Parsed(name)));
+        }
+        Ok(BatchPart::Parse { name, statement })
+    }
+
+    fn take_bind(&mut self, bind: Bind) -> Result<BatchPart, RequestError> {
+        let statement = self.find_statement(bind.statement_name.as_deref())?;
+        let portal = bind.portal_name.clone().unwrap_or_default();
+        self.portals.insert(portal, Arc::clone(&statement));
+        if statement.is_local() {
+            return Ok(BatchPart::Answer(LocalAnswer::Bound));
+        }
+        Ok(BatchPart::Bind(BoundPortal { statement, bind }))
+    }
+
+    fn take_describe(&mut self, describe: Describe) -> Result<BatchPart, RequestError> {
+        if describe.target_type == TARGET_TYPE_BYTE_STATEMENT {
+            let statement = self.find_statement(describe.name.as_deref())?;
+            if statement.is_local() {
+                self.push_part(BatchPart::Answer(LocalAnswer::NoParameters));
+                return Ok(BatchPart::Answer(describe_local(&statement)));
+            }
+            return Ok(BatchPart::DescribeStatement(statement));
+        }
+        let statement = self.find_portal(describe.name.as_deref())?;
+        if statement.is_local() {
+            return Ok(BatchPart::Answer(describe_local(&statement)));
+        }
+        Ok(BatchPart::DescribePortal(describe.name))
+    }
+
+    fn take_execute(&mut self, execute: Execute) -> Result<BatchPart, RequestError> {
+        let statement = self.find_portal(execute.name.as_deref())?;
+        if statement.is_local() {
+            return Ok(BatchPart::Local(statement));
+        }
+        Ok(BatchPart::Execute {
+            portal: execute.name,
+            max_rows: execute.max_rows,
+            statement,
+        })
+    }
+
+    fn take_close(&mut self, close: Close) -> BatchPart {
+        let name = close.name.clone().unwrap_or_default();
+        if close.target_type == TARGET_TYPE_BYTE_STATEMENT {
+            self.statements.remove(&name);
+            return BatchPart::Answer(LocalAnswer::Closed);
+        }
+        match self.portals.remove(&name) {
+            Some(statement) if !statement.is_local() => BatchPart::ClosePortal(close.name),
+            _ => BatchPart::Answer(LocalAnswer::Closed),
+        }
+    }
+
+    fn find_statement(&self, name: Option<&str>) -> Result<Arc<PreparedText>, RequestError> {
+        let found = self.statements.get(name.unwrap_or_default()).cloned();
+        found.ok_or_else(|| {
+            let words = "no statement of this name is prepared";
+            RequestError::new(ErrorKind::StatementUnclear, words)
+        })
+    }
+
+    fn find_portal(&self, name: Option<&str>) -> Result<Arc<PreparedText>, RequestError> {
+        let found = self.portals.get(name.unwrap_or_default()).cloned();
+        found.ok_or_else(|| {
+            let words = "no portal of this name is open";
+            RequestError::new(ErrorKind::StatementUnclear, words)
+        })
+    }
+
+    /// Runs the batch and tells the caller that the session is ready.
+    pub(super) async fn sync(&mut self) -> Result<(), RequestTrouble> {
+        let skipping = std::mem::take(&mut self.batch.skipping);
+        let mut result = if skipping {
+            self.clear_batch();
+            Ok(())
+        } else {
+            self.run_batch().await
+        };
+        self.batch.skipping = false;
+        if !self.block.is_explicit() {
+            let ended = self.end_implicit_block(result.is_ok() && !skipping).await;
+            result = result.and(ended);
+        }
+        if self.block.is_idle() {
+            self.portals.clear();
+        }
+        self.conclude(result).await
+    }
+
+    /// Runs what was collected so far; the answers go out at once.
+    pub(super) async fn flush(&mut self) -> Result<(), RequestTrouble> {
+        if self.batch.skipping {
+            return Ok(());
+        }
+        let executes = self
+            .batch
+            .parts
+            .iter()
+            .any(|part| matches!(part, BatchPart::Bind(_) | BatchPart::Execute { .. }));
+        if executes && self.block.is_idle() && self.batch.failure.is_none() {
+            // The batch goes on after this, so its transaction must outlast the unit.
+            let read_only = !needs_of(&self.batch.parts).write;
+            let text = if read_only {
+                "BEGIN READ ONLY"
+            } else {
+                "BEGIN"
+            };
+            self.block = TransactionBlock::Pending(BlockStart {
+                text: text.to_owned(),
+                read_only,
+                explicit: false,
+            });
+        }
+        if let Err(trouble) = self.run_batch().await {
+            self.answer_trouble(trouble).await?;
+            self.batch.skipping = true;
+        }
+        self.stream.flush().await?;
+        Ok(())
+    }
+
+    fn clear_batch(&mut self) {
+        self.batch.parts.clear();
+        self.batch.bytes = 0;
+        self.batch.failure = None;
+    }
+
+    async fn run_batch(&mut self) -> Result<(), RequestTrouble> {
+        let parts = std::mem::take(&mut self.batch.parts);
+        let failure = self.batch.failure.take();
+        self.batch.bytes = 0;
+        // An error fails the whole batch, so nothing of it is run.
+        if let Some(error) = failure {
+            self.forget_statements(&parts);
+            return Err(error.into());
+        }
+        let mut rest = parts.as_slice();
+        while !rest.is_empty() {
+            self.parts_done = 0;
+            let local = rest
+                .iter()
+                .position(|part| matches!(part, BatchPart::Local(_)));
+            let (unit, others) = rest.split_at(local.unwrap_or(rest.len()));
+            let ran = self.run_parts(unit).await;
+            if !matches!(ran, Ok(true)) {
+                self.forget_statements(&rest[self.parts_done.min(rest.len())..]);
+                self.batch.skipping = true;
+                return ran.map(|_| ());
+            }
+            rest = others;
+            if let Some((BatchPart::Local(statement), others)) = rest.split_first() {
+                if let Some(kind) = statement.kind() {
+                    self.run_described(kind).await?;
+                }
+                rest = others;
+            }
+        }
+        Ok(())
+    }
+
+    /// Forgets the names that parts would have defined which did not run.
+    fn forget_statements(&mut self, parts: &[BatchPart]) {
+        for part in parts {
+            if let BatchPart::Parse { name, .. } | BatchPart::Answer(LocalAnswer::Parsed(name)) =
+                part
+            {
+                self.statements.remove(name);
+            }
+        }
+    }
+
+    /// Runs the parts between two statements that need no database.
+    async fn run_parts(&mut self, parts: &[BatchPart]) -> Result<bool, RequestTrouble> {
+        let all_local = parts
+            .iter()
+            .all(|part| matches!(part, BatchPart::Answer(_)));
+        if all_local {
+            for part in parts {
+                if let BatchPart::Answer(answer) = part {
+                    self.stream.feed(answer.message()).await?;
+                }
+            }
+            return Ok(true);
+        }
+        let needs = needs_of(parts);
+        self.run_unit(&RequestUnit::Extended(parts), &needs).await
+    }
+
+    /// Ends the transaction of a batch that was flushed before its end.
+    async fn end_implicit_block(&mut self, succeeded: bool) -> Result<(), RequestTrouble> {
+        match self.block.take() {
+            TransactionBlock::Open(open) if succeeded && !open.failed => {
+                self.commit_open(open, None).await?;
+            }
+            TransactionBlock::Open(open) => {
+                self.block = TransactionBlock::Open(open);
+                self.roll_back_block().await?;
+            }
+            TransactionBlock::Idle | TransactionBlock::Pending(_) | TransactionBlock::Failed => {}
+        }
+        Ok(())
+    }
+}
+
+/// Adds up what a unit of the extended protocol runs.
+fn needs_of(parts: &[BatchPart]) -> UnitNeeds {
+    let mut needs = UnitNeeds::default();
+    for part in parts {
+        if let BatchPart::Execute { statement, .. } = part
+            && let Some(one) = statement.class.statements.first()
+        {
+            needs.add(one, &statement.class.hints);
+        }
+    }
+    needs
+}
+
+fn part_bytes(part: &BatchPart) -> usize {
+    let body = match part {
+        BatchPart::Parse { statement, .. } => statement.text.len() + 4 * statement.types.len(),
+        BatchPart::Bind(portal) => {
+            let values = portal.bind.parameters.iter().flatten();
+            values.map(|value| value.len()).sum()
+        }
+        _ => 0,
+    };
+    body + MESSAGE_OVERHEAD_BYTES
+}
+
+fn describe_local(statement: &PreparedText) -> LocalAnswer {
+    match statement.kind() {
+        Some(StatementKind::ShowOwn(name)) => LocalAnswer::OneText(name.clone()),
+        _ => LocalAnswer::NoRows,
+    }
+}
--- /dev/null
+++ b/crates/daisyseam-entry/src/caller/session/commit.rs
@@ -0,0 +1,164 @@
+//! The commit of a write: acknowledged only when a majority has it.
+
+use super::{
+    CallerSession,
+    RequestTrouble,
+    autocommit::{
+        UnitEnd,
+        lost, //
+    },
+    request::RequestFrame, //
+};
+use crate::{
+    LinkBroker,
+    RateGate,
+    TransactionFate,
+    caller::{
+        answer::SendProgress,
+        exchange::{
+            Exchange,
+            ExchangeFault,
+            ExchangeStep, //
+        },
+        lease::LinkLease, //
+    }, //
+};
+use daisyseam_model::{
+    ErrorKind,
+    LogPosition,
+    RequestError,
+    Term, //
+};
+use futures_util::SinkExt;
+use pgwire::messages::{
+    PgWireBackendMessage,
+    response::CommandComplete, //
+};
+use tokio::{
+    io::{
+        AsyncRead,
+        AsyncWrite, //
+    },
+    time::Instant, //
+};
+
+/// Tag of a commit that rolled back.
+const ROLLED_BACK_TAG: &str = "ROLLBACK";
+
+impl<B, G, S> CallerSession<B, G, S>
+where
+    B: LinkBroker,
+    G: RateGate,
+    S: AsyncRead + AsyncWrite + Unpin,
+{
+    /// Commits and tells the caller once the commit is confirmed.
+    ///
+    /// `id` is the transaction's, none if it wrote nothing.
+    pub(super) async fn commit(
+        &mut self,
+        frame: &RequestFrame,
+        mut lease: LinkLease<B::Link>,
+        id: Option<u64>,
+        held: Option<CommandComplete>,
+    ) -> Result<UnitEnd, RequestTrouble> {
+        let term = lease.term;
+        let deadline = frame.statement_deadline();
+        let mut exchange = Exchange::new();
+        // A commit is not cancelled: its outcome would be open for nothing.
+        self.ticket.flag.end();
+        self.progress = SendProgress::CommitSent;
+        let sent = self.send_commit(&mut exchange, &mut lease, deadline).await;
+        match sent {
+            Ok(()) if exchange.failed => {
+                // The database refused the commit and has told the caller why.
+                self.progress = SendProgress::RolledBack;
+                lease.finish();
+                return Ok(UnitEnd::Failed);
+            }
+            Ok(()) if exchange.quiet_tag == ROLLED_BACK_TAG => {
+                self.progress = SendProgress::RolledBack;
+                lease.finish();
+                return Err(lost("the database rolled the transaction back"));
+            }
+            Ok(()) => lease.finish(),
+            Err(ExchangeFault::Caller(_)) | Err(ExchangeFault::Deadline) => drop(lease),
+            Err(ExchangeFault::Link(error)) => {
+                drop(lease);
+                log::debug!("the link broke at a commit: {}", error.0);
+            }
+        }
+        let end = exchange
+            .log_end
+            .map(|position| LogPosition { term, position });
+        let confirmed = match end {
+            Some(end) => self.confirm(frame, end).await,
+            None => None,
+        };
+        let position = match confirmed {
+            Some(position) => position,
+            None => self.find_fate(frame, term, id).await?,
+        };
+        self.raise_floor(position);
+        if let Some(complete) = held {
+            let message = PgWireBackendMessage::CommandComplete(complete);
+            self.stream.feed(message).await?;
+        }
+        Ok(UnitEnd::Done)
+    }
+
+    async fn send_commit(
+        &mut self,
+        exchange: &mut Exchange,
+        lease: &mut LinkLease<B::Link>,
+        deadline: Instant,
+    ) -> Result<(), ExchangeFault> {
+        let mut port = self.port(lease, deadline);
+        port.query("COMMIT").await?;
+        exchange.expect(ExchangeStep::Quiet);
+        port.query("SELECT pg_current_wal_lsn()").await?;
+        exchange.expect(ExchangeStep::LogEnd);
+        exchange.drain(&mut port).await
+    }
+
+    /// Waits until a majority has the commit; none if that did not come about.
+    async fn confirm(&mut self, frame: &RequestFrame, end: LogPosition) -> Option<LogPosition> {
+        let deadline = frame.statement_deadline();
+        let context = &self.shared.context;
+        let waiting = context.broker.confirm(&frame.group, end, deadline);
+        match context.timer.within(deadline, waiting).await {
+            Some(Ok(())) => Some(end),
+            Some(Err(error)) => {
+                log::debug!("a commit at {end} is not confirmed: {error}");
+                None
+            }
+            None => None,
+        }
+    }
+
+    /// Finds out what became of a commit whose answer or confirmation is missing.
+    async fn find_fate(
+        &mut self,
+        frame: &RequestFrame,
+        term: Term,
+        id: Option<u64>,
+    ) -> Result<LogPosition, RequestTrouble> {
+        self.shared.context.metrics.count("caller.fates_asked");
+        let Some(id) = id else {
+            // It wrote nothing, so there is nothing that could be left of it.
+            self.progress = SendProgress::RolledBack;
+            return Err(lost("the transaction wrote nothing and is not confirmed"));
+        };
+        let deadline = frame.statement_deadline();
+        let context = &self.shared.context;
+        let asking = context.broker.fate(&frame.group, term, id, deadline);
+        let fate = context.timer.within(deadline, asking).await;
+        match fate.unwrap_or(TransactionFate::Unknown) {
+            TransactionFate::Committed(position) => Ok(position),
+            TransactionFate::Aborted => {
+                self.progress = SendProgress::RolledBack;
+                Err(lost("the commit did not take effect"))
+            }
+            TransactionFate::Unknown => Err(RequestError::from(ErrorKind::OutcomeUnknown).into()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/daisyseam-entry/src/caller/session/idle.rs
@@ -0,0 +1,214 @@
+//! What may happen between two messages of a caller.
+
+use super::{
+    CallerSession,
+    RequestTrouble,
+    block::TransactionBlock, //
+};
+use crate::{
+    LinkBroker,
+    RateGate,
+    caller::{
+        answer::{
+            SendProgress,
+            error_answer, //
+        },
+        codec::{
+            CallerFrame,
+            FrameError, //
+        },
+        exchange::{
+            Exchange,
+            ExchangePort,
+            ExchangeStep, //
+        },
+        identity::is_out,
+        startup::fatal, //
+    }, //
+};
+use daisyseam_model::{
+    ErrorKind,
+    RequestError, //
+};
+use futures_util::{
+    SinkExt,
+    StreamExt, //
+};
+use std::time::Duration;
+use tokio::{
+    io::{
+        AsyncRead,
+        AsyncWrite, //
+    },
+    time::Instant, //
+};
+
+/// Time over which the sessions of a data centre that is out leave it.
+const LEAVE_SPREAD: Duration = Duration::from_secs(1);
+
+/// Longest time for the last words to a caller, and for a rollback after it left.
+const GOODBYE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Buffers that have grown past this are let go between requests, in bytes.
+const IDLE_BUFFER_BYTES: usize = 4_096;
+
+enum IdleEvent {
+    Frame(Option<Result<CallerFrame, FrameError>>),
+    Stopping,
+    ViewChanged,
+    TimeOver,
+}
+
+impl<B, G, S> CallerSession<B, G, S>
+where
+    B: LinkBroker,
+    G: RateGate,
+    S: AsyncRead + AsyncWrite + Unpin,
+{
+    /// Waits for the caller's next message.
+    pub(super) async fn wait(&mut self) -> Result<CallerFrame, RequestTrouble> {
+        self.progress = SendProgress::Unsent;
+        if self.stream.read_buffer().is_empty() {
+            self.flush_within_limit().await?;
+            self.trim_buffers();
+        }
+        let idle_until = self.idle_limit();
+        loop {
+            match self.next_event(idle_until).await {
+                IdleEvent::Frame(Some(frame)) => return Ok(frame?),
+                IdleEvent::Frame(None) => return Err(RequestTrouble::Closed),
+                IdleEvent::Stopping => return Err(ErrorKind::Stopping.into()),
+                IdleEvent::ViewChanged => self.follow_view()?,
+                IdleEvent::TimeOver => self.end_of_time()?,
+            }
+        }
+    }
+
+    async fn next_event(&mut self, idle_until: Option<Instant>) -> IdleEvent {
+        let context = &self.shared.context;
+        let may_leave = self.block.is_idle() && self.batch.is_empty();
+        let limit = match (idle_until, self.leave_at.filter(|_| may_leave)) {
+            (Some(idle), Some(leave)) => Some(idle.min(leave)),
+            (idle, leave) => idle.or(leave),
+        };
+        let time_over = async {
+            match limit {
+                Some(limit) => context.timer.at(limit).await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            biased;
+            frame = self.stream.next() => IdleEvent::Frame(frame),
+            () = context.stop.stopped(), if may_leave => IdleEvent::Stopping,
+            Ok(()) = self.changes.changed() => IdleEvent::ViewChanged,
+            () = time_over => IdleEvent::TimeOver,
+        }
+    }
+
+    /// A caller that reads nothing for as long as a statement may run is given up.
+    async fn flush_within_limit(&mut self) -> Result<(), RequestTrouble> {
+        let held = self.shared.context.view.held();
+        let document = held.view.document.as_ref();
+        let limit = document.map_or(GOODBYE_TIMEOUT, |document| {
+            document.limits.statement_timeout
+        });
+        let deadline = Instant::now() + limit;
+        let flushed = self
+            .shared
+            .context
+            .timer
+            .within(deadline, self.stream.flush());
+        match flushed.await {
+            Some(flushed) => Ok(flushed?),
+            None => Err(RequestTrouble::Closed),
+        }
+    }
+
+    /// Lets buffers go that a large message has left behind.
+    fn trim_buffers(&mut self) {
+        if self.stream.read_buffer().capacity() > IDLE_BUFFER_BYTES {
+            *self.stream.read_buffer_mut() = bytes::BytesMut::new();
+        }
+        if self.stream.write_buffer().capacity() > IDLE_BUFFER_BYTES {
+            *self.stream.write_buffer_mut() = bytes::BytesMut::new();
+        }
+    }
+
+    fn idle_limit(&self) -> Option<Instant> {
+        if !self.block.holds_link() {
+            return None;
+        }
+        let held = self.shared.context.view.held();
+        let document = held.view.document.as_ref()?;
+        Some(Instant::now() + document.limits.idle_in_transaction_timeout)
+    }
+
+    /// Acts on a view that may have withdrawn the key or taken the data centre out.
+    fn follow_view(&mut self) -> Result<(), RequestTrouble> {
+        match self.identity.check(&self.shared.context.view) {
+            // Without a lease each request is refused; the connection may stay.
+            Ok(_) | Err(ErrorKind::NoView) => {}
+            Err(kind) => return Err(kind.into()),
+        }
+        let context = &self.shared.context;
+        if !is_out(&context.view.held().view, context.data_centre.as_str()) {
+            self.leave_at = None;
+        } else if self.leave_at.is_none() {
+            // The number of the session is random, so sessions leave one after the other.
+            let share = f64::from(self.ticket.process) / f64::from(i32::MAX);
+            self.leave_at = Some(Instant::now() + LEAVE_SPREAD.mul_f64(share));
+        }
+        Ok(())
+    }
+
+    fn end_of_time(&mut self) -> Result<(), RequestTrouble> {
+        if self.block.is_idle() {
+            return Err(ErrorKind::DataCentreOut.into());
+        }
+        // The connection closes, which rolls the transaction back.
+        self.block = TransactionBlock::Failed;
+        self.shared
+            .context
+            .metrics
+            .count("caller.idle_in_transaction");
+        Ok(())
+    }
+
+    /// Tells the caller why its connection ends.
+    pub(super) async fn say_goodbye(&mut self, error: &RequestError) {
+        self.shared.count_error(error.kind);
+        let mut error = error.clone();
+        error.kind = self.progress.settle(error.kind);
+        let answer = fatal(error_answer(&error, self.progress));
+        let deadline = Instant::now() + GOODBYE_TIMEOUT;
+        let sending = self.stream.send(answer);
+        // A caller that is gone needs no answer.
+        let _ = self.shared.context.timer.within(deadline, sending).await;
+    }
+
+    /// Rolls back what the session leaves behind, so that its connection can serve others.
+    pub(super) async fn abandon_block(&mut self) {
+        let TransactionBlock::Open(mut open) = self.block.take() else {
+            return;
+        };
+        if !open.lease.is_settled() {
+            return;
+        }
+        let mut exchange = Exchange::new();
+        let mut port = ExchangePort {
+            stream: &mut self.stream,
+            lease: &mut open.lease,
+            timer: &self.shared.context.timer,
+            cancel: &self.ticket.flag,
+            deadline: Instant::now() + GOODBYE_TIMEOUT,
+        };
+        if port.query("ROLLBACK").await.is_err() {
+            return;
+        }
+        exchange.expect(ExchangeStep::Quiet);
+        if exchange.drain(&mut port).await.is_ok() && !exchange.failed {
+            open.lease.finish();
+        }
+    }
+}
--- /dev/null
+++ b/crates/daisyseam-entry/src/caller/session/local.rs
@@ -0,0 +1,288 @@
+//! Statements that need no database, or end a transaction at one.
+
+use super::{
+    CallerSession,
+    RequestTrouble,
+    autocommit::{
+        UnitEnd,
+        lost, //
+    },
+    block::{
+        BlockStart,
+        OpenBlock,
+        TransactionBlock, //
+    },
+    request::{
+        RequestFrame,
+        UnitNeeds, //
+    }, //
+};
+use crate::{
+    LinkBroker,
+    RateGate,
+    caller::{
+        answer::SendProgress,
+        classify::StatementKind,
+        exchange::{
+            Exchange,
+            ExchangeStep, //
+        },
+        lease::LinkLease,
+        prepared::LocalAnswer, //
+    }, //
+};
+use daisyseam_model::{
+    ErrorKind,
+    RequestError, //
+};
+use futures_util::SinkExt;
+use pgwire::messages::{
+    PgWireBackendMessage,
+    data::DataRow,
+    response::{
+        CommandComplete,
+        TransactionStatus, //
+    }, //
+};
+use tokio::io::{
+    AsyncRead,
+    AsyncWrite, //
+};
+
+impl<B, G, S> CallerSession<B, G, S>
+where
+    B: LinkBroker,
+    G: RateGate,
+    S: AsyncRead + AsyncWrite + Unpin,
+{
+    /// Runs a statement for which [`StatementKind::is_local`] holds.
+    pub(super) async fn run_local(&mut self, kind: &StatementKind) -> Result<(), RequestTrouble> {
+        self.progress = SendProgress::Unsent;
+        self.check_caller()?;
+        let ends = matches!(kind, StatementKind::Commit | StatementKind::Rollback);
+        if self.block.status() == TransactionStatus::Error && !ends {
+            return Err(ErrorKind::TransactionAborted.into());
+        }
+        match kind {
+            StatementKind::Begin { read_only, text } => {
+                self.begin_block(*read_only, text);
+                self.complete("BEGIN").await
+            }
+            StatementKind::Commit => self.commit_block().await,
+            StatementKind::Rollback => {
+                self.roll_back_block().await?;
+                self.complete("ROLLBACK").await
+            }
+            StatementKind::Set(setting) => {
+                self.check_carried()?;
+                self.apply(setting.clone())?;
+                self.complete("SET").await
+            }
+            StatementKind::Reset(name) => {
+                self.reset(name.as_deref());
+                self.complete("RESET").await
+            }
+            StatementKind::DiscardAll => {
+                if !self.block.is_idle() {
+                    let words = "DISCARD ALL cannot run inside a transaction";
+                    return Err(RequestError::new(ErrorKind::FeatureUnsupported, words).into());
+                }
+                self.reset(None);
+                self.statements.clear();
+                self.complete("DISCARD ALL").await
+            }
+            StatementKind::Nothing { tag } => self.complete(tag).await,
+            StatementKind::ShowOwn(name) => self.show_own(name, true).await,
+            StatementKind::Read { .. }
+            | StatementKind::Write
+            | StatementKind::Block { .. }
+            | StatementKind::Refused { .. } => {
+                unreachable!("{kind:?} is not run without a database")
+            }
+        }
+    }
+
+    /// A setting that a running transaction would not see must not be taken as set.
+    fn check_carried(&self) -> Result<(), RequestError> {
+        if self.block.holds_link() {
+            let words = "inside a transaction use SET LOCAL";
+            return Err(RequestError::new(ErrorKind::SessionStateRefused, words));
+        }
+        Ok(())
+    }
+
+    fn begin_block(&mut self, read_only: bool, text: &str) {
+        // PostgreSQL only warns of a second BEGIN.
+        if !self.block.is_idle() {
+            return;
+        }
+        let open_route = self.identity.keyed.is_none();
+        let text = if open_route { "BEGIN READ ONLY" } else { text };
+        self.block = TransactionBlock::Pending(BlockStart {
+            text: text.to_owned(),
+            read_only: read_only || open_route,
+            explicit: true,
+        });
+    }
+
+    fn reset(&mut self, name: Option<&str>) {
+        match name {
+            None => {
+                self.carried.clear();
+                self.max_age = None;
+            }
+            Some("daisyseam.max_age") => self.max_age = None,
+            Some(name) => self.carried.retain(|carried| carried.name != name),
+        }
+    }
+
+    async fn commit_block(&mut self) -> Result<(), RequestTrouble> {
+        match self.block.take() {
+            TransactionBlock::Idle | TransactionBlock::Pending(_) => self.complete("COMMIT").await,
+            TransactionBlock::Failed => self.complete("ROLLBACK").await,
+            TransactionBlock::Open(open) if open.failed => {
+                self.block = TransactionBlock::Open(open);
+                self.roll_back_block().await?;
+                self.complete("ROLLBACK").await
+            }
+            TransactionBlock::Open(open) => {
+                let held = CommandComplete::new("COMMIT".to_owned());
+                self.commit_open(open, Some(held)).await?;
+                Ok(())
+            }
+        }
+    }
+
+    /// Commits a transaction that holds its link.
+    pub(super) async fn commit_open(
+        &mut self,
+        open: OpenBlock<B::Link>,
+        held: Option<CommandComplete>,
+    ) -> Result<UnitEnd, RequestTrouble> {
+        let frame = self.start_request(&UnitNeeds::default()).await;
+        let frame = match frame {
+            Ok(frame) => frame,
+            Err(trouble) => {
+                // The commit is not sent, so the block is rolled back.
+                self.block = TransactionBlock::Open(open);
+                self.roll_back_block().await?;
+                self.progress = SendProgress::Unsent;
+                return Err(trouble);
+            }
+        };
+        if open.read_only {
+            return self.commit_read(&frame, open.lease, held).await;
+        }
+        let mut lease = open.lease;
+        let mut exchange = Exchange::new();
+        let deadline = frame.statement_deadline();
+        self.progress = SendProgress::Sent;
+        let asked = async {
+            self.ask_transaction_id(&mut exchange, &mut lease, deadline)
+                .await?;
+            exchange.drain(&mut self.port(&mut lease, deadline)).await
+        };
+        if let Err(fault) = asked.await {
+            return Err(self.end_fault(fault, lease).await);
+        }
+        let Some(id) = exchange.transaction_id else {
+            drop(lease);
+            self.progress = SendProgress::RolledBack;
+            return Err(lost("the database gave no transaction id"));
+        };
+        self.commit(&frame, lease, id, held).await
+    }
+
+    /// Ends a transaction that only read.
+    async fn commit_read(
+        &mut self,
+        frame: &RequestFrame,
+        mut lease: LinkLease<B::Link>,
+        held: Option<CommandComplete>,
+    ) -> Result<UnitEnd, RequestTrouble> {
+        let seen = lease.position;
+        let mut exchange = Exchange::new();
+        let deadline = frame.statement_deadline();
+        self.progress = SendProgress::Sent;
+        let ended = async {
+            let mut port = self.port(&mut lease, deadline);
+            port.query("COMMIT").await?;
+            exchange.expect(ExchangeStep::Quiet);
+            exchange.drain(&mut port).await
+        };
+        if let Err(fault) = ended.await {
+            return Err(self.end_fault(fault, lease).await);
+        }
+        self.progress = SendProgress::RolledBack;
+        if exchange.status == TransactionStatus::Idle {
+            lease.finish();
+        }
+        if exchange.failed {
+            return Ok(UnitEnd::Failed);
+        }
+        self.raise_floor(seen);
+        if let Some(complete) = held {
+            let message = PgWireBackendMessage::CommandComplete(complete);
+            self.stream.feed(message).await?;
+        }
+        Ok(UnitEnd::Done)
+    }
+
+    /// Rolls back whatever block there is.
+    pub(super) async fn roll_back_block(&mut self) -> Result<(), RequestTrouble> {
+        let TransactionBlock::Open(mut open) = self.block.take() else {
+            return Ok(());
+        };
+        let held = self.shared.context.view.held();
+        let document = held.view.document.as_ref().ok_or(ErrorKind::NoView)?;
+        let deadline = tokio::time::Instant::now() + document.limits.statement_timeout;
+        // A connection that does not answer is closed, which rolls back as well.
+        if self.roll_back(&mut open.lease, deadline).await {
+            open.lease.finish();
+        }
+        Ok(())
+    }
+
+    async fn complete(&mut self, tag: &str) -> Result<(), RequestTrouble> {
+        let complete = CommandComplete::new(tag.to_owned());
+        self.stream
+            .feed(PgWireBackendMessage::CommandComplete(complete))
+            .await?;
+        Ok(())
+    }
+
+    async fn show_own(&mut self, name: &str, described: bool) -> Result<(), RequestTrouble> {
+        let value = match name {
+            "daisyseam.session" => self.scope().and_then(|scope| self.floor.token(scope)),
+            _ => self.max_age.map(|age| format!("{}ms", age.as_millis())),
+        };
+        let value = value.unwrap_or_default();
+        let mut data = bytes::BytesMut::new();
+        // A token or an age is far shorter than the length field can say.
+        let length = i32::try_from(value.len()).unwrap_or_default();
+        data.extend_from_slice(&length.to_be_bytes());
+        data.extend_from_slice(value.as_bytes());
+        if described {
+            self.stream
+                .feed(LocalAnswer::OneText(name.to_owned()).message())
+                .await?;
+        }
+        let row = PgWireBackendMessage::DataRow(DataRow::new(data, 1));
+        self.stream.feed(row).await?;
+        self.complete("SHOW").await
+    }
+
+    /// Runs a local statement that was described before.
+    pub(super) async fn run_described(
+        &mut self,
+        kind: &StatementKind,
+    ) -> Result<(), RequestTrouble> {
+        match kind {
+            StatementKind::ShowOwn(name) => {
+                self.check_caller()?;
+                self.show_own(name, false).await
+            }
+            other => self.run_local(other).await,
+        }
+    }
+}
--- /dev/null
+++ b/crates/daisyseam-entry/src/caller/session/request.rs
@@ -0,0 +1,450 @@
+//! What every statement goes through: key, rate, route, and a link.
+
+use super::{
+    CallerSession,
+    RequestTrouble, //
+};
+use crate::{
+    LinkBroker,
+    LinkOrder,
+    RateGate,
+    StatementAccess,
+    caller::{
+        answer::SendProgress,
+        classify::{
+            ClassifiedStatement,
+            StatementHints,
+            StatementKind, //
+        },
+        exchange::{
+            Exchange,
+            ExchangeFault,
+            ExchangePort,
+            ExchangeStep, //
+        },
+        lease::LinkLease,
+        prepared::BatchPart, //
+    }, //
+};
+use daisyseam_model::{
+    ErrorKind,
+    FleetView,
+    GroupId,
+    RequestError,
+    document::{
+        Document,
+        RequestLimits, //
+    }, //
+};
+use daisyseam_runtime::HopSpan;
+use pgwire::messages::{
+    PgWireFrontendMessage,
+    extendedquery::{
+        Close,
+        Describe,
+        Execute,
+        Flush,
+        Parse,
+        Sync,
+        TARGET_TYPE_BYTE_PORTAL,
+        TARGET_TYPE_BYTE_STATEMENT, //
+    }, //
+};
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+use tokio::{
+    io::{
+        AsyncRead,
+        AsyncWrite, //
+    },
+    time::Instant, //
+};
+
+/// Bytes of one batch that are sent before answers are taken, so that neither side blocks the
+/// other with full buffers.
+const CHUNK_BYTES: usize = 16 << 10;
+
+/// Messages of one batch that are sent before answers are taken.
+const CHUNK_MESSAGES: usize = 64;
+
+/// What runs as one request.
+#[derive(Debug)]
+pub(super) enum RequestUnit<'a> {
+    /// The text of a simple query.
+    Simple(&'a str),
+    /// Messages of the extended protocol.
+    Extended(&'a [BatchPart]),
+}
+
+/// What a unit needs.
+#[derive(Clone, Debug, Default)]
+pub(super) struct UnitNeeds {
+    /// Whether it needs the primary.
+    pub(super) write: bool,
+    /// Whether it makes sense in a transaction only.
+    pub(super) block_only: bool,
+    /// Whether it is accepted after an error.
+    pub(super) recovers: bool,
+    /// Whether it may run twice.
+    pub(super) idempotent: bool,
+    /// Statements that it runs.
+    pub(super) statements: usize,
+    /// Tables that it reads; what it writes is not listed.
+    pub(super) tables: Vec<String>,
+    /// Age that its comment states.
+    pub(super) max_age: Option<Duration>,
+    /// Trace that its comment names.
+    pub(super) trace: Option<daisyseam_runtime::TraceContext>,
+}
+
+impl UnitNeeds {
+    /// Adds what a statement needs.
+    pub(super) fn add(&mut self, statement: &ClassifiedStatement, hints: &StatementHints) {
+        self.statements += 1;
+        match &statement.kind {
+            StatementKind::Read { tables } => self.tables.extend(tables.iter().cloned()),
+            StatementKind::Block { recovers } => {
+                self.block_only = true;
+                self.recovers = *recovers;
+            }
+            _ => self.write = true,
+        }
+        self.idempotent = !self.write || hints.idempotent;
+        self.max_age = hints.max_age.or(self.max_age);
+        self.trace = hints.trace.or(self.trace);
+    }
+}
+
+/// What one request runs under.
+pub(super) struct RequestFrame {
+    pub(super) group: GroupId,
+    pub(super) limits: RequestLimits,
+    pub(super) span: HopSpan,
+}
+
+impl RequestFrame {
+    /// Returns the moment at which a statement that starts now is cut off.
+    pub(super) fn statement_deadline(&self) -> Instant {
+        Instant::now() + self.limits.statement_timeout
+    }
+}
+
+impl<B, G, S> CallerSession<B, G, S>
+where
+    B: LinkBroker,
+    G: RateGate,
+    S: AsyncRead + AsyncWrite + Unpin,
+{
+    /// Checks the caller against the present view.
+    pub(super) fn check_caller(&mut self) -> Result<(Arc<FleetView>, GroupId), RequestTrouble> {
+        let (view, group) = self.identity.check(&self.shared.context.view)?;
+        if self.group.as_ref() != Some(&group) {
+            // Positions of another group mean nothing here.
+            self.group = Some(group.clone());
+            self.floor = daisyseam_coord::floor::SessionFloor::default();
+            self.reported = None;
+        }
+        Ok((view, group))
+    }
+
+    /// Checks caller, route and rate before anything is sent.
+    pub(super) async fn start_request(
+        &mut self,
+        needs: &UnitNeeds,
+    ) -> Result<RequestFrame, RequestTrouble> {
+        self.progress = SendProgress::Unsent;
+        let (view, group) = self.check_caller()?;
+        let document = view.document.as_ref().ok_or(ErrorKind::NoView)?;
+        self.check_route(document, needs)?;
+        let limits = document.limits.clone();
+        let deadline = Instant::now() + limits.queue_timeout;
+        for _ in 0..needs.statements {
+            self.admit(deadline).await?;
+        }
+        let mut span = self
+            .shared
+            .context
+            .spans
+            .start("caller.request", needs.trace.or(self.trace));
+        span.set("service", self.identity.service.as_str());
+        span.set("access", if needs.write { "write" } else { "read" });
+        self.shared.context.metrics.count("caller.requests");
+        Ok(RequestFrame {
+            group,
+            limits,
+            span,
+        })
+    }
+
+    async fn admit(&mut self, deadline: Instant) -> Result<(), RequestError> {
+        let gate = &self.shared.context.gate;
+        match self.identity.organisation() {
+            Some(organisation) => gate.admit(organisation, deadline).await,
+            None => gate.admit_open(&self.identity.service, deadline).await,
+        }
+    }
+
+    /// Lets an open route read its tables and nothing else.
+    fn check_route(&self, document: &Document, needs: &UnitNeeds) -> Result<(), RequestError> {
+        if self.identity.keyed.is_some() {
+            return Ok(());
+        }
+        let route = document.open_routes.get(&self.identity.service);
+        let route = route.ok_or(ErrorKind::KeyWithdrawn)?;
+        if needs.write {
+            let words = "an open route only reads";
+            return Err(RequestError::new(ErrorKind::OpenRouteDenied, words));
+        }
+        let denied = needs
+            .tables
+            .iter()
+            .find(|table| !route.tables.contains(table));
+        match denied {
+            Some(table) => {
+                let words = format!("table {table} is not open");
+                Err(RequestError::new(ErrorKind::OpenRouteDenied, words))
+            }
+            None => Ok(()),
+        }
+    }
+
+    /// Says which databases may run a read.
+    pub(super) async fn read_access(
+        &mut self,
+        frame: &RequestFrame,
+        max_age: Option<Duration>,
+    ) -> Result<StatementAccess, RequestTrouble> {
+        if let Some(age) = max_age.or(self.max_age) {
+            return Ok(StatementAccess::ReadWithin {
+                age,
+                floor: self.floor.position(),
+            });
+        }
+        if let Some(position) = self.floor.position() {
+            return Ok(StatementAccess::ReadAtLeast(position));
+        }
+        let deadline = Instant::now() + frame.limits.queue_timeout;
+        let context = &self.shared.context;
+        let asking = context.broker.barrier(&frame.group, deadline);
+        let barrier = context.timer.within(deadline, asking).await;
+        let barrier = barrier.ok_or(ErrorKind::DeadlineBeforeSend)??;
+        self.floor.raise(barrier);
+        Ok(StatementAccess::ReadAtLeast(barrier))
+    }
+
+    /// Opens a link; nothing of the request has left before.
+    pub(super) async fn open_link(
+        &mut self,
+        frame: &RequestFrame,
+        access: StatementAccess,
+    ) -> Result<LinkLease<B::Link>, RequestTrouble> {
+        let deadline = Instant::now() + frame.limits.queue_timeout;
+        let context = &self.shared.context;
+        let order = LinkOrder {
+            group: &frame.group,
+            organisation: self.identity.organisation(),
+            access,
+            deadline,
+            trace: frame.span.context(),
+        };
+        let opened = tokio::select! {
+            biased;
+            opened = context.broker.open(order) => opened,
+            () = self.ticket.flag.requested() => {
+                let words = "cancelled before it was sent";
+                Err(RequestError::new(ErrorKind::Cancelled, words))
+            }
+            () = context.timer.at(deadline) => Err(ErrorKind::DeadlineBeforeSend.into()),
+        };
+        match opened {
+            Ok(opened) => Ok(LinkLease::new(opened)),
+            Err(error) => Err(self.explain_refusal(frame, error).await.into()),
+        }
+    }
+
+    /// A token may name a position that no database has written; then it is the token's fault.
+    async fn explain_refusal(&mut self, frame: &RequestFrame, error: RequestError) -> RequestError {
+        let Some(claimed) = self.floor.position().filter(|_| self.floor_claimed) else {
+            return error;
+        };
+        let deadline = Instant::now() + frame.limits.queue_timeout;
+        let context = &self.shared.context;
+        let asking = context.broker.barrier(&frame.group, deadline);
+        match context.timer.within(deadline, asking).await {
+            Some(Ok(barrier)) if barrier < claimed => {
+                let words = "the token names a position that was never acknowledged";
+                RequestError::new(ErrorKind::InvalidToken, words)
+            }
+            _ => error,
+        }
+    }
+
+    /// Makes the port of an exchange over a link.
+    pub(super) fn port<'a>(
+        &'a mut self,
+        lease: &'a mut LinkLease<B::Link>,
+        deadline: Instant,
+    ) -> ExchangePort<'a, S, B::Link> {
+        ExchangePort {
+            stream: &mut self.stream,
+            lease,
+            timer: &self.shared.context.timer,
+            cancel: &self.ticket.flag,
+            deadline,
+        }
+    }
+
+    /// Sends what the session carries, for the length of the transaction.
+    pub(super) async fn send_carried(
+        &mut self,
+        exchange: &mut Exchange,
+        lease: &mut LinkLease<B::Link>,
+        deadline: Instant,
+    ) -> Result<(), ExchangeFault> {
+        for setting in self.carried.clone() {
+            let text = format!("SET LOCAL {} = {}", setting.name, setting.value);
+            self.port(lease, deadline).query(&text).await?;
+            exchange.expect(ExchangeStep::Quiet);
+        }
+        Ok(())
+    }
+
+    /// Sends a unit; answers are taken on the way where the unit is long.
+    pub(super) async fn send_unit(
+        &mut self,
+        unit: &RequestUnit<'_>,
+        exchange: &mut Exchange,
+        lease: &mut LinkLease<B::Link>,
+        deadline: Instant,
+    ) -> Result<(), ExchangeFault> {
+        self.progress = SendProgress::Sent;
+        let mut port = self.port(lease, deadline);
+        match unit {
+            RequestUnit::Simple(text) => {
+                port.query(text).await?;
+                exchange.expect(ExchangeStep::Shown);
+            }
+            RequestUnit::Extended(parts) => {
+                send_parts(parts, exchange, &mut port).await?;
+                port.send(PgWireFrontendMessage::Sync(Sync::new())).await?;
+                exchange.expect(ExchangeStep::Sync);
+            }
+        }
+        Ok(())
+    }
+}
+
+async fn send_parts<S, L>(
+    parts: &[BatchPart],
+    exchange: &mut Exchange,
+    port: &mut ExchangePort<'_, S, L>,
+) -> Result<(), ExchangeFault>
+where
+    S: AsyncRead + AsyncWrite + Unpin,
+    L: crate::DatabaseLink,
+{
+    let (mut bytes, mut messages) = (0, 0);
+    for part in parts {
+        let size = part_bytes(part);
+        if messages > 0 && (bytes + size > CHUNK_BYTES || messages >= CHUNK_MESSAGES) {
+            port.send(PgWireFrontendMessage::Flush(Flush::new()))
+                .await?;
+            exchange.drain(port).await?;
+            (bytes, messages) = (0, 0);
+            if exchange.failed {
+                return Ok(());
+            }
+        }
+        send_part(part, exchange, port).await?;
+        bytes += size;
+        messages += 1;
+    }
+    Ok(())
+}
+
+async fn send_part<S, L>(
+    part: &BatchPart,
+    exchange: &mut Exchange,
+    port: &mut ExchangePort<'_, S, L>,
+) -> Result<(), ExchangeFault>
+where
+    S: AsyncRead + AsyncWrite + Unpin,
+    L: crate::DatabaseLink,
+{
+    let message = match part {
+        BatchPart::Parse { statement, .. } => {
+            let message = parse_message(statement);
+            port.lease.parsed = Some(Arc::clone(statement));
+            PgWireFrontendMessage::Parse(message)
+        }
+        BatchPart::Bind(portal) => {
+            send_unnamed(&portal.statement, exchange, port).await?;
+            PgWireFrontendMessage::Bind(portal.message())
+        }
+        BatchPart::DescribeStatement(statement) => {
+            send_unnamed(statement, exchange, port).await?;
+            let describe = Describe::new(TARGET_TYPE_BYTE_STATEMENT, None);
+            PgWireFrontendMessage::Describe(describe)
+        }
+        BatchPart::DescribePortal(name) => {
+            let describe = Describe::new(TARGET_TYPE_BYTE_PORTAL, name.clone());
+            PgWireFrontendMessage::Describe(describe)
+        }
+        BatchPart::Execute {
+            portal, max_rows, ..
+        } => PgWireFrontendMessage::Execute(Execute::new(portal.clone(), *max_rows)),
+        BatchPart::ClosePortal(name) => {
+            let close = Close::new(TARGET_TYPE_BYTE_PORTAL, name.clone());
+            PgWireFrontendMessage::Close(close)
+        }
+        BatchPart::Answer(answer) => {
+            exchange.expect(ExchangeStep::Answer(answer.message()));
+            return Ok(());
+        }
+        // These run between units.
+        BatchPart::Local(_) => return Ok(()),
+    };
+    port.send(message).await?;
+    exchange.expect(ExchangeStep::Part { shown: true });
+    Ok(())
+}
+
+/// Makes the unnamed statement of the connection hold a text.
+async fn send_unnamed<S, L>(
+    statement: &Arc<super::PreparedText>,
+    exchange: &mut Exchange,
+    port: &mut ExchangePort<'_, S, L>,
+) -> Result<(), ExchangeFault>
+where
+    S: AsyncRead + AsyncWrite + Unpin,
+    L: crate::DatabaseLink,
+{
+    let held = port.lease.parsed.as_ref();
+    if held.is_some_and(|held| Arc::ptr_eq(held, statement)) {
+        return Ok(());
+    }
+    let message = parse_message(statement);
+    port.lease.parsed = Some(Arc::clone(statement));
+    port.send(PgWireFrontendMessage::Parse(message)).await?;
+    exchange.expect(ExchangeStep::Part { shown: false });
+    Ok(())
+}
+
+fn parse_message(statement: &super::PreparedText) -> Parse {
+    Parse::new(None, statement.text.clone(), statement.types.clone())
+}
+
+fn part_bytes(part: &BatchPart) -> usize {
+    match part {
+        BatchPart::Parse { statement, .. } | BatchPart::DescribeStatement(statement) => {
+            statement.text.len()
+        }
+        BatchPart::Bind(portal) => {
+            let values = portal.bind.parameters.iter().flatten();
+            portal.statement.text.len() + values.map(|value| value.len()).sum::<usize>()
+        }
+        _ => 0,
+    }
+}
--- /dev/null
+++ b/crates/daisyseam-entry/src/caller/session/simple.rs
@@ -0,0 +1,313 @@
+//! Simple queries, and the way of a unit into or past a transaction.
+
+use super::{
+    CallerSession,
+    RequestTrouble,
+    autocommit::{
+        UnitEnd,
+        lost, //
+    },
+    block::{
+        BlockStart,
+        OpenBlock,
+        TransactionBlock, //
+    },
+    request::{
+        RequestFrame,
+        RequestUnit,
+        UnitNeeds, //
+    }, //
+};
+use crate::{
+    LinkBroker,
+    RateGate,
+    StatementAccess,
+    caller::{
+        answer::SendProgress,
+        classify::{
+            ClassifiedText,
+            StatementKind, //
+        },
+        exchange::{
+            Exchange,
+            ExchangeFault,
+            ExchangeStep, //
+        },
+        lease::LinkLease,
+        prepared::BatchPart, //
+    }, //
+};
+use daisyseam_model::{
+    ErrorKind,
+    RequestError, //
+};
+use futures_util::SinkExt;
+use pgwire::messages::{
+    PgWireBackendMessage,
+    response::{
+        EmptyQueryResponse,
+        TransactionStatus, //
+    }, //
+};
+use tokio::{
+    io::{
+        AsyncRead,
+        AsyncWrite, //
+    },
+    time::Instant, //
+};
+
+impl<B, G, S> CallerSession<B, G, S>
+where
+    B: LinkBroker,
+    G: RateGate,
+    S: AsyncRead + AsyncWrite + Unpin,
+{
+    /// Runs the text of a simple query, without the answer that ends it.
+    pub(super) async fn run_query(&mut self, text: String) -> Result<(), RequestTrouble> {
+        self.check_caller()?;
+        let class = self.shared.cache.classify(&text);
+        for statement in &class.statements {
+            refuse(&statement.kind)?;
+        }
+        if class.statements.is_empty() {
+            let empty = EmptyQueryResponse::new();
+            self.stream
+                .feed(PgWireBackendMessage::EmptyQueryResponse(empty))
+                .await?;
+            return Ok(());
+        }
+        let any_local = class.statements.iter().any(|one| one.kind.is_local());
+        if any_local {
+            self.run_pieces(&text, &class).await
+        } else {
+            let needs = text_needs(&class);
+            self.run_unit(&RequestUnit::Simple(&text), &needs).await?;
+            Ok(())
+        }
+    }
+
+    /// Runs a text piece by piece, since some pieces start or end a transaction.
+    async fn run_pieces(
+        &mut self,
+        text: &str,
+        class: &ClassifiedText,
+    ) -> Result<(), RequestTrouble> {
+        self.check_pieces(class)?;
+        for statement in &class.statements {
+            if statement.kind.is_local() {
+                self.run_local(&statement.kind).await?;
+                continue;
+            }
+            let mut needs = UnitNeeds::default();
+            needs.add(statement, &class.hints);
+            let piece = &text[statement.span.clone()];
+            if !self.run_unit(&RequestUnit::Simple(piece), &needs).await? {
+                break;
+            }
+        }
+        Ok(())
+    }
+
+    /// Refuses a mixture whose statements would share a transaction in part only.
+    fn check_pieces(&self, class: &ClassifiedText) -> Result<(), RequestError> {
+        let mut inside = self.block.is_explicit();
+        for statement in &class.statements {
+            match &statement.kind {
+                StatementKind::Begin { .. } => inside = true,
+                StatementKind::Commit | StatementKind::Rollback => inside = false,
+                kind if kind.is_local() || inside || class.statements.len() == 1 => {}
+                _ => {
+                    let words = "statements beside these must stand between BEGIN and COMMIT";
+                    return Err(RequestError::new(ErrorKind::FeatureUnsupported, words));
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Runs a unit; returns whether what follows it in the same message may run.
+    pub(super) async fn run_unit(
+        &mut self,
+        unit: &RequestUnit<'_>,
+        needs: &UnitNeeds,
+    ) -> Result<bool, RequestTrouble> {
+        self.check_block(needs)?;
+        let frame = self.start_request(needs).await?;
+        let _running = self.ticket.flag.start();
+        let end = match self.block.take() {
+            TransactionBlock::Idle if needs.write => self.write_once(&frame, unit, needs).await?,
+            TransactionBlock::Idle => self.read_then_write(&frame, unit, needs).await?,
+            TransactionBlock::Pending(start) => {
+                let open = self.open_block(&frame, start).await?;
+                self.run_in_block(&frame, open, unit).await?
+            }
+            TransactionBlock::Open(open) => self.run_in_block(&frame, open, unit).await?,
+            TransactionBlock::Failed => {
+                self.block = TransactionBlock::Failed;
+                return Err(ErrorKind::TransactionAborted.into());
+            }
+        };
+        Ok(end == UnitEnd::Done)
+    }
+
+    /// Refuses what a block, or its absence, does not allow.
+    fn check_block(&self, needs: &UnitNeeds) -> Result<(), RequestError> {
+        match &self.block {
+            TransactionBlock::Failed => Err(ErrorKind::TransactionAborted.into()),
+            TransactionBlock::Open(open) if open.failed && !needs.recovers => {
+                Err(ErrorKind::TransactionAborted.into())
+            }
+            TransactionBlock::Idle if needs.block_only => {
+                let words = "this statement has an effect within a transaction only";
+                Err(RequestError::new(ErrorKind::SessionStateRefused, words))
+            }
+            _ => Ok(()),
+        }
+    }
+
+    async fn read_then_write(
+        &mut self,
+        frame: &RequestFrame,
+        unit: &RequestUnit<'_>,
+        needs: &UnitNeeds,
+    ) -> Result<UnitEnd, RequestTrouble> {
+        let end = self.read_once_or_again(frame, unit, needs).await?;
+        if end != UnitEnd::IsWrite {
+            return Ok(end);
+        }
+        // The database refused it as a write, so it changed nothing and may be sent again.
+        self.shared
+            .context
+            .metrics
+            .count("caller.reads_found_writes");
+        match unit {
+            RequestUnit::Simple(text) => self.shared.cache.mark_write(text),
+            RequestUnit::Extended(parts) => {
+                for part in *parts {
+                    if let BatchPart::Execute { statement, .. } = part {
+                        self.shared.cache.mark_write(&statement.text);
+                    }
+                }
+            }
+        }
+        if self.identity.keyed.is_none() {
+            let words = "an open route only reads";
+            return Err(RequestError::new(ErrorKind::OpenRouteDenied, words).into());
+        }
+        self.write_once(frame, unit, needs).await
+    }
+
+    /// Opens the link of a transaction that the caller has begun.
+    pub(super) async fn open_block(
+        &mut self,
+        frame: &RequestFrame,
+        start: BlockStart,
+    ) -> Result<OpenBlock<B::Link>, RequestTrouble> {
+        // Until the link is there the block has failed, whatever goes wrong.
+        if start.explicit {
+            self.block = TransactionBlock::Failed;
+        }
+        let access = if start.read_only {
+            self.read_access(frame, None).await?
+        } else {
+            StatementAccess::Write
+        };
+        let mut lease = self.open_link(frame, access).await?;
+        let mut exchange = Exchange::new();
+        let deadline = frame.statement_deadline();
+        let begun = self.begin(&start, &mut exchange, &mut lease, deadline);
+        match begun.await {
+            Ok(()) if exchange.status == TransactionStatus::Transaction => {
+                let open = OpenBlock {
+                    lease,
+                    read_only: start.read_only,
+                    explicit: start.explicit,
+                    failed: false,
+                };
+                Ok(open)
+            }
+            Ok(()) => {
+                drop(lease);
+                self.progress = SendProgress::RolledBack;
+                Err(lost("the transaction could not be begun"))
+            }
+            Err(fault) => {
+                self.progress = SendProgress::RolledBack;
+                Err(self.end_fault(fault, lease).await)
+            }
+        }
+    }
+
+    async fn begin(
+        &mut self,
+        start: &BlockStart,
+        exchange: &mut Exchange,
+        lease: &mut LinkLease<B::Link>,
+        deadline: Instant,
+    ) -> Result<(), ExchangeFault> {
+        self.port(lease, deadline).query(&start.text).await?;
+        exchange.expect(ExchangeStep::Quiet);
+        // Nothing may follow before the block is known to be open.
+        exchange.drain(&mut self.port(lease, deadline)).await?;
+        if exchange.status == TransactionStatus::Transaction {
+            self.send_carried(exchange, lease, deadline).await?;
+            exchange.drain(&mut self.port(lease, deadline)).await?;
+        }
+        Ok(())
+    }
+
+    /// Runs a unit within a transaction that holds its link.
+    pub(super) async fn run_in_block(
+        &mut self,
+        frame: &RequestFrame,
+        mut open: OpenBlock<B::Link>,
+        unit: &RequestUnit<'_>,
+    ) -> Result<UnitEnd, RequestTrouble> {
+        if open.explicit {
+            self.block = TransactionBlock::Failed;
+        }
+        let mut exchange = Exchange::new();
+        let deadline = frame.statement_deadline();
+        let sent = async {
+            self.send_unit(unit, &mut exchange, &mut open.lease, deadline)
+                .await?;
+            exchange
+                .drain(&mut self.port(&mut open.lease, deadline))
+                .await
+        };
+        let sent = sent.await;
+        self.parts_done = exchange.parts_done;
+        if let Err(fault) = sent {
+            return Err(self.end_fault(fault, open.lease).await);
+        }
+        if exchange.status == TransactionStatus::Idle {
+            drop(open);
+            let words = "the transaction ended before its commit";
+            return Err(RequestError::new(ErrorKind::OutcomeUnknown, words).into());
+        }
+        open.failed = exchange.status == TransactionStatus::Error;
+        self.block = TransactionBlock::Open(open);
+        match exchange.failed {
+            true => Ok(UnitEnd::Failed),
+            false => Ok(UnitEnd::Done),
+        }
+    }
+}
+
+/// Adds up what the statements of a text need.
+fn text_needs(class: &ClassifiedText) -> UnitNeeds {
+    let mut needs = UnitNeeds::default();
+    for statement in &class.statements {
+        needs.add(statement, &class.hints);
+    }
+    needs
+}
+
+/// Refuses a statement that is never run.
+pub(super) fn refuse(kind: &StatementKind) -> Result<(), RequestError> {
+    match kind {
+        StatementKind::Refused { kind, words } => Err(RequestError::new(*kind, *words)),
+        _ => Ok(()),
+    }
+}
--- /dev/null
+++ b/crates/daisyseam-entry/tests/caller_statements.rs
@@ -0,0 +1,132 @@
+//! Statements through a real client: reads, writes, transactions, prepared statements.
+
+mod caller_support;
+
+use caller_support::Stage;
+use tokio_postgres::SimpleQueryMessage;
+
+fn first_value(messages: &[SimpleQueryMessage]) -> Option<String> {
+    messages.iter().find_map(|message| match message {
+        SimpleQueryMessage::Row(row) => row.get(0).map(str::to_owned),
+        _ => None,
+    })
+}
+
+#[tokio::test]
+async fn a_read_runs_as_it_is_on_a_replica() {
+    let stage = Stage::start().await;
+    let client = stage.connect().await;
+    let answer = client.simple_query("SELECT 1").await.unwrap();
+    assert_eq!(first_value(&answer).as_deref(), Some("SELECT 1"));
+    assert_eq!(stage.world.texts(), ["SELECT 1"]);
+    assert_eq!(stage.world.links(), (1, 1, 0));
+}
+
+#[tokio::test]
+async fn a_read_on_the_primary_runs_in_a_read_only_transaction() {
+    let stage = Stage::start().await;
+    stage.world.read_on_primary();
+    let client = stage.connect().await;
+    client.simple_query("SELECT 1").await.unwrap();
+    let texts = stage.world.texts();
+    assert_eq!(texts, ["BEGIN READ ONLY", "SELECT 1", "COMMIT"]);
+    assert_eq!(stage.world.links(), (1, 1, 0));
+}
+
+#[tokio::test]
+async fn a_write_is_wrapped_and_confirmed() {
+    let stage = Stage::start().await;
+    let client = stage.connect().await;
+    client
+        .simple_query("INSERT INTO t VALUES (1)")
+        .await
+        .unwrap();
+    let texts = stage.world.texts();
+    let expected = [
+        "BEGIN",
+        "INSERT INTO t VALUES (1)",
+        "SELECT pg_current_xact_id_if_assigned()",
+        "COMMIT",
+        "SELECT pg_current_wal_lsn()",
+    ];
+    assert_eq!(texts, expected);
+    assert_eq!(stage.world.committed(), ["INSERT INTO t VALUES (1)"]);
+    assert_eq!(stage.world.links(), (1, 1, 0));
+}
+
+#[tokio::test]
+async fn a_read_that_turns_out_to_write_runs_again_as_a_write() {
+    let stage = Stage::start().await;
+    let client = stage.connect().await;
+    let text = "SELECT * FROM hidden_write";
+    client.simple_query(text).await.unwrap();
+    assert_eq!(stage.world.committed(), [text]);
+    client.query(text, &[]).await.unwrap();
+    assert_eq!(stage.world.committed(), [text, text]);
+}
+
+#[tokio::test]
+async fn a_prepared_statement_works_on_whatever_connection_comes() {
+    let stage = Stage::start().await;
+    let client = stage.connect().await;
+    let one = client.prepare("SELECT $1 FROM a").await.unwrap();
+    let two = client.prepare("SELECT $1 FROM b").await.unwrap();
+    for value in ["x", "y"] {
+        let row = client.query_one(&one, &[&value]).await.unwrap();
+        assert_eq!(row.get::<_, String>(0), format!("SELECT '{value}' FROM a"));
+        let row = client.query_one(&two, &[&value]).await.unwrap();
+        assert_eq!(row.get::<_, String>(0), format!("SELECT '{value}' FROM b"));
+    }
+    let (opened, released, dropped) = stage.world.links();
+    assert_eq!((opened, released, dropped), (6, 6, 0));
+}
+
+#[tokio::test]
+async fn a_prepared_write_is_confirmed_too() {
+    let stage = Stage::start().await;
+    let client = stage.connect().await;
+    let insert = client.prepare("INSERT INTO t VALUES ($1)").await.unwrap();
+    let count = client.execute(&insert, &[&"a"]).await.unwrap();
+    assert_eq!(count, 1);
+    assert_eq!(stage.world.committed(), ["INSERT INTO t VALUES ('a')"]);
+}
+
+#[tokio::test]
+async fn a_transaction_holds_one_connection_from_its_first_statement() {
+    let stage = Stage::start().await;
+    let mut client = stage.connect().await;
+    let insert = client.prepare("INSERT INTO t VALUES ($1)").await.unwrap();
+    let transaction = client.transaction().await.unwrap();
+    assert_eq!(stage.world.links().0, 1);
+    transaction.execute(&insert, &[&"a"]).await.unwrap();
+    transaction.execute(&insert, &[&"b"]).await.unwrap();
+    assert_eq!(stage.world.committed(), [""; 0]);
+    transaction.commit().await.unwrap();
+    let committed = stage.world.committed();
+    assert_eq!(
+        committed,
+        ["INSERT INTO t VALUES ('a')", "INSERT INTO t VALUES ('b')"]
+    );
+    assert_eq!(stage.world.links(), (2, 2, 0));
+}
+
+#[tokio::test]
+async fn a_failed_transaction_can_only_be_rolled_back() {
+    let stage = Stage::start().await;
+    let client = stage.connect().await;
+    client.simple_query("BEGIN").await.unwrap();
+    client
+        .simple_query("INSERT INTO t VALUES (1)")
+        .await
+        .unwrap();
+    let error = client
+        .simple_query("SELECT broken FROM t")
+        .await
+        .unwrap_err();
+    assert_eq!(error.code().unwrap().code(), "42601");
+    let error = client.simple_query("SELECT 1").await.unwrap_err();
+    assert_eq!(error.code().unwrap().code(), "25P02");
+    client.simple_query("COMMIT").await.unwrap();
+    assert_eq!(stage.world.committed(), [""; 0]);
+    client.simple_query("SELECT 1").await.unwrap();
+}
--- /dev/null
+++ b/crates/daisyseam-entry/tests/caller_support/fake.rs
@@ -0,0 +1,684 @@
+//! The scripted database.
+
+use super::raw::database_error;
+use bytes::BytesMut;
+use daisyseam_entry::{
+    DatabaseLink,
+    LinkBroker,
+    LinkError,
+    LinkOrder,
+    OpenedLink,
+    RateGate,
+    StatementAccess,
+    TransactionFate, //
+};
+use daisyseam_model::{
+    ErrorKind,
+    GroupId,
+    LogPosition,
+    OrganisationId,
+    Position,
+    RequestError,
+    ServiceId,
+    Term,
+    UpstreamId, //
+};
+use parking_lot::Mutex;
+use pgwire::messages::{
+    PgWireBackendMessage as Reply,
+    PgWireFrontendMessage as Request,
+    data::{
+        DataRow,
+        FieldDescription,
+        NoData,
+        ParameterDescription,
+        RowDescription, //
+    },
+    extendedquery::{
+        BindComplete,
+        CloseComplete,
+        ParseComplete,
+        PortalSuspended, //
+    },
+    response::{
+        CommandComplete,
+        EmptyQueryResponse,
+        ReadyForQuery,
+        TransactionStatus, //
+    }, //
+};
+use std::{
+    collections::VecDeque,
+    sync::Arc,
+    time::Duration, //
+};
+use tokio::{
+    sync::Notify,
+    time::Instant, //
+};
+
+/// Term of the scripted group.
+pub const TERM: Term = Term(3);
+
+/// What goes wrong next.
+#[derive(Clone, Debug)]
+pub enum FakeFault {
+    /// Opening a link is refused.
+    Refuse(ErrorKind),
+    /// The link breaks when this text arrives, before it runs.
+    LoseBefore(&'static str),
+    /// The link breaks after this text has run, before its answer.
+    LoseAfter(&'static str),
+}
+
+/// What the test and the database share.
+#[derive(Clone, Default)]
+pub struct FakeWorld {
+    state: Arc<Mutex<WorldState>>,
+    changed: Arc<Notify>,
+}
+
+#[derive(Default)]
+struct WorldState {
+    /// Every text that reached the database, with the number of its link.
+    texts: Vec<(usize, String)>,
+    /// Every byte that reached the database.
+    bytes: Vec<u8>,
+    /// Texts whose transaction was committed.
+    committed: Vec<String>,
+    /// Accesses that were asked for.
+    accesses: Vec<StatementAccess>,
+    faults: VecDeque<FakeFault>,
+    confirms: VecDeque<Result<(), RequestError>>,
+    fates: VecDeque<TransactionFate>,
+    /// Position of the log's end.
+    end: u64,
+    /// How far replicas are behind.
+    lag: u64,
+    opened: usize,
+    released: usize,
+    dropped: usize,
+    cancelled: usize,
+    barriers: usize,
+    /// Whether reads run on the primary.
+    primary_only: bool,
+    /// Whether links wait to be opened.
+    held_back: bool,
+}
+
+impl FakeWorld {
+    pub fn fail(&self, fault: FakeFault) {
+        self.state.lock().faults.push_back(fault);
+    }
+
+    pub fn answer_confirm(&self, result: Result<(), ErrorKind>) {
+        let result = result.map_err(RequestError::from);
+        self.state.lock().confirms.push_back(result);
+    }
+
+    pub fn answer_fate(&self, fate: TransactionFate) {
+        self.state.lock().fates.push_back(fate);
+    }
+
+    pub fn texts(&self) -> Vec<String> {
+        let state = self.state.lock();
+        state.texts.iter().map(|(_, text)| text.clone()).collect()
+    }
+
+    /// Returns the texts of each link, in the order in which links were opened.
+    pub fn texts_by_link(&self) -> Vec<Vec<String>> {
+        let state = self.state.lock();
+        (1..=state.opened)
+            .map(|link| {
+                let own = state.texts.iter().filter(|(number, _)| *number == link);
+                own.map(|(_, text)| text.clone()).collect()
+            })
+            .collect()
+    }
+
+    pub fn committed(&self) -> Vec<String> {
+        self.state.lock().committed.clone()
+    }
+
+    pub fn accesses(&self) -> Vec<StatementAccess> {
+        self.state.lock().accesses.clone()
+    }
+
+    pub fn has_seen(&self, bytes: &[u8]) -> bool {
+        let state = self.state.lock();
+        state
+            .bytes
+            .windows(bytes.len())
+            .any(|window| window == bytes)
+    }
+
+    /// Returns how many links were opened, released and dropped.
+    pub fn links(&self) -> (usize, usize, usize) {
+        let state = self.state.lock();
+        (state.opened, state.released, state.dropped)
+    }
+
+    pub fn cancelled(&self) -> usize {
+        self.state.lock().cancelled
+    }
+
+    pub fn barriers(&self) -> usize {
+        self.state.lock().barriers
+    }
+
+    pub fn set_lag(&self, lag: u64) {
+        self.state.lock().lag = lag;
+    }
+
+    pub fn set_end(&self, end: u64) {
+        self.state.lock().end = end;
+    }
+
+    pub fn read_on_primary(&self) {
+        self.state.lock().primary_only = true;
+    }
+
+    /// Makes opening links wait, or lets them go.
+    pub fn hold_back(&self, held_back: bool) {
+        self.state.lock().held_back = held_back;
+        self.changed.notify_waiters();
+    }
+
+    /// Waits until something holds of the world.
+    pub async fn until(&self, holds: impl Fn(&Self) -> bool) {
+        loop {
+            let changed = self.changed.notified();
+            tokio::pin!(changed);
+            changed.as_mut().enable();
+            if holds(self) {
+                return;
+            }
+            changed.await;
+        }
+    }
+
+    fn change<T>(&self, act: impl FnOnce(&mut WorldState) -> T) -> T {
+        let result = act(&mut self.state.lock());
+        self.changed.notify_waiters();
+        result
+    }
+}
+
+impl WorldState {
+    fn take_refusal(&mut self) -> Option<ErrorKind> {
+        match self.faults.front() {
+            Some(FakeFault::Refuse(kind)) => {
+                let kind = *kind;
+                self.faults.pop_front();
+                Some(kind)
+            }
+            _ => None,
+        }
+    }
+
+    fn take_loss(&mut self, text: &str, after: bool) -> bool {
+        let lost = match self.faults.front() {
+            Some(FakeFault::LoseBefore(prefix)) => !after && text.starts_with(prefix),
+            Some(FakeFault::LoseAfter(prefix)) => after && text.starts_with(prefix),
+            _ => false,
+        };
+        if lost {
+            self.faults.pop_front();
+        }
+        lost
+    }
+
+    fn end(&self) -> LogPosition {
+        at(self.end)
+    }
+}
+
+/// Returns a position in the scripted term.
+pub fn at(position: u64) -> LogPosition {
+    LogPosition {
+        term: TERM,
+        position: Position(position),
+    }
+}
+
+/// Opens links to the scripted database.
+#[derive(Clone)]
+pub struct FakeBroker {
+    world: FakeWorld,
+}
+
+impl FakeBroker {
+    pub fn new(world: &FakeWorld) -> Self {
+        Self {
+            world: world.clone(),
+        }
+    }
+}
+
+impl LinkBroker for FakeBroker {
+    type Link = FakeLink;
+
+    async fn open(&self, order: LinkOrder<'_>) -> Result<OpenedLink<FakeLink>, RequestError> {
+        let world = &self.world;
+        world.change(|state| state.accesses.push(order.access));
+        world.until(|world| !world.state.lock().held_back).await;
+        let write = order.access == StatementAccess::Write;
+        world.change(|state| {
+            if let Some(kind) = state.take_refusal() {
+                return Err(kind.into());
+            }
+            state.opened += 1;
+            let primary = write || state.primary_only;
+            let floor = match order.access {
+                StatementAccess::ReadAtLeast(floor) => floor,
+                _ => LogPosition::default(),
+            };
+            let replica = at(state.end.saturating_sub(state.lag));
+            // A replica that is behind gives way to the primary.
+            let primary = primary || replica < floor;
+            if floor > state.end() {
+                return Err(ErrorKind::NoReplica.into());
+            }
+            Ok(OpenedLink {
+                link: FakeLink::new(world, state.opened, primary),
+                upstream: UpstreamId::new("bookings-a").unwrap(),
+                term: TERM,
+                primary,
+                position: if primary { state.end() } else { replica },
+            })
+        })
+    }
+
+    async fn confirm(
+        &self,
+        _group: &GroupId,
+        _at: LogPosition,
+        _deadline: Instant,
+    ) -> Result<(), RequestError> {
+        self.world
+            .change(|state| state.confirms.pop_front().unwrap_or(Ok(())))
+    }
+
+    async fn barrier(
+        &self,
+        _group: &GroupId,
+        _deadline: Instant,
+    ) -> Result<LogPosition, RequestError> {
+        self.world.change(|state| {
+            state.barriers += 1;
+            Ok(state.end())
+        })
+    }
+
+    async fn fate(
+        &self,
+        _group: &GroupId,
+        term: Term,
+        _xid: u64,
+        _deadline: Instant,
+    ) -> TransactionFate {
+        assert_eq!(term, TERM);
+        self.world.change(|state| {
+            let fate = state.fates.pop_front();
+            fate.unwrap_or(TransactionFate::Unknown)
+        })
+    }
+}
+
+/// One connection to the scripted database.
+pub struct FakeLink {
+    world: FakeWorld,
+    number: usize,
+    primary: bool,
+    released: bool,
+    lost: bool,
+    status: TransactionStatus,
+    read_only: bool,
+    written: Vec<String>,
+    parsed: String,
+    portal: String,
+    skipping: bool,
+    stuck: bool,
+    answers: VecDeque<Reply>,
+}
+
+impl FakeLink {
+    fn new(world: &FakeWorld, number: usize, primary: bool) -> Self {
+        Self {
+            world: world.clone(),
+            number,
+            primary,
+            released: false,
+            lost: false,
+            status: TransactionStatus::Idle,
+            read_only: false,
+            written: Vec::new(),
+            parsed: String::new(),
+            portal: String::new(),
+            skipping: false,
+            stuck: false,
+            answers: VecDeque::new(),
+        }
+    }
+
+    /// Runs a text; `described` asks for the description of its rows.
+    fn run(&mut self, text: &str, described: bool) {
+        let number = self.number;
+        let lost = self.world.change(|state| {
+            state.texts.push((number, text.to_owned()));
+            state.take_loss(text, false)
+        });
+        if lost {
+            self.lost = true;
+            return;
+        }
+        self.act(text, described);
+        self.lost = self.world.change(|state| state.take_loss(text, true));
+        if self.lost {
+            self.answers.clear();
+        }
+    }
+
+    fn act(&mut self, text: &str, described: bool) {
+        let upper = text.to_ascii_uppercase();
+        let ends = upper.starts_with("COMMIT") || upper.starts_with("ROLLBACK");
+        if self.status == TransactionStatus::Error && !ends {
+            self.error("25P02", "the transaction is aborted");
+        } else if upper.starts_with("BEGIN") || upper.starts_with("START TRANSACTION") {
+            self.status = TransactionStatus::Transaction;
+            self.read_only = upper.contains("READ ONLY");
+            self.complete("BEGIN");
+        } else if upper.starts_with("COMMIT") {
+            self.commit();
+        } else if upper.starts_with("ROLLBACK TO") {
+            self.status = TransactionStatus::Transaction;
+            self.complete("ROLLBACK");
+        } else if upper.starts_with("ROLLBACK") {
+            self.written.clear();
+            self.status = TransactionStatus::Idle;
+            self.complete("ROLLBACK");
+        } else if upper.contains("BROKEN") {
+            self.error("42601", "the statement is broken");
+        } else if upper.contains("SLOW") {
+            self.stuck = true;
+        } else if upper.starts_with("SET LOCAL") || upper.starts_with("SAVEPOINT") {
+            self.complete("SET");
+        } else if upper.contains("PG_CURRENT_XACT_ID_IF_ASSIGNED") {
+            let id = (!self.written.is_empty()).then(|| "77".to_owned());
+            self.rows(&[id], described);
+        } else if upper.contains("PG_CURRENT_WAL_LSN") {
+            let end = self.world.state.lock().end;
+            self.rows(&[Some(Position(end).to_string())], described);
+        } else if upper.starts_with("INSERT") || upper.contains("HIDDEN_WRITE") {
+            self.write(text);
+        } else if let Some(count) = text.strip_prefix("SELECT * FROM rows_") {
+            let rows = vec![Some("row".repeat(100)); count.parse().unwrap()];
+            self.rows(&rows, described);
+        } else {
+            self.rows(&[Some(text.to_owned())], described);
+        }
+    }
+
+    fn write(&mut self, text: &str) {
+        if self.read_only || !self.primary {
+            return self.error("25006", "this transaction only reads");
+        }
+        self.written.push(text.to_owned());
+        if self.status == TransactionStatus::Idle {
+            self.commit_written();
+        }
+        self.complete("INSERT 0 1");
+    }
+
+    fn commit(&mut self) {
+        if self.status == TransactionStatus::Error {
+            self.written.clear();
+            self.status = TransactionStatus::Idle;
+            return self.complete("ROLLBACK");
+        }
+        self.status = TransactionStatus::Idle;
+        self.commit_written();
+        self.complete("COMMIT");
+    }
+
+    fn commit_written(&mut self) {
+        let written = std::mem::take(&mut self.written);
+        self.world.change(|state| {
+            state.end += 16 * written.len() as u64;
+            state.committed.extend(written);
+        });
+    }
+
+    fn rows(&mut self, values: &[Option<String>], described: bool) {
+        if described {
+            self.answers.push_back(Reply::RowDescription(one_column()));
+        }
+        for value in values {
+            self.answers
+                .push_back(Reply::DataRow(row(value.as_deref())));
+        }
+        self.complete(&format!("SELECT {}", values.len()));
+    }
+
+    fn complete(&mut self, tag: &str) {
+        let complete = CommandComplete::new(tag.to_owned());
+        self.answers.push_back(Reply::CommandComplete(complete));
+    }
+
+    fn error(&mut self, sqlstate: &str, words: &str) {
+        if self.status == TransactionStatus::Transaction {
+            self.status = TransactionStatus::Error;
+        }
+        self.answers.push_back(database_error(sqlstate, words));
+    }
+
+    fn ready(&mut self) {
+        let ready = ReadyForQuery::new(self.status);
+        self.answers.push_back(Reply::ReadyForQuery(ready));
+    }
+
+    fn take(&mut self, request: Request) {
+        match request {
+            Request::Query(query) if query.query.trim().is_empty() => {
+                let empty = EmptyQueryResponse::new();
+                self.answers.push_back(Reply::EmptyQueryResponse(empty));
+                self.ready();
+            }
+            Request::Query(query) => {
+                self.parsed.clear();
+                self.run(&query.query, true);
+                if !self.stuck {
+                    self.ready();
+                }
+            }
+            Request::Sync(_) => {
+                self.skipping = false;
+                if self.stuck {
+                    return;
+                }
+                self.ready();
+            }
+            Request::Flush(_) => {}
+            _ if self.skipping => {}
+            other => {
+                let before = self.answers.len();
+                self.take_part(other);
+                let new = self.answers.iter().skip(before);
+                self.skipping = new
+                    .into_iter()
+                    .any(|answer| matches!(answer, Reply::ErrorResponse(_)));
+            }
+        }
+    }
+
+    fn take_part(&mut self, request: Request) {
+        match request {
+            Request::Parse(parse) => {
+                assert_eq!(parse.name, None, "only the unnamed statement is used");
+                self.world.change(|state| {
+                    state
+                        .texts
+                        .push((self.number, format!("P:{}", parse.query)))
+                });
+                if parse.query.contains("unparsable") {
+                    return self.error("42601", "a syntax error");
+                }
+                self.parsed = parse.query;
+                self.answers
+                    .push_back(Reply::ParseComplete(ParseComplete::new()));
+            }
+            Request::Bind(bind) => {
+                assert!(!self.parsed.is_empty(), "a bind without a statement");
+                let values = bind.parameters.iter().flatten();
+                let values: Vec<_> = values
+                    .map(|value| String::from_utf8_lossy(value).into_owned())
+                    .collect();
+                self.portal = self.parsed.clone();
+                for (index, value) in values.iter().enumerate() {
+                    let place = format!("${}", index + 1);
+                    self.portal = self.portal.replace(&place, &format!("'{value}'"));
+                }
+                self.answers
+                    .push_back(Reply::BindComplete(BindComplete::new()));
+            }
+            Request::Describe(describe) => {
+                if describe.target_type == b'S' {
+                    let count = self.parsed.matches('$').count();
+                    let types = ParameterDescription::new(vec![25; count]);
+                    self.answers.push_back(Reply::ParameterDescription(types));
+                }
+                let text = self.parsed.to_ascii_uppercase();
+                if text.starts_with("INSERT") || text.starts_with("SAVEPOINT") {
+                    self.answers.push_back(Reply::NoData(NoData::new()));
+                } else {
+                    self.answers.push_back(Reply::RowDescription(one_column()));
+                }
+            }
+            Request::Execute(execute) => {
+                let portal = self.portal.clone();
+                self.run(&portal, false);
+                if execute.max_rows == 1 && !portal.starts_with("INSERT") {
+                    self.answers.pop_back();
+                    let suspended = Reply::PortalSuspended(PortalSuspended::new());
+                    self.answers.push_back(suspended);
+                }
+            }
+            Request::Close(_) => {
+                self.answers
+                    .push_back(Reply::CloseComplete(CloseComplete::new()));
+            }
+            other => panic!("a database does not get {other:?}"),
+        }
+    }
+}
+
+impl DatabaseLink for FakeLink {
+    async fn send(&mut self, message: Request) -> Result<(), LinkError> {
+        let mut bytes = BytesMut::new();
+        message.encode(&mut bytes).unwrap();
+        self.world.change(|state| state.bytes.extend(bytes));
+        if !self.lost {
+            self.take(message);
+        }
+        Ok(())
+    }
+
+    async fn flush(&mut self) -> Result<(), LinkError> {
+        Ok(())
+    }
+
+    async fn receive(&mut self) -> Result<Reply, LinkError> {
+        match self.answers.pop_front() {
+            Some(answer) => Ok(answer),
+            None if self.lost => Err(LinkError("the scripted link broke".to_owned())),
+            None => std::future::pending().await,
+        }
+    }
+
+    async fn cancel(&mut self) {
+        self.world.change(|state| state.cancelled += 1);
+        if std::mem::take(&mut self.stuck) {
+            self.error("57014", "cancelled at the database");
+            self.ready();
+        }
+    }
+
+    fn release(mut self) {
+        assert!(self.answers.is_empty(), "released with an answer owed");
+        assert_eq!(self.status, TransactionStatus::Idle, "released in a block");
+        assert!(!self.lost, "released after it broke");
+        self.released = true;
+    }
+}
+
+impl Drop for FakeLink {
+    fn drop(&mut self) {
+        let released = self.released;
+        self.world.change(|state| match released {
+            true => state.released += 1,
+            false => state.dropped += 1,
+        });
+    }
+}
+
+fn one_column() -> RowDescription {
+    let field = FieldDescription::new("value".to_owned(), 0, 0, 25, -1, -1, 0);
+    RowDescription::new(vec![field])
+}
+
+fn row(value: Option<&str>) -> DataRow {
+    let mut data = BytesMut::new();
+    match value {
+        None => data.extend_from_slice(&(-1_i32).to_be_bytes()),
+        Some(text) => {
+            data.extend_from_slice(&(text.len() as i32).to_be_bytes());
+            data.extend_from_slice(text.as_bytes());
+        }
+    }
+    DataRow::new(data, 1)
+}
+
+/// Admits requests until it is told otherwise.
+#[derive(Clone, Default)]
+pub struct FakeGate {
+    refusals: Arc<Mutex<VecDeque<Duration>>>,
+    admitted: Arc<Mutex<Vec<String>>>,
+}
+
+impl FakeGate {
+    /// Refuses the next request.
+    pub fn refuse(&self, retry_after: Duration) {
+        self.refusals.lock().push_back(retry_after);
+    }
+
+    pub fn admitted(&self) -> Vec<String> {
+        self.admitted.lock().clone()
+    }
+
+    fn take(&self, name: String) -> Result<(), RequestError> {
+        if let Some(delay) = self.refusals.lock().pop_front() {
+            let error = RequestError::from(ErrorKind::RateExceeded);
+            return Err(error.with_retry_after(delay));
+        }
+        self.admitted.lock().push(name);
+        Ok(())
+    }
+}
+
+impl RateGate for FakeGate {
+    async fn admit(
+        &self,
+        organisation: &OrganisationId,
+        _deadline: Instant,
+    ) -> Result<(), RequestError> {
+        self.take(organisation.to_string())
+    }
+
+    async fn admit_open(
+        &self,
+        service: &ServiceId,
+        _deadline: Instant,
+    ) -> Result<(), RequestError> {
+        self.take(format!("open:{service}"))
+    }
+}
--- /dev/null
+++ b/crates/daisyseam-entry/tests/caller_support/mod.rs
@@ -0,0 +1,250 @@
+//! A scripted database behind a broker, and a caller side in front of it.
+#![allow(
+    dead_code,
+    unreachable_pub,
+    reason = "each test program uses a part of what they share"
+)]
+
+pub mod fake;
+pub mod raw;
+
+use self::fake::{
+    FakeBroker,
+    FakeGate,
+    FakeWorld, //
+};
+use daisyseam_entry::{
+    HeldView,
+    ViewCell,
+    caller::{
+        CallerContext,
+        CallerServer, //
+    }, //
+};
+use daisyseam_model::{
+    ClusterId,
+    DataCentreId,
+    FleetView,
+    GroupId,
+    GroupView,
+    InstanceId,
+    LogPosition,
+    PrimaryState,
+    Term,
+    UpstreamId,
+    ViewNumber,
+    document::Document, //
+};
+use daisyseam_runtime::{
+    MetricClient,
+    SpanExporter,
+    StopSignal,
+    TimerService, //
+};
+use sha2::{
+    Digest,
+    Sha256, //
+};
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration, //
+};
+use tokio::{
+    net::TcpListener,
+    task::JoinHandle,
+    time::Instant, //
+};
+use tokio_postgres::{
+    Client,
+    Config,
+    NoTls, //
+};
+
+/// Key of the organisation `keepers`.
+pub const KEY: &str = "k-4f2a91c07d";
+/// Key of the organisation `vets`.
+pub const VETS_KEY: &str = "k-77b0e35a12";
+
+/// A caller side with its scripted surroundings.
+pub struct Stage {
+    pub world: FakeWorld,
+    pub gate: FakeGate,
+    pub view: ViewCell,
+    pub stop: StopSignal,
+    pub metrics: MetricClient,
+    pub server: CallerServer,
+}
+
+impl Stage {
+    /// Starts a caller side on a free port.
+    pub async fn start() -> Self {
+        Self::with_limits("").await
+    }
+
+    /// Starts a caller side whose document has these limits.
+    pub async fn with_limits(limits: &str) -> Self {
+        let world = FakeWorld::default();
+        let gate = FakeGate::default();
+        let view = ViewCell::new();
+        let stop = StopSignal::new();
+        let metrics = MetricClient::new(None).unwrap();
+        publish(&view, 1, &document(limits));
+        let context = CallerContext {
+            cluster: ClusterId::new("shellrest").unwrap(),
+            instance: InstanceId::new("entry-1").unwrap(),
+            data_centre: DataCentreId::new("khomas-1").unwrap(),
+            view: view.clone(),
+            broker: FakeBroker::new(&world),
+            gate: gate.clone(),
+            timer: TimerService::start(),
+            metrics: metrics.clone(),
+            spans: SpanExporter::disabled(),
+            stop: stop.clone(),
+            tls: None,
+        };
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let server = CallerServer::start(listener, context).unwrap();
+        Self {
+            world,
+            gate,
+            view,
+            stop,
+            metrics,
+            server,
+        }
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    pub fn config(&self) -> Config {
+        let mut config = Config::new();
+        config
+            .host("127.0.0.1")
+            .port(self.address().port())
+            .user("keepers")
+            .password(KEY)
+            .dbname("bookings");
+        config
+    }
+
+    /// Connects as the organisation `keepers`.
+    pub async fn connect(&self) -> Client {
+        self.connect_with(&self.config()).await.unwrap()
+    }
+
+    pub async fn connect_with(&self, config: &Config) -> Result<Client, tokio_postgres::Error> {
+        let (client, _) = self.connect_watched(config).await?;
+        Ok(client)
+    }
+
+    /// Connects, and returns the task that ends with the connection besides.
+    pub async fn connect_watched(
+        &self,
+        config: &Config,
+    ) -> Result<(Client, JoinHandle<()>), tokio_postgres::Error> {
+        let (client, connection) = config.connect(NoTls).await?;
+        let task = tokio::spawn(async move {
+            // The client reports what is wrong.
+            let _ = connection.await;
+        });
+        Ok((client, task))
+    }
+
+    /// Puts another document in force.
+    pub fn publish(&self, number: u64, text: &str) {
+        publish(&self.view, number, text);
+    }
+
+    /// Lets the lease on the view run out.
+    pub fn end_lease(&self) {
+        let view = Arc::clone(&self.view.held().view);
+        let lease_until = Some(Instant::now());
+        self.view.replace(HeldView { view, lease_until });
+    }
+}
+
+/// Returns the text of a document with these limits.
+pub fn document(limits: &str) -> String {
+    format!(
+        r#"number = 1
+cluster = "shellrest"
+
+[limits]
+{limits}
+
+[[region]]
+name = "khomas"
+
+[[data_centre]]
+name = "khomas-1"
+region = "khomas"
+
+[[group]]
+name = "bookings-db"
+databases = 3
+slots = 5
+
+[[service]]
+name = "bookings"
+group = "bookings-db"
+
+[[service]]
+name = "deposits"
+group = "bookings-db"
+
+[[organisation]]
+name = "keepers"
+rate = 50
+burst = 100
+services = ["bookings"]
+
+[[organisation.key]]
+hash = "sha256:{}"
+
+[[organisation]]
+name = "vets"
+rate = 50
+burst = 100
+
+[[organisation.key]]
+hash = "sha256:{}"
+
+[[open_route]]
+service = "bookings"
+tables = ["notices"]
+rate = 10
+burst = 10
+"#,
+        hex(KEY),
+        hex(VETS_KEY)
+    )
+}
+
+/// Returns the hash of a key as the document writes it.
+pub fn hex(key: &str) -> String {
+    let digest = Sha256::digest(key);
+    digest.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+fn publish(cell: &ViewCell, number: u64, text: &str) {
+    let document = Document::parse(text).unwrap();
+    let primary = UpstreamId::new("bookings-a").unwrap();
+    let group = GroupView {
+        term: Term(3),
+        primary: PrimaryState::Active(primary),
+        lineage_start: LogPosition::default(),
+    };
+    let view = FleetView {
+        number: ViewNumber(number),
+        document: Some(Arc::new(document)),
+        groups: [(GroupId::new("bookings-db").unwrap(), group)].into(),
+        ..FleetView::default()
+    };
+    cell.replace(HeldView {
+        view: Arc::new(view),
+        lease_until: Some(Instant::now() + Duration::from_secs(3_600)),
+    });
+}
--- /dev/null
+++ b/crates/daisyseam-entry/tests/caller_support/raw.rs
@@ -0,0 +1,168 @@
+//! A caller that writes bytes by itself.
+
+use bytes::BytesMut;
+use pgwire::messages::{
+    PgWireBackendMessage,
+    PgWireFrontendMessage,
+    response::ErrorResponse,
+    startup::{
+        Password,
+        PasswordMessageFamily,
+        Startup, //
+    }, //
+};
+use std::net::SocketAddr;
+use tokio::{
+    io::{
+        AsyncReadExt,
+        AsyncWriteExt, //
+    },
+    net::TcpStream, //
+};
+
+/// One message of the server: its tag and its body.
+pub type RawMessage = (u8, Vec<u8>);
+
+/// A caller that writes bytes by itself.
+pub struct RawCaller {
+    stream: TcpStream,
+}
+
+impl RawCaller {
+    pub async fn connect(address: SocketAddr) -> Self {
+        let stream = TcpStream::connect(address).await.unwrap();
+        Self { stream }
+    }
+
+    /// Connects and shows a key.
+    pub async fn admitted(address: SocketAddr, user: &str, key: &str) -> Self {
+        Self::admitted_with(address, user, key, &[]).await
+    }
+
+    /// Connects with start-up parameters and shows a key.
+    pub async fn admitted_with(
+        address: SocketAddr,
+        user: &str,
+        key: &str,
+        parameters: &[(&str, &str)],
+    ) -> Self {
+        let mut caller = Self::connect(address).await;
+        caller.start(user, "bookings", parameters).await;
+        if user != "open" {
+            assert_eq!(caller.read().await.unwrap().0, b'R');
+            caller.show_key(key).await;
+        }
+        caller.until_ready().await;
+        caller
+    }
+
+    pub async fn start(&mut self, user: &str, database: &str, parameters: &[(&str, &str)]) {
+        let mut startup = Startup::new();
+        let fixed = [("user", user), ("database", database)];
+        for (name, value) in fixed.iter().chain(parameters) {
+            let pair = ((*name).to_owned(), (*value).to_owned());
+            startup.parameters.extend([pair]);
+        }
+        self.send(PgWireFrontendMessage::Startup(startup)).await;
+    }
+
+    pub async fn show_key(&mut self, key: &str) {
+        let password = Password::new(key.to_owned());
+        let family = PasswordMessageFamily::Password(password);
+        self.send(PgWireFrontendMessage::PasswordMessageFamily(family))
+            .await;
+    }
+
+    pub async fn send(&mut self, message: PgWireFrontendMessage) {
+        let mut bytes = BytesMut::new();
+        message.encode(&mut bytes).unwrap();
+        self.write(&bytes).await;
+    }
+
+    pub async fn write(&mut self, bytes: &[u8]) {
+        self.stream.write_all(bytes).await.unwrap();
+    }
+
+    /// Closes the sending half.
+    pub async fn finish(&mut self) {
+        self.stream.shutdown().await.unwrap();
+    }
+
+    /// Reads one byte that is not a message.
+    pub async fn read_byte(&mut self) -> u8 {
+        self.stream.read_u8().await.unwrap()
+    }
+
+    /// Reads the next message; none at the end.
+    pub async fn read(&mut self) -> Option<RawMessage> {
+        let tag = self.stream.read_u8().await.ok()?;
+        let length = self.stream.read_u32().await.ok()?;
+        let mut body = vec![0; length as usize - 4];
+        self.stream.read_exact(&mut body).await.ok()?;
+        Some((tag, body))
+    }
+
+    /// Reads messages up to the one that says that the server is ready.
+    pub async fn until_ready(&mut self) -> Vec<RawMessage> {
+        let mut messages = Vec::new();
+        loop {
+            let message = self.read().await.expect("the connection is open");
+            let ready = message.0 == b'Z';
+            messages.push(message);
+            if ready {
+                return messages;
+            }
+        }
+    }
+
+    /// Reads messages up to the end of the connection.
+    pub async fn until_closed(&mut self) -> Vec<RawMessage> {
+        let mut messages = Vec::new();
+        while let Some(message) = self.read().await {
+            messages.push(message);
+        }
+        messages
+    }
+
+    /// Reads messages up to one with this tag.
+    pub async fn until(&mut self, tag: u8) -> Vec<RawMessage> {
+        let mut messages = Vec::new();
+        loop {
+            let message = self.read().await.expect("the connection is open");
+            let found = message.0 == tag;
+            messages.push(message);
+            if found {
+                return messages;
+            }
+        }
+    }
+}
+
+/// Returns the tags of messages as text.
+pub fn tags(messages: &[RawMessage]) -> String {
+    messages.iter().map(|(tag, _)| char::from(*tag)).collect()
+}
+
+/// Returns a field of the first error among messages.
+pub fn error_field(messages: &[RawMessage], field: u8) -> Option<String> {
+    let (_, body) = messages.iter().find(|(tag, _)| *tag == b'E')?;
+    let mut rest = body.as_slice();
+    while let Some((code, tail)) = rest.split_first() {
+        let end = tail.iter().position(|byte| *byte == 0)?;
+        if *code == field {
+            return Some(String::from_utf8_lossy(&tail[..end]).into_owned());
+        }
+        rest = &tail[end + 1..];
+    }
+    None
+}
+
+/// Makes an error of a database.
+pub fn database_error(sqlstate: &str, words: &str) -> PgWireBackendMessage {
+    PgWireBackendMessage::ErrorResponse(ErrorResponse::new(vec![
+        (b'S', "ERROR".to_owned()),
+        (b'V', "ERROR".to_owned()),
+        (b'C', sqlstate.to_owned()),
+        (b'M', words.to_owned()),
+    ]))
+}
