Test links, leases and commits against small fakes

Cause: nothing showed that slots, relays, leases and confirmations keep their rules.

Change: a suite with a fake database and a fake control instance. It found two faults, mended here: an answer larger than a frame broke the relay (a_large_answer_and_a_large_request_pass_whole), and a holder opened connections again after its lease had run out (links_end_with_the_lease_and_none_is_opened_after_it).

--- a/crates/daisyseam-entry/src/control_client/keeper.rs
+++ b/crates/daisyseam-entry/src/control_client/keeper.rs
@@ -124,6 +124,9 @@
             view: Arc::clone(&self.held.view),
             lease_until: held.lease_until.max(Some(until)),
         });
+        if !held.is_valid() {
+            self.table.wake_all();
+        }
     }
 
     /// Waits until the next view in force can be confirmed, and confirms it.
--- a/crates/daisyseam-entry/src/holder/admission.rs
+++ b/crates/daisyseam-entry/src/holder/admission.rs
@@ -42,6 +42,15 @@
 }
 
 impl AdmissionCheck {
+    /// Returns whether the view, under a lease that holds, names this instance as the holder.
+    pub(super) fn is_holder(&self, cell: &ViewCell) -> bool {
+        let Ok(view) = cell.valid() else {
+            return false;
+        };
+        let entry = view.upstreams.get(&self.upstream);
+        entry.is_some_and(|entry| entry.holder.as_ref() == Some(&self.instance))
+    }
+
     /// Returns the database's position if it may be used as the primary of a term, or for reads.
     pub(super) fn admit(
         &self,
--- a/crates/daisyseam-entry/src/holder/handle.rs
+++ b/crates/daisyseam-entry/src/holder/handle.rs
@@ -247,6 +247,12 @@
         let _ = self.actor.cast(HolderMessage::Limits(limits));
     }
 
+    /// Opens connections again if that was not allowed before.
+    pub fn wake(&self) {
+        self.refresh();
+        let _ = self.actor.cast(HolderMessage::Retry);
+    }
+
     /// Closes every connection at once, whoever uses it; new ones may be opened afterwards.
     pub fn close_all(&self) {
         self.shared.registry.close_all();
@@ -332,6 +338,11 @@
 }
 
 impl HolderShared {
+    /// Returns whether connections may be opened: under a lease, and while the view says so.
+    pub(super) fn is_holder(&self) -> bool {
+        self.check.is_holder(&self.settings.cell)
+    }
+
     /// Returns the database's position if it may be used at this moment.
     pub(super) fn admit(&self, term: Option<Term>) -> Result<LogPosition, AdmissionRefusal> {
         let sight = self.sight.sight();
--- a/crates/daisyseam-entry/src/holder/pool.rs
+++ b/crates/daisyseam-entry/src/holder/pool.rs
@@ -230,7 +230,7 @@
 
     /// Opens connections that are wanted or will be soon, a few at once.
     fn open_ahead(&mut self) {
-        if self.letting_go.is_some() || self.backing_off {
+        if self.letting_go.is_some() || self.backing_off || !self.shared.is_holder() {
             return;
         }
         let wanted = self.lent + self.queue.len() + READY_AHEAD;
--- a/crates/daisyseam-entry/src/holder/table.rs
+++ b/crates/daisyseam-entry/src/holder/table.rs
@@ -123,6 +123,13 @@
         }
     }
 
+    /// Lets every holder open connections again, at the start of a lease.
+    pub fn wake_all(&self) {
+        for handle in self.all() {
+            handle.wake();
+        }
+    }
+
     /// Lets go of every database, as the instance stops.
     pub fn release_all(&self) -> HandOver {
         let holders = std::mem::take(&mut *self.holders.lock());
--- a/crates/daisyseam-entry/src/peer/server.rs
+++ b/crates/daisyseam-entry/src/peer/server.rs
@@ -323,13 +323,18 @@
     sender: &mut MessageSender<TcpStream, PeerMessage>,
 ) -> RelayEnd {
     loop {
-        let bytes = match next_batch(reader).await {
-            Ok(batch) => batch.freeze(),
+        let mut batch = match next_batch(reader).await {
+            Ok(batch) => batch,
             Err(error) => return RelayEnd::DatabaseLost(error),
         };
-        let reply = Body::Reply(LinkReply { bytes, lost: false });
-        if let Err(error) = sender.send(&id.message(reply)).await {
-            return RelayEnd::PeerLost(error);
+        // One message may be larger than a frame.
+        while !batch.is_empty() {
+            let length = batch.len().min(CHUNK_BYTES);
+            let bytes = batch.split_to(length).freeze();
+            let reply = Body::Reply(LinkReply { bytes, lost: false });
+            if let Err(error) = sender.send(&id.message(reply)).await {
+                return RelayEnd::PeerLost(error);
+            }
         }
     }
 }
--- /dev/null
+++ b/crates/daisyseam-entry/tests/links_suite/main.rs
@@ -0,0 +1,7 @@
+//! The database side of an entry instance against small fakes.
+
+mod commits;
+mod peers;
+mod slots;
+mod support;
+mod views;
--- /dev/null
+++ b/crates/daisyseam-entry/tests/links_suite/support/mod.rs
@@ -0,0 +1,237 @@
+//! Small fakes at the borders of an entry instance: a database and a control instance.
+
+mod control;
+mod database;
+
+pub(crate) use self::{
+    control::{
+        FakeControl,
+        ViewParts, //
+    },
+    database::FakeDatabase, //
+};
+use daisyseam_entry::{
+    DatabaseLink,
+    EntryDaemon,
+    EntrySettings,
+    HeldView,
+    LinkError,
+    LinkOrder,
+    StatementAccess,
+    ViewCell,
+    fleet::{
+        BrokerSettings,
+        FleetBroker, //
+    },
+    holder::{
+        HolderTable,
+        TableSettings, //
+    },
+    peer::{
+        IncarnationCell,
+        PeerClient,
+        PeerServer,
+        PeerSettings,
+        ServerSettings, //
+    }, //
+};
+use daisyseam_model::{
+    ClusterId,
+    FleetView,
+    GroupId,
+    Incarnation,
+    LogPosition,
+    Position,
+    Term,
+    UpstreamId, //
+};
+use daisyseam_runtime::{
+    Dialer,
+    MetricClient,
+    SpanExporter,
+    TimerService,
+    TraceContext, //
+};
+use pgwire::messages::{
+    PgWireBackendMessage,
+    PgWireFrontendMessage,
+    simplequery::Query, //
+};
+use std::{
+    future::Future,
+    net::{
+        Ipv4Addr,
+        SocketAddr, //
+    },
+    time::Duration, //
+};
+use tokio::{
+    net::TcpListener,
+    time::Instant, //
+};
+
+/// A guard against tests that hang; no verdict depends on it in a sound run.
+pub(crate) const PATIENCE: Duration = Duration::from_secs(30);
+
+pub(crate) const LOOPBACK: SocketAddr =
+    SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
+pub(crate) fn cluster() -> ClusterId {
+    ClusterId::new("shellrest").expect("a name")
+}
+
+pub(crate) fn group() -> GroupId {
+    GroupId::new("bookings-db").expect("a name")
+}
+
+pub(crate) fn upstream(name: &str) -> UpstreamId {
+    UpstreamId::new(name).expect("a name")
+}
+
+pub(crate) fn position(term: u64, position: u64) -> LogPosition {
+    LogPosition {
+        term: Term(term),
+        position: Position(position),
+    }
+}
+
+pub(crate) fn deadline() -> Instant {
+    Instant::now() + PATIENCE
+}
+
+/// Fails the test instead of hanging.
+pub(crate) async fn within<F: Future>(future: F) -> F::Output {
+    tokio::time::timeout(PATIENCE, future)
+        .await
+        .expect("the test waits for something that never comes")
+}
+
+/// Looks again and again until something holds.
+pub(crate) async fn eventually(what: &str, mut holds: impl FnMut() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !holds() {
+        assert!(Instant::now() < end, "it never came true: {what}");
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+}
+
+pub(crate) fn order(group: &GroupId, access: StatementAccess) -> LinkOrder<'_> {
+    LinkOrder {
+        group,
+        organisation: None,
+        access,
+        deadline: deadline(),
+        trace: TraceContext::start(false),
+    }
+}
+
+/// Runs a query over a link and returns the text of its one value.
+pub(crate) async fn query<L: DatabaseLink>(link: &mut L, text: &str) -> Result<String, LinkError> {
+    let message = PgWireFrontendMessage::Query(Query::new(text.to_owned()));
+    link.send(message).await?;
+    link.flush().await?;
+    let mut value = String::new();
+    loop {
+        match link.receive().await? {
+            PgWireBackendMessage::DataRow(row) => {
+                value = String::from_utf8(row.data[4..].to_vec()).expect("text");
+            }
+            PgWireBackendMessage::ReadyForQuery(_) => return Ok(value),
+            _ => {}
+        }
+    }
+}
+
+/// The database side of one instance, with a view that the test sets.
+pub(crate) struct Instance {
+    pub(crate) cell: ViewCell,
+    pub(crate) table: HolderTable,
+    pub(crate) broker: FleetBroker,
+    pub(crate) server: PeerServer,
+}
+
+impl Instance {
+    pub(crate) async fn start(name: &str, incarnation: u64) -> Self {
+        let timer = TimerService::start();
+        let cell = ViewCell::new();
+        let dialer = Dialer::default();
+        let own = IncarnationCell::default();
+        own.set(Incarnation(incarnation));
+        let table = HolderTable::new(TableSettings {
+            instance: name.parse().expect("a name"),
+            user: "daisyseam".to_owned(),
+            password: "secret".to_owned(),
+            http: daisyseam_entry::database::HttpProbe::client(None).expect("a client"),
+            cell: cell.clone(),
+            dialer,
+            timer: timer.clone(),
+        });
+        let listener = TcpListener::bind(LOOPBACK).await.expect("a port");
+        let server = PeerServer::start(
+            listener,
+            ServerSettings {
+                cluster: cluster(),
+                table: table.clone(),
+                timer: timer.clone(),
+                spans: SpanExporter::disabled(),
+            },
+        )
+        .expect("a server");
+        let peers = PeerClient::new(PeerSettings {
+            cluster: cluster(),
+            incarnation: own,
+            dialer,
+            timer: timer.clone(),
+        });
+        let broker = FleetBroker::new(BrokerSettings {
+            instance: name.parse().expect("a name"),
+            data_centre: "khomas-1".parse().expect("a name"),
+            cell: cell.clone(),
+            table: table.clone(),
+            peers,
+            timer,
+            metrics: MetricClient::new(None).expect("no socket is needed"),
+        });
+        Self {
+            cell,
+            table,
+            broker,
+            server,
+        }
+    }
+
+    /// Puts a view in force under a lease that outlasts the test.
+    pub(crate) async fn hold(&self, view: &FleetView) {
+        self.hold_until(view, Some(deadline() + PATIENCE)).await;
+    }
+
+    pub(crate) async fn hold_until(&self, view: &FleetView, lease_until: Option<Instant>) {
+        self.cell.replace(HeldView {
+            view: view.clone().into(),
+            lease_until,
+        });
+        self.table.apply(view).await.finish().await;
+    }
+}
+
+/// Starts a whole daemon that knows one control instance.
+pub(crate) async fn start_daemon(name: &str, control: SocketAddr) -> EntryDaemon {
+    let settings = EntrySettings {
+        cluster: cluster(),
+        instance: name.parse().expect("a name"),
+        data_centre: "khomas-1".parse().expect("a name"),
+        caller_listen: LOOPBACK,
+        peer_listen: LOOPBACK,
+        peer_advertise: None,
+        http_listen: LOOPBACK,
+        control: vec![control],
+        source: None,
+        upstream_user: "daisyseam".to_owned(),
+        upstream_password: "secret".to_owned(),
+        metrics: None,
+        spans: None,
+    };
+    EntryDaemon::start(settings)
+        .await
+        .expect("the daemon starts")
+}
--- /dev/null
+++ b/crates/daisyseam-entry/tests/links_suite/views.rs
@@ -0,0 +1,209 @@
+//! The lease, the view, and what is closed when they change.
+
+use crate::support::{
+    FakeControl,
+    FakeDatabase,
+    Instance,
+    ViewParts,
+    eventually,
+    group,
+    order,
+    position,
+    query,
+    start_daemon,
+    upstream,
+    within, //
+};
+use daisyseam_entry::{
+    LinkBroker,
+    StatementAccess, //
+};
+use daisyseam_model::{
+    ErrorKind,
+    PrimaryState,
+    announce::UpstreamRole, //
+};
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
+use tokio::time::Instant;
+
+const ANYWHERE: SocketAddr = crate::support::LOOPBACK;
+
+#[tokio::test]
+async fn connections_are_closed_before_a_view_that_moves_the_holder_is_confirmed() {
+    let database = FakeDatabase::start(UpstreamRole::Primary, position(1, 10)).await;
+    let held = ViewParts::new()
+        .instance("entry-1", 1, ANYWHERE)
+        .instance("entry-2", 2, ANYWHERE)
+        .database("one", &database, Some("entry-1"));
+    let control = FakeControl::start(held.0.clone()).await;
+    let daemon = start_daemon("entry-1", control.address).await;
+    eventually("a connection is open", || database.open() > 0).await;
+    control.heard(|heartbeat| heartbeat.view == 1).await;
+    let moved = held.database("one", &database, Some("entry-2")).next();
+    control.set_view(moved.0);
+    control.heard(|heartbeat| heartbeat.view == 2).await;
+    eventually("all are closed", || database.open() == 0).await;
+    let opened = database.opened();
+    control.heard(|heartbeat| heartbeat.sequence > 3).await;
+    assert_eq!(database.opened(), opened, "it opened another connection");
+    daemon.stop(Duration::from_secs(5)).await;
+}
+
+#[tokio::test]
+async fn a_running_transaction_delays_the_confirmation_of_a_hand_over() {
+    let database = FakeDatabase::start(UpstreamRole::Primary, position(1, 10)).await;
+    let instance = Instance::start("entry-1", 1).await;
+    let held = ViewParts::new()
+        .instance("entry-1", 1, instance.server.address())
+        .instance("entry-2", 2, ANYWHERE)
+        .database("one", &database, Some("entry-1"));
+    instance.hold(&held.0).await;
+    let group = group();
+    let opened = instance.broker.open(order(&group, StatementAccess::Write));
+    let mut opened = within(opened).await.expect("a link");
+    query(&mut opened.link, "BEGIN").await.expect("an answer");
+    let moved = held.database("one", &database, Some("entry-2")).next();
+    instance.cell.replace(daisyseam_entry::HeldView {
+        view: moved.0.clone().into(),
+        lease_until: Some(crate::support::deadline()),
+    });
+    let hand_over = instance.table.apply(&moved.0).await;
+    let finished = tokio::spawn(hand_over.finish());
+    // The transaction goes on to its end, since the move was planned.
+    query(&mut opened.link, "COMMIT").await.expect("an answer");
+    daisyseam_entry::DatabaseLink::release(opened.link);
+    within(finished).await.expect("it ends");
+    eventually("all are closed", || database.open() == 0).await;
+}
+
+#[tokio::test]
+async fn links_end_with_the_lease_and_none_is_opened_after_it() {
+    let database = FakeDatabase::start(UpstreamRole::Primary, position(1, 10)).await;
+    let held = ViewParts::new().instance("entry-1", 1, ANYWHERE).database(
+        "one",
+        &database,
+        Some("entry-1"),
+    );
+    let control = FakeControl::start(held.0).await;
+    let daemon = start_daemon("entry-1", control.address).await;
+    eventually("a connection is open", || database.open() > 0).await;
+    control.set_lease_ms(0);
+    let heard = control
+        .heard(|heartbeat| heartbeat.view == 1)
+        .await
+        .sequence;
+    control
+        .heard(|heartbeat| heartbeat.sequence > heard + 1)
+        .await;
+    // The lease that was given before ends by itself only after the test, so end it here.
+    let cell = daemon.view();
+    let view = cell.held().view.clone();
+    cell.replace(daisyseam_entry::HeldView {
+        view,
+        lease_until: Some(Instant::now()),
+    });
+    eventually("all are closed", || database.open() == 0).await;
+    let opened = database.opened();
+    control
+        .heard(|heartbeat| heartbeat.sequence > heard + 3)
+        .await;
+    assert_eq!(database.opened(), opened, "it opened another connection");
+    assert_eq!(cell.valid().err(), Some(ErrorKind::NoView));
+}
+
+#[tokio::test]
+async fn without_a_lease_no_link_is_given() {
+    let database = FakeDatabase::start(UpstreamRole::Primary, position(1, 10)).await;
+    let instance = Instance::start("entry-1", 1).await;
+    let held = ViewParts::new()
+        .instance("entry-1", 1, instance.server.address())
+        .database("one", &database, Some("entry-1"));
+    instance.hold_until(&held.0, Some(Instant::now())).await;
+    let group = group();
+    let mut order = order(&group, StatementAccess::ReadAtLeast(position(0, 0)));
+    order.deadline = Instant::now() + Duration::from_millis(50);
+    let refused = within(instance.broker.open(order)).await.err();
+    assert_eq!(refused.map(|error| error.kind), Some(ErrorKind::NoView));
+}
+
+#[tokio::test]
+async fn a_fenced_term_cuts_its_transactions_and_holds_new_ones() {
+    let database = FakeDatabase::start(UpstreamRole::Primary, position(1, 10)).await;
+    let instance = Instance::start("entry-1", 1).await;
+    let held = ViewParts::new()
+        .instance("entry-1", 1, instance.server.address())
+        .database("one", &database, Some("entry-1"));
+    instance.hold(&held.0).await;
+    let bookings = group();
+    let opened = instance
+        .broker
+        .open(order(&bookings, StatementAccess::Write));
+    let mut opened = within(opened).await.expect("a link");
+    query(&mut opened.link, "BEGIN").await.expect("an answer");
+    let fenced = held.group(2, PrimaryState::Fenced);
+    instance.hold(&fenced.0).await;
+    within(query(&mut opened.link, "SELECT late"))
+        .await
+        .expect_err("the link was cut");
+    let broker = instance.broker.clone();
+    let waiting = tokio::spawn(async move {
+        let group = group();
+        let opened = broker.open(order(&group, StatementAccess::Write)).await;
+        opened.map(|opened| opened.term)
+    });
+    database.set_state(2, UpstreamRole::Primary);
+    database.set_end(position(2, 11));
+    let active = fenced.group(2, PrimaryState::Active(upstream("one")));
+    instance.hold(&active.0).await;
+    let term = within(waiting)
+        .await
+        .expect("it runs")
+        .expect("it was held");
+    assert_eq!(term.0, 2);
+}
+
+#[tokio::test]
+async fn a_database_of_another_term_or_role_gets_no_write() {
+    let database = FakeDatabase::start(UpstreamRole::Primary, position(1, 10)).await;
+    database.set_state(2, UpstreamRole::Detached);
+    let instance = Instance::start("entry-1", 1).await;
+    let held = ViewParts::new()
+        .instance("entry-1", 1, instance.server.address())
+        .database("one", &database, Some("entry-1"));
+    instance.hold(&held.0).await;
+    let group = group();
+    let mut order = order(&group, StatementAccess::Write);
+    order.deadline = Instant::now() + Duration::from_millis(100);
+    let refused = within(instance.broker.open(order)).await.err();
+    let kind = refused.map(|error| error.kind);
+    assert_eq!(kind, Some(ErrorKind::UpstreamUnreachable));
+}
+
+#[tokio::test]
+async fn a_dead_history_serves_no_read() {
+    // It wrote past the place from which the present primary went on.
+    let database = FakeDatabase::start(UpstreamRole::Replica, position(1, 90)).await;
+    let instance = Instance::start("entry-1", 1).await;
+    let mut held = ViewParts::new()
+        .instance("entry-1", 1, instance.server.address())
+        .database("two", &database, Some("entry-1"))
+        .group(2, PrimaryState::Fenced);
+    let entry = held.0.groups.get_mut(&group()).expect("it is there");
+    entry.lineage_start = position(1, 50);
+    instance.hold(&held.0).await;
+    let group = group();
+    let mut late = order(&group, StatementAccess::ReadAtLeast(position(1, 40)));
+    late.deadline = Instant::now() + Duration::from_millis(100);
+    let refused = within(instance.broker.open(late)).await;
+    assert!(refused.is_err(), "a dead history was read");
+    database.set_end(position(1, 50));
+    let opened = instance
+        .broker
+        .open(order(&group, StatementAccess::ReadAtLeast(position(1, 40))));
+    within(opened)
+        .await
+        .expect("it lies within the lineage now");
+}
