coord: add the replicated log

Cause: configuration, primary terms and holders need one agreed order that survives the loss of members. After: the documented example elects itself and runs as a doc test.

--- a/crates/daisyseam-coord/src/log.rs
+++ b/crates/daisyseam-coord/src/log.rs
@@ -1,1 +1,81 @@
-//! Replicated log with pre-vote, leader lease, snapshots and membership change.
+//! A replicated log: one leader a term, entries in one order on a majority of members.
+//!
+//! [`ReplicatedLog`] holds no socket, file or clock. Events come in as method calls with the
+//! present [`Moment`](crate::Moment); [`ReplicatedLog::take_output`] gives what is to be written,
+//! sent and applied, in an order that keeps every promise durable before it is given.
+//!
+//! # Examples
+//!
+//! A log of one member elects itself, and commits once its entry is synced:
+//!
+//! ```
+//! use daisyseam_coord::{
+//!     Moment,
+//!     log::{
+//!         DurableLog,
+//!         LogSettings,
+//!         MemberTable,
+//!         ReplicatedLog, //
+//!     }, //
+//! };
+//! use daisyseam_model::InstanceId;
+//! use rand_chacha::{
+//!     ChaCha8Rng,
+//!     rand_core::SeedableRng, //
+//! };
+//!
+//! let me = InstanceId::new("control-1").expect("a sound name");
+//! let address = "127.0.0.1:7000".parse().expect("a sound address");
+//! let durable = DurableLog::first(MemberTable::of_voters([(me.clone(), address)]));
+//! let random = ChaCha8Rng::seed_from_u64(1);
+//! let mut log = ReplicatedLog::recover(me, LogSettings::default(), durable, Moment::ORIGIN, random);
+//! log.tick(Moment::from_millis(1_000));
+//! let output = log.take_output();
+//! assert!(!output.writes.is_empty(), "the vote is written first");
+//! log.synced(Moment::from_millis(1_000));
+//! assert!(log.leads());
+//! ```
+
+mod entry;
+mod follower;
+mod leader;
+mod members;
+mod message;
+mod output;
+mod role;
+mod snapshot;
+mod vote;
+
+pub use self::{
+    entry::{
+        EntryKind,
+        LogEntry,
+        LogIndex,
+        LogTerm, //
+    },
+    members::{
+        MemberChange,
+        MemberTable, //
+    },
+    message::{
+        AppendRequest,
+        AppendResponse,
+        LogMessage,
+        SnapshotChunk,
+        SnapshotResponse,
+        TransferRequest,
+        VoteRequest,
+        VoteResponse, //
+    },
+    output::{
+        DurableLog,
+        LogOutput,
+        LogSnapshot,
+        LogWrite, //
+    },
+    role::{
+        LogSettings,
+        ProposeError,
+        ReplicatedLog, //
+    }, //
+};
--- /dev/null
+++ b/crates/daisyseam-coord/src/log/members.rs
@@ -0,0 +1,128 @@
+//! Who takes part in the log.
+
+use bytes::Bytes;
+use daisyseam_model::InstanceId;
+use prost::Message;
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr, //
+};
+
+/// The members of the log with the addresses on which they answer each other.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct MemberTable {
+    /// Members that vote and count.
+    pub voters: BTreeMap<InstanceId, SocketAddr>,
+    /// Members that are sent the log but count only once they have caught up.
+    pub learners: BTreeMap<InstanceId, SocketAddr>,
+}
+
+/// One change of the members; only one is under way at a time.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum MemberChange {
+    /// Starts to send the log to an instance that does not count yet.
+    AddLearner(InstanceId, SocketAddr),
+    /// Lets a learner that has caught up vote and count.
+    Promote(InstanceId),
+    /// Takes a voter or learner out.
+    Remove(InstanceId),
+}
+
+impl MemberTable {
+    /// Makes a table of voters.
+    pub fn of_voters(voters: impl IntoIterator<Item = (InstanceId, SocketAddr)>) -> Self {
+        Self {
+            voters: voters.into_iter().collect(),
+            learners: BTreeMap::new(),
+        }
+    }
+
+    /// Returns the address of a member.
+    pub fn address(&self, member: &InstanceId) -> Option<SocketAddr> {
+        let address = self.voters.get(member);
+        address.or_else(|| self.learners.get(member)).copied()
+    }
+
+    /// Lists all members.
+    pub fn all(&self) -> impl Iterator<Item = (&InstanceId, &SocketAddr)> {
+        self.voters.iter().chain(self.learners.iter())
+    }
+
+    /// Returns how many voters a decision needs.
+    pub fn majority(&self) -> usize {
+        self.voters.len() / 2 + 1
+    }
+
+    /// Returns the table after a change, or nothing if the change does not fit.
+    pub fn changed(&self, change: &MemberChange) -> Option<Self> {
+        let mut table = self.clone();
+        match change {
+            MemberChange::AddLearner(member, address) => {
+                if table.address(member).is_some() {
+                    return None;
+                }
+                table.learners.insert(member.clone(), *address);
+            }
+            MemberChange::Promote(member) => {
+                let address = table.learners.remove(member)?;
+                table.voters.insert(member.clone(), address);
+            }
+            MemberChange::Remove(member) => {
+                let voter = table.voters.remove(member).is_some();
+                let learner = table.learners.remove(member).is_some();
+                if table.voters.is_empty() || !(voter || learner) {
+                    return None;
+                }
+            }
+        }
+        Some(table)
+    }
+
+    /// Encodes the table.
+    pub fn encode(&self) -> Bytes {
+        let list = |members: &BTreeMap<InstanceId, SocketAddr>| {
+            let record = |(name, address): (&InstanceId, &SocketAddr)| MemberRecord {
+                name: name.to_string(),
+                address: address.to_string(),
+            };
+            members.iter().map(record).collect()
+        };
+        let record = MembersRecord {
+            voters: list(&self.voters),
+            learners: list(&self.learners),
+        };
+        Bytes::from(record.encode_to_vec())
+    }
+
+    /// Decodes a table, or returns nothing if the bytes are none.
+    pub fn decode(bytes: &[u8]) -> Option<Self> {
+        let record = MembersRecord::decode(bytes).ok()?;
+        let map = |members: Vec<MemberRecord>| -> Option<BTreeMap<InstanceId, SocketAddr>> {
+            let pair = |member: MemberRecord| {
+                let name = member.name.parse().ok()?;
+                Some((name, member.address.parse().ok()?))
+            };
+            members.into_iter().map(pair).collect()
+        };
+        Some(Self {
+            voters: map(record.voters)?,
+            learners: map(record.learners)?,
+        })
+    }
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct MembersRecord {
+    #[prost(message, repeated, tag = "1")]
+    voters: Vec<MemberRecord>,
+    #[prost(message, repeated, tag = "2")]
+    learners: Vec<MemberRecord>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct MemberRecord {
+    #[prost(string, tag = "1")]
+    name: String,
+    #[prost(string, tag = "2")]
+    address: String,
+}
--- /dev/null
+++ b/crates/daisyseam-coord/src/log/snapshot.rs
@@ -0,0 +1,170 @@
+//! Snapshots for members that lack more than the log still holds.
+
+use super::{
+    LogIndex,
+    LogMessage,
+    LogSnapshot,
+    LogTerm,
+    LogWrite,
+    ReplicatedLog,
+    SnapshotChunk,
+    SnapshotResponse,
+    entry::EntryTail,
+    role::MemberRole, //
+};
+use crate::Moment;
+use bytes::{
+    Bytes,
+    BytesMut, //
+};
+use daisyseam_model::InstanceId;
+
+/// A snapshot of which not all pieces have come.
+#[derive(Debug)]
+pub(super) struct IncomingSnapshot {
+    index: LogIndex,
+    term: LogTerm,
+    bytes: BytesMut,
+}
+
+impl ReplicatedLog {
+    /// Sends the piece that a member wants next; again if a heartbeat passed without an answer.
+    pub(super) fn send_chunk(&mut self, now: Moment, member: &InstanceId, again: bool) {
+        let patience = self.settings.vote_refusal;
+        let chunk_bytes = self.settings.chunk_bytes;
+        let snapshot = &self.tail.snapshot;
+        let MemberRole::Leader(state) = &mut self.role else {
+            return;
+        };
+        let round = state.round();
+        let Some(peer) = state.peers.get_mut(member) else {
+            return;
+        };
+        let waiting = peer.chunk_offset.is_some() && now < peer.chunk_sent + patience;
+        if waiting && !again {
+            return;
+        }
+        let wanted = peer.chunk_offset.unwrap_or(0);
+        let total = snapshot.bytes.len();
+        let offset = usize::try_from(wanted).unwrap_or(0).min(total);
+        let end = (offset + chunk_bytes).min(total);
+        // A heartbeat while a piece is under way carries no bytes: it only keeps the follower.
+        let end = if waiting { offset } else { end };
+        if !waiting {
+            peer.chunk_offset = Some(offset as u64);
+            peer.chunk_sent = now;
+        }
+        let chunk = SnapshotChunk {
+            term: self.term,
+            last_index: snapshot.index,
+            last_term: snapshot.term,
+            members: snapshot.members.clone(),
+            offset: offset as u64,
+            total: total as u64,
+            bytes: snapshot.bytes.slice(offset..end),
+            round,
+        };
+        self.send_early(member, LogMessage::Snapshot(chunk));
+    }
+
+    pub(super) fn receive_chunk(&mut self, now: Moment, from: &InstanceId, chunk: SnapshotChunk) {
+        if !self.hear_leader(now, from, chunk.term) {
+            return self.answer_chunk(from, &chunk, 0, false);
+        }
+        if chunk.last_index <= self.commit {
+            self.incoming = None;
+            return self.answer_chunk(from, &chunk, chunk.total, true);
+        }
+        let same = |incoming: &IncomingSnapshot| {
+            (incoming.index, incoming.term) == (chunk.last_index, chunk.last_term)
+        };
+        let incoming = self.incoming.take().filter(same);
+        let mut incoming = incoming.unwrap_or_else(|| IncomingSnapshot {
+            index: chunk.last_index,
+            term: chunk.last_term,
+            bytes: BytesMut::new(),
+        });
+        if chunk.offset == incoming.bytes.len() as u64 {
+            incoming.bytes.extend_from_slice(&chunk.bytes);
+        }
+        let held = incoming.bytes.len() as u64;
+        if held < chunk.total {
+            self.incoming = Some(incoming);
+            return self.answer_chunk(from, &chunk, held, false);
+        }
+        self.install(&chunk, incoming.bytes.freeze());
+        self.answer_chunk(from, &chunk, held, true);
+    }
+
+    fn install(&mut self, chunk: &SnapshotChunk, bytes: Bytes) {
+        let snapshot = LogSnapshot {
+            index: chunk.last_index,
+            term: chunk.last_term,
+            members: chunk.members.clone(),
+            bytes,
+        };
+        assert!(snapshot.index > self.commit, "a snapshot lies below commit");
+        // What was to be applied is part of the snapshot.
+        self.output.apply.clear();
+        self.output
+            .writes
+            .push(LogWrite::Snapshot(snapshot.clone()));
+        self.output.restore = Some(snapshot.clone());
+        self.commit = snapshot.index;
+        self.applied = snapshot.index;
+        self.durable = snapshot.index;
+        self.taken = snapshot.index;
+        self.tail = EntryTail::new(snapshot, Vec::new());
+        (self.members_index, self.members) = self.tail.members();
+    }
+
+    fn answer_chunk(&mut self, to: &InstanceId, chunk: &SnapshotChunk, next: u64, done: bool) {
+        let response = SnapshotResponse {
+            term: self.term,
+            last_index: chunk.last_index,
+            next_offset: next,
+            done,
+            round: chunk.round,
+        };
+        self.send_late(to, LogMessage::SnapshotTaken(response));
+    }
+
+    pub(super) fn receive_taken(
+        &mut self,
+        now: Moment,
+        from: &InstanceId,
+        response: &SnapshotResponse,
+    ) {
+        if !self.accept_answer(now, from, response.term, response.round) {
+            return;
+        }
+        let index = self.tail.snapshot.index;
+        let MemberRole::Leader(state) = &mut self.role else {
+            return;
+        };
+        let Some(peer) = state.peers.get_mut(from) else {
+            return;
+        };
+        if response.done {
+            peer.chunk_offset = None;
+            peer.matched = peer.matched.max(response.last_index);
+            peer.next = peer.next.max(peer.matched.next());
+            return self.resume(now, from);
+        }
+        let wanted = peer.chunk_offset;
+        if peer.next <= index
+            && response.last_index == index
+            && wanted != Some(response.next_offset)
+        {
+            peer.chunk_offset = Some(response.next_offset);
+            // The next piece goes out at once.
+            peer.chunk_sent = now - self.settings.vote_refusal;
+            self.send_chunk(now, from, false);
+        }
+    }
+
+    fn resume(&mut self, now: Moment, member: &InstanceId) {
+        self.count_matches(now);
+        self.replicate(now, member, false);
+    }
+}
