store: add the data folder of a control instance

Cause: votes, terms and accepted documents must survive a crash of their process and machine. Before: no store. After: torn tails are cut, damage is refused with file and offset.

--- /dev/null
+++ b/crates/daisyseam-store/src/folder.rs
@@ -0,0 +1,301 @@
+//! The store on a disk.
+
+use crate::{
+    EntryRecord,
+    FolderOwner,
+    LogStorage,
+    RecoveredState,
+    SnapshotRecord,
+    StoreError,
+    VoteRecord,
+    frame::{
+        encode_frame,
+        read_segment, //
+    },
+    identity::{
+        check_owner,
+        lock_folder,
+        sync_folder, //
+    },
+    record::WalRecord,
+    snapshot::{
+        read_snapshot,
+        write_snapshot, //
+    }, //
+};
+use std::{
+    fs::{
+        self,
+        File,
+        OpenOptions, //
+    },
+    io::{
+        self,
+        Write, //
+    },
+    path::{
+        Path,
+        PathBuf, //
+    }, //
+};
+
+/// Size in bytes after which a new segment is begun.
+const SEGMENT_BYTES: u64 = 16 << 20;
+
+/// The store on a disk: one folder, used by one process.
+#[derive(Debug)]
+pub struct FolderStore {
+    folder: PathBuf,
+    state: RecoveredState,
+    pending: Vec<WalRecord>,
+    segment: OpenSegment,
+    poisoned: bool,
+    /// Held for the life of the store; the system gives the lock back with the file.
+    _lock: File,
+}
+
+#[derive(Debug)]
+struct OpenSegment {
+    number: u64,
+    path: PathBuf,
+    file: File,
+    length: u64,
+}
+
+impl FolderStore {
+    /// Opens or creates a folder and recovers what is durable in it.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError`] when the folder is damaged, in use, another instance's or of a newer format.
+    pub fn open(folder: &Path, owner: &FolderOwner) -> Result<(Self, RecoveredState), StoreError> {
+        fs::create_dir_all(folder).map_err(|error| StoreError::io(folder, error))?;
+        let lock = lock_folder(folder)?;
+        check_owner(folder, owner)?;
+        let mut state = RecoveredState {
+            snapshot: read_snapshot(folder)?,
+            ..RecoveredState::default()
+        };
+        let (segment, fits) = recover_segments(folder, &mut state)?;
+        let recovered = state.clone();
+        let mut store = Self {
+            folder: folder.to_owned(),
+            state: without_payloads(state),
+            pending: Vec::new(),
+            segment,
+            poisoned: false,
+            _lock: lock,
+        };
+        if !fits {
+            // A crash came between a leader's snapshot and the removal of what it replaced.
+            store.rewrite_segments(Vec::new())?;
+        }
+        Ok((store, recovered))
+    }
+
+    fn write_pending(&mut self) -> Result<(), StoreError> {
+        if self.poisoned {
+            return Err(StoreError::Poisoned);
+        }
+        if self.pending.is_empty() {
+            return Ok(());
+        }
+        let records = std::mem::take(&mut self.pending);
+        let frame = encode_frame(&records);
+        let written = self.segment.file.write_all(&frame);
+        let synced = written.and_then(|()| self.segment.file.sync_data());
+        if let Err(error) = synced {
+            // What the disk holds now is unknown until the folder is read again.
+            self.poisoned = true;
+            return Err(StoreError::io(&self.segment.path, error));
+        }
+        self.segment.length += frame.len() as u64;
+        if self.segment.length > SEGMENT_BYTES {
+            self.begin_segment()?;
+        }
+        Ok(())
+    }
+
+    fn begin_segment(&mut self) -> Result<(), StoreError> {
+        let number = self.segment.number + 1;
+        match open_segment(&self.folder, number, 0) {
+            Ok(segment) => self.segment = segment,
+            Err(error) => {
+                self.poisoned = true;
+                return Err(error);
+            }
+        }
+        Ok(())
+    }
+
+    fn replace_by_snapshot(
+        &mut self,
+        snapshot: SnapshotRecord,
+        whole: bool,
+    ) -> Result<(), StoreError> {
+        self.write_pending()?;
+        write_snapshot(&self.folder, &snapshot)?;
+        let index = if whole { u64::MAX } else { snapshot.index };
+        let kept = self.read_entries_after(index)?;
+        self.rewrite_segments(kept)
+    }
+
+    /// Begins a segment with the vote and these entries, then removes the older ones.
+    fn rewrite_segments(&mut self, kept: Vec<EntryRecord>) -> Result<(), StoreError> {
+        let old = self.segment.number;
+        self.begin_segment()?;
+        self.pending = kept.into_iter().map(WalRecord::Entry).collect();
+        let vote = self.state.vote.clone();
+        self.pending.insert(0, WalRecord::Vote(vote));
+        self.write_pending()?;
+        // From here on the older segments are of no use.
+        remove_segments(&self.folder, old)
+    }
+
+    /// Reads the entries after an index back from the segments.
+    fn read_entries_after(&self, index: u64) -> Result<Vec<EntryRecord>, StoreError> {
+        let mut state = RecoveredState::default();
+        state.snapshot.index = index;
+        for (number, path) in list_segments(&self.folder)? {
+            let bytes = fs::read(&path).map_err(|error| StoreError::io(&path, error))?;
+            let content = read_segment(&path, &bytes, number == self.segment.number)?;
+            replay(&mut state, content.records);
+        }
+        Ok(state.entries)
+    }
+}
+
+impl LogStorage for FolderStore {
+    fn save_vote(&mut self, vote: VoteRecord) {
+        self.state.vote = vote.clone();
+        self.pending.push(WalRecord::Vote(vote));
+    }
+
+    fn append(&mut self, entries: Vec<EntryRecord>) {
+        self.pending
+            .extend(entries.into_iter().map(WalRecord::Entry));
+    }
+
+    fn sync(&mut self) -> Result<(), StoreError> {
+        self.write_pending()
+    }
+
+    fn save_snapshot(&mut self, snapshot: SnapshotRecord, whole: bool) -> Result<(), StoreError> {
+        let replaced = self.replace_by_snapshot(snapshot, whole);
+        self.poisoned |= replaced.is_err();
+        replaced
+    }
+}
+
+/// Drops what only the caller needs; the store itself keeps the vote.
+fn without_payloads(state: RecoveredState) -> RecoveredState {
+    RecoveredState {
+        vote: state.vote,
+        ..RecoveredState::default()
+    }
+}
+
+/// Replays the segments; returns whether their entries go on from the snapshot.
+fn recover_segments(
+    folder: &Path,
+    state: &mut RecoveredState,
+) -> Result<(OpenSegment, bool), StoreError> {
+    let segments = list_segments(folder)?;
+    let last = segments.last().map_or(1, |(number, _)| *number);
+    let mut length = 0;
+    let mut fits = true;
+    for (number, path) in segments {
+        let bytes = fs::read(&path).map_err(|error| StoreError::io(&path, error))?;
+        let content = read_segment(&path, &bytes, number == last)?;
+        fits &= !conflicts(&state.snapshot, &content.records);
+        if content.length < bytes.len() as u64 {
+            let torn = bytes.len() as u64 - content.length;
+            log::warn!("{}: {torn} unsynced bytes are dropped", path.display());
+        }
+        length = content.length;
+        replay(state, content.records);
+    }
+    if !fits {
+        state.entries.clear();
+    }
+    Ok((open_segment(folder, last, length)?, fits))
+}
+
+/// Returns whether the entry at the snapshot's index is of another history.
+fn conflicts(snapshot: &SnapshotRecord, records: &[WalRecord]) -> bool {
+    let at_snapshot = records.iter().rev().find_map(|record| match record {
+        WalRecord::Entry(entry) if entry.index == snapshot.index => Some(entry.term),
+        _ => None,
+    });
+    at_snapshot.is_some_and(|term| term != snapshot.term)
+}
+
+fn replay(state: &mut RecoveredState, records: Vec<WalRecord>) {
+    for record in records {
+        match record {
+            WalRecord::Vote(vote) => state.vote = vote,
+            WalRecord::Entry(entry) => replay_entry(state, entry),
+        }
+    }
+}
+
+fn replay_entry(state: &mut RecoveredState, entry: EntryRecord) {
+    if entry.index <= state.snapshot.index {
+        return;
+    }
+    let first = state
+        .entries
+        .first()
+        .map_or(entry.index, |first| first.index);
+    let keep = usize::try_from(entry.index.saturating_sub(first)).unwrap_or(usize::MAX);
+    state.entries.truncate(keep);
+    state.entries.push(entry);
+}
+
+fn open_segment(folder: &Path, number: u64, length: u64) -> Result<OpenSegment, StoreError> {
+    let path = folder.join(segment_name(number));
+    let open = || -> io::Result<File> {
+        let file = OpenOptions::new().create(true).append(true).open(&path)?;
+        file.set_len(length)?;
+        file.sync_all()?;
+        sync_folder(folder)?;
+        Ok(file)
+    };
+    let file = open().map_err(|error| StoreError::io(&path, error))?;
+    Ok(OpenSegment {
+        number,
+        path,
+        file,
+        length,
+    })
+}
+
+fn segment_name(number: u64) -> String {
+    format!("wal-{number:016}")
+}
+
+fn list_segments(folder: &Path) -> Result<Vec<(u64, PathBuf)>, StoreError> {
+    let list = || -> io::Result<Vec<(u64, PathBuf)>> {
+        let mut segments = Vec::new();
+        for file in fs::read_dir(folder)? {
+            let file = file?;
+            let name = file.file_name();
+            let number = name.to_str().and_then(|name| name.strip_prefix("wal-"));
+            if let Some(number) = number.and_then(|number| number.parse().ok()) {
+                segments.push((number, file.path()));
+            }
+        }
+        segments.sort_unstable();
+        Ok(segments)
+    };
+    list().map_err(|error| StoreError::io(folder, error))
+}
+
+fn remove_segments(folder: &Path, up_to: u64) -> Result<(), StoreError> {
+    for (number, path) in list_segments(folder)? {
+        if number <= up_to {
+            fs::remove_file(&path).map_err(|error| StoreError::io(&path, error))?;
+        }
+    }
+    sync_folder(folder).map_err(|error| StoreError::io(folder, error))
+}
--- /dev/null
+++ b/crates/daisyseam-store/src/memory.rs
@@ -0,0 +1,106 @@
+//! A store in memory that loses what was not synced, for tests.
+
+use crate::{
+    EntryRecord,
+    LogStorage,
+    RecoveredState,
+    SnapshotRecord,
+    StoreError,
+    VoteRecord, //
+};
+use std::{
+    io,
+    path::PathBuf,
+    sync::{
+        Arc,
+        Mutex,
+        MutexGuard,
+        PoisonError, //
+    }, //
+};
+
+/// What survives a crash.
+#[derive(Clone, Debug, Default)]
+pub struct MemoryDisk {
+    shared: Arc<Mutex<DiskState>>,
+}
+
+#[derive(Debug, Default)]
+struct DiskState {
+    durable: RecoveredState,
+    full: bool,
+}
+
+impl MemoryDisk {
+    /// Opens the disk, as after a crash: what no sync covered is gone.
+    pub fn open(&self) -> (MemoryStore, RecoveredState) {
+        let store = MemoryStore {
+            disk: self.clone(),
+            pending: Vec::new(),
+        };
+        (store, self.lock().durable.clone())
+    }
+
+    /// Lets every further sync fail, or succeed again.
+    pub fn set_full(&self, full: bool) {
+        self.lock().full = full;
+    }
+
+    fn lock(&self) -> MutexGuard<'_, DiskState> {
+        self.shared.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A store in memory.
+#[derive(Debug)]
+pub struct MemoryStore {
+    disk: MemoryDisk,
+    pending: Vec<PendingWrite>,
+}
+
+#[derive(Debug)]
+enum PendingWrite {
+    Vote(VoteRecord),
+    Entries(Vec<EntryRecord>),
+}
+
+impl LogStorage for MemoryStore {
+    fn save_vote(&mut self, vote: VoteRecord) {
+        self.pending.push(PendingWrite::Vote(vote));
+    }
+
+    fn append(&mut self, entries: Vec<EntryRecord>) {
+        self.pending.push(PendingWrite::Entries(entries));
+    }
+
+    fn sync(&mut self) -> Result<(), StoreError> {
+        let mut disk = self.disk.lock();
+        if disk.full {
+            return Err(StoreError::Full {
+                path: PathBuf::from("memory"),
+                error: io::Error::from(io::ErrorKind::StorageFull),
+            });
+        }
+        for write in self.pending.drain(..) {
+            match write {
+                PendingWrite::Vote(vote) => disk.durable.vote = vote,
+                PendingWrite::Entries(entries) => {
+                    let first = entries.first().map_or(u64::MAX, |entry| entry.index);
+                    disk.durable.entries.retain(|entry| entry.index < first);
+                    disk.durable.entries.extend(entries);
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn save_snapshot(&mut self, snapshot: SnapshotRecord, whole: bool) -> Result<(), StoreError> {
+        self.sync()?;
+        let mut disk = self.disk.lock();
+        let index = snapshot.index;
+        disk.durable.snapshot = snapshot;
+        let kept = |entry: &EntryRecord| !whole && entry.index > index;
+        disk.durable.entries.retain(kept);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/daisyseam-store/src/record.rs
@@ -0,0 +1,137 @@
+//! What is stored, and its encoding.
+
+/// Term and vote.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct VoteRecord {
+    /// Highest term seen.
+    pub term: u64,
+    /// Who was given the vote in that term; empty for nobody.
+    pub voted_for: String,
+}
+
+/// One entry of the log.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct EntryRecord {
+    /// Its index.
+    pub index: u64,
+    /// Its term.
+    pub term: u64,
+    /// Its kind, as the embedding log numbers it.
+    pub kind: u8,
+    /// Its content.
+    pub payload: Vec<u8>,
+}
+
+/// A snapshot.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct SnapshotRecord {
+    /// Last index in it; 0 when there is none.
+    pub index: u64,
+    /// Term at that index.
+    pub term: u64,
+    /// Encoded members as of that index.
+    pub members: Vec<u8>,
+    /// Encoded state.
+    pub bytes: Vec<u8>,
+}
+
+const TAG_VOTE: u8 = 1;
+const TAG_ENTRY: u8 = 2;
+
+/// One record in a frame.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum WalRecord {
+    Vote(VoteRecord),
+    Entry(EntryRecord),
+}
+
+impl WalRecord {
+    pub(crate) fn encode(&self, out: &mut Vec<u8>) {
+        match self {
+            Self::Vote(vote) => {
+                out.push(TAG_VOTE);
+                put_u64(out, vote.term);
+                put_bytes(out, vote.voted_for.as_bytes());
+            }
+            Self::Entry(entry) => {
+                out.push(TAG_ENTRY);
+                put_u64(out, entry.index);
+                put_u64(out, entry.term);
+                out.push(entry.kind);
+                put_bytes(out, &entry.payload);
+            }
+        }
+    }
+
+    /// Decodes the next record; nothing if the bytes do not hold one.
+    pub(crate) fn decode(reader: &mut ByteReader<'_>) -> Option<Self> {
+        match reader.u8()? {
+            TAG_VOTE => Some(Self::Vote(VoteRecord {
+                term: reader.u64()?,
+                voted_for: String::from_utf8(reader.bytes()?.to_vec()).ok()?,
+            })),
+            TAG_ENTRY => Some(Self::Entry(EntryRecord {
+                index: reader.u64()?,
+                term: reader.u64()?,
+                kind: reader.u8()?,
+                payload: reader.bytes()?.to_vec(),
+            })),
+            _ => None,
+        }
+    }
+}
+
+/// Reads numbers and byte strings from a slice.
+pub(crate) struct ByteReader<'a> {
+    rest: &'a [u8],
+}
+
+impl<'a> ByteReader<'a> {
+    pub(crate) fn new(bytes: &'a [u8]) -> Self {
+        Self { rest: bytes }
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.rest.is_empty()
+    }
+
+    pub(crate) fn rest(&self) -> &'a [u8] {
+        self.rest
+    }
+
+    pub(crate) fn u8(&mut self) -> Option<u8> {
+        self.take(1).map(|bytes| bytes[0])
+    }
+
+    pub(crate) fn u32(&mut self) -> Option<u32> {
+        let bytes = self.take(4)?;
+        Some(u32::from_le_bytes(bytes.try_into().ok()?))
+    }
+
+    pub(crate) fn u64(&mut self) -> Option<u64> {
+        let bytes = self.take(8)?;
+        Some(u64::from_le_bytes(bytes.try_into().ok()?))
+    }
+
+    pub(crate) fn bytes(&mut self) -> Option<&'a [u8]> {
+        let length = usize::try_from(self.u32()?).ok()?;
+        self.take(length)
+    }
+
+    fn take(&mut self, length: usize) -> Option<&'a [u8]> {
+        let (taken, rest) = self.rest.split_at_checked(length)?;
+        self.rest = rest;
+        Some(taken)
+    }
+}
+
+pub(crate) fn put_u64(out: &mut Vec<u8>, value: u64) {
+    out.extend_from_slice(&value.to_le_bytes());
+}
+
+/// Writes a byte string; the frame's own limit keeps it below 4 GiB.
+pub(crate) fn put_bytes(out: &mut Vec<u8>, bytes: &[u8]) {
+    let length = u32::try_from(bytes.len()).unwrap_or(u32::MAX);
+    out.extend_from_slice(&length.to_le_bytes());
+    out.extend_from_slice(bytes);
+}
