coord: add fleet state, view leases, holders and the promotion machine

Cause: control must decide documents, incarnations, holders and primaries the same way on every member. Change: commands applied one by one with their view changes, a lease table with a drift bound, holders by load and rendezvous rank, and one promotion machine a group that fences before it promotes. Before: none of these.

--- /dev/null
+++ b/crates/daisyseam-coord/src/fleet/changes.rs
@@ -0,0 +1,100 @@
+//! What changed from one view to a later one.
+
+use daisyseam_model::{
+    DocumentNumber,
+    GroupId,
+    InstanceId,
+    UpstreamId,
+    ViewNumber, //
+};
+use std::collections::{
+    BTreeSet,
+    VecDeque, //
+};
+
+/// Views of which the changes are kept.
+const RING_LENGTH: usize = 1_024;
+
+/// The names of what changed between two views.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct ViewChanges {
+    /// Changed groups.
+    pub groups: BTreeSet<GroupId>,
+    /// Changed databases.
+    pub upstreams: BTreeSet<UpstreamId>,
+    /// Changed instances.
+    pub instances: BTreeSet<InstanceId>,
+    /// The document, if it is another one.
+    pub document: Option<DocumentChange>,
+}
+
+/// A document took the place of another.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct DocumentChange {
+    /// Number of the former one; 0 for none.
+    pub from: DocumentNumber,
+}
+
+impl ViewChanges {
+    fn add(&mut self, later: &Self) {
+        self.groups.extend(later.groups.iter().cloned());
+        self.upstreams.extend(later.upstreams.iter().cloned());
+        self.instances.extend(later.instances.iter().cloned());
+        self.document = self.document.or(later.document);
+    }
+
+    pub(super) fn of_group(group: &GroupId) -> Self {
+        Self {
+            groups: BTreeSet::from([group.clone()]),
+            ..Self::default()
+        }
+    }
+
+    pub(super) fn of_upstream(upstream: &UpstreamId) -> Self {
+        Self {
+            upstreams: BTreeSet::from([upstream.clone()]),
+            ..Self::default()
+        }
+    }
+
+    pub(super) fn of_instance(instance: &InstanceId) -> Self {
+        Self {
+            instances: BTreeSet::from([instance.clone()]),
+            ..Self::default()
+        }
+    }
+
+    pub(super) fn of_document(from: DocumentNumber) -> Self {
+        Self {
+            document: Some(DocumentChange { from }),
+            ..Self::default()
+        }
+    }
+}
+
+/// The changes of the last views, one a view.
+#[derive(Clone, Debug, Default)]
+pub(super) struct ChangeRing {
+    changes: VecDeque<ViewChanges>,
+}
+
+impl ChangeRing {
+    pub(super) fn push(&mut self, changes: ViewChanges) {
+        self.changes.push_back(changes);
+        if self.changes.len() > RING_LENGTH {
+            self.changes.pop_front();
+        }
+    }
+
+    /// Returns what changed after a view, if the ring reaches back to it.
+    pub(super) fn since(&self, held: ViewNumber, now: ViewNumber) -> Option<ViewChanges> {
+        let missing = now.0.checked_sub(held.0)?;
+        let missing = usize::try_from(missing).ok()?;
+        let first = self.changes.len().checked_sub(missing)?;
+        let mut sum = ViewChanges::default();
+        for changes in self.changes.range(first..) {
+            sum.add(changes);
+        }
+        Some(sum)
+    }
+}
--- /dev/null
+++ b/crates/daisyseam-coord/src/fleet/state.rs
@@ -0,0 +1,260 @@
+//! The state that every control instance agrees on.
+
+use super::{
+    CommandAnswer,
+    DocumentLedger,
+    FleetCommand,
+    GroupCommand,
+    HolderCommand,
+    JoinCommand,
+    LeaveCommand,
+    RefusedCommand,
+    SubmitCommand,
+    UpstreamCommand,
+    ViewChanges,
+    changes::ChangeRing, //
+};
+use daisyseam_model::{
+    FleetView,
+    GroupView,
+    Incarnation,
+    InstanceId,
+    InstanceView,
+    PrimaryState,
+    UpstreamId,
+    UpstreamView,
+    ViewNumber,
+    document::Document, //
+};
+use std::{
+    collections::BTreeSet,
+    sync::Arc, //
+};
+
+/// Documents, instances, databases, primaries and holders.
+#[derive(Clone, Debug, Default)]
+pub struct FleetState {
+    pub(super) view: Arc<FleetView>,
+    pub(super) documents: DocumentLedger,
+    pub(super) last_incarnation: Incarnation,
+    pub(super) ring: ChangeRing,
+}
+
+impl FleetState {
+    /// Returns the present view.
+    pub fn view(&self) -> &Arc<FleetView> {
+        &self.view
+    }
+
+    /// Returns the accepted documents.
+    pub fn documents(&self) -> &DocumentLedger {
+        &self.documents
+    }
+
+    /// Returns what changed after a view, if that is still known.
+    pub fn changes_since(&self, held: ViewNumber) -> Option<ViewChanges> {
+        self.ring.since(held, self.view.number)
+    }
+
+    /// Applies a command; it either takes effect as a whole or changes nothing.
+    pub fn apply(&mut self, command: &FleetCommand) -> CommandAnswer {
+        match command {
+            FleetCommand::Submit(submit) => self.submit(submit),
+            FleetCommand::Join(join) => self.join(join),
+            FleetCommand::Leave(leave) => self.leave(leave),
+            FleetCommand::Upstream(upstream) => self.update_upstream(upstream),
+            FleetCommand::DropUpstream(upstream) => self.drop_upstream(upstream),
+            FleetCommand::Group(group) => self.update_group(group),
+            FleetCommand::Holder(holder) => self.update_holder(holder),
+        }
+    }
+
+    fn submit(&mut self, command: &SubmitCommand) -> CommandAnswer {
+        let from = self.documents.number();
+        let (outcome, accepted) = self.documents.submit(command);
+        if accepted {
+            let number = self.documents.number();
+            // Validity was checked before the proposal, maybe by another version.
+            let document = Document::parse(&command.text).ok();
+            self.change(ViewChanges::of_document(from), |view| {
+                view.document_number = number;
+                view.document = document.map(Arc::new);
+            });
+        }
+        CommandAnswer::Submitted(outcome)
+    }
+
+    fn join(&mut self, command: &JoinCommand) -> CommandAnswer {
+        self.last_incarnation = Incarnation(self.last_incarnation.0 + 1);
+        let incarnation = self.last_incarnation;
+        let former = self.view.instances.get(&command.instance);
+        assert!(
+            former.is_none_or(|former| former.incarnation < incarnation),
+            "an incarnation is given twice"
+        );
+        // The former process may still act on its lease: what it held waits for its end.
+        let mut changes = ViewChanges::of_instance(&command.instance);
+        changes.upstreams = self.held_by(&command.instance);
+        self.change(changes, |view| {
+            release_all(view, &command.instance);
+            let instance = InstanceView {
+                incarnation,
+                data_centre: command.data_centre.clone(),
+                peer_address: command.peer_address,
+                leaving: false,
+            };
+            view.instances.insert(command.instance.clone(), instance);
+        });
+        CommandAnswer::Joined(incarnation)
+    }
+
+    fn leave(&mut self, command: &LeaveCommand) -> CommandAnswer {
+        let Some(instance) = self.view.instances.get(&command.instance) else {
+            return CommandAnswer::Refused(RefusedCommand::Unknown);
+        };
+        if instance.incarnation != command.incarnation {
+            return CommandAnswer::Refused(RefusedCommand::Superseded);
+        }
+        let mut changes = ViewChanges::of_instance(&command.instance);
+        if !command.gone {
+            self.change(changes, |view| {
+                if let Some(instance) = view.instances.get_mut(&command.instance) {
+                    instance.leaving = true;
+                }
+            });
+            return CommandAnswer::Done;
+        }
+        changes.upstreams = self.held_by(&command.instance);
+        self.change(changes, |view| {
+            view.instances.remove(&command.instance);
+            release_all(view, &command.instance);
+        });
+        CommandAnswer::Done
+    }
+
+    fn update_upstream(&mut self, command: &UpstreamCommand) -> CommandAnswer {
+        let known = self.view.upstreams.get(&command.upstream);
+        if known.is_some_and(|known| known.group != command.group) {
+            // A database that changes its group would bring a foreign history along.
+            return CommandAnswer::Refused(RefusedCommand::Superseded);
+        }
+        let upstream = UpstreamView {
+            group: command.group.clone(),
+            data_centre: command.data_centre.clone(),
+            address: command.address,
+            admin_address: command.admin_address,
+            holder: known.and_then(|known| known.holder.clone()),
+            leaving: command.leaving,
+        };
+        if known != Some(&upstream) {
+            self.change(ViewChanges::of_upstream(&command.upstream), |view| {
+                view.upstreams.insert(command.upstream.clone(), upstream);
+            });
+        }
+        CommandAnswer::Done
+    }
+
+    fn drop_upstream(&mut self, name: &UpstreamId) -> CommandAnswer {
+        let Some(upstream) = self.view.upstreams.get(name) else {
+            return CommandAnswer::Refused(RefusedCommand::Unknown);
+        };
+        let in_use = self.view.groups.get(&upstream.group);
+        let in_use = in_use.is_some_and(|group| match &group.primary {
+            PrimaryState::Active(primary) | PrimaryState::Draining(primary) => primary == name,
+            PrimaryState::Fenced => false,
+        });
+        if in_use || upstream.holder.is_some() {
+            return CommandAnswer::Refused(RefusedCommand::Superseded);
+        }
+        self.change(ViewChanges::of_upstream(name), |view| {
+            view.upstreams.remove(name);
+        });
+        CommandAnswer::Done
+    }
+
+    fn update_group(&mut self, command: &GroupCommand) -> CommandAnswer {
+        let known = self.view.groups.get(&command.group);
+        let term = known.map_or_else(Default::default, |known| known.term);
+        if term != command.expected {
+            return CommandAnswer::Refused(RefusedCommand::Superseded);
+        }
+        if command.term < term {
+            return CommandAnswer::Refused(RefusedCommand::TermUsed);
+        }
+        let next = GroupView {
+            term: command.term,
+            primary: command.primary.clone(),
+            lineage_start: command.lineage_start,
+        };
+        if known.is_some_and(|known| gives_term_twice(known, &next)) {
+            return CommandAnswer::Refused(RefusedCommand::TermUsed);
+        }
+        if known != Some(&next) {
+            self.change(ViewChanges::of_group(&command.group), |view| {
+                view.groups.insert(command.group.clone(), next);
+            });
+        }
+        CommandAnswer::Done
+    }
+
+    fn update_holder(&mut self, command: &HolderCommand) -> CommandAnswer {
+        let Some(upstream) = self.view.upstreams.get(&command.upstream) else {
+            return CommandAnswer::Refused(RefusedCommand::Unknown);
+        };
+        if upstream.holder != command.expected {
+            return CommandAnswer::Refused(RefusedCommand::Superseded);
+        }
+        let known = |holder| self.view.instances.contains_key(holder);
+        let direct = upstream.holder.is_some() && command.holder.is_some();
+        if direct || !command.holder.as_ref().is_none_or(known) {
+            return CommandAnswer::Refused(RefusedCommand::Unknown);
+        }
+        if upstream.holder != command.holder {
+            self.change(ViewChanges::of_upstream(&command.upstream), |view| {
+                if let Some(upstream) = view.upstreams.get_mut(&command.upstream) {
+                    upstream.holder = command.holder.clone();
+                }
+            });
+        }
+        CommandAnswer::Done
+    }
+
+    fn held_by(&self, instance: &InstanceId) -> BTreeSet<UpstreamId> {
+        let held = self.view.upstreams.iter();
+        let held = held.filter(|(_, upstream)| upstream.holder.as_ref() == Some(instance));
+        held.map(|(name, _)| name.clone()).collect()
+    }
+
+    fn change(&mut self, changes: ViewChanges, edit: impl FnOnce(&mut FleetView)) {
+        // Sessions may still read the former view; it is copied then.
+        let view = Arc::make_mut(&mut self.view);
+        edit(view);
+        view.number = ViewNumber(view.number.0 + 1);
+        self.ring.push(changes);
+    }
+}
+
+fn release_all(view: &mut FleetView, instance: &InstanceId) {
+    for upstream in view.upstreams.values_mut() {
+        if upstream.holder.as_ref() == Some(instance) {
+            upstream.holder = None;
+        }
+    }
+}
+
+/// Returns whether a term would get a second primary, or one after it was over.
+fn gives_term_twice(known: &GroupView, next: &GroupView) -> bool {
+    if known.term != next.term {
+        return false;
+    }
+    match (&known.primary, &next.primary) {
+        (PrimaryState::Active(old), PrimaryState::Draining(new) | PrimaryState::Active(new))
+        | (PrimaryState::Draining(old), PrimaryState::Draining(new) | PrimaryState::Active(new)) => {
+            old != new || known.lineage_start != next.lineage_start
+        }
+        (PrimaryState::Fenced, PrimaryState::Active(_) | PrimaryState::Fenced) => false,
+        (PrimaryState::Fenced, PrimaryState::Draining(_)) => true,
+        // A fence always comes with a new term.
+        (PrimaryState::Active(_) | PrimaryState::Draining(_), PrimaryState::Fenced) => true,
+    }
+}
--- /dev/null
+++ b/crates/daisyseam-coord/src/promotion/group.rs
@@ -0,0 +1,292 @@
+//! The promotion machine of one group.
+
+use super::stage::PromotionStage;
+use crate::{
+    Moment,
+    fleet::GroupCommand, //
+};
+use daisyseam_model::{
+    GroupId,
+    GroupView,
+    LogPosition,
+    PrimaryState,
+    Term,
+    UpstreamId,
+    announce::{
+        UpstreamRole,
+        UpstreamState, //
+    }, //
+};
+use std::{
+    collections::BTreeMap,
+    time::Duration, //
+};
+
+/// Times of the promotion machine.
+#[derive(Clone, Copy, Debug)]
+pub struct PromotionSettings {
+    /// Silence of a primary after which it is asked directly.
+    pub suspect_after: Duration,
+    /// Time between two calls of the same kind to the same database.
+    pub call_every: Duration,
+    /// Time after which a lost promotion gives way to another term.
+    pub promote_for: Duration,
+    /// Time for which a planned move waits for open transactions.
+    pub drain_for: Duration,
+    /// Time for which a planned move waits for its target to catch up.
+    pub catch_up_for: Duration,
+    /// Time for which a new group waits for the databases that have not announced themselves.
+    pub gather_for: Duration,
+    /// Time after which databases that follow are asked to do so again.
+    pub follow_every: Duration,
+}
+
+impl Default for PromotionSettings {
+    fn default() -> Self {
+        Self {
+            suspect_after: Duration::from_millis(500),
+            call_every: Duration::from_millis(150),
+            promote_for: Duration::from_millis(1_000),
+            drain_for: Duration::from_millis(4_000),
+            catch_up_for: Duration::from_millis(2_000),
+            gather_for: Duration::from_millis(1_000),
+            follow_every: Duration::from_millis(5_000),
+        }
+    }
+}
+
+/// What is known of a group at one moment.
+#[derive(Clone, Copy, Debug)]
+pub struct GroupFacts<'a> {
+    /// The group.
+    pub group: &'a GroupId,
+    /// Its state in the newest view; none before it was first decided.
+    pub view: Option<&'a GroupView>,
+    /// Its databases, in the order of their names.
+    pub members: &'a [MemberFacts],
+    /// Number of databases by the document.
+    pub expected: usize,
+    /// Whether no instance may act on an earlier state of the group.
+    pub confirmed: bool,
+    /// Transactions still open in the group by the reports of every instance; none while one of
+    /// them has not reported since the drain began.
+    pub open_transactions: Option<u64>,
+}
+
+/// What is known of one database.
+#[derive(Clone, Debug)]
+pub struct MemberFacts {
+    /// Its name.
+    pub upstream: UpstreamId,
+    /// Whether it said that it is leaving.
+    pub leaving: bool,
+    /// Whether its data centre takes work.
+    pub in_service: bool,
+    /// Time since an instance last vouched for it.
+    pub silence: Duration,
+    /// Whether its holder, which control hears, cannot reach it.
+    pub denied: bool,
+    /// What it last said of itself, with the moment.
+    pub announced: Option<(AnnouncedState, Moment)>,
+}
+
+/// What a database says of itself in an announcement.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct AnnouncedState {
+    /// End of its log.
+    pub end: LogPosition,
+    /// Whether it takes writes.
+    pub primary: bool,
+}
+
+/// A kind of call to a database.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum CallKind {
+    /// `GET /state`.
+    State,
+    /// `GET /state` that waits for a position.
+    Await,
+    /// `POST /fence`.
+    Fence,
+    /// `POST /promote`.
+    Promote,
+    /// `POST /follow`.
+    Follow,
+}
+
+/// What became of a call.
+#[derive(Clone, Debug, PartialEq)]
+pub enum CallAnswer {
+    /// It was answered.
+    State(UpstreamState),
+    /// It was refused.
+    Refused,
+    /// No answer came; it may have taken effect.
+    Lost,
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum PromotionAction {
+    /// Propose a command to the log.
+    Propose(GroupCommand),
+    /// Ask a database for its state.
+    State(UpstreamId),
+    /// Wait until a database has reached a position.
+    Await(UpstreamId, LogPosition),
+    /// Ask a database to take nothing of a lower term any more.
+    Fence(UpstreamId, Term),
+    /// Ask a database to become primary at the end that it named.
+    Promote(UpstreamId, Term, LogPosition),
+    /// Ask a database to follow the primary.
+    Follow {
+        /// The database.
+        upstream: UpstreamId,
+        /// Term of the primary.
+        term: Term,
+        /// The primary.
+        primary: UpstreamId,
+        /// Start of its lineage.
+        lineage_start: LogPosition,
+    },
+}
+
+/// Decides for one group; a new leader starts with a new one.
+#[derive(Debug)]
+pub struct GroupPromotion {
+    pub(super) settings: PromotionSettings,
+    pub(super) stage: PromotionStage,
+    pub(super) called: BTreeMap<(UpstreamId, CallKind), Moment>,
+    pub(super) followed: BTreeMap<UpstreamId, (Term, Moment)>,
+    pub(super) gathering_since: Option<Moment>,
+    pub(super) actions: Vec<PromotionAction>,
+}
+
+impl GroupPromotion {
+    /// Starts with no memory of earlier attempts.
+    pub fn new(settings: PromotionSettings) -> Self {
+        Self {
+            settings,
+            stage: PromotionStage::Watching,
+            called: BTreeMap::new(),
+            followed: BTreeMap::new(),
+            gathering_since: None,
+            actions: Vec::new(),
+        }
+    }
+
+    /// Decides what is to be done now.
+    pub fn step(&mut self, now: Moment, facts: GroupFacts<'_>) -> Vec<PromotionAction> {
+        match facts.view {
+            None => self.found(now, facts),
+            Some(view) => match &view.primary {
+                PrimaryState::Fenced => self.elect(now, facts, view),
+                PrimaryState::Draining(primary) => self.drain(now, facts, view, primary),
+                PrimaryState::Active(primary) => self.watch(now, facts, view, primary),
+            },
+        }
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Takes what became of a call.
+    pub fn answer(
+        &mut self,
+        now: Moment,
+        upstream: &UpstreamId,
+        kind: CallKind,
+        term: Term,
+        answer: &CallAnswer,
+    ) {
+        self.take_answer(now, upstream, kind, term, answer);
+    }
+
+    /// Proposes the first term of a group once enough of its databases are known.
+    fn found(&mut self, now: Moment, facts: GroupFacts<'_>) {
+        let announced = facts.members.iter().filter_map(|member| member.announced);
+        let highest = announced
+            .clone()
+            .map(|(announced, _)| announced.end.term)
+            .max();
+        let count = announced.count();
+        let Some(highest) = highest.filter(|_| count > facts.expected / 2) else {
+            self.gathering_since = None;
+            return;
+        };
+        let since = *self.gathering_since.get_or_insert(now);
+        if count < facts.expected && now.since(since) < self.settings.gather_for {
+            return;
+        }
+        self.propose_fence(now, facts, Term::default(), highest.next(), None);
+    }
+
+    /// Proposes that nobody is primary, at a term that was never given.
+    pub(super) fn propose_fence(
+        &mut self,
+        now: Moment,
+        facts: GroupFacts<'_>,
+        expected: Term,
+        term: Term,
+        preferred: Option<UpstreamId>,
+    ) {
+        self.stage = PromotionStage::fencing(now, term, preferred);
+        self.called.clear();
+        let lineage_start = facts.view.map(|view| view.lineage_start);
+        self.actions.push(PromotionAction::Propose(GroupCommand {
+            group: facts.group.clone(),
+            expected,
+            term,
+            primary: PrimaryState::Fenced,
+            lineage_start: lineage_start.unwrap_or_default(),
+        }));
+    }
+
+    /// Returns whether a call is due again, and notes that it is made.
+    pub(super) fn is_due(&mut self, now: Moment, upstream: &UpstreamId, kind: CallKind) -> bool {
+        let key = (upstream.clone(), kind);
+        let last = self.called.get(&key).copied();
+        let due = last.is_none_or(|last| now.since(last) >= self.settings.call_every);
+        if due {
+            self.called.insert(key, now);
+        }
+        due
+    }
+
+    /// Asks every other database to follow the primary.
+    pub(super) fn keep_following(
+        &mut self,
+        now: Moment,
+        facts: GroupFacts<'_>,
+        view: &GroupView,
+        primary: &UpstreamId,
+    ) {
+        for member in facts.members {
+            let name = &member.upstream;
+            if name == primary || !self.needs_follow(now, member, view.term) {
+                continue;
+            }
+            if self.is_due(now, name, CallKind::Follow) {
+                self.actions.push(PromotionAction::Follow {
+                    upstream: name.clone(),
+                    term: view.term,
+                    primary: primary.clone(),
+                    lineage_start: view.lineage_start,
+                });
+            }
+        }
+    }
+
+    fn needs_follow(&self, now: Moment, member: &MemberFacts, term: Term) -> bool {
+        let Some((followed, since)) = self.followed.get(&member.upstream).copied() else {
+            return true;
+        };
+        // A former primary that came back says so in its announcements.
+        let strayed = member
+            .announced
+            .is_some_and(|(announced, at)| announced.primary && at > since);
+        followed != term || strayed || now.since(since) >= self.settings.follow_every
+    }
+
+    pub(super) fn is_promoted(state: &UpstreamState, term: Term) -> bool {
+        state.role == UpstreamRole::Primary && state.promised == term
+    }
+}
--- /dev/null
+++ b/crates/daisyseam-coord/src/promotion/stage.rs
@@ -0,0 +1,427 @@
+//! The stages of a change of primary.
+
+use super::{
+    CallAnswer,
+    CallKind,
+    GroupFacts,
+    GroupPromotion,
+    MemberFacts,
+    PromotionAction,
+    choice::{
+        choose,
+        fence_quorum, //
+    }, //
+};
+use crate::{
+    Moment,
+    fleet::GroupCommand, //
+};
+use daisyseam_model::{
+    GroupView,
+    LogPosition,
+    PrimaryState,
+    Term,
+    UpstreamId, //
+};
+use std::collections::BTreeMap;
+
+/// Lost answers to direct questions after which a silent primary is given up.
+const LOST_PROBES: u32 = 2;
+
+/// What the machine waits for.
+#[derive(Debug)]
+pub(super) enum PromotionStage {
+    /// Nothing is under way.
+    Watching,
+    /// A primary is silent and is asked directly.
+    Probing { lost: u32 },
+    /// A planned move.
+    Draining(PlannedMove),
+    /// Databases are asked to promise to a term.
+    Fencing(FenceRound),
+    /// One database is asked to become primary.
+    Promoting(PromotionAttempt),
+}
+
+#[derive(Debug)]
+pub(super) struct PlannedMove {
+    term: Term,
+    since: Moment,
+    target: UpstreamId,
+    end: Option<(LogPosition, Moment)>,
+    reached: bool,
+}
+
+#[derive(Debug)]
+pub(super) struct FenceRound {
+    term: Term,
+    proposed_at: Moment,
+    preferred: Option<UpstreamId>,
+    ends: BTreeMap<UpstreamId, LogPosition>,
+}
+
+#[derive(Debug)]
+pub(super) struct PromotionAttempt {
+    term: Term,
+    since: Moment,
+    chosen: UpstreamId,
+    end: LogPosition,
+    outcome: Option<bool>,
+}
+
+impl PromotionStage {
+    pub(super) fn fencing(now: Moment, term: Term, preferred: Option<UpstreamId>) -> Self {
+        Self::Fencing(FenceRound {
+            term,
+            proposed_at: now,
+            preferred,
+            ends: BTreeMap::new(),
+        })
+    }
+}
+
+impl GroupPromotion {
+    /// Watches the primary and moves it where it cannot stay.
+    pub(super) fn watch(
+        &mut self,
+        now: Moment,
+        facts: GroupFacts<'_>,
+        view: &GroupView,
+        primary: &UpstreamId,
+    ) {
+        match &self.stage {
+            PromotionStage::Fencing(round) if round.term > view.term => {
+                return self.repeat_fence(now, facts, view);
+            }
+            PromotionStage::Draining(planned) if planned.term == view.term => {
+                if now.since(planned.since) < self.settings.call_every {
+                    return;
+                }
+            }
+            PromotionStage::Probing { .. } | PromotionStage::Watching => {}
+            _ => self.stage = PromotionStage::Watching,
+        }
+        self.keep_following(now, facts, view, primary);
+        if self.is_lost(now, facts, primary) {
+            return self.propose_fence(now, facts, view.term, view.term.next(), None);
+        }
+        if let Some(target) = move_target(facts, primary) {
+            self.propose_drain(now, facts, view, primary, target);
+        }
+    }
+
+    /// Proposes the fence again if the log did not take it.
+    fn repeat_fence(&mut self, now: Moment, facts: GroupFacts<'_>, view: &GroupView) {
+        let PromotionStage::Fencing(round) = &self.stage else {
+            return;
+        };
+        if now.since(round.proposed_at) >= self.settings.promote_for {
+            let preferred = round.preferred.clone();
+            self.propose_fence(now, facts, view.term, view.term.next(), preferred);
+        }
+    }
+
+    /// Returns whether the primary is given up.
+    fn is_lost(&mut self, now: Moment, facts: GroupFacts<'_>, primary: &UpstreamId) -> bool {
+        let member = facts
+            .members
+            .iter()
+            .find(|member| &member.upstream == primary);
+        let Some(member) = member else {
+            return true;
+        };
+        if member.denied {
+            return true;
+        }
+        if member.silence < self.settings.suspect_after {
+            self.stage = PromotionStage::Watching;
+            return false;
+        }
+        if let PromotionStage::Probing { lost } = &self.stage {
+            if *lost >= LOST_PROBES {
+                return true;
+            }
+        } else {
+            self.stage = PromotionStage::Probing { lost: 0 };
+        }
+        if self.is_due(now, primary, CallKind::State) {
+            self.actions.push(PromotionAction::State(primary.clone()));
+        }
+        false
+    }
+
+    fn propose_drain(
+        &mut self,
+        now: Moment,
+        facts: GroupFacts<'_>,
+        view: &GroupView,
+        primary: &UpstreamId,
+        target: UpstreamId,
+    ) {
+        self.stage = PromotionStage::Draining(PlannedMove {
+            term: view.term,
+            since: now,
+            target,
+            end: None,
+            reached: false,
+        });
+        let state = PrimaryState::Draining(primary.clone());
+        self.propose_state(facts, view, state, view.lineage_start);
+    }
+
+    fn propose_state(
+        &mut self,
+        facts: GroupFacts<'_>,
+        view: &GroupView,
+        primary: PrimaryState,
+        lineage_start: LogPosition,
+    ) {
+        self.actions.push(PromotionAction::Propose(GroupCommand {
+            group: facts.group.clone(),
+            expected: view.term,
+            term: view.term,
+            primary,
+            lineage_start,
+        }));
+    }
+
+    /// Lets open transactions finish and the target catch up, then fences.
+    pub(super) fn drain(
+        &mut self,
+        now: Moment,
+        facts: GroupFacts<'_>,
+        view: &GroupView,
+        primary: &UpstreamId,
+    ) {
+        if let PromotionStage::Fencing(round) = &self.stage
+            && round.term > view.term
+        {
+            return self.repeat_fence(now, facts, view);
+        }
+        self.keep_following(now, facts, view, primary);
+        let Some(target) = move_target(facts, primary) else {
+            // The reason for the move is gone, or nobody can take over: the primary stays.
+            if self.is_due(now, primary, CallKind::Promote) {
+                let state = PrimaryState::Active(primary.clone());
+                self.propose_state(facts, view, state, view.lineage_start);
+            }
+            return;
+        };
+        if facts
+            .members
+            .iter()
+            .any(|member| &member.upstream == primary && member.denied)
+        {
+            return self.propose_fence(now, facts, view.term, view.term.next(), Some(target));
+        }
+        self.adopt_move(now, view, target);
+        let PromotionStage::Draining(planned) = &self.stage else {
+            return;
+        };
+        let late = now.since(planned.since) >= self.settings.drain_for;
+        let drained = facts.confirmed && facts.open_transactions == Some(0);
+        if !drained && !late {
+            return;
+        }
+        let target = planned.target.clone();
+        match planned.end {
+            None if late && now.since(planned.since) >= self.settings.drain_for * 2 => {
+                self.propose_fence(now, facts, view.term, view.term.next(), Some(target));
+            }
+            None => {
+                if self.is_due(now, primary, CallKind::State) {
+                    self.actions.push(PromotionAction::State(primary.clone()));
+                }
+            }
+            Some((end, since)) => {
+                if planned.reached || now.since(since) >= self.settings.catch_up_for {
+                    let next = view.term.next();
+                    self.propose_fence(now, facts, view.term, next, Some(target));
+                } else if self.is_due(now, &target, CallKind::Await) {
+                    self.actions.push(PromotionAction::Await(target, end));
+                }
+            }
+        }
+    }
+
+    /// Goes on with a move that an earlier leader began.
+    fn adopt_move(&mut self, now: Moment, view: &GroupView, target: UpstreamId) {
+        let known = matches!(
+            &self.stage,
+            PromotionStage::Draining(planned) if planned.term == view.term && planned.target == target
+        );
+        if !known {
+            let since = match &self.stage {
+                PromotionStage::Draining(planned) if planned.term == view.term => planned.since,
+                _ => now,
+            };
+            self.stage = PromotionStage::Draining(PlannedMove {
+                term: view.term,
+                since,
+                target,
+                end: None,
+                reached: false,
+            });
+        }
+    }
+
+    /// Gathers promises, chooses, promotes.
+    pub(super) fn elect(&mut self, now: Moment, facts: GroupFacts<'_>, view: &GroupView) {
+        match &self.stage {
+            PromotionStage::Fencing(round) if round.term == view.term => {
+                self.gather(now, facts, view);
+            }
+            PromotionStage::Fencing(round) if round.term > view.term => {
+                self.repeat_fence(now, facts, view);
+            }
+            PromotionStage::Promoting(attempt) if attempt.term == view.term => {
+                self.promote(now, facts, view);
+            }
+            // Under an earlier leader's term a database may have been asked already.
+            _ => self.propose_fence(now, facts, view.term, view.term.next(), None),
+        }
+    }
+
+    fn gather(&mut self, now: Moment, facts: GroupFacts<'_>, view: &GroupView) {
+        let PromotionStage::Fencing(round) = &self.stage else {
+            return;
+        };
+        let quorum = fence_quorum(facts.members.len(), facts.expected);
+        let known = |member: &&MemberFacts| round.ends.contains_key(&member.upstream);
+        let answered = facts.members.iter().filter(known).count();
+        if facts.confirmed && answered >= quorum {
+            let chosen = choose(&round.ends, facts.members, round.preferred.as_ref());
+            if let Some((chosen, end)) = chosen {
+                self.stage = PromotionStage::Promoting(PromotionAttempt {
+                    term: view.term,
+                    since: now,
+                    chosen,
+                    end,
+                    outcome: None,
+                });
+                return self.promote(now, facts, view);
+            }
+        }
+        let missing: Vec<UpstreamId> = facts
+            .members
+            .iter()
+            .filter(|member| !known(member))
+            .map(|member| member.upstream.clone())
+            .collect();
+        for upstream in missing {
+            if self.is_due(now, &upstream, CallKind::Fence) {
+                self.actions
+                    .push(PromotionAction::Fence(upstream, view.term));
+            }
+        }
+    }
+
+    fn promote(&mut self, now: Moment, facts: GroupFacts<'_>, view: &GroupView) {
+        let PromotionStage::Promoting(attempt) = &self.stage else {
+            return;
+        };
+        let chosen = attempt.chosen.clone();
+        let end = attempt.end;
+        let late = now.since(attempt.since) >= self.settings.promote_for;
+        match attempt.outcome {
+            Some(true) => {
+                if self.is_due(now, &chosen, CallKind::State) {
+                    self.propose_state(facts, view, PrimaryState::Active(chosen), end);
+                }
+            }
+            Some(false) => {
+                self.propose_fence(now, facts, view.term, view.term.next(), None);
+            }
+            None if late => {
+                // It may have become primary all the same; only a later term may go to another.
+                self.propose_fence(now, facts, view.term, view.term.next(), None);
+            }
+            None => {
+                if self.is_due(now, &chosen, CallKind::Promote) {
+                    let action = PromotionAction::Promote(chosen, view.term, end);
+                    self.actions.push(action);
+                }
+            }
+        }
+    }
+
+    pub(super) fn take_answer(
+        &mut self,
+        now: Moment,
+        upstream: &UpstreamId,
+        kind: CallKind,
+        term: Term,
+        answer: &CallAnswer,
+    ) {
+        if kind == CallKind::Follow {
+            if matches!(answer, CallAnswer::State(_)) {
+                self.followed.insert(upstream.clone(), (term, now));
+            }
+            return;
+        }
+        match &mut self.stage {
+            PromotionStage::Probing { lost } if kind == CallKind::State => match answer {
+                CallAnswer::Lost => *lost += 1,
+                CallAnswer::State(_) | CallAnswer::Refused => *lost = 0,
+            },
+            PromotionStage::Draining(planned) if planned.term == term => {
+                let CallAnswer::State(state) = answer else {
+                    return;
+                };
+                if kind == CallKind::State && planned.end.is_none() {
+                    planned.end = Some((state.end, now));
+                }
+                let wanted = planned.end.map(|(end, _)| end);
+                if kind == CallKind::Await && *upstream == planned.target {
+                    planned.reached |= wanted.is_some_and(|end| state.end >= end);
+                }
+            }
+            PromotionStage::Fencing(round) if kind == CallKind::Fence && round.term == term => {
+                if let CallAnswer::State(state) = answer
+                    && state.promised == term
+                {
+                    round.ends.insert(upstream.clone(), state.end);
+                }
+            }
+            PromotionStage::Promoting(attempt)
+                if kind == CallKind::Promote
+                    && attempt.term == term
+                    && attempt.chosen == *upstream =>
+            {
+                match answer {
+                    CallAnswer::State(state) => {
+                        attempt.outcome = Some(Self::is_promoted(state, term));
+                    }
+                    // A repeated call may be refused because the first one took effect.
+                    CallAnswer::Refused => attempt.outcome = attempt.outcome.or(Some(false)),
+                    CallAnswer::Lost => {}
+                }
+            }
+            _ => {}
+        }
+    }
+}
+
+/// Returns where the primary should move, if it cannot stay and another one can take over.
+fn move_target(facts: GroupFacts<'_>, primary: &UpstreamId) -> Option<UpstreamId> {
+    let may_stay = |member: &&MemberFacts| !member.leaving && member.in_service;
+    let present = facts
+        .members
+        .iter()
+        .find(|member| &member.upstream == primary);
+    if present.is_none_or(|member| may_stay(&member)) {
+        return None;
+    }
+    let others = facts
+        .members
+        .iter()
+        .filter(|member| &member.upstream != primary);
+    let able = others
+        .filter(may_stay)
+        .filter(|member| member.announced.is_some());
+    let best = able.rev().max_by_key(|member| {
+        let end = member.announced.map(|(announced, _)| announced.end);
+        (std::cmp::Reverse(member.silence.as_millis() / 1_000), end)
+    });
+    best.map(|member| member.upstream.clone())
+}
--- a/crates/daisyseam-store/src/folder.rs
+++ b/crates/daisyseam-store/src/folder.rs
@@ -203,11 +203,11 @@
     let segments = list_segments(folder)?;
     let last = segments.last().map_or(1, |(number, _)| *number);
     let mut length = 0;
-    let mut fits = true;
+    let mut boundary = None;
     for (number, path) in segments {
         let bytes = fs::read(&path).map_err(|error| StoreError::io(&path, error))?;
         let content = read_segment(&path, &bytes, number == last)?;
-        fits &= !conflicts(&state.snapshot, &content.records);
+        boundary = term_at(state.snapshot.index, &content.records).or(boundary);
         if content.length < bytes.len() as u64 {
             let torn = bytes.len() as u64 - content.length;
             log::warn!("{}: {torn} unsynced bytes are dropped", path.display());
@@ -215,19 +215,19 @@
         length = content.length;
         replay(state, content.records);
     }
+    let fits = boundary.is_none_or(|term| term == state.snapshot.term);
     if !fits {
         state.entries.clear();
     }
     Ok((open_segment(folder, last, length)?, fits))
 }
 
-/// Returns whether the entry at the snapshot's index is of another history.
-fn conflicts(snapshot: &SnapshotRecord, records: &[WalRecord]) -> bool {
-    let at_snapshot = records.iter().rev().find_map(|record| match record {
-        WalRecord::Entry(entry) if entry.index == snapshot.index => Some(entry.term),
+/// Returns the term that the last record of an index names.
+fn term_at(index: u64, records: &[WalRecord]) -> Option<u64> {
+    records.iter().rev().find_map(|record| match record {
+        WalRecord::Entry(entry) if entry.index == index => Some(entry.term),
         _ => None,
-    });
-    at_snapshot.is_some_and(|term| term != snapshot.term)
+    })
 }
 
 fn replay(state: &mut RecoveredState, records: Vec<WalRecord>) {
