--- /dev/null
+++ b/crates/daisyseam-control/src/admin.rs
@@ -0,0 +1,133 @@
+//! Calls to the HTTP ports of databases.
+
+use daisyseam_coord::promotion::CallAnswer;
+use daisyseam_model::{
+    LogPosition,
+    Term,
+    announce::{
+        FenceCall,
+        FollowCall,
+        PromoteCall,
+        UpstreamState, //
+    }, //
+};
+use daisyseam_runtime::TimerService;
+use reqwest::{
+    Client,
+    RequestBuilder,
+    StatusCode, //
+};
+use serde::Serialize;
+use std::{
+    future::Future,
+    net::{
+        IpAddr,
+        SocketAddr, //
+    },
+    time::Duration, //
+};
+
+/// Time after which a call counts as lost.
+const CALL_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time that a database may take to become primary or to follow.
+const CHANGE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time for which a database waits for a position before it answers all the same.
+const AWAIT_WAIT: Duration = Duration::from_millis(200);
+
+/// A call to one database.
+#[derive(Clone, Debug, PartialEq)]
+pub enum AdminCall {
+    /// Asks for its state.
+    State,
+    /// Waits until it has reached a position.
+    Await(LogPosition),
+    /// Asks it to take nothing of a lower term any more.
+    Fence(Term),
+    /// Asks it to become primary.
+    Promote(PromoteCall),
+    /// Asks it to follow a primary.
+    Follow(FollowCall),
+}
+
+/// Reaches the databases of the platform.
+pub trait UpstreamAdmin: Clone + Send + Sync + 'static {
+    /// Makes a call; it ends by itself.
+    fn call(&self, address: SocketAddr, call: AdminCall)
+    -> impl Future<Output = CallAnswer> + Send;
+}
+
+/// Reaches databases over HTTP with JSON.
+#[derive(Clone)]
+pub struct HttpAdmin {
+    client: Client,
+    timer: TimerService,
+}
+
+impl HttpAdmin {
+    /// Makes calls from an address, or from the system's choice.
+    ///
+    /// # Errors
+    ///
+    /// When the client cannot be set up.
+    pub fn new(source: Option<IpAddr>, timer: TimerService) -> Result<Self, reqwest::Error> {
+        let client = Client::builder().no_proxy().local_address(source).build()?;
+        Ok(Self { client, timer })
+    }
+
+    async fn send(&self, request: RequestBuilder, timeout: Duration) -> CallAnswer {
+        let until = self.timer.now() + timeout;
+        let answer = self.timer.within(until, exchange(request)).await;
+        answer.unwrap_or(CallAnswer::Lost)
+    }
+
+    async fn post<T: Serialize>(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        body: &T,
+        timeout: Duration,
+    ) -> CallAnswer {
+        let request = self.client.post(format!("http://{address}{path}"));
+        self.send(request.json(body), timeout).await
+    }
+}
+
+impl UpstreamAdmin for HttpAdmin {
+    async fn call(&self, address: SocketAddr, call: AdminCall) -> CallAnswer {
+        match call {
+            AdminCall::State => {
+                let request = self.client.get(format!("http://{address}/state"));
+                self.send(request, CALL_TIMEOUT).await
+            }
+            AdminCall::Await(at) => {
+                let request = self.client.get(format!(
+                    "http://{address}/state?term={}&position={}&wait_ms={}",
+                    at.term.0,
+                    at.position.0,
+                    AWAIT_WAIT.as_millis()
+                ));
+                self.send(request, AWAIT_WAIT + CALL_TIMEOUT).await
+            }
+            AdminCall::Fence(term) => {
+                let body = FenceCall { term };
+                self.post(address, "/fence", &body, CALL_TIMEOUT).await
+            }
+            AdminCall::Promote(body) => self.post(address, "/promote", &body, CHANGE_TIMEOUT).await,
+            AdminCall::Follow(body) => self.post(address, "/follow", &body, CHANGE_TIMEOUT).await,
+        }
+    }
+}
+
+async fn exchange(request: RequestBuilder) -> CallAnswer {
+    let Ok(response) = request.send().await else {
+        return CallAnswer::Lost;
+    };
+    if response.status() == StatusCode::CONFLICT {
+        return CallAnswer::Refused;
+    }
+    if !response.status().is_success() {
+        return CallAnswer::Lost;
+    }
+    let state = response.json::<UpstreamState>().await;
+    state.map_or(CallAnswer::Lost, CallAnswer::State)
+}
--- /dev/null
+++ b/crates/daisyseam-control/src/convert.rs
@@ -0,0 +1,356 @@
+//! Conversions between the log's messages and records and those of wire and store.
+
+use bytes::Bytes;
+use daisyseam_coord::{
+    fleet::{
+        FleetState,
+        ViewChanges, //
+    },
+    log::{
+        AppendRequest,
+        AppendResponse,
+        DurableLog,
+        EntryKind,
+        LogEntry,
+        LogIndex,
+        LogMessage,
+        LogSnapshot,
+        LogTerm,
+        MemberTable,
+        SnapshotChunk,
+        SnapshotResponse,
+        TransferRequest,
+        VoteRequest,
+        VoteResponse, //
+    }, //
+};
+use daisyseam_model::{
+    DocumentNumber,
+    GroupId,
+    InstanceId,
+    UpstreamId,
+    ViewNumber, //
+};
+use daisyseam_store::{
+    EntryRecord,
+    RecoveredState,
+    SnapshotRecord,
+    VoteRecord, //
+};
+use daisyseam_wire::{
+    self as wire,
+    DocumentPatch,
+    WireGroup,
+    WireInstance,
+    WireUpstream,
+    WireView,
+    control_message::Body, //
+};
+
+const KIND_BLANK: u8 = 0;
+const KIND_COMMAND: u8 = 1;
+const KIND_MEMBERS: u8 = 2;
+
+/// Turns a message of the log into one for the wire.
+pub(crate) fn to_wire(me: &InstanceId, message: LogMessage) -> Body {
+    let from = me.to_string();
+    match message {
+        LogMessage::Vote(vote) => Body::Vote(wire::VoteRequest {
+            from,
+            term: vote.term.0,
+            last_index: vote.last_index.0,
+            last_term: vote.last_term.0,
+            pre_vote: vote.pre_vote,
+            transfer: vote.transfer,
+        }),
+        LogMessage::Voted(vote) => Body::Voted(wire::VoteReply {
+            from,
+            term: vote.term.0,
+            granted: vote.granted,
+            pre_vote: vote.pre_vote,
+        }),
+        LogMessage::Append(append) => Body::Append(wire::AppendRequest {
+            from,
+            term: append.term.0,
+            previous_index: append.previous_index.0,
+            previous_term: append.previous_term.0,
+            commit: append.commit.0,
+            entries: append.entries.into_iter().map(entry_to_wire).collect(),
+            round: append.round,
+        }),
+        LogMessage::Appended(answer) => Body::Appended(wire::AppendReply {
+            from,
+            term: answer.term.0,
+            success: answer.success,
+            match_index: answer.match_index.0,
+            hint_index: answer.hint_index.0,
+            round: answer.round,
+        }),
+        LogMessage::Snapshot(chunk) => Body::Snapshot(wire::SnapshotChunk {
+            from,
+            term: chunk.term.0,
+            last_index: chunk.last_index.0,
+            last_term: chunk.last_term.0,
+            offset: chunk.offset,
+            total: chunk.total,
+            bytes: chunk.bytes,
+            members: chunk.members.encode(),
+            round: chunk.round,
+        }),
+        LogMessage::SnapshotTaken(answer) => Body::SnapshotTaken(wire::SnapshotReply {
+            from,
+            term: answer.term.0,
+            last_index: answer.last_index.0,
+            next_offset: answer.next_offset,
+            done: answer.done,
+            round: answer.round,
+        }),
+        LogMessage::Transfer(transfer) => Body::Transfer(wire::TransferRequest {
+            from,
+            term: transfer.term.0,
+        }),
+    }
+}
+
+/// Reads a message between members; nothing if it is none or cannot be read.
+pub(crate) fn from_wire(body: Body) -> Option<(InstanceId, LogMessage)> {
+    let (from, message) = match body {
+        Body::Vote(vote) => {
+            let message = LogMessage::Vote(VoteRequest {
+                term: LogTerm(vote.term),
+                last_index: LogIndex(vote.last_index),
+                last_term: LogTerm(vote.last_term),
+                pre_vote: vote.pre_vote,
+                transfer: vote.transfer,
+            });
+            (vote.from, message)
+        }
+        Body::Voted(vote) => {
+            let message = LogMessage::Voted(VoteResponse {
+                term: LogTerm(vote.term),
+                granted: vote.granted,
+                pre_vote: vote.pre_vote,
+            });
+            (vote.from, message)
+        }
+        Body::Append(append) => {
+            let entries = append.entries.into_iter().map(entry_from_wire);
+            let message = LogMessage::Append(AppendRequest {
+                term: LogTerm(append.term),
+                previous_index: LogIndex(append.previous_index),
+                previous_term: LogTerm(append.previous_term),
+                commit: LogIndex(append.commit),
+                entries: entries.collect::<Option<_>>()?,
+                round: append.round,
+            });
+            (append.from, message)
+        }
+        Body::Appended(answer) => {
+            let message = LogMessage::Appended(AppendResponse {
+                term: LogTerm(answer.term),
+                success: answer.success,
+                match_index: LogIndex(answer.match_index),
+                hint_index: LogIndex(answer.hint_index),
+                round: answer.round,
+            });
+            (answer.from, message)
+        }
+        Body::Snapshot(chunk) => {
+            let message = LogMessage::Snapshot(SnapshotChunk {
+                term: LogTerm(chunk.term),
+                last_index: LogIndex(chunk.last_index),
+                last_term: LogTerm(chunk.last_term),
+                members: MemberTable::decode(&chunk.members)?,
+                offset: chunk.offset,
+                total: chunk.total,
+                bytes: chunk.bytes,
+                round: chunk.round,
+            });
+            (chunk.from, message)
+        }
+        Body::SnapshotTaken(answer) => {
+            let message = LogMessage::SnapshotTaken(SnapshotResponse {
+                term: LogTerm(answer.term),
+                last_index: LogIndex(answer.last_index),
+                next_offset: answer.next_offset,
+                done: answer.done,
+                round: answer.round,
+            });
+            (answer.from, message)
+        }
+        Body::Transfer(transfer) => {
+            let message = LogMessage::Transfer(TransferRequest {
+                term: LogTerm(transfer.term),
+            });
+            (transfer.from, message)
+        }
+        _ => return None,
+    };
+    Some((from.parse().ok()?, message))
+}
+
+fn kind_number(kind: EntryKind) -> u8 {
+    match kind {
+        EntryKind::Blank => KIND_BLANK,
+        EntryKind::Command => KIND_COMMAND,
+        EntryKind::Members => KIND_MEMBERS,
+    }
+}
+
+fn kind_of(number: u8) -> Option<EntryKind> {
+    match number {
+        KIND_BLANK => Some(EntryKind::Blank),
+        KIND_COMMAND => Some(EntryKind::Command),
+        KIND_MEMBERS => Some(EntryKind::Members),
+        _ => None,
+    }
+}
+
+fn entry_to_wire(entry: LogEntry) -> wire::LogEntry {
+    wire::LogEntry {
+        index: entry.index.0,
+        term: entry.term.0,
+        kind: u32::from(kind_number(entry.kind)),
+        payload: entry.payload,
+    }
+}
+
+fn entry_from_wire(entry: wire::LogEntry) -> Option<LogEntry> {
+    Some(LogEntry {
+        index: LogIndex(entry.index),
+        term: LogTerm(entry.term),
+        kind: kind_of(u8::try_from(entry.kind).ok()?)?,
+        payload: entry.payload,
+    })
+}
+
+pub(crate) fn entry_to_record(entry: LogEntry) -> EntryRecord {
+    EntryRecord {
+        index: entry.index.0,
+        term: entry.term.0,
+        kind: kind_number(entry.kind),
+        payload: entry.payload.to_vec(),
+    }
+}
+
+pub(crate) fn vote_to_record(term: LogTerm, voted_for: Option<&InstanceId>) -> VoteRecord {
+    VoteRecord {
+        term: term.0,
+        voted_for: voted_for.map(ToString::to_string).unwrap_or_default(),
+    }
+}
+
+pub(crate) fn snapshot_to_record(snapshot: &LogSnapshot) -> SnapshotRecord {
+    SnapshotRecord {
+        index: snapshot.index.0,
+        term: snapshot.term.0,
+        members: snapshot.members.encode().to_vec(),
+        bytes: snapshot.bytes.to_vec(),
+    }
+}
+
+/// Reads what was recovered; nothing if it was written by something else.
+pub(crate) fn durable_log(state: RecoveredState, first: MemberTable) -> Option<DurableLog> {
+    let snapshot = match state.snapshot.index {
+        0 => LogSnapshot {
+            members: first,
+            ..LogSnapshot::default()
+        },
+        index => LogSnapshot {
+            index: LogIndex(index),
+            term: LogTerm(state.snapshot.term),
+            members: MemberTable::decode(&state.snapshot.members)?,
+            bytes: Bytes::from(state.snapshot.bytes),
+        },
+    };
+    let entry = |record: EntryRecord| {
+        Some(LogEntry {
+            index: LogIndex(record.index),
+            term: LogTerm(record.term),
+            kind: kind_of(record.kind)?,
+            payload: Bytes::from(record.payload),
+        })
+    };
+    let voted_for = match state.vote.voted_for.as_str() {
+        "" => None,
+        name => Some(name.parse().ok()?),
+    };
+    Some(DurableLog {
+        term: LogTerm(state.vote.term),
+        voted_for,
+        snapshot,
+        entries: state
+            .entries
+            .into_iter()
+            .map(entry)
+            .collect::<Option<_>>()?,
+    })
+}
+
+/// Describes what an instance lacks; nothing if it holds the newest view.
+pub(crate) fn view_update(state: &FleetState, held: ViewNumber) -> Option<WireView> {
+    if held == state.view().number {
+        return None;
+    }
+    let changes = match held {
+        ViewNumber(0) => None,
+        held => state.changes_since(held),
+    };
+    let delta = changes.and_then(|changes| view_delta(state, held, &changes));
+    Some(delta.unwrap_or_else(|| {
+        let current = state.documents().current();
+        WireView::whole(state.view(), current.map(|current| &*current.text))
+    }))
+}
+
+fn view_delta(state: &FleetState, held: ViewNumber, changes: &ViewChanges) -> Option<WireView> {
+    let view = state.view();
+    let document = match changes.document {
+        None => None,
+        Some(change) => Some(document_patch(state, change.from)?),
+    };
+    let group = |name: &GroupId| match view.groups.get(name) {
+        Some(group) => WireGroup::present(name.as_str(), group),
+        None => WireGroup {
+            name: name.to_string(),
+            removed: true,
+            ..WireGroup::default()
+        },
+    };
+    let upstream = |name: &UpstreamId| match view.upstreams.get(name) {
+        Some(upstream) => WireUpstream::present(name.as_str(), upstream),
+        None => WireUpstream {
+            name: name.to_string(),
+            removed: true,
+            ..WireUpstream::default()
+        },
+    };
+    let instance = |name: &InstanceId| match view.instances.get(name) {
+        Some(instance) => WireInstance::present(name.as_str(), instance),
+        None => WireInstance {
+            name: name.to_string(),
+            removed: true,
+            ..WireInstance::default()
+        },
+    };
+    Some(WireView {
+        number: view.number.0,
+        since: held.0,
+        document_number: view.document_number.0,
+        document,
+        groups: changes.groups.iter().map(group).collect(),
+        upstreams: changes.upstreams.iter().map(upstream).collect(),
+        instances: changes.instances.iter().map(instance).collect(),
+        digest: 0,
+    })
+}
+
+fn document_patch(state: &FleetState, from: DocumentNumber) -> Option<DocumentPatch> {
+    let documents = state.documents();
+    let new = &documents.current()?.text;
+    if from.0 == 0 {
+        return Some(DocumentPatch::whole(new));
+    }
+    let old = &documents.get(from)?.text;
+    Some(DocumentPatch::between(from, old, new))
+}
--- /dev/null
+++ b/crates/daisyseam-control/src/core/holders.rs
@@ -0,0 +1,156 @@
+//! Databases, instances and holders: what was announced goes into the log.
+
+use super::ControlCore;
+use daisyseam_coord::{
+    Moment,
+    fleet::{
+        FleetCommand,
+        HolderCommand,
+        LeaveCommand, //
+    },
+    membership::wanted_holders, //
+};
+use daisyseam_model::{
+    InstanceId,
+    UpstreamId,
+    UpstreamView, //
+};
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+/// Longest time that a planned hand-over waits for the former holder to let go.
+const LET_GO_WAIT: Duration = Duration::from_secs(5);
+
+impl ControlCore {
+    pub(super) fn update_upstreams(&mut self, now: Moment) {
+        let view = Arc::clone(self.fleet.view());
+        let (Some(document), Some(leader)) = (&view.document, &self.leader) else {
+            return;
+        };
+        let commands: Vec<FleetCommand> = leader
+            .announced
+            .values()
+            .map(|announced| &announced.command)
+            .filter(|command| document.groups.contains_key(&command.group))
+            .filter(|command| {
+                let known = view.upstreams.get(&command.upstream);
+                known.is_none_or(|known| {
+                    known.group == command.group
+                        && (
+                            &known.data_centre,
+                            known.address,
+                            known.admin_address,
+                            known.leaving,
+                        ) != (
+                            &command.data_centre,
+                            command.address,
+                            command.admin_address,
+                            command.leaving,
+                        )
+                })
+            })
+            .map(|command| FleetCommand::Upstream(command.clone()))
+            .collect();
+        for command in commands {
+            self.propose_upkeep(now, &command);
+        }
+    }
+
+    /// Takes silent instances off the list, and marks those that are stopping.
+    pub(super) fn update_instances(&mut self, now: Moment) {
+        let view = Arc::clone(self.fleet.view());
+        let Some(leader) = &mut self.leader else {
+            return;
+        };
+        let patience = self.settings.lease.span() + self.settings.forget_after;
+        let mut commands = Vec::new();
+        for (name, instance) in &view.instances {
+            let gone = leader.leases.silence(now, instance.incarnation) > patience;
+            let leaving = !instance.leaving && leader.leaving.contains(&instance.incarnation);
+            if gone || leaving {
+                commands.push(FleetCommand::Leave(LeaveCommand {
+                    instance: name.clone(),
+                    incarnation: instance.incarnation,
+                    gone,
+                }));
+            }
+        }
+        leader.leases.prune(now, |name, incarnation| {
+            let known = view.instances.get(name);
+            known.is_some_and(|known| known.incarnation == incarnation)
+        });
+        for command in commands {
+            self.propose_upkeep(now, &command);
+        }
+    }
+
+    /// Moves holders to where they should be, always with nobody in between.
+    pub(super) fn update_holders(&mut self, now: Moment) {
+        let view = Arc::clone(self.fleet.view());
+        let wanted = wanted_holders(&view);
+        for (name, upstream) in &view.upstreams {
+            let wanted = wanted.get(name).cloned().flatten();
+            let next = match &upstream.holder {
+                Some(holder) => {
+                    self.note_held(name);
+                    let moves = wanted.is_some() && wanted.as_ref() != Some(holder);
+                    moves.then_some(None)
+                }
+                None => self.may_assign(now, name, upstream).then_some(wanted),
+            };
+            if let Some(next) = next
+                && next != upstream.holder
+            {
+                self.propose_holder(now, name, upstream, next);
+            }
+        }
+    }
+
+    fn propose_holder(
+        &mut self,
+        now: Moment,
+        name: &UpstreamId,
+        upstream: &UpstreamView,
+        holder: Option<InstanceId>,
+    ) {
+        if let (Some(leader), Some(_)) = (&mut self.leader, &holder) {
+            // A later release waits for its own confirmation.
+            leader.released.remove(name);
+        }
+        let command = FleetCommand::Holder(HolderCommand {
+            upstream: name.clone(),
+            expected: upstream.holder.clone(),
+            holder,
+        });
+        self.propose_upkeep(now, &command);
+    }
+
+    fn note_held(&mut self, name: &UpstreamId) {
+        if let Some(leader) = &mut self.leader {
+            leader.released.remove(name);
+        }
+    }
+
+    /// Returns whether a former holder can no longer act on a view in which it was the holder.
+    fn may_assign(&mut self, now: Moment, name: &UpstreamId, upstream: &UpstreamView) -> bool {
+        let number = self.fleet.view().number;
+        let in_charge = self.is_in_charge(now);
+        let Some(leader) = &mut self.leader else {
+            return false;
+        };
+        debug_assert!(upstream.holder.is_none(), "a holder is replaced directly");
+        let (released, since) = *leader.released.entry(name.clone()).or_insert((number, now));
+        if !in_charge || !leader.leases.is_finished(now, released) {
+            return false;
+        }
+        let note = leader.health.get(name);
+        let holds = note.is_some_and(|note| {
+            let instance = self.fleet.view().instances.get(&note.holder);
+            note.holds
+                && instance.is_some_and(|known| leader.leases.may_hold(now, known.incarnation))
+        });
+        !holds || now.since(since) >= LET_GO_WAIT
+    }
+}
--- /dev/null
+++ b/crates/daisyseam-control/src/core/leader.rs
@@ -0,0 +1,190 @@
+//! What only the leader of control knows; it ends with the leadership.
+
+use super::CoreSettings;
+use daisyseam_coord::{
+    Moment,
+    fleet::{
+        FleetState,
+        UpstreamCommand, //
+    },
+    log::{
+        LogIndex,
+        LogTerm, //
+    },
+    promotion::{
+        AnnouncedState,
+        CallAnswer,
+        CallKind,
+        GroupPromotion, //
+    },
+    view_lease::LeaseTable, //
+};
+use daisyseam_model::{
+    GroupId,
+    Incarnation,
+    InstanceId,
+    LogPosition,
+    Position,
+    Term,
+    UpstreamId,
+    ViewNumber, //
+};
+use daisyseam_wire::{
+    GroupReport,
+    HealthReport,
+    UpstreamReport, //
+};
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
+    net::SocketAddr,
+    time::Duration, //
+};
+
+/// What only the leader knows.
+#[derive(Debug)]
+pub(super) struct LeaderWork {
+    pub(super) term: LogTerm,
+    pub(super) begun: Moment,
+    /// View in force when the leadership began; every earlier change is finished with it.
+    pub(super) begun_view: ViewNumber,
+    pub(super) leases: LeaseTable,
+    pub(super) groups: BTreeMap<GroupId, GroupPromotion>,
+    pub(super) changed: BTreeMap<GroupId, ViewNumber>,
+    pub(super) released: BTreeMap<UpstreamId, (ViewNumber, Moment)>,
+    pub(super) announced: BTreeMap<UpstreamId, AnnouncedUpstream>,
+    pub(super) health: BTreeMap<UpstreamId, HealthNote>,
+    pub(super) open: BTreeMap<(Incarnation, GroupId), OpenNote>,
+    pub(super) leaving: BTreeSet<Incarnation>,
+    pub(super) spares: BTreeMap<InstanceId, (SocketAddr, Moment)>,
+    pub(super) upkeep_at: Moment,
+    pub(super) upkeep_index: LogIndex,
+}
+
+/// A database as it last announced itself.
+#[derive(Clone, Debug)]
+pub(super) struct AnnouncedUpstream {
+    pub(super) command: UpstreamCommand,
+    pub(super) state: AnnouncedState,
+    pub(super) at: Moment,
+}
+
+/// What the holder of a database last said of it.
+#[derive(Clone, Debug)]
+pub(super) struct HealthNote {
+    pub(super) holder: InstanceId,
+    pub(super) reachable: bool,
+    pub(super) answered_at: Moment,
+    pub(super) holds: bool,
+}
+
+/// Transactions that an instance has open in a draining group.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct OpenNote {
+    pub(super) term: Term,
+    pub(super) count: u64,
+}
+
+impl LeaderWork {
+    pub(super) fn begin(
+        settings: &CoreSettings,
+        now: Moment,
+        term: LogTerm,
+        fleet: &FleetState,
+    ) -> Self {
+        Self {
+            term,
+            begun: now,
+            begun_view: fleet.view().number,
+            leases: LeaseTable::begin(settings.lease, now),
+            groups: BTreeMap::new(),
+            changed: BTreeMap::new(),
+            released: BTreeMap::new(),
+            announced: BTreeMap::new(),
+            health: BTreeMap::new(),
+            open: BTreeMap::new(),
+            leaving: BTreeSet::new(),
+            spares: BTreeMap::new(),
+            upkeep_at: now,
+            upkeep_index: LogIndex(0),
+        }
+    }
+
+    pub(super) fn take_call(
+        &mut self,
+        now: Moment,
+        group: &GroupId,
+        upstream: &UpstreamId,
+        (kind, term): (CallKind, Term),
+        answer: &CallAnswer,
+    ) {
+        if let Some(promotion) = self.groups.get_mut(group) {
+            promotion.answer(now, upstream, kind, term, answer);
+        }
+    }
+
+    /// Notes an announcement; one that cannot be read is dropped.
+    pub(super) fn note_announcement(&mut self, now: Moment, report: &UpstreamReport) {
+        let Some(announced) = read_announcement(now, report) else {
+            log::warn!("an announcement of `{}` cannot be read", report.upstream);
+            return;
+        };
+        let name = announced.command.upstream.clone();
+        let newer = self
+            .announced
+            .get(&name)
+            .is_none_or(|known| announced.at >= known.at);
+        if newer {
+            self.announced.insert(name, announced);
+        }
+    }
+
+    pub(super) fn note_health(&mut self, now: Moment, holder: &InstanceId, report: &HealthReport) {
+        let Ok(upstream) = report.upstream.parse() else {
+            return;
+        };
+        let note = HealthNote {
+            holder: holder.clone(),
+            reachable: report.reachable,
+            answered_at: now - Duration::from_millis(report.silent_ms),
+            holds: report.held_for_view != 0,
+        };
+        self.health.insert(upstream, note);
+    }
+
+    pub(super) fn note_open(&mut self, incarnation: Incarnation, report: &GroupReport) {
+        let Ok(group) = report.group.parse() else {
+            return;
+        };
+        let note = OpenNote {
+            term: Term(report.term),
+            count: report.open_transactions,
+        };
+        self.open.insert((incarnation, group), note);
+    }
+}
+
+fn read_announcement(now: Moment, report: &UpstreamReport) -> Option<AnnouncedUpstream> {
+    let command = UpstreamCommand {
+        upstream: report.upstream.parse().ok()?,
+        group: report.group.parse().ok()?,
+        data_centre: report.data_centre.parse().ok()?,
+        address: report.address.parse().ok()?,
+        admin_address: report.admin_address.parse().ok()?,
+        leaving: report.leaving,
+    };
+    let end = LogPosition {
+        term: Term(report.term),
+        position: Position(report.position),
+    };
+    Some(AnnouncedUpstream {
+        command,
+        state: AnnouncedState {
+            end,
+            primary: report.primary,
+        },
+        at: now - Duration::from_millis(report.age_ms),
+    })
+}
--- /dev/null
+++ b/crates/daisyseam-control/src/core/requests.rs
@@ -0,0 +1,378 @@
+//! Requests of entries and operators.
+
+use super::{
+    ControlCore,
+    RequestId,
+    RequestWaiter,
+    WaiterKind, //
+};
+use crate::convert::view_update;
+use daisyseam_coord::{
+    Moment,
+    fleet::{
+        CommandAnswer,
+        FleetCommand,
+        JoinCommand,
+        SubmitCommand,
+        SubmitOutcome, //
+    },
+    log::{
+        LogIndex,
+        LogTerm, //
+    },
+    view_lease::{
+        LeaseClaim,
+        LeaseRefusal, //
+    }, //
+};
+use daisyseam_model::{
+    DocumentNumber,
+    Incarnation,
+    InstanceId,
+    ViewNumber,
+    document::{
+        DOCUMENT_BYTES_MAX,
+        Document,
+        Severity, //
+    }, //
+};
+use daisyseam_wire::{
+    Heartbeat,
+    HeartbeatReply,
+    Hello,
+    HistoryEntry,
+    HistoryReply,
+    HistoryRequest,
+    NotLeader,
+    ShowReply,
+    ShowRequest,
+    SpareNotice,
+    SubmitReply,
+    SubmitRequest,
+    Welcome,
+    control_message::Body, //
+};
+
+/// Longest identifier of a submission, in bytes.
+const SUBMIT_ID_BYTES_MAX: usize = 128;
+/// Most entries of one answer about the history.
+const HISTORY_LIMIT: u64 = 1_000;
+
+impl ControlCore {
+    /// Takes a request; the answer may come later.
+    ///
+    /// `unix_ms` is the wall clock, for the history only.
+    pub fn request(&mut self, now: Moment, unix_ms: u64, request: RequestId, body: Body) {
+        match body {
+            Body::Hello(hello) => self.hello(now, request, &hello),
+            Body::Heartbeat(heartbeat) => self.heartbeat(now, request, &heartbeat),
+            Body::Submit(submit) => self.submit(now, unix_ms, request, submit),
+            Body::Show(show) => self.show(now, request, &show),
+            Body::History(history) => self.history(now, request, &history),
+            Body::Status(_) => self.status(now, request),
+            Body::Spare(spare) => self.note_spare(now, &spare),
+            _ => log::warn!("a request holds no message that is known"),
+        }
+    }
+
+    pub(super) fn reply(&mut self, request: RequestId, body: Body) {
+        self.output.replies.push((request, body));
+    }
+
+    fn reply_not_leader(&mut self, request: RequestId) {
+        let leader = self.log.leader();
+        let address = leader.and_then(|leader| self.log.members().address(leader));
+        let body = Body::NotLeader(NotLeader {
+            leader: address
+                .map(|address| address.to_string())
+                .unwrap_or_default(),
+            term: self.log.term().0,
+        });
+        self.reply(request, body);
+    }
+
+    /// Returns whether this instance may speak for control at this moment.
+    pub(super) fn is_in_charge(&self, now: Moment) -> bool {
+        self.leader.is_some() && self.log.has_lease(now)
+    }
+
+    fn hello(&mut self, now: Moment, request: RequestId, hello: &Hello) {
+        if !self.is_in_charge(now) {
+            return self.reply_not_leader(request);
+        }
+        let Some(join) = read_hello(hello) else {
+            log::warn!("an instance `{}` cannot be read", hello.instance);
+            return self.reply_not_leader(request);
+        };
+        let known = self.fleet.view().instances.get(&join.instance);
+        let same = known.filter(|known| {
+            known.incarnation == Incarnation(hello.incarnation)
+                && known.data_centre == join.data_centre
+                && known.peer_address == join.peer_address
+        });
+        if let Some(same) = same {
+            let incarnation = same.incarnation.0;
+            return self.reply(request, Body::Welcome(Welcome { incarnation }));
+        }
+        let command = FleetCommand::Join(join);
+        self.propose_for(now, request, WaiterKind::Join, &command);
+    }
+
+    fn propose_for(
+        &mut self,
+        now: Moment,
+        request: RequestId,
+        kind: WaiterKind,
+        command: &FleetCommand,
+    ) {
+        let Some(index) = self.propose(now, command) else {
+            return self.reply_not_leader(request);
+        };
+        let waiter = RequestWaiter {
+            term: self.log.term(),
+            request,
+            kind,
+        };
+        self.waiters.insert(index, waiter);
+    }
+
+    fn heartbeat(&mut self, now: Moment, request: RequestId, heartbeat: &Heartbeat) {
+        let instance = heartbeat.instance.parse::<InstanceId>().ok();
+        let incarnation = Incarnation(heartbeat.incarnation);
+        let newest = self.fleet.view().number;
+        let known = instance
+            .as_ref()
+            .and_then(|name| self.fleet.view().instances.get(name));
+        let current = known.is_some_and(|known| known.incarnation == incarnation);
+        let in_charge = self.is_in_charge(now);
+        let (Some(instance), Some(leader)) = (instance, &mut self.leader) else {
+            return self.reply_not_leader(request);
+        };
+        if !in_charge || !current || heartbeat.view > newest.0 {
+            // An old incarnation says hello again and gets a new one.
+            return self.reply_not_leader(request);
+        }
+        for report in &heartbeat.upstreams {
+            leader.note_announcement(now, report);
+        }
+        for report in &heartbeat.health {
+            leader.note_health(now, &instance, report);
+        }
+        for report in &heartbeat.groups {
+            leader.note_open(incarnation, report);
+        }
+        if heartbeat.leaving {
+            leader.leaving.insert(incarnation);
+        }
+        let claim = LeaseClaim {
+            instance: &instance,
+            incarnation,
+            sequence: heartbeat.sequence,
+            view: ViewNumber(heartbeat.view),
+        };
+        let granted = leader.leases.grant(now, claim, newest);
+        let held = match granted {
+            // What it holds may not be what it says: it gets the whole view.
+            Err(LeaseRefusal::Lagging) => ViewNumber::default(),
+            Ok(_) | Err(LeaseRefusal::OldHeartbeat) => ViewNumber(heartbeat.view),
+        };
+        let lease = granted.unwrap_or_default();
+        let body = Body::HeartbeatReply(HeartbeatReply {
+            sequence: heartbeat.sequence,
+            lease_ms: u64::try_from(lease.as_millis()).unwrap_or(0),
+            update: view_update(&self.fleet, held),
+            grants: Vec::new(),
+        });
+        self.reply(request, body);
+    }
+
+    fn submit(&mut self, now: Moment, unix_ms: u64, request: RequestId, submit: SubmitRequest) {
+        if !self.is_in_charge(now) {
+            return self.reply_not_leader(request);
+        }
+        let known = self
+            .fleet
+            .documents()
+            .answer_known(&submit.id, submit.replaces);
+        if let Some(outcome) = known {
+            let reply = self.submit_reply(&outcome);
+            return self.reply(request, Body::Submitted(reply));
+        }
+        let problems = self.problems(&submit);
+        if !problems.is_empty() {
+            let reply = SubmitReply {
+                number: self.fleet.documents().number().0,
+                problems,
+                error: "the document has errors".to_owned(),
+                ..SubmitReply::default()
+            };
+            return self.reply(request, Body::Submitted(reply));
+        }
+        let command = FleetCommand::Submit(SubmitCommand {
+            id: submit.id,
+            replaces: submit.replaces,
+            text: submit.text,
+            operator: submit.operator,
+            accepted_unix_ms: unix_ms,
+        });
+        self.propose_for(now, request, WaiterKind::Submit, &command);
+    }
+
+    fn problems(&self, submit: &SubmitRequest) -> Vec<String> {
+        if submit.id.is_empty() || submit.id.len() > SUBMIT_ID_BYTES_MAX {
+            return vec![format!(
+                "the identifier must have 1 to {SUBMIT_ID_BYTES_MAX} bytes"
+            )];
+        }
+        if submit.text.len() > DOCUMENT_BYTES_MAX {
+            return vec![format!(
+                "the document is longer than {DOCUMENT_BYTES_MAX} bytes"
+            )];
+        }
+        let (document, problems) = Document::check(&submit.text);
+        let Some(document) = document else {
+            let errors = problems
+                .iter()
+                .filter(|problem| problem.severity == Severity::Error);
+            return errors.map(ToString::to_string).collect();
+        };
+        let mut problems = Vec::new();
+        let wanted = DocumentNumber(submit.replaces + 1);
+        if document.number != wanted {
+            problems.push(format!(
+                "the document has number {}, but replaces {}: it must have {}",
+                document.number.0, submit.replaces, wanted.0
+            ));
+        }
+        if document.cluster != self.settings.cluster {
+            problems.push(format!(
+                "the document is for cluster `{}`, this is `{}`",
+                document.cluster, self.settings.cluster
+            ));
+        }
+        problems
+    }
+
+    fn submit_reply(&self, outcome: &SubmitOutcome) -> SubmitReply {
+        match outcome {
+            SubmitOutcome::Accepted(number) => SubmitReply {
+                accepted: true,
+                number: number.0,
+                ..SubmitReply::default()
+            },
+            SubmitOutcome::Lost { current, winner } => SubmitReply {
+                number: current.0,
+                winner: winner.clone(),
+                error: format!("the document in force has number {}", current.0),
+                ..SubmitReply::default()
+            },
+        }
+    }
+
+    pub(super) fn answer_waiter(
+        &mut self,
+        waiter: RequestWaiter,
+        term: LogTerm,
+        answer: &CommandAnswer,
+    ) {
+        if waiter.term != term {
+            return self.answer_undecided(waiter);
+        }
+        match (waiter.kind, answer) {
+            (WaiterKind::Submit, CommandAnswer::Submitted(outcome)) => {
+                let reply = self.submit_reply(outcome);
+                self.reply(waiter.request, Body::Submitted(reply));
+            }
+            (WaiterKind::Join, CommandAnswer::Joined(incarnation)) => {
+                let incarnation = incarnation.0;
+                self.reply(waiter.request, Body::Welcome(Welcome { incarnation }));
+            }
+            _ => self.answer_undecided(waiter),
+        }
+    }
+
+    fn answer_undecided(&mut self, waiter: RequestWaiter) {
+        match waiter.kind {
+            WaiterKind::Submit => {
+                let reply = SubmitReply {
+                    number: self.fleet.documents().number().0,
+                    error: "not known yet whether it is accepted: submit it again with the same \
+                            identifier"
+                        .to_owned(),
+                    busy: true,
+                    ..SubmitReply::default()
+                };
+                self.reply(waiter.request, Body::Submitted(reply));
+            }
+            WaiterKind::Join => self.reply_not_leader(waiter.request),
+        }
+    }
+
+    /// Answers everybody who waits for a decision that this instance no longer makes.
+    pub(super) fn drop_waiters(&mut self) {
+        let waiters: Vec<(LogIndex, RequestWaiter)> =
+            std::mem::take(&mut self.waiters).into_iter().collect();
+        for (_, waiter) in waiters {
+            self.answer_undecided(waiter);
+        }
+    }
+
+    fn show(&mut self, now: Moment, request: RequestId, show: &ShowRequest) {
+        let stale = self.is_stale(now);
+        if stale && show.linearizable {
+            return self.reply_not_leader(request);
+        }
+        let documents = self.fleet.documents();
+        let document = match show.number {
+            0 => documents.current(),
+            number => documents.get(DocumentNumber(number)),
+        };
+        let reply = ShowReply {
+            number: document.map_or(0, |document| document.number.0),
+            text: document
+                .map(|document| document.text.to_string())
+                .unwrap_or_default(),
+            stale,
+        };
+        self.reply(request, Body::Shown(reply));
+    }
+
+    fn history(&mut self, now: Moment, request: RequestId, history: &HistoryRequest) {
+        let limit = usize::try_from(history.limit.min(HISTORY_LIMIT)).unwrap_or(0);
+        let documents = self.fleet.documents().newest_first().take(limit);
+        let entries = documents.map(|document| HistoryEntry {
+            number: document.number.0,
+            id: document.id.clone(),
+            operator: document.operator.clone(),
+            accepted_unix_ms: document.accepted_unix_ms,
+        });
+        let reply = HistoryReply {
+            entries: entries.collect(),
+            stale: self.is_stale(now),
+        };
+        self.reply(request, Body::HistoryShown(reply));
+    }
+
+    /// Returns whether an answer of this instance may be older than the newest decision.
+    pub(super) fn is_stale(&self, now: Moment) -> bool {
+        let point = self.log.read_point(now);
+        point.map_or(true, |index| self.log.applied() < index)
+    }
+
+    fn note_spare(&mut self, now: Moment, spare: &SpareNotice) {
+        let (Ok(instance), Ok(address)) = (spare.instance.parse(), spare.address.parse()) else {
+            return;
+        };
+        if let Some(leader) = &mut self.leader {
+            leader.spares.insert(instance, (address, now));
+        }
+    }
+}
+
+fn read_hello(hello: &Hello) -> Option<JoinCommand> {
+    Some(JoinCommand {
+        instance: hello.instance.parse().ok()?,
+        data_centre: hello.data_centre.parse().ok()?,
+        peer_address: hello.peer_address.parse().ok()?,
+    })
+}
--- /dev/null
+++ b/crates/daisyseam-control/src/daemon.rs
@@ -0,0 +1,382 @@
+//! The daemon: starts and stops the parts.
+
+use crate::{
+    admin::HttpAdmin,
+    convert::durable_log,
+    core::{
+        ControlCore,
+        CoreSettings, //
+    },
+    link::LinkContext,
+    node::{
+        NodeActor,
+        NodeArguments,
+        NodeMessage,
+        NodeReport, //
+    },
+    session::accept_sessions,
+    settings::ControlSettings, //
+};
+use arc_swap::ArcSwap;
+use daisyseam_coord::{
+    Moment,
+    log::{
+        LogSettings,
+        MemberTable,
+        ReplicatedLog, //
+    }, //
+};
+use daisyseam_runtime::{
+    Dialer,
+    HealthServer,
+    HealthState,
+    MetricClient,
+    MetricsError,
+    StopSignal,
+    TimerService, //
+};
+use daisyseam_store::{
+    FolderOwner,
+    FolderStore,
+    RecoveredState,
+    StoreError, //
+};
+use daisyseam_wire::{
+    ControlMessage,
+    MessageStream,
+    SpareNotice,
+    control_message::Body, //
+};
+use displaydoc::Display;
+use ractor::{
+    Actor,
+    ActorRef,
+    SpawnErr,
+    rpc::CallResult, //
+};
+use rand_chacha::{
+    ChaCha8Rng,
+    rand_core::SeedableRng, //
+};
+use serde_json::Value;
+use std::{
+    error::Error,
+    io,
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration, //
+};
+use tokio::{
+    net::TcpListener,
+    sync::watch,
+    task::{
+        AbortHandle,
+        JoinHandle, //
+    },
+    time::Instant, //
+};
+
+/// Time for which a start waits for a former process to let go of the data folder.
+const LOCK_WAIT: Duration = Duration::from_secs(2);
+/// Time between two attempts to lock the data folder.
+const LOCK_RETRY: Duration = Duration::from_millis(20);
+/// Time between two notices of a spare.
+const SPARE_EVERY: Duration = Duration::from_millis(1_000);
+/// Time between two looks at whether the leadership is handed over.
+const STOP_POLL: Duration = Duration::from_millis(10);
+
+/// Longest time between two ticks while one is due.
+const TICK_PATIENCE: Duration = Duration::from_millis(50);
+
+/// Why the daemon did not start.
+#[derive(Debug, Display)]
+pub enum StartError {
+    /// the data folder cannot be used: {0}
+    Store(StoreError),
+    /// the data folder holds what this version cannot read
+    Unreadable,
+    /// {0} cannot be listened on: {1}
+    Listen(SocketAddr, io::Error),
+    /// metrics cannot be sent: {0}
+    Metrics(MetricsError),
+    /// the client towards databases cannot be set up: {0}
+    Client(reqwest::Error),
+    /// the node did not start: {0}
+    Node(SpawnErr),
+}
+
+impl Error for StartError {}
+
+/// A running control instance.
+pub struct ControlDaemon {
+    node: ActorRef<NodeMessage>,
+    node_end: JoinHandle<()>,
+    report: Arc<ArcSwap<NodeReport>>,
+    stop: StopSignal,
+    timer: TimerService,
+    address: SocketAddr,
+    health: HealthServer,
+    tasks: Vec<AbortHandle>,
+}
+
+impl ControlDaemon {
+    /// Recovers the durable state and starts to take part.
+    ///
+    /// # Errors
+    ///
+    /// [`StartError`] when the data folder, an address or the metrics cannot be used.
+    pub async fn start(settings: ControlSettings) -> Result<Self, StartError> {
+        let timer = TimerService::start();
+        let metrics = MetricClient::new(settings.metrics).map_err(StartError::Metrics)?;
+        let listener = bind(settings.listen).await?;
+        let address = listener
+            .local_addr()
+            .map_err(|error| StartError::Listen(settings.listen, error))?;
+        let (store, recovered) = open_store(&settings, &timer).await?;
+        let origin = Instant::now();
+        let core = recover_core(&settings, recovered)?;
+        let admin = HttpAdmin::new(settings.source, timer.clone()).map_err(StartError::Client)?;
+        let report = Arc::<ArcSwap<NodeReport>>::default();
+        let (wake, woken) = watch::channel(origin);
+        let dialer = Dialer {
+            source: settings.source,
+        };
+        let link_timer = timer.clone();
+        let cluster = settings.cluster.clone();
+        let context = move |node| LinkContext {
+            cluster: cluster.clone(),
+            dialer,
+            timer: link_timer.clone(),
+            node,
+        };
+        let arguments = NodeArguments {
+            core,
+            me: settings.instance.clone(),
+            store,
+            admin,
+            origin,
+            wake,
+            report: Arc::clone(&report),
+            metrics,
+            context: Box::new(context),
+        };
+        let actor = NodeActor::<FolderStore, HttpAdmin>::new();
+        let spawned = Actor::spawn(None, actor, arguments).await;
+        let (node, node_end) = spawned.map_err(StartError::Node)?;
+        let stop = StopSignal::new();
+        let state = PageState {
+            report: Arc::clone(&report),
+            stop: stop.clone(),
+        };
+        let health = HealthServer::start(settings.http_listen, state, axum::Router::new());
+        let health = health
+            .await
+            .map_err(|error| StartError::Listen(settings.http_listen, error))?;
+        let mut tasks = vec![
+            tokio::spawn(drive_ticks(woken, timer.clone(), node.clone())).abort_handle(),
+            tokio::spawn(accept_sessions(
+                listener,
+                settings.cluster.clone(),
+                node.clone(),
+            ))
+            .abort_handle(),
+        ];
+        if settings.spare {
+            let own = settings.advertise.unwrap_or(address);
+            let notices = send_notices(settings, own, timer.clone());
+            tasks.push(tokio::spawn(notices).abort_handle());
+        }
+        Ok(Self {
+            node,
+            node_end,
+            report,
+            stop,
+            timer,
+            address,
+            health,
+            tasks,
+        })
+    }
+
+    /// Returns the address on which entries, operators and other members are answered.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the address of the health pages.
+    pub fn http_address(&self) -> SocketAddr {
+        self.health.address()
+    }
+
+    /// Returns whether this instance leads, as of a moment ago.
+    pub fn leads(&self) -> bool {
+        self.report.load().leads
+    }
+
+    /// Returns the status page, as of a moment ago.
+    pub fn status(&self) -> Value {
+        self.report.load().status.clone()
+    }
+
+    /// Waits until the daemon can decide nothing more, and returns why.
+    pub async fn failed(&self) -> String {
+        loop {
+            if let Some(failure) = self.report.load().failure.clone() {
+                return failure;
+            }
+            if self.node_end.is_finished() {
+                return "an invariant does not hold; see the log".to_owned();
+            }
+            self.timer.after(SPARE_EVERY).await;
+        }
+    }
+
+    /// Hands the leadership over and stops; returns whether that was done before the deadline.
+    pub async fn stop(self, deadline: Duration) -> bool {
+        self.stop.stop();
+        let until = self.timer.now() + deadline;
+        let handed_over = self.hand_over(until).await;
+        for task in &self.tasks {
+            task.abort();
+        }
+        self.node.stop(None);
+        let ended = self.timer.within(until, self.node_end).await;
+        handed_over && ended.is_some()
+    }
+
+    /// Waits until another member leads, if there is one; returns whether that was in time.
+    async fn hand_over(&self, until: Instant) -> bool {
+        let asked = self.node.call(NodeMessage::HandOver, None);
+        let begun = self.timer.within(until, asked).await;
+        let Some(Ok(CallResult::Success(true))) = begun else {
+            // It does not lead, or nobody else is there.
+            return true;
+        };
+        while self.leads() {
+            if self.timer.now() >= until {
+                return false;
+            }
+            self.timer.after(STOP_POLL).await;
+        }
+        true
+    }
+}
+
+/// What the health pages show.
+#[derive(Clone)]
+struct PageState {
+    report: Arc<ArcSwap<NodeReport>>,
+    stop: StopSignal,
+}
+
+impl HealthState for PageState {
+    fn not_ready(&self) -> Option<String> {
+        let report = self.report.load();
+        if self.stop.is_stopping() {
+            return Some("stopping".to_owned());
+        }
+        if let Some(failure) = &report.failure {
+            return Some(failure.clone());
+        }
+        (!report.leader_known).then(|| "no leader is known".to_owned())
+    }
+
+    fn status(&self) -> Value {
+        self.report.load().status.clone()
+    }
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener, StartError> {
+    let listener = TcpListener::bind(address).await;
+    listener.map_err(|error| StartError::Listen(address, error))
+}
+
+/// Opens the data folder; a former process may need a moment to let go of it.
+async fn open_store(
+    settings: &ControlSettings,
+    timer: &TimerService,
+) -> Result<(FolderStore, RecoveredState), StartError> {
+    let owner = FolderOwner {
+        cluster: settings.cluster.clone(),
+        instance: settings.instance.clone(),
+    };
+    let until = timer.now() + LOCK_WAIT;
+    loop {
+        match FolderStore::open(&settings.data_folder, &owner) {
+            Err(StoreError::Locked { .. }) if timer.now() < until => timer.after(LOCK_RETRY).await,
+            opened => return opened.map_err(StartError::Store),
+        }
+    }
+}
+
+fn recover_core(
+    settings: &ControlSettings,
+    recovered: RecoveredState,
+) -> Result<ControlCore, StartError> {
+    let first = match settings.spare {
+        true => MemberTable::default(),
+        false => MemberTable::of_voters(settings.members.iter().cloned()),
+    };
+    let durable = durable_log(recovered, first).ok_or(StartError::Unreadable)?;
+    let me = settings.instance.clone();
+    let random = ChaCha8Rng::from_os_rng();
+    let origin = Moment::ORIGIN;
+    let log = ReplicatedLog::recover(me.clone(), LogSettings::default(), durable, origin, random);
+    let core = CoreSettings::new(me, settings.cluster.clone());
+    Ok(ControlCore::new(core, log))
+}
+
+/// Wakes the node whenever its next tick is due.
+async fn drive_ticks(
+    mut woken: watch::Receiver<Instant>,
+    timer: TimerService,
+    node: ActorRef<NodeMessage>,
+) {
+    loop {
+        let due = *woken.borrow_and_update();
+        tokio::select! {
+            () = timer.at(due) => {
+                if node.cast(NodeMessage::Tick).is_err() {
+                    return;
+                }
+                // The node names the next moment once it has handled this one.
+                let until = timer.now() + TICK_PATIENCE;
+                if let Some(Err(_)) = timer.within(until, woken.changed()).await {
+                    return;
+                }
+            }
+            changed = woken.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+            }
+        }
+    }
+}
+
+/// Tells every first member, again and again, that this spare is there.
+async fn send_notices(settings: ControlSettings, own: SocketAddr, timer: TimerService) {
+    let dialer = Dialer {
+        source: settings.source,
+    };
+    let notice = ControlMessage {
+        body: Some(Body::Spare(SpareNotice {
+            instance: settings.instance.to_string(),
+            address: own.to_string(),
+        })),
+    };
+    loop {
+        for (_, address) in &settings.members {
+            let until = timer.now() + SPARE_EVERY;
+            let send = async {
+                let socket = dialer.connect(*address).await.ok()?;
+                let mut stream = MessageStream::new(socket, settings.cluster.clone());
+                stream.send(&notice).await.ok()
+            };
+            if timer.within(until, send).await.is_none() {
+                log::debug!("{address} does not take the notice of this spare");
+            }
+        }
+        timer.after(SPARE_EVERY).await;
+    }
+}
--- /dev/null
+++ b/crates/daisyseam-control/src/link.rs
@@ -0,0 +1,119 @@
+//! Outgoing connections to the other members of control.
+
+use crate::node::NodeMessage;
+use daisyseam_model::ClusterId;
+use daisyseam_runtime::{
+    Dialer,
+    TimerService, //
+};
+use daisyseam_wire::{
+    ControlMessage,
+    MessageStream,
+    control_message::Body, //
+};
+use ractor::ActorRef;
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
+use tokio::{
+    net::TcpStream,
+    sync::mpsc,
+    task::AbortHandle, //
+};
+
+/// Messages that wait for a connection; more are dropped, as a network may.
+const QUEUE_LENGTH: usize = 256;
+/// Time between two attempts to connect.
+const RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Time after which an attempt to connect is given up.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// What every link needs.
+#[derive(Clone)]
+pub(crate) struct LinkContext {
+    pub(crate) cluster: ClusterId,
+    pub(crate) dialer: Dialer,
+    pub(crate) timer: TimerService,
+    pub(crate) node: ActorRef<NodeMessage>,
+}
+
+/// A connection to one member; it ends when it is dropped.
+pub(crate) struct MemberLink {
+    address: SocketAddr,
+    sender: mpsc::Sender<Body>,
+    task: AbortHandle,
+}
+
+impl MemberLink {
+    pub(crate) fn start(address: SocketAddr, context: LinkContext) -> Self {
+        let (sender, receiver) = mpsc::channel(QUEUE_LENGTH);
+        let task = tokio::spawn(run_link(address, context, receiver));
+        Self {
+            address,
+            sender,
+            task: task.abort_handle(),
+        }
+    }
+
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Sends a message if the queue has room; the log repeats what is lost.
+    pub(crate) fn send(&self, body: Body) {
+        let _ = self.sender.try_send(body);
+    }
+}
+
+impl Drop for MemberLink {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn run_link(address: SocketAddr, context: LinkContext, mut receiver: mpsc::Receiver<Body>) {
+    loop {
+        let until = context.timer.now() + CONNECT_TIMEOUT;
+        let connect = context.dialer.connect(address);
+        if let Some(Ok(socket)) = context.timer.within(until, connect).await {
+            // What waited for the connection is too old to be of use.
+            while receiver.try_recv().is_ok() {}
+            if exchange(socket, &context, &mut receiver).await.is_none() {
+                return;
+            }
+        }
+        context.timer.after(RETRY_DELAY).await;
+    }
+}
+
+/// Carries messages until the connection fails; returns nothing when the link has ended.
+async fn exchange(
+    socket: TcpStream,
+    context: &LinkContext,
+    receiver: &mut mpsc::Receiver<Body>,
+) -> Option<()> {
+    let stream = MessageStream::<_, ControlMessage>::new(socket, context.cluster.clone());
+    let (mut sender, mut answers) = stream.split();
+    loop {
+        tokio::select! {
+            body = receiver.recv() => {
+                let message = ControlMessage { body: Some(body?) };
+                if sender.send(&message).await.is_err() {
+                    return Some(());
+                }
+            }
+            answer = answers.receive() => match answer {
+                Ok(ControlMessage { body: Some(body) }) => {
+                    let message = NodeMessage::Peer { body, route: None };
+                    context.node.cast(message).ok()?;
+                }
+                Ok(ControlMessage { body: None }) => {}
+                Err(error) => {
+                    log::debug!("the connection to {address} ended: {error}", address = "a member");
+                    return Some(());
+                }
+            },
+        }
+    }
+}
--- /dev/null
+++ b/crates/daisyseam-control/src/node.rs
@@ -0,0 +1,436 @@
+//! The actor that owns the decisions and the store.
+
+use crate::{
+    admin::UpstreamAdmin,
+    convert::{
+        entry_to_record,
+        from_wire,
+        snapshot_to_record,
+        to_wire,
+        vote_to_record, //
+    },
+    core::{
+        ControlCore,
+        DatabaseCall,
+        RequestId, //
+    },
+    link::{
+        LinkContext,
+        MemberLink, //
+    },
+    session::AnswerSender, //
+};
+use arc_swap::ArcSwap;
+use daisyseam_coord::{
+    Moment,
+    log::{
+        LogMessage,
+        LogSnapshot,
+        LogWrite, //
+    },
+    promotion::{
+        CallAnswer,
+        CallKind, //
+    }, //
+};
+use daisyseam_model::{
+    GroupId,
+    InstanceId,
+    Term,
+    UpstreamId, //
+};
+use daisyseam_runtime::MetricClient;
+use daisyseam_store::{
+    LogStorage,
+    StoreError, //
+};
+use daisyseam_wire::control_message::Body;
+use ractor::{
+    Actor,
+    ActorProcessingErr,
+    ActorRef,
+    RpcReplyPort, //
+};
+use serde_json::Value;
+use std::{
+    collections::BTreeMap,
+    marker::PhantomData,
+    sync::Arc,
+    time::{
+        Duration,
+        SystemTime, //
+    }, //
+};
+use tokio::{
+    sync::watch,
+    time::Instant, //
+};
+
+/// Time between two updates of the status page.
+const STATUS_EVERY: Duration = Duration::from_millis(250);
+
+/// What reaches the node.
+pub(crate) enum NodeMessage {
+    /// A message of another member, with the connection on which answers go back.
+    Peer {
+        body: Body,
+        route: Option<AnswerSender>,
+    },
+    /// A request of an entry or an operator.
+    Request { body: Body, answers: AnswerSender },
+    /// What became of a call to a database.
+    Called {
+        group: GroupId,
+        upstream: UpstreamId,
+        kind: CallKind,
+        term: Term,
+        answer: CallAnswer,
+    },
+    /// Time has passed.
+    Tick,
+    /// What was decided is to be written and sent.
+    Flush,
+    /// The leadership is to be handed over before a stop; the answer is whether somebody takes it.
+    HandOver(RpcReplyPort<bool>),
+}
+
+/// What the daemon's pages and its stop need to know.
+#[derive(Debug, Default)]
+pub(crate) struct NodeReport {
+    /// Whether this instance leads with a lease.
+    pub(crate) leads: bool,
+    /// Whether a leader is known.
+    pub(crate) leader_known: bool,
+    /// Why the node stopped deciding, if it did.
+    pub(crate) failure: Option<String>,
+    /// The status page.
+    pub(crate) status: Value,
+}
+
+/// The actor; `S` is its store and `A` how it reaches databases.
+pub(crate) struct NodeActor<S, A>(PhantomData<fn() -> (S, A)>);
+
+impl<S, A> NodeActor<S, A> {
+    pub(crate) fn new() -> Self {
+        Self(PhantomData)
+    }
+}
+
+/// What the actor starts with.
+pub(crate) struct NodeArguments<S, A> {
+    pub(crate) core: ControlCore,
+    pub(crate) me: InstanceId,
+    pub(crate) store: S,
+    pub(crate) admin: A,
+    pub(crate) origin: Instant,
+    pub(crate) wake: watch::Sender<Instant>,
+    pub(crate) report: Arc<ArcSwap<NodeReport>>,
+    pub(crate) metrics: MetricClient,
+    pub(crate) context: Box<dyn Fn(ActorRef<NodeMessage>) -> LinkContext + Send>,
+}
+
+/// What the actor owns.
+pub(crate) struct NodeState<S, A> {
+    core: ControlCore,
+    me: InstanceId,
+    store: Option<S>,
+    admin: A,
+    origin: Instant,
+    wake: watch::Sender<Instant>,
+    report: Arc<ArcSwap<NodeReport>>,
+    reported_at: Option<Moment>,
+    metrics: MetricClient,
+    context: LinkContext,
+    links: BTreeMap<InstanceId, MemberLink>,
+    routes: BTreeMap<InstanceId, AnswerSender>,
+    requests: BTreeMap<RequestId, AnswerSender>,
+    last_request: RequestId,
+    flushing: bool,
+    failure: Option<String>,
+}
+
+impl<S: LogStorage, A: UpstreamAdmin> Actor for NodeActor<S, A> {
+    type Msg = NodeMessage;
+    type State = NodeState<S, A>;
+    type Arguments = NodeArguments<S, A>;
+
+    async fn pre_start(
+        &self,
+        myself: ActorRef<NodeMessage>,
+        arguments: NodeArguments<S, A>,
+    ) -> Result<Self::State, ActorProcessingErr> {
+        let context = (arguments.context)(myself.clone());
+        myself.cast(NodeMessage::Flush)?;
+        Ok(NodeState {
+            core: arguments.core,
+            me: arguments.me,
+            store: Some(arguments.store),
+            admin: arguments.admin,
+            origin: arguments.origin,
+            wake: arguments.wake,
+            report: arguments.report,
+            reported_at: None,
+            metrics: arguments.metrics,
+            context,
+            links: BTreeMap::new(),
+            routes: BTreeMap::new(),
+            requests: BTreeMap::new(),
+            last_request: RequestId(0),
+            flushing: true,
+            failure: None,
+        })
+    }
+
+    async fn handle(
+        &self,
+        myself: ActorRef<NodeMessage>,
+        message: NodeMessage,
+        state: &mut Self::State,
+    ) -> Result<(), ActorProcessingErr> {
+        if state.failure.is_some() {
+            return Ok(());
+        }
+        if matches!(message, NodeMessage::Flush) {
+            state.flushing = false;
+            if let Err(error) = state.flush().await {
+                state.fail(&error);
+            }
+            return Ok(());
+        }
+        state.take(message);
+        if !state.flushing {
+            // What else waits in the mailbox is written with the same sync.
+            state.flushing = true;
+            myself.cast(NodeMessage::Flush)?;
+        }
+        Ok(())
+    }
+}
+
+impl<S: LogStorage, A: UpstreamAdmin> NodeState<S, A> {
+    fn now(&self) -> Moment {
+        Moment::after_origin(Instant::now() - self.origin)
+    }
+
+    fn take(&mut self, message: NodeMessage) {
+        let now = self.now();
+        match message {
+            NodeMessage::Peer { body, route } => self.take_peer(now, body, route),
+            NodeMessage::Request { body, answers } => self.take_request(now, body, answers),
+            NodeMessage::Called {
+                group,
+                upstream,
+                kind,
+                term,
+                answer,
+            } => {
+                let core = &mut self.core;
+                core.call_answered(now, &group, &upstream, (kind, term), &answer);
+            }
+            NodeMessage::Tick => self.core.tick(now),
+            NodeMessage::HandOver(reply) => {
+                let begun = self.core.hand_over(now);
+                // A daemon that no longer waits stops all the same.
+                let _ = reply.send(begun);
+            }
+            NodeMessage::Flush => {}
+        }
+    }
+
+    fn take_peer(&mut self, now: Moment, body: Body, route: Option<AnswerSender>) {
+        let Some((from, message)) = from_wire(body) else {
+            log::warn!("a message of a member cannot be read");
+            return;
+        };
+        if let Some(route) = route {
+            self.routes.insert(from.clone(), route);
+        }
+        self.core.receive(now, &from, message);
+    }
+
+    fn take_request(&mut self, now: Moment, body: Body, answers: AnswerSender) {
+        self.last_request = RequestId(self.last_request.0 + 1);
+        let request = self.last_request;
+        if !matches!(body, Body::Spare(_)) {
+            self.requests.insert(request, answers);
+        }
+        self.core.request(now, unix_millis(), request, body);
+    }
+
+    /// Writes, sends and applies until nothing is left to do.
+    async fn flush(&mut self) -> Result<(), StoreError> {
+        loop {
+            let output = self.core.take_log_output();
+            if output.is_empty() {
+                break;
+            }
+            self.send_all(output.early);
+            if !output.writes.is_empty() {
+                let writes = output.writes;
+                self.write(move |store| write_all(store, writes)).await?;
+            }
+            let now = self.now();
+            self.core.synced(now);
+            self.send_all(output.late);
+            self.core.apply(now, output.restore, output.apply);
+        }
+        if let Some(snapshot) = self.core.take_snapshot() {
+            let record = snapshot_to_record(&snapshot);
+            self.write(move |store| store.save_snapshot(record, false))
+                .await?;
+        }
+        self.follow_members();
+        let output = self.core.take_output();
+        for (request, body) in output.replies {
+            self.answer(request, body);
+        }
+        for call in output.calls {
+            self.call(call);
+        }
+        self.finish_flush();
+        Ok(())
+    }
+
+    /// Runs a write where it may block.
+    async fn write(
+        &mut self,
+        write: impl FnOnce(&mut S) -> Result<(), StoreError> + Send + 'static,
+    ) -> Result<(), StoreError> {
+        let Some(mut store) = self.store.take() else {
+            return Err(StoreError::Poisoned);
+        };
+        let task = tokio::task::spawn_blocking(move || {
+            let result = write(&mut store);
+            (store, result)
+        });
+        let (store, result) = task.await.map_err(|_| StoreError::Poisoned)?;
+        self.store = Some(store);
+        result
+    }
+
+    fn send_all(&mut self, messages: Vec<(InstanceId, LogMessage)>) {
+        for (to, message) in messages {
+            let answers = matches!(
+                message,
+                LogMessage::Voted(_) | LogMessage::Appended(_) | LogMessage::SnapshotTaken(_)
+            );
+            let body = to_wire(&self.me, message);
+            match self.routes.get(&to) {
+                // A lost answer is asked for again.
+                Some(route) if answers => drop(route.try_send(body)),
+                _ => self.link(&to, body),
+            }
+        }
+    }
+
+    fn link(&mut self, to: &InstanceId, body: Body) {
+        if !self.links.contains_key(to) {
+            self.follow_members();
+        }
+        if let Some(link) = self.links.get(to) {
+            link.send(body);
+        }
+    }
+
+    /// Keeps one link to every other member.
+    fn follow_members(&mut self) {
+        let members = self.core.log().members();
+        self.links
+            .retain(|name, link| members.address(name) == Some(link.address()));
+        for (name, address) in members.all() {
+            if *name != self.me && !self.links.contains_key(name) {
+                let link = MemberLink::start(*address, self.context.clone());
+                self.links.insert(name.clone(), link);
+            }
+        }
+    }
+
+    fn answer(&mut self, request: RequestId, body: Body) {
+        if let Some(answers) = self.requests.remove(&request) {
+            // A session that has ended or takes nothing asks again.
+            let _ = answers.try_send(body);
+        }
+    }
+
+    fn call(&mut self, call: DatabaseCall) {
+        let admin = self.admin.clone();
+        let node = self.context.node.clone();
+        tokio::spawn(async move {
+            let answer = admin.call(call.address, call.call).await;
+            let message = NodeMessage::Called {
+                group: call.group,
+                upstream: call.upstream,
+                kind: call.kind,
+                term: call.term,
+                answer,
+            };
+            if node.cast(message).is_err() {
+                log::debug!("the answer of a database came after the stop");
+            }
+        });
+    }
+
+    fn finish_flush(&mut self) {
+        let now = self.now();
+        let wake = self.origin + self.core.next_tick().since_origin();
+        self.wake
+            .send_if_modified(|held| std::mem::replace(held, wake) != wake);
+        let due = |at: Moment| now.since(at) >= STATUS_EVERY;
+        if self.reported_at.is_none_or(due) {
+            self.reported_at = Some(now);
+            self.publish(now);
+        }
+    }
+
+    fn publish(&self, now: Moment) {
+        let status = self.core.status_json(now);
+        let leads = status["control"]["leads"] == Value::Bool(true);
+        self.metrics.gauge("control.term", self.core.log().term().0);
+        self.metrics
+            .gauge("control.commit", self.core.log().commit().0);
+        self.metrics.gauge("control.leads", u64::from(leads));
+        self.report.store(Arc::new(NodeReport {
+            leads,
+            leader_known: self.core.log().leader().is_some(),
+            failure: self.failure.clone(),
+            status,
+        }));
+    }
+
+    /// Stops deciding: nothing that is not durable may be acknowledged.
+    fn fail(&mut self, error: &StoreError) {
+        log::error!("the data folder failed, this instance decides nothing more: {error}");
+        self.failure = Some(error.to_string());
+        self.links.clear();
+        self.routes.clear();
+        self.requests.clear();
+        self.publish(self.now());
+    }
+}
+
+fn write_all<S: LogStorage>(store: &mut S, writes: Vec<LogWrite>) -> Result<(), StoreError> {
+    for write in writes {
+        match write {
+            LogWrite::Vote { term, voted_for } => {
+                store.save_vote(vote_to_record(term, voted_for.as_ref()));
+            }
+            LogWrite::Entries(entries) => {
+                store.append(entries.into_iter().map(entry_to_record).collect());
+            }
+            LogWrite::Snapshot(snapshot) => save_whole(store, &snapshot)?,
+        }
+    }
+    store.sync()
+}
+
+fn save_whole<S: LogStorage>(store: &mut S, snapshot: &LogSnapshot) -> Result<(), StoreError> {
+    store.save_snapshot(snapshot_to_record(snapshot), true)
+}
+
+/// The wall clock, for the history that people read.
+fn unix_millis() -> u64 {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    since.map_or(0, |since| {
+        u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+    })
+}
--- /dev/null
+++ b/crates/daisyseam-control/src/settings.rs
@@ -0,0 +1,173 @@
+//! Settings of the daemon.
+
+use argh::FromArgs;
+use daisyseam_model::{
+    ClusterId,
+    DataCentreId,
+    InstanceId, //
+};
+use daisyseam_runtime::{
+    SettingProblem,
+    SettingReader, //
+};
+use std::{
+    net::{
+        IpAddr,
+        SocketAddr, //
+    },
+    path::PathBuf,
+    str::FromStr,
+    time::Duration, //
+};
+
+/// Deadline of a graceful stop if none is set.
+const STOP_DEADLINE: Duration = Duration::from_secs(10);
+
+/// Checked settings.
+#[derive(Clone, Debug)]
+pub struct ControlSettings {
+    /// Cluster that the instance belongs to.
+    pub cluster: ClusterId,
+    /// Its name.
+    pub instance: InstanceId,
+    /// Data centre it runs in.
+    pub data_centre: DataCentreId,
+    /// Address on which entries, operators and other members are answered.
+    pub listen: SocketAddr,
+    /// Address under which others reach it, if it is another one.
+    pub advertise: Option<SocketAddr>,
+    /// Address of the health pages.
+    pub http_listen: SocketAddr,
+    /// Folder of the durable state.
+    pub data_folder: PathBuf,
+    /// The first voters with their addresses, this one included unless it is a spare.
+    pub members: Vec<(InstanceId, SocketAddr)>,
+    /// Whether it waits to replace a lost member.
+    pub spare: bool,
+    /// Address that outgoing connections start from.
+    pub source: Option<IpAddr>,
+    /// Address that metrics are sent to.
+    pub metrics: Option<SocketAddr>,
+}
+
+/// the control daemon of a daisyseam fleet; each flag --x-y has the variable DAISYSEAM_X_Y
+#[derive(Clone, Debug, Default, FromArgs)]
+pub struct ControlFlags {
+    /// name of the cluster
+    #[argh(option)]
+    pub cluster: Option<String>,
+    /// name of this instance
+    #[argh(option)]
+    pub instance: Option<String>,
+    /// data centre of this instance
+    #[argh(option)]
+    pub data_centre: Option<String>,
+    /// address to listen on, 127.0.0.1:7000
+    #[argh(option)]
+    pub listen: Option<String>,
+    /// address under which others reach this instance
+    #[argh(option)]
+    pub advertise: Option<String>,
+    /// address of the health pages
+    #[argh(option)]
+    pub http_listen: Option<String>,
+    /// folder of the durable state
+    #[argh(option)]
+    pub data_folder: Option<String>,
+    /// first members, name=address separated by commas
+    #[argh(option)]
+    pub members: Option<String>,
+    /// wait to replace a lost member
+    #[argh(switch)]
+    pub spare: bool,
+    /// address that outgoing connections start from
+    #[argh(option)]
+    pub source: Option<String>,
+    /// address that metrics are sent to
+    #[argh(option)]
+    pub metrics: Option<String>,
+    /// deadline of a graceful stop in milliseconds
+    #[argh(option)]
+    pub stop_deadline_ms: Option<String>,
+}
+
+impl ControlFlags {
+    /// Reads the settings and the deadline of a graceful stop.
+    ///
+    /// # Errors
+    ///
+    /// Every problem at once.
+    pub fn read(
+        self,
+        mut reader: SettingReader,
+    ) -> Result<(ControlSettings, Duration), Vec<SettingProblem>> {
+        let cluster = reader.required("cluster", self.cluster);
+        let instance = reader.required("instance", self.instance);
+        let data_centre = reader.required("data-centre", self.data_centre);
+        let listen = reader.required("listen", self.listen);
+        let advertise = reader.optional("advertise", self.advertise);
+        let http_listen = reader.required("http-listen", self.http_listen);
+        let data_folder = reader.required("data-folder", self.data_folder);
+        let members: Vec<MemberSetting> = reader.list("members", self.members);
+        let spare = self.spare || reader.with_default("spare", None, false);
+        let source = reader.optional("source", self.source);
+        let metrics = reader.optional("metrics", self.metrics);
+        let deadline = reader.millis("stop-deadline-ms", self.stop_deadline_ms, STOP_DEADLINE);
+        if members.is_empty() {
+            reader.problem("members", "names no member".to_owned());
+        }
+        let named = members
+            .iter()
+            .any(|member| Some(&member.name) == instance.as_ref());
+        if instance.is_some() && named == spare {
+            let message = if spare {
+                "names this instance although it is a spare"
+            } else {
+                "does not name this instance"
+            };
+            reader.problem("members", message.to_owned());
+        }
+        let settings = || {
+            Some(ControlSettings {
+                cluster: cluster?,
+                instance: instance?,
+                data_centre: data_centre?,
+                listen: listen?,
+                advertise,
+                http_listen: http_listen?,
+                data_folder: data_folder?,
+                members: members
+                    .into_iter()
+                    .map(|member| (member.name, member.address))
+                    .collect(),
+                spare,
+                source,
+                metrics,
+            })
+        };
+        let settings = settings();
+        Ok((reader.finish(settings)?, deadline))
+    }
+}
+
+/// One part of `--members`.
+#[derive(Clone, Debug)]
+struct MemberSetting {
+    name: InstanceId,
+    address: SocketAddr,
+}
+
+impl FromStr for MemberSetting {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        let parts = text.split_once('=');
+        let (name, address) = parts.ok_or_else(|| format!("`{text}` is not name=address"))?;
+        Ok(Self {
+            name: name.parse().map_err(|error| format!("{error}"))?,
+            address: address
+                .parse()
+                .map_err(|error| format!("`{address}`: {error}"))?,
+        })
+    }
+}
--- a/crates/daisyseam-coord/src/promotion/group.rs
+++ b/crates/daisyseam-coord/src/promotion/group.rs
@@ -159,6 +159,7 @@
     pub(super) called: BTreeMap<(UpstreamId, CallKind), Moment>,
     pub(super) followed: BTreeMap<UpstreamId, (Term, Moment)>,
     pub(super) gathering_since: Option<Moment>,
+    pub(super) active_since: Option<(Term, Moment)>,
     pub(super) actions: Vec<PromotionAction>,
 }
 
@@ -171,6 +172,7 @@
             called: BTreeMap::new(),
             followed: BTreeMap::new(),
             gathering_since: None,
+            active_since: None,
             actions: Vec::new(),
         }
     }
@@ -200,8 +202,23 @@
         self.take_answer(now, upstream, kind, term, answer);
     }
 
+    pub(super) fn note_active(&mut self, now: Moment, term: Term) {
+        if self.active_since.is_none_or(|(known, _)| known != term) {
+            self.active_since = Some((term, now));
+        }
+    }
+
+    /// Returns for how long this machine has seen the present primary.
+    pub(super) fn active_for(&self, now: Moment) -> Duration {
+        let since = self.active_since.map_or(now, |(_, since)| since);
+        now.since(since)
+    }
+
     /// Proposes the first term of a group once enough of its databases are known.
     fn found(&mut self, now: Moment, facts: GroupFacts<'_>) {
+        if self.stage.is_fencing_since(now, self.settings.promote_for) {
+            return;
+        }
         let announced = facts.members.iter().filter_map(|member| member.announced);
         let highest = announced
             .clone()
--- a/crates/daisyseam-coord/src/promotion/stage.rs
+++ b/crates/daisyseam-coord/src/promotion/stage.rs
@@ -23,7 +23,10 @@
     Term,
     UpstreamId, //
 };
-use std::collections::BTreeMap;
+use std::{
+    collections::BTreeMap,
+    time::Duration, //
+};
 
 /// Lost answers to direct questions after which a silent primary is given up.
 const LOST_PROBES: u32 = 2;
@@ -58,6 +61,9 @@
     proposed_at: Moment,
     preferred: Option<UpstreamId>,
     ends: BTreeMap<UpstreamId, LogPosition>,
+    /// A promise that a database gave to a later term than this one.
+    beyond: Option<Term>,
+    refused: Option<UpstreamId>,
 }
 
 #[derive(Debug)]
@@ -70,16 +76,38 @@
 }
 
 impl PromotionStage {
+    /// Returns whether a fence was proposed not longer ago than this.
+    pub(super) fn is_fencing_since(&self, now: Moment, patience: Duration) -> bool {
+        matches!(self, Self::Fencing(round) if now.since(round.proposed_at) < patience)
+    }
+
     pub(super) fn fencing(now: Moment, term: Term, preferred: Option<UpstreamId>) -> Self {
         Self::Fencing(FenceRound {
             term,
             proposed_at: now,
             preferred,
             ends: BTreeMap::new(),
+            beyond: None,
+            refused: None,
         })
     }
 }
 
+impl FenceRound {
+    fn take_answer(&mut self, upstream: &UpstreamId, kind: CallKind, answer: &CallAnswer) {
+        match answer {
+            CallAnswer::State(state) if state.promised > self.term => {
+                self.beyond = self.beyond.max(Some(state.promised));
+            }
+            CallAnswer::State(state) if kind == CallKind::Fence && state.promised == self.term => {
+                self.ends.insert(upstream.clone(), state.end);
+            }
+            CallAnswer::Refused => self.refused = Some(upstream.clone()),
+            CallAnswer::State(_) | CallAnswer::Lost => {}
+        }
+    }
+}
+
 impl GroupPromotion {
     /// Watches the primary and moves it where it cannot stay.
     pub(super) fn watch(
@@ -101,6 +129,7 @@
             PromotionStage::Probing { .. } | PromotionStage::Watching => {}
             _ => self.stage = PromotionStage::Watching,
         }
+        self.note_active(now, view.term);
         self.keep_following(now, facts, view, primary);
         if self.is_lost(now, facts, primary) {
             return self.propose_fence(now, facts, view.term, view.term.next(), None);
@@ -130,7 +159,11 @@
         let Some(member) = member else {
             return true;
         };
-        if member.denied {
+        let settled = self.active_for(now) >= self.settings.promote_for;
+        let demoted = member
+            .announced
+            .is_some_and(|(announced, _)| !announced.primary);
+        if settled && (member.denied || demoted) {
             return true;
         }
         if member.silence < self.settings.suspect_after {
@@ -283,6 +316,18 @@
     }
 
     fn gather(&mut self, now: Moment, facts: GroupFacts<'_>, view: &GroupView) {
+        let PromotionStage::Fencing(round) = &self.stage else {
+            return;
+        };
+        if let Some(beyond) = round.beyond {
+            let preferred = round.preferred.clone();
+            return self.propose_fence(now, facts, view.term, beyond.next(), preferred);
+        }
+        if let Some(refused) = round.refused.clone()
+            && self.is_due(now, &refused, CallKind::State)
+        {
+            self.actions.push(PromotionAction::State(refused));
+        }
         let PromotionStage::Fencing(round) = &self.stage else {
             return;
         };
@@ -362,6 +407,9 @@
         match &mut self.stage {
             PromotionStage::Probing { lost } if kind == CallKind::State => match answer {
                 CallAnswer::Lost => *lost += 1,
+                CallAnswer::State(state) if !Self::is_promoted(state, term) => {
+                    *lost = LOST_PROBES;
+                }
                 CallAnswer::State(_) | CallAnswer::Refused => *lost = 0,
             },
             PromotionStage::Draining(planned) if planned.term == term => {
@@ -376,12 +424,8 @@
                     planned.reached |= wanted.is_some_and(|end| state.end >= end);
                 }
             }
-            PromotionStage::Fencing(round) if kind == CallKind::Fence && round.term == term => {
-                if let CallAnswer::State(state) = answer
-                    && state.promised == term
-                {
-                    round.ends.insert(upstream.clone(), state.end);
-                }
+            PromotionStage::Fencing(round) if round.term == term => {
+                round.take_answer(upstream, kind, answer);
             }
             PromotionStage::Promoting(attempt)
                 if kind == CallKind::Promote
--- a/crates/daisyseam-wire/src/control.rs
+++ b/crates/daisyseam-wire/src/control.rs
@@ -14,7 +14,7 @@
     /// The message proper.
     #[prost(
         oneof = "control_message::Body",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21"
     )]
     pub body: Option<control_message::Body>,
 }
@@ -81,6 +81,12 @@
         /// Whether it was taken.
         #[prost(message, tag = "19")]
         SnapshotTaken(super::SnapshotReply),
+        /// The leader hands its place over.
+        #[prost(message, tag = "20")]
+        Transfer(super::TransferRequest),
+        /// A spare control instance makes itself known.
+        #[prost(message, tag = "21")]
+        Spare(super::SpareNotice),
     }
 }
 
@@ -384,6 +390,31 @@
     /// Whether this only asks.
     #[prost(bool, tag = "5")]
     pub pre_vote: bool,
+    /// Whether the former leader gave its lease up for the sender.
+    #[prost(bool, tag = "6")]
+    pub transfer: bool,
+}
+
+/// The leader hands its place over; it has given up its lease.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct TransferRequest {
+    /// Sender.
+    #[prost(string, tag = "1")]
+    pub from: String,
+    /// Term of the leader.
+    #[prost(uint64, tag = "2")]
+    pub term: u64,
+}
+
+/// A spare control instance makes itself known; it gets no answer.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct SpareNotice {
+    /// Its name.
+    #[prost(string, tag = "1")]
+    pub instance: String,
+    /// Address on which it answers.
+    #[prost(string, tag = "2")]
+    pub address: String,
 }
 
 /// A vote.
