control: follow the share messages of the heartbeat

Cause: shares travel as one report and one reply now. Change: the reply carries none until the ledger is asked. Before: the crate did not build beside the new messages. After: it builds and its tests pass. Conclusion: the ledger follows.

--- a/crates/daisyseam-control/src/core/requests.rs
+++ b/crates/daisyseam-control/src/core/requests.rs
@@ -181,7 +181,7 @@
             sequence: heartbeat.sequence,
             lease_ms: u64::try_from(lease.as_millis()).unwrap_or(0),
             update: view_update(&self.fleet, held),
-            grants: Vec::new(),
+            shares: None,
         });
         self.reply(request, body);
     }
