--- a/crates/daisyseam-entry/src/caller/classify/settings.rs
+++ b/crates/daisyseam-entry/src/caller/classify/settings.rs
@@ -5,7 +5,6 @@
     hints::parse_age,
     session_state, //
 };
-use daisyseam_model::ErrorKind;
 use sqlparser::ast::{
     ContextModifier,
     Expr,
@@ -31,9 +30,6 @@
 /// Words for a setting that is not carried.
 const NOT_CARRIED: &str = "this setting is not carried; use SET LOCAL in a transaction";
 
-/// Words for an age that cannot be read.
-const AGE_FORM: &str = "the age must be a duration of at most one day, like 500ms or 2s";
-
 /// A change of what a session carries.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum SessionSetting {
@@ -54,24 +50,6 @@
     Fixed,
 }
 
-/// Why a setting is not taken.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(in crate::caller) enum SettingRefusal {
-    /// Its value is not valid.
-    Value(&'static str),
-    /// It is not carried.
-    State(&'static str),
-}
-
-impl SettingRefusal {
-    /// Returns the words for the caller.
-    pub(in crate::caller) fn words(self) -> &'static str {
-        match self {
-            Self::Value(words) | Self::State(words) => words,
-        }
-    }
-}
-
 /// Returns whether a setting is one of the system itself.
 pub(super) fn is_own(name: &str) -> bool {
     matches!(name, "daisyseam.session" | "daisyseam.max_age")
@@ -81,11 +59,11 @@
 ///
 /// # Errors
 ///
-/// When the setting is not carried or its value is not valid.
+/// Words, when the setting is not carried or its value is not valid.
 pub(in crate::caller) fn carried_setting(
     name: &str,
     value: &str,
-) -> Result<SessionSetting, SettingRefusal> {
+) -> Result<SessionSetting, &'static str> {
     setting(&name.to_ascii_lowercase(), &[value.to_owned()])
 }
 
@@ -138,18 +116,14 @@
     }
 }
 
-fn outcome(setting: Result<SessionSetting, SettingRefusal>) -> StatementKind {
+fn outcome(setting: Result<SessionSetting, &'static str>) -> StatementKind {
     match setting {
         Ok(setting) => StatementKind::Set(setting),
-        Err(SettingRefusal::State(words)) => session_state(words),
-        Err(SettingRefusal::Value(words)) => StatementKind::Refused {
-            kind: ErrorKind::InvalidSetting,
-            words,
-        },
+        Err(words) => session_state(words),
     }
 }
 
-fn setting(name: &str, values: &[String]) -> Result<SessionSetting, SettingRefusal> {
+fn setting(name: &str, values: &[String]) -> Result<SessionSetting, &'static str> {
     let only = match values {
         [only] => only.as_str(),
         _ => "",
@@ -160,14 +134,14 @@
         }
         "daisyseam.max_age" => match parse_age(only) {
             Some(age) => Ok(SessionSetting::MaxAge(Some(age))),
-            None => Err(SettingRefusal::Value(AGE_FORM)),
+            None => Err("the age must be a duration of at most one day, like 500ms or 2s"),
         },
         "daisyseam.session" => Ok(SessionSetting::Token(only.to_owned())),
         "application_name" => Ok(SessionSetting::ApplicationName(only.to_owned())),
         "client_encoding" if is_one_of(only, &["utf8", "utf-8", "unicode"]) => {
             Ok(SessionSetting::Fixed)
         }
-        "client_encoding" => Err(SettingRefusal::State("only the encoding UTF8 is supported")),
+        "client_encoding" => Err("only the encoding UTF8 is supported"),
         "standard_conforming_strings" if is_one_of(only, &["on", "true", "1"]) => {
             Ok(SessionSetting::Fixed)
         }
@@ -179,7 +153,7 @@
                 .collect::<Vec<_>>()
                 .join(", "),
         }),
-        _ => Err(SettingRefusal::State(NOT_CARRIED)),
+        _ => Err(NOT_CARRIED),
     }
 }
 
