Give shares of rates out with heartbeats and admit within them

Cause: the gate admitted an even part of each rate, whatever the demand. Change: control's leader keeps the ledger, answers reports in heartbeats and follows the document in force; the gate holds the instance's shares, lets requests wait in line for a token and sends a report at once when demand leaps or a share was returned. Before: an even static part. Conclusion: without a lease, or without a share, nothing is admitted.

--- a/crates/daisyseam-control/src/core.rs
+++ b/crates/daisyseam-control/src/core.rs
@@ -5,6 +5,7 @@
 mod leader;
 mod repair;
 mod requests;
+mod shares;
 mod status;
 
 use self::leader::LeaderWork;
@@ -339,6 +340,9 @@
 
     fn upkeep(&mut self, now: Moment) {
         self.schedule_upkeep(now);
+        if let Some(leader) = &mut self.leader {
+            leader.shares.tick(now, self.fleet.view());
+        }
         self.step_groups(now);
         let applied = self.log.applied();
         if self
--- a/crates/daisyseam-control/src/core/leader.rs
+++ b/crates/daisyseam-control/src/core/leader.rs
@@ -1,6 +1,9 @@
 //! What only the leader of control knows; it ends with the leadership.
 
-use super::CoreSettings;
+use super::{
+    CoreSettings,
+    shares::ShareDesk, //
+};
 use daisyseam_coord::{
     Moment,
     fleet::{
@@ -17,6 +20,7 @@
         CallKind,
         GroupPromotion, //
     },
+    quota::QuotaLedger,
     view_lease::LeaseTable, //
 };
 use daisyseam_model::{
@@ -51,6 +55,7 @@
     /// View in force when the leadership began; every earlier change is finished with it.
     pub(super) begun_view: ViewNumber,
     pub(super) leases: LeaseTable,
+    pub(super) shares: ShareDesk,
     pub(super) groups: BTreeMap<GroupId, GroupPromotion>,
     pub(super) changed: BTreeMap<GroupId, ViewNumber>,
     pub(super) released: BTreeMap<UpstreamId, (ViewNumber, Moment)>,
@@ -99,6 +104,7 @@
             begun: now,
             begun_view: fleet.view().number,
             leases: LeaseTable::begin(settings.lease, now),
+            shares: ShareDesk::new(QuotaLedger::new(term.0, now, settings.lease.span())),
             groups: BTreeMap::new(),
             changed: BTreeMap::new(),
             released: BTreeMap::new(),
--- a/crates/daisyseam-control/src/core/requests.rs
+++ b/crates/daisyseam-control/src/core/requests.rs
@@ -20,6 +20,7 @@
         LogIndex,
         LogTerm, //
     },
+    quota::HolderId,
     view_lease::{
         LeaseClaim,
         LeaseRefusal, //
@@ -177,11 +178,19 @@
             Ok(_) | Err(LeaseRefusal::OldHeartbeat) => ViewNumber(heartbeat.view),
         };
         let lease = granted.unwrap_or_default();
+        let holder = HolderId {
+            instance,
+            incarnation,
+        };
+        // Shares are leased with the view, so without a lease nothing is said of them.
+        let report = heartbeat.shares.as_ref().filter(|_| granted.is_ok());
+        let view = self.fleet.view();
+        let shares = report.and_then(|report| leader.shares.answer(now, view, &holder, report));
         let body = Body::HeartbeatReply(HeartbeatReply {
             sequence: heartbeat.sequence,
             lease_ms: u64::try_from(lease.as_millis()).unwrap_or(0),
             update: view_update(&self.fleet, held),
-            shares: None,
+            shares,
         });
         self.reply(request, body);
     }
--- a/crates/daisyseam-coord/src/quota.rs
+++ b/crates/daisyseam-coord/src/quota.rs
@@ -29,7 +29,8 @@
     Incarnation,
     InstanceId,
     OrganisationId,
-    ServiceId, //
+    ServiceId,
+    document::Document, //
 };
 
 /// Thousandths in one whole: rates count thousandths of a statement a second, bursts and tokens
@@ -67,6 +68,19 @@
     }
 }
 
+/// Lists the rates of a document: of organisations and of open routes.
+pub fn document_rates(document: &Document) -> impl Iterator<Item = (RateKey, RateShare)> {
+    let organisations = document.organisations.iter().map(|(name, entry)| {
+        let share = RateShare::from_document(entry.rate, entry.burst);
+        (RateKey::Organisation(name.clone()), share)
+    });
+    let routes = document.open_routes.iter().map(|(service, route)| {
+        let share = RateShare::from_document(route.rate, route.burst);
+        (RateKey::Open(service.clone()), share)
+    });
+    organisations.chain(routes)
+}
+
 /// A part of a rate and a burst.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct RateShare {
--- a/crates/daisyseam-entry/src/control_client.rs
+++ b/crates/daisyseam-entry/src/control_client.rs
@@ -17,7 +17,8 @@
 use daisyseam_model::{
     ClusterId,
     DataCentreId,
-    InstanceId, //
+    InstanceId,
+    ViewNumber, //
 };
 use daisyseam_runtime::{
     Dialer,
@@ -35,6 +36,7 @@
     time::Duration, //
 };
 use tokio::{
+    sync::watch,
     task::AbortHandle,
     time::Instant, //
 };
@@ -78,6 +80,7 @@
 
 /// Keeps the lease until it is dropped.
 pub struct ControlClient {
+    confirmed: watch::Receiver<ViewNumber>,
     tasks: [AbortHandle; 2],
 }
 
@@ -85,6 +88,7 @@
     /// Starts to look for the leader and to keep the lease.
     pub fn start(settings: ClientSettings) -> Self {
         let keeper = ViewKeeper::new(settings.cell.clone(), settings.table.clone());
+        let confirmed = keeper.subscribe();
         let lease = end_links_with_lease(
             settings.cell.clone(),
             settings.table.clone(),
@@ -92,12 +96,18 @@
         );
         let follow = follow_leader(settings, keeper);
         Self {
+            confirmed,
             tasks: [
                 tokio::spawn(follow).abort_handle(),
                 tokio::spawn(lease).abort_handle(),
             ],
         }
     }
+
+    /// Returns the view up to which nothing older is acted on here.
+    pub fn confirmed(&self) -> ViewNumber {
+        *self.confirmed.borrow()
+    }
 }
 
 impl Drop for ControlClient {
--- a/crates/daisyseam-entry/src/control_client/session.rs
+++ b/crates/daisyseam-entry/src/control_client/session.rs
@@ -68,6 +68,7 @@
     receiver: MessageReceiver<TcpStream, ControlMessage>,
     teller: HealthTeller,
     sent: VecDeque<(u64, Instant)>,
+    sequence: u64,
     heard_at: Instant,
     next_beat: Instant,
 }
@@ -92,6 +93,7 @@
             receiver,
             teller: HealthTeller::default(),
             sent: VecDeque::new(),
+            sequence: 0,
             heard_at: now,
             next_beat: now,
         })
@@ -107,20 +109,16 @@
                     Ok(message) => self.handle(message.body).await,
                     Err(error) => Err(error.into()),
                 },
-                () = self.settings.table.let_go() => {
+                () = self.keeper.confirm_next() => {
                     self.next_beat = Instant::now();
                     Ok(())
                 }
                 () = self.settings.stop.stopped(), if !leaving => {
                     leaving = true;
-                    self.settings.gate.leave();
-                    self.next_beat = Instant::now();
-                    Ok(())
-                }
-                () = self.settings.gate.report_due() => {
                     self.next_beat = Instant::now();
                     Ok(())
                 }
+                () = self.settings.gate.report_due() => self.beat().await,
                 () = timer.at(self.next_beat) => self.beat().await,
                 () = timer.at(self.heard_at + SILENCE_MAX) => {
                     Err(SessionEnd::Failed("it has fallen silent".to_owned()))
@@ -133,16 +131,16 @@
     }
 
     async fn beat(&mut self) -> Result<(), SessionEnd> {
-        let sequence = self.keeper.next_sequence();
+        self.sequence += 1;
         let settings = self.settings;
         let view = self.keeper.named();
         let held = settings.cell.held();
         let heartbeat = Heartbeat {
-            sequence,
+            sequence: self.sequence,
             incarnation: settings.incarnation.get().0,
             view: view.0,
             leaving: settings.stop.is_stopping(),
-            shares: Some(settings.gate.report(sequence)),
+            shares: Some(settings.gate.report()),
             upstreams: settings.book.take(),
             health: self.teller.reports(&settings.table, view),
             groups: group_reports(&held.view, &settings.counts),
@@ -150,7 +148,7 @@
             view_digest: self.keeper.digest(),
         };
         let now = Instant::now();
-        self.sent.push_back((sequence, now));
+        self.sent.push_back((self.sequence, now));
         self.next_beat = now + HEARTBEAT;
         let message = ControlMessage {
             body: Some(Body::Heartbeat(heartbeat)),
@@ -185,19 +183,13 @@
                 .apply(update)
                 .await
                 .map_err(|error| SessionEnd::Failed(error.to_string()))?;
-            // Control waits for the new number before it finishes a change.
-            self.next_beat = Instant::now();
-        }
-        if let Some(shares) = &reply.shares {
-            let lease = Duration::from_millis(reply.lease_ms);
-            self.settings
-                .gate
-                .apply(sent, lease, shares)
-                .map_err(|error| SessionEnd::Failed(error.to_string()))?;
         }
         if reply.lease_ms > 0 {
-            self.keeper
-                .extend(sent + Duration::from_millis(reply.lease_ms));
+            let lease = Duration::from_millis(reply.lease_ms);
+            self.keeper.extend(sent + lease);
+            if let Some(shares) = &reply.shares {
+                self.settings.gate.replied(shares, lease);
+            }
         }
         Ok(())
     }
--- a/crates/daisyseam-entry/src/daemon.rs
+++ b/crates/daisyseam-entry/src/daemon.rs
@@ -55,7 +55,7 @@
 const CALLER_STOP_SHARE: f64 = 0.7;
 
 /// Time between two looks at whether control has moved the databases.
-const HAND_OVER_LOOK: Duration = Duration::from_millis(50);
+const HAND_OVER_LOOK: Duration = Duration::from_millis(20);
 
 /// Why an entry daemon could not start.
 #[derive(Debug, Display)]
@@ -79,6 +79,7 @@
     health: HealthServer,
     control: ControlClient,
     table: HolderTable,
+    gate: FleetGate,
     cell: ViewCell,
     timer: TimerService,
     stop: StopSignal,
@@ -177,7 +178,7 @@
             table: table.clone(),
             book,
             counts: broker.counts().clone(),
-            gate,
+            gate: gate.clone(),
             dialer,
             timer: timer.clone(),
             stop: stop.clone(),
@@ -188,6 +189,7 @@
             health,
             control,
             table,
+            gate,
             cell,
             timer,
             stop,
@@ -224,6 +226,8 @@
         self.stop.stop();
         let drained = self.callers.drained();
         let drained = self.timer.within(callers_end, drained).await.is_some();
+        // No caller asks for a token any more.
+        self.gate.leave();
         // Control sees that this instance leaves and gives its databases to others.
         let handed_over = self.timer.within(end, self.handed_over()).await.is_some();
         // Whatever is left is let go of here; control notices by the lease.
@@ -234,13 +238,17 @@
         drained && released
     }
 
-    /// Waits until this instance holds nothing and control can know it.
+    /// Waits until this instance holds nothing and control knows it.
     async fn handed_over(&self) {
-        // Without a lease there is nothing that could be handed over.
-        while self.cell.held().is_valid() && !self.table.is_empty() {
+        loop {
+            let held = self.cell.held();
+            let confirmed = self.control.confirmed() >= held.view.number;
+            // Without a lease there is nothing that could be handed over.
+            if !held.is_valid() || (self.table.all().is_empty() && confirmed) {
+                return;
+            }
             self.timer.after(HAND_OVER_LOOK).await;
         }
-        self.timer.after(HAND_OVER_LOOK).await;
     }
 }
 
--- a/crates/daisyseam-entry/src/fleet/gate.rs
+++ b/crates/daisyseam-entry/src/fleet/gate.rs
@@ -1,48 +1,49 @@
 //! Rates and bursts over the whole fleet, as this instance's share of them.
 
+mod state;
+
+use self::state::{
+    GateState,
+    LineGuard, //
+};
+use super::broker::VIEW_WAIT;
 use crate::{
     RateGate,
     ViewCell, //
 };
-use daisyseam_coord::{
-    Moment,
-    quota::{
-        BucketSet,
-        NoToken,
-        RateKey,
-        RateShare,
-        WaitingLine, //
-    }, //
+use daisyseam_coord::quota::{
+    NoToken,
+    RateKey, //
 };
 use daisyseam_model::{
-    DocumentNumber,
     ErrorKind,
+    FleetView,
     OrganisationId,
     RequestError,
-    ServiceId,
-    document::Document, //
+    ServiceId, //
 };
 use daisyseam_runtime::TimerService;
 use daisyseam_wire::{
-    ConvertError,
     WireShareReply,
     WireShareReport, //
 };
 use parking_lot::Mutex;
 use std::{
-    collections::{
-        BTreeMap,
-        VecDeque, //
-    },
     sync::Arc,
     time::Duration, //
 };
 use tokio::{
-    sync::Notify,
+    sync::watch,
     time::Instant, //
 };
 
-/// Admits requests within the shares that control has granted; cheap to clone.
+/// Time between two looks at whether a report is due while requests wait.
+const REPORT_LOOK: Duration = Duration::from_millis(25);
+
+/// Admits requests within this instance's share of each rate; cheap to clone.
+///
+/// Requests wait in line for a token. One that could not be served in time even if the whole rate
+/// were here is refused at once.
 #[derive(Clone)]
 pub struct FleetGate {
     shared: Arc<GateShared>,
@@ -51,31 +52,11 @@
 struct GateShared {
     cell: ViewCell,
     timer: TimerService,
-    origin: Instant,
     state: Mutex<GateState>,
-    eager: Notify,
-}
-
-#[derive(Default)]
-struct GateState {
-    set: BucketSet,
-    document: DocumentNumber,
-    lines: BTreeMap<RateKey, VecDeque<LineEntry>>,
-    next_ticket: u64,
-}
-
-/// One that waits for a token, first come, first served.
-struct LineEntry {
-    ticket: u64,
-    since: Moment,
-    turn: Arc<Notify>,
-}
-
-/// What an attempt to take a token came to.
-enum TakeOutcome {
-    Taken,
-    /// The next token is expected at this moment, if at all.
-    Later(Option<Instant>),
+    /// Changes when shares have changed.
+    shares: watch::Sender<()>,
+    /// Changes when a report may have become due.
+    stirred: watch::Sender<()>,
 }
 
 impl FleetGate {
@@ -84,117 +65,152 @@
         let shared = GateShared {
             cell,
             timer,
-            origin: Instant::now(),
-            state: Mutex::default(),
-            eager: Notify::new(),
+            state: Mutex::new(GateState::new(Instant::now())),
+            shares: watch::Sender::new(()),
+            stirred: watch::Sender::new(()),
         };
         Self {
             shared: Arc::new(shared),
         }
     }
 
-    /// Returns what control must know of the shares held and wanted here.
-    pub fn report(&self, sequence: u64) -> WireShareReport {
-        let now = self.moment(Instant::now());
+    /// Returns what control must know of shares, to be sent now.
+    pub fn report(&self) -> WireShareReport {
+        let view = Arc::clone(&self.shared.cell.held().view);
         let mut state = self.shared.state.lock();
-        WireShareReport::present(&state.set.report(now, sequence))
+        state.take_document(&view);
+        WireShareReport::present(&state.report(Instant::now()))
     }
 
-    /// Takes shares in that answer a report sent at a moment.
-    ///
-    /// # Errors
-    ///
-    /// [`ConvertError`] when the message cannot be read; nothing is changed then.
-    pub fn apply(
-        &self,
-        sent: Instant,
-        lease: Duration,
-        reply: &WireShareReply,
-    ) -> Result<(), ConvertError> {
-        let reply = reply.read()?;
-        let now = self.moment(Instant::now());
-        let sent = self.moment(sent);
-        let mut state = self.shared.state.lock();
-        if state.set.apply(now, sent, lease, &reply) {
-            for line in state.lines.values() {
-                wake_first(line);
+    /// Waits until a report should not wait for the next heartbeat.
+    pub async fn report_due(&self) {
+        let mut stirred = self.shared.stirred.subscribe();
+        loop {
+            let (due, waiting) = {
+                let mut state = self.shared.state.lock();
+                (state.is_report_due(Instant::now()), state.has_waiting())
+            };
+            if due {
+                return;
+            }
+            // The sender lives in `self`, so waiting cannot fail.
+            if waiting {
+                let look = Instant::now() + REPORT_LOOK;
+                let _ = self.shared.timer.within(look, stirred.changed()).await;
+            } else {
+                let _ = stirred.changed().await;
             }
         }
-        Ok(())
     }
 
-    /// Waits until a report should not wait for the next heartbeat.
-    pub async fn report_due(&self) {
-        self.shared.eager.notified().await;
+    /// Takes the answer to a report in; the lease on shares is `lease` long.
+    pub fn replied(&self, reply: &WireShareReply, lease: Duration) {
+        match reply.read() {
+            Ok(reply) => self
+                .shared
+                .state
+                .lock()
+                .apply(Instant::now(), lease, &reply),
+            Err(error) => log::warn!("shares cannot be read: {error}"),
+        }
+        self.shared.shares.send_replace(());
+        self.shared.stirred.send_replace(());
     }
 
-    /// Gives every share back for good, as the instance stops.
+    /// Returns all shares for good: no caller is left.
     pub fn leave(&self) {
-        let now = self.moment(Instant::now());
-        self.shared.state.lock().set.leave(now);
-        self.shared.eager.notify_one();
+        self.shared.state.lock().leave(Instant::now());
+        self.shared.stirred.send_replace(());
     }
 
     async fn take(&self, key: RateKey, deadline: Instant) -> Result<(), RequestError> {
-        let view = self.shared.cell.valid()?;
-        let document = view.document.as_deref().ok_or(ErrorKind::NoView)?;
-        let turn = Arc::new(Notify::new());
-        let place = {
-            let mut state = self.shared.state.lock();
-            let now = self.moment(Instant::now());
-            state.follow(now, document);
-            state.set.count(now, &key);
-            self.enter(&mut state, key, &turn, deadline)?
+        let view = self.view(deadline).await?;
+        let Some(guard) = self.begin(&view, &key, deadline)? else {
+            return Ok(());
+        };
+        self.shared.stirred.send_replace(());
+        let mut shares = self.shared.shares.subscribe();
+        let timer = &self.shared.timer;
+        let Some(_turn) = timer.within(deadline, guard.line().lock()).await else {
+            return Err(self.refusal(&key));
         };
         loop {
-            let until = match place.try_take()? {
-                TakeOutcome::Taken => return Ok(()),
-                TakeOutcome::Later(at) => at.unwrap_or(deadline).min(deadline),
+            let ready = match self.take_now(&key)? {
+                None => return Ok(()),
+                Some(ready) => ready.unwrap_or(deadline).min(deadline),
             };
-            self.shared.timer.within(until, turn.notified()).await;
             if Instant::now() >= deadline {
-                return Err(place.refusal());
+                return Err(self.refusal(&key));
             }
+            let _ = timer.within(ready, shares.changed()).await;
         }
     }
 
-    /// Joins the line of a key, unless its turn cannot come in time.
-    fn enter(
-        &self,
-        state: &mut GateState,
-        key: RateKey,
-        turn: &Arc<Notify>,
+    /// Takes a token if there is one and nobody waits, else a place in the line.
+    fn begin<'a>(
+        &'a self,
+        view: &FleetView,
+        key: &RateKey,
         deadline: Instant,
-    ) -> Result<LinePlace, RequestError> {
+    ) -> Result<Option<LineGuard<'a>>, RequestError> {
         let now = Instant::now();
-        let since = self.moment(now);
-        let ahead = state.lines.get(&key).map_or(0, VecDeque::len);
-        let least = state.set.least_wait(&key, ahead);
-        if now + least.min(Duration::from_secs(86_400)) > deadline {
-            let later = state.set.retry_after(since, &key, ahead);
-            return Err(exceeded(later));
+        let mut state = self.shared.state.lock();
+        state.take_document(view);
+        state.count(now, key);
+        if state.waiting(key) == 0 {
+            match state.take(now, key) {
+                Ok(()) => return Ok(None),
+                Err(NoToken::UnknownKey) => return Err(ErrorKind::ServiceDenied.into()),
+                Err(NoToken::Wait(_)) => {}
+            }
         }
-        state.next_ticket += 1;
-        let ticket = state.next_ticket;
-        let entry = LineEntry {
-            ticket,
-            since,
-            turn: Arc::clone(turn),
-        };
-        state.lines.entry(key.clone()).or_default().push_back(entry);
-        state.tell_line(&key);
-        if state.set.is_report_due(since) {
-            self.shared.eager.notify_one();
+        if now + state.least_wait(key) > deadline {
+            let retry_after = state.retry_after(now, key);
+            return Err(rate_exceeded(retry_after));
+        }
+        let number = state.enter_line(now, key);
+        let line = state.line(key);
+        drop(state);
+        Ok(Some(LineGuard::new(
+            &self.shared.state,
+            key.clone(),
+            number,
+            line,
+        )))
+    }
+
+    /// Takes a token, or returns when to look again; no moment while there is no share.
+    fn take_now(&self, key: &RateKey) -> Result<Option<Option<Instant>>, RequestError> {
+        let now = Instant::now();
+        match self.shared.state.lock().take(now, key) {
+            Ok(()) => Ok(None),
+            Err(NoToken::UnknownKey) => Err(ErrorKind::ServiceDenied.into()),
+            Err(NoToken::Wait(wait)) => Ok(Some(wait.map(|wait| now + wait))),
+        }
+    }
+
+    /// Returns the view, waiting a while for a lease that has lapsed.
+    async fn view(&self, deadline: Instant) -> Result<Arc<FleetView>, RequestError> {
+        let until = deadline.min(Instant::now() + VIEW_WAIT);
+        let mut changes = self.shared.cell.subscribe();
+        loop {
+            match self.shared.cell.valid() {
+                Ok(view) => return Ok(view),
+                Err(kind) => {
+                    let changed = self.shared.timer.within(until, changes.changed());
+                    changed.await.ok_or(kind)?.map_err(|_| kind)?;
+                }
+            }
         }
-        Ok(LinePlace {
-            gate: self.clone(),
-            key,
-            ticket,
-        })
     }
 
-    fn moment(&self, at: Instant) -> Moment {
-        Moment::after_origin(at.saturating_duration_since(self.shared.origin))
+    /// Says why a request that waited gets no token: without a lease there are no shares.
+    fn refusal(&self, key: &RateKey) -> RequestError {
+        if let Err(kind) = self.shared.cell.valid() {
+            return kind.into();
+        }
+        let mut state = self.shared.state.lock();
+        rate_exceeded(state.retry_after(Instant::now(), key))
     }
 }
 
@@ -213,93 +229,6 @@
     }
 }
 
-/// A place in the line of a key; dropping it leaves the line.
-struct LinePlace {
-    gate: FleetGate,
-    key: RateKey,
-    ticket: u64,
-}
-
-impl LinePlace {
-    /// Takes a token if it is this one's turn and there is one.
-    fn try_take(&self) -> Result<TakeOutcome, RequestError> {
-        let now = Instant::now();
-        let moment = self.gate.moment(now);
-        let mut state = self.gate.shared.state.lock();
-        let first = state.lines.get(&self.key).and_then(VecDeque::front);
-        if first.is_none_or(|first| first.ticket != self.ticket) {
-            return Ok(TakeOutcome::Later(None));
-        }
-        match state.set.take(moment, &self.key) {
-            Ok(()) => Ok(TakeOutcome::Taken),
-            Err(NoToken::UnknownKey) => Err(ErrorKind::ServiceDenied.into()),
-            Err(NoToken::Wait(wait)) => {
-                // The share may be far too small for what waits: control is told at once.
-                if state.set.is_report_due(moment) {
-                    self.gate.shared.eager.notify_one();
-                }
-                Ok(TakeOutcome::Later(wait.map(|wait| now + wait)))
-            }
-        }
-    }
-
-    fn refusal(&self) -> RequestError {
-        let now = self.gate.moment(Instant::now());
-        let mut state = self.gate.shared.state.lock();
-        let waiting = state.lines.get(&self.key).map_or(0, VecDeque::len);
-        exceeded(state.set.retry_after(now, &self.key, waiting))
-    }
-}
-
-impl Drop for LinePlace {
-    fn drop(&mut self) {
-        let mut state = self.gate.shared.state.lock();
-        let Some(line) = state.lines.get_mut(&self.key) else {
-            return;
-        };
-        line.retain(|entry| entry.ticket != self.ticket);
-        wake_first(line);
-        state.tell_line(&self.key);
-        state.lines.retain(|_, line| !line.is_empty());
-    }
-}
-
-impl GateState {
-    /// Takes over the rates of a document that has come into force.
-    fn follow(&mut self, now: Moment, document: &Document) {
-        if self.document == document.number {
-            return;
-        }
-        self.document = document.number;
-        let organisations = document.organisations.iter().map(|(name, entry)| {
-            let total = RateShare::from_document(entry.rate, entry.burst);
-            (RateKey::Organisation(name.clone()), total)
-        });
-        let routes = document.open_routes.iter().map(|(service, route)| {
-            let total = RateShare::from_document(route.rate, route.burst);
-            (RateKey::Open(service.clone()), total)
-        });
-        self.set.set_totals(now, organisations.chain(routes));
-    }
-
-    /// Tells the bucket of a key what waits there.
-    fn tell_line(&mut self, key: &RateKey) {
-        let line = self.lines.get(key);
-        let oldest = line.and_then(VecDeque::front).map(|first| first.since);
-        let waiting = WaitingLine {
-            length: line.map_or(0, VecDeque::len),
-            oldest: oldest.unwrap_or_default(),
-        };
-        self.set.set_waiting(key, waiting);
-    }
-}
-
-fn wake_first(line: &VecDeque<LineEntry>) {
-    if let Some(first) = line.front() {
-        first.turn.notify_one();
-    }
-}
-
-fn exceeded(later: Duration) -> RequestError {
-    RequestError::from(ErrorKind::RateExceeded).with_retry_after(later)
+fn rate_exceeded(retry_after: Duration) -> RequestError {
+    RequestError::from(ErrorKind::RateExceeded).with_retry_after(retry_after)
 }
--- a/crates/daisyseam-entry/src/holder/table.rs
+++ b/crates/daisyseam-entry/src/holder/table.rs
@@ -31,13 +31,10 @@
     sync::Arc,
     time::Duration, //
 };
-use tokio::{
-    sync::Notify,
-    time::Instant, //
-};
+use tokio::time::Instant;
 
 /// Longest wait for transactions that run when a database is handed over.
-const HAND_OVER_GRACE: Duration = Duration::from_millis(1_500);
+const HAND_OVER_GRACE: Duration = Duration::from_millis(1_000);
 
 /// Slots of a database whose group the document does not name.
 const SLOTS_DEFAULT: usize = 1;
@@ -67,7 +64,6 @@
     settings: Arc<TableSettings>,
     holders: Arc<Mutex<BTreeMap<UpstreamId, HeldUpstream>>>,
     moving: Arc<Mutex<Vec<HolderHandle>>>,
-    let_go: Arc<Notify>,
 }
 
 #[derive(Clone)]
@@ -83,7 +79,6 @@
             settings: Arc::new(settings),
             holders: Arc::default(),
             moving: Arc::default(),
-            let_go: Arc::default(),
         }
     }
 
@@ -99,23 +94,8 @@
         holders.values().map(|held| held.handle.clone()).collect()
     }
 
-    /// Returns whether nothing is held and nothing is being let go of.
-    pub fn is_empty(&self) -> bool {
-        self.holders.lock().is_empty() && self.moving.lock().is_empty()
-    }
-
-    /// Returns the holders that are letting go of their databases.
-    pub fn moving(&self) -> Vec<HolderHandle> {
-        self.moving.lock().clone()
-    }
-
-    /// Waits until a database has been let go of.
-    pub async fn let_go(&self) {
-        self.let_go.notified().await;
-    }
-
     /// Acts on a view that has just been put in force here: cuts transactions of terms that are
-    /// over, starts holders, and returns those that must let go.
+    /// over, starts holders, and returns those that must let go before the view is confirmed.
     pub async fn apply(&self, view: &FleetView) -> HandOver {
         let moved = self.take_moved(view);
         for (upstream, entry) in &view.upstreams {
@@ -128,7 +108,11 @@
                 None => self.start(view, upstream, entry).await,
             }
         }
-        self.begin_hand_over(moved)
+        self.moving.lock().extend(moved.iter().cloned());
+        HandOver {
+            moved,
+            moving: Arc::clone(&self.moving),
+        }
     }
 
     /// Closes every connection to every database, at the end of the lease.
@@ -150,14 +134,10 @@
     pub fn release_all(&self) -> HandOver {
         let holders = std::mem::take(&mut *self.holders.lock());
         let moved: Vec<_> = holders.into_values().map(|held| held.handle).collect();
-        self.begin_hand_over(moved)
-    }
-
-    fn begin_hand_over(&self, moved: Vec<HolderHandle>) -> HandOver {
         self.moving.lock().extend(moved.iter().cloned());
         HandOver {
             moved,
-            table: self.clone(),
+            moving: Arc::clone(&self.moving),
         }
     }
 
@@ -230,7 +210,7 @@
 /// Holders that must let go of their databases.
 pub struct HandOver {
     moved: Vec<HolderHandle>,
-    table: HolderTable,
+    moving: Arc<Mutex<Vec<HolderHandle>>>,
 }
 
 impl HandOver {
@@ -245,8 +225,7 @@
         let closings = self.moved.iter().map(|handle| handle.let_go(deadline));
         join_all(closings).await;
         let gone = |handle: &HolderHandle| self.moved.iter().any(|moved| moved.is(handle));
-        self.table.moving.lock().retain(|handle| !gone(handle));
-        self.table.let_go.notify_one();
+        self.moving.lock().retain(|handle| !gone(handle));
         for handle in &self.moved {
             log::info!("database {} is let go of", handle.settings().upstream);
         }
