Count heartbeats on over connections that were lost

Cause: the count began at 1 on each connection to control, and control refuses a lease to a heartbeat that is not newer than the last one of the same incarnation, so an instance whose connection broke stayed without a lease. Change: the count belongs to the process. Before: heartbeats_count_on_over_a_connection_that_was_lost failed; after: it passes.

--- a/crates/daisyseam-entry/src/control_client/keeper.rs
+++ b/crates/daisyseam-entry/src/control_client/keeper.rs
@@ -40,6 +40,7 @@
     pending: VecDeque<PendingView>,
     whole_wanted: bool,
     numbers: watch::Sender<ViewNumber>,
+    heartbeats: u64,
 }
 
 /// A view in force whose predecessors are still acted on somewhere here.
@@ -58,6 +59,7 @@
             pending: VecDeque::new(),
             whole_wanted: false,
             numbers: watch::Sender::default(),
+            heartbeats: 0,
         }
     }
 
@@ -66,6 +68,12 @@
         self.numbers.subscribe()
     }
 
+    /// Counts a heartbeat; the count goes on over all connections.
+    pub(super) fn next_heartbeat(&mut self) -> u64 {
+        self.heartbeats += 1;
+        self.heartbeats
+    }
+
     /// Returns the number of the newest view that is confirmed; zero asks for a whole view.
     pub(super) fn named(&self) -> ViewNumber {
         if self.whole_wanted {
--- a/crates/daisyseam-entry/src/control_client/session.rs
+++ b/crates/daisyseam-entry/src/control_client/session.rs
@@ -68,7 +68,6 @@
     receiver: MessageReceiver<TcpStream, ControlMessage>,
     teller: HealthTeller,
     sent: VecDeque<(u64, Instant)>,
-    sequence: u64,
     heard_at: Instant,
     next_beat: Instant,
 }
@@ -93,7 +92,6 @@
             receiver,
             teller: HealthTeller::default(),
             sent: VecDeque::new(),
-            sequence: 0,
             heard_at: now,
             next_beat: now,
         })
@@ -131,12 +129,12 @@
     }
 
     async fn beat(&mut self) -> Result<(), SessionEnd> {
-        self.sequence += 1;
+        let sequence = self.keeper.next_heartbeat();
         let settings = self.settings;
         let view = self.keeper.named();
         let held = settings.cell.held();
         let heartbeat = Heartbeat {
-            sequence: self.sequence,
+            sequence,
             incarnation: settings.incarnation.get().0,
             view: view.0,
             leaving: settings.stop.is_stopping(),
@@ -148,7 +146,7 @@
             view_digest: self.keeper.digest(),
         };
         let now = Instant::now();
-        self.sent.push_back((self.sequence, now));
+        self.sent.push_back((sequence, now));
         self.next_beat = now + HEARTBEAT;
         let message = ControlMessage {
             body: Some(Body::Heartbeat(heartbeat)),
--- a/crates/daisyseam-entry/tests/links_suite/support/control.rs
+++ b/crates/daisyseam-entry/tests/links_suite/support/control.rs
@@ -140,6 +140,7 @@
     pub(crate) address: SocketAddr,
     view: watch::Sender<FleetView>,
     lease_ms: watch::Sender<u64>,
+    cuts: watch::Sender<()>,
     heard: watch::Receiver<Heartbeat>,
     _tasks: JoinSet<()>,
 }
@@ -155,13 +156,16 @@
             view: view.clone(),
             lease_ms: lease_ms.clone(),
             heartbeats,
+            cuts: watch::Sender::new(()),
         };
+        let cuts = parts.cuts.clone();
         let mut tasks = JoinSet::new();
         tasks.spawn(accept(listener, parts));
         Self {
             address,
             view,
             lease_ms,
+            cuts,
             heard,
             _tasks: tasks,
         }
@@ -175,6 +179,11 @@
         self.lease_ms.send_replace(lease_ms);
     }
 
+    /// Closes every connection.
+    pub(crate) fn cut(&self) {
+        self.cuts.send_replace(());
+    }
+
     /// Waits for a heartbeat that fits.
     pub(crate) async fn heard(&self, fits: impl Fn(&Heartbeat) -> bool) -> Heartbeat {
         let mut heard = self.heard.clone();
@@ -188,6 +197,7 @@
     view: watch::Sender<FleetView>,
     lease_ms: watch::Sender<u64>,
     heartbeats: watch::Sender<Heartbeat>,
+    cuts: watch::Sender<()>,
 }
 
 async fn accept(listener: TcpListener, parts: ControlParts) {
@@ -199,7 +209,13 @@
 
 async fn serve(socket: TcpStream, parts: ControlParts) {
     let mut stream = MessageStream::<_, ControlMessage>::new(socket, cluster());
-    while let Ok(message) = stream.receive().await {
+    let mut cuts = parts.cuts.subscribe();
+    loop {
+        let received = tokio::select! {
+            received = stream.receive() => received,
+            _ = cuts.changed() => return,
+        };
+        let Ok(message) = received else { return };
         let body = match message.body {
             Some(Body::Hello(_)) => Body::Welcome(Welcome { incarnation: 1 }),
             Some(Body::Heartbeat(heartbeat)) => {
--- a/crates/daisyseam-entry/tests/links_suite/views.rs
+++ b/crates/daisyseam-entry/tests/links_suite/views.rs
@@ -114,6 +114,21 @@
     assert_eq!(cell.valid().err(), Some(ErrorKind::NoView));
 }
 
+#[tokio::test]
+async fn heartbeats_count_on_over_a_connection_that_was_lost() {
+    let held = ViewParts::new().instance("entry-1", 1, ANYWHERE);
+    let control = FakeControl::start(held.0).await;
+    let daemon = start_daemon("entry-1", control.address).await;
+    let before = control.heard(|heartbeat| heartbeat.sequence >= 3).await;
+    control.cut();
+    let first = control
+        .heard(|heartbeat| heartbeat.sequence != before.sequence)
+        .await;
+    // Control refuses a lease to a heartbeat that is older than one it has answered.
+    assert!(first.sequence > before.sequence);
+    daemon.stop(Duration::from_secs(5)).await;
+}
+
 #[tokio::test]
 async fn without_a_lease_no_link_is_given() {
     let database = FakeDatabase::start(UpstreamRole::Primary, position(1, 10)).await;
