--- a/crates/daisyseam-entry/src/caller/classify/settings.rs
+++ b/crates/daisyseam-entry/src/caller/classify/settings.rs
@@ -5,6 +5,7 @@
     hints::parse_age,
     session_state, //
 };
+use daisyseam_model::ErrorKind;
 use sqlparser::ast::{
     ContextModifier,
     Expr,
@@ -30,6 +31,9 @@
 /// Words for a setting that is not carried.
 const NOT_CARRIED: &str = "this setting is not carried; use SET LOCAL in a transaction";
 
+/// Words for an age that cannot be read.
+const AGE_FORM: &str = "the age must be a duration of at most one day, like 500ms or 2s";
+
 /// A change of what a session carries.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum SessionSetting {
@@ -50,6 +54,24 @@
     Fixed,
 }
 
+/// Why a setting is not taken.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(in crate::caller) enum SettingRefusal {
+    /// Its value is not valid.
+    Value(&'static str),
+    /// It is not carried.
+    State(&'static str),
+}
+
+impl SettingRefusal {
+    /// Returns the words for the caller.
+    pub(in crate::caller) fn words(self) -> &'static str {
+        match self {
+            Self::Value(words) | Self::State(words) => words,
+        }
+    }
+}
+
 /// Returns whether a setting is one of the system itself.
 pub(super) fn is_own(name: &str) -> bool {
     matches!(name, "daisyseam.session" | "daisyseam.max_age")
@@ -59,11 +81,11 @@
 ///
 /// # Errors
 ///
-/// Words, when the setting is not carried or its value is not valid.
+/// When the setting is not carried or its value is not valid.
 pub(in crate::caller) fn carried_setting(
     name: &str,
     value: &str,
-) -> Result<SessionSetting, &'static str> {
+) -> Result<SessionSetting, SettingRefusal> {
     setting(&name.to_ascii_lowercase(), &[value.to_owned()])
 }
 
@@ -116,14 +138,18 @@
     }
 }
 
-fn outcome(setting: Result<SessionSetting, &'static str>) -> StatementKind {
+fn outcome(setting: Result<SessionSetting, SettingRefusal>) -> StatementKind {
     match setting {
         Ok(setting) => StatementKind::Set(setting),
-        Err(words) => session_state(words),
+        Err(SettingRefusal::State(words)) => session_state(words),
+        Err(SettingRefusal::Value(words)) => StatementKind::Refused {
+            kind: ErrorKind::InvalidSetting,
+            words,
+        },
     }
 }
 
-fn setting(name: &str, values: &[String]) -> Result<SessionSetting, &'static str> {
+fn setting(name: &str, values: &[String]) -> Result<SessionSetting, SettingRefusal> {
     let only = match values {
         [only] => only.as_str(),
         _ => "",
@@ -134,14 +160,14 @@
         }
         "daisyseam.max_age" => match parse_age(only) {
             Some(age) => Ok(SessionSetting::MaxAge(Some(age))),
-            None => Err("the age must be a duration of at most one day, like 500ms or 2s"),
+            None => Err(SettingRefusal::Value(AGE_FORM)),
         },
         "daisyseam.session" => Ok(SessionSetting::Token(only.to_owned())),
         "application_name" => Ok(SessionSetting::ApplicationName(only.to_owned())),
         "client_encoding" if is_one_of(only, &["utf8", "utf-8", "unicode"]) => {
             Ok(SessionSetting::Fixed)
         }
-        "client_encoding" => Err("only the encoding UTF8 is supported"),
+        "client_encoding" => Err(SettingRefusal::State("only the encoding UTF8 is supported")),
         "standard_conforming_strings" if is_one_of(only, &["on", "true", "1"]) => {
             Ok(SessionSetting::Fixed)
         }
@@ -153,7 +179,7 @@
                 .collect::<Vec<_>>()
                 .join(", "),
         }),
-        _ => Err(NOT_CARRIED),
+        _ => Err(SettingRefusal::State(NOT_CARRIED)),
     }
 }
 
--- a/crates/daisyseam-entry/src/caller/session.rs
+++ b/crates/daisyseam-entry/src/caller/session.rs
@@ -295,6 +295,11 @@
     /// Changes what the session carries.
     fn apply(&mut self, setting: SessionSetting) -> Result<(), RequestError> {
         match setting {
+            SessionSetting::Carried { .. } if self.identity.keyed.is_none() => {
+                // A search path would give the open tables' names another meaning.
+                let words = "an open route carries no settings of the database";
+                return Err(RequestError::new(ErrorKind::OpenRouteDenied, words));
+            }
             SessionSetting::Carried { name, value } => {
                 self.carried.retain(|carried| carried.name != name);
                 self.carried.push(CarriedSetting { name, value });
--- a/crates/daisyseam-entry/src/caller/session/request.rs
+++ b/crates/daisyseam-entry/src/caller/session/request.rs
@@ -193,7 +193,7 @@
         }
         let route = document.open_routes.get(&self.identity.service);
         let route = route.ok_or(ErrorKind::KeyWithdrawn)?;
-        if needs.write {
+        if needs.write || needs.block_only {
             let words = "an open route only reads";
             return Err(RequestError::new(ErrorKind::OpenRouteDenied, words));
         }
--- a/crates/daisyseam-entry/src/caller/startup.rs
+++ b/crates/daisyseam-entry/src/caller/startup.rs
@@ -520,7 +520,7 @@
     }
     match carried_setting(name, value) {
         Ok(setting) => read.settings.push(setting),
-        Err(words) => return Err(invalid(name, words)),
+        Err(refusal) => return Err(invalid(name, refusal.words())),
     }
     Ok(())
 }
--- a/crates/daisyseam-entry/src/control_client.rs
+++ b/crates/daisyseam-entry/src/control_client.rs
@@ -17,8 +17,7 @@
 use daisyseam_model::{
     ClusterId,
     DataCentreId,
-    InstanceId,
-    ViewNumber, //
+    InstanceId, //
 };
 use daisyseam_runtime::{
     Dialer,
@@ -36,7 +35,6 @@
     time::Duration, //
 };
 use tokio::{
-    sync::watch,
     task::AbortHandle,
     time::Instant, //
 };
@@ -80,7 +78,6 @@
 
 /// Keeps the lease until it is dropped.
 pub struct ControlClient {
-    confirmed: watch::Receiver<ViewNumber>,
     tasks: [AbortHandle; 2],
 }
 
@@ -88,7 +85,6 @@
     /// Starts to look for the leader and to keep the lease.
     pub fn start(settings: ClientSettings) -> Self {
         let keeper = ViewKeeper::new(settings.cell.clone(), settings.table.clone());
-        let confirmed = keeper.subscribe();
         let lease = end_links_with_lease(
             settings.cell.clone(),
             settings.table.clone(),
@@ -96,18 +92,12 @@
         );
         let follow = follow_leader(settings, keeper);
         Self {
-            confirmed,
             tasks: [
                 tokio::spawn(follow).abort_handle(),
                 tokio::spawn(lease).abort_handle(),
             ],
         }
     }
-
-    /// Returns the view up to which nothing older is acted on here.
-    pub fn confirmed(&self) -> ViewNumber {
-        *self.confirmed.borrow()
-    }
 }
 
 impl Drop for ControlClient {
--- a/crates/daisyseam-entry/src/control_client/health.rs
+++ b/crates/daisyseam-entry/src/control_client/health.rs
@@ -29,10 +29,14 @@
 /// Time after which a database's health is told again though nothing has changed.
 const REPEAT: Duration = Duration::from_secs(1);
 
+/// Time for which control is told again that a database was let go of.
+const LET_GO_REPEAT: Duration = Duration::from_secs(3);
+
 /// Remembers what was told, so that only changes are told again.
 #[derive(Default)]
 pub(super) struct HealthTeller {
     told: BTreeMap<UpstreamId, (ToldHealth, Instant)>,
+    moving: BTreeMap<UpstreamId, Instant>,
 }
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -66,8 +70,31 @@
             self.told.insert(upstream.clone(), (health, now));
             reports.push(report(upstream, &sight, health, view));
         }
+        reports.extend(self.hand_over_reports(table, view));
         reports
     }
+
+    /// Returns whether databases that are handed over are still in use here, every time.
+    fn hand_over_reports(&mut self, table: &HolderTable, view: ViewNumber) -> Vec<HealthReport> {
+        let now = Instant::now();
+        let moving = table.moving();
+        for handle in &moving {
+            self.moving.insert(handle.settings().upstream.clone(), now);
+        }
+        self.moving
+            .retain(|upstream, last| now < *last + LET_GO_REPEAT && table.get(upstream).is_none());
+        let in_use = |upstream: &UpstreamId| {
+            let moves = |handle: &HolderHandle| handle.settings().upstream == *upstream;
+            moving.iter().any(moves)
+        };
+        let reports = self.moving.keys().map(|upstream| HealthReport {
+            upstream: upstream.to_string(),
+            reachable: true,
+            held_for_view: if in_use(upstream) { view.0 } else { 0 },
+            ..HealthReport::default()
+        });
+        reports.collect()
+    }
 }
 
 /// Returns how many transactions are open at each group that is being moved.
--- a/crates/daisyseam-entry/src/control_client/session.rs
+++ b/crates/daisyseam-entry/src/control_client/session.rs
@@ -107,7 +107,7 @@
                     Ok(message) => self.handle(message.body).await,
                     Err(error) => Err(error.into()),
                 },
-                () = self.keeper.confirm_next() => {
+                () = self.settings.table.let_go() => {
                     self.next_beat = Instant::now();
                     Ok(())
                 }
@@ -116,7 +116,10 @@
                     self.next_beat = Instant::now();
                     Ok(())
                 }
-                () = self.settings.gate.report_due() => self.beat().await,
+                () = self.settings.gate.report_due() => {
+                    self.next_beat = Instant::now();
+                    Ok(())
+                }
                 () = timer.at(self.next_beat) => self.beat().await,
                 () = timer.at(self.heard_at + SILENCE_MAX) => {
                     Err(SessionEnd::Failed("it has fallen silent".to_owned()))
@@ -129,7 +132,7 @@
     }
 
     async fn beat(&mut self) -> Result<(), SessionEnd> {
-        let sequence = self.keeper.next_heartbeat();
+        let sequence = self.keeper.next_sequence();
         let settings = self.settings;
         let view = self.keeper.named();
         let held = settings.cell.held();
@@ -181,6 +184,8 @@
                 .apply(update)
                 .await
                 .map_err(|error| SessionEnd::Failed(error.to_string()))?;
+            // Control waits for the new number before it finishes a change.
+            self.next_beat = Instant::now();
         }
         if reply.lease_ms > 0 {
             let lease = Duration::from_millis(reply.lease_ms);
--- a/crates/daisyseam-entry/src/daemon.rs
+++ b/crates/daisyseam-entry/src/daemon.rs
@@ -55,7 +55,7 @@
 const CALLER_STOP_SHARE: f64 = 0.7;
 
 /// Time between two looks at whether control has moved the databases.
-const HAND_OVER_LOOK: Duration = Duration::from_millis(20);
+const HAND_OVER_LOOK: Duration = Duration::from_millis(50);
 
 /// Why an entry daemon could not start.
 #[derive(Debug, Display)]
@@ -238,17 +238,13 @@
         drained && released
     }
 
-    /// Waits until this instance holds nothing and control knows it.
+    /// Waits until this instance holds nothing and control can know it.
     async fn handed_over(&self) {
-        loop {
-            let held = self.cell.held();
-            let confirmed = self.control.confirmed() >= held.view.number;
-            // Without a lease there is nothing that could be handed over.
-            if !held.is_valid() || (self.table.all().is_empty() && confirmed) {
-                return;
-            }
+        // Without a lease there is nothing that could be handed over.
+        while self.cell.held().is_valid() && !self.table.is_empty() {
             self.timer.after(HAND_OVER_LOOK).await;
         }
+        self.timer.after(HAND_OVER_LOOK).await;
     }
 }
 
--- a/crates/daisyseam-entry/src/holder/table.rs
+++ b/crates/daisyseam-entry/src/holder/table.rs
@@ -31,10 +31,13 @@
     sync::Arc,
     time::Duration, //
 };
-use tokio::time::Instant;
+use tokio::{
+    sync::Notify,
+    time::Instant, //
+};
 
 /// Longest wait for transactions that run when a database is handed over.
-const HAND_OVER_GRACE: Duration = Duration::from_millis(1_000);
+const HAND_OVER_GRACE: Duration = Duration::from_millis(1_500);
 
 /// Slots of a database whose group the document does not name.
 const SLOTS_DEFAULT: usize = 1;
@@ -64,6 +67,7 @@
     settings: Arc<TableSettings>,
     holders: Arc<Mutex<BTreeMap<UpstreamId, HeldUpstream>>>,
     moving: Arc<Mutex<Vec<HolderHandle>>>,
+    let_go: Arc<Notify>,
 }
 
 #[derive(Clone)]
@@ -79,6 +83,7 @@
             settings: Arc::new(settings),
             holders: Arc::default(),
             moving: Arc::default(),
+            let_go: Arc::default(),
         }
     }
 
@@ -94,8 +99,23 @@
         holders.values().map(|held| held.handle.clone()).collect()
     }
 
+    /// Returns whether nothing is held and nothing is being let go of.
+    pub fn is_empty(&self) -> bool {
+        self.holders.lock().is_empty() && self.moving.lock().is_empty()
+    }
+
+    /// Returns the holders that are letting go of their databases.
+    pub fn moving(&self) -> Vec<HolderHandle> {
+        self.moving.lock().clone()
+    }
+
+    /// Waits until a database has been let go of.
+    pub async fn let_go(&self) {
+        self.let_go.notified().await;
+    }
+
     /// Acts on a view that has just been put in force here: cuts transactions of terms that are
-    /// over, starts holders, and returns those that must let go before the view is confirmed.
+    /// over, starts holders, and returns those that must let go.
     pub async fn apply(&self, view: &FleetView) -> HandOver {
         let moved = self.take_moved(view);
         for (upstream, entry) in &view.upstreams {
@@ -108,11 +128,7 @@
                 None => self.start(view, upstream, entry).await,
             }
         }
-        self.moving.lock().extend(moved.iter().cloned());
-        HandOver {
-            moved,
-            moving: Arc::clone(&self.moving),
-        }
+        self.begin_hand_over(moved)
     }
 
     /// Closes every connection to every database, at the end of the lease.
@@ -134,10 +150,14 @@
     pub fn release_all(&self) -> HandOver {
         let holders = std::mem::take(&mut *self.holders.lock());
         let moved: Vec<_> = holders.into_values().map(|held| held.handle).collect();
+        self.begin_hand_over(moved)
+    }
+
+    fn begin_hand_over(&self, moved: Vec<HolderHandle>) -> HandOver {
         self.moving.lock().extend(moved.iter().cloned());
         HandOver {
             moved,
-            moving: Arc::clone(&self.moving),
+            table: self.clone(),
         }
     }
 
@@ -210,7 +230,7 @@
 /// Holders that must let go of their databases.
 pub struct HandOver {
     moved: Vec<HolderHandle>,
-    moving: Arc<Mutex<Vec<HolderHandle>>>,
+    table: HolderTable,
 }
 
 impl HandOver {
@@ -225,7 +245,8 @@
         let closings = self.moved.iter().map(|handle| handle.let_go(deadline));
         join_all(closings).await;
         let gone = |handle: &HolderHandle| self.moved.iter().any(|moved| moved.is(handle));
-        self.moving.lock().retain(|handle| !gone(handle));
+        self.table.moving.lock().retain(|handle| !gone(handle));
+        self.table.let_go.notify_one();
         for handle in &self.moved {
             log::info!("database {} is let go of", handle.settings().upstream);
         }
--- /dev/null
+++ b/crates/daisyseam-entry/tests/caller_sessions.rs
@@ -0,0 +1,209 @@
+//! Sessions see their own writes, with and without a token, wherever they connect.
+
+mod caller_support;
+
+use caller_support::{
+    KEY,
+    Stage,
+    VETS_KEY,
+    fake::at,
+    raw::{
+        RawCaller,
+        RawMessage,
+        error_field, //
+    }, //
+};
+use daisyseam_entry::StatementAccess;
+use pgwire::messages::{
+    PgWireFrontendMessage,
+    simplequery::Query, //
+};
+use std::time::Duration;
+use test_case::test_case;
+
+fn query(text: &str) -> PgWireFrontendMessage {
+    PgWireFrontendMessage::Query(Query::new(text.to_owned()))
+}
+
+/// Returns the token among messages.
+fn token(messages: &[RawMessage]) -> Option<String> {
+    let statuses = messages.iter().filter(|(tag, _)| *tag == b'S');
+    statuses.map(|(_, body)| body).find_map(|body| {
+        let text = String::from_utf8(body.clone()).unwrap();
+        let (name, value) = text.split_once('\0').unwrap();
+        (name == "daisyseam.session").then(|| value.trim_end_matches('\0').to_owned())
+    })
+}
+
+async fn admitted_with_token(stage: &Stage, token: &str) -> RawCaller {
+    let options = format!("-c daisyseam.session={token}");
+    let parameters = [("options", options.as_str())];
+    RawCaller::admitted_with(stage.address(), "keepers", KEY, &parameters).await
+}
+
+#[tokio::test]
+async fn a_session_without_a_token_starts_at_a_barrier_fetched_once() {
+    let stage = Stage::start().await;
+    stage.world.set_end(480);
+    let client = stage.connect().await;
+    client.simple_query("SELECT 1").await.unwrap();
+    client.simple_query("SELECT 2").await.unwrap();
+    let expected = [StatementAccess::ReadAtLeast(at(480)); 2];
+    assert_eq!(stage.world.accesses(), expected);
+    assert_eq!(stage.world.barriers(), 1);
+}
+
+#[tokio::test]
+async fn a_write_raises_the_floor_of_the_reads_after_it() {
+    let stage = Stage::start().await;
+    stage.world.set_lag(1_000);
+    let client = stage.connect().await;
+    client
+        .simple_query("INSERT INTO t VALUES (1)")
+        .await
+        .unwrap();
+    client.simple_query("SELECT 1").await.unwrap();
+    let last = stage.world.accesses().pop();
+    assert_eq!(last, Some(StatementAccess::ReadAtLeast(at(16))));
+    assert_eq!(stage.world.barriers(), 0);
+}
+
+#[tokio::test]
+async fn a_token_carries_the_floor_to_another_connection() {
+    let stage = Stage::start().await;
+    let mut first = RawCaller::admitted(stage.address(), "keepers", KEY).await;
+    first.send(query("INSERT INTO t VALUES (1)")).await;
+    let token = token(&first.until_ready().await).expect("a token");
+    let mut second = admitted_with_token(&stage, &token).await;
+    second.send(query("SELECT 1")).await;
+    second.until_ready().await;
+    let last = stage.world.accesses().pop();
+    assert_eq!(last, Some(StatementAccess::ReadAtLeast(at(16))));
+    assert_eq!(stage.world.barriers(), 0);
+}
+
+#[tokio::test]
+async fn a_token_is_reported_when_it_changes_only() {
+    let stage = Stage::start().await;
+    let mut caller = RawCaller::admitted(stage.address(), "keepers", KEY).await;
+    caller.send(query("SELECT 1")).await;
+    assert!(token(&caller.until_ready().await).is_some());
+    caller.send(query("SELECT 1")).await;
+    assert_eq!(token(&caller.until_ready().await), None);
+}
+
+#[tokio::test]
+async fn a_token_of_another_organisation_or_term_is_refused() {
+    let stage = Stage::start().await;
+    let mut caller = RawCaller::admitted(stage.address(), "keepers", KEY).await;
+    caller.send(query("INSERT INTO t VALUES (1)")).await;
+    let token = token(&caller.until_ready().await).unwrap();
+    for token in [token.as_str(), "1-1-1-1", "2-1-1-1", "rubbish"] {
+        let mut other = RawCaller::connect(stage.address()).await;
+        let options = format!("-c daisyseam.session={token}");
+        other
+            .start("vets", "bookings", &[("options", &options)])
+            .await;
+        other.read().await.unwrap();
+        other.show_key(VETS_KEY).await;
+        let answers = other.until_closed().await;
+        assert_eq!(error_field(&answers, b'C').as_deref(), Some("22023"));
+    }
+}
+
+#[tokio::test]
+async fn a_position_that_was_never_acknowledged_is_the_token_s_fault() {
+    let stage = Stage::start().await;
+    stage.world.set_end(4_096);
+    let mut first = RawCaller::admitted(stage.address(), "keepers", KEY).await;
+    first.send(query("SELECT 1")).await;
+    let token = token(&first.until_ready().await).unwrap();
+    stage.world.set_end(16);
+    let mut second = admitted_with_token(&stage, &token).await;
+    second.send(query("SELECT 1")).await;
+    let answers = second.until_ready().await;
+    assert_eq!(error_field(&answers, b'C').as_deref(), Some("22023"));
+}
+
+#[tokio::test]
+async fn a_stated_age_keeps_the_session_s_own_writes() {
+    let stage = Stage::start().await;
+    let client = stage.connect().await;
+    client
+        .simple_query("SET daisyseam.max_age = '2s'")
+        .await
+        .unwrap();
+    client.simple_query("SELECT 1").await.unwrap();
+    client
+        .simple_query("INSERT INTO t VALUES (1)")
+        .await
+        .unwrap();
+    client
+        .simple_query("SELECT 2 /* daisyseam.max_age=500ms */")
+        .await
+        .unwrap();
+    client
+        .simple_query("RESET daisyseam.max_age")
+        .await
+        .unwrap();
+    client.simple_query("SELECT 3").await.unwrap();
+    let within = |millis, floor| StatementAccess::ReadWithin {
+        age: Duration::from_millis(millis),
+        floor,
+    };
+    let expected = [
+        within(2_000, None),
+        StatementAccess::Write,
+        within(500, Some(at(16))),
+        StatementAccess::ReadAtLeast(at(16)),
+    ];
+    assert_eq!(stage.world.accesses(), expected);
+    assert_eq!(stage.world.barriers(), 0);
+}
+
+#[test_case("-1"; "negative")]
+#[test_case("9999999999999999999s"; "too large")]
+#[test_case("3 fortnights"; "no unit")]
+#[tokio::test]
+async fn an_age_that_makes_no_sense_is_refused(age: &str) {
+    let stage = Stage::start().await;
+    let client = stage.connect().await;
+    let text = format!("SET daisyseam.max_age = '{age}'");
+    let error = client.simple_query(&text).await.unwrap_err();
+    assert_eq!(error.code().unwrap().code(), "22023");
+    client.simple_query("SELECT 1").await.unwrap();
+}
+
+#[tokio::test]
+async fn a_read_only_transaction_runs_whole_on_one_replica() {
+    let stage = Stage::start().await;
+    let mut client = stage.connect().await;
+    let builder = client.build_transaction().read_only(true);
+    let transaction = builder.start().await.unwrap();
+    transaction.simple_query("SELECT 1").await.unwrap();
+    transaction.simple_query("SELECT 2").await.unwrap();
+    transaction.commit().await.unwrap();
+    assert_eq!(
+        stage.world.accesses(),
+        [StatementAccess::ReadAtLeast(at(0))]
+    );
+    assert_eq!(stage.world.links(), (1, 1, 0));
+}
+
+#[tokio::test]
+async fn carried_settings_go_with_each_request() {
+    let stage = Stage::start().await;
+    let client = stage.connect().await;
+    client.simple_query("SET search_path = a, b").await.unwrap();
+    client.simple_query("SELECT 1").await.unwrap();
+    client.simple_query("RESET ALL").await.unwrap();
+    client.simple_query("SELECT 2").await.unwrap();
+    let expected = [
+        "BEGIN READ ONLY",
+        "SET LOCAL search_path = 'a', 'b'",
+        "SELECT 1",
+        "COMMIT",
+        "SELECT 2",
+    ];
+    assert_eq!(stage.world.texts(), expected);
+}
--- a/crates/daisyseam-entry/tests/caller_support/fake.rs
+++ b/crates/daisyseam-entry/tests/caller_support/fake.rs
@@ -487,7 +487,7 @@
             Request::Query(query) => {
                 self.parsed.clear();
                 self.run(&query.query, true);
-                if !self.stuck {
+                if !self.stuck && !self.lost {
                     self.ready();
                 }
             }
--- a/crates/daisyseam-entry/tests/links_suite/views.rs
+++ b/crates/daisyseam-entry/tests/links_suite/views.rs
@@ -23,6 +23,7 @@
     PrimaryState,
     announce::UpstreamRole, //
 };
+use daisyseam_wire::Heartbeat;
 use std::{
     net::SocketAddr,
     time::Duration, //
@@ -32,7 +33,7 @@
 const ANYWHERE: SocketAddr = crate::support::LOOPBACK;
 
 #[tokio::test]
-async fn connections_are_closed_before_a_view_that_moves_the_holder_is_confirmed() {
+async fn connections_are_closed_before_control_hears_that_the_database_is_let_go() {
     let database = FakeDatabase::start(UpstreamRole::Primary, position(1, 10)).await;
     let held = ViewParts::new()
         .instance("entry-1", 1, ANYWHERE)
@@ -42,18 +43,26 @@
     let daemon = start_daemon("entry-1", control.address).await;
     eventually("a connection is open", || database.open() > 0).await;
     control.heard(|heartbeat| heartbeat.view == 1).await;
-    let moved = held.database("one", &database, Some("entry-2")).next();
+    let moved = held.database("one", &database, None).next();
     control.set_view(moved.0);
-    control.heard(|heartbeat| heartbeat.view == 2).await;
+    let let_go = |heartbeat: &Heartbeat| {
+        let health = heartbeat.health.iter();
+        let mut gone =
+            health.filter(|report| report.upstream == "one" && report.held_for_view == 0);
+        heartbeat.view == 2 && gone.next().is_some()
+    };
+    let heard = control.heard(let_go).await.sequence;
     eventually("all are closed", || database.open() == 0).await;
     let opened = database.opened();
-    control.heard(|heartbeat| heartbeat.sequence > 3).await;
+    control
+        .heard(|heartbeat| heartbeat.sequence > heard + 2)
+        .await;
     assert_eq!(database.opened(), opened, "it opened another connection");
     daemon.stop(Duration::from_secs(5)).await;
 }
 
 #[tokio::test]
-async fn a_running_transaction_delays_the_confirmation_of_a_hand_over() {
+async fn a_running_transaction_ends_before_its_database_is_let_go() {
     let database = FakeDatabase::start(UpstreamRole::Primary, position(1, 10)).await;
     let instance = Instance::start("entry-1", 1).await;
     let held = ViewParts::new()
@@ -72,10 +81,12 @@
     });
     let hand_over = instance.table.apply(&moved.0).await;
     let finished = tokio::spawn(hand_over.finish());
+    assert_eq!(instance.table.moving().len(), 1);
     // The transaction goes on to its end, since the move was planned.
     query(&mut opened.link, "COMMIT").await.expect("an answer");
     daisyseam_entry::DatabaseLink::release(opened.link);
     within(finished).await.expect("it ends");
+    assert!(instance.table.is_empty());
     eventually("all are closed", || database.open() == 0).await;
 }
 
