Prefer the leader's word in operators' programs

Cause: run as separate processes, three control daemons and two entries took a document, but `history` asked a follower that had not applied it yet and printed nothing.

Change: a stale answer is kept back until everybody was asked; only if nobody knows better is it returned, marked as stale.

Before: an empty history right after an accepted submission. Conclusion: stale answers remain available when no leader is.

--- a/crates/daisyseam-ctl/tests/commands.rs
+++ b/crates/daisyseam-ctl/tests/commands.rs
@@ -157,6 +157,28 @@
     assert_eq!(task.await.expect("both were asked").len(), 2);
 }
 
+#[tokio::test]
+async fn a_stale_answer_is_taken_only_when_nobody_knows_better() {
+    let shown = |number, stale| {
+        let text = DOCUMENT.to_owned();
+        Turn::Answer(Box::new(Body::Shown(ShowReply {
+            number,
+            text,
+            stale,
+        })))
+    };
+    let (follower, _first) = scripted(vec![shown(1, true), shown(1, true)]).await;
+    let (leader, _second) = scripted(vec![shown(2, false)]).await;
+    let both = format!("{follower},{leader}");
+    let output = run(&both, &["show"]).await.expect("a document");
+    assert_eq!(output.json["number"], 2);
+    let output = run(&follower.to_string(), &["show"])
+        .await
+        .expect("a document");
+    assert_eq!(output.json["number"], 1);
+    assert_eq!(output.json["stale"], true);
+}
+
 #[tokio::test]
 async fn a_difference_is_shown_line_by_line() {
     let shown = ShowReply {
--- a/crates/daisyseam-runtime/src/operator.rs
+++ b/crates/daisyseam-runtime/src/operator.rs
@@ -86,7 +86,7 @@
     /// request may be sent again.
     pub async fn submit(&self, request: SubmitRequest) -> Result<SubmitReply, OperatorError> {
         self.ask(Body::Submit(request), |body| match body {
-            Body::Submitted(reply) if !reply.busy => Some(reply),
+            Body::Submitted(reply) if !reply.busy => Some(Answer::Final(reply)),
             _ => None,
         })
         .await
@@ -103,7 +103,7 @@
             linearizable: true,
         };
         self.ask(Body::Show(request), |body| match body {
-            Body::Shown(reply) => Some(reply),
+            Body::Shown(reply) => Some(Answer::new(reply.stale, reply)),
             _ => None,
         })
         .await
@@ -117,7 +117,7 @@
     pub async fn history(&self, limit: u64) -> Result<Vec<HistoryEntry>, OperatorError> {
         let request = HistoryRequest { limit };
         self.ask(Body::History(request), |body| match body {
-            Body::HistoryShown(reply) => Some(reply.entries),
+            Body::HistoryShown(reply) => Some(Answer::new(reply.stale, reply.entries)),
             _ => None,
         })
         .await
@@ -130,7 +130,7 @@
     /// [`OperatorError`] when nobody answered in time.
     pub async fn status(&self) -> Result<StatusReply, OperatorError> {
         self.ask(Body::Status(StatusRequest {}), |body| match body {
-            Body::StatusShown(reply) => Some(reply),
+            Body::StatusShown(reply) => Some(Answer::new(reply.stale, reply)),
             _ => None,
         })
         .await
@@ -139,7 +139,7 @@
     async fn ask<R>(
         &self,
         request: Body,
-        wanted: impl Fn(Body) -> Option<R>,
+        wanted: impl Fn(Body) -> Option<Answer<R>>,
     ) -> Result<R, OperatorError> {
         let deadline = self.timer.now() + self.patience;
         let request = ControlMessage {
@@ -151,6 +151,7 @@
             return Err(OperatorError::NoAddress);
         }
         loop {
+            let mut fallback = None;
             let targets = leader.take().into_iter().chain(self.addresses.clone());
             for target in targets {
                 if self.timer.now() >= deadline {
@@ -165,12 +166,17 @@
                         }
                     }
                     Ok(body) => match wanted(body) {
-                        Some(reply) => return Ok(reply),
+                        Some(Answer::Final(reply)) => return Ok(reply),
+                        Some(Answer::Stale(reply)) => fallback = Some(reply),
                         None => last = format!("{target} could not decide yet"),
                     },
                     Err(error) => last = format!("{target}: {error}"),
                 }
             }
+            // A stale answer is better than none, but only after everybody was asked.
+            if let Some(reply) = fallback {
+                return Ok(reply);
+            }
             if leader.is_none() {
                 self.timer.after(ROUND_PAUSE).await;
             }
@@ -196,3 +202,21 @@
         answered.unwrap_or_else(|| Err("no answer in time".into()))
     }
 }
+
+/// What one control instance answered.
+enum Answer<R> {
+    /// The leader's word.
+    Final(R),
+    /// The word of an instance that may be behind.
+    Stale(R),
+}
+
+impl<R> Answer<R> {
+    fn new(stale: bool, reply: R) -> Self {
+        if stale {
+            Self::Stale(reply)
+        } else {
+            Self::Final(reply)
+        }
+    }
+}
