Route reads by measured lag, latency and failures

Cause: reads tried replicas in a fixed order, waited 20 ms at each and then went to the primary. Change: the broker keeps a route book and a breaker for each group; commits, barriers and opened links feed it, and its plan says whom to ask and how long to wait.

--- a/crates/daisyseam-coord/src/route.rs
+++ b/crates/daisyseam-coord/src/route.rs
@@ -95,6 +95,8 @@
 pub struct RouteStep<'a> {
     /// The database.
     pub upstream: &'a UpstreamId,
+    /// Expected wait there for the floor.
+    pub expected_wait: Duration,
     /// Longest wait there for the floor before the next step is taken.
     pub catch_up: Duration,
 }
@@ -225,6 +227,7 @@
                 };
                 let step = RouteStep {
                     upstream: candidate.upstream,
+                    expected_wait: wait,
                     catch_up: self.longest_wait(now, &request, candidate, wait),
                 };
                 (candidate.ejected, score + price, step)
--- a/crates/daisyseam-entry/src/fleet.rs
+++ b/crates/daisyseam-entry/src/fleet.rs
@@ -7,6 +7,7 @@
 mod known;
 mod link;
 mod open;
+mod routes;
 
 pub use self::{
     broker::{
--- a/crates/daisyseam-entry/src/fleet/broker.rs
+++ b/crates/daisyseam-entry/src/fleet/broker.rs
@@ -1,14 +1,12 @@
 //! The broker that callers reach databases through.
 
 use super::{
-    known::{
-        KnownPositions,
-        PrimarySamples, //
-    },
+    known::PrimarySamples,
     link::{
         FleetLink,
         TransactionCounts, //
-    }, //
+    },
+    routes::RouteMap, //
 };
 use crate::{
     LinkBroker,
@@ -77,7 +75,7 @@
 
 pub(super) struct BrokerShared {
     pub(super) settings: BrokerSettings,
-    pub(super) known: KnownPositions,
+    pub(super) routes: RouteMap,
     pub(super) samples: PrimarySamples,
     pub(super) counts: TransactionCounts,
     barriers: Mutex<BTreeMap<GroupId, Arc<BarrierShare>>>,
@@ -105,7 +103,7 @@
     pub fn new(settings: BrokerSettings) -> Self {
         let shared = BrokerShared {
             settings,
-            known: KnownPositions::default(),
+            routes: RouteMap::new(),
             samples: PrimarySamples::default(),
             counts: TransactionCounts::default(),
             barriers: Mutex::default(),
@@ -175,7 +173,7 @@
                 let position = self.probe(&view, primary, entry.term, deadline).await;
                 if let Some(position) = position {
                     self.shared.samples.add(group, asked, position);
-                    self.shared.known.learn(primary, position);
+                    self.shared.routes.learn_written(group, position);
                     return Ok(BarrierAnswer { asked, position });
                 }
             }
--- a/crates/daisyseam-entry/src/fleet/confirm.rs
+++ b/crates/daisyseam-entry/src/fleet/confirm.rs
@@ -29,6 +29,7 @@
         deadline: Instant,
     ) -> Result<(), RequestError> {
         let _open = self.shared.counts.enter(group, at.term);
+        self.shared.routes.learn_written(group, at);
         let timer = &self.settings().timer;
         let confirmed = async {
             tokio::select! {
@@ -126,7 +127,7 @@
                 None => return std::future::pending().await,
             };
             if let Some(reported) = reported.filter(|reported| reported.term == at.term) {
-                self.shared.known.learn(upstream, reported);
+                self.learn_position(view, upstream, reported);
                 return;
             }
             self.settings().timer.after(ASK_PAUSE).await;
--- a/crates/daisyseam-entry/src/fleet/known.rs
+++ b/crates/daisyseam-entry/src/fleet/known.rs
@@ -1,9 +1,8 @@
-//! What this instance has learned of positions: of each database, and of primaries over time.
+//! What this instance has learned of the positions of primaries over time.
 
 use daisyseam_model::{
     GroupId,
-    LogPosition,
-    UpstreamId, //
+    LogPosition, //
 };
 use parking_lot::Mutex;
 use std::{
@@ -21,30 +20,6 @@
 /// Shortest time between two kept samples of one primary.
 const SAMPLE_SPACING: Duration = Duration::from_millis(20);
 
-/// Newest positions that databases have reported.
-#[derive(Debug, Default)]
-pub(super) struct KnownPositions {
-    positions: Mutex<BTreeMap<UpstreamId, LogPosition>>,
-}
-
-impl KnownPositions {
-    /// Takes a report in; an older one changes nothing.
-    pub(super) fn learn(&self, upstream: &UpstreamId, at: LogPosition) {
-        let mut positions = self.positions.lock();
-        match positions.get_mut(upstream) {
-            Some(known) => *known = at.max(*known),
-            None => {
-                positions.insert(upstream.clone(), at);
-            }
-        }
-    }
-
-    /// Returns the newest report.
-    pub(super) fn get(&self, upstream: &UpstreamId) -> Option<LogPosition> {
-        self.positions.lock().get(upstream).copied()
-    }
-}
-
 /// Where primaries were at moments of this instance's clock.
 ///
 /// A position that was read after a moment holds everything acknowledged before it, so a database
--- a/crates/daisyseam-entry/src/fleet/link.rs
+++ b/crates/daisyseam-entry/src/fleet/link.rs
@@ -1,5 +1,6 @@
 //! A link to a database that is held here or by a peer.
 
+use super::routes::RouteUse;
 use crate::{
     DatabaseLink,
     LinkError,
@@ -25,6 +26,7 @@
     end: LinkEnd,
     // Counted until the link is gone.
     _open: Option<TransactionGuard>,
+    _route: RouteUse,
 }
 
 enum LinkEnd {
@@ -33,17 +35,23 @@
 }
 
 impl FleetLink {
-    pub(super) fn local(pooled: PooledConnection, open: Option<TransactionGuard>) -> Self {
+    pub(super) fn local(
+        pooled: PooledConnection,
+        open: Option<TransactionGuard>,
+        route: RouteUse,
+    ) -> Self {
         Self {
             end: LinkEnd::Local(Box::new(pooled)),
             _open: open,
+            _route: route,
         }
     }
 
-    pub(super) fn peer(link: PeerLink, open: Option<TransactionGuard>) -> Self {
+    pub(super) fn peer(link: PeerLink, open: Option<TransactionGuard>, route: RouteUse) -> Self {
         Self {
             end: LinkEnd::Peer(Box::new(link)),
             _open: open,
+            _route: route,
         }
     }
 }
--- a/crates/daisyseam-entry/src/fleet/open.rs
+++ b/crates/daisyseam-entry/src/fleet/open.rs
@@ -5,7 +5,8 @@
         FleetBroker,
         HolderPlace, //
     },
-    link::FleetLink, //
+    link::FleetLink,
+    routes::RouteUse, //
 };
 use crate::{
     LinkBroker,
@@ -21,6 +22,10 @@
         millis_until, //
     }, //
 };
+use daisyseam_coord::route::{
+    RouteCandidate,
+    RouteDistance, //
+};
 use daisyseam_model::{
     DataCentreId,
     ErrorKind,
@@ -42,23 +47,9 @@
 use smallvec::SmallVec;
 use std::time::Duration;
 
-/// Longest wait for a near replica that is behind before the next database is asked.
-const CATCH_UP: Duration = Duration::from_millis(20);
-
 /// Part of a stated age after which the primary's position is read again.
 const SAMPLES_PER_AGE: u32 = 4;
 
-/// One database that may serve a read, in the order of preference.
-type ReadCandidate<'a> = (ReadRank, &'a UpstreamId);
-
-/// Smaller is better.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-struct ReadRank {
-    primary: bool,
-    behind: bool,
-    distance: u8,
-}
-
 impl FleetBroker {
     /// Opens a link to a database that fits the order, going on to others until the deadline.
     pub(super) async fn open_link(
@@ -102,6 +93,7 @@
             upstream: primary,
             term: Some(group.term),
             floor: None,
+            expected_wait: Duration::ZERO,
             catch_up: Duration::ZERO,
         };
         self.attempt(view, order, attempt)
@@ -151,17 +143,19 @@
         floor: Option<LogPosition>,
     ) -> Result<OpenedLink<FleetLink>, RequestError> {
         let mut last = RequestError::from(ErrorKind::NoReplica);
-        for (rank, upstream) in self.read_candidates(view, order.group, floor) {
+        let mut candidates = self.read_candidates(view, order.group);
+        let routes = &self.shared.routes;
+        for step in routes.plan(order.group, floor, order.deadline, &mut candidates) {
             let attempt = LinkAttempt {
-                upstream,
+                upstream: step.upstream,
                 term: None,
                 floor,
-                catch_up: CATCH_UP,
+                expected_wait: step.expected_wait,
+                catch_up: step.catch_up,
             };
-            debug_assert!(rank.distance <= 2);
             match self.attempt(view, order, attempt).await {
                 Ok(opened) => return Ok(opened),
-                Err(HolderRefusal::Behind(at)) => self.shared.known.learn(upstream, at),
+                Err(HolderRefusal::Behind(at)) => self.learn_position(view, step.upstream, at),
                 Err(HolderRefusal::Refused(error)) => {
                     if error.kind == ErrorKind::DeadlineBeforeSend {
                         return Err(error);
@@ -173,51 +167,61 @@
         Err(last)
     }
 
-    /// Lists the databases that may serve a read: replicas that are known to have reached the
-    /// floor first, near ones first, the primary last.
+    /// Lists the databases that may serve a read.
     fn read_candidates<'a>(
         &self,
         view: &'a FleetView,
-        group: &'a GroupId,
-        floor: Option<LogPosition>,
-    ) -> SmallVec<[ReadCandidate<'a>; 4]> {
+        group: &GroupId,
+    ) -> SmallVec<[RouteCandidate<'a>; 4]> {
         let document = view.document.as_deref();
+        let slots = document.and_then(|document| document.groups.get(group));
+        let slots = slots.map_or(1, |entry| entry.slots);
         let primary = view
             .groups
             .get(group)
             .and_then(|group| group.primary.active());
-        let mut candidates: SmallVec<[ReadCandidate<'a>; 4]> = view
-            .members(group)
+        view.upstreams
+            .iter()
+            .filter(|(_, upstream)| upstream.group == *group)
             .filter(|(_, upstream)| !upstream.leaving && upstream.holder.is_some())
             .filter(|(_, upstream)| in_service(document, &upstream.data_centre))
-            .map(|(name, upstream)| {
-                let known = self.shared.known.get(name);
-                let rank = ReadRank {
-                    primary: Some(name) == primary,
-                    behind: floor.is_some_and(|floor| known.is_none_or(|known| known < floor)),
-                    distance: self.distance(document, &upstream.data_centre),
-                };
-                (rank, name)
+            .map(|(name, upstream)| RouteCandidate {
+                upstream: name,
+                primary: Some(name) == primary,
+                distance: self.distance(document, &upstream.data_centre),
+                slots,
+                ejected: false,
             })
-            .collect();
-        candidates.sort_by_key(|(rank, _)| *rank);
-        candidates
+            .collect()
+    }
+
+    /// Takes in where a database is: the primary's position is what has been written.
+    pub(super) fn learn_position(&self, view: &FleetView, name: &UpstreamId, at: LogPosition) {
+        let Some(upstream) = view.upstreams.get(name) else {
+            return;
+        };
+        let group = view.groups.get(&upstream.group);
+        let routes = &self.shared.routes;
+        if group.and_then(|group| group.primary.active()) == Some(name) {
+            routes.learn_written(&upstream.group, at);
+        } else {
+            routes.learn_replica(&upstream.group, name, at);
+        }
     }
 
-    /// Returns 0 for this data centre, 1 for this region, 2 for others.
-    fn distance(&self, document: Option<&Document>, other: &DataCentreId) -> u8 {
+    fn distance(&self, document: Option<&Document>, other: &DataCentreId) -> RouteDistance {
         let here = &self.settings().data_centre;
         if here == other {
-            return 0;
+            return RouteDistance::Here;
         }
         let region = |data_centre| {
             let document = document?;
             Some(&document.data_centres.get(data_centre)?.region)
         };
         if region(here).is_some() && region(here) == region(other) {
-            1
+            RouteDistance::Region
         } else {
-            2
+            RouteDistance::Far
         }
     }
 
@@ -237,20 +241,25 @@
         let open = attempt
             .term
             .map(|term| self.shared.counts.enter(order.group, term));
+        let mut route = self.shared.routes.begin(order.group, attempt.upstream);
         let (link, position) = match place {
             HolderPlace::Here => {
-                let (pooled, position) = self.lend(order, &attempt).await?;
-                (FleetLink::local(pooled, open), position)
+                let lent = self.lend(order, &attempt).await;
+                let (pooled, position) = note_failure(&mut route, lent)?;
+                route.opened(attempt.expected_wait);
+                (FleetLink::local(pooled, open, route), position)
             }
             HolderPlace::Peer(address) => {
                 let request = attempt.request(order);
                 let peers = &self.settings().peers;
-                let (link, granted) = peers.open(address, request, order.deadline).await?;
+                let opened = peers.open(address, request, order.deadline).await;
+                let (link, granted) = note_failure(&mut route, opened)?;
+                route.opened(attempt.expected_wait);
                 let position = granted.position.unwrap_or_default();
-                (FleetLink::peer(link, open), position.into())
+                (FleetLink::peer(link, open, route), position.into())
             }
         };
-        self.shared.known.learn(attempt.upstream, position);
+        self.learn_position(view, attempt.upstream, position);
         self.settings().metrics.count("link.opened");
         let group = view.groups.get(order.group);
         let primary = group.and_then(|group| group.primary.active());
@@ -290,6 +299,7 @@
     upstream: &'a UpstreamId,
     term: Option<Term>,
     floor: Option<LogPosition>,
+    expected_wait: Duration,
     catch_up: Duration,
 }
 
@@ -311,6 +321,19 @@
     }
 }
 
+/// Notes a failure that speaks of the database or the way to it.
+fn note_failure<T>(
+    route: &mut RouteUse,
+    result: Result<T, HolderRefusal>,
+) -> Result<T, HolderRefusal> {
+    if let Err(HolderRefusal::Refused(error)) = &result
+        && error.kind == ErrorKind::UpstreamUnreachable
+    {
+        route.failed();
+    }
+    result
+}
+
 /// Returns whether a data centre takes new work; one that the document does not name does.
 fn in_service(document: Option<&Document>, data_centre: &DataCentreId) -> bool {
     let entry = document.and_then(|document| document.data_centres.get(data_centre));
--- /dev/null
+++ b/crates/daisyseam-entry/src/fleet/routes.rs
@@ -0,0 +1,174 @@
+//! What this instance has learned of databases, and the choices made of it.
+
+use daisyseam_coord::{
+    Moment,
+    breaker::{
+        BreakerPolicy,
+        MemberState,
+        OutlierBreaker, //
+    },
+    route::{
+        ReadRequest,
+        RouteBook,
+        RouteCandidate,
+        RoutePolicy,
+        RouteStep, //
+    }, //
+};
+use daisyseam_model::{
+    GroupId,
+    LogPosition,
+    UpstreamId, //
+};
+use parking_lot::Mutex;
+use smallvec::SmallVec;
+use std::{
+    collections::BTreeMap,
+    sync::Arc,
+    time::Duration, //
+};
+use tokio::time::Instant;
+
+/// Measurements and outliers of all databases; cheap to clone.
+#[derive(Clone)]
+pub(super) struct RouteMap {
+    shared: Arc<MapShared>,
+}
+
+struct MapShared {
+    origin: Instant,
+    state: Mutex<MapState>,
+}
+
+struct MapState {
+    book: RouteBook,
+    breakers: BTreeMap<GroupId, OutlierBreaker<UpstreamId>>,
+}
+
+impl RouteMap {
+    pub(super) fn new() -> Self {
+        let state = MapState {
+            book: RouteBook::new(RoutePolicy::default()),
+            breakers: BTreeMap::new(),
+        };
+        Self {
+            shared: Arc::new(MapShared {
+                origin: Instant::now(),
+                state: Mutex::new(state),
+            }),
+        }
+    }
+
+    /// Learns that a group's history had reached a position by now.
+    pub(super) fn learn_written(&self, group: &GroupId, at: LogPosition) {
+        let now = self.now();
+        self.shared.state.lock().book.learn_written(now, group, at);
+    }
+
+    /// Learns how far a replica is now.
+    pub(super) fn learn_replica(&self, group: &GroupId, upstream: &UpstreamId, at: LogPosition) {
+        let now = self.now();
+        let mut state = self.shared.state.lock();
+        state.book.learn_replica(now, group, upstream, at);
+    }
+
+    /// Orders the databases that may serve a read.
+    pub(super) fn plan<'a>(
+        &self,
+        group: &GroupId,
+        floor: Option<LogPosition>,
+        deadline: Instant,
+        candidates: &mut [RouteCandidate<'a>],
+    ) -> SmallVec<[RouteStep<'a>; 4]> {
+        let now = self.now();
+        let mut state = self.shared.state.lock();
+        let breaker = breaker(&mut state.breakers, group);
+        let members = candidates.iter().map(|candidate| candidate.upstream);
+        breaker.set_members(members.cloned());
+        for candidate in candidates.iter_mut() {
+            let member = breaker.state(now, candidate.upstream);
+            candidate.ejected = matches!(member, MemberState::Open(_));
+        }
+        let request = ReadRequest {
+            group,
+            floor,
+            deadline: self.moment(deadline),
+        };
+        let mut random = rand::rng();
+        state.book.plan(now, request, candidates, &mut random)
+    }
+
+    /// Counts a link that is being opened until the guard is dropped.
+    pub(super) fn begin(&self, group: &GroupId, upstream: &UpstreamId) -> RouteUse {
+        let now = self.now();
+        let mut state = self.shared.state.lock();
+        state.book.begin(upstream);
+        // The one try of a database that comes back is this one, whatever else goes there.
+        breaker(&mut state.breakers, group).enter(now, upstream);
+        RouteUse {
+            map: self.clone(),
+            group: group.clone(),
+            upstream: upstream.clone(),
+            begun: now,
+            opened: None,
+        }
+    }
+
+    fn now(&self) -> Moment {
+        self.moment(Instant::now())
+    }
+
+    fn moment(&self, at: Instant) -> Moment {
+        Moment::after_origin(at.saturating_duration_since(self.shared.origin))
+    }
+}
+
+/// One link that is being opened or in use.
+pub(super) struct RouteUse {
+    map: RouteMap,
+    group: GroupId,
+    upstream: UpstreamId,
+    begun: Moment,
+    opened: Option<Moment>,
+}
+
+impl RouteUse {
+    /// Notes that the link is open; `waited` of the time was spent waiting for a position.
+    pub(super) fn opened(&mut self, waited: Duration) {
+        let now = self.map.now();
+        self.opened = Some(now);
+        let took = now.since(self.begun).saturating_sub(waited);
+        let mut state = self.map.shared.state.lock();
+        state.book.learn_opened(now, &self.upstream, took);
+        // Time in a queue speaks of the load, not of the database: only failures eject.
+        let breaker = breaker(&mut state.breakers, &self.group);
+        breaker.succeeded(now, &self.upstream, Duration::ZERO);
+    }
+
+    /// Notes that the database or its holder cannot be reached.
+    pub(super) fn failed(&mut self) {
+        let now = self.map.now();
+        let mut state = self.map.shared.state.lock();
+        breaker(&mut state.breakers, &self.group).failed(now, &self.upstream);
+    }
+}
+
+impl Drop for RouteUse {
+    fn drop(&mut self) {
+        let now = self.map.now();
+        let held = self.opened.map(|opened| now.since(opened));
+        let mut state = self.map.shared.state.lock();
+        state.book.end(now, &self.upstream, held);
+        if held.is_none() {
+            breaker(&mut state.breakers, &self.group).abandoned(&self.upstream);
+        }
+    }
+}
+
+fn breaker<'a>(
+    breakers: &'a mut BTreeMap<GroupId, OutlierBreaker<UpstreamId>>,
+    group: &GroupId,
+) -> &'a mut OutlierBreaker<UpstreamId> {
+    let entry = breakers.entry(group.clone());
+    entry.or_insert_with(|| OutlierBreaker::new(BreakerPolicy::default()))
+}
