Tell control at once when a held database falls silent

Cause: silence was told with the next heartbeat and counted from the first question that stayed without an answer, so a stalled primary was noticed up to 400 ms later than it could be.

Change: news of a held database sends a heartbeat at once, silence counts from the last answer, and a question counts as missed after 400 ms.

--- a/crates/daisyseam-entry/src/control_client/session.rs
+++ b/crates/daisyseam-entry/src/control_client/session.rs
@@ -107,7 +107,7 @@
                     Ok(message) => self.handle(message.body).await,
                     Err(error) => Err(error.into()),
                 },
-                () = self.settings.table.let_go() => {
+                () = self.settings.table.news() => {
                     self.next_beat = Instant::now();
                     Ok(())
                 }
--- a/crates/daisyseam-entry/src/holder/handle.rs
+++ b/crates/daisyseam-entry/src/holder/handle.rs
@@ -60,7 +60,10 @@
     time::Duration, //
 };
 use tokio::{
-    sync::oneshot,
+    sync::{
+        Notify,
+        oneshot, //
+    },
     time::Instant, //
 };
 
@@ -86,6 +89,8 @@
     pub dialer: Dialer,
     /// Timer service.
     pub timer: TimerService,
+    /// Notified when the database's reachability, term or role changes.
+    pub news: Arc<Notify>,
 }
 
 /// What a holder may use.
@@ -160,7 +165,7 @@
             upstream: settings.upstream.clone(),
         };
         let shared = Arc::new(HolderShared {
-            sight: SightWatch::start(probe, settings.timer.clone()),
+            sight: SightWatch::start(probe, settings.timer.clone(), Arc::clone(&settings.news)),
             registry: Arc::default(),
             counts: SharedCounts::default(),
             check,
--- a/crates/daisyseam-entry/src/holder/sight.rs
+++ b/crates/daisyseam-entry/src/holder/sight.rs
@@ -6,7 +6,11 @@
 };
 use daisyseam_model::{
     LogPosition,
-    announce::UpstreamState, //
+    Term,
+    announce::{
+        UpstreamRole,
+        UpstreamState, //
+    }, //
 };
 use daisyseam_runtime::TimerService;
 use parking_lot::Mutex;
@@ -28,7 +32,7 @@
 const IDLE_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Time after which a question counts as missed.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Longest wait that a database is asked to keep an answer for.
 const LONG_POLL: Duration = Duration::from_millis(1_000);
@@ -45,10 +49,44 @@
     pub asked_at: Option<Instant>,
     /// When its last answer came in.
     pub heard_at: Option<Instant>,
-    /// Since when it has not answered; none while it answers.
+    /// When it last answered before it fell silent; none while it answers.
     pub silent_since: Option<Instant>,
 }
 
+impl UpstreamSight {
+    /// Returns what others are told of at once.
+    fn outline(&self) -> (bool, Option<(Term, Term, UpstreamRole)>) {
+        let state = self.state.as_ref();
+        let state = state.map(|state| (state.promised, state.end.term, state.role));
+        (self.silent_since.is_some(), state)
+    }
+
+    /// Takes in the answer to a question that was asked at a moment.
+    fn hear(&mut self, asked: Instant, state: UpstreamState) {
+        // Answers of two questions may overtake each other; the older one must not win.
+        let later = self.heard_at.is_none_or(|heard| asked >= heard);
+        let further = self
+            .state
+            .as_ref()
+            .is_none_or(|held| (state.promised, state.end) >= (held.promised, held.end));
+        if later || further {
+            self.state = Some(state);
+        }
+        self.asked_at = self.asked_at.max(Some(asked));
+        self.heard_at = Some(Instant::now());
+        self.silent_since = None;
+    }
+
+    /// Notes that a question stays without an answer.
+    fn miss(&mut self, asked: Instant) {
+        // An answer that came in meanwhile proves more than this failure.
+        if self.heard_at.is_none_or(|heard| heard <= asked) {
+            self.silent_since
+                .get_or_insert(self.heard_at.unwrap_or(asked));
+        }
+    }
+}
+
 /// Keeps an [`UpstreamSight`] up to date until it is dropped.
 pub struct SightWatch {
     shared: Arc<SightShared>,
@@ -57,12 +95,15 @@
 
 impl SightWatch {
     /// Starts to watch a database.
-    pub fn start<P: UpstreamProbe>(probe: P, timer: TimerService) -> Self {
+    ///
+    /// `news` is notified when it falls silent, answers again, or changes its term or role.
+    pub fn start<P: UpstreamProbe>(probe: P, timer: TimerService, news: Arc<Notify>) -> Self {
         let shared = Arc::new(SightShared {
             sight: watch::Sender::default(),
             wanted: Mutex::default(),
             wanted_changed: Notify::new(),
             refresh: watch::Sender::new(Instant::now()),
+            news,
             timer,
         });
         let refresh = refresh_loop(Arc::clone(&shared), probe.clone());
@@ -125,6 +166,7 @@
     wanted: Mutex<BTreeMap<LogPosition, usize>>,
     wanted_changed: Notify,
     refresh: watch::Sender<Instant>,
+    news: Arc<Notify>,
     timer: TimerService,
 }
 
@@ -150,38 +192,25 @@
     }
 
     fn publish(&self, asked: Instant, result: Result<UpstreamState, ProbeError>) {
-        let now = Instant::now();
-        self.sight.send_modify(|sight| match result {
-            Ok(state) => {
-                // Answers of two questions may overtake each other; the older one must not win.
-                let later = sight.heard_at.is_none_or(|heard| asked >= heard);
-                let further = sight
-                    .state
-                    .as_ref()
-                    .is_none_or(|held| (state.promised, state.end) >= (held.promised, held.end));
-                if later || further {
-                    sight.state = Some(state);
-                }
-                sight.asked_at = sight.asked_at.max(Some(asked));
-                sight.heard_at = Some(now);
-                sight.silent_since = None;
-            }
+        match result {
+            Ok(state) => self.change(|sight| sight.hear(asked, state)),
             Err(error) => {
-                if sight.silent_since.is_none() {
-                    log::info!("a database does not tell its state: {error}");
-                }
-                // An answer that came in meanwhile proves more than this failure.
-                if sight.heard_at.is_none_or(|heard| heard <= asked) {
-                    sight.silent_since.get_or_insert(asked);
-                }
+                log::debug!("a database does not tell its state: {error}");
+                self.miss(asked);
             }
-        });
+        }
+    }
+
+    fn miss(&self, asked: Instant) {
+        self.change(|sight| sight.miss(asked));
     }
 
-    fn publish_timeout(&self, asked: Instant) {
+    fn change(&self, change: impl FnOnce(&mut UpstreamSight)) {
         self.sight.send_modify(|sight| {
-            if sight.heard_at.is_none_or(|heard| heard <= asked) {
-                sight.silent_since.get_or_insert(asked);
+            let before = sight.outline();
+            change(sight);
+            if sight.outline() != before {
+                self.news.notify_one();
             }
         });
     }
@@ -220,7 +249,7 @@
         let deadline = asked + PROBE_TIMEOUT;
         match shared.timer.within(deadline, probe.state()).await {
             Some(result) => shared.publish(asked, result),
-            None => shared.publish_timeout(asked),
+            None => shared.miss(asked),
         }
         // A failure that is answered at once must not become a busy loop.
         let failing = shared.sight.borrow().silent_since.is_some();
--- a/crates/daisyseam-entry/src/holder/table.rs
+++ b/crates/daisyseam-entry/src/holder/table.rs
@@ -67,7 +67,7 @@
     settings: Arc<TableSettings>,
     holders: Arc<Mutex<BTreeMap<UpstreamId, HeldUpstream>>>,
     moving: Arc<Mutex<Vec<HolderHandle>>>,
-    let_go: Arc<Notify>,
+    news: Arc<Notify>,
 }
 
 #[derive(Clone)]
@@ -83,7 +83,7 @@
             settings: Arc::new(settings),
             holders: Arc::default(),
             moving: Arc::default(),
-            let_go: Arc::default(),
+            news: Arc::default(),
         }
     }
 
@@ -109,9 +109,10 @@
         self.moving.lock().clone()
     }
 
-    /// Waits until a database has been let go of.
-    pub async fn let_go(&self) {
-        self.let_go.notified().await;
+    /// Waits for news that control should hear at once: a database has been let go of, or its
+    /// reachability, term or role has changed.
+    pub async fn news(&self) {
+        self.news.notified().await;
     }
 
     /// Acts on a view that has just been put in force here: cuts transactions of terms that are
@@ -211,6 +212,7 @@
             cell: self.settings.cell.clone(),
             dialer: self.settings.dialer,
             timer: self.settings.timer.clone(),
+            news: Arc::clone(&self.news),
         };
         let probe = HttpProbe::new(self.settings.http.clone(), entry.admin_address);
         match HolderHandle::start(settings, probe).await {
@@ -246,7 +248,7 @@
         join_all(closings).await;
         let gone = |handle: &HolderHandle| self.moved.iter().any(|moved| moved.is(handle));
         self.table.moving.lock().retain(|handle| !gone(handle));
-        self.table.let_go.notify_one();
+        self.table.news.notify_one();
         for handle in &self.moved {
             log::info!("database {} is let go of", handle.settings().upstream);
         }
