control: take late heartbeats, and let instances lag for five seconds

Cause: a view that waits for links to end would have cost its instance the lease after one second, and the check on the order of heartbeats protected nothing. Change: late heartbeats are taken as they do no harm, an instance may lag 5 s, and a primary counts as demoted only by an announcement made after it became active. Conclusion: the instance's own order of views is what the table needs.

--- a/crates/daisyseam-control/src/core/requests.rs
+++ b/crates/daisyseam-control/src/core/requests.rs
@@ -168,14 +168,13 @@
         let claim = LeaseClaim {
             instance: &instance,
             incarnation,
-            sequence: heartbeat.sequence,
             view: ViewNumber(heartbeat.view),
         };
         let granted = leader.leases.grant(now, claim, newest);
         let held = match granted {
             // What it holds may not be what it says: it gets the whole view.
             Err(LeaseRefusal::Lagging) => ViewNumber::default(),
-            Ok(_) | Err(LeaseRefusal::OldHeartbeat) => ViewNumber(heartbeat.view),
+            Ok(_) => ViewNumber(heartbeat.view),
         };
         let lease = granted.unwrap_or_default();
         let holder = HolderId {
--- a/crates/daisyseam-coord/src/promotion/stage.rs
+++ b/crates/daisyseam-coord/src/promotion/stage.rs
@@ -160,9 +160,10 @@
             return true;
         };
         let settled = self.active_for(now) >= self.settings.promote_for;
+        let since = self.active_since.map_or(now, |(_, since)| since);
         let demoted = member
             .announced
-            .is_some_and(|(announced, _)| !announced.primary);
+            .is_some_and(|(announced, at)| !announced.primary && at > since);
         if settled && (member.denied || demoted) {
             return true;
         }
--- a/crates/daisyseam-coord/src/view_lease.rs
+++ b/crates/daisyseam-coord/src/view_lease.rs
@@ -28,7 +28,6 @@
 //! let claim = LeaseClaim {
 //!     instance: &entry,
 //!     incarnation: Incarnation(1),
-//!     sequence: 1,
 //!     view: ViewNumber(7),
 //! };
 //! table.grant(now, claim, ViewNumber(7)).expect("a first heartbeat is granted");
@@ -54,6 +53,8 @@
 const DRIFT_PER_MILLE: u32 = 50;
 /// Time that a lease holds on its holder's clock.
 const LEASE_DURATION: Duration = Duration::from_millis(1_000);
+/// Time that an instance may take to let go of what a new view takes from it.
+const LAG_MAX: Duration = Duration::from_millis(5_000);
 
 /// How long leases hold and how far clocks may differ.
 #[derive(Clone, Copy, Debug)]
@@ -62,6 +63,8 @@
     pub duration: Duration,
     /// Greatest difference in rate of two clocks, in parts per thousand.
     pub drift_per_mille: u32,
+    /// Time after which an instance that has not confirmed a view gets no lease any more.
+    pub lag_max: Duration,
 }
 
 impl LeaseSettings {
@@ -76,6 +79,7 @@
         Self {
             duration: LEASE_DURATION,
             drift_per_mille: DRIFT_PER_MILLE,
+            lag_max: LAG_MAX,
         }
     }
 }
@@ -87,8 +91,6 @@
     pub instance: &'a InstanceId,
     /// Its incarnation.
     pub incarnation: Incarnation,
-    /// Number of the heartbeat within the incarnation.
-    pub sequence: u64,
     /// View that it acts on; it never goes back to an earlier one.
     pub view: ViewNumber,
 }
@@ -96,8 +98,6 @@
 /// Why no lease is given.
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
 pub enum LeaseRefusal {
-    /// the heartbeat is older than one that was answered
-    OldHeartbeat,
     /// the instance does not take the views that it is sent
     Lagging,
 }
@@ -116,7 +116,6 @@
 #[derive(Clone, Debug)]
 struct LeaseRow {
     instance: InstanceId,
-    sequence: u64,
     view: ViewNumber,
     heard_at: Moment,
     until: Moment,
@@ -147,16 +146,13 @@
         let row = self.rows.entry(claim.incarnation);
         let row = row.or_insert_with(|| LeaseRow {
             instance: claim.instance.clone(),
-            sequence: 0,
             view: ViewNumber::default(),
             heard_at: now,
             until: now,
             offered: None,
         });
-        if claim.sequence <= row.sequence {
-            return Err(LeaseRefusal::OldHeartbeat);
-        }
-        row.sequence = claim.sequence;
+        // A late heartbeat does no harm: views only go forward, and a lease that control counts
+        // for too long only delays a change.
         row.view = row.view.max(claim.view);
         row.heard_at = now;
         if row.offered.is_some_and(|(offered, _)| row.view >= offered) {
@@ -164,7 +160,7 @@
         }
         if row.view < newest {
             let (_, since) = *row.offered.get_or_insert((newest, now));
-            if now.since(since) > self.settings.duration {
+            if now.since(since) > self.settings.lag_max {
                 return Err(LeaseRefusal::Lagging);
             }
         }
