coord: run the log through random faults

Cause: the log's promises must hold under loss, duplication, reordering, crashes, partitions and drift. Change: members, network and disks in one thread and virtual time; what is checked after each event is one leader a term, one lease at a time, one content an index, reads not before an acknowledged entry. Conclusion: PROPTEST_CASES asks for more.

--- /dev/null
+++ b/crates/daisyseam-coord/tests/log.rs
@@ -0,0 +1,133 @@
+//! Random runs of a whole log: loss, duplication, reordering, crashes that lose what was not
+//! synced, partitions, clocks that drift, changes of members.
+
+mod log_support;
+
+use crate::log_support::{
+    LogCluster,
+    LogEvent,
+    log_events, //
+};
+use daisyseam_coord::{
+    Moment,
+    log::{
+        DurableLog,
+        LogIndex,
+        LogSettings,
+        MemberChange,
+        MemberTable,
+        ProposeError,
+        ReplicatedLog, //
+    }, //
+};
+use daisyseam_model::InstanceId;
+use proptest::prelude::*;
+use rand_chacha::{
+    ChaCha8Rng,
+    rand_core::SeedableRng, //
+};
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: cases(), ..ProptestConfig::default() })]
+
+    #[test]
+    fn nothing_acknowledged_is_lost_and_no_term_has_two_leaders(
+        voters in prop_oneof![Just(3_usize), Just(5)],
+        drift in prop::collection::vec(950_u64..=1_050, 6),
+        events in prop::collection::vec(log_events(), 50..500),
+    ) {
+        let mut cluster = LogCluster::new(voters, &drift);
+        for event in events {
+            cluster.run(event);
+        }
+        cluster.heal();
+    }
+}
+
+/// Cases of one run; `PROPTEST_CASES` asks for more.
+fn cases() -> u32 {
+    let given = std::env::var("PROPTEST_CASES").ok();
+    given.and_then(|given| given.parse().ok()).unwrap_or(64)
+}
+
+#[test]
+fn a_leader_that_no_majority_answers_steps_down_within_its_lease() {
+    let mut cluster = LogCluster::new(3, &[1_000; 6]);
+    let leader = cluster.elect();
+    cluster.run(LogEvent::Isolate(leader));
+    let lease = LogSettings::default().lease;
+    cluster.pass(u64::try_from(lease.as_millis()).expect("it fits") + 60);
+    assert!(!cluster.leads(leader));
+    cluster.pass(1_000);
+    assert!((0..3).any(|node| node != leader && cluster.leads(node)));
+}
+
+#[test]
+fn a_member_that_was_cut_off_does_not_disturb_the_leader_when_it_returns() {
+    let mut cluster = LogCluster::new(3, &[1_000; 6]);
+    let leader = cluster.elect();
+    let term = cluster.term(leader);
+    let other = (leader + 1) % 3;
+    cluster.run(LogEvent::Isolate(other));
+    cluster.pass(20_000);
+    cluster.run(LogEvent::Join);
+    cluster.pass(2_000);
+    assert!(cluster.leads(leader));
+    assert_eq!(cluster.term(leader), term);
+    assert_eq!(cluster.term(other), term);
+}
+
+#[test]
+fn a_leadership_is_handed_over_without_waiting_for_an_election() {
+    let mut cluster = LogCluster::new(3, &[1_000; 6]);
+    let leader = cluster.elect();
+    cluster.run(LogEvent::HandOver(leader));
+    cluster.pass(60);
+    assert!((0..3).any(|node| node != leader && cluster.leads(node)));
+}
+
+#[test]
+fn a_member_that_lacks_what_was_compacted_gets_a_snapshot_in_pieces() {
+    let mut cluster = LogCluster::new(3, &[1_000; 6]);
+    let leader = cluster.elect();
+    let late = (leader + 1) % 3;
+    cluster.run(LogEvent::Isolate(late));
+    for _ in 0..200 {
+        cluster.run(LogEvent::Propose(leader));
+        cluster.pass(1);
+    }
+    cluster.run(LogEvent::Compact(leader));
+    cluster.run(LogEvent::Join);
+    cluster.pass(3_000);
+    assert_eq!(cluster.applied(late), cluster.applied(leader));
+}
+
+#[test]
+fn a_learner_does_not_count_before_it_has_caught_up() {
+    let names = ["a", "b"].map(|name| InstanceId::new(name).expect("a sound name"));
+    let address = "127.0.0.1:7000".parse().expect("an address");
+    let durable = DurableLog::first(MemberTable::of_voters([(names[0].clone(), address)]));
+    let random = ChaCha8Rng::seed_from_u64(1);
+    let settings = LogSettings::default();
+    let me = names[0].clone();
+    let mut log = ReplicatedLog::recover(me, settings, durable, Moment::ORIGIN, random);
+    let now = Moment::from_millis(1_000);
+    log.tick(now);
+    while !log.take_output().is_empty() {
+        log.synced(now);
+    }
+    let add = MemberChange::AddLearner(names[1].clone(), address);
+    log.propose_change(now, &add).expect("it is proposed");
+    log.take_output();
+    let promote = MemberChange::Promote(names[1].clone());
+    assert_eq!(
+        log.propose_change(now, &promote),
+        Err(ProposeError::ChangeUnderWay)
+    );
+    log.synced(now);
+    assert_eq!(log.commit(), LogIndex(2));
+    assert_eq!(
+        log.propose_change(now, &promote),
+        Err(ProposeError::NotCaughtUp)
+    );
+}
--- /dev/null
+++ b/crates/daisyseam-coord/tests/log_support/mod.rs
@@ -0,0 +1,452 @@
+//! Several members of a log, a network and disks, all in one thread and in virtual time.
+
+use bytes::Bytes;
+use daisyseam_coord::{
+    Moment,
+    log::{
+        DurableLog,
+        EntryKind,
+        LogEntry,
+        LogIndex,
+        LogMessage,
+        LogSettings,
+        LogTerm,
+        LogWrite,
+        MemberChange,
+        MemberTable,
+        ReplicatedLog, //
+    }, //
+};
+use daisyseam_model::InstanceId;
+use proptest::prelude::*;
+use rand_chacha::{
+    ChaCha8Rng,
+    rand_core::SeedableRng, //
+};
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
+    net::SocketAddr,
+    time::Duration, //
+};
+
+/// What happens to the cluster; nodes and messages are named modulo their number.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum LogEvent {
+    Pass(u64),
+    Deliver(usize),
+    Drop(usize),
+    Duplicate(usize),
+    Propose(usize),
+    Crash(usize),
+    /// Crashes at the next output: 0 before the sync, 1 after it.
+    CrashAtSync(usize, u8),
+    Restart(usize),
+    Isolate(usize),
+    Join,
+    Compact(usize),
+    Change(usize, usize, u8),
+    HandOver(usize),
+}
+
+pub(crate) fn log_events() -> impl Strategy<Value = LogEvent> {
+    let node = 0_usize..6;
+    prop_oneof![
+        20 => (1_u64..60).prop_map(LogEvent::Pass),
+        60 => any::<usize>().prop_map(LogEvent::Deliver),
+        3 => any::<usize>().prop_map(LogEvent::Drop),
+        3 => any::<usize>().prop_map(LogEvent::Duplicate),
+        15 => node.clone().prop_map(LogEvent::Propose),
+        1 => node.clone().prop_map(LogEvent::Crash),
+        2 => (node.clone(), 0_u8..2).prop_map(|(node, phase)| LogEvent::CrashAtSync(node, phase)),
+        4 => node.clone().prop_map(LogEvent::Restart),
+        2 => node.clone().prop_map(LogEvent::Isolate),
+        3 => Just(LogEvent::Join),
+        2 => node.clone().prop_map(LogEvent::Compact),
+        2 => (node.clone(), node.clone(), 0_u8..3)
+            .prop_map(|(node, other, kind)| LogEvent::Change(node, other, kind)),
+        1 => node.prop_map(LogEvent::HandOver),
+    ]
+}
+
+struct Node {
+    name: InstanceId,
+    rate: u64,
+    disk: DurableLog,
+    log: Option<ReplicatedLog>,
+    crash: Option<u8>,
+    /// Every command that was applied, by index.
+    state: Vec<(u64, u64)>,
+}
+
+/// The cluster and everything that was promised in it.
+pub(crate) struct LogCluster {
+    nodes: Vec<Node>,
+    wire: Vec<(usize, usize, LogMessage)>,
+    isolated: BTreeSet<usize>,
+    /// Microseconds of true time.
+    now: u64,
+    leaders: BTreeMap<LogTerm, usize>,
+    committed: BTreeMap<u64, u64>,
+    acknowledged: u64,
+    proposed: u64,
+    seed: u64,
+}
+
+impl LogCluster {
+    /// Makes voters and one spare; `drift` is each clock's rate in parts per thousand.
+    pub(crate) fn new(voters: usize, drift: &[u64]) -> Self {
+        let name = |number: usize| -> InstanceId {
+            format!("member-{number}").parse().expect("a sound name")
+        };
+        let members = (0..voters).map(|number| (name(number), address(number)));
+        let table = MemberTable::of_voters(members);
+        let node = |number: usize| Node {
+            name: name(number),
+            rate: drift[number],
+            disk: DurableLog::first(if number < voters {
+                table.clone()
+            } else {
+                MemberTable::default()
+            }),
+            log: None,
+            crash: None,
+            state: Vec::new(),
+        };
+        let mut cluster = Self {
+            nodes: (0..=voters).map(node).collect(),
+            wire: Vec::new(),
+            isolated: BTreeSet::new(),
+            now: 0,
+            leaders: BTreeMap::new(),
+            committed: BTreeMap::new(),
+            acknowledged: 0,
+            proposed: 0,
+            seed: 0,
+        };
+        for number in 0..cluster.nodes.len() {
+            cluster.restart(number);
+        }
+        cluster
+    }
+
+    pub(crate) fn leads(&self, node: usize) -> bool {
+        self.nodes[node]
+            .log
+            .as_ref()
+            .is_some_and(ReplicatedLog::leads)
+    }
+
+    pub(crate) fn term(&self, node: usize) -> LogTerm {
+        self.nodes[node].log.as_ref().expect("it runs").term()
+    }
+
+    pub(crate) fn applied(&self, node: usize) -> &[(u64, u64)] {
+        &self.nodes[node].state
+    }
+
+    /// Lets time pass with a sound network until there is a leader.
+    pub(crate) fn elect(&mut self) -> usize {
+        self.pass(3_000);
+        let leader = (0..self.nodes.len()).find(|node| self.leads(*node));
+        leader.expect("a leader is elected within three seconds")
+    }
+
+    /// Lets time pass with a sound network, a millisecond at a time.
+    pub(crate) fn pass(&mut self, millis: u64) {
+        for _ in 0..millis {
+            self.run(LogEvent::Pass(1));
+            while !self.wire.is_empty() {
+                self.run(LogEvent::Deliver(0));
+            }
+        }
+    }
+
+    pub(crate) fn run(&mut self, event: LogEvent) {
+        let count = self.nodes.len();
+        match event {
+            LogEvent::Pass(millis) => self.advance(millis),
+            LogEvent::Deliver(message) => self.take(message, true),
+            LogEvent::Drop(message) => self.take(message, false),
+            LogEvent::Duplicate(message) => {
+                if !self.wire.is_empty() {
+                    let copy = self.wire[message % self.wire.len()].clone();
+                    self.wire.push(copy);
+                }
+            }
+            LogEvent::Propose(node) => self.propose(node % count),
+            LogEvent::Crash(node) => self.crash(node % count),
+            LogEvent::CrashAtSync(node, phase) => self.nodes[node % count].crash = Some(phase),
+            LogEvent::Restart(node) => self.restart(node % count),
+            LogEvent::Isolate(node) => {
+                self.isolated.insert(node % count);
+            }
+            LogEvent::Join => self.isolated.clear(),
+            LogEvent::Compact(node) => self.compact(node % count),
+            LogEvent::Change(node, other, kind) => self.change(node % count, other % count, kind),
+            LogEvent::HandOver(node) => {
+                self.with(node % count, |log, now| {
+                    log.hand_over(now);
+                });
+            }
+        }
+        self.check();
+    }
+
+    /// Restarts and joins everybody, and checks that all goes on with nothing lost.
+    pub(crate) fn heal(&mut self) {
+        self.isolated.clear();
+        for node in 0..self.nodes.len() {
+            self.nodes[node].crash = None;
+            self.restart(node);
+        }
+        let leader = self.elect();
+        let before = self.committed.len();
+        self.propose(leader);
+        self.pass(500);
+        assert!(self.committed.len() > before, "a healed cluster commits");
+        let last = self.committed.keys().next_back().copied().unwrap_or(0);
+        assert!(last >= self.acknowledged, "an acknowledged entry is gone");
+    }
+
+    fn local(&self, node: usize) -> Moment {
+        let micros = self.now * self.nodes[node].rate / 1_000;
+        Moment::after_origin(Duration::from_micros(micros))
+    }
+
+    fn advance(&mut self, millis: u64) {
+        for _ in 0..millis {
+            self.now += 1_000;
+            for node in 0..self.nodes.len() {
+                self.with(node, |log, now| {
+                    if now >= log.next_tick() {
+                        log.tick(now);
+                    }
+                });
+            }
+            self.check_leases();
+        }
+    }
+
+    fn take(&mut self, message: usize, deliver: bool) {
+        if self.wire.is_empty() {
+            return;
+        }
+        let (from, to, message) = self.wire.remove(message % self.wire.len());
+        let cut = self.isolated.contains(&from) != self.isolated.contains(&to)
+            || (from != to && self.isolated.contains(&from));
+        if deliver && !cut {
+            let from = self.nodes[from].name.clone();
+            self.with(to, |log, now| log.receive(now, &from, message));
+        }
+    }
+
+    fn propose(&mut self, node: usize) {
+        self.proposed += 1;
+        let command = Bytes::copy_from_slice(&self.proposed.to_le_bytes());
+        self.with(node, |log, now| {
+            // A member that does not lead refuses, which is its right.
+            let _ = log.propose(now, command);
+        });
+    }
+
+    fn change(&mut self, node: usize, other: usize, kind: u8) {
+        let name = self.nodes[other].name.clone();
+        let change = match kind {
+            0 => MemberChange::AddLearner(name, address(other)),
+            1 => MemberChange::Promote(name),
+            _ => MemberChange::Remove(name),
+        };
+        self.with(node, |log, now| {
+            // Fewer than three voters would only make the runs duller.
+            let few = log.members().voters.len() <= 3 && kind == 2;
+            if !few {
+                let _ = log.propose_change(now, &change);
+            }
+        });
+    }
+
+    fn compact(&mut self, node: usize) {
+        let bytes = encode(&self.nodes[node].state);
+        let node = &mut self.nodes[node];
+        if let Some(log) = &mut node.log {
+            let snapshot = log.compact(bytes);
+            node.disk
+                .entries
+                .retain(|entry| entry.index > snapshot.index);
+            node.disk.snapshot = snapshot;
+        }
+    }
+
+    fn crash(&mut self, node: usize) {
+        self.nodes[node].log = None;
+    }
+
+    fn restart(&mut self, node: usize) {
+        self.crash(node);
+        self.seed += 1;
+        let now = self.local(node);
+        let disk = self.nodes[node].disk.clone();
+        let random = ChaCha8Rng::seed_from_u64(self.seed);
+        let settings = LogSettings {
+            chunk_bytes: 64,
+            window: 16,
+            ..LogSettings::default()
+        };
+        let name = self.nodes[node].name.clone();
+        self.nodes[node].state.clear();
+        let log = ReplicatedLog::recover(name, settings, disk, now, random);
+        self.nodes[node].log = Some(log);
+        self.flush(node);
+    }
+
+    fn with(&mut self, node: usize, act: impl FnOnce(&mut ReplicatedLog, Moment)) {
+        let now = self.local(node);
+        if let Some(log) = &mut self.nodes[node].log {
+            act(log, now);
+        }
+        self.flush(node);
+    }
+
+    fn flush(&mut self, node: usize) {
+        let now = self.local(node);
+        loop {
+            let Some(log) = &mut self.nodes[node].log else {
+                return;
+            };
+            let output = log.take_output();
+            if output.is_empty() {
+                return;
+            }
+            self.send(node, output.early);
+            let phase = self.nodes[node].crash.filter(|_| !output.writes.is_empty());
+            if phase.is_some() {
+                self.nodes[node].crash = None;
+            }
+            if phase == Some(0) {
+                return self.crash(node);
+            }
+            self.write(node, output.writes);
+            if phase == Some(1) {
+                return self.crash(node);
+            }
+            if let Some(log) = &mut self.nodes[node].log {
+                log.synced(now);
+            }
+            self.send(node, output.late);
+            if let Some(snapshot) = output.restore {
+                self.nodes[node].state = decode(&snapshot.bytes);
+            }
+            for entry in output.apply {
+                self.apply(node, &entry);
+            }
+        }
+    }
+
+    fn send(&mut self, from: usize, messages: Vec<(InstanceId, LogMessage)>) {
+        for (to, message) in messages {
+            let to = self.nodes.iter().position(|node| node.name == to);
+            self.wire.push((from, to.expect("a member"), message));
+        }
+    }
+
+    fn write(&mut self, node: usize, writes: Vec<LogWrite>) {
+        let disk = &mut self.nodes[node].disk;
+        for write in writes {
+            match write {
+                LogWrite::Vote { term, voted_for } => {
+                    assert!(term >= disk.term, "the durable term goes back");
+                    assert!(
+                        term > disk.term || disk.voted_for.is_none() || disk.voted_for == voted_for,
+                        "a vote is given twice"
+                    );
+                    disk.term = term;
+                    disk.voted_for = voted_for;
+                }
+                LogWrite::Entries(entries) => {
+                    let first = entries[0].index;
+                    disk.entries.retain(|entry| entry.index < first);
+                    disk.entries.extend(entries);
+                }
+                LogWrite::Snapshot(snapshot) => {
+                    disk.entries.clear();
+                    disk.snapshot = snapshot;
+                }
+            }
+        }
+    }
+
+    fn apply(&mut self, node: usize, entry: &LogEntry) {
+        let index = entry.index.0;
+        let digest = entry
+            .payload
+            .iter()
+            .fold(entry.term.0 << 3, |digest, byte| {
+                digest.wrapping_mul(31).wrapping_add(u64::from(*byte))
+            });
+        let known = *self.committed.entry(index).or_insert(digest);
+        assert_eq!(
+            known, digest,
+            "index {index} is committed with two contents"
+        );
+        if entry.kind == EntryKind::Command {
+            let state = &mut self.nodes[node].state;
+            let last = state.last().map_or(0, |(index, _)| *index);
+            assert!(index > last, "an entry is applied twice or out of order");
+            state.push((index, digest));
+        }
+        if self.leads(node) {
+            self.acknowledged = self.acknowledged.max(index);
+        }
+    }
+
+    fn check(&mut self) {
+        for node in 0..self.nodes.len() {
+            if self.leads(node) {
+                let term = self.term(node);
+                let leader = *self.leaders.entry(term).or_insert(node);
+                assert_eq!(leader, node, "term {} has two leaders", term.0);
+            }
+        }
+        self.check_leases();
+    }
+
+    fn check_leases(&self) {
+        let mut holders = 0;
+        for node in 0..self.nodes.len() {
+            let Some(log) = &self.nodes[node].log else {
+                continue;
+            };
+            let now = self.local(node);
+            holders += usize::from(log.has_lease(now));
+            if let Ok(point) = log.read_point(now) {
+                let newest = LogIndex(self.acknowledged);
+                assert!(point >= newest, "a read misses an acknowledged entry");
+            }
+        }
+        assert!(holders <= 1, "two leaders hold a lease at the same time");
+    }
+}
+
+fn address(number: usize) -> SocketAddr {
+    SocketAddr::from((
+        [127, 0, 0, 1],
+        7_000 + u16::try_from(number).expect("it fits"),
+    ))
+}
+
+fn encode(state: &[(u64, u64)]) -> Bytes {
+    let pairs = state.iter().flat_map(|(index, digest)| [*index, *digest]);
+    pairs.flat_map(u64::to_le_bytes).collect()
+}
+
+fn decode(bytes: &[u8]) -> Vec<(u64, u64)> {
+    let (words, _) = bytes.as_chunks::<8>();
+    let words: Vec<u64> = words.iter().map(|word| u64::from_le_bytes(*word)).collect();
+    words
+        .chunks_exact(2)
+        .map(|pair| (pair[0], pair[1]))
+        .collect()
+}
