--- /dev/null
+++ b/crates/daisyseam-coord/tests/promotion_support/mod.rs
@@ -0,0 +1,550 @@
+//! Databases that only know their log, one instance that writes, and control's promotion machine.
+
+use daisyseam_coord::{
+    Moment,
+    fleet::{
+        CommandAnswer,
+        FleetCommand,
+        FleetState,
+        GroupCommand, //
+    },
+    promotion::{
+        AnnouncedState,
+        CallAnswer,
+        CallKind,
+        GroupFacts,
+        GroupPromotion,
+        MemberFacts,
+        PromotionAction,
+        PromotionSettings, //
+    }, //
+};
+use daisyseam_model::{
+    GroupId,
+    GroupView,
+    LogPosition,
+    Position,
+    PrimaryState,
+    Term,
+    UpstreamId,
+    ViewNumber,
+    announce::{
+        UpstreamRole,
+        UpstreamState, //
+    }, //
+};
+use proptest::prelude::*;
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
+    time::Duration, //
+};
+
+/// What happens to the group; databases and calls are named modulo their number.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum GroupEvent {
+    Pass(u64),
+    /// A call arrives; its answer may be lost.
+    Call(usize, bool),
+    LoseCall(usize),
+    /// The oldest proposal is decided, or lost.
+    Decide(bool),
+    /// The instance takes the newest view and reports that.
+    Confirm,
+    /// The instance confirms that nothing older is in use.
+    Write,
+    Replicate(usize),
+    Cut(usize),
+    Join(usize),
+    Restart(usize),
+    Leave(usize),
+    Stay(usize),
+    /// Another member of control leads.
+    Lead,
+}
+
+pub(crate) fn group_events() -> impl Strategy<Value = GroupEvent> {
+    let database = 0_usize..3;
+    prop_oneof![
+        20 => (1_u64..300).prop_map(GroupEvent::Pass),
+        25 => (any::<usize>(), prop::bool::weighted(0.15)).prop_map(|(call, lost)| GroupEvent::Call(call, lost)),
+        3 => any::<usize>().prop_map(GroupEvent::LoseCall),
+        20 => prop::bool::weighted(0.9).prop_map(GroupEvent::Decide),
+        15 => Just(GroupEvent::Confirm),
+        15 => Just(GroupEvent::Write),
+        20 => database.clone().prop_map(GroupEvent::Replicate),
+        3 => database.clone().prop_map(GroupEvent::Cut),
+        6 => database.clone().prop_map(GroupEvent::Join),
+        2 => database.clone().prop_map(GroupEvent::Restart),
+        2 => database.clone().prop_map(GroupEvent::Leave),
+        3 => database.prop_map(GroupEvent::Stay),
+        2 => Just(GroupEvent::Lead),
+    ]
+}
+
+#[derive(Clone, Debug)]
+struct Database {
+    name: UpstreamId,
+    /// Term and number of each write; number 0 marks the start of a term.
+    log: Vec<(Term, u64)>,
+    promised: Term,
+    role: UpstreamRole,
+    following: Option<(Term, usize)>,
+    cut_since: Option<Moment>,
+    leaving: bool,
+}
+
+impl Database {
+    fn end(&self) -> LogPosition {
+        LogPosition {
+            term: self.log.last().map_or(Term(0), |(term, _)| *term),
+            position: Position(self.log.len() as u64),
+        }
+    }
+
+    fn state(&self) -> UpstreamState {
+        UpstreamState {
+            promised: self.promised,
+            end: self.end(),
+            role: self.role,
+        }
+    }
+
+    fn promise(&mut self, term: Term) -> bool {
+        if term < self.promised {
+            return false;
+        }
+        if term > self.promised {
+            self.promised = term;
+            self.role = UpstreamRole::Detached;
+            self.following = None;
+        }
+        true
+    }
+}
+
+/// The group, its databases and everything that was promised to callers.
+pub(crate) struct GroupWorld {
+    group: GroupId,
+    databases: Vec<Database>,
+    fleet: FleetState,
+    machine: GroupPromotion,
+    now: Moment,
+    epoch: u64,
+    calls: Vec<(u64, PromotionAction, Term)>,
+    proposals: Vec<GroupCommand>,
+    changed: ViewNumber,
+    entry: (ViewNumber, Option<GroupView>),
+    written: u64,
+    waiting: Vec<(Term, usize, u64, u64)>,
+    acknowledged: BTreeSet<u64>,
+    asked: BTreeMap<Term, UpstreamId>,
+    lose_promotes: bool,
+    drained: bool,
+}
+
+impl GroupWorld {
+    pub(crate) fn new(count: usize) -> Self {
+        let database = |number: usize| Database {
+            name: format!("db-{number}").parse().expect("a sound name"),
+            log: vec![(Term(1), 0)],
+            promised: Term(1),
+            role: if number == 0 {
+                UpstreamRole::Primary
+            } else {
+                UpstreamRole::Replica
+            },
+            following: None,
+            cut_since: None,
+            leaving: false,
+        };
+        Self {
+            group: "bookings-db".parse().expect("a sound name"),
+            databases: (0..count).map(database).collect(),
+            fleet: FleetState::default(),
+            machine: GroupPromotion::new(PromotionSettings::default()),
+            now: Moment::ORIGIN,
+            epoch: 0,
+            calls: Vec::new(),
+            proposals: Vec::new(),
+            changed: ViewNumber(0),
+            entry: (ViewNumber(0), None),
+            written: 0,
+            waiting: Vec::new(),
+            acknowledged: BTreeSet::new(),
+            asked: BTreeMap::new(),
+            lose_promotes: false,
+            drained: false,
+        }
+    }
+
+    /// Returns the active primary in the newest view.
+    pub(crate) fn active(&self) -> Option<usize> {
+        let view = self.fleet.view().groups.get(&self.group)?;
+        self.position(view.primary.active()?)
+    }
+
+    pub(crate) fn follows(&self, database: usize) -> bool {
+        let following = self.databases[database].following;
+        following.is_some_and(|(_, primary)| Some(primary) == self.active())
+    }
+
+    pub(crate) fn promotions(&self) -> usize {
+        self.asked.len()
+    }
+
+    pub(crate) fn drained(&self) -> bool {
+        self.drained
+    }
+
+    pub(crate) fn lose_promote_answers(&mut self, lose: bool) {
+        self.lose_promotes = lose;
+    }
+
+    /// Lets time pass while calls, proposals, views and replication work.
+    pub(crate) fn pass(&mut self, millis: u64) {
+        for _ in 0..millis / 10 {
+            self.run(GroupEvent::Pass(10));
+            while !self.calls.is_empty() {
+                let promote = matches!(self.calls[0].1, PromotionAction::Promote(..));
+                self.run(GroupEvent::Call(0, promote && self.lose_promotes));
+            }
+            while !self.proposals.is_empty() {
+                self.run(GroupEvent::Decide(true));
+            }
+            self.run(GroupEvent::Confirm);
+            for database in 0..self.databases.len() {
+                self.run(GroupEvent::Replicate(database));
+            }
+        }
+    }
+
+    /// Lets time pass until a primary that can be reached is active.
+    pub(crate) fn settle(&mut self) {
+        for _ in 0..100 {
+            self.pass(100);
+            let active = self.active();
+            if active.is_some_and(|active| self.databases[active].cut_since.is_none()) {
+                return;
+            }
+        }
+        panic!("no primary within ten seconds");
+    }
+
+    /// Mends everything and checks that writes go on with nothing lost.
+    pub(crate) fn heal(&mut self) {
+        for database in 0..self.databases.len() {
+            self.run(GroupEvent::Join(database));
+            self.run(GroupEvent::Stay(database));
+        }
+        self.pass(3_000);
+        self.settle();
+        let before = self.acknowledged.len();
+        self.run(GroupEvent::Write);
+        self.pass(1_000);
+        assert!(
+            self.acknowledged.len() > before,
+            "a mended group takes writes"
+        );
+    }
+
+    pub(crate) fn run(&mut self, event: GroupEvent) {
+        let count = self.databases.len();
+        match event {
+            GroupEvent::Pass(millis) => {
+                self.now = self.now + Duration::from_millis(millis);
+                self.step();
+            }
+            GroupEvent::Call(call, lost) => self.call(call, lost),
+            GroupEvent::LoseCall(call) => self.lose_call(call),
+            GroupEvent::Decide(taken) => self.decide(taken),
+            GroupEvent::Confirm => {
+                let view = self.fleet.view();
+                self.entry = (view.number, view.groups.get(&self.group).cloned());
+                self.acknowledge();
+            }
+            GroupEvent::Write => self.write(),
+            GroupEvent::Replicate(database) => self.replicate(database % count),
+            GroupEvent::Cut(database) => {
+                let cut = &mut self.databases[database % count].cut_since;
+                *cut = cut.or(Some(self.now));
+            }
+            GroupEvent::Join(database) => self.databases[database % count].cut_since = None,
+            GroupEvent::Restart(database) => {
+                // The promise and the log are durable, the role is not.
+                let database = &mut self.databases[database % count];
+                database.role = UpstreamRole::Detached;
+                database.following = None;
+            }
+            GroupEvent::Leave(database) => self.databases[database % count].leaving = true,
+            GroupEvent::Stay(database) => self.databases[database % count].leaving = false,
+            GroupEvent::Lead => {
+                self.machine = GroupPromotion::new(PromotionSettings::default());
+                self.epoch += 1;
+                self.proposals.clear();
+                self.changed = self.fleet.view().number;
+            }
+        }
+    }
+
+    fn position(&self, name: &UpstreamId) -> Option<usize> {
+        self.databases
+            .iter()
+            .position(|database| &database.name == name)
+    }
+
+    fn step(&mut self) {
+        let members: Vec<MemberFacts> = self
+            .databases
+            .iter()
+            .map(|database| self.facts(database))
+            .collect();
+        let view = self.fleet.view().groups.get(&self.group).cloned();
+        let facts = GroupFacts {
+            group: &self.group,
+            view: view.as_ref(),
+            members: &members,
+            expected: self.databases.len(),
+            confirmed: self.entry.0 >= self.changed,
+            open_transactions: (self.entry.0 >= self.changed).then_some(0),
+        };
+        let term = view.as_ref().map_or(Term(0), |view| view.term);
+        for action in self.machine.step(self.now, facts) {
+            if let PromotionAction::Propose(command) = action {
+                self.proposals.push(command);
+            } else {
+                self.calls.push((self.epoch, action, term));
+            }
+        }
+    }
+
+    fn facts(&self, database: &Database) -> MemberFacts {
+        let silence = database
+            .cut_since
+            .map_or(Duration::ZERO, |since| self.now.since(since));
+        let announced = AnnouncedState {
+            end: database.end(),
+            primary: database.role == UpstreamRole::Primary,
+        };
+        MemberFacts {
+            upstream: database.name.clone(),
+            leaving: database.leaving,
+            in_service: true,
+            silence,
+            denied: false,
+            announced: Some((announced, database.cut_since.unwrap_or(self.now))),
+        }
+    }
+
+    fn decide(&mut self, taken: bool) {
+        if self.proposals.is_empty() {
+            return;
+        }
+        let command = self.proposals.remove(0);
+        if !taken {
+            return;
+        }
+        let before = self.fleet.view().groups.get(&self.group).cloned();
+        let answer = self.fleet.apply(&FleetCommand::Group(command.clone()));
+        if answer != CommandAnswer::Done {
+            return;
+        }
+        self.changed = self.fleet.view().number;
+        let term = before.map_or(Term(0), |before| before.term);
+        assert!(command.term >= term, "the term goes back");
+        match &command.primary {
+            PrimaryState::Active(primary) => self.check_primary(primary, command.term),
+            PrimaryState::Draining(_) => self.drained = true,
+            PrimaryState::Fenced => assert!(command.term > term, "a fence without a new term"),
+        }
+    }
+
+    fn check_primary(&self, primary: &UpstreamId, term: Term) {
+        let database = self.position(primary).expect("a known database");
+        let log = &self.databases[database].log;
+        let has = |write: &u64| log.iter().any(|(_, number)| number == write);
+        let lost: Vec<_> = self
+            .acknowledged
+            .iter()
+            .filter(|write| !has(write))
+            .collect();
+        assert!(
+            lost.is_empty(),
+            "{primary} in term {} lacks {lost:?}",
+            term.0
+        );
+        assert_eq!(
+            self.asked.get(&term),
+            Some(primary),
+            "it was asked to be primary"
+        );
+    }
+
+    fn lose_call(&mut self, call: usize) {
+        if !self.calls.is_empty() {
+            let call = self.calls.remove(call % self.calls.len());
+            self.answer(&call, &CallAnswer::Lost);
+        }
+    }
+
+    fn call(&mut self, call: usize, lost: bool) {
+        if self.calls.is_empty() {
+            return;
+        }
+        let call = self.calls.remove(call % self.calls.len());
+        let answer = self.execute(&call.1);
+        let answer = if lost { CallAnswer::Lost } else { answer };
+        self.answer(&call, &answer);
+    }
+
+    fn answer(
+        &mut self,
+        (epoch, action, asked): &(u64, PromotionAction, Term),
+        answer: &CallAnswer,
+    ) {
+        if *epoch != self.epoch {
+            return;
+        }
+        let (upstream, kind, term) = match action {
+            PromotionAction::Propose(_) => return,
+            PromotionAction::State(upstream) => (upstream, CallKind::State, asked),
+            PromotionAction::Await(upstream, _) => (upstream, CallKind::Await, asked),
+            PromotionAction::Fence(upstream, term) => (upstream, CallKind::Fence, term),
+            PromotionAction::Promote(upstream, term, _) => (upstream, CallKind::Promote, term),
+            PromotionAction::Follow { upstream, term, .. } => (upstream, CallKind::Follow, term),
+        };
+        self.machine.answer(self.now, upstream, kind, *term, answer);
+        self.step();
+    }
+
+    fn execute(&mut self, action: &PromotionAction) -> CallAnswer {
+        if let PromotionAction::Promote(upstream, term, _) = action {
+            let asked = self.asked.entry(*term).or_insert_with(|| upstream.clone());
+            assert_eq!(asked, upstream, "term {} is given to two", term.0);
+        }
+        let (PromotionAction::State(upstream)
+        | PromotionAction::Await(upstream, _)
+        | PromotionAction::Fence(upstream, _)
+        | PromotionAction::Promote(upstream, ..)
+        | PromotionAction::Follow { upstream, .. }) = action
+        else {
+            return CallAnswer::Lost;
+        };
+        let number = self.position(upstream).expect("a known database");
+        if self.databases[number].cut_since.is_some() {
+            return CallAnswer::Lost;
+        }
+        let leads = match action {
+            PromotionAction::Follow { primary, .. } => self.position(primary),
+            _ => None,
+        };
+        let database = &mut self.databases[number];
+        let taken = match action {
+            PromotionAction::Fence(_, term) => database.promise(*term),
+            PromotionAction::Promote(_, term, end) => {
+                let done = database.role == UpstreamRole::Primary && database.promised == *term;
+                let fits = done || database.end() == *end;
+                let taken = fits && database.promise(*term);
+                if taken && !done {
+                    database.role = UpstreamRole::Primary;
+                    database.log.push((*term, 0));
+                }
+                taken
+            }
+            PromotionAction::Follow {
+                term,
+                lineage_start,
+                ..
+            } => {
+                let leading = database.role == UpstreamRole::Primary && database.promised == *term;
+                let taken = !leading && database.promise(*term);
+                if taken {
+                    let kept = usize::try_from(lineage_start.position.0).expect("it fits");
+                    let older = database.end().term < *term;
+                    if older && database.log.len() > kept {
+                        database.log.truncate(kept);
+                    }
+                    database.role = UpstreamRole::Replica;
+                    database.following = leads.map(|primary| (*term, primary));
+                }
+                taken
+            }
+            _ => true,
+        };
+        match taken {
+            true => CallAnswer::State(database.state()),
+            false => CallAnswer::Refused,
+        }
+    }
+
+    fn write(&mut self) {
+        let Some(view) = &self.entry.1 else {
+            return;
+        };
+        let Some(primary) = view.primary.active().and_then(|name| self.position(name)) else {
+            return;
+        };
+        let term = view.term;
+        let database = &mut self.databases[primary];
+        if database.role == UpstreamRole::Primary
+            && database.promised == term
+            && database.cut_since.is_none()
+        {
+            self.written += 1;
+            database.log.push((term, self.written));
+            let position = database.end().position.0;
+            self.waiting.push((term, primary, position, self.written));
+        }
+        self.acknowledge();
+    }
+
+    /// Acknowledges what a majority has in exactly the term that the instance's view names.
+    fn acknowledge(&mut self) {
+        let Some(view) = self.entry.1.clone() else {
+            return;
+        };
+        let majority = self.databases.len() / 2 + 1;
+        let active = view.primary.active().and_then(|name| self.position(name));
+        // A drain lets what was begun under this term finish.
+        let draining = matches!(&view.primary, PrimaryState::Draining(_));
+        for (term, primary, position, write) in self.waiting.clone() {
+            let holds = view.term == term && (active == Some(primary) || draining);
+            let has = |database: &&Database| {
+                let end = database.end();
+                end.term == term && end.position.0 >= position && database.promised == term
+            };
+            if holds && self.databases.iter().filter(has).count() >= majority {
+                self.acknowledged.insert(write);
+            }
+        }
+        let acknowledged = &self.acknowledged;
+        self.waiting
+            .retain(|(term, _, _, write)| *term >= view.term && !acknowledged.contains(write));
+    }
+
+    fn replicate(&mut self, number: usize) {
+        let Some((term, primary)) = self.databases[number].following else {
+            return;
+        };
+        let source = &self.databases[primary];
+        let cut = source.cut_since.is_some() || self.databases[number].cut_since.is_some();
+        if cut || source.promised != term || source.role != UpstreamRole::Primary {
+            return;
+        }
+        let source = source.log.clone();
+        let log = &mut self.databases[number].log;
+        // What is not part of the primary's history goes, as when a database is rewound.
+        let common = log
+            .iter()
+            .zip(&source)
+            .take_while(|(own, other)| own == other)
+            .count();
+        log.truncate(common);
+        if let Some(next) = source.get(log.len()) {
+            log.push(*next);
+        }
+        self.acknowledge();
+    }
+}
