coord: make the random runs of log and promotion stronger

Change: messages take their time, come late, twice or never by a seeded chance; pairs of members are cut; the instance acknowledges by what it last saw; control works on while the instance hears nothing; a named test for entries of an earlier term.

--- a/crates/daisyseam-coord/tests/log.rs
+++ b/crates/daisyseam-coord/tests/log.rs
@@ -8,16 +8,23 @@
     LogEvent,
     log_events, //
 };
+use bytes::Bytes;
 use daisyseam_coord::{
     Moment,
     log::{
+        AppendResponse,
         DurableLog,
+        EntryKind,
+        LogEntry,
         LogIndex,
+        LogMessage,
         LogSettings,
+        LogTerm,
         MemberChange,
         MemberTable,
         ProposeError,
-        ReplicatedLog, //
+        ReplicatedLog,
+        VoteResponse, //
     }, //
 };
 use daisyseam_model::InstanceId;
@@ -34,9 +41,12 @@
     fn nothing_acknowledged_is_lost_and_no_term_has_two_leaders(
         voters in prop_oneof![Just(3_usize), Just(5)],
         drift in prop::collection::vec(950_u64..=1_050, 6),
-        events in prop::collection::vec(log_events(), 50..500),
+        seed in any::<u64>(),
+        events in prop::collection::vec(log_events(), 20..300),
     ) {
-        let mut cluster = LogCluster::new(voters, &drift);
+        let mut cluster = LogCluster::new(voters, &drift, seed);
+        cluster.elect();
+        cluster.disturb();
         for event in events {
             cluster.run(event);
         }
@@ -52,7 +62,7 @@
 
 #[test]
 fn a_leader_that_no_majority_answers_steps_down_within_its_lease() {
-    let mut cluster = LogCluster::new(3, &[1_000; 6]);
+    let mut cluster = LogCluster::new(3, &[1_000; 6], 1);
     let leader = cluster.elect();
     cluster.run(LogEvent::Isolate(leader));
     let lease = LogSettings::default().lease;
@@ -64,7 +74,7 @@
 
 #[test]
 fn a_member_that_was_cut_off_does_not_disturb_the_leader_when_it_returns() {
-    let mut cluster = LogCluster::new(3, &[1_000; 6]);
+    let mut cluster = LogCluster::new(3, &[1_000; 6], 1);
     let leader = cluster.elect();
     let term = cluster.term(leader);
     let other = (leader + 1) % 3;
@@ -79,21 +89,22 @@
 
 #[test]
 fn a_leadership_is_handed_over_without_waiting_for_an_election() {
-    let mut cluster = LogCluster::new(3, &[1_000; 6]);
+    let mut cluster = LogCluster::new(3, &[1_000; 6], 1);
     let leader = cluster.elect();
-    cluster.run(LogEvent::HandOver(leader));
-    cluster.pass(60);
+    cluster.pass(1_000);
+    cluster.run(LogEvent::HandOver);
+    cluster.pass(100);
     assert!((0..3).any(|node| node != leader && cluster.leads(node)));
 }
 
 #[test]
 fn a_member_that_lacks_what_was_compacted_gets_a_snapshot_in_pieces() {
-    let mut cluster = LogCluster::new(3, &[1_000; 6]);
+    let mut cluster = LogCluster::new(3, &[1_000; 6], 1);
     let leader = cluster.elect();
     let late = (leader + 1) % 3;
     cluster.run(LogEvent::Isolate(late));
     for _ in 0..200 {
-        cluster.run(LogEvent::Propose(leader));
+        cluster.run(LogEvent::Propose);
         cluster.pass(1);
     }
     cluster.run(LogEvent::Compact(leader));
@@ -131,3 +142,47 @@
         Err(ProposeError::NotCaughtUp)
     );
 }
+
+/// An entry of an earlier term may be on a majority and still be replaced by a later leader.
+#[test]
+fn an_entry_of_an_earlier_term_is_not_committed_by_counting() {
+    let names = ["a", "b", "c"].map(|name| InstanceId::new(name).expect("a sound name"));
+    let address = "127.0.0.1:7000".parse().expect("an address");
+    let voters = names.iter().map(|name| (name.clone(), address));
+    let mut durable = DurableLog::first(MemberTable::of_voters(voters));
+    durable.term = LogTerm(2);
+    durable.entries = vec![LogEntry {
+        index: LogIndex(1),
+        term: LogTerm(2),
+        kind: EntryKind::Command,
+        payload: Bytes::new(),
+    }];
+    let random = ChaCha8Rng::seed_from_u64(1);
+    let me = names[0].clone();
+    let settings = LogSettings::default();
+    let mut log = ReplicatedLog::recover(me, settings, durable, Moment::ORIGIN, random);
+    let now = Moment::from_millis(1_000);
+    log.tick(now);
+    for pre_vote in [true, false] {
+        let vote = VoteResponse {
+            term: LogTerm(3),
+            granted: true,
+            pre_vote,
+        };
+        log.receive(now, &names[1], LogMessage::Voted(vote));
+    }
+    assert!(log.leads());
+    log.take_output();
+    log.synced(now);
+    for (matched, commit) in [(1, 0), (2, 2)] {
+        let appended = AppendResponse {
+            term: LogTerm(3),
+            success: true,
+            match_index: LogIndex(matched),
+            hint_index: LogIndex(0),
+            round: 1,
+        };
+        log.receive(now, &names[1], LogMessage::Appended(appended));
+        assert_eq!(log.commit(), LogIndex(commit));
+    }
+}
--- a/crates/daisyseam-coord/tests/log_support/mod.rs
+++ b/crates/daisyseam-coord/tests/log_support/mod.rs
@@ -19,6 +19,7 @@
 };
 use daisyseam_model::InstanceId;
 use proptest::prelude::*;
+use rand::Rng;
 use rand_chacha::{
     ChaCha8Rng,
     rand_core::SeedableRng, //
@@ -32,42 +33,41 @@
     time::Duration, //
 };
 
-/// What happens to the cluster; nodes and messages are named modulo their number.
+/// What happens to the cluster; nodes are named modulo their number.
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum LogEvent {
+    /// Time passes and messages arrive, late, twice or never.
     Pass(u64),
-    Deliver(usize),
-    Drop(usize),
-    Duplicate(usize),
-    Propose(usize),
+    /// Every member that believes to lead proposes.
+    Propose,
     Crash(usize),
     /// Crashes at the next output: 0 before the sync, 1 after it.
     CrashAtSync(usize, u8),
     Restart(usize),
     Isolate(usize),
+    /// Cuts the connection of two members, but not from the others.
+    CutPair(usize, usize),
     Join,
     Compact(usize),
-    Change(usize, usize, u8),
-    HandOver(usize),
+    Change(usize, u8),
+    HandOver,
 }
 
 pub(crate) fn log_events() -> impl Strategy<Value = LogEvent> {
     let node = 0_usize..6;
     prop_oneof![
-        20 => (1_u64..60).prop_map(LogEvent::Pass),
-        60 => any::<usize>().prop_map(LogEvent::Deliver),
-        3 => any::<usize>().prop_map(LogEvent::Drop),
-        3 => any::<usize>().prop_map(LogEvent::Duplicate),
-        15 => node.clone().prop_map(LogEvent::Propose),
+        30 => (1_u64..40).prop_map(LogEvent::Pass),
+        6 => (40_u64..700).prop_map(LogEvent::Pass),
+        20 => Just(LogEvent::Propose),
         1 => node.clone().prop_map(LogEvent::Crash),
-        2 => (node.clone(), 0_u8..2).prop_map(|(node, phase)| LogEvent::CrashAtSync(node, phase)),
-        4 => node.clone().prop_map(LogEvent::Restart),
+        3 => (node.clone(), 0_u8..2).prop_map(|(node, phase)| LogEvent::CrashAtSync(node, phase)),
+        5 => node.clone().prop_map(LogEvent::Restart),
         2 => node.clone().prop_map(LogEvent::Isolate),
-        3 => Just(LogEvent::Join),
+        4 => (node.clone(), node.clone()).prop_map(|(node, other)| LogEvent::CutPair(node, other)),
+        4 => Just(LogEvent::Join),
         2 => node.clone().prop_map(LogEvent::Compact),
-        2 => (node.clone(), node.clone(), 0_u8..3)
-            .prop_map(|(node, other, kind)| LogEvent::Change(node, other, kind)),
-        1 => node.prop_map(LogEvent::HandOver),
+        3 => (node, 0_u8..3).prop_map(|(node, kind)| LogEvent::Change(node, kind)),
+        1 => Just(LogEvent::HandOver),
     ]
 }
 
@@ -81,11 +81,23 @@
     state: Vec<(u64, u64)>,
 }
 
+#[derive(Clone)]
+struct Letter {
+    from: usize,
+    to: usize,
+    due: u64,
+    message: LogMessage,
+}
+
 /// The cluster and everything that was promised in it.
 pub(crate) struct LogCluster {
     nodes: Vec<Node>,
-    wire: Vec<(usize, usize, LogMessage)>,
+    wire: Vec<Letter>,
+    /// Whether messages are late, doubled and lost.
+    faulty: bool,
+    chance: ChaCha8Rng,
     isolated: BTreeSet<usize>,
+    cut_pairs: BTreeSet<(usize, usize)>,
     /// Microseconds of true time.
     now: u64,
     leaders: BTreeMap<LogTerm, usize>,
@@ -97,7 +109,7 @@
 
 impl LogCluster {
     /// Makes voters and one spare; `drift` is each clock's rate in parts per thousand.
-    pub(crate) fn new(voters: usize, drift: &[u64]) -> Self {
+    pub(crate) fn new(voters: usize, drift: &[u64], seed: u64) -> Self {
         let name = |number: usize| -> InstanceId {
             format!("member-{number}").parse().expect("a sound name")
         };
@@ -118,7 +130,10 @@
         let mut cluster = Self {
             nodes: (0..=voters).map(node).collect(),
             wire: Vec::new(),
+            faulty: false,
+            chance: ChaCha8Rng::seed_from_u64(seed),
             isolated: BTreeSet::new(),
+            cut_pairs: BTreeSet::new(),
             now: 0,
             leaders: BTreeMap::new(),
             committed: BTreeMap::new(),
@@ -154,42 +169,48 @@
         leader.expect("a leader is elected within three seconds")
     }
 
-    /// Lets time pass with a sound network, a millisecond at a time.
+    /// Lets time pass with a sound network.
     pub(crate) fn pass(&mut self, millis: u64) {
-        for _ in 0..millis {
-            self.run(LogEvent::Pass(1));
-            while !self.wire.is_empty() {
-                self.run(LogEvent::Deliver(0));
-            }
-        }
+        self.faulty = false;
+        self.run(LogEvent::Pass(millis));
+    }
+
+    /// Makes messages late, doubled and lost from now on.
+    pub(crate) fn disturb(&mut self) {
+        self.faulty = true;
     }
 
     pub(crate) fn run(&mut self, event: LogEvent) {
         let count = self.nodes.len();
         match event {
             LogEvent::Pass(millis) => self.advance(millis),
-            LogEvent::Deliver(message) => self.take(message, true),
-            LogEvent::Drop(message) => self.take(message, false),
-            LogEvent::Duplicate(message) => {
-                if !self.wire.is_empty() {
-                    let copy = self.wire[message % self.wire.len()].clone();
-                    self.wire.push(copy);
+            LogEvent::Propose => {
+                for node in 0..count {
+                    self.propose(node);
                 }
             }
-            LogEvent::Propose(node) => self.propose(node % count),
             LogEvent::Crash(node) => self.crash(node % count),
             LogEvent::CrashAtSync(node, phase) => self.nodes[node % count].crash = Some(phase),
             LogEvent::Restart(node) => self.restart(node % count),
             LogEvent::Isolate(node) => {
                 self.isolated.insert(node % count);
             }
-            LogEvent::Join => self.isolated.clear(),
+            LogEvent::CutPair(node, other) => {
+                self.cut_pairs.insert((node % count, other % count));
+                self.cut_pairs.insert((other % count, node % count));
+            }
+            LogEvent::Join => {
+                self.isolated.clear();
+                self.cut_pairs.clear();
+            }
             LogEvent::Compact(node) => self.compact(node % count),
-            LogEvent::Change(node, other, kind) => self.change(node % count, other % count, kind),
-            LogEvent::HandOver(node) => {
-                self.with(node % count, |log, now| {
-                    log.hand_over(now);
-                });
+            LogEvent::Change(node, kind) => self.change(node % count, kind),
+            LogEvent::HandOver => {
+                for node in 0..count {
+                    self.with(node, |log, now| {
+                        log.hand_over(now);
+                    });
+                }
             }
         }
         self.check();
@@ -197,7 +218,7 @@
 
     /// Restarts and joins everybody, and checks that all goes on with nothing lost.
     pub(crate) fn heal(&mut self) {
-        self.isolated.clear();
+        self.run(LogEvent::Join);
         for node in 0..self.nodes.len() {
             self.nodes[node].crash = None;
             self.restart(node);
@@ -219,6 +240,7 @@
     fn advance(&mut self, millis: u64) {
         for _ in 0..millis {
             self.now += 1_000;
+            self.deliver();
             for node in 0..self.nodes.len() {
                 self.with(node, |log, now| {
                     if now >= log.next_tick() {
@@ -230,16 +252,24 @@
         }
     }
 
-    fn take(&mut self, message: usize, deliver: bool) {
-        if self.wire.is_empty() {
-            return;
-        }
-        let (from, to, message) = self.wire.remove(message % self.wire.len());
-        let cut = self.isolated.contains(&from) != self.isolated.contains(&to)
-            || (from != to && self.isolated.contains(&from));
-        if deliver && !cut {
-            let from = self.nodes[from].name.clone();
-            self.with(to, |log, now| log.receive(now, &from, message));
+    fn deliver(&mut self) {
+        let now = self.now;
+        let (due, later) = std::mem::take(&mut self.wire)
+            .into_iter()
+            .partition(|letter| letter.due <= now);
+        self.wire = later;
+        let due: Vec<Letter> = due;
+        for letter in due {
+            let cut = self.isolated.contains(&letter.from)
+                || self.isolated.contains(&letter.to)
+                || self.cut_pairs.contains(&(letter.from, letter.to));
+            if !cut {
+                let from = self.nodes[letter.from].name.clone();
+                self.with(letter.to, |log, now| {
+                    log.receive(now, &from, letter.message)
+                });
+                self.check();
+            }
         }
     }
 
@@ -252,20 +282,23 @@
         });
     }
 
-    fn change(&mut self, node: usize, other: usize, kind: u8) {
+    fn change(&mut self, other: usize, kind: u8) {
         let name = self.nodes[other].name.clone();
         let change = match kind {
             0 => MemberChange::AddLearner(name, address(other)),
             1 => MemberChange::Promote(name),
             _ => MemberChange::Remove(name),
         };
-        self.with(node, |log, now| {
-            // Fewer than three voters would only make the runs duller.
-            let few = log.members().voters.len() <= 3 && kind == 2;
-            if !few {
-                let _ = log.propose_change(now, &change);
-            }
-        });
+        for node in 0..self.nodes.len() {
+            self.with(node, |log, now| {
+                // Fewer than three voters would only make the runs duller.
+                let few = log.members().voters.len() <= 3 && kind == 2;
+                if !few {
+                    // A change that does not fit is refused, which is the leader's right.
+                    let _ = log.propose_change(now, &change);
+                }
+            });
+        }
     }
 
     fn compact(&mut self, node: usize) {
@@ -348,7 +381,30 @@
     fn send(&mut self, from: usize, messages: Vec<(InstanceId, LogMessage)>) {
         for (to, message) in messages {
             let to = self.nodes.iter().position(|node| node.name == to);
-            self.wire.push((from, to.expect("a member"), message));
+            let to = to.expect("a member");
+            for _ in 0..self.copies() {
+                let late = self.faulty && self.chance.random_ratio(1, 20);
+                let delay = self
+                    .chance
+                    .random_range(0..if late { 300_000 } else { 5_000 });
+                self.wire.push(Letter {
+                    from,
+                    to,
+                    due: self.now + delay,
+                    message: message.clone(),
+                });
+            }
+        }
+    }
+
+    fn copies(&mut self) -> usize {
+        if !self.faulty {
+            return 1;
+        }
+        match self.chance.random_range(0..40) {
+            0 | 1 => 0,
+            2 => 2,
+            _ => 1,
         }
     }
 
--- a/crates/daisyseam-coord/tests/promotion_support/mod.rs
+++ b/crates/daisyseam-coord/tests/promotion_support/mod.rs
@@ -53,7 +53,8 @@
     Decide(bool),
     /// The instance takes the newest view and reports that.
     Confirm,
-    /// The instance confirms that nothing older is in use.
+    /// The instance learns how far a database is.
+    Look(usize),
     Write,
     Replicate(usize),
     Cut(usize),
@@ -63,6 +64,8 @@
     Stay(usize),
     /// Another member of control leads.
     Lead,
+    /// Control works for a while; with the flags the instance hears it, and replicas do too.
+    Work(u64, bool, bool),
 }
 
 pub(crate) fn group_events() -> impl Strategy<Value = GroupEvent> {
@@ -74,6 +77,7 @@
         20 => prop::bool::weighted(0.9).prop_map(GroupEvent::Decide),
         15 => Just(GroupEvent::Confirm),
         15 => Just(GroupEvent::Write),
+        20 => database.clone().prop_map(GroupEvent::Look),
         20 => database.clone().prop_map(GroupEvent::Replicate),
         3 => database.clone().prop_map(GroupEvent::Cut),
         6 => database.clone().prop_map(GroupEvent::Join),
@@ -81,6 +85,8 @@
         2 => database.clone().prop_map(GroupEvent::Leave),
         3 => database.prop_map(GroupEvent::Stay),
         2 => Just(GroupEvent::Lead),
+        10 => (1_u64..2_000, any::<bool>(), any::<bool>())
+            .prop_map(|(millis, confirm, replicate)| GroupEvent::Work(millis, confirm, replicate)),
     ]
 }
 
@@ -138,6 +144,8 @@
     changed: ViewNumber,
     entry: (ViewNumber, Option<GroupView>),
     written: u64,
+    /// Ends of the databases as the instance last saw them.
+    seen: Vec<LogPosition>,
     waiting: Vec<(Term, usize, u64, u64)>,
     acknowledged: BTreeSet<u64>,
     asked: BTreeMap<Term, UpstreamId>,
@@ -172,6 +180,7 @@
             changed: ViewNumber(0),
             entry: (ViewNumber(0), None),
             written: 0,
+            seen: vec![LogPosition::default(); count],
             waiting: Vec::new(),
             acknowledged: BTreeSet::new(),
             asked: BTreeMap::new(),
@@ -205,6 +214,10 @@
 
     /// Lets time pass while calls, proposals, views and replication work.
     pub(crate) fn pass(&mut self, millis: u64) {
+        self.work(millis, true, true);
+    }
+
+    fn work(&mut self, millis: u64, confirm: bool, replicate: bool) {
         for _ in 0..millis / 10 {
             self.run(GroupEvent::Pass(10));
             while !self.calls.is_empty() {
@@ -214,9 +227,14 @@
             while !self.proposals.is_empty() {
                 self.run(GroupEvent::Decide(true));
             }
-            self.run(GroupEvent::Confirm);
+            if confirm {
+                self.run(GroupEvent::Confirm);
+            }
             for database in 0..self.databases.len() {
-                self.run(GroupEvent::Replicate(database));
+                if replicate {
+                    self.run(GroupEvent::Replicate(database));
+                    self.run(GroupEvent::Look(database));
+                }
             }
         }
     }
@@ -265,6 +283,14 @@
                 self.entry = (view.number, view.groups.get(&self.group).cloned());
                 self.acknowledge();
             }
+            GroupEvent::Look(database) => {
+                let database = database % count;
+                if self.databases[database].cut_since.is_none() {
+                    self.seen[database] = self.databases[database].end();
+                    self.acknowledge();
+                }
+            }
+            GroupEvent::Work(millis, confirm, replicate) => self.work(millis, confirm, replicate),
             GroupEvent::Write => self.write(),
             GroupEvent::Replicate(database) => self.replicate(database % count),
             GroupEvent::Cut(database) => {
@@ -511,11 +537,14 @@
         let draining = matches!(&view.primary, PrimaryState::Draining(_));
         for (term, primary, position, write) in self.waiting.clone() {
             let holds = view.term == term && (active == Some(primary) || draining);
-            let has = |database: &&Database| {
-                let end = database.end();
-                end.term == term && end.position.0 >= position && database.promised == term
-            };
-            if holds && self.databases.iter().filter(has).count() >= majority {
+            let has = |end: &&LogPosition| end.term == term && end.position.0 >= position;
+            if holds && self.seen.iter().filter(has).count() >= majority {
+                let newest = &self.fleet.view().groups[&self.group];
+                let replaced = newest.term > term && newest.primary.active().is_some();
+                assert!(
+                    !replaced,
+                    "write {write} is acknowledged by a replaced primary"
+                );
                 self.acknowledged.insert(write);
             }
         }
@@ -545,6 +574,5 @@
         if let Some(next) = source.get(log.len()) {
             log.push(*next);
         }
-        self.acknowledge();
     }
 }
