Find out peers that are cut off, and test bad input

Cause: a request that was sent to a holder behind a partition stayed there until its deadline, and a link of an instance that had gone silently kept its slot.

Change: a peer that does not answer is asked whether it is there at all; relayed links end when control takes their instance off the list.

--- a/crates/daisyseam-entry/src/daemon.rs
+++ b/crates/daisyseam-entry/src/daemon.rs
@@ -117,6 +117,7 @@
             ServerSettings {
                 cluster: settings.cluster.clone(),
                 table: table.clone(),
+                cell: cell.clone(),
                 timer: timer.clone(),
                 spans: spans.clone(),
             },
--- a/crates/daisyseam-entry/src/peer/client.rs
+++ b/crates/daisyseam-entry/src/peer/client.rs
@@ -60,6 +60,12 @@
 /// Time that an answer may take beyond the wait that was asked for.
 const ANSWER_GRACE: Duration = Duration::from_millis(500);
 
+/// Time without an answer after which a peer is asked whether it is there at all.
+const CHECK_AFTER: Duration = Duration::from_millis(250);
+
+/// Longest time that the answer to that may take.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(750);
+
 /// Connections kept ready to one peer.
 const IDLE_MAX: usize = 64;
 
@@ -142,7 +148,12 @@
         deadline: Instant,
     ) -> Result<(PeerLink, LinkGranted), HolderRefusal> {
         let late = deadline + ANSWER_GRACE;
-        let opened = self.exchange(address, Body::Open(request), late).await;
+        let exchange = self.exchange(address, Body::Open(request), late);
+        let opened = tokio::select! {
+            biased;
+            opened = exchange => opened,
+            () = self.unreachable(address) => Err(PeerError::Timeout),
+        };
         let (connection, id, body) =
             opened.map_err(|error| HolderRefusal::Refused(error.into()))?;
         match body {
@@ -212,6 +223,26 @@
         }
     }
 
+    /// Waits until a peer no longer answers even the simplest question.
+    ///
+    /// An answer may rightly take long; a peer that is cut off is found out all the same.
+    pub(super) async fn unreachable(&self, address: SocketAddr) {
+        let timer = &self.shared.settings.timer;
+        let nothing = ProbeRequest::default();
+        loop {
+            timer.after(CHECK_AFTER).await;
+            let deadline = timer.now() + CHECK_TIMEOUT;
+            let checked = self.exchange(address, Body::Probe(nothing.clone()), deadline);
+            match checked.await {
+                Ok((connection, _, _)) => self.put_back(address, connection),
+                Err(error) => {
+                    log::info!("peer {address} is out of reach: {error}");
+                    return;
+                }
+            }
+        }
+    }
+
     /// Keeps a connection for the next request.
     pub(super) fn put_back(&self, address: SocketAddr, connection: PeerConnection) {
         let mut idle = self.shared.idle.lock();
--- a/crates/daisyseam-entry/src/peer/connection.rs
+++ b/crates/daisyseam-entry/src/peer/connection.rs
@@ -1,5 +1,6 @@
 //! One connection between two entry instances.
 
+use crate::ViewCell;
 use daisyseam_model::{
     ClusterId,
     Incarnation, //
@@ -86,6 +87,25 @@
     }
 }
 
+/// Waits until control has taken an instance off the list on which it was.
+pub(super) async fn taken_off(cell: &ViewCell, incarnation: Incarnation) {
+    let mut changes = cell.subscribe();
+    let mut seen = false;
+    loop {
+        let view = &cell.held().view;
+        let mut instances = view.instances.values();
+        let present = instances.any(|instance| instance.incarnation == incarnation);
+        if seen && !present {
+            return;
+        }
+        // This instance may hear of the other one later than that one of itself.
+        seen |= present;
+        if changes.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
 /// Receives the body of the next message; one of another request ends the use of the connection.
 pub(super) async fn receive_for(
     receiver: &mut MessageReceiver<TcpStream, PeerMessage>,
--- a/crates/daisyseam-entry/src/peer/link.rs
+++ b/crates/daisyseam-entry/src/peer/link.rs
@@ -124,9 +124,14 @@
             if let Some(error) = &self.incoming.lost {
                 return Err(error.clone());
             }
-            self.incoming
-                .read(&mut self.connection.receiver, self.id)
-                .await;
+            tokio::select! {
+                biased;
+                () = self.incoming.read(&mut self.connection.receiver, self.id) => {}
+                () = self.client.unreachable(self.address) => {
+                    let words = "the holder of the database is out of reach";
+                    self.incoming.lost = Some(LinkError(words.to_owned()));
+                }
+            }
         }
     }
 
--- a/crates/daisyseam-entry/src/peer/server.rs
+++ b/crates/daisyseam-entry/src/peer/server.rs
@@ -9,11 +9,13 @@
         CHUNK_BYTES,
         PeerConnection,
         RequestId,
-        receive_for, //
+        receive_for,
+        taken_off, //
     }, //
 };
 use crate::{
     LinkError,
+    ViewCell,
     database::{
         CancelOrder,
         ConnectionReader,
@@ -33,6 +35,7 @@
 use daisyseam_model::{
     ClusterId,
     ErrorKind,
+    Incarnation,
     LogPosition,
     RequestError,
     Term,
@@ -94,6 +97,8 @@
     pub cluster: ClusterId,
     /// The databases held here.
     pub table: HolderTable,
+    /// The view, from which instances disappear that are gone.
+    pub cell: ViewCell,
     /// Timer service.
     pub timer: TimerService,
     /// Where spans go.
@@ -244,9 +249,13 @@
         let order = connection.cancel_order();
         let PeerConnection { sender, receiver } = &mut self.connection;
         let (writer, reader) = connection.split();
+        let cell = &self.settings.cell;
         tokio::select! {
             end = carry_up(id, receiver, writer, &order) => end,
             end = carry_down(id, reader, sender) => end,
+            () = taken_off(cell, Incarnation(id.incarnation)) => {
+                RelayEnd::PeerLost(StreamError::Closed)
+            }
         }
     }
 
--- a/crates/daisyseam-entry/src/settings.rs
+++ b/crates/daisyseam-entry/src/settings.rs
@@ -124,7 +124,10 @@
         let caller = any_address(CALLER_PORT);
         let caller_listen = reader.with_default("caller-listen", arguments.caller_listen, caller);
         let peer = any_address(PEER_PORT);
-        let peer_listen = reader.with_default("peer-listen", arguments.peer_listen, peer);
+        let given: Option<String> = reader.optional("peer-listen", arguments.peer_listen);
+        let readable = |text: &String| text.parse::<SocketAddr>().is_ok();
+        let understood = given.as_ref().is_none_or(readable);
+        let peer_listen = reader.with_default("peer-listen", given, peer);
         let peer_advertise = reader.optional("peer-advertise", arguments.peer_advertise);
         let http = any_address(HTTP_PORT);
         let http_listen = reader.with_default("http-listen", arguments.http_listen, http);
@@ -132,7 +135,7 @@
         if control.is_empty() {
             reader.problem("control", "names no control instance".to_owned());
         }
-        if peer_advertise.is_none() && peer_listen.ip().is_unspecified() {
+        if understood && peer_advertise.is_none() && peer_listen.ip().is_unspecified() {
             let words = "is needed, since peers cannot connect to an unspecified address";
             reader.problem("peer-advertise", words.to_owned());
         }
--- a/crates/daisyseam-entry/tests/links_suite/main.rs
+++ b/crates/daisyseam-entry/tests/links_suite/main.rs
@@ -1,6 +1,7 @@
 //! The database side of an entry instance against small fakes.
 
 mod commits;
+mod input;
 mod peers;
 mod slots;
 mod support;
--- a/crates/daisyseam-entry/tests/links_suite/peers.rs
+++ b/crates/daisyseam-entry/tests/links_suite/peers.rs
@@ -174,6 +174,56 @@
     assert_eq!(database.connection_of("SELECT crossed"), None);
 }
 
+/// Takes connections and never says a word, as a peer behind a partition does.
+async fn says_nothing(listener: TcpListener) {
+    let mut kept = Vec::new();
+    while let Ok((socket, _)) = listener.accept().await {
+        kept.push(socket);
+    }
+}
+
+#[tokio::test]
+async fn a_holder_that_is_cut_off_does_not_hold_a_read_up_to_its_deadline() {
+    let near = FakeDatabase::start(UpstreamRole::Replica, position(1, 10)).await;
+    let far = FakeDatabase::start(UpstreamRole::Replica, position(1, 10)).await;
+    let listener = TcpListener::bind(LOOPBACK).await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let silent = tokio::spawn(says_nothing(listener));
+    let other = Instance::start("entry-2", 2).await;
+    // Whichever is asked first, the read ends at the one that answers.
+    let view = ViewParts::new()
+        .instance("entry-1", 1, address)
+        .instance("entry-2", 2, other.server.address())
+        .database("two", &far, Some("entry-1"))
+        .database("three", &near, Some("entry-2"));
+    other.hold(&view.0).await;
+    let group = group();
+    for _ in 0..4 {
+        let access = StatementAccess::ReadAtLeast(position(1, 10));
+        let opened = within(other.broker.open(order(&group, access))).await;
+        assert_eq!(opened.expect("a link").upstream, upstream("three"));
+    }
+    silent.abort();
+}
+
+#[tokio::test]
+async fn a_peer_that_control_takes_off_the_list_leaves_no_transaction_open() {
+    let (database, holder, other) = two_instances().await;
+    let group = group();
+    let opened = other.broker.open(order(&group, StatementAccess::Write));
+    let mut opened = within(opened).await.expect("a link");
+    query(&mut opened.link, "BEGIN").await.expect("an answer");
+    let mut view = view(&database, holder.server.address(), &other);
+    view.number.0 += 1;
+    view.instances.retain(|name, _| name.as_str() == "entry-1");
+    holder.hold(&view).await;
+    let handle = holder.table.get(&upstream("one")).expect("it is held");
+    eventually("nothing is lent out", || handle.counts().lent == 0).await;
+    within(query(&mut opened.link, "SELECT late"))
+        .await
+        .expect_err("the link was cut");
+}
+
 /// A holder that answers a request under another number, as one that was late would.
 async fn answers_crossed(listener: TcpListener) {
     while let Ok((socket, _)) = listener.accept().await {
--- a/crates/daisyseam-entry/tests/links_suite/support/mod.rs
+++ b/crates/daisyseam-entry/tests/links_suite/support/mod.rs
@@ -172,6 +172,7 @@
             ServerSettings {
                 cluster: cluster(),
                 table: table.clone(),
+                cell: cell.clone(),
                 timer: timer.clone(),
                 spans: SpanExporter::disabled(),
             },
