Let go of an idle transaction once, and cut pieces of a text clean

After the time limit of an idle transaction the session fell into a loop without a pause, since the limit that had passed stayed in force. It ends with the connection that it is for.

--- a/crates/daisyseam-entry/src/caller/session/idle.rs
+++ b/crates/daisyseam-entry/src/caller/session/idle.rs
@@ -72,14 +72,18 @@
             self.flush_within_limit().await?;
             self.trim_buffers();
         }
-        let idle_until = self.idle_limit();
+        let mut idle_until = self.idle_limit();
         loop {
             match self.next_event(idle_until).await {
                 IdleEvent::Frame(Some(frame)) => return Ok(frame?),
                 IdleEvent::Frame(None) => return Err(RequestTrouble::Closed),
                 IdleEvent::Stopping => return Err(ErrorKind::Stopping.into()),
                 IdleEvent::ViewChanged => self.follow_view()?,
-                IdleEvent::TimeOver => self.end_of_time()?,
+                IdleEvent::TimeOver => {
+                    self.end_of_time()?;
+                    // The limit is for a connection that is held no more.
+                    idle_until = None;
+                }
             }
         }
     }
--- a/crates/daisyseam-entry/src/caller/session/simple.rs
+++ b/crates/daisyseam-entry/src/caller/session/simple.rs
@@ -101,7 +101,7 @@
             }
             let mut needs = UnitNeeds::default();
             needs.add(statement, &class.hints);
-            let piece = &text[statement.span.clone()];
+            let piece = text[statement.span.clone()].trim();
             if !self.run_unit(&RequestUnit::Simple(piece), &needs).await? {
                 break;
             }
--- /dev/null
+++ b/crates/daisyseam-entry/tests/caller_stop.rs
@@ -0,0 +1,250 @@
+//! Cancels, time limits, stops and many callers at once.
+
+mod caller_support;
+
+use caller_support::{
+    KEY,
+    Stage,
+    document,
+    raw::{
+        RawCaller,
+        error_field, //
+    }, //
+};
+use pgwire::messages::{
+    PgWireFrontendMessage,
+    simplequery::Query, //
+};
+use tokio_postgres::{
+    NoTls,
+    SimpleQueryMessage, //
+};
+
+fn query(text: &str) -> PgWireFrontendMessage {
+    PgWireFrontendMessage::Query(Query::new(text.to_owned()))
+}
+
+async fn admitted(stage: &Stage) -> RawCaller {
+    RawCaller::admitted(stage.address(), "keepers", KEY).await
+}
+
+fn value(messages: &[SimpleQueryMessage]) -> &str {
+    let rows = messages.iter().filter_map(|message| match message {
+        SimpleQueryMessage::Row(row) => row.get(0),
+        _ => None,
+    });
+    rows.last().expect("a row")
+}
+
+#[tokio::test]
+async fn a_cancel_reaches_the_statement_and_its_connection_is_not_used_again() {
+    let stage = Stage::start().await;
+    let client = stage.connect().await;
+    let token = client.cancel_token();
+    let slow = client.simple_query("SELECT slow");
+    let cancel = async {
+        stage
+            .world
+            .until(|world| world.texts() == ["SELECT slow"])
+            .await;
+        token.cancel_query(NoTls).await.unwrap();
+    };
+    let (answer, ()) = tokio::join!(slow, cancel);
+    assert_eq!(answer.unwrap_err().code().unwrap().code(), "57014");
+    assert_eq!(stage.world.links(), (1, 0, 1));
+    let answer = client.simple_query("SELECT 2").await.unwrap();
+    assert_eq!(value(&answer), "SELECT 2");
+}
+
+#[tokio::test]
+async fn a_cancel_with_nothing_running_or_a_wrong_secret_does_nothing() {
+    let stage = Stage::start().await;
+    let client = stage.connect().await;
+    client.cancel_token().cancel_query(NoTls).await.unwrap();
+    let mut rogue = RawCaller::connect(stage.address()).await;
+    rogue
+        .write(&[0, 0, 0, 16, 4, 210, 22, 46, 0, 0, 0, 1, 0, 0, 0, 2])
+        .await;
+    rogue.until_closed().await;
+    let answer = client.simple_query("SELECT 1").await.unwrap();
+    assert_eq!(value(&answer), "SELECT 1");
+    assert_eq!(stage.world.cancelled(), 0);
+}
+
+#[tokio::test]
+async fn a_statement_that_waits_for_a_connection_can_be_cancelled() {
+    let stage = Stage::start().await;
+    stage.world.hold_back(true);
+    let client = stage.connect().await;
+    let token = client.cancel_token();
+    let waiting = client.simple_query("SELECT 1");
+    let cancel = async {
+        stage
+            .world
+            .until(|world| !world.accesses().is_empty())
+            .await;
+        token.cancel_query(NoTls).await.unwrap();
+    };
+    let (answer, ()) = tokio::join!(waiting, cancel);
+    assert_eq!(answer.unwrap_err().code().unwrap().code(), "57014");
+    stage.world.hold_back(false);
+    client.simple_query("SELECT 2").await.unwrap();
+    assert_eq!(stage.world.texts(), ["SELECT 2"]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_statement_past_its_time_is_cut_off_and_its_answer_reaches_nobody() {
+    let stage = Stage::start().await;
+    let mut caller = admitted(&stage).await;
+    caller.send(query("SELECT slow")).await;
+    let answers = caller.until_ready().await;
+    assert_eq!(error_field(&answers, b'C').as_deref(), Some("57014"));
+    let hint = error_field(&answers, b'H');
+    assert_eq!(hint.as_deref(), Some("unknown whether it ran"));
+    assert_eq!(stage.world.links(), (1, 0, 1));
+    caller.send(query("SELECT 2")).await;
+    let answers = caller.until_ready().await;
+    let row = answers.iter().find(|(tag, _)| *tag == b'D').unwrap();
+    assert!(row.1.ends_with(b"SELECT 2"));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_statement_that_finds_no_connection_in_time_is_not_run() {
+    let stage = Stage::start().await;
+    stage.world.hold_back(true);
+    let mut caller = admitted(&stage).await;
+    caller.send(query("INSERT INTO t VALUES (1)")).await;
+    let answers = caller.until_ready().await;
+    assert_eq!(error_field(&answers, b'C').as_deref(), Some("57014"));
+    let hint = error_field(&answers, b'H');
+    assert_eq!(hint.as_deref(), Some("not run; may be sent again"));
+    assert_eq!(stage.world.texts(), [""; 0]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_transaction_that_sits_idle_loses_its_connection() {
+    let stage = Stage::start().await;
+    let mut caller = admitted(&stage).await;
+    caller.send(query("BEGIN; INSERT INTO t VALUES (1)")).await;
+    caller.until_ready().await;
+    stage.world.until(|world| world.links() == (1, 0, 1)).await;
+    caller.send(query("COMMIT")).await;
+    let answers = caller.until_ready().await;
+    let complete = answers.iter().find(|(tag, _)| *tag == b'C').unwrap();
+    assert_eq!(complete.1, b"ROLLBACK\0");
+    assert_eq!(stage.world.committed(), [""; 0]);
+}
+
+#[tokio::test]
+async fn a_caller_that_leaves_in_a_transaction_leaves_nothing_behind() {
+    let stage = Stage::start().await;
+    let mut caller = admitted(&stage).await;
+    caller.send(query("BEGIN; INSERT INTO t VALUES (1)")).await;
+    caller.until_ready().await;
+    drop(caller);
+    stage.world.until(|world| world.links() == (1, 1, 0)).await;
+    assert_eq!(stage.world.committed(), [""; 0]);
+    stage.server.drained().await;
+}
+
+#[tokio::test]
+async fn a_stop_lets_transactions_finish_and_closes_idle_connections() {
+    let stage = Stage::start().await;
+    let mut idle = admitted(&stage).await;
+    let mut busy = admitted(&stage).await;
+    busy.send(query("BEGIN; INSERT INTO t VALUES (1)")).await;
+    busy.until_ready().await;
+    stage.stop.stop();
+    let answers = idle.until_closed().await;
+    assert_eq!(error_field(&answers, b'C').as_deref(), Some("57P01"));
+    busy.send(query("COMMIT")).await;
+    busy.until_ready().await;
+    assert_eq!(stage.world.committed().len(), 1);
+    let answers = busy.until_closed().await;
+    assert_eq!(error_field(&answers, b'C').as_deref(), Some("57P01"));
+    let mut late = RawCaller::connect(stage.address()).await;
+    late.start("keepers", "bookings", &[]).await;
+    let answers = late.until_closed().await;
+    assert_eq!(error_field(&answers, b'C').as_deref(), Some("57P01"));
+    stage.server.drained().await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_data_centre_that_is_out_sends_its_callers_away() {
+    let stage = Stage::start().await;
+    let mut idle = admitted(&stage).await;
+    let mut busy = admitted(&stage).await;
+    busy.send(query("BEGIN; INSERT INTO t VALUES (1)")).await;
+    busy.until_ready().await;
+    let place = "name = \"khomas-1\"\nregion = \"khomas\"";
+    let other = "[[data_centre]]\nname = \"khomas-2\"\nregion = \"khomas\"";
+    let out = format!("{place}\nstate = \"out\"\n\n{other}");
+    stage.publish(2, &document("").replace(place, &out));
+    let answers = idle.until_closed().await;
+    assert_eq!(error_field(&answers, b'C').as_deref(), Some("57P01"));
+    busy.send(query("COMMIT")).await;
+    busy.until_ready().await;
+    let answers = busy.until_closed().await;
+    assert_eq!(error_field(&answers, b'C').as_deref(), Some("57P01"));
+    assert_eq!(stage.world.committed().len(), 1);
+    let mut late = RawCaller::connect(stage.address()).await;
+    late.start("keepers", "bookings", &[]).await;
+    late.read().await.unwrap();
+    late.show_key(KEY).await;
+    let answers = late.until_closed().await;
+    assert_eq!(error_field(&answers, b'C').as_deref(), Some("57P01"));
+}
+
+#[tokio::test]
+async fn connections_past_the_limit_are_refused() {
+    let stage = Stage::with_limits("connections_per_instance = 1").await;
+    let first = stage.connect().await;
+    let error = stage.connect_with(&stage.config()).await.unwrap_err();
+    assert_eq!(error.code().unwrap().code(), "53300");
+    first.simple_query("SELECT 1").await.unwrap();
+}
+
+#[tokio::test]
+async fn answers_of_many_callers_never_mix() {
+    const CALLERS: usize = 16;
+    const REQUESTS: usize = 40;
+
+    let stage = Stage::start().await;
+    let mut callers = Vec::new();
+    for caller in 0..CALLERS {
+        let client = stage.connect().await;
+        callers.push(tokio::spawn(async move {
+            let read = client.prepare("SELECT $1 FROM t").await.unwrap();
+            for request in 0..REQUESTS {
+                let own = format!("c{caller}r{request}");
+                client.simple_query("BEGIN").await.unwrap();
+                let insert = format!("INSERT INTO t VALUES ('{own}')");
+                client.simple_query(&insert).await.unwrap();
+                let select = format!("SELECT '{own}'");
+                let answer = client.simple_query(&select).await.unwrap();
+                assert_eq!(value(&answer), select);
+                client.simple_query("COMMIT").await.unwrap();
+                let row = client.query_one(&read, &[&own]).await.unwrap();
+                let answer: String = row.get(0);
+                assert_eq!(answer, format!("SELECT '{own}' FROM t"));
+            }
+        }));
+    }
+    for caller in callers {
+        caller.await.unwrap();
+    }
+    assert_eq!(stage.world.committed().len(), CALLERS * REQUESTS);
+    // Every transaction stands on one link, whole and alone.
+    for texts in stage.world.texts_by_link() {
+        let begins = texts.iter().filter(|text| *text == "BEGIN").count();
+        let inserts = texts
+            .iter()
+            .filter(|text| text.starts_with("INSERT"))
+            .count();
+        let ends = texts.iter().filter(|text| *text == "COMMIT").count();
+        assert!(
+            begins <= 1 && begins == inserts && inserts == ends,
+            "{texts:?}"
+        );
+    }
+}
--- a/crates/daisyseam-entry/tests/caller_support/raw.rs
+++ b/crates/daisyseam-entry/tests/caller_support/raw.rs
@@ -83,6 +83,14 @@
         self.stream.write_all(bytes).await.unwrap();
     }
 
+    pub async fn try_write(&mut self, bytes: &[u8]) -> std::io::Result<()> {
+        self.stream.write_all(bytes).await
+    }
+
+    pub async fn try_finish(&mut self) -> std::io::Result<()> {
+        self.stream.shutdown().await
+    }
+
     /// Closes the sending half.
     pub async fn finish(&mut self) {
         self.stream.shutdown().await.unwrap();
