Hold requests for a lease, and wake idle sessions for new views only

The view cell changes with every heartbeat, so every idle session was woken five times a second; one task now passes on new view numbers. A request that finds the lease lapsed waits up to 2 s for it instead of being refused at once.

--- a/crates/daisyseam-entry/src/caller/server.rs
+++ b/crates/daisyseam-entry/src/caller/server.rs
@@ -14,7 +14,8 @@
     ClusterId,
     DataCentreId,
     ErrorKind,
-    InstanceId, //
+    InstanceId,
+    ViewNumber, //
 };
 use daisyseam_runtime::{
     MetricClient,
@@ -70,6 +71,8 @@
     pub(super) cancels: CancelRegistry,
     pub(super) cache: StatementCache,
     open: watch::Sender<usize>,
+    /// Number of the view, which sessions follow; a longer lease alone does not wake them.
+    pub(super) views: watch::Sender<ViewNumber>,
 }
 
 impl<B, G> CallerShared<B, G> {
@@ -90,6 +93,7 @@
     address: SocketAddr,
     open: watch::Sender<usize>,
     accepting: AbortHandle,
+    following: AbortHandle,
 }
 
 impl CallerServer {
@@ -109,12 +113,15 @@
             cancels: CancelRegistry::default(),
             cache: StatementCache::default(),
             open: open.clone(),
+            views: watch::Sender::default(),
         });
+        let following = tokio::spawn(follow_views(Arc::clone(&shared)));
         let accepting = tokio::spawn(accept_all(listener, shared));
         Ok(Self {
             address,
             open,
             accepting: accepting.abort_handle(),
+            following: following.abort_handle(),
         })
     }
 
@@ -141,6 +148,7 @@
     /// Ends the listener; open connections end with the runtime or at the stop signal.
     fn drop(&mut self) {
         self.accepting.abort();
+        self.following.abort();
     }
 }
 
@@ -181,6 +189,23 @@
     }
 }
 
+/// Passes on each new view; the cell changes with every extension of the lease besides.
+async fn follow_views<B: LinkBroker, G: RateGate>(shared: Arc<CallerShared<B, G>>) {
+    let cell = &shared.context.view;
+    let mut changes = cell.subscribe();
+    loop {
+        let number = cell.held().view.number;
+        shared.views.send_if_modified(|known| {
+            let changed = *known != number;
+            *known = number;
+            changed
+        });
+        if changes.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
 async fn serve<B: LinkBroker, G: RateGate>(
     stream: TcpStream,
     shared: Arc<CallerShared<B, G>>,
--- a/crates/daisyseam-entry/src/caller/session.rs
+++ b/crates/daisyseam-entry/src/caller/session.rs
@@ -42,7 +42,8 @@
     ErrorKind,
     GroupId,
     LogPosition,
-    RequestError, //
+    RequestError,
+    ViewNumber, //
 };
 use daisyseam_runtime::TraceContext;
 use futures_util::SinkExt;
@@ -76,7 +77,7 @@
     pub(super) stream: CallerStream<S>,
     pub(super) ticket: CancelTicket,
     identity: CallerIdentity,
-    changes: watch::Receiver<()>,
+    changes: watch::Receiver<ViewNumber>,
     /// Group that serves the service, as the last checked view says.
     group: Option<GroupId>,
     floor: SessionFloor,
@@ -149,7 +150,7 @@
         ticket: CancelTicket,
     ) -> Self {
         Self {
-            changes: shared.context.view.subscribe(),
+            changes: shared.views.subscribe(),
             shared,
             stream,
             ticket,
--- a/crates/daisyseam-entry/src/caller/session/local.rs
+++ b/crates/daisyseam-entry/src/caller/session/local.rs
@@ -58,7 +58,7 @@
     /// Runs a statement for which [`StatementKind::is_local`] holds.
     pub(super) async fn run_local(&mut self, kind: &StatementKind) -> Result<(), RequestTrouble> {
         self.progress = SendProgress::Unsent;
-        self.check_caller()?;
+        self.check_caller().await?;
         let ends = matches!(kind, StatementKind::Commit | StatementKind::Rollback);
         if self.block.status() == TransactionStatus::Error && !ends {
             return Err(ErrorKind::TransactionAborted.into());
@@ -279,7 +279,7 @@
     ) -> Result<(), RequestTrouble> {
         match kind {
             StatementKind::ShowOwn(name) => {
-                self.check_caller()?;
+                self.check_caller().await?;
                 self.show_own(name, false).await
             }
             other => self.run_local(other).await,
--- a/crates/daisyseam-entry/src/caller/session/request.rs
+++ b/crates/daisyseam-entry/src/caller/session/request.rs
@@ -66,6 +66,9 @@
 /// other with full buffers.
 const CHUNK_BYTES: usize = 16 << 10;
 
+/// Longest time that a request waits for the lease on the view.
+const LEASE_WAIT: Duration = Duration::from_secs(2);
+
 /// Messages of one batch that are sent before answers are taken.
 const CHUNK_MESSAGES: usize = 64;
 
@@ -137,9 +140,14 @@
     G: RateGate,
     S: AsyncRead + AsyncWrite + Unpin,
 {
-    /// Checks the caller against the present view.
-    pub(super) fn check_caller(&mut self) -> Result<(Arc<FleetView>, GroupId), RequestTrouble> {
-        let (view, group) = self.identity.check(&self.shared.context.view)?;
+    /// Checks the caller against the present view, waiting a while for a lease that has lapsed.
+    pub(super) async fn check_caller(
+        &mut self,
+    ) -> Result<(Arc<FleetView>, GroupId), RequestTrouble> {
+        let (view, group) = match self.identity.check(&self.shared.context.view) {
+            Err(ErrorKind::NoView) => self.check_with_lease().await?,
+            checked => checked?,
+        };
         if self.group.as_ref() != Some(&group) {
             // Positions of another group mean nothing here.
             self.group = Some(group.clone());
@@ -149,13 +157,30 @@
         Ok((view, group))
     }
 
+    async fn check_with_lease(&mut self) -> Result<(Arc<FleetView>, GroupId), ErrorKind> {
+        let context = &self.shared.context;
+        let until = Instant::now() + LEASE_WAIT;
+        let mut changes = context.view.subscribe();
+        loop {
+            // The subscription is older than the check, so no change is missed.
+            match self.identity.check(&context.view) {
+                Err(ErrorKind::NoView) => {}
+                checked => return checked,
+            }
+            let changed = context.timer.within(until, changes.changed()).await;
+            if !matches!(changed, Some(Ok(()))) {
+                return Err(ErrorKind::NoView);
+            }
+        }
+    }
+
     /// Checks caller, route and rate before anything is sent.
     pub(super) async fn start_request(
         &mut self,
         needs: &UnitNeeds,
     ) -> Result<RequestFrame, RequestTrouble> {
         self.progress = SendProgress::Unsent;
-        let (view, group) = self.check_caller()?;
+        let (view, group) = self.check_caller().await?;
         let document = view.document.as_ref().ok_or(ErrorKind::NoView)?;
         self.check_route(document, needs)?;
         let limits = document.limits.clone();
--- a/crates/daisyseam-entry/src/caller/session/simple.rs
+++ b/crates/daisyseam-entry/src/caller/session/simple.rs
@@ -65,7 +65,7 @@
 {
     /// Runs the text of a simple query, without the answer that ends it.
     pub(super) async fn run_query(&mut self, text: String) -> Result<(), RequestTrouble> {
-        self.check_caller()?;
+        self.check_caller().await?;
         let class = self.shared.cache.classify(&text);
         for statement in &class.statements {
             refuse(&statement.kind)?;
--- a/crates/daisyseam-entry/tests/caller_keys.rs
+++ b/crates/daisyseam-entry/tests/caller_keys.rs
@@ -123,6 +123,20 @@
 }
 
 #[tokio::test]
+async fn a_request_waits_for_a_lease_that_comes_back_soon() {
+    let stage = Stage::start().await;
+    let client = stage.connect().await;
+    stage.end_lease();
+    let request = client.simple_query("SELECT 1");
+    let renewal = async {
+        tokio::task::yield_now().await;
+        stage.publish(1, &document(""));
+    };
+    let (answer, ()) = tokio::join!(request, renewal);
+    answer.unwrap();
+}
+
+#[tokio::test(start_paused = true)]
 async fn without_a_lease_keyed_requests_are_refused_and_open_ones_served() {
     let stage = Stage::start().await;
     let client = stage.connect().await;
