control: check decisions in virtual time, and keep the primary when a move's target lags

Cause: a planned move whose target did not catch up spent a term every few seconds and gave it to the same primary again, with writes held meanwhile; upkeep looked at every instance for every group and database. Change: such a move ends with the primary that there was and is tried again after 5 s; members, entries, databases and operators run in one thread and virtual time; upkeep looks at what changed only, and the status page is made once a second. Before: the test of a lagging target found the terms spent.

--- a/crates/daisyseam-control/src/core/groups.rs
+++ b/crates/daisyseam-control/src/core/groups.rs
@@ -32,6 +32,7 @@
     document::DataCentreState, //
 };
 use std::{
+    collections::BTreeMap,
     sync::Arc,
     time::Duration, //
 };
@@ -53,41 +54,59 @@
     }
 
     pub(super) fn step_groups(&mut self, now: Moment) {
-        let Some(document) = self.fleet.view().document.clone() else {
+        let view = Arc::clone(self.fleet.view());
+        let (Some(document), Some(leader)) = (&view.document, &self.leader) else {
             return;
         };
+        let mut members: BTreeMap<&GroupId, Vec<MemberFacts>> = BTreeMap::new();
+        for (name, upstream) in &view.upstreams {
+            let facts = leader.member_facts(now, &view, name, upstream);
+            members.entry(&upstream.group).or_default().push(facts);
+        }
         for group in document.groups.keys() {
-            self.step_group(now, group);
+            let members = members.remove(group).unwrap_or_default();
+            self.step_with(now, &view, group, &members);
         }
     }
 
     pub(super) fn step_group(&mut self, now: Moment, group: &GroupId) {
         let view = Arc::clone(self.fleet.view());
-        let entry = view
-            .document
-            .as_ref()
-            .and_then(|document| document.groups.get(group));
-        let in_charge = self.is_in_charge(now);
-        let (Some(entry), Some(leader), true) = (entry, &mut self.leader, in_charge) else {
+        let Some(leader) = &self.leader else {
             return;
         };
         let members: Vec<MemberFacts> = view
             .members(group)
             .map(|(name, upstream)| leader.member_facts(now, &view, name, upstream))
             .collect();
-        let changed = leader
-            .changed
-            .get(group)
-            .copied()
-            .unwrap_or(leader.begun_view);
+        self.step_with(now, &view, group, &members);
+    }
+
+    fn step_with(
+        &mut self,
+        now: Moment,
+        view: &FleetView,
+        group: &GroupId,
+        members: &[MemberFacts],
+    ) {
+        let document = view.document.as_ref();
+        let entry = document.and_then(|document| document.groups.get(group));
+        let in_charge = self.is_in_charge(now);
+        let (Some(entry), Some(leader), true) = (entry, &mut self.leader, in_charge) else {
+            return;
+        };
+        let changed = leader.changed.get(group).copied();
+        let changed = changed.unwrap_or(leader.begun_view);
         let state = view.groups.get(group);
+        // The machine asks for neither while a primary is active, and both cost a look at everybody.
+        let moving = state.is_some_and(|state| state.primary.active().is_none());
+        let open = state.filter(|_| moving);
         let facts = GroupFacts {
             group,
             view: state,
-            members: &members,
+            members,
             expected: entry.databases,
-            confirmed: leader.leases.is_finished(now, changed),
-            open_transactions: state.and_then(|state| leader.open(&view, group, state.term)),
+            confirmed: moving && leader.leases.is_finished(now, changed),
+            open_transactions: open.and_then(|state| leader.open(view, group, state.term)),
         };
         let settings = self.settings.promotion;
         let promotion = leader.groups.entry(group.clone());
@@ -95,7 +114,7 @@
         let actions = promotion.step(now, facts);
         let term = state.map_or_else(Term::default, |state| state.term);
         for action in actions {
-            self.act(now, &view, group, term, action);
+            self.act(now, view, group, term, action);
         }
     }
 
--- a/crates/daisyseam-control/src/core/holders.rs
+++ b/crates/daisyseam-control/src/core/holders.rs
@@ -11,6 +11,7 @@
     membership::wanted_holders, //
 };
 use daisyseam_model::{
+    FleetView,
     InstanceId,
     UpstreamId,
     UpstreamView, //
@@ -89,6 +90,9 @@
     /// Moves holders to where they should be, always with nobody in between.
     pub(super) fn update_holders(&mut self, now: Moment) {
         let view = Arc::clone(self.fleet.view());
+        if !self.holders_may_move(&view) {
+            return;
+        }
         let wanted = wanted_holders(&view);
         for (name, upstream) in &view.upstreams {
             let wanted = wanted.get(name).cloned().flatten();
@@ -108,6 +112,15 @@
         }
     }
 
+    /// Returns whether the view changed since the last look, or somebody still waits for a holder.
+    fn holders_may_move(&mut self, view: &FleetView) -> bool {
+        let Some(leader) = &mut self.leader else {
+            return false;
+        };
+        let seen = leader.holders_seen.replace(view.number);
+        seen != Some(view.number) || !leader.released.is_empty()
+    }
+
     fn propose_holder(
         &mut self,
         now: Moment,
--- a/crates/daisyseam-control/src/core/leader.rs
+++ b/crates/daisyseam-control/src/core/leader.rs
@@ -59,6 +59,8 @@
     pub(super) groups: BTreeMap<GroupId, GroupPromotion>,
     pub(super) changed: BTreeMap<GroupId, ViewNumber>,
     pub(super) released: BTreeMap<UpstreamId, (ViewNumber, Moment)>,
+    /// View for which the holders were last looked at.
+    pub(super) holders_seen: Option<ViewNumber>,
     pub(super) announced: BTreeMap<UpstreamId, AnnouncedUpstream>,
     pub(super) health: BTreeMap<UpstreamId, HealthNote>,
     pub(super) open: BTreeMap<(Incarnation, GroupId), OpenNote>,
@@ -108,6 +110,7 @@
             groups: BTreeMap::new(),
             changed: BTreeMap::new(),
             released: BTreeMap::new(),
+            holders_seen: None,
             announced: BTreeMap::new(),
             health: BTreeMap::new(),
             open: BTreeMap::new(),
--- a/crates/daisyseam-control/src/daemon.rs
+++ b/crates/daisyseam-control/src/daemon.rs
@@ -215,7 +215,7 @@
 
     /// Returns the status page, as of a moment ago.
     pub fn status(&self) -> Value {
-        self.report.load().status.clone()
+        self.report.load().status.as_ref().clone()
     }
 
     /// Waits until the daemon can decide nothing more, and returns why.
@@ -282,7 +282,7 @@
     }
 
     fn status(&self) -> Value {
-        self.report.load().status.clone()
+        self.report.load().status.as_ref().clone()
     }
 }
 
--- a/crates/daisyseam-control/src/node.rs
+++ b/crates/daisyseam-control/src/node.rs
@@ -67,7 +67,7 @@
 };
 
 /// Time between two updates of the status page.
-const STATUS_EVERY: Duration = Duration::from_millis(250);
+const STATUS_EVERY: Duration = Duration::from_millis(1_000);
 
 /// What reaches the node.
 pub(crate) enum NodeMessage {
@@ -103,8 +103,8 @@
     pub(crate) leader_known: bool,
     /// Why the node stopped deciding, if it did.
     pub(crate) failure: Option<String>,
-    /// The status page.
-    pub(crate) status: Value,
+    /// The status page, as of a moment ago.
+    pub(crate) status: Arc<Value>,
 }
 
 /// The actor; `S` is its store and `A` how it reaches databases.
@@ -139,6 +139,7 @@
     wake: watch::Sender<Instant>,
     report: Arc<ArcSwap<NodeReport>>,
     reported_at: Option<Moment>,
+    status: Arc<Value>,
     metrics: MetricClient,
     context: LinkContext,
     links: BTreeMap<InstanceId, MemberLink>,
@@ -170,6 +171,7 @@
             wake: arguments.wake,
             report: arguments.report,
             reported_at: None,
+            status: Arc::default(),
             metrics: arguments.metrics,
             context,
             links: BTreeMap::new(),
@@ -378,22 +380,26 @@
         let due = |at: Moment| now.since(at) >= STATUS_EVERY;
         if self.reported_at.is_none_or(due) {
             self.reported_at = Some(now);
-            self.publish(now);
+            self.status = Arc::new(self.core.status_json(now));
+            self.measure();
         }
+        self.publish(now);
+    }
+
+    fn measure(&self) {
+        let log = self.core.log();
+        self.metrics.gauge("control.term", log.term().0);
+        self.metrics.gauge("control.commit", log.commit().0);
+        self.metrics.gauge("control.leads", u64::from(log.leads()));
     }
 
     fn publish(&self, now: Moment) {
-        let status = self.core.status_json(now);
-        let leads = status["control"]["leads"] == Value::Bool(true);
-        self.metrics.gauge("control.term", self.core.log().term().0);
-        self.metrics
-            .gauge("control.commit", self.core.log().commit().0);
-        self.metrics.gauge("control.leads", u64::from(leads));
+        let log = self.core.log();
         self.report.store(Arc::new(NodeReport {
-            leads,
-            leader_known: self.core.log().leader().is_some(),
+            leads: log.has_lease(now),
+            leader_known: log.leader().is_some(),
             failure: self.failure.clone(),
-            status,
+            status: Arc::clone(&self.status),
         }));
     }
 
--- /dev/null
+++ b/crates/daisyseam-control/tests/core_support/mod.rs
@@ -0,0 +1,729 @@
+//! Members of control, entries, databases and operators in one thread and in virtual time.
+
+use daisyseam_control::{
+    AdminCall,
+    ControlCore,
+    CoreSettings,
+    DatabaseCall,
+    RequestId, //
+};
+use daisyseam_coord::{
+    Moment,
+    log::{
+        DurableLog,
+        LogMessage,
+        LogSettings,
+        LogWrite,
+        MemberTable,
+        ReplicatedLog, //
+    },
+    promotion::CallAnswer, //
+};
+use daisyseam_model::{
+    FleetView,
+    GroupId,
+    GroupView,
+    InstanceId,
+    LogPosition,
+    Position,
+    PrimaryState,
+    Term,
+    announce::{
+        UpstreamRole,
+        UpstreamState, //
+    }, //
+};
+use daisyseam_wire::{
+    GroupReport,
+    Heartbeat,
+    Hello,
+    ShowRequest,
+    SpareNotice,
+    SubmitReply,
+    SubmitRequest,
+    UpstreamReport,
+    control_message::Body, //
+};
+use rand_chacha::{
+    ChaCha8Rng,
+    rand_core::SeedableRng, //
+};
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
+    net::SocketAddr,
+    time::Duration, //
+};
+
+/// Time between two heartbeats of an entry, in milliseconds.
+const BEAT_EVERY: u64 = 200;
+/// Time after which an entry or operator turns to another member, in milliseconds.
+const PATIENCE: u64 = 500;
+
+pub(crate) const GROUP: &str = "bookings-db";
+
+pub(crate) fn document(number: u64) -> String {
+    let text = crate::support::DOCUMENT.replace("number = 1", &format!("number = {number}"));
+    let second = "[[data_centre]]\nname = \"khomas-2\"\nregion = \"khomas\"\n\n[[group]]";
+    text.replacen("[[group]]", second, 1)
+}
+
+/// A member of control with its disk.
+struct Member {
+    name: InstanceId,
+    core: Option<ControlCore>,
+    disk: DurableLog,
+    spare: bool,
+}
+
+/// An entry that keeps its lease.
+pub(crate) struct Entry {
+    name: String,
+    pub(crate) view: FleetView,
+    text: String,
+    pub(crate) lease_until: u64,
+    pub(crate) incarnation: u64,
+    pub(crate) cut: bool,
+    pub(crate) leaving: bool,
+    asks: usize,
+    sequence: u64,
+    asked_at: u64,
+    waits: bool,
+    welcome: bool,
+}
+
+/// A database that only knows its state.
+pub(crate) struct Database {
+    pub(crate) name: String,
+    pub(crate) state: UpstreamState,
+    pub(crate) cut: bool,
+    pub(crate) leaving: bool,
+}
+
+/// An operator with one submission.
+struct Operator {
+    request: SubmitRequest,
+    asks: usize,
+    asked_at: u64,
+    answer: Option<SubmitReply>,
+    loses: usize,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Asker {
+    Entry(usize, u64),
+    Operator(usize),
+    Reader,
+}
+
+pub(crate) struct World {
+    pub(crate) now: u64,
+    members: Vec<Member>,
+    pub(crate) cut_members: BTreeSet<usize>,
+    wire: Vec<(u64, usize, usize, LogMessage)>,
+    calls: Vec<(u64, usize, DatabaseCall)>,
+    replies: Vec<(u64, Asker, usize, Body)>,
+    askers: BTreeMap<(usize, RequestId), Asker>,
+    last_request: u64,
+    pub(crate) entries: Vec<Entry>,
+    pub(crate) databases: Vec<Database>,
+    operators: Vec<Operator>,
+    pub(crate) read: Option<Body>,
+    /// Whether replicas get nothing new.
+    pub(crate) stalled: bool,
+    seed: u64,
+}
+
+impl World {
+    pub(crate) fn new(voters: usize, spares: usize, entries: usize) -> Self {
+        let name = |number: usize| -> InstanceId {
+            format!("control-{number}").parse().expect("a sound name")
+        };
+        let table =
+            MemberTable::of_voters((0..voters).map(|number| (name(number), address(number))));
+        let member = |number: usize| Member {
+            name: name(number),
+            core: None,
+            disk: DurableLog::first(match number < voters {
+                true => table.clone(),
+                false => MemberTable::default(),
+            }),
+            spare: number >= voters,
+        };
+        let database = |number: usize| Database {
+            name: format!("bookings-{number}"),
+            state: UpstreamState {
+                promised: Term(1),
+                end: LogPosition {
+                    term: Term(1),
+                    position: Position(10),
+                },
+                role: match number {
+                    0 => UpstreamRole::Primary,
+                    _ => UpstreamRole::Replica,
+                },
+            },
+            cut: false,
+            leaving: false,
+        };
+        let mut world = Self {
+            now: 0,
+            members: (0..voters + spares).map(member).collect(),
+            cut_members: BTreeSet::new(),
+            wire: Vec::new(),
+            calls: Vec::new(),
+            replies: Vec::new(),
+            askers: BTreeMap::new(),
+            last_request: 0,
+            entries: (0..entries).map(entry).collect(),
+            databases: (0..3).map(database).collect(),
+            operators: Vec::new(),
+            read: None,
+            stalled: false,
+            seed: 0,
+        };
+        for number in 0..world.members.len() {
+            world.start(number);
+        }
+        world
+    }
+
+    /// Starts a member from its disk, or starts it again.
+    pub(crate) fn start(&mut self, number: usize) {
+        self.seed += 1;
+        let now = self.moment();
+        let member = &mut self.members[number];
+        let random = ChaCha8Rng::seed_from_u64(self.seed);
+        let disk = member.disk.clone();
+        let name = member.name.clone();
+        let log = ReplicatedLog::recover(name.clone(), LogSettings::default(), disk, now, random);
+        let settings = CoreSettings {
+            snapshot_every: 32,
+            repair_after: Duration::from_secs(2),
+            ..CoreSettings::new(name, crate::support::cluster())
+        };
+        member.core = Some(ControlCore::new(settings, log));
+        self.flush(number);
+    }
+
+    pub(crate) fn stop(&mut self, number: usize) {
+        self.members[number].core = None;
+    }
+
+    /// Restarts an entry as a new process.
+    pub(crate) fn restart_entry(&mut self, number: usize) {
+        let cut = self.entries[number].cut;
+        self.entries[number] = Entry {
+            cut,
+            ..entry(number)
+        };
+    }
+
+    pub(crate) fn leader(&self) -> Option<usize> {
+        let now = self.moment();
+        let leads = |member: &Member| {
+            let core = member.core.as_ref();
+            core.is_some_and(|core| core.log().has_lease(now))
+        };
+        self.members.iter().position(leads)
+    }
+
+    pub(crate) fn core(&self, number: usize) -> &ControlCore {
+        self.members[number].core.as_ref().expect("it runs")
+    }
+
+    /// Submits a document; the first so many answers are lost.
+    pub(crate) fn submit(&mut self, id: &str, replaces: u64, loses: usize) -> usize {
+        self.operators.push(Operator {
+            request: SubmitRequest {
+                id: id.to_owned(),
+                replaces,
+                text: document(replaces + 1),
+                operator: "amalia".to_owned(),
+            },
+            asks: self.operators.len(),
+            asked_at: 0,
+            answer: None,
+            loses,
+        });
+        self.operators.len() - 1
+    }
+
+    pub(crate) fn answer(&self, operator: usize) -> Option<&SubmitReply> {
+        self.operators[operator].answer.as_ref()
+    }
+
+    pub(crate) fn read(&mut self, member: usize, linearizable: bool) -> Body {
+        self.read = None;
+        let show = ShowRequest {
+            number: 0,
+            linearizable,
+        };
+        self.ask(member, Asker::Reader, Body::Show(show));
+        self.pass(5);
+        self.read.clone().expect("a member that runs answers")
+    }
+
+    pub(crate) fn pass(&mut self, millis: u64) {
+        for _ in 0..millis {
+            self.now += 1;
+            self.deliver();
+            self.replicate();
+            for number in 0..self.members.len() {
+                let now = self.moment();
+                if let Some(core) = &mut self.members[number].core
+                    && now >= core.next_tick()
+                {
+                    core.tick(now);
+                }
+                self.flush(number);
+            }
+            if self.now.is_multiple_of(BEAT_EVERY) {
+                self.notice_spares();
+            }
+            for number in 0..self.entries.len() {
+                self.run_entry(number);
+            }
+            for number in 0..self.operators.len() {
+                self.run_operator(number);
+            }
+            self.check();
+        }
+    }
+
+    /// Lets time pass until a condition holds.
+    pub(crate) fn pass_until(&mut self, what: &str, holds: impl Fn(&Self) -> bool) {
+        for _ in 0..30_000 {
+            if holds(self) {
+                return;
+            }
+            self.pass(1);
+        }
+        panic!("{what}: not within 30 seconds");
+    }
+
+    /// Returns the primary that an entry would write to now.
+    pub(crate) fn primary(&self, entry: usize) -> Option<String> {
+        let entry = &self.entries[entry];
+        let group = entry.view.groups.get(GROUP)?;
+        let active = group
+            .primary
+            .active()
+            .filter(|_| self.now < entry.lease_until);
+        active.map(ToString::to_string)
+    }
+
+    /// Returns the term of the group by the leader's word.
+    pub(crate) fn group_term(&self) -> u64 {
+        let leader = self.leader().expect("a leader");
+        self.core(leader).fleet().view().groups[GROUP].term.0
+    }
+
+    /// Returns whether every database has a holder in the view of an entry.
+    pub(crate) fn all_held(&self, entry: usize) -> bool {
+        let upstreams = &self.entries[entry].view.upstreams;
+        upstreams.len() == 3 && upstreams.values().all(|upstream| upstream.holder.is_some())
+    }
+
+    fn moment(&self) -> Moment {
+        Moment::from_millis(self.now)
+    }
+
+    fn ask(&mut self, member: usize, asker: Asker, body: Body) {
+        if self.cut_members.contains(&member) && !matches!(asker, Asker::Reader) {
+            return;
+        }
+        let now = self.moment();
+        self.last_request += 1;
+        let request = RequestId(self.last_request);
+        self.askers.insert((member, request), asker);
+        if let Some(core) = &mut self.members[member].core {
+            core.request(now, self.now, request, body);
+        }
+        self.flush(member);
+    }
+
+    fn flush(&mut self, number: usize) {
+        let now = self.moment();
+        loop {
+            let member = &mut self.members[number];
+            let Some(core) = &mut member.core else {
+                return;
+            };
+            let output = core.take_log_output();
+            if output.is_empty() {
+                break;
+            }
+            write(&mut member.disk, output.writes);
+            core.synced(now);
+            core.apply(now, output.restore, output.apply);
+            for (to, message) in output.early.into_iter().chain(output.late) {
+                let to = self.members.iter().position(|member| member.name == to);
+                let to = to.expect("a member");
+                self.wire.push((self.now + 1, number, to, message));
+            }
+        }
+        let member = &mut self.members[number];
+        let Some(core) = &mut member.core else {
+            return;
+        };
+        if let Some(snapshot) = core.take_snapshot() {
+            member
+                .disk
+                .entries
+                .retain(|entry| entry.index > snapshot.index);
+            member.disk.snapshot = snapshot;
+        }
+        let output = core.take_output();
+        for (request, body) in output.replies {
+            if let Some(asker) = self.askers.remove(&(number, request)) {
+                self.replies.push((self.now + 1, asker, number, body));
+            }
+        }
+        for call in output.calls {
+            self.calls.push((self.now + 2, number, call));
+        }
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now;
+        let wire = std::mem::take(&mut self.wire);
+        for (due, from, to, message) in wire {
+            if due > now {
+                self.wire.push((due, from, to, message));
+            } else if !self.cut_members.contains(&from) && !self.cut_members.contains(&to) {
+                let name = self.members[from].name.clone();
+                let moment = self.moment();
+                if let Some(core) = &mut self.members[to].core {
+                    core.receive(moment, &name, message);
+                }
+                self.flush(to);
+            }
+        }
+        let calls = std::mem::take(&mut self.calls);
+        for (due, member, call) in calls {
+            if due > now {
+                self.calls.push((due, member, call));
+                continue;
+            }
+            let answer = self.call(member, &call);
+            let moment = self.moment();
+            if let Some(core) = &mut self.members[member].core {
+                let named = (call.kind, call.term);
+                core.call_answered(moment, &call.group, &call.upstream, named, &answer);
+            }
+            self.flush(member);
+        }
+        let replies = std::mem::take(&mut self.replies);
+        for (due, asker, member, body) in replies {
+            if due > now {
+                self.replies.push((due, asker, member, body));
+            } else {
+                self.reply(asker, member, body);
+            }
+        }
+    }
+
+    fn replicate(&mut self) {
+        let leads =
+            |database: &&Database| database.state.role == UpstreamRole::Primary && !database.cut;
+        let primary = self
+            .databases
+            .iter()
+            .filter(leads)
+            .max_by_key(|database| database.state.promised);
+        let Some(state) = primary
+            .map(|primary| primary.state.clone())
+            .filter(|_| !self.stalled)
+        else {
+            return;
+        };
+        for database in self.databases.iter_mut().filter(|database| !database.cut) {
+            if database.state.role == UpstreamRole::Replica
+                && database.state.promised == state.promised
+            {
+                database.state.end = state.end;
+            }
+        }
+    }
+
+    fn call(&mut self, member: usize, call: &DatabaseCall) -> CallAnswer {
+        let database = self.databases.iter_mut();
+        let mut database = database.filter(|database| database.name == call.upstream.as_str());
+        let database = database.next().expect("a database");
+        if database.cut || self.cut_members.contains(&member) {
+            return CallAnswer::Lost;
+        }
+        let state = &mut database.state;
+        let (term, role) = match &call.call {
+            AdminCall::State | AdminCall::Await(_) => return CallAnswer::State(state.clone()),
+            AdminCall::Fence(term) => (*term, UpstreamRole::Detached),
+            AdminCall::Promote(promote) => (promote.term, UpstreamRole::Primary),
+            AdminCall::Follow(follow) => (follow.term, UpstreamRole::Replica),
+        };
+        if term < state.promised {
+            return CallAnswer::Refused;
+        }
+        state.role = role;
+        state.promised = term;
+        if role == UpstreamRole::Primary {
+            state.end.term = term;
+        }
+        CallAnswer::State(state.clone())
+    }
+
+    fn reply(&mut self, asker: Asker, member: usize, body: Body) {
+        let cut = self.cut_members.contains(&member);
+        match asker {
+            Asker::Reader => self.read = Some(body),
+            Asker::Operator(number) if !cut => self.answer_operator(number, body),
+            Asker::Entry(number, sent) if !cut && !self.entries[number].cut => {
+                self.answer_entry(number, sent, body);
+            }
+            Asker::Operator(_) | Asker::Entry(..) => {}
+        }
+    }
+
+    fn answer_operator(&mut self, number: usize, body: Body) {
+        let operator = &mut self.operators[number];
+        match body {
+            Body::Submitted(reply) if !reply.busy => {
+                if operator.loses > 0 {
+                    operator.loses -= 1;
+                } else if operator.answer.is_none() {
+                    operator.answer = Some(reply);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn run_operator(&mut self, number: usize) {
+        let count = self.members.len();
+        let operator = &mut self.operators[number];
+        if operator.answer.is_some() || self.now < operator.asked_at + PATIENCE {
+            return;
+        }
+        operator.asked_at = self.now;
+        operator.asks += 1;
+        let member = operator.asks % count;
+        let body = Body::Submit(operator.request.clone());
+        self.ask(member, Asker::Operator(number), body);
+    }
+
+    fn answer_entry(&mut self, number: usize, sent: u64, body: Body) {
+        let count = self.members.len();
+        let entry = &mut self.entries[number];
+        entry.waits = false;
+        match body {
+            Body::Welcome(welcome) => {
+                assert!(
+                    welcome.incarnation >= entry.incarnation,
+                    "an incarnation goes back"
+                );
+                entry.incarnation = welcome.incarnation;
+                entry.welcome = true;
+            }
+            Body::HeartbeatReply(reply) => {
+                if let Some(update) = &reply.update {
+                    let applied = update.apply(&entry.view, &entry.text);
+                    let (view, text) = applied.expect("the update fits");
+                    assert!(view.number > entry.view.number, "the view goes back");
+                    assert!(
+                        view.document_number >= entry.view.document_number,
+                        "it reverts"
+                    );
+                    (entry.view, entry.text) = (view, text);
+                }
+                if reply.lease_ms > 0 {
+                    entry.lease_until = entry.lease_until.max(sent + reply.lease_ms);
+                }
+            }
+            _ => {
+                entry.asks = (entry.asks + 1) % count;
+                entry.welcome = false;
+            }
+        }
+    }
+
+    fn run_entry(&mut self, number: usize) {
+        let count = self.members.len();
+        let reports: Vec<UpstreamReport> = match number {
+            0 => self
+                .databases
+                .iter()
+                .filter(|database| !database.cut)
+                .map(report)
+                .collect(),
+            _ => Vec::new(),
+        };
+        let now = self.now;
+        let entry = &mut self.entries[number];
+        if entry.waits && now >= entry.asked_at + PATIENCE {
+            entry.waits = false;
+            entry.welcome = false;
+            entry.asks = (entry.asks + 1) % count;
+        }
+        if entry.waits || now < entry.asked_at + if entry.welcome { BEAT_EVERY } else { 20 } {
+            return;
+        }
+        entry.asked_at = now;
+        entry.waits = true;
+        if entry.cut {
+            return;
+        }
+        let body = if entry.welcome {
+            entry.sequence += 1;
+            Body::Heartbeat(Heartbeat {
+                sequence: entry.sequence,
+                incarnation: entry.incarnation,
+                view: entry.view.number.0,
+                leaving: entry.leaving,
+                upstreams: reports,
+                groups: group_reports(&entry.view),
+                instance: entry.name.clone(),
+                ..Heartbeat::default()
+            })
+        } else {
+            Body::Hello(Hello {
+                instance: entry.name.clone(),
+                incarnation: entry.incarnation,
+                data_centre: "khomas-1".to_owned(),
+                peer_address: "127.0.0.1:7400".to_owned(),
+                view: entry.view.number.0,
+            })
+        };
+        let member = entry.asks;
+        self.ask(member, Asker::Entry(number, now), body);
+    }
+
+    fn notice_spares(&mut self) {
+        for number in 0..self.members.len() {
+            let member = &self.members[number];
+            if !member.spare || member.core.is_none() || self.cut_members.contains(&number) {
+                continue;
+            }
+            let notice = SpareNotice {
+                instance: member.name.to_string(),
+                address: address(number).to_string(),
+            };
+            for other in 0..self.members.len() {
+                self.ask(other, Asker::Reader, Body::Spare(notice.clone()));
+            }
+        }
+    }
+
+    /// Checks what must hold at every moment.
+    fn check(&self) {
+        let now = self.moment();
+        let running = self
+            .members
+            .iter()
+            .filter_map(|member| member.core.as_ref());
+        let leases = running.filter(|core| core.log().has_lease(now)).count();
+        assert!(leases <= 1, "two members speak for control");
+        let mut holders: BTreeMap<&str, &str> = BTreeMap::new();
+        let mut primaries: BTreeSet<&str> = BTreeSet::new();
+        for entry in self
+            .entries
+            .iter()
+            .filter(|entry| self.now < entry.lease_until)
+        {
+            for (name, upstream) in &entry.view.upstreams {
+                let own = upstream
+                    .holder
+                    .as_ref()
+                    .is_some_and(|holder| holder.as_str() == entry.name);
+                if own {
+                    let other = holders.insert(name.as_str(), &entry.name);
+                    assert!(
+                        other.is_none(),
+                        "{name} is held by {other:?} and {}",
+                        entry.name
+                    );
+                }
+            }
+            let group = entry.view.groups.get(GROUP);
+            if let Some(PrimaryState::Active(primary)) = group.map(|group| &group.primary) {
+                primaries.insert(primary.as_str());
+            }
+        }
+        assert!(
+            primaries.len() <= 1,
+            "entries act on two primaries: {primaries:?}"
+        );
+    }
+}
+
+fn entry(number: usize) -> Entry {
+    Entry {
+        name: format!("entry-{number}"),
+        view: FleetView::default(),
+        text: String::new(),
+        lease_until: 0,
+        incarnation: 0,
+        cut: false,
+        leaving: false,
+        asks: 0,
+        sequence: 0,
+        asked_at: 0,
+        waits: false,
+        welcome: false,
+    }
+}
+
+fn group_reports(view: &FleetView) -> Vec<GroupReport> {
+    let draining = view.groups.iter();
+    let draining = draining.filter(|(_, group)| matches!(group.primary, PrimaryState::Draining(_)));
+    let report = |(name, group): (&GroupId, &GroupView)| GroupReport {
+        group: name.to_string(),
+        term: group.term.0,
+        open_transactions: 0,
+    };
+    draining.map(report).collect()
+}
+
+fn report(database: &Database) -> UpstreamReport {
+    let address = "127.0.0.1:5432".to_owned();
+    UpstreamReport {
+        upstream: database.name.clone(),
+        group: GROUP.to_owned(),
+        data_centre: "khomas-1".to_owned(),
+        admin_address: address.clone(),
+        address,
+        term: database.state.end.term.0,
+        position: database.state.end.position.0,
+        primary: database.state.role == UpstreamRole::Primary,
+        leaving: database.leaving,
+        age_ms: 0,
+    }
+}
+
+fn address(number: usize) -> SocketAddr {
+    SocketAddr::from((
+        [127, 0, 0, 1],
+        7_000 + u16::try_from(number).expect("it fits"),
+    ))
+}
+
+fn write(disk: &mut DurableLog, writes: Vec<LogWrite>) {
+    for write in writes {
+        match write {
+            LogWrite::Vote { term, voted_for } => {
+                disk.term = term;
+                disk.voted_for = voted_for;
+            }
+            LogWrite::Entries(entries) => {
+                let first = entries[0].index;
+                disk.entries.retain(|entry| entry.index < first);
+                disk.entries.extend(entries);
+            }
+            LogWrite::Snapshot(snapshot) => {
+                disk.entries.clear();
+                disk.snapshot = snapshot;
+            }
+        }
+    }
+}
--- a/crates/daisyseam-coord/src/membership.rs
+++ b/crates/daisyseam-coord/src/membership.rs
@@ -50,19 +50,24 @@
 struct LoadTable<'a> {
     view: &'a FleetView,
     held: BTreeMap<&'a InstanceId, usize>,
+    able: BTreeMap<&'a DataCentreId, Vec<&'a InstanceId>>,
     limits: BTreeMap<&'a DataCentreId, usize>,
 }
 
 impl<'a> LoadTable<'a> {
     fn of(view: &'a FleetView) -> Self {
-        let able = view
-            .instances
-            .iter()
-            .filter(|(_, instance)| !instance.leaving);
-        let held = able.map(|(name, _)| (name, 0)).collect();
+        let mut held = BTreeMap::new();
+        let mut able: BTreeMap<_, Vec<_>> = BTreeMap::new();
+        for (name, instance) in &view.instances {
+            if !instance.leaving {
+                held.insert(name, 0);
+                able.entry(&instance.data_centre).or_default().push(name);
+            }
+        }
         let mut table = Self {
             view,
             held,
+            able,
             limits: BTreeMap::new(),
         };
         table.limits = table.count_limits();
@@ -83,9 +88,8 @@
     }
 
     fn able_in(&self, centre: &DataCentreId) -> impl Iterator<Item = &'a InstanceId> {
-        let view = self.view;
-        let able = self.held.keys().copied();
-        able.filter(move |name| &view.instances[*name].data_centre == centre)
+        let able = self.able.get(centre).map_or(&[][..], Vec::as_slice);
+        able.iter().copied()
     }
 
     fn keeps(&self, holder: &InstanceId, centre: &DataCentreId) -> bool {
--- a/crates/daisyseam-coord/src/promotion/group.rs
+++ b/crates/daisyseam-coord/src/promotion/group.rs
@@ -35,6 +35,8 @@
     pub drain_for: Duration,
     /// Time for which a planned move waits for its target to catch up.
     pub catch_up_for: Duration,
+    /// Time after which a planned move that came to nothing is tried again.
+    pub move_again_after: Duration,
     /// Time for which a new group waits for the databases that have not announced themselves.
     pub gather_for: Duration,
     /// Time after which databases that follow are asked to do so again.
@@ -49,6 +51,7 @@
             promote_for: Duration::from_millis(1_000),
             drain_for: Duration::from_millis(4_000),
             catch_up_for: Duration::from_millis(2_000),
+            move_again_after: Duration::from_millis(5_000),
             gather_for: Duration::from_millis(1_000),
             follow_every: Duration::from_millis(5_000),
         }
@@ -160,6 +163,7 @@
     pub(super) followed: BTreeMap<UpstreamId, (Term, Moment)>,
     pub(super) gathering_since: Option<Moment>,
     pub(super) active_since: Option<(Term, Moment)>,
+    pub(super) move_after: Moment,
     pub(super) actions: Vec<PromotionAction>,
 }
 
@@ -173,6 +177,7 @@
             followed: BTreeMap::new(),
             gathering_since: None,
             active_since: None,
+            move_after: Moment::ORIGIN,
             actions: Vec::new(),
         }
     }
--- a/crates/daisyseam-coord/src/promotion/stage.rs
+++ b/crates/daisyseam-coord/src/promotion/stage.rs
@@ -134,6 +134,9 @@
         if self.is_lost(now, facts, primary) {
             return self.propose_fence(now, facts, view.term, view.term.next(), None);
         }
+        if now < self.move_after {
+            return;
+        }
         if let Some(target) = move_target(facts, primary) {
             self.propose_drain(now, facts, view, primary, target);
         }
@@ -234,12 +237,8 @@
         }
         self.keep_following(now, facts, view, primary);
         let Some(target) = move_target(facts, primary) else {
-            // The reason for the move is gone, or nobody can take over: the primary stays.
-            if self.is_due(now, primary, CallKind::Promote) {
-                let state = PrimaryState::Active(primary.clone());
-                self.propose_state(facts, view, state, view.lineage_start);
-            }
-            return;
+            // The reason for the move is gone, or nobody can take over.
+            return self.keep_primary(now, facts, view, primary);
         };
         if facts
             .members
@@ -267,17 +266,37 @@
                     self.actions.push(PromotionAction::State(primary.clone()));
                 }
             }
-            Some((end, since)) => {
-                if planned.reached || now.since(since) >= self.settings.catch_up_for {
-                    let next = view.term.next();
-                    self.propose_fence(now, facts, view.term, next, Some(target));
-                } else if self.is_due(now, &target, CallKind::Await) {
+            Some(_) if planned.reached => {
+                let next = view.term.next();
+                self.propose_fence(now, facts, view.term, next, Some(target));
+            }
+            Some((_, since)) if now.since(since) >= self.settings.catch_up_for => {
+                // Another term would only give it to the same primary again.
+                self.move_after = now + self.settings.move_again_after;
+                self.keep_primary(now, facts, view, primary);
+            }
+            Some((end, _)) => {
+                if self.is_due(now, &target, CallKind::Await) {
                     self.actions.push(PromotionAction::Await(target, end));
                 }
             }
         }
     }
 
+    /// Ends a move with the primary that there was.
+    fn keep_primary(
+        &mut self,
+        now: Moment,
+        facts: GroupFacts<'_>,
+        view: &GroupView,
+        primary: &UpstreamId,
+    ) {
+        if self.is_due(now, primary, CallKind::Promote) {
+            let state = PrimaryState::Active(primary.clone());
+            self.propose_state(facts, view, state, view.lineage_start);
+        }
+    }
+
     /// Goes on with a move that an earlier leader began.
     fn adopt_move(&mut self, now: Moment, view: &GroupView, target: UpstreamId) {
         let known = matches!(
