Secure links between instances and offer TLS to callers

Cause: the entry spoke plain TCP to peers, control and callers.

Change: connections to peers and control use the fleet's mutual TLS when its files are named, and callers are offered TLS with a certificate of their own; changed files are taken over every 30 s.

A run against a control daemon with TLS was not made: control does not offer it yet.

--- a/crates/daisyseam-entry/src/control_client.rs
+++ b/crates/daisyseam-entry/src/control_client.rs
@@ -24,6 +24,7 @@
     StopSignal,
     TimerService, //
 };
+use daisyseam_wire::PeerSecurity;
 use keeper::ViewKeeper;
 use rand::Rng;
 use session::{
@@ -70,6 +71,8 @@
     pub gate: FleetGate,
     /// Outgoing connections.
     pub dialer: Dialer,
+    /// How both sides prove themselves.
+    pub security: PeerSecurity,
     /// Timer service.
     pub timer: TimerService,
     /// Given when the instance is leaving.
--- a/crates/daisyseam-entry/src/control_client/session.rs
+++ b/crates/daisyseam-entry/src/control_client/session.rs
@@ -18,6 +18,8 @@
     MessageSender,
     MessageStream,
     NotLeader,
+    PeerRole,
+    PeerSocket,
     StreamError,
     control_message::Body, //
 };
@@ -26,10 +28,7 @@
     net::SocketAddr,
     time::Duration, //
 };
-use tokio::{
-    net::TcpStream,
-    time::Instant, //
-};
+use tokio::time::Instant;
 
 /// Time between two heartbeats.
 const HEARTBEAT: Duration = Duration::from_millis(200);
@@ -64,8 +63,8 @@
 pub(super) struct ControlSession<'a> {
     settings: &'a ClientSettings,
     keeper: &'a mut ViewKeeper,
-    sender: MessageSender<TcpStream, ControlMessage>,
-    receiver: MessageReceiver<TcpStream, ControlMessage>,
+    sender: MessageSender<PeerSocket, ControlMessage>,
+    receiver: MessageReceiver<PeerSocket, ControlMessage>,
     teller: HealthTeller,
     sent: VecDeque<(u64, Instant)>,
     heard_at: Instant,
@@ -212,9 +211,11 @@
     settings: &ClientSettings,
     keeper: &ViewKeeper,
     target: SocketAddr,
-) -> Result<MessageStream<TcpStream, ControlMessage>, SessionEnd> {
+) -> Result<MessageStream<PeerSocket, ControlMessage>, SessionEnd> {
     let socket = settings.dialer.connect(target).await;
     let socket = socket.map_err(|error| SessionEnd::Failed(error.to_string()))?;
+    let secured = settings.security.client(socket, PeerRole::Control).await;
+    let socket = secured.map_err(|error| SessionEnd::Failed(error.to_string()))?;
     let mut stream = MessageStream::new(socket, settings.cluster.clone());
     let hello = Hello {
         instance: settings.instance.to_string(),
--- a/crates/daisyseam-entry/src/daemon.rs
+++ b/crates/daisyseam-entry/src/daemon.rs
@@ -30,6 +30,10 @@
         PeerSettings,
         ServerSettings, //
     },
+    security::{
+        CallerCertificate,
+        EntrySecurity, //
+    },
     settings::EntrySettings, //
 };
 use daisyseam_runtime::{
@@ -41,6 +45,7 @@
     StopSignal,
     TimerService, //
 };
+use daisyseam_wire::SecurityError;
 use displaydoc::Display;
 use status::EntryStatus;
 use std::{
@@ -49,11 +54,17 @@
     net::SocketAddr,
     time::Duration, //
 };
-use tokio::net::TcpListener;
+use tokio::{
+    net::TcpListener,
+    task::AbortHandle, //
+};
 
 /// Part of the stop's time that callers may take; the rest is for handing databases over.
 const CALLER_STOP_SHARE: f64 = 0.7;
 
+/// Time between two readings of the certificates.
+const RELOAD_INTERVAL: Duration = Duration::from_secs(30);
+
 /// Time between two looks at whether control has moved the databases.
 const HAND_OVER_LOOK: Duration = Duration::from_millis(50);
 
@@ -66,6 +77,8 @@
     Spans(io::Error),
     /// metrics cannot be sent: {0}
     Metrics(MetricsError),
+    /// {0}
+    Security(SecurityError),
     /// the HTTP client cannot be set up: {0}
     Http(reqwest::Error),
 }
@@ -83,15 +96,30 @@
     cell: ViewCell,
     timer: TimerService,
     stop: StopSignal,
+    reloading: ReloadGuard,
 }
 
 impl EntryDaemon {
-    /// Starts every part; callers are refused until control has given a view.
+    /// Starts every part with plain connections; callers are refused until control has given a
+    /// view.
     ///
     /// # Errors
     ///
     /// [`StartError`] when an address or a file cannot be used.
     pub async fn start(settings: EntrySettings) -> Result<Self, StartError> {
+        let security = EntrySecurity::plain(settings.cluster.clone());
+        Self::start_secured(settings, security).await
+    }
+
+    /// Starts every part; certificates are read again from time to time.
+    ///
+    /// # Errors
+    ///
+    /// [`StartError`] when an address or a file cannot be used.
+    pub async fn start_secured(
+        settings: EntrySettings,
+        security: EntrySecurity,
+    ) -> Result<Self, StartError> {
         let timer = TimerService::start();
         let stop = StopSignal::new();
         let cell = ViewCell::new();
@@ -120,6 +148,7 @@
                 cell: cell.clone(),
                 timer: timer.clone(),
                 spans: spans.clone(),
+                security: security.peers.clone(),
             },
         )
         .map_err(|error| StartError::Listen(settings.peer_listen, error))?;
@@ -133,11 +162,14 @@
                 incarnation: incarnation.clone(),
                 dialer,
                 timer: timer.clone(),
+                security: security.peers.clone(),
             }),
             timer: timer.clone(),
             metrics: metrics.clone(),
         });
         let gate = FleetGate::new(cell.clone(), timer.clone());
+        let acceptor = security.callers.as_ref().map(CallerCertificate::acceptor);
+        let acceptor = acceptor.transpose().map_err(StartError::Security)?;
         let callers = CallerServer::start(
             caller_listener,
             CallerContext {
@@ -151,7 +183,7 @@
                 metrics: metrics.clone(),
                 spans,
                 stop: stop.clone(),
-                tls: None,
+                tls: acceptor,
             },
         )
         .map_err(|error| StartError::Listen(settings.caller_listen, error))?;
@@ -181,6 +213,7 @@
             counts: broker.counts().clone(),
             gate: gate.clone(),
             dialer,
+            security: security.peers.clone(),
             timer: timer.clone(),
             stop: stop.clone(),
         });
@@ -192,6 +225,7 @@
             table,
             gate,
             cell,
+            reloading: ReloadGuard::start(security, timer.clone()),
             timer,
             stop,
         })
@@ -235,6 +269,7 @@
         let released = self.table.release_all();
         let released = self.timer.within(end, released.finish()).await.is_some();
         log::info!("stopped: callers drained {drained}, databases handed over {handed_over}");
+        drop(self.reloading);
         drop(self.control);
         drained && released
     }
@@ -249,6 +284,30 @@
     }
 }
 
+/// Takes changed certificates over until it is dropped.
+struct ReloadGuard(AbortHandle);
+
+impl ReloadGuard {
+    fn start(security: EntrySecurity, timer: TimerService) -> Self {
+        Self(tokio::spawn(reload_often(security, timer)).abort_handle())
+    }
+}
+
+impl Drop for ReloadGuard {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+async fn reload_often(security: EntrySecurity, timer: TimerService) {
+    loop {
+        timer.after(RELOAD_INTERVAL).await;
+        if let Err(error) = security.reload() {
+            log::warn!("the earlier certificates stay in use: {error}");
+        }
+    }
+}
+
 async fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
     TcpListener::bind(address)
         .await
--- a/crates/daisyseam-entry/src/lib.rs
+++ b/crates/daisyseam-entry/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod fleet;
 pub mod holder;
 pub mod peer;
+pub mod security;
 mod settings;
 mod view_cell;
 
--- a/crates/daisyseam-entry/src/main.rs
+++ b/crates/daisyseam-entry/src/main.rs
@@ -3,7 +3,8 @@
 use daisyseam_entry::{
     EntryArguments,
     EntryDaemon,
-    EntrySettings, //
+    EntrySettings,
+    security::EntrySecurity, //
 };
 use daisyseam_runtime::{
     SettingReader,
@@ -24,6 +25,7 @@
 /// Settings of the process around the daemon.
 struct ProcessSettings {
     entry: EntrySettings,
+    security: EntrySecurity,
     log_level: LevelFilter,
     log_file: Option<PathBuf>,
     threads: usize,
@@ -50,14 +52,20 @@
         reader.problem("threads", "is zero".to_owned());
     }
     let stop = reader.millis("stop-ms", arguments.stop_ms.clone(), STOP_DEFAULT);
-    let entry = EntrySettings::read(arguments, &mut reader);
-    let settings = entry.map(|entry| ProcessSettings {
-        entry,
-        log_level,
-        log_file,
-        threads,
-        stop,
-    });
+    let entry = EntrySettings::read(arguments.clone(), &mut reader);
+    let security = entry
+        .as_ref()
+        .and_then(|entry| EntrySecurity::read_settings(&arguments, &entry.cluster, &mut reader));
+    let settings = entry
+        .zip(security)
+        .map(|(entry, security)| ProcessSettings {
+            entry,
+            security,
+            log_level,
+            log_file,
+            threads,
+            stop,
+        });
     reader.finish(settings).map_err(|problems| {
         for problem in problems {
             eprintln!("{problem}");
@@ -90,7 +98,7 @@
         log::error!("signals cannot be handled: {error}");
         return exit::FAILURE;
     }
-    let daemon = match EntryDaemon::start(settings.entry).await {
+    let daemon = match EntryDaemon::start_secured(settings.entry, settings.security).await {
         Ok(daemon) => daemon,
         Err(error) => {
             log::error!("{error}");
--- a/crates/daisyseam-entry/src/peer/client.rs
+++ b/crates/daisyseam-entry/src/peer/client.rs
@@ -26,6 +26,8 @@
     LinkGranted,
     LinkRefused,
     LinkRequest,
+    PeerRole,
+    PeerSecurity,
     ProbeReply,
     ProbeRequest,
     StreamError,
@@ -80,6 +82,8 @@
     pub dialer: Dialer,
     /// Timer service.
     pub timer: TimerService,
+    /// How both sides prove themselves.
+    pub security: PeerSecurity,
 }
 
 /// Why a peer gave no answer; nothing was run.
@@ -293,7 +297,10 @@
     async fn connect(&self, address: SocketAddr) -> Result<PeerConnection, PeerError> {
         let settings = &self.shared.settings;
         let deadline = settings.timer.now() + CONNECT_TIMEOUT;
-        let connected = settings.dialer.connect(address);
+        let connected = async {
+            let socket = settings.dialer.connect(address).await?;
+            settings.security.client(socket, PeerRole::Entry).await
+        };
         let socket = settings.timer.within(deadline, connected).await;
         let socket = socket.ok_or(PeerError::Timeout)??;
         Ok(PeerConnection::new(socket, settings.cluster.clone()))
--- a/crates/daisyseam-entry/src/peer/connection.rs
+++ b/crates/daisyseam-entry/src/peer/connection.rs
@@ -10,6 +10,7 @@
     MessageSender,
     MessageStream,
     PeerMessage,
+    PeerSocket,
     StreamError,
     peer_message::Body, //
 };
@@ -20,7 +21,6 @@
         Ordering, //
     }, //
 };
-use tokio::net::TcpStream;
 
 /// Bytes of protocol data in one message, at most.
 pub(super) const CHUNK_BYTES: usize = 256 << 10;
@@ -67,12 +67,12 @@
 
 /// A connection whose two ways can be used at once.
 pub(super) struct PeerConnection {
-    pub(super) sender: MessageSender<TcpStream, PeerMessage>,
-    pub(super) receiver: MessageReceiver<TcpStream, PeerMessage>,
+    pub(super) sender: MessageSender<PeerSocket, PeerMessage>,
+    pub(super) receiver: MessageReceiver<PeerSocket, PeerMessage>,
 }
 
 impl PeerConnection {
-    pub(super) fn new(socket: TcpStream, cluster: ClusterId) -> Self {
+    pub(super) fn new(socket: PeerSocket, cluster: ClusterId) -> Self {
         let (sender, receiver) = MessageStream::new(socket, cluster).split();
         Self { sender, receiver }
     }
@@ -108,7 +108,7 @@
 
 /// Receives the body of the next message; one of another request ends the use of the connection.
 pub(super) async fn receive_for(
-    receiver: &mut MessageReceiver<TcpStream, PeerMessage>,
+    receiver: &mut MessageReceiver<PeerSocket, PeerMessage>,
     id: RequestId,
 ) -> Result<Body, StreamError> {
     let message = receiver.receive().await?;
--- a/crates/daisyseam-entry/src/peer/link.rs
+++ b/crates/daisyseam-entry/src/peer/link.rs
@@ -21,6 +21,7 @@
     LinkRelease,
     MessageReceiver,
     PeerMessage,
+    PeerSocket,
     StreamError,
     peer_message::Body, //
 };
@@ -33,7 +34,6 @@
     future::pending,
     net::SocketAddr, //
 };
-use tokio::net::TcpStream;
 
 /// Most bytes that are read ahead while the peer does not take more.
 const READ_AHEAD_BYTES: usize = 1 << 20;
@@ -171,7 +171,7 @@
     /// Takes the next piece in, or notes that there will be none.
     async fn read(
         &mut self,
-        receiver: &mut MessageReceiver<TcpStream, PeerMessage>,
+        receiver: &mut MessageReceiver<PeerSocket, PeerMessage>,
         id: RequestId,
     ) {
         match receive_for(receiver, id).await {
--- a/crates/daisyseam-entry/src/peer/server.rs
+++ b/crates/daisyseam-entry/src/peer/server.rs
@@ -57,6 +57,9 @@
     MessageReceiver,
     MessageSender,
     PeerMessage,
+    PeerRole,
+    PeerSecurity,
+    PeerSocket,
     ProbeReply,
     ProbeRequest,
     StreamError,
@@ -87,6 +90,9 @@
 /// Longest wait for the answer to a probe.
 const PROBE_WAIT: Duration = Duration::from_secs(1);
 
+/// Longest time in which a peer has to prove itself.
+const SECURE_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Time after a failed accept before the next.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -103,6 +109,8 @@
     pub timer: TimerService,
     /// Where spans go.
     pub spans: SpanExporter,
+    /// How peers prove themselves.
+    pub security: PeerSecurity,
 }
 
 /// Serves peers until it is dropped; running links end then.
@@ -160,6 +168,16 @@
     if socket.set_nodelay(true).is_err() {
         return;
     }
+    let deadline = settings.timer.now() + SECURE_TIMEOUT;
+    let secured = settings.security.server(socket, &[PeerRole::Entry]);
+    let socket = match settings.timer.within(deadline, secured).await {
+        Some(Ok(socket)) => socket,
+        Some(Err(error)) => {
+            log::warn!("a peer could not prove itself: {error}");
+            return;
+        }
+        None => return,
+    };
     let connection = PeerConnection::new(socket, settings.cluster.clone());
     let mut session = PeerSession {
         connection,
@@ -288,7 +306,7 @@
 
 async fn carry_up(
     id: RequestId,
-    receiver: &mut MessageReceiver<TcpStream, PeerMessage>,
+    receiver: &mut MessageReceiver<PeerSocket, PeerMessage>,
     writer: &mut ConnectionWriter,
     order: &CancelOrder,
 ) -> RelayEnd {
@@ -329,7 +347,7 @@
 async fn carry_down(
     id: RequestId,
     reader: &mut ConnectionReader,
-    sender: &mut MessageSender<TcpStream, PeerMessage>,
+    sender: &mut MessageSender<PeerSocket, PeerMessage>,
 ) -> RelayEnd {
     loop {
         let mut batch = match next_batch(reader).await {
@@ -365,7 +383,7 @@
 
 /// Waits for a future, unless the peer closes its connection or speaks out of turn.
 async fn unless_closed<F: Future>(
-    receiver: &mut MessageReceiver<TcpStream, PeerMessage>,
+    receiver: &mut MessageReceiver<PeerSocket, PeerMessage>,
     future: F,
 ) -> Result<F::Output, StreamError> {
     tokio::select! {
--- a/crates/daisyseam-entry/src/settings.rs
+++ b/crates/daisyseam-entry/src/settings.rs
@@ -1,5 +1,9 @@
 //! What an entry daemon is started with.
 
+use crate::security::{
+    CallerCertificate,
+    EntrySecurity, //
+};
 use argh::FromArgs;
 use daisyseam_model::{
     ClusterId,
@@ -7,6 +11,7 @@
     InstanceId, //
 };
 use daisyseam_runtime::{
+    SecurityFlags,
     SettingProblem,
     SettingReader, //
 };
@@ -101,6 +106,21 @@
     /// file that spans are appended to, as OTLP in JSON lines
     #[argh(option)]
     pub spans: Option<String>,
+    /// PEM file of the authority that signs the fleet's certificates
+    #[argh(option)]
+    pub tls_authority: Option<String>,
+    /// PEM file of this instance's certificate
+    #[argh(option)]
+    pub tls_certificate: Option<String>,
+    /// PEM file of that certificate's key
+    #[argh(option)]
+    pub tls_key: Option<String>,
+    /// PEM file of the certificate that callers are shown
+    #[argh(option)]
+    pub caller_certificate: Option<String>,
+    /// PEM file of that certificate's key
+    #[argh(option)]
+    pub caller_key: Option<String>,
     /// log level: error, warn, info, debug or trace [info]
     #[argh(option)]
     pub log_level: Option<String>,
@@ -176,6 +196,42 @@
     }
 }
 
+impl EntrySecurity {
+    /// Reads the files that the settings name and notes every problem.
+    pub fn read_settings(
+        arguments: &EntryArguments,
+        cluster: &ClusterId,
+        reader: &mut SettingReader,
+    ) -> Option<Self> {
+        let flags = SecurityFlags {
+            authority: arguments.tls_authority.clone(),
+            certificate: arguments.tls_certificate.clone(),
+            key: arguments.tls_key.clone(),
+        };
+        let peers = flags.read(reader, cluster);
+        let given = arguments.caller_certificate.clone();
+        let certificate: Option<PathBuf> = reader.optional("caller-certificate", given);
+        let key: Option<PathBuf> = reader.optional("caller-key", arguments.caller_key.clone());
+        let callers = match (certificate, key) {
+            (None, None) => None,
+            (Some(certificate), Some(key)) => {
+                let read = CallerCertificate::read(certificate, key)
+                    .map_err(|error| reader.problem("caller-certificate", error.to_string()));
+                Some(read.ok()?)
+            }
+            _ => {
+                let words = "is given together with --caller-key, or not at all";
+                reader.problem("caller-certificate", words.to_owned());
+                None
+            }
+        };
+        Some(Self {
+            peers: peers?,
+            callers,
+        })
+    }
+}
+
 fn any_address(port: u16) -> SocketAddr {
     SocketAddr::new(Ipv4Addr::UNSPECIFIED.into(), port)
 }
--- a/crates/daisyseam-entry/tests/links_suite/main.rs
+++ b/crates/daisyseam-entry/tests/links_suite/main.rs
@@ -3,6 +3,7 @@
 mod commits;
 mod input;
 mod peers;
+mod secured;
 mod slots;
 mod support;
 mod views;
--- a/crates/daisyseam-entry/tests/links_suite/support/mod.rs
+++ b/crates/daisyseam-entry/tests/links_suite/support/mod.rs
@@ -52,6 +52,7 @@
     TimerService,
     TraceContext, //
 };
+use daisyseam_wire::PeerSecurity;
 use pgwire::messages::{
     PgWireBackendMessage,
     PgWireFrontendMessage,
@@ -152,6 +153,14 @@
 
 impl Instance {
     pub(crate) async fn start(name: &str, incarnation: u64) -> Self {
+        Self::start_secured(name, incarnation, PeerSecurity::plain(cluster())).await
+    }
+
+    pub(crate) async fn start_secured(
+        name: &str,
+        incarnation: u64,
+        security: PeerSecurity,
+    ) -> Self {
         let timer = TimerService::start();
         let cell = ViewCell::new();
         let dialer = Dialer::default();
@@ -175,6 +184,7 @@
                 cell: cell.clone(),
                 timer: timer.clone(),
                 spans: SpanExporter::disabled(),
+                security: security.clone(),
             },
         )
         .expect("a server");
@@ -183,6 +193,7 @@
             incarnation: own,
             dialer,
             timer: timer.clone(),
+            security,
         });
         let broker = FleetBroker::new(BrokerSettings {
             instance: name.parse().expect("a name"),
