--- a/crates/daisyseam-entry/tests/caller_statements.rs
+++ b/crates/daisyseam-entry/tests/caller_statements.rs
@@ -130,3 +130,56 @@
     assert_eq!(stage.world.committed(), [""; 0]);
     client.simple_query("SELECT 1").await.unwrap();
 }
+
+#[tokio::test]
+async fn a_savepoint_brings_a_failed_transaction_back() {
+    let stage = Stage::start().await;
+    let client = stage.connect().await;
+    client.simple_query("BEGIN; SAVEPOINT s").await.unwrap();
+    client
+        .simple_query("SELECT broken FROM t")
+        .await
+        .unwrap_err();
+    let rollback = "ROLLBACK TO SAVEPOINT s";
+    client.simple_query(rollback).await.unwrap();
+    let text = "INSERT INTO t VALUES (1)";
+    client.simple_query(text).await.unwrap();
+    client.simple_query("COMMIT").await.unwrap();
+    assert_eq!(stage.world.committed(), [text]);
+}
+
+#[tokio::test]
+async fn statements_of_a_block_are_refused_outside_one() {
+    let stage = Stage::start().await;
+    let client = stage.connect().await;
+    for text in ["SAVEPOINT s", "SET LOCAL search_path = a", "LOCK TABLE t"] {
+        let error = client.simple_query(text).await.unwrap_err();
+        assert_eq!(error.code().unwrap().code(), "0A000", "{text}");
+    }
+    assert_eq!(stage.world.texts(), [""; 0]);
+}
+
+#[tokio::test]
+async fn settings_of_the_system_are_shown_by_it() {
+    let stage = Stage::start().await;
+    let client = stage.connect().await;
+    let set = "SET daisyseam.max_age = '2s'";
+    client.simple_query(set).await.unwrap();
+    let show = "SHOW daisyseam.max_age";
+    let answer = client.simple_query(show).await.unwrap();
+    assert_eq!(first_value(&answer).as_deref(), Some("2000ms"));
+    let row = client.query_one(show, &[]).await.unwrap();
+    assert_eq!(row.get::<_, String>(0), "2000ms");
+    assert_eq!(stage.world.texts(), [""; 0]);
+}
+
+#[tokio::test]
+async fn discarding_all_forgets_what_the_session_carries() {
+    let stage = Stage::start().await;
+    let client = stage.connect().await;
+    let set = "SET search_path = a";
+    client.simple_query(set).await.unwrap();
+    client.simple_query("DISCARD ALL").await.unwrap();
+    client.simple_query("SELECT 1").await.unwrap();
+    assert_eq!(stage.world.texts(), ["SELECT 1"]);
+}
