--- a/crates/daisyseam-entry/src/fleet/gate.rs
+++ b/crates/daisyseam-entry/src/fleet/gate.rs
@@ -153,8 +153,9 @@
         key: &RateKey,
         deadline: Instant,
     ) -> Result<Option<LineGuard<'a>>, RequestError> {
-        let now = Instant::now();
         let mut state = self.shared.state.lock();
+        // Taken under the lock, so that no wait for it makes a lease seem longer.
+        let now = Instant::now();
         state.take_document(view);
         state.count(now, key);
         if state.waiting(key) == 0 {
@@ -181,8 +182,9 @@
 
     /// Takes a token, or returns when to look again; no moment while there is no share.
     fn take_now(&self, key: &RateKey) -> Result<Option<Option<Instant>>, RequestError> {
+        let mut state = self.shared.state.lock();
         let now = Instant::now();
-        match self.shared.state.lock().take(now, key) {
+        match state.take(now, key) {
             Ok(()) => Ok(None),
             Err(NoToken::UnknownKey) => Err(ErrorKind::ServiceDenied.into()),
             Err(NoToken::Wait(wait)) => Ok(Some(wait.map(|wait| now + wait))),
