--- a/crates/daisyseam-control/tests/core.rs
+++ b/crates/daisyseam-control/tests/core.rs
@@ -55,19 +55,19 @@
 #[test]
 fn a_lost_leader_costs_control_less_than_a_second() {
     let mut world = ready(3, 0, 1);
-    for _ in 0..10 {
+    let mut times = Vec::new();
+    for _ in 0..50 {
         let leader = world.leader().expect("a leader");
         world.stop(leader);
         let lost_at = world.now;
         world.pass_until("another leads", |world| world.leader().is_some());
-        assert!(
-            world.now - lost_at < 1_000,
-            "{} ms of virtual time",
-            world.now - lost_at
-        );
+        times.push(world.now - lost_at);
         world.start(leader);
         world.pass(1_000);
     }
+    times.sort_unstable();
+    println!("p50 {} ms, greatest {} ms", times[25], times[49]);
+    assert!(times[49] < 1_000, "{times:?}");
 }
 
 #[test]
--- a/crates/daisyseam-control/tests/core_support/mod.rs
+++ b/crates/daisyseam-control/tests/core_support/mod.rs
@@ -92,6 +92,7 @@
     asked_at: u64,
     waits: bool,
     welcome: bool,
+    process: u64,
 }
 
 /// A database that only knows its state.
@@ -113,7 +114,8 @@
 
 #[derive(Clone, Copy, Debug)]
 enum Asker {
-    Entry(usize, u64),
+    /// Number, process, and when it asked.
+    Entry(usize, u64, u64),
     Operator(usize),
     Reader,
 }
@@ -215,8 +217,10 @@
     /// Restarts an entry as a new process.
     pub(crate) fn restart_entry(&mut self, number: usize) {
         let cut = self.entries[number].cut;
+        let process = self.entries[number].process + 1;
         self.entries[number] = Entry {
             cut,
+            process,
             ..entry(number)
         };
     }
@@ -479,7 +483,10 @@
         match asker {
             Asker::Reader => self.read = Some(body),
             Asker::Operator(number) if !cut => self.answer_operator(number, body),
-            Asker::Entry(number, sent) if !cut && !self.entries[number].cut => {
+            // An answer to a former process finds its connection closed.
+            Asker::Entry(number, process, sent)
+                if !cut && !self.entries[number].cut && self.entries[number].process == process =>
+            {
                 self.answer_entry(number, sent, body);
             }
             Asker::Operator(_) | Asker::Entry(..) => {}
@@ -596,7 +603,8 @@
             })
         };
         let member = entry.asks;
-        self.ask(member, Asker::Entry(number, now), body);
+        let process = entry.process;
+        self.ask(member, Asker::Entry(number, process, now), body);
     }
 
     fn notice_spares(&mut self) {
@@ -671,6 +679,7 @@
         asked_at: 0,
         waits: false,
         welcome: false,
+        process: 0,
     }
 }
 
