Check the key again once a connection is there, and let pending blocks go at a stop

A request that had waited for a connection was sent under a key withdrawn meanwhile; the key is checked again before anything is sent. A transaction that had been begun but had run nothing held up a stop; it is left a second.

--- a/crates/daisyseam-entry/src/caller/session.rs
+++ b/crates/daisyseam-entry/src/caller/session.rs
@@ -95,8 +95,8 @@
     progress: SendProgress,
     /// Messages of the present unit that were answered before an error, if there was one.
     parts_done: usize,
-    /// Moment at which the session leaves a data centre that is out.
-    leave_at: Option<Instant>,
+    /// When the session leaves, and why.
+    leaving: Option<PlannedLeave>,
 }
 
 /// A setting of the database that is repeated before each request.
@@ -106,6 +106,13 @@
     value: String,
 }
 
+/// When a session leaves, and why.
+#[derive(Clone, Copy, Debug)]
+struct PlannedLeave {
+    at: Instant,
+    kind: ErrorKind,
+}
+
 /// Why a request does not end well.
 #[derive(Debug)]
 enum RequestTrouble {
@@ -168,7 +175,7 @@
             block: TransactionBlock::Idle,
             progress: SendProgress::Unsent,
             parts_done: 0,
-            leave_at: None,
+            leaving: None,
         }
     }
 
--- a/crates/daisyseam-entry/src/caller/session/idle.rs
+++ b/crates/daisyseam-entry/src/caller/session/idle.rs
@@ -2,6 +2,7 @@
 
 use super::{
     CallerSession,
+    PlannedLeave,
     RequestTrouble,
     block::TransactionBlock, //
 };
@@ -46,6 +47,9 @@
 /// Time over which the sessions of a data centre that is out leave it.
 const LEAVE_SPREAD: Duration = Duration::from_secs(1);
 
+/// Time that a transaction which has run nothing yet is left at a stop.
+const BLOCK_GRACE: Duration = Duration::from_secs(1);
+
 /// Longest time for the last words to a caller, and for a rollback after it left.
 const GOODBYE_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -77,7 +81,10 @@
             match self.next_event(idle_until).await {
                 IdleEvent::Frame(Some(frame)) => return Ok(frame?),
                 IdleEvent::Frame(None) => return Err(RequestTrouble::Closed),
-                IdleEvent::Stopping => return Err(ErrorKind::Stopping.into()),
+                IdleEvent::Stopping if self.block.is_idle() => {
+                    return Err(ErrorKind::Stopping.into());
+                }
+                IdleEvent::Stopping => self.leave_at(BLOCK_GRACE, ErrorKind::Stopping),
                 IdleEvent::ViewChanged => self.follow_view()?,
                 IdleEvent::TimeOver => {
                     self.end_of_time()?;
@@ -90,11 +97,11 @@
 
     async fn next_event(&mut self, idle_until: Option<Instant>) -> IdleEvent {
         let context = &self.shared.context;
-        let may_leave = self.block.is_idle() && self.batch.is_empty();
-        let limit = match (idle_until, self.leave_at.filter(|_| may_leave)) {
-            (Some(idle), Some(leave)) => Some(idle.min(leave)),
-            (idle, leave) => idle.or(leave),
-        };
+        let may_leave = !self.block.holds_link() && self.batch.is_empty();
+        let leaving = self.leaving.filter(|_| may_leave);
+        let told_to_stop = leaving.is_some_and(|leaving| leaving.kind == ErrorKind::Stopping);
+        // Only a block that holds a connection has an idle limit, and such a block stays.
+        let limit = idle_until.or(leaving.map(|leaving| leaving.at));
         let time_over = async {
             match limit {
                 Some(limit) => context.timer.at(limit).await,
@@ -104,7 +111,7 @@
         tokio::select! {
             biased;
             frame = self.stream.next() => IdleEvent::Frame(frame),
-            () = context.stop.stopped(), if may_leave => IdleEvent::Stopping,
+            () = context.stop.stopped(), if may_leave && !told_to_stop => IdleEvent::Stopping,
             Ok(()) = self.changes.changed() => IdleEvent::ViewChanged,
             () = time_over => IdleEvent::TimeOver,
         }
@@ -157,18 +164,26 @@
         }
         let context = &self.shared.context;
         if !is_out(&context.view.held().view, context.data_centre.as_str()) {
-            self.leave_at = None;
-        } else if self.leave_at.is_none() {
+            self.leaving = None;
+        } else if self.leaving.is_none() {
             // The number of the session is random, so sessions leave one after the other.
             let share = f64::from(self.ticket.process) / f64::from(i32::MAX);
-            self.leave_at = Some(Instant::now() + LEAVE_SPREAD.mul_f64(share));
+            self.leave_at(LEAVE_SPREAD.mul_f64(share), ErrorKind::DataCentreOut);
         }
         Ok(())
     }
 
+    fn leave_at(&mut self, delay: Duration, kind: ErrorKind) {
+        let at = Instant::now() + delay;
+        self.leaving = Some(PlannedLeave { at, kind });
+    }
+
     fn end_of_time(&mut self) -> Result<(), RequestTrouble> {
-        if self.block.is_idle() {
-            return Err(ErrorKind::DataCentreOut.into());
+        if !self.block.holds_link() {
+            let kind = self
+                .leaving
+                .map_or(ErrorKind::Stopping, |leaving| leaving.kind);
+            return Err(kind.into());
         }
         // The connection closes, which rolls the transaction back.
         self.block = TransactionBlock::Failed;
--- a/crates/daisyseam-entry/src/caller/session/request.rs
+++ b/crates/daisyseam-entry/src/caller/session/request.rs
@@ -283,10 +283,16 @@
             }
             () = context.timer.at(deadline) => Err(ErrorKind::DeadlineBeforeSend.into()),
         };
-        match opened {
-            Ok(opened) => Ok(LinkLease::new(opened)),
-            Err(error) => Err(self.explain_refusal(frame, error).await.into()),
+        let lease = match opened {
+            Ok(opened) => LinkLease::new(opened),
+            Err(error) => return Err(self.explain_refusal(frame, error).await.into()),
+        };
+        // The key may have been withdrawn while the request waited.
+        if let Err(kind) = self.identity.check(&self.shared.context.view) {
+            lease.finish();
+            return Err(kind.into());
         }
+        Ok(lease)
     }
 
     /// A token may name a position that no database has written; then it is the token's fault.
--- a/crates/daisyseam-entry/tests/caller_keys.rs
+++ b/crates/daisyseam-entry/tests/caller_keys.rs
@@ -122,6 +122,24 @@
     assert_eq!(stage.world.texts().last().unwrap(), "ROLLBACK");
 }
 
+#[tokio::test]
+async fn a_key_withdrawn_while_a_request_waits_for_a_connection_stops_it() {
+    let stage = Stage::start().await;
+    let mut caller = RawCaller::admitted(stage.address(), "keepers", KEY).await;
+    stage.world.hold_back(true);
+    caller.send(query("INSERT INTO t VALUES (1)")).await;
+    stage
+        .world
+        .until(|world| !world.accesses().is_empty())
+        .await;
+    stage.publish(2, &document("").replace(&hex(KEY), &hex("another")));
+    stage.world.hold_back(false);
+    let answers = caller.until_closed().await;
+    assert_eq!(error_field(&answers, b'C').as_deref(), Some("28000"));
+    assert_eq!(error_field(&answers, b'H').as_deref(), Some("not run"));
+    assert_eq!(stage.world.texts(), [""; 0]);
+}
+
 #[tokio::test]
 async fn a_request_waits_for_a_lease_that_comes_back_soon() {
     let stage = Stage::start().await;
--- a/crates/daisyseam-entry/tests/caller_stop.rs
+++ b/crates/daisyseam-entry/tests/caller_stop.rs
@@ -169,6 +169,18 @@
     stage.server.drained().await;
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_stop_leaves_a_transaction_that_has_run_nothing_a_short_time() {
+    let stage = Stage::start().await;
+    let mut pending = admitted(&stage).await;
+    pending.send(query("BEGIN")).await;
+    pending.until_ready().await;
+    stage.stop.stop();
+    let answers = pending.until_closed().await;
+    assert_eq!(error_field(&answers, b'C').as_deref(), Some("57P01"));
+    stage.server.drained().await;
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_data_centre_that_is_out_sends_its_callers_away() {
     let stage = Stage::start().await;
--- a/crates/daisyseam-entry/tests/caller_support/mod.rs
+++ b/crates/daisyseam-entry/tests/caller_support/mod.rs
@@ -60,6 +60,7 @@
     Config,
     NoTls, //
 };
+use tokio_rustls::TlsAcceptor;
 
 /// Key of the organisation `keepers`.
 pub const KEY: &str = "k-4f2a91c07d";
@@ -84,6 +85,11 @@
 
     /// Starts a caller side whose document has these limits.
     pub async fn with_limits(limits: &str) -> Self {
+        Self::with(limits, SpanExporter::disabled(), None).await
+    }
+
+    /// Starts a caller side with spans and TLS.
+    pub async fn with(limits: &str, spans: SpanExporter, tls: Option<TlsAcceptor>) -> Self {
         let world = FakeWorld::default();
         let gate = FakeGate::default();
         let view = ViewCell::new();
@@ -99,9 +105,9 @@
             gate: gate.clone(),
             timer: TimerService::start(),
             metrics: metrics.clone(),
-            spans: SpanExporter::disabled(),
+            spans,
             stop: stop.clone(),
-            tls: None,
+            tls,
         };
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let server = CallerServer::start(listener, context).unwrap();
