Let requests leave the queue of a database that may no longer be used

Cause: a write that waited for a slot of a fenced primary stayed in its queue until the deadline if the slots were still in use, and a barrier waited for a primary that was one no more.

Change: whoever waits for a slot looks at each view, and a barrier asks anew after a second. The relay has a file of its own.

--- a/crates/daisyseam-entry/src/fleet/broker.rs
+++ b/crates/daisyseam-entry/src/fleet/broker.rs
@@ -45,6 +45,9 @@
 /// Longest time that a request is held while this instance has no lease.
 pub(super) const VIEW_WAIT: Duration = Duration::from_secs(2);
 
+/// Longest wait for one answer of a primary; another may be primary by then.
+const PROBE_WAIT: Duration = Duration::from_millis(1_000);
+
 /// Time between two attempts when the view has not changed.
 pub(super) const RETRY_PAUSE: Duration = Duration::from_millis(25);
 
@@ -170,7 +173,8 @@
                 && let Some(primary) = entry.primary.active()
             {
                 let asked = Instant::now();
-                let position = self.probe(&view, primary, entry.term, deadline).await;
+                let until = deadline.min(asked + PROBE_WAIT);
+                let position = self.probe(&view, primary, entry.term, until).await;
                 if let Some(position) = position {
                     self.shared.samples.add(group, asked, position);
                     self.shared.routes.learn_written(group, position);
--- a/crates/daisyseam-entry/src/holder/handle.rs
+++ b/crates/daisyseam-entry/src/holder/handle.rs
@@ -218,13 +218,9 @@
         if self.actor.cast(HolderMessage::Lend(waiter)).is_err() {
             return Err(HolderRefusal::Refused(let_go_error()));
         }
-        match self
-            .shared
-            .settings
-            .timer
-            .within(order.deadline, lent)
-            .await
-        {
+        let settings = &self.shared.settings;
+        let lent = self.unless_refused(order.term, lent);
+        match settings.timer.within(order.deadline, lent).await {
             Some(Ok(lent)) => lent,
             Some(Err(_)) => Err(HolderRefusal::Refused(let_go_error())),
             None => Err(HolderRefusal::Refused(ErrorKind::DeadlineBeforeSend.into())),
@@ -281,6 +277,29 @@
         self.actor.stop(None);
     }
 
+    /// Waits for a connection, unless the database may no longer be used meanwhile.
+    async fn unless_refused(
+        &self,
+        term: Option<Term>,
+        mut lent: oneshot::Receiver<Lent>,
+    ) -> Result<Lent, oneshot::error::RecvError> {
+        let mut changes = self.shared.settings.cell.subscribe();
+        loop {
+            tokio::select! {
+                biased;
+                lent = &mut lent => return lent,
+                changed = changes.changed() => {
+                    if let Err(refusal) = self.shared.admit(term) {
+                        return Ok(Err(HolderRefusal::Refused(refusal.into())));
+                    }
+                    if changed.is_err() {
+                        return lent.await;
+                    }
+                }
+            }
+        }
+    }
+
     fn weight(&self, organisation: Option<&OrganisationId>) -> NonZeroU32 {
         let held = self.shared.settings.cell.held();
         let document = held.view.document.as_deref();
--- a/crates/daisyseam-entry/src/peer.rs
+++ b/crates/daisyseam-entry/src/peer.rs
@@ -7,6 +7,7 @@
 mod client;
 mod connection;
 mod link;
+mod relay;
 mod server;
 
 pub(crate) use self::client::{
--- a/crates/daisyseam-entry/src/peer/server.rs
+++ b/crates/daisyseam-entry/src/peer/server.rs
@@ -6,23 +6,16 @@
         OPEN_ROUTE, //
     },
     connection::{
-        CHUNK_BYTES,
         PeerConnection,
-        RequestId,
-        receive_for,
-        taken_off, //
+        RequestId, //
+    },
+    relay::{
+        RelayEnd,
+        relay, //
     }, //
 };
 use crate::{
-    LinkError,
     ViewCell,
-    database::{
-        CancelOrder,
-        ConnectionReader,
-        ConnectionWriter,
-        DatabaseConnection,
-        decode_context, //
-    },
     holder::{
         HolderHandle,
         HolderOrder,
@@ -31,11 +24,9 @@
         PooledConnection, //
     }, //
 };
-use bytes::BytesMut;
 use daisyseam_model::{
     ClusterId,
     ErrorKind,
-    Incarnation,
     LogPosition,
     RequestError,
     Term,
@@ -55,7 +46,6 @@
     LinkReply,
     LinkRequest,
     MessageReceiver,
-    MessageSender,
     PeerMessage,
     PeerRole,
     PeerSecurity,
@@ -65,7 +55,6 @@
     StreamError,
     peer_message::Body, //
 };
-use pgwire::messages::PgWireFrontendMessage;
 use std::{
     future::Future,
     io,
@@ -241,7 +230,8 @@
             pooled.release();
             return Err(error);
         }
-        match self.relay(id, pooled.connection()).await {
+        let cell = &self.settings.cell;
+        match relay(id, &mut self.connection, pooled.connection(), cell).await {
             RelayEnd::Released(clean) => {
                 if clean {
                     pooled.release();
@@ -262,21 +252,6 @@
         }
     }
 
-    /// Carries messages both ways at once until the link is given back or one end is lost.
-    async fn relay(&mut self, id: RequestId, connection: &mut DatabaseConnection) -> RelayEnd {
-        let order = connection.cancel_order();
-        let PeerConnection { sender, receiver } = &mut self.connection;
-        let (writer, reader) = connection.split();
-        let cell = &self.settings.cell;
-        tokio::select! {
-            end = carry_up(id, receiver, writer, &order) => end,
-            end = carry_down(id, reader, sender) => end,
-            () = taken_off(cell, Incarnation(id.incarnation)) => {
-                RelayEnd::PeerLost(StreamError::Closed)
-            }
-        }
-    }
-
     async fn await_position(
         &mut self,
         id: RequestId,
@@ -294,93 +269,6 @@
     }
 }
 
-/// How a relayed link ended.
-enum RelayEnd {
-    /// The peer gave it back, and says whether it saw the last answer.
-    Released(bool),
-    /// The database's connection broke.
-    DatabaseLost(LinkError),
-    /// The peer's connection broke.
-    PeerLost(StreamError),
-}
-
-async fn carry_up(
-    id: RequestId,
-    receiver: &mut MessageReceiver<PeerSocket, PeerMessage>,
-    writer: &mut ConnectionWriter,
-    order: &CancelOrder,
-) -> RelayEnd {
-    let mut buffer = BytesMut::new();
-    loop {
-        match receive_for(receiver, id).await {
-            Ok(Body::Request(data)) => {
-                buffer.extend_from_slice(&data.bytes);
-                if let Err(error) = send_whole(&mut buffer, writer).await {
-                    return RelayEnd::DatabaseLost(error);
-                }
-            }
-            Ok(Body::Cancel(cancel)) if cancel.target == id.request => {
-                tokio::spawn(order.clone().send());
-            }
-            Ok(Body::Release(release)) => {
-                return RelayEnd::Released(release.clean && buffer.is_empty());
-            }
-            Ok(_) => return RelayEnd::PeerLost(StreamError::Closed),
-            Err(error) => return RelayEnd::PeerLost(error),
-        }
-    }
-}
-
-/// Sends the messages that have come in whole.
-async fn send_whole(buffer: &mut BytesMut, writer: &mut ConnectionWriter) -> Result<(), LinkError> {
-    let context = decode_context();
-    loop {
-        let message = PgWireFrontendMessage::decode(buffer, &context)
-            .map_err(|error| LinkError(error.to_string()))?;
-        match message {
-            Some(message) => writer.send(&message).await?,
-            None => return writer.flush().await,
-        }
-    }
-}
-
-async fn carry_down(
-    id: RequestId,
-    reader: &mut ConnectionReader,
-    sender: &mut MessageSender<PeerSocket, PeerMessage>,
-) -> RelayEnd {
-    loop {
-        let mut batch = match next_batch(reader).await {
-            Ok(batch) => batch,
-            Err(error) => return RelayEnd::DatabaseLost(error),
-        };
-        // One message may be larger than a frame.
-        while !batch.is_empty() {
-            let length = batch.len().min(CHUNK_BYTES);
-            let bytes = batch.split_to(length).freeze();
-            let reply = Body::Reply(LinkReply { bytes, lost: false });
-            if let Err(error) = sender.send(&id.message(reply)).await {
-                return RelayEnd::PeerLost(error);
-            }
-        }
-    }
-}
-
-/// Waits for a message and takes those along that have come in with it.
-async fn next_batch(reader: &mut ConnectionReader) -> Result<BytesMut, LinkError> {
-    let mut batch = BytesMut::new();
-    let mut message = Some(reader.receive().await?);
-    while let Some(next) = message.take() {
-        next.encode(&mut batch)
-            .map_err(|error| LinkError(error.to_string()))?;
-        if batch.len() < CHUNK_BYTES {
-            // An error behind whole messages shows again at the next receive.
-            message = reader.buffered().unwrap_or_default();
-        }
-    }
-    Ok(batch)
-}
-
 /// Waits for a future, unless the peer closes its connection or speaks out of turn.
 async fn unless_closed<F: Future>(
     receiver: &mut MessageReceiver<PeerSocket, PeerMessage>,
--- a/crates/daisyseam-entry/tests/links_suite/views.rs
+++ b/crates/daisyseam-entry/tests/links_suite/views.rs
@@ -191,6 +191,40 @@
     assert_eq!(term.0, 2);
 }
 
+#[tokio::test]
+async fn a_request_that_waits_for_a_slot_of_a_fenced_primary_goes_to_the_next() {
+    let one = FakeDatabase::start(UpstreamRole::Primary, position(1, 10)).await;
+    let two = FakeDatabase::start(UpstreamRole::Primary, position(2, 11)).await;
+    let instance = Instance::start("entry-1", 1).await;
+    let held = ViewParts::new()
+        .instance("entry-1", 1, instance.server.address())
+        .database("one", &one, Some("entry-1"))
+        .database("two", &two, Some("entry-1"));
+    instance.hold(&held.0).await;
+    let bookings = group();
+    let mut links = Vec::new();
+    for _ in 0..2 {
+        let opened = instance
+            .broker
+            .open(order(&bookings, StatementAccess::Write));
+        links.push(within(opened).await.expect("a link").link);
+    }
+    let broker = instance.broker.clone();
+    let waiting = tokio::spawn(async move {
+        let group = group();
+        let opened = broker.open(order(&group, StatementAccess::Write)).await;
+        opened.map(|opened| opened.upstream)
+    });
+    let handle = instance.table.get(&upstream("one")).expect("it is held");
+    eventually("one waits", || handle.counts().queued == 1).await;
+    let active = held.group(2, PrimaryState::Active(upstream("two")));
+    instance.hold(&active.0).await;
+    // The links of the former primary are still in the hands of those that use them.
+    let opened = within(waiting).await.expect("it runs");
+    assert_eq!(opened, Ok(upstream("two")));
+    drop(links);
+}
+
 #[tokio::test]
 async fn a_database_of_another_term_or_role_gets_no_write() {
     let database = FakeDatabase::start(UpstreamRole::Primary, position(1, 10)).await;
