--- a/crates/daisyseam-bench/src/standin.rs
+++ b/crates/daisyseam-bench/src/standin.rs
@@ -3,6 +3,7 @@
 mod admin;
 mod announcer;
 mod core;
+mod counters;
 mod error;
 mod functions;
 mod knobs;
@@ -23,6 +24,7 @@
 };
 pub use self::{
     core::HistorySegment,
+    counters::StatementCounters,
     error::StandInError,
     knobs::StandInKnobs,
     log_record::{
@@ -105,6 +107,8 @@
     pub service_time: Duration,
     /// Bounds of the lag behind a primary.
     pub lag: RangeInclusive<Duration>,
+    /// Worker threads.
+    pub threads: usize,
     /// Seed of its random draws.
     pub seed: u64,
 }
@@ -133,6 +137,7 @@
             open_delay: Duration::from_millis(10),
             service_time: Duration::ZERO,
             lag: Duration::ZERO..=Duration::ZERO,
+            threads: 1,
             seed: 1,
         }
     }
@@ -145,6 +150,7 @@
     admin_address: SocketAddr,
     core: Arc<StandInCore>,
     knobs: Arc<StandInKnobs>,
+    counters: Arc<StatementCounters>,
     recorder: Arc<ByteRecorder>,
     slots: Arc<Semaphore>,
     connections: usize,
@@ -160,7 +166,7 @@
     /// When a port or the folder cannot be had.
     pub fn start(settings: StandInSettings) -> Result<Self, StandInError> {
         let runtime = Builder::new_multi_thread()
-            .worker_threads(1)
+            .worker_threads(settings.threads)
             .thread_name("stand-in")
             .enable_all()
             .build()?;
@@ -176,6 +182,7 @@
             settings.lag.clone(),
         ));
         let timer = TimerService::start();
+        let counters = Arc::<StatementCounters>::default();
         let recorder = Arc::new(ByteRecorder::default());
         let slots = Arc::new(Semaphore::new(settings.connections));
         let entries = Arc::new(RwLock::new(settings.entries));
@@ -186,6 +193,7 @@
         let shared = Arc::new(ServerShared {
             core: Arc::clone(&core),
             knobs: Arc::clone(&knobs),
+            counters: Arc::clone(&counters),
             recorder: Arc::clone(&recorder),
             timer: timer.clone(),
             slots: Arc::clone(&slots),
@@ -236,6 +244,7 @@
             admin_address,
             core,
             knobs,
+            counters,
             recorder,
             slots,
             connections: settings.connections,
@@ -264,6 +273,11 @@
         &self.knobs
     }
 
+    /// Returns what it has been asked to do.
+    pub fn counters(&self) -> &StatementCounters {
+        &self.counters
+    }
+
     /// Returns its record of received bytes.
     pub fn recorder(&self) -> &ByteRecorder {
         &self.recorder
--- a/crates/daisyseam-bench/src/standin/server.rs
+++ b/crates/daisyseam-bench/src/standin/server.rs
@@ -2,6 +2,7 @@
 
 use super::{
     core::StandInCore,
+    counters::StatementCounters,
     error::StandInError,
     knobs::StandInKnobs,
     recorder::{
@@ -103,6 +104,7 @@
 pub(super) struct ServerShared {
     pub(super) core: Arc<StandInCore>,
     pub(super) knobs: Arc<StandInKnobs>,
+    pub(super) counters: Arc<StatementCounters>,
     pub(super) recorder: Arc<ByteRecorder>,
     pub(super) timer: TimerService,
     pub(super) slots: Arc<Semaphore>,
@@ -267,7 +269,7 @@
             self.parser.shared.timer.after(delay).await;
         }
         let shared = &self.parser.shared;
-        let session = Session::open(&shared.core, &shared.knobs, &shared.timer)?;
+        let session = Session::open(&shared.core, &shared.knobs, &shared.counters, &shared.timer)?;
         let first = self.parser.session.set(session).is_ok();
         assert!(first, "a connection starts up once");
         Ok(())
--- a/crates/daisyseam-bench/src/standin/session.rs
+++ b/crates/daisyseam-bench/src/standin/session.rs
@@ -6,6 +6,7 @@
         WriteSlot,
         bind, //
     },
+    counters::StatementCounters,
     error::StandInError,
     functions::ConnectionContext,
     knobs::StandInKnobs,
@@ -48,6 +49,7 @@
 pub(super) struct Session {
     core: Arc<StandInCore>,
     knobs: Arc<StandInKnobs>,
+    counters: Arc<StatementCounters>,
     timer: TimerService,
     connection: Arc<Mutex<Connection>>,
     context: Arc<ConnectionContext>,
@@ -68,6 +70,7 @@
     pub(super) fn open(
         core: &Arc<StandInCore>,
         knobs: &Arc<StandInKnobs>,
+        counters: &Arc<StatementCounters>,
         timer: &TimerService,
     ) -> Result<Self, StandInError> {
         let context = Arc::new(ConnectionContext::default());
@@ -75,6 +78,7 @@
         Ok(Self {
             core: Arc::clone(core),
             knobs: Arc::clone(knobs),
+            counters: Arc::clone(counters),
             timer: timer.clone(),
             connection: Arc::new(Mutex::new(connection)),
             context,
@@ -240,6 +244,8 @@
         }
         self.pause(self.knobs.service_time() + statement.sleep)
             .await;
+        self.counters
+            .count(statement.reads_tables, self.core.upstream().role);
         let implicit = self.mode() == TransactionMode::Idle;
         let marks = matches!(tag, "SAVEPOINT" | "RELEASE");
         let writes = marks || statement.locks || !self.is_readonly(&statement.sql)?;
--- a/crates/daisyseam-bench/src/standin/translate.rs
+++ b/crates/daisyseam-bench/src/standin/translate.rs
@@ -57,6 +57,8 @@
     pub(super) locks: bool,
     /// How many parameters it has.
     pub(super) parameters: usize,
+    /// Whether it reads tables.
+    pub(super) reads_tables: bool,
     tree: Statement,
 }
 
@@ -97,6 +99,7 @@
         sleep: fitter.sleep,
         locks: fitter.locks,
         parameters: fitter.parameters,
+        reads_tables: matches!(kind, StatementKind::Run("SELECT")) && fitter.relations > 0,
         tree,
     })
 }
@@ -139,6 +142,7 @@
     sleep: Duration,
     locks: bool,
     parameters: usize,
+    relations: usize,
 }
 
 impl VisitorMut for SqliteFitter {
@@ -159,6 +163,7 @@
 
     fn pre_visit_relation(&mut self, relation: &mut ObjectName) -> ControlFlow<()> {
         keep_last_part(relation);
+        self.relations += 1;
         ControlFlow::Continue(())
     }
 
