Believe a later primary only where it cannot mean another transaction

Cause: a new primary gives the identifiers again that the history it took over did not reach, so its word that one is committed may speak of another transaction, and a lost commit would have been acknowledged. Change: the fate of a commit is resolved by the part for it; committed under a later term is unknown, since nobody knows yet which identifier that primary gave out first. Before: such a fate was told as committed; after: as unknown, and the new test for it and the 12 others of the suite's commits pass.

--- a/crates/daisyseam-entry/src/fleet/fate.rs
+++ b/crates/daisyseam-entry/src/fleet/fate.rs
@@ -8,6 +8,12 @@
     StatementAccess,
     TransactionFate, //
 };
+use daisyseam_coord::outcome::{
+    CommitOutcome,
+    LostCommit,
+    StatusAnswer,
+    XactStatus, //
+};
 use daisyseam_model::{
     GroupId,
     LogPosition,
@@ -23,19 +29,6 @@
 use std::str;
 use tokio::time::Instant;
 
-/// What a database says of a transaction.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum ReportedStatus {
-    /// It is committed; the log reaches to here.
-    Committed(Position),
-    /// It was rolled back.
-    Aborted,
-    /// It is still running.
-    InProgress,
-    /// The database knows no such transaction.
-    NotKnown,
-}
-
 impl FleetBroker {
     /// Asks the present primary until it knows, or the deadline passes.
     pub(super) async fn find_fate(
@@ -45,24 +38,23 @@
         xid: u64,
         deadline: Instant,
     ) -> TransactionFate {
+        let commit = LostCommit {
+            term,
+            xid: Some(xid),
+            commit_sent: true,
+        };
         loop {
             let asked = self.ask_status(group, xid, deadline).await;
-            let (now, status) = match asked {
-                Some(asked) => asked,
+            let answer = match asked {
+                Some(answer) => answer,
                 None if self.pause(deadline).await => continue,
                 None => return TransactionFate::Unknown,
             };
-            match status {
-                ReportedStatus::Aborted => return TransactionFate::Aborted,
-                // The lineage went on without it: no later primary can bring it back.
-                ReportedStatus::NotKnown if now > term => return TransactionFate::Aborted,
-                ReportedStatus::NotKnown => return TransactionFate::Unknown,
-                ReportedStatus::InProgress => {}
-                ReportedStatus::Committed(position) => {
-                    let at = LogPosition {
-                        term: now,
-                        position,
-                    };
+            match commit.resolve(&answer) {
+                CommitOutcome::Aborted => return TransactionFate::Aborted,
+                CommitOutcome::Unknown => return TransactionFate::Unknown,
+                CommitOutcome::Undecided => {}
+                CommitOutcome::Committed(at) => {
                     if self.confirm_commit(group, at, deadline).await.is_ok() {
                         return TransactionFate::Committed(at);
                     }
@@ -74,13 +66,13 @@
         }
     }
 
-    /// Returns the term of the primary that answered, and its answer.
+    /// Returns the answer of the present primary.
     async fn ask_status(
         &self,
         group: &GroupId,
         xid: u64,
         deadline: Instant,
-    ) -> Option<(Term, ReportedStatus)> {
+    ) -> Option<StatusAnswer> {
         let order = LinkOrder {
             group,
             organisation: None,
@@ -91,29 +83,39 @@
         let mut opened = self.open(order).await.ok()?;
         let timer = &self.settings().timer;
         let asked = query_status(&mut opened.link, xid);
-        let status = timer.within(deadline, asked).await??;
+        let (status, position) = timer.within(deadline, asked).await??;
         opened.link.release();
-        Some((opened.term, status))
+        Some(StatusAnswer {
+            term: opened.term,
+            status,
+            // Nobody reads it before the first write of a term, so a later primary's word that
+            // an identifier is committed may speak of another transaction.
+            first_xid: None,
+            position: LogPosition {
+                term: opened.term,
+                position,
+            },
+        })
     }
 }
 
 /// Asks over a link; returns nothing when the link breaks.
-async fn query_status<L: DatabaseLink>(link: &mut L, xid: u64) -> Option<ReportedStatus> {
+async fn query_status<L: DatabaseLink>(link: &mut L, xid: u64) -> Option<(XactStatus, Position)> {
     let status = format!("SELECT pg_xact_status('{xid}')");
     let status = query_text(link, status).await?;
     let status = match status.as_deref() {
-        Ok("committed") => ReportedStatus::Committed(Position::default()),
-        Ok("aborted") => ReportedStatus::Aborted,
-        Ok("in progress") => ReportedStatus::InProgress,
+        Ok("committed") => XactStatus::Committed,
+        Ok("aborted") => XactStatus::Aborted,
+        Ok("in progress") => XactStatus::InProgress,
         // An identifier that the database has not given out yet is an error there.
-        Ok(_) | Err(()) => ReportedStatus::NotKnown,
+        Ok(_) | Err(()) => XactStatus::Future,
     };
-    if status != ReportedStatus::Committed(Position::default()) {
-        return Some(status);
+    if status != XactStatus::Committed {
+        return Some((status, Position::default()));
     }
     let position = query_text(link, "SELECT pg_current_wal_lsn()".to_owned()).await?;
     let position = position.ok().and_then(|text| Position::parse(&text))?;
-    Some(ReportedStatus::Committed(position))
+    Some((status, position))
 }
 
 /// Runs a query and returns the text of its one value, or that it was refused.
--- a/crates/daisyseam-entry/tests/links_suite/commits.rs
+++ b/crates/daisyseam-entry/tests/links_suite/commits.rs
@@ -219,3 +219,16 @@
     let told = within(broker.fate(&group(), Term(1), 42, deadline())).await;
     assert_eq!(told, TransactionFate::Aborted);
 }
+
+#[tokio::test]
+async fn a_later_primary_that_gave_the_identifier_again_is_not_believed() {
+    let fleet = fleet().await;
+    let active = fleet.view.group(2, PrimaryState::Active(upstream("two")));
+    fleet.two.set_state(2, UpstreamRole::Primary);
+    fleet.two.set_end(position(2, 6));
+    fleet.two.set_status(42, "committed");
+    fleet.instance.hold(&active.0).await;
+    let broker = &fleet.instance.broker;
+    let told = within(broker.fate(&group(), Term(1), 42, deadline())).await;
+    assert_eq!(told, TransactionFate::Unknown);
+}
