Divide the larger modules, and keep the kind of refusals after a rollback

A refusal after a lost read was answered as a lost transaction whatever it was; it keeps its kind now, since nothing has run either way. Start-up settings, the port of an exchange and the sending of units have modules of their own.

--- a/crates/daisyseam-entry/src/caller/answer.rs
+++ b/crates/daisyseam-entry/src/caller/answer.rs
@@ -34,10 +34,8 @@
     pub fn settle(self, kind: ErrorKind) -> ErrorKind {
         let claimed = kind.row().execution == Execution::NotRun;
         match self {
-            Self::Unsent => kind,
-            Self::RolledBack if claimed => ErrorKind::TransactionLost,
             Self::Sent | Self::CommitSent if claimed => ErrorKind::OutcomeUnknown,
-            Self::RolledBack | Self::Sent | Self::CommitSent => kind,
+            Self::Unsent | Self::RolledBack | Self::Sent | Self::CommitSent => kind,
         }
     }
 }
--- a/crates/daisyseam-entry/src/caller/exchange.rs
+++ b/crates/daisyseam-entry/src/caller/exchange.rs
@@ -1,23 +1,17 @@
 //! Messages sent to a database and what becomes of each answer.
 
-use super::{
-    cancel::CancelFlag,
-    codec::{
-        CallerCodec,
-        FrameError, //
-    },
-    lease::LinkLease, //
+mod port;
+
+pub(super) use self::port::{
+    CallerStream,
+    ExchangeFault,
+    ExchangePort, //
 };
 use crate::{
     DatabaseLink,
     LinkError, //
 };
 use daisyseam_model::Position;
-use daisyseam_runtime::TimerService;
-use futures_util::{
-    FutureExt,
-    SinkExt, //
-};
 use pgwire::messages::{
     PgWireBackendMessage,
     data::DataRow,
@@ -29,21 +23,14 @@
 };
 use smallvec::SmallVec;
 use std::collections::VecDeque;
-use tokio::{
-    io::{
-        AsyncRead,
-        AsyncWrite, //
-    },
-    time::Instant, //
+use tokio::io::{
+    AsyncRead,
+    AsyncWrite, //
 };
-use tokio_util::codec::Framed;
 
 /// SQLSTATE of a write in a read-only transaction.
 const READ_ONLY_VIOLATION: &str = "25006";
 
-/// The caller's connection.
-pub(super) type CallerStream<S> = Framed<S, CallerCodec>;
-
 /// One thing that was sent and whose answer is awaited.
 #[derive(Debug)]
 pub(super) enum ExchangeStep {
@@ -66,32 +53,6 @@
     Answer(PgWireBackendMessage),
 }
 
-/// Why an exchange ended early.
-#[derive(Debug)]
-pub(super) enum ExchangeFault {
-    /// The link broke.
-    Link(LinkError),
-    /// The time is over.
-    Deadline,
-    /// The caller is gone.
-    Caller(FrameError),
-}
-
-impl From<LinkError> for ExchangeFault {
-    fn from(error: LinkError) -> Self {
-        Self::Link(error)
-    }
-}
-
-/// Both ends of an exchange and the time it may take.
-pub(super) struct ExchangePort<'a, S, L: DatabaseLink> {
-    pub(super) stream: &'a mut CallerStream<S>,
-    pub(super) lease: &'a mut LinkLease<L>,
-    pub(super) timer: &'a TimerService,
-    pub(super) cancel: &'a CancelFlag,
-    pub(super) deadline: Instant,
-}
-
 /// What is awaited, and what has come of it.
 #[derive(Debug)]
 pub(super) struct Exchange {
@@ -428,64 +389,6 @@
     )
 }
 
-impl<S, L> ExchangePort<'_, S, L>
-where
-    S: AsyncRead + AsyncWrite + Unpin,
-    L: DatabaseLink,
-{
-    /// Sends a query of our own or of the caller.
-    pub(super) async fn query(&mut self, text: &str) -> Result<(), ExchangeFault> {
-        let sent = self.timer.within(self.deadline, self.lease.query(text));
-        Ok(sent.await.ok_or(ExchangeFault::Deadline)??)
-    }
-
-    /// Sends a message.
-    pub(super) async fn send(
-        &mut self,
-        message: pgwire::messages::PgWireFrontendMessage,
-    ) -> Result<(), ExchangeFault> {
-        let sent = self.timer.within(self.deadline, self.lease.send(message));
-        Ok(sent.await.ok_or(ExchangeFault::Deadline)??)
-    }
-
-    async fn flush_link(&mut self) -> Result<(), ExchangeFault> {
-        let flushed = self.timer.within(self.deadline, self.lease.flush());
-        Ok(flushed.await.ok_or(ExchangeFault::Deadline)??)
-    }
-
-    /// Gives a message to the caller; waits while the caller is slow, but not past the deadline.
-    async fn show(&mut self, message: PgWireBackendMessage) -> Result<(), ExchangeFault> {
-        let fed = self.timer.within(self.deadline, self.stream.feed(message));
-        fed.await
-            .ok_or(ExchangeFault::Deadline)?
-            .map_err(ExchangeFault::Caller)
-    }
-
-    async fn receive(&mut self) -> Result<PgWireBackendMessage, ExchangeFault> {
-        // What has come already goes to the caller in one piece.
-        if let Some(message) = self.lease.receive().now_or_never() {
-            return Ok(message?);
-        }
-        let flushed = self.timer.within(self.deadline, self.stream.flush());
-        flushed
-            .await
-            .ok_or(ExchangeFault::Deadline)?
-            .map_err(ExchangeFault::Caller)?;
-        loop {
-            let message = tokio::select! {
-                biased;
-                message = self.lease.receive() => Some(message?),
-                () = self.cancel.requested() => None,
-                () = self.timer.at(self.deadline) => return Err(ExchangeFault::Deadline),
-            };
-            match message {
-                Some(message) => return Ok(message),
-                None => self.lease.cancel().await,
-            }
-        }
-    }
-}
-
 fn sqlstate(error: &ErrorResponse) -> Option<&str> {
     let field = error.fields.iter().find(|(code, _)| *code == b'C');
     field.map(|(_, value)| value.as_str())
--- /dev/null
+++ b/crates/daisyseam-entry/src/caller/exchange/port.rs
@@ -0,0 +1,123 @@
+//! Both ends of an exchange: the caller's connection and the link.
+
+use crate::{
+    DatabaseLink,
+    LinkError,
+    caller::{
+        cancel::CancelFlag,
+        codec::{
+            CallerCodec,
+            FrameError, //
+        },
+        lease::LinkLease, //
+    }, //
+};
+use daisyseam_runtime::TimerService;
+use futures_util::{
+    FutureExt,
+    SinkExt, //
+};
+use pgwire::messages::{
+    PgWireBackendMessage,
+    PgWireFrontendMessage, //
+};
+use tokio::{
+    io::{
+        AsyncRead,
+        AsyncWrite, //
+    },
+    time::Instant, //
+};
+use tokio_util::codec::Framed;
+
+/// The caller's connection.
+pub(in crate::caller) type CallerStream<S> = Framed<S, CallerCodec>;
+
+/// Why an exchange ended early.
+#[derive(Debug)]
+pub(in crate::caller) enum ExchangeFault {
+    /// The link broke.
+    Link(LinkError),
+    /// The time is over.
+    Deadline,
+    /// The caller is gone.
+    Caller(FrameError),
+}
+
+impl From<LinkError> for ExchangeFault {
+    fn from(error: LinkError) -> Self {
+        Self::Link(error)
+    }
+}
+
+/// Both ends of an exchange and the time it may take.
+pub(in crate::caller) struct ExchangePort<'a, S, L: DatabaseLink> {
+    pub(in crate::caller) stream: &'a mut CallerStream<S>,
+    pub(in crate::caller) lease: &'a mut LinkLease<L>,
+    pub(in crate::caller) timer: &'a TimerService,
+    pub(in crate::caller) cancel: &'a CancelFlag,
+    pub(in crate::caller) deadline: Instant,
+}
+
+impl<S, L> ExchangePort<'_, S, L>
+where
+    S: AsyncRead + AsyncWrite + Unpin,
+    L: DatabaseLink,
+{
+    /// Sends a query of our own or of the caller.
+    pub(in crate::caller) async fn query(&mut self, text: &str) -> Result<(), ExchangeFault> {
+        let sent = self.timer.within(self.deadline, self.lease.query(text));
+        Ok(sent.await.ok_or(ExchangeFault::Deadline)??)
+    }
+
+    /// Sends a message.
+    pub(in crate::caller) async fn send(
+        &mut self,
+        message: PgWireFrontendMessage,
+    ) -> Result<(), ExchangeFault> {
+        let sent = self.timer.within(self.deadline, self.lease.send(message));
+        Ok(sent.await.ok_or(ExchangeFault::Deadline)??)
+    }
+
+    /// Sends what the link holds back.
+    pub(super) async fn flush_link(&mut self) -> Result<(), ExchangeFault> {
+        let flushed = self.timer.within(self.deadline, self.lease.flush());
+        Ok(flushed.await.ok_or(ExchangeFault::Deadline)??)
+    }
+
+    /// Gives a message to the caller; waits while the caller is slow, but not past the deadline.
+    pub(super) async fn show(
+        &mut self,
+        message: PgWireBackendMessage,
+    ) -> Result<(), ExchangeFault> {
+        let fed = self.timer.within(self.deadline, self.stream.feed(message));
+        fed.await
+            .ok_or(ExchangeFault::Deadline)?
+            .map_err(ExchangeFault::Caller)
+    }
+
+    /// Receives the next message of the database.
+    pub(super) async fn receive(&mut self) -> Result<PgWireBackendMessage, ExchangeFault> {
+        // What has come already goes to the caller in one piece.
+        if let Some(message) = self.lease.receive().now_or_never() {
+            return Ok(message?);
+        }
+        let flushed = self.timer.within(self.deadline, self.stream.flush());
+        flushed
+            .await
+            .ok_or(ExchangeFault::Deadline)?
+            .map_err(ExchangeFault::Caller)?;
+        loop {
+            let message = tokio::select! {
+                biased;
+                message = self.lease.receive() => Some(message?),
+                () = self.cancel.requested() => None,
+                () = self.timer.at(self.deadline) => return Err(ExchangeFault::Deadline),
+            };
+            match message {
+                Some(message) => return Ok(message),
+                None => self.lease.cancel().await,
+            }
+        }
+    }
+}
--- a/crates/daisyseam-entry/src/caller/session.rs
+++ b/crates/daisyseam-entry/src/caller/session.rs
@@ -7,6 +7,7 @@
 mod idle;
 mod local;
 mod request;
+mod send;
 mod simple;
 
 use self::{
--- a/crates/daisyseam-entry/src/caller/session/request.rs
+++ b/crates/daisyseam-entry/src/caller/session/request.rs
@@ -16,12 +16,7 @@
             StatementHints,
             StatementKind, //
         },
-        exchange::{
-            Exchange,
-            ExchangeFault,
-            ExchangePort,
-            ExchangeStep, //
-        },
+        exchange::ExchangePort,
         lease::LinkLease,
         prepared::BatchPart, //
     }, //
@@ -37,19 +32,6 @@
     }, //
 };
 use daisyseam_runtime::HopSpan;
-use pgwire::messages::{
-    PgWireFrontendMessage,
-    extendedquery::{
-        Close,
-        Describe,
-        Execute,
-        Flush,
-        Parse,
-        Sync,
-        TARGET_TYPE_BYTE_PORTAL,
-        TARGET_TYPE_BYTE_STATEMENT, //
-    }, //
-};
 use std::{
     sync::Arc,
     time::Duration, //
@@ -62,16 +44,9 @@
     time::Instant, //
 };
 
-/// Bytes of one batch that are sent before answers are taken, so that neither side blocks the
-/// other with full buffers.
-const CHUNK_BYTES: usize = 16 << 10;
-
 /// Longest time that a request waits for the lease on the view.
 const LEASE_WAIT: Duration = Duration::from_secs(2);
 
-/// Messages of one batch that are sent before answers are taken.
-const CHUNK_MESSAGES: usize = 64;
-
 /// What runs as one request.
 #[derive(Debug)]
 pub(super) enum RequestUnit<'a> {
@@ -326,156 +301,4 @@
             deadline,
         }
     }
-
-    /// Sends what the session carries, for the length of the transaction.
-    pub(super) async fn send_carried(
-        &mut self,
-        exchange: &mut Exchange,
-        lease: &mut LinkLease<B::Link>,
-        deadline: Instant,
-    ) -> Result<(), ExchangeFault> {
-        for setting in self.carried.clone() {
-            let text = format!("SET LOCAL {} = {}", setting.name, setting.value);
-            self.port(lease, deadline).query(&text).await?;
-            exchange.expect(ExchangeStep::Quiet);
-        }
-        Ok(())
-    }
-
-    /// Sends a unit; answers are taken on the way where the unit is long.
-    pub(super) async fn send_unit(
-        &mut self,
-        unit: &RequestUnit<'_>,
-        exchange: &mut Exchange,
-        lease: &mut LinkLease<B::Link>,
-        deadline: Instant,
-    ) -> Result<(), ExchangeFault> {
-        self.progress = SendProgress::Sent;
-        let mut port = self.port(lease, deadline);
-        match unit {
-            RequestUnit::Simple(text) => {
-                port.query(text).await?;
-                exchange.expect(ExchangeStep::Shown);
-            }
-            RequestUnit::Extended(parts) => {
-                send_parts(parts, exchange, &mut port).await?;
-                port.send(PgWireFrontendMessage::Sync(Sync::new())).await?;
-                exchange.expect(ExchangeStep::Sync);
-            }
-        }
-        Ok(())
-    }
-}
-
-async fn send_parts<S, L>(
-    parts: &[BatchPart],
-    exchange: &mut Exchange,
-    port: &mut ExchangePort<'_, S, L>,
-) -> Result<(), ExchangeFault>
-where
-    S: AsyncRead + AsyncWrite + Unpin,
-    L: crate::DatabaseLink,
-{
-    let (mut bytes, mut messages) = (0, 0);
-    for part in parts {
-        let size = part_bytes(part);
-        if messages > 0 && (bytes + size > CHUNK_BYTES || messages >= CHUNK_MESSAGES) {
-            port.send(PgWireFrontendMessage::Flush(Flush::new()))
-                .await?;
-            exchange.drain(port).await?;
-            (bytes, messages) = (0, 0);
-            if exchange.failed {
-                return Ok(());
-            }
-        }
-        send_part(part, exchange, port).await?;
-        bytes += size;
-        messages += 1;
-    }
-    Ok(())
-}
-
-async fn send_part<S, L>(
-    part: &BatchPart,
-    exchange: &mut Exchange,
-    port: &mut ExchangePort<'_, S, L>,
-) -> Result<(), ExchangeFault>
-where
-    S: AsyncRead + AsyncWrite + Unpin,
-    L: crate::DatabaseLink,
-{
-    let message = match part {
-        BatchPart::Parse { statement, .. } => {
-            let message = parse_message(statement);
-            port.lease.parsed = Some(Arc::clone(statement));
-            PgWireFrontendMessage::Parse(message)
-        }
-        BatchPart::Bind(portal) => {
-            send_unnamed(&portal.statement, exchange, port).await?;
-            PgWireFrontendMessage::Bind(portal.message())
-        }
-        BatchPart::DescribeStatement(statement) => {
-            send_unnamed(statement, exchange, port).await?;
-            let describe = Describe::new(TARGET_TYPE_BYTE_STATEMENT, None);
-            PgWireFrontendMessage::Describe(describe)
-        }
-        BatchPart::DescribePortal(name) => {
-            let describe = Describe::new(TARGET_TYPE_BYTE_PORTAL, name.clone());
-            PgWireFrontendMessage::Describe(describe)
-        }
-        BatchPart::Execute {
-            portal, max_rows, ..
-        } => PgWireFrontendMessage::Execute(Execute::new(portal.clone(), *max_rows)),
-        BatchPart::ClosePortal(name) => {
-            let close = Close::new(TARGET_TYPE_BYTE_PORTAL, name.clone());
-            PgWireFrontendMessage::Close(close)
-        }
-        BatchPart::Answer(answer) => {
-            exchange.expect(ExchangeStep::Answer(answer.message()));
-            return Ok(());
-        }
-        // These run between units.
-        BatchPart::Local(_) => return Ok(()),
-    };
-    port.send(message).await?;
-    exchange.expect(ExchangeStep::Part { shown: true });
-    Ok(())
-}
-
-/// Makes the unnamed statement of the connection hold a text.
-async fn send_unnamed<S, L>(
-    statement: &Arc<super::PreparedText>,
-    exchange: &mut Exchange,
-    port: &mut ExchangePort<'_, S, L>,
-) -> Result<(), ExchangeFault>
-where
-    S: AsyncRead + AsyncWrite + Unpin,
-    L: crate::DatabaseLink,
-{
-    let held = port.lease.parsed.as_ref();
-    if held.is_some_and(|held| Arc::ptr_eq(held, statement)) {
-        return Ok(());
-    }
-    let message = parse_message(statement);
-    port.lease.parsed = Some(Arc::clone(statement));
-    port.send(PgWireFrontendMessage::Parse(message)).await?;
-    exchange.expect(ExchangeStep::Part { shown: false });
-    Ok(())
-}
-
-fn parse_message(statement: &super::PreparedText) -> Parse {
-    Parse::new(None, statement.text.clone(), statement.types.clone())
-}
-
-fn part_bytes(part: &BatchPart) -> usize {
-    match part {
-        BatchPart::Parse { statement, .. } | BatchPart::DescribeStatement(statement) => {
-            statement.text.len()
-        }
-        BatchPart::Bind(portal) => {
-            let values = portal.bind.parameters.iter().flatten();
-            portal.statement.text.len() + values.map(|value| value.len()).sum::<usize>()
-        }
-        _ => 0,
-    }
 }
--- a/crates/daisyseam-entry/src/caller/startup.rs
+++ b/crates/daisyseam-entry/src/caller/startup.rs
@@ -1,14 +1,14 @@
 //! The start of a connection: TLS, start-up packet, key.
 
+mod options;
+
+pub(super) use self::options::StartupSettings;
+use self::options::read_settings;
 use super::{
     answer::{
         SendProgress,
         error_answer, //
     },
-    classify::{
-        SessionSetting,
-        carried_setting, //
-    },
     codec::{
         CallerCodec,
         CallerFrame,
@@ -35,7 +35,6 @@
     ServiceId,
     document::Document, //
 };
-use daisyseam_runtime::TraceContext;
 use futures_util::{
     SinkExt,
     StreamExt, //
@@ -58,7 +57,6 @@
         Startup, //
     }, //
 };
-use smallvec::SmallVec;
 use std::{
     sync::Arc,
     time::Duration, //
@@ -84,13 +82,6 @@
 /// Version that callers are told.
 const SERVER_VERSION: &str = "16.0";
 
-/// Settings that a connection starts with.
-#[derive(Debug, Default)]
-pub(super) struct StartupSettings {
-    pub(super) settings: SmallVec<[SessionSetting; 2]>,
-    pub(super) trace: Option<TraceContext>,
-}
-
 /// Why a connection ends before its first request.
 #[derive(Debug)]
 pub(super) enum StartupEnd {
@@ -453,83 +444,6 @@
     answer
 }
 
-fn read_settings(startup: &Startup) -> Result<StartupSettings, StartupEnd> {
-    let mut read = StartupSettings::default();
-    for (name, value) in &startup.parameters {
-        match name.as_str() {
-            "user" | "database" => {}
-            "options" => read_options(value, &mut read)?,
-            "replication" => {
-                let words = "replication connections are not served";
-                let error = RequestError::new(ErrorKind::FeatureUnsupported, words);
-                return Err(StartupEnd::Refused(error));
-            }
-            // Extensions of the protocol may be ignored.
-            name if name.starts_with("_pq_.") => {}
-            name => read_setting(name, value, &mut read)?,
-        }
-    }
-    Ok(read)
-}
-
-/// Reads `-c name=value` and `--name=value`; a backslash takes the next character as it is.
-fn read_options(text: &str, read: &mut StartupSettings) -> Result<(), StartupEnd> {
-    let mut words = split_words(text).into_iter();
-    while let Some(word) = words.next() {
-        let pair = match word.as_str() {
-            "-c" => words.next().unwrap_or_default(),
-            _ => match word.strip_prefix("--").or_else(|| word.strip_prefix("-c")) {
-                Some(pair) => pair.to_owned(),
-                None => return Err(invalid(&word, "is not -c name=value")),
-            },
-        };
-        let Some((name, value)) = pair.split_once('=') else {
-            return Err(invalid(&pair, "is not name=value"));
-        };
-        read_setting(name, value, read)?;
-    }
-    Ok(())
-}
-
-fn split_words(text: &str) -> Vec<String> {
-    let mut words = Vec::new();
-    let mut word = String::new();
-    let mut characters = text.chars();
-    while let Some(character) = characters.next() {
-        match character {
-            '\\' => word.extend(characters.next()),
-            space if space.is_whitespace() => {
-                if !word.is_empty() {
-                    words.push(std::mem::take(&mut word));
-                }
-            }
-            other => word.push(other),
-        }
-    }
-    if !word.is_empty() {
-        words.push(word);
-    }
-    words
-}
-
-fn read_setting(name: &str, value: &str, read: &mut StartupSettings) -> Result<(), StartupEnd> {
-    if name == "traceparent" {
-        // A trace that cannot be read must not refuse a caller.
-        read.trace = TraceContext::parse(value);
-        return Ok(());
-    }
-    match carried_setting(name, value) {
-        Ok(setting) => read.settings.push(setting),
-        Err(refusal) => return Err(invalid(name, refusal.words())),
-    }
-    Ok(())
-}
-
-fn invalid(name: &str, words: &str) -> StartupEnd {
-    let error = RequestError::new(ErrorKind::InvalidSetting, format!("{name}: {words}"));
-    StartupEnd::Refused(error)
-}
-
 fn violation(words: &str) -> StartupEnd {
     StartupEnd::Refused(RequestError::new(ErrorKind::ProtocolViolation, words))
 }
--- a/crates/daisyseam-entry/tests/caller_commit.rs
+++ b/crates/daisyseam-entry/tests/caller_commit.rs
@@ -145,6 +145,18 @@
     assert_eq!(error.code().unwrap().code(), "40001");
 }
 
+#[tokio::test]
+async fn a_read_that_finds_no_other_database_says_so() {
+    let stage = Stage::start().await;
+    stage.world.fail(FakeFault::LoseBefore("SELECT 1"));
+    stage.world.fail(FakeFault::Refuse(ErrorKind::NoReplica));
+    let client = stage.connect().await;
+    let error = client.simple_query("SELECT 1").await.unwrap_err();
+    let error = error.as_db_error().unwrap();
+    assert_eq!(error.code().code(), "57P03");
+    assert_eq!(error.hint(), Some("not run; may be sent again"));
+}
+
 #[tokio::test]
 async fn a_write_marked_repeatable_is_sent_again() {
     let stage = Stage::start().await;
--- a/crates/daisyseam-entry/tests/caller_keys.rs
+++ b/crates/daisyseam-entry/tests/caller_keys.rs
@@ -249,6 +249,7 @@
 #[test_case("SET search_path = other", Some("42501"); "another search path")]
 #[test_case("BEGIN; SET LOCAL search_path = other; SELECT * FROM notices", Some("42501");
     "another search path in a block")]
+#[test_case("SELECT * FROM notices /* hidden_write */", Some("42501"); "a hidden write")]
 #[test_case("BEGIN; DECLARE c CURSOR FOR SELECT * FROM deposits", Some("42501"); "a cursor")]
 #[tokio::test]
 async fn an_open_route_reads_its_tables_and_nothing_else(text: &str, code: Option<&str>) {
