End holders with a dropped daemon, and leave the word to the new holder

Cause: the actors of the holders kept themselves alive, so a daemon that was dropped without a stop kept its connections to databases. A former holder also went on telling of a database that another one held by then.

Change: a guard ends the holders; reports of a hand-over end when there is a holder.

Before: no test of it. After: 51 tests of the suite pass, among them a_daemon_that_is_dropped_leaves_no_connection_open.

--- a/crates/daisyseam-entry/src/control_client/health.rs
+++ b/crates/daisyseam-entry/src/control_client/health.rs
@@ -48,7 +48,14 @@
 
 impl HealthTeller {
     /// Returns the reports that are due; a database that does not answer is told of every time.
-    pub(super) fn reports(&mut self, table: &HolderTable, view: ViewNumber) -> Vec<HealthReport> {
+    ///
+    /// `view` is the number that goes along, `held` the view in force.
+    pub(super) fn reports(
+        &mut self,
+        table: &HolderTable,
+        view: ViewNumber,
+        held: &FleetView,
+    ) -> Vec<HealthReport> {
         let now = Instant::now();
         let handles = table.all();
         self.told.retain(|upstream, _| {
@@ -70,19 +77,28 @@
             self.told.insert(upstream.clone(), (health, now));
             reports.push(report(upstream, &sight, health, view));
         }
-        reports.extend(self.hand_over_reports(table, view));
+        reports.extend(self.hand_over_reports(table, view, held));
         reports
     }
 
     /// Returns whether databases that are handed over are still in use here, every time.
-    fn hand_over_reports(&mut self, table: &HolderTable, view: ViewNumber) -> Vec<HealthReport> {
+    fn hand_over_reports(
+        &mut self,
+        table: &HolderTable,
+        view: ViewNumber,
+        held: &FleetView,
+    ) -> Vec<HealthReport> {
         let now = Instant::now();
         let moving = table.moving();
         for handle in &moving {
             self.moving.insert(handle.settings().upstream.clone(), now);
         }
-        self.moving
-            .retain(|upstream, last| now < *last + LET_GO_REPEAT && table.get(upstream).is_none());
+        self.moving.retain(|upstream, last| {
+            // Once there is a holder, it alone speaks of the database.
+            let entry = held.upstreams.get(upstream);
+            let handed_on = entry.is_none_or(|entry| entry.holder.is_some());
+            now < *last + LET_GO_REPEAT && !handed_on
+        });
         let in_use = |upstream: &UpstreamId| {
             let moves = |handle: &HolderHandle| handle.settings().upstream == *upstream;
             moving.iter().any(moves)
--- a/crates/daisyseam-entry/src/control_client/session.rs
+++ b/crates/daisyseam-entry/src/control_client/session.rs
@@ -142,7 +142,7 @@
             leaving: settings.stop.is_stopping(),
             shares: Some(settings.gate.report()),
             upstreams: settings.book.take(),
-            health: self.teller.reports(&settings.table, view),
+            health: self.teller.reports(&settings.table, view, &held.view),
             groups: group_reports(&held.view, &settings.counts),
             instance: settings.instance.to_string(),
             view_digest: self.keeper.digest(),
--- a/crates/daisyseam-entry/src/daemon.rs
+++ b/crates/daisyseam-entry/src/daemon.rs
@@ -97,6 +97,7 @@
     timer: TimerService,
     stop: StopSignal,
     reloading: ReloadGuard,
+    _holders: HolderGuard,
 }
 
 impl EntryDaemon {
@@ -217,6 +218,7 @@
             timer: timer.clone(),
             stop: stop.clone(),
         });
+        let guarded = table.clone();
         Ok(Self {
             callers,
             peers,
@@ -225,6 +227,7 @@
             table,
             gate,
             cell,
+            _holders: HolderGuard(guarded),
             reloading: ReloadGuard::start(security, timer.clone()),
             timer,
             stop,
@@ -284,6 +287,15 @@
     }
 }
 
+/// Ends the holders with the daemon; none is left after a graceful stop.
+struct HolderGuard(HolderTable);
+
+impl Drop for HolderGuard {
+    fn drop(&mut self) {
+        self.0.stop_all();
+    }
+}
+
 /// Takes changed certificates over until it is dropped.
 struct ReloadGuard(AbortHandle);
 
--- a/crates/daisyseam-entry/src/holder/handle.rs
+++ b/crates/daisyseam-entry/src/holder/handle.rs
@@ -265,6 +265,12 @@
         self.shared.registry.close_below(term);
     }
 
+    /// Ends the holder at once, with every connection.
+    pub fn stop(&self) {
+        self.shared.registry.close_all();
+        self.actor.stop(None);
+    }
+
     /// Lets go of the database: lends nothing more, waits for running transactions, but not past
     /// the deadline, and returns when every connection is closed.
     pub async fn let_go(&self, deadline: Instant) {
@@ -273,8 +279,7 @@
             return;
         }
         self.shared.settings.timer.within(deadline, closed).await;
-        self.shared.registry.close_all();
-        self.actor.stop(None);
+        self.stop();
     }
 
     /// Waits for a connection, unless the database may no longer be used meanwhile.
--- a/crates/daisyseam-entry/src/holder/table.rs
+++ b/crates/daisyseam-entry/src/holder/table.rs
@@ -140,6 +140,15 @@
         }
     }
 
+    /// Ends every holder at once.
+    pub fn stop_all(&self) {
+        let holders = std::mem::take(&mut *self.holders.lock());
+        let moving = std::mem::take(&mut *self.moving.lock());
+        for handle in holders.into_values().map(|held| held.handle).chain(moving) {
+            handle.stop();
+        }
+    }
+
     /// Lets every holder open connections again, at the start of a lease.
     pub fn wake_all(&self) {
         for handle in self.all() {
--- a/crates/daisyseam-entry/tests/links_suite/views.rs
+++ b/crates/daisyseam-entry/tests/links_suite/views.rs
@@ -140,6 +140,21 @@
     daemon.stop(Duration::from_secs(5)).await;
 }
 
+#[tokio::test]
+async fn a_daemon_that_is_dropped_leaves_no_connection_open() {
+    let database = FakeDatabase::start(UpstreamRole::Primary, position(1, 10)).await;
+    let held = ViewParts::new().instance("entry-1", 1, ANYWHERE).database(
+        "one",
+        &database,
+        Some("entry-1"),
+    );
+    let control = FakeControl::start(held.0).await;
+    let daemon = start_daemon("entry-1", control.address).await;
+    eventually("a connection is open", || database.open() > 0).await;
+    drop(daemon);
+    eventually("all are closed", || database.open() == 0).await;
+}
+
 #[tokio::test]
 async fn without_a_lease_no_link_is_given() {
     let database = FakeDatabase::start(UpstreamRole::Primary, position(1, 10)).await;
