--- a/crates/daisyseam-bench/src/experiments.rs
+++ b/crates/daisyseam-bench/src/experiments.rs
@@ -1,8 +1,16 @@
 //! The experiments that `daisyseam-bench run` knows.
 
+mod fairness;
 mod overhead;
+mod quota;
+mod sessions;
+mod shape;
+mod traffic;
 
-pub use self::overhead::Overhead;
+pub use self::{
+    overhead::Overhead,
+    shape::FirmShape, //
+};
 use crate::experiment::{
     Experiment,
     ExperimentError,
@@ -11,19 +19,33 @@
 };
 
 /// Names of all experiments.
-pub const EXPERIMENT_NAMES: &[&str] = &[Overhead::NAME];
+pub const EXPERIMENT_NAMES: &[&str] = &[Overhead::NAME, "fairness", "quota", "sessions"];
 
 /// Runs an experiment by its name.
 ///
 /// # Errors
 ///
 /// When there is none of that name, or it could not be carried out.
-pub async fn run_named(name: &str, seed: u64) -> Result<ExperimentReport, ExperimentError> {
-    match name {
-        Overhead::NAME => run_experiment::<Overhead>(seed).await,
-        _ => Err(ExperimentError::Unknown(
-            name.to_owned(),
-            EXPERIMENT_NAMES.join(", "),
-        )),
-    }
+pub async fn run_named(
+    name: &str,
+    seed: u64,
+    shape: FirmShape,
+) -> Result<ExperimentReport, ExperimentError> {
+    let outcome = match name {
+        "fairness" => fairness::run(shape, seed).await?,
+        "quota" => quota::run(shape, seed).await?,
+        "sessions" => sessions::run(shape, seed).await?,
+        Overhead::NAME => return run_experiment::<Overhead>(seed).await,
+        _ => {
+            return Err(ExperimentError::Unknown(
+                name.to_owned(),
+                EXPERIMENT_NAMES.join(", "),
+            ));
+        }
+    };
+    Ok(ExperimentReport {
+        experiment: name.to_owned(),
+        seed,
+        outcome,
+    })
 }
--- a/crates/daisyseam-bench/src/main.rs
+++ b/crates/daisyseam-bench/src/main.rs
@@ -1,7 +1,10 @@
 //! Runs experiments on a small fleet of its own and reports on saved results.
 
 use argh::FromArgs;
-use daisyseam_bench::experiments::run_named;
+use daisyseam_bench::experiments::{
+    FirmShape,
+    run_named, //
+};
 use daisyseam_runtime::exit;
 use std::{
     io::{
@@ -35,11 +38,18 @@
     /// seed of all random draws
     #[argh(option, default = "1")]
     seed: u64,
+    /// firm whose places and delays are used: shellrest or brandvold
+    #[argh(option, default = "FirmShape::Shellrest", from_str_fn(read_shape))]
+    shape: FirmShape,
     /// print the JSON object only
     #[argh(switch)]
     json: bool,
 }
 
+fn read_shape(name: &str) -> Result<FirmShape, String> {
+    FirmShape::parse(name).ok_or_else(|| format!("`{name}` is no shape: shellrest or brandvold"))
+}
+
 fn main() -> ExitCode {
     let options: BenchOptions = argh::from_env();
     let BenchCommand::Run(command) = options.command;
@@ -54,7 +64,7 @@
 }
 
 async fn run(command: &RunCommand) -> i32 {
-    let report = match run_named(&command.name, command.seed).await {
+    let report = match run_named(&command.name, command.seed, command.shape).await {
         Ok(report) => report,
         Err(error) => {
             eprintln!("{error}");
