control: secure connections by role, and test bad input

Cause: entries and operators prove themselves by certificates, which control could not answer. Change: control takes connections of the three roles and lets each send only what it is for, members connect with theirs, and files are read again every 30 s; a role comes with an accepted connection. Before: an entry with certificates could not reach control. Conclusion: without files connections stay plain.

--- a/crates/daisyseam-control/src/daemon.rs
+++ b/crates/daisyseam-control/src/daemon.rs
@@ -14,7 +14,10 @@
         NodeMessage,
         NodeReport, //
     },
-    session::accept_sessions,
+    session::{
+        SessionContext,
+        accept_sessions, //
+    },
     settings::ControlSettings, //
 };
 use arc_swap::ArcSwap;
@@ -44,6 +47,8 @@
 use daisyseam_wire::{
     ControlMessage,
     MessageStream,
+    PeerRole,
+    PeerSecurity,
     SpareNotice,
     control_message::Body, //
 };
@@ -82,6 +87,8 @@
 const LOCK_RETRY: Duration = Duration::from_millis(20);
 /// Time between two notices of a spare.
 const SPARE_EVERY: Duration = Duration::from_millis(1_000);
+/// Time between two readings of the certificates.
+const RELOAD_EVERY: Duration = Duration::from_secs(30);
 /// Time between two looks at whether the leadership is handed over.
 const STOP_POLL: Duration = Duration::from_millis(10);
 
@@ -126,6 +133,19 @@
     ///
     /// [`StartError`] when the data folder, an address or the metrics cannot be used.
     pub async fn start(settings: ControlSettings) -> Result<Self, StartError> {
+        let security = PeerSecurity::plain(settings.cluster.clone());
+        Self::start_secured(settings, security).await
+    }
+
+    /// Starts with connections that are secured; certificates are read again from time to time.
+    ///
+    /// # Errors
+    ///
+    /// [`StartError`] when the data folder, an address or the metrics cannot be used.
+    pub async fn start_secured(
+        settings: ControlSettings,
+        security: PeerSecurity,
+    ) -> Result<Self, StartError> {
         let timer = TimerService::start();
         let metrics = MetricClient::new(settings.metrics).map_err(StartError::Metrics)?;
         let listener = bind(settings.listen).await?;
@@ -143,9 +163,11 @@
         };
         let link_timer = timer.clone();
         let cluster = settings.cluster.clone();
+        let link_security = security.clone();
         let context = move |node| LinkContext {
             cluster: cluster.clone(),
             dialer,
+            security: link_security.clone(),
             timer: link_timer.clone(),
             node,
         };
@@ -172,18 +194,20 @@
         let health = health
             .await
             .map_err(|error| StartError::Listen(settings.http_listen, error))?;
+        let sessions = SessionContext {
+            cluster: settings.cluster.clone(),
+            security: security.clone(),
+            timer: timer.clone(),
+            node: node.clone(),
+        };
         let mut tasks = vec![
             tokio::spawn(drive_ticks(woken, timer.clone(), node.clone())).abort_handle(),
-            tokio::spawn(accept_sessions(
-                listener,
-                settings.cluster.clone(),
-                node.clone(),
-            ))
-            .abort_handle(),
+            tokio::spawn(accept_sessions(listener, sessions)).abort_handle(),
+            tokio::spawn(reload_often(security.clone(), timer.clone())).abort_handle(),
         ];
         if settings.spare {
             let own = settings.advertise.unwrap_or(address);
-            let notices = send_notices(settings, own, timer.clone());
+            let notices = send_notices(settings, own, security, timer.clone());
             tasks.push(tokio::spawn(notices).abort_handle());
         }
         Ok(Self {
@@ -354,8 +378,23 @@
     }
 }
 
+/// Reads the certificates again and again, so that renewed ones are used without a restart.
+async fn reload_often(security: PeerSecurity, timer: TimerService) {
+    loop {
+        timer.after(RELOAD_EVERY).await;
+        if let Err(error) = security.reload() {
+            log::warn!("the certificates are not renewed: {error}");
+        }
+    }
+}
+
 /// Tells every first member, again and again, that this spare is there.
-async fn send_notices(settings: ControlSettings, own: SocketAddr, timer: TimerService) {
+async fn send_notices(
+    settings: ControlSettings,
+    own: SocketAddr,
+    security: PeerSecurity,
+    timer: TimerService,
+) {
     let dialer = Dialer {
         source: settings.source,
     };
@@ -370,6 +409,7 @@
             let until = timer.now() + SPARE_EVERY;
             let send = async {
                 let socket = dialer.connect(*address).await.ok()?;
+                let socket = security.client(socket, PeerRole::Control).await.ok()?;
                 let mut stream = MessageStream::new(socket, settings.cluster.clone());
                 stream.send(&notice).await.ok()
             };
--- a/crates/daisyseam-control/src/link.rs
+++ b/crates/daisyseam-control/src/link.rs
@@ -9,15 +9,18 @@
 use daisyseam_wire::{
     ControlMessage,
     MessageStream,
+    PeerRole,
+    PeerSecurity,
+    PeerSocket,
     control_message::Body, //
 };
 use ractor::ActorRef;
 use std::{
+    io,
     net::SocketAddr,
     time::Duration, //
 };
 use tokio::{
-    net::TcpStream,
     sync::mpsc,
     task::AbortHandle, //
 };
@@ -34,6 +37,7 @@
 pub(crate) struct LinkContext {
     pub(crate) cluster: ClusterId,
     pub(crate) dialer: Dialer,
+    pub(crate) security: PeerSecurity,
     pub(crate) timer: TimerService,
     pub(crate) node: ActorRef<NodeMessage>,
 }
@@ -75,7 +79,7 @@
 async fn run_link(address: SocketAddr, context: LinkContext, mut receiver: mpsc::Receiver<Body>) {
     loop {
         let until = context.timer.now() + CONNECT_TIMEOUT;
-        let connect = context.dialer.connect(address);
+        let connect = connect_member(&context, address);
         if let Some(Ok(socket)) = context.timer.within(until, connect).await {
             // What waited for the connection is too old to be of use.
             while receiver.try_recv().is_ok() {}
@@ -87,9 +91,14 @@
     }
 }
 
+async fn connect_member(context: &LinkContext, address: SocketAddr) -> io::Result<PeerSocket> {
+    let socket = context.dialer.connect(address).await?;
+    context.security.client(socket, PeerRole::Control).await
+}
+
 /// Carries messages until the connection fails; returns nothing when the link has ended.
 async fn exchange(
-    socket: TcpStream,
+    socket: PeerSocket,
     context: &LinkContext,
     receiver: &mut mpsc::Receiver<Body>,
 ) -> Option<()> {
@@ -110,7 +119,7 @@
                 }
                 Ok(ControlMessage { body: None }) => {}
                 Err(error) => {
-                    log::debug!("the connection to {address} ended: {error}", address = "a member");
+                    log::debug!("a connection to a member ended: {error}");
                     return Some(());
                 }
             },
--- a/crates/daisyseam-control/src/main.rs
+++ b/crates/daisyseam-control/src/main.rs
@@ -13,6 +13,7 @@
     start_logs,
     stop_on_signal, //
 };
+use daisyseam_wire::PeerSecurity;
 use std::{
     process::ExitCode,
     time::Duration, //
@@ -21,7 +22,7 @@
 #[tokio::main]
 async fn main() -> ExitCode {
     let flags: ControlFlags = argh::from_env();
-    let (settings, deadline) = match flags.read(SettingReader::from_environment()) {
+    let (settings, security, deadline) = match flags.read(SettingReader::from_environment()) {
         Ok(settings) => settings,
         Err(problems) => {
             for problem in problems {
@@ -34,16 +35,16 @@
         eprintln!("{error}");
         return code(exit::FAILURE);
     }
-    code(run(settings, deadline).await)
+    code(run(settings, security, deadline).await)
 }
 
-async fn run(settings: ControlSettings, deadline: Duration) -> i32 {
+async fn run(settings: ControlSettings, security: PeerSecurity, deadline: Duration) -> i32 {
     let stop = StopSignal::new();
     if let Err(error) = stop_on_signal(stop.clone()) {
         log::error!("signals cannot be handled: {error}");
         return exit::FAILURE;
     }
-    let daemon = match ControlDaemon::start(settings).await {
+    let daemon = match ControlDaemon::start_secured(settings, security).await {
         Ok(daemon) => daemon,
         Err(error) => {
             log::error!("{error}");
--- a/crates/daisyseam-control/src/node.rs
+++ b/crates/daisyseam-control/src/node.rs
@@ -396,7 +396,7 @@
     fn publish(&self, now: Moment) {
         let log = self.core.log();
         self.report.store(Arc::new(NodeReport {
-            leads: log.has_lease(now),
+            leads: self.failure.is_none() && log.has_lease(now),
             leader_known: log.leader().is_some(),
             failure: self.failure.clone(),
             status: Arc::clone(&self.status),
@@ -440,3 +440,6 @@
         u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
     })
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/daisyseam-control/src/node/tests.rs
@@ -0,0 +1,145 @@
+//! The node on a disk that is full.
+
+use super::{
+    NodeActor,
+    NodeArguments,
+    NodeMessage,
+    NodeReport, //
+};
+use crate::{
+    admin::{
+        AdminCall,
+        UpstreamAdmin, //
+    },
+    convert::durable_log,
+    core::{
+        ControlCore,
+        CoreSettings, //
+    },
+    link::LinkContext, //
+};
+use arc_swap::ArcSwap;
+use daisyseam_coord::{
+    Moment,
+    log::{
+        LogSettings,
+        MemberTable,
+        ReplicatedLog, //
+    },
+    promotion::CallAnswer, //
+};
+use daisyseam_model::{
+    ClusterId,
+    InstanceId, //
+};
+use daisyseam_runtime::{
+    Dialer,
+    MetricClient,
+    TimerService, //
+};
+use daisyseam_store::MemoryDisk;
+use daisyseam_wire::{
+    PeerSecurity,
+    SubmitRequest,
+    control_message::Body, //
+};
+use ractor::Actor;
+use rand_chacha::{
+    ChaCha8Rng,
+    rand_core::SeedableRng, //
+};
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration, //
+};
+use tokio::{
+    sync::{
+        mpsc,
+        watch, //
+    },
+    time::Instant, //
+};
+
+const DOCUMENT: &str = r#"number = 1
+cluster = "shellrest"
+region = [{ name = "khomas" }]
+data_centre = [{ name = "khomas-1", region = "khomas" }]
+group = [{ name = "bookings-db", databases = 3, slots = 5 }]
+service = [{ name = "bookings", group = "bookings-db" }]
+
+[[organisation]]
+name = "swakop"
+rate = 5
+burst = 5
+key = [{ hash = "sha256:0000000000000000000000000000000000000000000000000000000000000001" }]
+"#;
+
+#[derive(Clone)]
+struct NoDatabases;
+
+impl UpstreamAdmin for NoDatabases {
+    async fn call(&self, _address: SocketAddr, _call: AdminCall) -> CallAnswer {
+        CallAnswer::Lost
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_full_disk_acknowledges_nothing_and_loses_nothing() {
+    let disk = MemoryDisk::default();
+    let (store, recovered) = disk.open();
+    let me = InstanceId::new("control-1").expect("a sound name");
+    let cluster = ClusterId::new("shellrest").expect("a sound name");
+    let address = "127.0.0.1:7000".parse().expect("an address");
+    let members = MemberTable::of_voters([(me.clone(), address)]);
+    let durable = durable_log(recovered, members).expect("an empty disk");
+    let random = ChaCha8Rng::seed_from_u64(1);
+    let settings = LogSettings::default();
+    let log = ReplicatedLog::recover(me.clone(), settings, durable, Moment::ORIGIN, random);
+    let core = ControlCore::new(CoreSettings::new(me.clone(), cluster.clone()), log);
+    let timer = TimerService::start();
+    let origin = Instant::now();
+    let report = Arc::<ArcSwap<NodeReport>>::default();
+    let (wake, _woken) = watch::channel(origin);
+    let link_timer = timer.clone();
+    let arguments = NodeArguments {
+        core,
+        me,
+        store,
+        admin: NoDatabases,
+        origin,
+        wake,
+        report: Arc::clone(&report),
+        metrics: MetricClient::new(None).expect("no socket is needed"),
+        context: Box::new(move |node| LinkContext {
+            cluster: cluster.clone(),
+            dialer: Dialer::default(),
+            security: PeerSecurity::plain(cluster.clone()),
+            timer: link_timer.clone(),
+            node,
+        }),
+    };
+    let (node, _end) = Actor::spawn(None, NodeActor::new(), arguments)
+        .await
+        .expect("it starts");
+    while !report.load().leads {
+        timer.after(Duration::from_millis(10)).await;
+        node.cast(NodeMessage::Tick).expect("it runs");
+    }
+    let entries = disk.open().1.entries.len();
+    disk.set_full(true);
+    let (answers, mut answered) = mpsc::channel(1);
+    let body = Body::Submit(SubmitRequest {
+        id: "change-1".to_owned(),
+        replaces: 0,
+        text: DOCUMENT.to_owned(),
+        operator: "amalia".to_owned(),
+    });
+    node.cast(NodeMessage::Request { body, answers })
+        .expect("it runs");
+    assert_eq!(answered.recv().await, None, "nothing is answered");
+    assert!(!report.load().leads);
+    let failure = report.load().failure.clone().expect("it failed");
+    assert!(failure.contains("the disk is full"), "{failure}");
+    assert_eq!(disk.open().1.entries.len(), entries);
+}
--- a/crates/daisyseam-control/src/session.rs
+++ b/crates/daisyseam-control/src/session.rs
@@ -2,15 +2,19 @@
 
 use crate::node::NodeMessage;
 use daisyseam_model::ClusterId;
+use daisyseam_runtime::TimerService;
 use daisyseam_wire::{
     ControlMessage,
     MessageStream,
+    PeerRole,
+    PeerSecurity,
     control_message::Body, //
 };
 use ractor::ActorRef;
 use std::{
     net::SocketAddr,
-    sync::Arc, //
+    sync::Arc,
+    time::Duration, //
 };
 use tokio::{
     net::{
@@ -30,15 +34,26 @@
 /// Answers that wait for one connection; a session that takes none is closed.
 const ANSWERS_MAX: usize = 256;
 
+/// Roles that may connect.
+const ROLES: [PeerRole; 3] = [PeerRole::Entry, PeerRole::Control, PeerRole::Operator];
+
 /// Where answers to a connection go.
 pub(crate) type AnswerSender = mpsc::Sender<Body>;
 
+/// Time that a connection may take to prove who opened it.
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// What every session needs.
+#[derive(Clone)]
+pub(crate) struct SessionContext {
+    pub(crate) cluster: ClusterId,
+    pub(crate) security: PeerSecurity,
+    pub(crate) timer: TimerService,
+    pub(crate) node: ActorRef<NodeMessage>,
+}
+
 /// Accepts connections until it is aborted; its sessions end with it.
-pub(crate) async fn accept_sessions(
-    listener: TcpListener,
-    cluster: ClusterId,
-    node: ActorRef<NodeMessage>,
-) {
+pub(crate) async fn accept_sessions(listener: TcpListener, context: SessionContext) {
     let permits = Arc::new(Semaphore::new(SESSIONS_MAX));
     let mut sessions = JoinSet::new();
     loop {
@@ -48,8 +63,7 @@
         };
         match listener.accept().await {
             Ok((socket, address)) => {
-                let session = run_session(socket, address, cluster.clone(), node.clone(), permit);
-                sessions.spawn(session);
+                sessions.spawn(run_session(socket, address, context.clone(), permit));
             }
             Err(error) => log::warn!("a connection was not accepted: {error}"),
         }
@@ -59,14 +73,24 @@
 async fn run_session(
     socket: TcpStream,
     address: SocketAddr,
-    cluster: ClusterId,
-    node: ActorRef<NodeMessage>,
+    context: SessionContext,
     _permit: OwnedSemaphorePermit,
 ) {
     if let Err(error) = socket.set_nodelay(true) {
         log::debug!("{address}: {error}");
     }
-    let stream = MessageStream::<_, ControlMessage>::new(socket, cluster);
+    let until = context.timer.now() + HANDSHAKE_TIMEOUT;
+    let secured = context.security.server_of(socket, &ROLES);
+    let (socket, role) = match context.timer.within(until, secured).await {
+        Some(Ok(secured)) => secured,
+        Some(Err(error)) => {
+            log::warn!("the connection from {address} is refused: {error}");
+            return;
+        }
+        None => return,
+    };
+    let node = context.node;
+    let stream = MessageStream::<_, ControlMessage>::new(socket, context.cluster);
     let (mut sender, mut receiver) = stream.split();
     let (answers, mut outgoing) = mpsc::channel(ANSWERS_MAX);
     loop {
@@ -81,6 +105,10 @@
                         return;
                     }
                 };
+                if !may_send(role, &body) {
+                    log::warn!("{address} sent what its role may not: it is closed");
+                    return;
+                }
                 if node.cast(route(body, &answers)).is_err() {
                     return;
                 }
@@ -96,6 +124,19 @@
     }
 }
 
+/// Returns whether a process of a role may send a message; without TLS there are no roles.
+fn may_send(role: Option<PeerRole>, body: &Body) -> bool {
+    let Some(role) = role else {
+        return true;
+    };
+    match body {
+        Body::Hello(_) | Body::Heartbeat(_) => role == PeerRole::Entry,
+        Body::Submit(_) => role == PeerRole::Operator,
+        Body::Show(_) | Body::History(_) | Body::Status(_) => true,
+        _ => role == PeerRole::Control,
+    }
+}
+
 fn route(body: Body, answers: &AnswerSender) -> NodeMessage {
     let from_member = matches!(
         body,
--- a/crates/daisyseam-control/src/settings.rs
+++ b/crates/daisyseam-control/src/settings.rs
@@ -7,9 +7,11 @@
     InstanceId, //
 };
 use daisyseam_runtime::{
+    SecurityFlags,
     SettingProblem,
     SettingReader, //
 };
+use daisyseam_wire::PeerSecurity;
 use std::{
     net::{
         IpAddr,
@@ -86,13 +88,22 @@
     /// address that metrics are sent to
     #[argh(option)]
     pub metrics: Option<String>,
+    /// certificates of the authority that signs the fleet's, in PEM
+    #[argh(option)]
+    pub tls_authority: Option<String>,
+    /// this instance's certificate and its chain, in PEM
+    #[argh(option)]
+    pub tls_certificate: Option<String>,
+    /// key of that certificate, in PEM
+    #[argh(option)]
+    pub tls_key: Option<String>,
     /// deadline of a graceful stop in milliseconds
     #[argh(option)]
     pub stop_deadline_ms: Option<String>,
 }
 
 impl ControlFlags {
-    /// Reads the settings and the deadline of a graceful stop.
+    /// Reads the settings, how connections are secured, and the deadline of a graceful stop.
     ///
     /// # Errors
     ///
@@ -100,7 +111,7 @@
     pub fn read(
         self,
         mut reader: SettingReader,
-    ) -> Result<(ControlSettings, Duration), Vec<SettingProblem>> {
+    ) -> Result<(ControlSettings, PeerSecurity, Duration), Vec<SettingProblem>> {
         let cluster = reader.required("cluster", self.cluster);
         let instance = reader.required("instance", self.instance);
         let data_centre = reader.required("data-centre", self.data_centre);
@@ -127,6 +138,14 @@
             };
             reader.problem("members", message.to_owned());
         }
+        let files = SecurityFlags {
+            authority: self.tls_authority,
+            certificate: self.tls_certificate,
+            key: self.tls_key,
+        };
+        let security = cluster
+            .as_ref()
+            .and_then(|cluster| files.read(&mut reader, cluster));
         let settings = || {
             Some(ControlSettings {
                 cluster: cluster?,
@@ -145,8 +164,9 @@
                 metrics,
             })
         };
-        let settings = settings();
-        Ok((reader.finish(settings)?, deadline))
+        let settings = settings().zip(security);
+        let (settings, security) = reader.finish(settings)?;
+        Ok((settings, security, deadline))
     }
 }
 
--- a/crates/daisyseam-wire/src/security.rs
+++ b/crates/daisyseam-wire/src/security.rs
@@ -160,25 +160,41 @@
     ///
     /// When the other side is of no allowed role or the connection fails.
     pub async fn server(&self, socket: TcpStream, allowed: &[PeerRole]) -> io::Result<PeerSocket> {
+        let (socket, _) = self.server_of(socket, allowed).await?;
+        Ok(socket)
+    }
+
+    /// Secures a connection that another process opened and tells its role; none without TLS.
+    ///
+    /// # Errors
+    ///
+    /// When the other side is of no allowed role or the connection fails.
+    pub async fn server_of(
+        &self,
+        socket: TcpStream,
+        allowed: &[PeerRole],
+    ) -> io::Result<(PeerSocket, Option<PeerRole>)> {
         let Some(material) = &self.material else {
-            return Ok(PeerSocket::Plain(socket));
+            return Ok((PeerSocket::Plain(socket), None));
         };
         let acceptor = TlsAcceptor::from(Arc::clone(&material.configs.load().server));
         let stream = acceptor.accept(socket).await?;
         let certificates = stream.get_ref().1.peer_certificates();
         let shown = certificates.and_then(|certificates| certificates.first());
-        if !shown.is_some_and(|shown| self.has_role(shown, allowed)) {
+        let role = shown.and_then(|shown| self.role_of(shown, allowed));
+        let Some(role) = role else {
             let words = "the peer's certificate names no role that may do this";
             return Err(io::Error::new(io::ErrorKind::PermissionDenied, words));
-        }
-        Ok(PeerSocket::Secure(Box::new(TlsStream::Server(stream))))
+        };
+        let stream = Box::new(TlsStream::Server(stream));
+        Ok((PeerSocket::Secure(stream), Some(role)))
     }
 
-    fn has_role(&self, shown: &CertificateDer<'_>, allowed: &[PeerRole]) -> bool {
-        let Ok(certificate) = ParsedCertificate::try_from(shown) else {
-            return false;
-        };
-        allowed.iter().any(|role| {
+    /// Returns the first of the roles that the certificate names.
+    fn role_of(&self, shown: &CertificateDer<'_>, allowed: &[PeerRole]) -> Option<PeerRole> {
+        let certificate = ParsedCertificate::try_from(shown).ok()?;
+        let mut roles = allowed.iter().copied();
+        roles.find(|role| {
             ServerName::try_from(role.dns_name(&self.cluster))
                 .is_ok_and(|name| verify_server_name(&certificate, &name).is_ok())
         })
