control: drop databases that said that they leave and are gone

Cause: a database that had left stayed on the list, and the number of promises that a change of primary needs grew with each one that replaced it. Change: it is dropped after 10 s of silence, once every other one has what it can have acknowledged. Before: it stayed for good. After: a_database_that_left_is_dropped_once_the_others_have_what_it_had passes. Conclusion: one that is silent without a word stays, as its copy may be the one that counts.

--- a/crates/daisyseam-control/src/core.rs
+++ b/crates/daisyseam-control/src/core.rs
@@ -1,5 +1,6 @@
 //! What a control instance decides; no input, no output, no clock.
 
+mod departures;
 mod groups;
 mod holders;
 mod leader;
@@ -355,6 +356,7 @@
         self.update_upstreams(now);
         self.update_instances(now);
         self.update_holders(now);
+        self.drop_departed(now);
         self.repair_members(now);
     }
 }
--- /dev/null
+++ b/crates/daisyseam-control/src/core/departures.rs
@@ -0,0 +1,88 @@
+//! Databases that said that they leave and are gone are taken off the list.
+
+use super::{
+    ControlCore,
+    leader::LeaderWork, //
+};
+use daisyseam_coord::{
+    Moment,
+    fleet::FleetCommand, //
+};
+use daisyseam_model::{
+    FleetView,
+    LogPosition,
+    UpstreamId,
+    UpstreamView, //
+};
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+/// Silence after which a leaving database counts as gone.
+const GONE_AFTER: Duration = Duration::from_secs(10);
+/// Age up to which an announcement tells how far a database is.
+const FRESH: Duration = Duration::from_millis(1_500);
+
+impl ControlCore {
+    pub(super) fn drop_departed(&mut self, now: Moment) {
+        let view = Arc::clone(self.fleet.view());
+        let Some(leader) = &mut self.leader else {
+            return;
+        };
+        let leaving = view
+            .upstreams
+            .iter()
+            .filter(|(_, upstream)| upstream.leaving);
+        let mut gone =
+            leaving.filter(|(name, upstream)| leader.is_departed(now, &view, name, upstream));
+        // One at a time: the next one is judged by the list without the first.
+        if let Some(name) = gone.next().map(|(name, _)| name.clone()) {
+            leader.announced.remove(&name);
+            leader.departing.remove(&name);
+            log::info!("database {name} has left");
+            self.propose_upkeep(now, &FleetCommand::DropUpstream(name));
+        }
+    }
+}
+
+impl LeaderWork {
+    /// Returns whether a leaving database is gone and no acknowledged write depends on its copy.
+    ///
+    /// That is so once every other database of the group has reached a place that the primary had
+    /// reached after the database fell silent.
+    fn is_departed(
+        &mut self,
+        now: Moment,
+        view: &FleetView,
+        name: &UpstreamId,
+        upstream: &UpstreamView,
+    ) -> bool {
+        let heard = self
+            .announced
+            .get(name)
+            .map_or(self.begun, |known| known.at);
+        if now.since(heard) < GONE_AFTER {
+            self.departing.remove(name);
+            return false;
+        }
+        let group = view.groups.get(&upstream.group);
+        let primary = group.and_then(|group| group.primary.active());
+        let Some(primary) = primary.filter(|primary| *primary != name) else {
+            return false;
+        };
+        let Some(end) = self.fresh_end(now, primary) else {
+            return false;
+        };
+        let reached = *self.departing.entry(name.clone()).or_insert(end);
+        let mut others = view.members(&upstream.group);
+        others.all(|(other, _)| {
+            other == name || self.fresh_end(now, other).is_some_and(|end| end >= reached)
+        })
+    }
+
+    fn fresh_end(&self, now: Moment, name: &UpstreamId) -> Option<LogPosition> {
+        let known = self.announced.get(name)?;
+        (now.since(known.at) < FRESH).then_some(known.state.end)
+    }
+}
--- a/crates/daisyseam-control/src/core/leader.rs
+++ b/crates/daisyseam-control/src/core/leader.rs
@@ -62,6 +62,8 @@
     /// View for which the holders were last looked at.
     pub(super) holders_seen: Option<ViewNumber>,
     pub(super) announced: BTreeMap<UpstreamId, AnnouncedUpstream>,
+    /// Places that the others must reach before a silent leaving database is dropped.
+    pub(super) departing: BTreeMap<UpstreamId, LogPosition>,
     pub(super) health: BTreeMap<UpstreamId, HealthNote>,
     pub(super) open: BTreeMap<(Incarnation, GroupId), OpenNote>,
     pub(super) leaving: BTreeSet<Incarnation>,
@@ -112,6 +114,7 @@
             released: BTreeMap::new(),
             holders_seen: None,
             announced: BTreeMap::new(),
+            departing: BTreeMap::new(),
             health: BTreeMap::new(),
             open: BTreeMap::new(),
             leaving: BTreeSet::new(),
--- a/crates/daisyseam-control/tests/core.rs
+++ b/crates/daisyseam-control/tests/core.rs
@@ -177,6 +177,30 @@
     );
 }
 
+#[test]
+fn a_database_that_left_is_dropped_once_the_others_have_what_it_had() {
+    let mut world = ready(3, 0, 2);
+    let former = world.primary(0).expect("a primary");
+    for database in &mut world.databases {
+        database.leaving = database.name == former;
+    }
+    world.pass_until("another is primary", |world| {
+        world.primary(1).is_some_and(|primary| primary != former)
+    });
+    world.stalled = true;
+    for database in &mut world.databases {
+        database.cut = database.name == former;
+        let leads = database.state.role == daisyseam_model::announce::UpstreamRole::Primary;
+        database.state.end.position.0 += u64::from(leads && !database.cut);
+    }
+    world.pass(15_000);
+    assert_eq!(world.entries[1].view.upstreams.len(), 3, "a replica lags");
+    world.stalled = false;
+    world.pass_until("it is dropped", |world| {
+        world.entries[1].view.upstreams.len() == 2
+    });
+}
+
 #[test]
 fn holders_of_a_lost_entry_move_only_after_its_lease() {
     let mut world = ready(3, 0, 3);
--- a/crates/daisyseam-coord/src/fleet/state.rs
+++ b/crates/daisyseam-coord/src/fleet/state.rs
@@ -163,7 +163,7 @@
             PrimaryState::Active(primary) | PrimaryState::Draining(primary) => primary == name,
             PrimaryState::Fenced => false,
         });
-        if in_use || upstream.holder.is_some() {
+        if in_use {
             return CommandAnswer::Refused(RefusedCommand::Superseded);
         }
         self.change(ViewChanges::of_upstream(name), |view| {
