--- a/crates/daisyseam-bench/src/experiments.rs
+++ b/crates/daisyseam-bench/src/experiments.rs
@@ -1,5 +1,6 @@
 //! The experiments that `daisyseam-bench run` knows.
 
+mod failover;
 mod fairness;
 mod overhead;
 mod quota;
@@ -8,6 +9,7 @@
 mod traffic;
 
 pub use self::{
+    failover::Failover,
     overhead::Overhead,
     shape::FirmShape, //
 };
@@ -19,7 +21,13 @@
 };
 
 /// Names of all experiments.
-pub const EXPERIMENT_NAMES: &[&str] = &[Overhead::NAME, "fairness", "quota", "sessions"];
+pub const EXPERIMENT_NAMES: &[&str] = &[
+    Failover::NAME,
+    Overhead::NAME,
+    "fairness",
+    "quota",
+    "sessions",
+];
 
 /// Runs an experiment by its name.
 ///
@@ -35,6 +43,7 @@
         "fairness" => fairness::run(shape, seed).await?,
         "quota" => quota::run(shape, seed).await?,
         "sessions" => sessions::run(shape, seed).await?,
+        Failover::NAME => return run_experiment::<Failover>(seed).await,
         Overhead::NAME => return run_experiment::<Overhead>(seed).await,
         _ => {
             return Err(ExperimentError::Unknown(
