--- a/crates/daisyseam-bench/src/experiments/traffic.rs
+++ b/crates/daisyseam-bench/src/experiments/traffic.rs
@@ -29,6 +29,9 @@
 /// Time after which a caller gives an answer up.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Time after which a request that has found no connection is given up.
+const GIVE_UP_AFTER: Duration = Duration::from_secs(4);
+
 /// What a record says of a connection that ended without an answer.
 const CONNECTION_LOST: &str = "connection_lost";
 
@@ -157,7 +160,10 @@
             let due = self.requests.lock().await.recv().await;
             let Some(due) = due else { return };
             let sent = Instant::now();
-            let mut refusal = self.ask(&mut session).await;
+            let mut refusal = match sent - due > GIVE_UP_AFTER {
+                true => Some("given_up".to_owned()),
+                false => self.ask(&mut session).await,
+            };
             if refusal.as_deref() == Some(CONNECTION_LOST) {
                 // A connection may have been lost while it was idle; a read may be repeated.
                 refusal = self.ask(&mut session).await;
