Measure what idle entries cost control

Change: run control-cost starts fleets of 10, 50, 100 and 200 idle entries and takes the bytes through control's ports, the processor time of the threads of entries and control, and the memory, each per instance and as a slope. Forwarders count what they carry; processor time comes from the scheduler in nanoseconds, since ticks are too coarse for idle threads.

Before: no figure.

--- a/crates/daisyseam-bench/src/experiments.rs
+++ b/crates/daisyseam-bench/src/experiments.rs
@@ -1,5 +1,6 @@
 //! The experiments that `daisyseam-bench run` knows.
 
+mod control_cost;
 mod failover;
 mod fairness;
 mod overhead;
@@ -9,6 +10,7 @@
 mod traffic;
 
 pub use self::{
+    control_cost::ControlCost,
     failover::Failover,
     overhead::Overhead,
     shape::FirmShape, //
@@ -24,6 +26,7 @@
 pub const EXPERIMENT_NAMES: &[&str] = &[
     Failover::NAME,
     Overhead::NAME,
+    ControlCost::NAME,
     "fairness",
     "quota",
     "sessions",
@@ -45,6 +48,7 @@
         "sessions" => sessions::run(shape, seed).await?,
         Failover::NAME => return run_experiment::<Failover>(seed).await,
         Overhead::NAME => return run_experiment::<Overhead>(seed).await,
+        ControlCost::NAME => return run_experiment::<ControlCost>(seed).await,
         _ => {
             return Err(ExperimentError::Unknown(
                 name.to_owned(),
--- a/crates/daisyseam-bench/src/fleet/network.rs
+++ b/crates/daisyseam-bench/src/fleet/network.rs
@@ -15,7 +15,13 @@
         Ipv4Addr,
         SocketAddr, //
     },
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{
+            AtomicU64,
+            Ordering, //
+        }, //
+    },
     time::Duration, //
 };
 use tokio::{
@@ -127,11 +133,18 @@
         let _guard = self.handle.enter();
         let listener = TcpListener::from_std(listener)?;
         let network = self.clone();
-        let accepts = accept(network, listener, to.clone(), Arc::clone(&target));
+        let carried = Arc::new(AtomicU64::new(0));
+        let port = ForwardedPort {
+            to: to.clone(),
+            target: Arc::clone(&target),
+            carried: Arc::clone(&carried),
+        };
+        let accepts = accept(network, listener, port);
         let task = self.handle.spawn(accepts).abort_handle();
         Ok(PortForwarder {
             address,
             target,
+            carried,
             task,
         })
     }
@@ -208,6 +221,7 @@
 pub struct PortForwarder {
     address: SocketAddr,
     target: Arc<Mutex<Option<SocketAddr>>>,
+    carried: Arc<AtomicU64>,
     task: AbortHandle,
 }
 
@@ -221,6 +235,11 @@
     pub fn set_target(&self, target: Option<SocketAddr>) {
         *self.target.lock() = target;
     }
+
+    /// Returns the bytes of payload carried so far, both ways together.
+    pub fn carried_bytes(&self) -> u64 {
+        self.carried.load(Ordering::Relaxed)
+    }
 }
 
 impl Drop for PortForwarder {
@@ -229,36 +248,44 @@
     }
 }
 
-async fn accept(
-    network: FleetNetwork,
-    listener: TcpListener,
+/// What a forwarder's connections share.
+struct ForwardedPort {
     to: DataCentreId,
     target: Arc<Mutex<Option<SocketAddr>>>,
-) {
+    carried: Arc<AtomicU64>,
+}
+
+async fn accept(network: FleetNetwork, listener: TcpListener, port: ForwardedPort) {
     loop {
         let Ok((outer, from)) = listener.accept().await else {
             continue;
         };
-        let path = network.path(from.ip(), &to);
-        let known = *target.lock();
+        let path = network.path(from.ip(), &port.to);
+        let known = *port.target.lock();
         // A process that is down refuses connections.
         if let Some(target) = known {
-            tokio::spawn(relay(network.clone(), outer, target, path));
+            let carried = Arc::clone(&port.carried);
+            tokio::spawn(relay(network.clone(), outer, target, path, carried));
         }
     }
 }
 
-async fn relay(network: FleetNetwork, outer: TcpStream, target: SocketAddr, path: NetworkPath) {
+async fn relay(
+    network: FleetNetwork,
+    outer: TcpStream,
+    target: SocketAddr,
+    path: NetworkPath,
+    carried: Arc<AtomicU64>,
+) {
     let relayed = async {
         outer.set_nodelay(true)?;
         network.connected(&path).await;
         let inner = TcpStream::connect(target).await?;
         inner.set_nodelay(true)?;
-        let delay = network.delay(&path);
         let (outer_read, outer_write) = outer.into_split();
         let (inner_read, inner_write) = inner.into_split();
-        let there = pipe(&network, &path, delay, outer_read, inner_write);
-        let back = pipe(&network, &path, delay, inner_read, outer_write);
+        let there = pipe(&network, &path, &carried, outer_read, inner_write);
+        let back = pipe(&network, &path, &carried, inner_read, outer_write);
         tokio::join!(there, back);
         io::Result::Ok(())
     };
@@ -273,24 +300,31 @@
 async fn pipe(
     network: &FleetNetwork,
     path: &NetworkPath,
-    delay: Duration,
+    carried: &AtomicU64,
     reader: OwnedReadHalf,
     writer: OwnedWriteHalf,
 ) {
+    let delay = network.delay(path);
     let (sender, receiver) = mpsc::channel(CHUNKS_IN_TRANSIT);
     tokio::join!(
-        take_in(reader, sender, delay),
+        take_in(reader, sender, delay, carried),
         deliver(network, path, receiver, writer)
     );
 }
 
-async fn take_in(mut reader: OwnedReadHalf, sender: mpsc::Sender<InTransit>, delay: Duration) {
+async fn take_in(
+    mut reader: OwnedReadHalf,
+    sender: mpsc::Sender<InTransit>,
+    delay: Duration,
+    carried: &AtomicU64,
+) {
     let mut buffer = vec![0; CHUNK_BYTES];
     loop {
         let length = tokio::select! {
             length = reader.read(&mut buffer) => length.unwrap_or(0),
             () = sender.closed() => return,
         };
+        carried.fetch_add(length as u64, Ordering::Relaxed);
         let chunk = Bytes::copy_from_slice(&buffer[..length]);
         let sent = sender.send((Instant::now() + delay, chunk)).await;
         if length == 0 || sent.is_err() {
--- a/crates/daisyseam-bench/src/fleet/node.rs
+++ b/crates/daisyseam-bench/src/fleet/node.rs
@@ -297,6 +297,11 @@
         self.forwarder.address()
     }
 
+    /// Returns the bytes that went through its port so far, both ways together.
+    pub fn carried_bytes(&self) -> u64 {
+        self.forwarder.carried_bytes()
+    }
+
     /// Returns whether it leads.
     pub fn leads(&self) -> bool {
         let daemon = self.running.as_ref().and_then(RunningDaemon::daemon);
