--- a/crates/daisyseam-bench/src/experiments/overhead.rs
+++ b/crates/daisyseam-bench/src/experiments/overhead.rs
@@ -72,7 +72,7 @@
 
 [[group]]
 name = "care-logs-db"
-databases = 1
+databases = 2
 slots = 16
 
 [[service]]
@@ -117,7 +117,16 @@
 
 async fn measure(fleet: &TestFleet) -> Result<ExperimentOutcome, ExperimentError> {
     let missing = || ExperimentError::Failed("a part of the fleet is not there".to_owned());
-    let database = fleet.databases[0].database().ok_or_else(missing)?;
+    // Reads go to the replica, so that is what they are compared with.
+    let group = fleet.databases[0].group();
+    let primary = fleet.primary(group).ok_or_else(missing)?;
+    let replica = fleet
+        .databases
+        .iter()
+        .find(|node| *node.upstream() != primary);
+    let database = replica
+        .and_then(|node| node.database())
+        .ok_or_else(missing)?;
     let relay = ByteRelay::start(database.address()).map_err(ExperimentError::of)?;
     let entry = fleet.entries[0].direct_address().ok_or_else(missing)?;
     let targets = Targets {
@@ -126,6 +135,7 @@
         entry: target(entry),
     };
     fill(&targets.entry).await?;
+    wait_filled(&targets.direct).await?;
     let mut latencies = [Vec::new(), Vec::new(), Vec::new()];
     let mut rates = [Vec::new(), Vec::new(), Vec::new()];
     let mut core_rates = [Vec::new(), Vec::new()];
@@ -213,6 +223,20 @@
     Ok(())
 }
 
+/// Waits until the replica has what was written.
+async fn wait_filled(target: &CallerTarget) -> Result<(), ExperimentError> {
+    let mut session = connect(target).await?;
+    let deadline = Instant::now() + READY_TIMEOUT;
+    while session.batch(STATEMENT).await.is_err() {
+        if Instant::now() >= deadline {
+            return Err(ExperimentError::Failed(
+                "the replica stays behind".to_owned(),
+            ));
+        }
+    }
+    Ok(())
+}
+
 async fn connect(target: &CallerTarget) -> Result<CallerSession, ExperimentError> {
     let session = CallerSession::connect(target, None).await;
     session.map_err(ExperimentError::of)
