Wait for acknowledged writes around faults in the tests of lost primaries

Change: callers count acknowledged writes; both tests wait for ten before each fault and ten after the last, and ask for at least ten in the end instead of one. No check is eased.

Conclusion: the tests depend on events only.

--- a/crates/daisyseam-bench/src/demo.rs
+++ b/crates/daisyseam-bench/src/demo.rs
@@ -212,6 +212,7 @@
 pub struct DemoLoad {
     workers: JoinSet<LoadHistory>,
     stop: Arc<watch::Sender<bool>>,
+    acknowledged: watch::Sender<u64>,
 }
 
 impl DemoLoad {
@@ -223,6 +224,7 @@
             .map(|entry| entry.caller_address())
             .collect();
         let stop = Arc::new(watch::Sender::new(false));
+        let acknowledged = watch::Sender::new(0);
         let mut workers = JoinSet::new();
         let kinds = [WorkerKind::Keeper, WorkerKind::Owner, WorkerKind::Vet];
         for (organisation, entry) in &fleet.document().organisations {
@@ -240,11 +242,24 @@
                     entries: entries.clone(),
                     pause,
                     seed: number as u64,
+                    acknowledged: acknowledged.clone(),
                 };
                 workers.spawn(LoadWorker::new(plan).run(Arc::clone(&stop)));
             }
         }
-        Self { workers, stop }
+        Self {
+            workers,
+            stop,
+            acknowledged,
+        }
+    }
+
+    /// Waits until this many more writes have been acknowledged.
+    pub async fn wait_acknowledged(&self, more: u64) {
+        let mut count = self.acknowledged.subscribe();
+        let wanted = *count.borrow() + more;
+        // The sender lives in `self`, so waiting cannot fail.
+        let _ = count.wait_for(|count| *count >= wanted).await;
     }
 
     /// Lets every caller finish what it does and returns what they did.
--- a/crates/daisyseam-bench/src/experiments/sessions.rs
+++ b/crates/daisyseam-bench/src/experiments/sessions.rs
@@ -115,6 +115,7 @@
             entries: entries.to_vec(),
             pause: PAUSE,
             seed: seed * 1_000 + number as u64,
+            acknowledged: watch::Sender::new(0),
         });
         workers.spawn(worker.run(Arc::clone(&stop)));
     }
--- a/crates/daisyseam-bench/src/load/worker.rs
+++ b/crates/daisyseam-bench/src/load/worker.rs
@@ -88,6 +88,8 @@
     pub pause: Duration,
     /// Seed of its random draws.
     pub seed: u64,
+    /// Counts the writes that were acknowledged, of all callers that share it.
+    pub acknowledged: watch::Sender<u64>,
 }
 
 /// A caller at work.
@@ -231,6 +233,7 @@
         };
         if outcome == WriteOutcome::Acknowledged {
             self.acknowledged = sequence;
+            self.plan.acknowledged.send_modify(|count| *count += 1);
         } else {
             self.recover(&outcome).await;
         }
--- a/crates/daisyseam-bench/tests/path/failover.rs
+++ b/crates/daisyseam-bench/tests/path/failover.rs
@@ -23,6 +23,9 @@
 
 const CALLER_PAUSE: Duration = Duration::from_millis(10);
 
+/// Writes acknowledged before each fault and after the last.
+const WRITES_BETWEEN: u64 = 10;
+
 fn group() -> GroupId {
     "bookings-db".parse().expect("a name")
 }
@@ -46,6 +49,7 @@
     make_tables(&fleet).await.expect("tables");
     let load = DemoLoad::start(&fleet, CALLER_PAUSE);
     for _ in 0..2 {
+        guarded(load.wait_acknowledged(WRITES_BETWEEN)).await;
         let lost = fleet.primary(&group()).expect("a primary");
         let place = fleet
             .databases
@@ -61,11 +65,12 @@
             .await
             .expect("the fleet is whole");
     }
+    guarded(load.wait_acknowledged(WRITES_BETWEEN)).await;
     let history = guarded(load.stop()).await;
     let deadline = Instant::now() + HANG_GUARD;
     fleet.wait_active(deadline).await.expect("a primary");
     let summary = summarize(&fleet, &history).await.expect("a summary");
-    assert!(summary.finding.acknowledged > 0);
+    assert!(summary.finding.acknowledged >= WRITES_BETWEEN);
     assert_eq!(summary.finding.violations(), 0, "{summary:?}");
 }
 
@@ -76,6 +81,7 @@
     let fleet = start(plan).await;
     make_tables(&fleet).await.expect("tables");
     let load = DemoLoad::start(&fleet, CALLER_PAUSE);
+    guarded(load.wait_acknowledged(WRITES_BETWEEN)).await;
     let lost = fleet.primary(&group()).expect("a primary");
     let site = fleet
         .database(&lost)
@@ -107,9 +113,10 @@
         .wait_ready(deadline)
         .await
         .expect("the fleet is whole");
+    guarded(load.wait_acknowledged(WRITES_BETWEEN)).await;
     let history = guarded(load.stop()).await;
     fleet.wait_active(deadline).await.expect("a primary");
     let summary = summarize(&fleet, &history).await.expect("a summary");
-    assert!(summary.finding.acknowledged > 0);
+    assert!(summary.finding.acknowledged >= WRITES_BETWEEN);
     assert_eq!(summary.finding.violations(), 0, "{summary:?}");
 }
