Close connections together with an answer when an instance or data centre leaves

Cause: at a planned leave idle connections were closed at a random moment, or at once at a stop.

Change: from the moment at which a connection is to leave, its next answer is its last one and carries the goodbye with it; a caller that asks for nothing is let go 700 ms later. Stops do the same.

Ruled out: closing idle connections earlier or later only moves the moment; the protocol has no way to ask a client to go.

Conclusion: a request sent in the last round trip before an idle connection closes can still be refused as not run.

--- a/crates/daisyseam-entry/src/caller/session.rs
+++ b/crates/daisyseam-entry/src/caller/session.rs
@@ -98,6 +98,8 @@
     parts_done: usize,
     /// When the session leaves, and why.
     leaving: Option<PlannedLeave>,
+    /// Whether a message of the caller was taken since it logged in.
+    served: bool,
 }
 
 /// A setting of the database that is repeated before each request.
@@ -110,7 +112,10 @@
 /// When a session leaves, and why.
 #[derive(Clone, Copy, Debug)]
 struct PlannedLeave {
-    at: Instant,
+    /// From here on the next answer is the last one.
+    from: Instant,
+    /// A caller that asks for nothing more is let go here.
+    until: Instant,
     kind: ErrorKind,
 }
 
@@ -177,6 +182,7 @@
             progress: SendProgress::Unsent,
             parts_done: 0,
             leaving: None,
+            served: false,
         }
     }
 
--- a/crates/daisyseam-entry/src/caller/session/idle.rs
+++ b/crates/daisyseam-entry/src/caller/session/idle.rs
@@ -50,6 +50,11 @@
 /// Time that a transaction which has run nothing yet is left at a stop.
 const BLOCK_GRACE: Duration = Duration::from_secs(1);
 
+/// Time that an idle caller has for one more request before its connection closes.
+///
+/// A connection that closes together with an answer cuts no request that is on its way.
+const IDLE_GRACE: Duration = Duration::from_millis(700);
+
 /// Longest time for the last words to a caller, and for a rollback after it left.
 const GOODBYE_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -73,18 +78,27 @@
     pub(super) async fn wait(&mut self) -> Result<CallerFrame, RequestTrouble> {
         self.progress = SendProgress::Unsent;
         if self.stream.read_buffer().is_empty() {
+            if let Some(kind) = self.due_leave() {
+                return Err(kind.into());
+            }
             self.flush_within_limit().await?;
             self.trim_buffers();
         }
         let mut idle_until = self.idle_limit();
         loop {
             match self.next_event(idle_until).await {
-                IdleEvent::Frame(Some(frame)) => return Ok(frame?),
+                IdleEvent::Frame(Some(frame)) => {
+                    self.served = true;
+                    return Ok(frame?);
+                }
                 IdleEvent::Frame(None) => return Err(RequestTrouble::Closed),
-                IdleEvent::Stopping if self.block.is_idle() => {
-                    return Err(ErrorKind::Stopping.into());
+                IdleEvent::Stopping => {
+                    let grace = match self.block.is_idle() {
+                        true => IDLE_GRACE,
+                        false => BLOCK_GRACE,
+                    };
+                    self.plan_leave(Duration::ZERO, grace, ErrorKind::Stopping);
                 }
-                IdleEvent::Stopping => self.leave_at(BLOCK_GRACE, ErrorKind::Stopping),
                 IdleEvent::ViewChanged => self.follow_view()?,
                 IdleEvent::TimeOver => {
                     self.end_of_time()?;
@@ -97,11 +111,11 @@
 
     async fn next_event(&mut self, idle_until: Option<Instant>) -> IdleEvent {
         let context = &self.shared.context;
-        let may_leave = !self.block.holds_link() && self.batch.is_empty();
+        let may_leave = self.may_leave();
         let leaving = self.leaving.filter(|_| may_leave);
         let told_to_stop = leaving.is_some_and(|leaving| leaving.kind == ErrorKind::Stopping);
         // Only a block that holds a connection has an idle limit, and such a block stays.
-        let limit = idle_until.or(leaving.map(|leaving| leaving.at));
+        let limit = idle_until.or(leaving.map(|leaving| leaving.until));
         let time_over = async {
             match limit {
                 Some(limit) => context.timer.at(limit).await,
@@ -168,14 +182,33 @@
         } else if self.leaving.is_none() {
             // The number of the session is random, so sessions leave one after the other.
             let share = f64::from(self.ticket.process) / f64::from(i32::MAX);
-            self.leave_at(LEAVE_SPREAD.mul_f64(share), ErrorKind::DataCentreOut);
+            let delay = LEAVE_SPREAD.mul_f64(share);
+            self.plan_leave(delay, IDLE_GRACE, ErrorKind::DataCentreOut);
         }
         Ok(())
     }
 
-    fn leave_at(&mut self, delay: Duration, kind: ErrorKind) {
-        let at = Instant::now() + delay;
-        self.leaving = Some(PlannedLeave { at, kind });
+    fn plan_leave(&mut self, delay: Duration, grace: Duration, kind: ErrorKind) {
+        let from = Instant::now() + delay;
+        let until = from + grace;
+        self.leaving = Some(PlannedLeave { from, until, kind });
+    }
+
+    /// Returns whether nothing of the caller is under way here.
+    fn may_leave(&self) -> bool {
+        !self.block.holds_link() && self.batch.is_empty()
+    }
+
+    /// Returns why the connection closes together with the answer that was just given, if it does.
+    fn due_leave(&self) -> Option<ErrorKind> {
+        if !self.served || !self.block.is_idle() || !self.may_leave() {
+            return None;
+        }
+        if self.shared.context.stop.is_stopping() {
+            return Some(ErrorKind::Stopping);
+        }
+        let leaving = self.leaving?;
+        (leaving.from <= Instant::now()).then_some(leaving.kind)
     }
 
     fn end_of_time(&mut self) -> Result<(), RequestTrouble> {
