Give the model consistency of services, commit policies, orders on data centres and births of databases

The platform needs services that say which commits their reads must see, groups whose primary acknowledges a commit once so many replicas have it, data centres that are taken out by an order beside the document, and a way to tell a restarted database from its former self.

--- a/crates/daisyseam-control/src/convert.rs
+++ b/crates/daisyseam-control/src/convert.rs
@@ -342,6 +342,7 @@
         upstreams: changes.upstreams.iter().map(upstream).collect(),
         instances: changes.instances.iter().map(instance).collect(),
         digest: 0,
+        evacuated: view.evacuated.iter().map(ToString::to_string).collect(),
     })
 }
 
--- a/crates/daisyseam-control/src/core/holders.rs
+++ b/crates/daisyseam-control/src/core/holders.rs
@@ -44,11 +44,13 @@
                             known.address,
                             known.admin_address,
                             known.leaving,
+                            known.born_ms,
                         ) != (
                             &command.data_centre,
                             command.address,
                             command.admin_address,
                             command.leaving,
+                            command.born_ms,
                         )
                 })
             })
--- a/crates/daisyseam-control/src/core/leader.rs
+++ b/crates/daisyseam-control/src/core/leader.rs
@@ -186,6 +186,7 @@
         address: report.address.parse().ok()?,
         admin_address: report.admin_address.parse().ok()?,
         leaving: report.leaving,
+        born_ms: report.born_ms,
     };
     let end = LogPosition {
         term: Term(report.term),
--- a/crates/daisyseam-control/tests/core_support/mod.rs
+++ b/crates/daisyseam-control/tests/core_support/mod.rs
@@ -707,6 +707,8 @@
         primary: database.state.role == UpstreamRole::Primary,
         leaving: database.leaving,
         age_ms: 0,
+        born_ms: 0,
+        sequence: 0,
     }
 }
 
--- a/crates/daisyseam-control/tests/support/mod.rs
+++ b/crates/daisyseam-control/tests/support/mod.rs
@@ -327,6 +327,8 @@
             primary: state.role == UpstreamRole::Primary,
             leaving: false,
             age_ms: 0,
+            born_ms: 0,
+            sequence: 0,
         }
     }
 }
--- a/crates/daisyseam-coord/src/fleet/command.rs
+++ b/crates/daisyseam-coord/src/fleet/command.rs
@@ -84,6 +84,8 @@
     pub admin_address: SocketAddr,
     /// Whether it is leaving.
     pub leaving: bool,
+    /// When its process started, in milliseconds since 1970; 0 if it did not say.
+    pub born_ms: u64,
 }
 
 /// A group's term or primary changes.
--- a/crates/daisyseam-coord/src/fleet/record.rs
+++ b/crates/daisyseam-coord/src/fleet/record.rs
@@ -62,6 +62,7 @@
                 admin_address: command.admin_address.to_string(),
                 holder: String::new(),
                 leaving: command.leaving,
+                born_ms: command.born_ms,
             }),
             Self::DropUpstream(upstream) => Body::DropUpstream(upstream.to_string()),
             Self::Group(command) => Body::Group(GroupChangeRecord {
@@ -109,6 +110,7 @@
                 address: read(&record.address)?,
                 admin_address: read(&record.admin_address)?,
                 leaving: record.leaving,
+                born_ms: record.born_ms,
             }),
             Body::DropUpstream(name) => Self::DropUpstream(read(&name)?),
             Body::Group(record) => {
@@ -163,6 +165,7 @@
                 .iter()
                 .map(|(name, instance)| InstanceRecord::of(name.as_str(), instance))
                 .collect(),
+            evacuated: view.evacuated.iter().map(ToString::to_string).collect(),
         };
         Bytes::from(record.encode_to_vec())
     }
@@ -199,6 +202,9 @@
             view.instances
                 .insert(read(&instance.name)?, instance.to_view()?);
         }
+        for data_centre in &record.evacuated {
+            view.evacuated.insert(read(data_centre)?);
+        }
         state.view = Arc::new(view);
         Some(state)
     }
@@ -284,6 +290,8 @@
     upstreams: Vec<UpstreamRecord>,
     #[prost(message, repeated, tag = "6")]
     instances: Vec<InstanceRecord>,
+    #[prost(string, repeated, tag = "7")]
+    evacuated: Vec<String>,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -390,6 +398,8 @@
     holder: String,
     #[prost(bool, tag = "7")]
     leaving: bool,
+    #[prost(uint64, tag = "8")]
+    born_ms: u64,
 }
 
 impl UpstreamRecord {
@@ -402,6 +412,7 @@
             admin_address: upstream.admin_address.to_string(),
             holder: name_or_empty(upstream.holder.as_ref()),
             leaving: upstream.leaving,
+            born_ms: upstream.born_ms,
         }
     }
 
@@ -413,6 +424,7 @@
             admin_address: read(&self.admin_address)?,
             holder: read_optional(&self.holder)?,
             leaving: self.leaving,
+            born_ms: self.born_ms,
         })
     }
 }
--- a/crates/daisyseam-coord/src/fleet/state.rs
+++ b/crates/daisyseam-coord/src/fleet/state.rs
@@ -145,6 +145,7 @@
             admin_address: command.admin_address,
             holder: known.and_then(|known| known.holder.clone()),
             leaving: command.leaving,
+            born_ms: command.born_ms,
         };
         if known != Some(&upstream) {
             self.change(ViewChanges::of_upstream(&command.upstream), |view| {
--- a/crates/daisyseam-entry/src/announce.rs
+++ b/crates/daisyseam-entry/src/announce.rs
@@ -124,5 +124,7 @@
         primary: announcement.state.role == UpstreamRole::Primary,
         leaving: announcement.leaving,
         age_ms: u64::try_from(at.elapsed().as_millis()).unwrap_or(u64::MAX),
+        born_ms: 0,
+        sequence: 0,
     }
 }
--- a/crates/daisyseam-entry/tests/links_suite/support/control.rs
+++ b/crates/daisyseam-entry/tests/links_suite/support/control.rs
@@ -116,6 +116,7 @@
             admin_address: database.admin_address,
             holder: holder.map(|holder| holder.parse().expect("a name")),
             leaving: false,
+            born_ms: 0,
         };
         self.0.upstreams.insert(upstream(name), entry);
         self
--- a/crates/daisyseam-model/src/document.rs
+++ b/crates/daisyseam-model/src/document.rs
@@ -116,19 +116,82 @@
 /// A database group.
 #[derive(Clone, Debug, PartialEq)]
 pub struct GroupEntry {
-    /// How many databases belong to it; a majority is counted from this number.
+    /// How many databases belong to it at least; a majority is counted from this number. 0 stands
+    /// for as many as announce themselves, which only [`CommitPolicy::Replicas`] allows.
     pub databases: usize,
     /// Connections that each database admits for the whole fleet.
     pub slots: usize,
+    /// When a commit counts as durable.
+    pub commit: CommitPolicy,
     /// Statements a second that one database is rated for, if stated.
     pub capacity: Option<f64>,
 }
 
+/// When a commit of a group counts as durable.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum CommitPolicy {
+    /// A majority of the databases reports its position; the entry asks them.
+    #[default]
+    Majority,
+    /// The primary acknowledges it once so many replicas have received it.
+    Replicas(usize),
+}
+
+impl CommitPolicy {
+    /// Returns how many copies of `members` an acknowledged commit is on, the primary included.
+    pub fn copies(self, members: usize) -> usize {
+        match self {
+            Self::Majority => members / 2 + 1,
+            Self::Replicas(replicas) => (replicas + 1).min(members.max(1)),
+        }
+    }
+}
+
+/// Which commits the reads of a service must see.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, JsonSchema, PartialEq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum ReadConsistency {
+    /// Every acknowledged commit: reads go to the primary.
+    Primary,
+    /// The session's own commits, and all commits older than the staleness bound.
+    #[default]
+    Session,
+    /// All commits older than the staleness bound.
+    Bounded,
+}
+
 /// A service: the name that callers give as their database.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ServiceEntry {
     /// Group that serves it.
     pub group: GroupId,
+    /// Which commits its reads must see.
+    pub consistency: ReadConsistency,
+    /// Greatest age of the data that a read may see; none for no bound.
+    pub max_staleness: Option<Duration>,
+    /// Longest time one statement may run, if it differs from the limit for all.
+    pub statement_timeout: Option<Duration>,
+    /// Time within which a request should be answered, if stated.
+    pub target_latency: Option<Duration>,
+    /// Urgency among services; 0 is the highest.
+    pub priority: u32,
+    /// Whether callers need no key.
+    pub public: bool,
+}
+
+impl ServiceEntry {
+    /// Makes an entry with the defaults of the document.
+    pub fn of_group(group: GroupId) -> Self {
+        Self {
+            group,
+            consistency: ReadConsistency::default(),
+            max_staleness: None,
+            statement_timeout: None,
+            target_latency: None,
+            priority: 0,
+            public: false,
+        }
+    }
 }
 
 /// An organisation.
--- a/crates/daisyseam-model/src/view.rs
+++ b/crates/daisyseam-model/src/view.rs
@@ -7,14 +7,20 @@
     LogPosition,
     Term,
     UpstreamId,
-    document::Document, //
+    document::{
+        DataCentreState,
+        Document, //
+    }, //
 };
 use serde::{
     Deserialize,
     Serialize, //
 };
 use std::{
-    collections::BTreeMap,
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
     net::SocketAddr,
     sync::Arc, //
 };
@@ -55,6 +61,8 @@
     pub upstreams: BTreeMap<UpstreamId, UpstreamView>,
     /// Entry instances that are members.
     pub instances: BTreeMap<InstanceId, InstanceView>,
+    /// Data centres that an order took out of service, besides those of the document.
+    pub evacuated: BTreeSet<DataCentreId>,
 }
 
 /// The state of one database group.
@@ -104,6 +112,9 @@
     pub holder: Option<InstanceId>,
     /// Whether it is leaving: no new work, running work finishes.
     pub leaving: bool,
+    /// When this process of it started, by its own clock, in milliseconds since 1970; 0 if it did
+    /// not say. A later start at the same address or under the same name supersedes an earlier.
+    pub born_ms: u64,
 }
 
 /// One entry instance.
@@ -120,6 +131,14 @@
 }
 
 impl FleetView {
+    /// Returns whether a data centre takes new work.
+    pub fn in_service(&self, data_centre: &DataCentreId) -> bool {
+        let document = self.document.as_ref();
+        let entry = document.and_then(|document| document.data_centres.get(data_centre));
+        let stated_out = entry.is_some_and(|entry| entry.state == DataCentreState::Out);
+        !stated_out && !self.evacuated.contains(data_centre)
+    }
+
     /// Returns the databases of a group, in the order of their names.
     pub fn members<'a>(
         &'a self,
--- a/crates/daisyseam-wire/examples/view_size.rs
+++ b/crates/daisyseam-wire/examples/view_size.rs
@@ -62,6 +62,7 @@
                 admin_address: address,
                 holder: Some(format!("entry-{index:04}").parse()?),
                 leaving: false,
+                born_ms: 0,
             };
             view.upstreams
                 .insert(format!("{name}-{member}").parse()?, upstream);
--- a/crates/daisyseam-wire/src/control.rs
+++ b/crates/daisyseam-wire/src/control.rs
@@ -162,6 +162,12 @@
     /// Time since the announcement came in, in milliseconds.
     #[prost(uint64, tag = "10")]
     pub age_ms: u64,
+    /// When its process started, by its own clock, in milliseconds since 1970; 0 if unknown.
+    #[prost(uint64, tag = "11")]
+    pub born_ms: u64,
+    /// Number of the announcement within that process's life; 0 if it counts none.
+    #[prost(uint64, tag = "12")]
+    pub sequence: u64,
 }
 
 /// What a holder sees of a database that it holds.
--- a/crates/daisyseam-wire/src/convert.rs
+++ b/crates/daisyseam-wire/src/convert.rs
@@ -147,6 +147,7 @@
                 .map(|(name, instance)| WireInstance::present(name.as_str(), instance))
                 .collect(),
             digest: 0,
+            evacuated: view.evacuated.iter().map(ToString::to_string).collect(),
         }
     }
 
@@ -187,6 +188,10 @@
     }
 
     fn apply_parts(&self, view: &mut FleetView) -> Result<(), ConvertError> {
+        let evacuated = self.evacuated.iter();
+        view.evacuated = evacuated
+            .map(|name| read(name, "a data centre"))
+            .collect::<Result<_, _>>()?;
         for group in &self.groups {
             let name = read(&group.name, "a group")?;
             if group.removed {
@@ -268,6 +273,7 @@
                 .map(ToString::to_string)
                 .unwrap_or_default(),
             leaving: upstream.leaving,
+            born_ms: upstream.born_ms,
         }
     }
 
@@ -283,6 +289,7 @@
             admin_address: read(&self.admin_address, "an address")?,
             holder,
             leaving: self.leaving,
+            born_ms: self.born_ms,
         })
     }
 }
--- a/crates/daisyseam-wire/src/view.rs
+++ b/crates/daisyseam-wire/src/view.rs
@@ -27,6 +27,9 @@
     /// Digest of the view that results.
     #[prost(uint64, tag = "8")]
     pub digest: u64,
+    /// All data centres that an order took out of service.
+    #[prost(string, repeated, tag = "9")]
+    pub evacuated: Vec<String>,
 }
 
 /// A document as a change of an earlier one: keep a head and a tail, replace what lies between.
@@ -99,6 +102,9 @@
     /// Whether it is leaving.
     #[prost(bool, tag = "8")]
     pub leaving: bool,
+    /// When its process started, in milliseconds since 1970; 0 if unknown.
+    #[prost(uint64, tag = "9")]
+    pub born_ms: u64,
 }
 
 /// An entry instance.
