Part the fleet member from the PostgreSQL entry

The view, the lease on it and the shares of rates know no protocol, but stood in the entry crate with its holders and its PostgreSQL code. They move to daisyseam-member; what an instance does with databases stands behind the trait FleetObserver, which the entry's holders implement. Behaviour is unchanged.

--- a/crates/daisyseam-entry/src/broker.rs
+++ b/crates/daisyseam-entry/src/broker.rs
@@ -5,7 +5,6 @@
     LogPosition,
     OrganisationId,
     RequestError,
-    ServiceId,
     Term,
     UpstreamId, //
 };
@@ -170,28 +169,3 @@
     /// Gives the connection back; only after the last answer, with no transaction open.
     fn release(self);
 }
-
-/// Admits requests within an organisation's rate and burst.
-pub trait RateGate: Clone + Send + Sync + 'static {
-    /// Waits for a token, but not past the deadline.
-    ///
-    /// # Errors
-    ///
-    /// `RateExceeded` with the time after which to come back.
-    fn admit(
-        &self,
-        organisation: &OrganisationId,
-        deadline: Instant,
-    ) -> impl Future<Output = Result<(), RequestError>> + Send;
-
-    /// Waits for a token of a service's open route, but not past the deadline.
-    ///
-    /// # Errors
-    ///
-    /// `RateExceeded` with the time after which to come back.
-    fn admit_open(
-        &self,
-        service: &ServiceId,
-        deadline: Instant,
-    ) -> impl Future<Output = Result<(), RequestError>> + Send;
-}
--- a/crates/daisyseam-entry/src/daemon.rs
+++ b/crates/daisyseam-entry/src/daemon.rs
@@ -9,16 +9,12 @@
         CallerContext,
         CallerServer, //
     },
-    control_client::{
-        ClientSettings,
-        ControlClient, //
-    },
     database::HttpProbe,
     fleet::{
         BrokerSettings,
-        FleetBroker,
-        FleetGate, //
+        FleetBroker, //
     },
+    health::HolderObserver,
     holder::{
         HolderTable,
         TableSettings, //
@@ -36,6 +32,11 @@
     },
     settings::EntrySettings, //
 };
+use daisyseam_member::{
+    ClientSettings,
+    ControlClient,
+    FleetGate, //
+};
 use daisyseam_runtime::{
     Dialer,
     HealthServer,
@@ -209,9 +210,7 @@
             control: settings.control,
             incarnation,
             cell: cell.clone(),
-            table: table.clone(),
-            book,
-            counts: broker.counts().clone(),
+            observer: HolderObserver::new(table.clone(), book, broker.counts().clone()),
             gate: gate.clone(),
             dialer,
             security: security.peers.clone(),
--- a/crates/daisyseam-entry/src/fleet.rs
+++ b/crates/daisyseam-entry/src/fleet.rs
@@ -3,7 +3,6 @@
 mod broker;
 mod confirm;
 mod fate;
-mod gate;
 mod known;
 mod link;
 mod open;
@@ -14,9 +13,9 @@
         BrokerSettings,
         FleetBroker, //
     },
-    gate::FleetGate,
     link::{
         FleetLink,
         TransactionCounts, //
     }, //
 };
+pub use daisyseam_member::FleetGate;
--- a/crates/daisyseam-entry/src/control_client/health.rs
+++ b/crates/daisyseam-entry/src/health.rs
@@ -1,6 +1,7 @@
-//! What control is told of the databases held here.
+//! The databases held here as control's decisions reach them, and what control is told of them.
 
 use crate::{
+    announce::AnnouncementBook,
     fleet::TransactionCounts,
     holder::{
         HolderHandle,
@@ -8,6 +9,10 @@
         UpstreamSight, //
     }, //
 };
+use daisyseam_member::{
+    FleetObserver,
+    ObserverReport, //
+};
 use daisyseam_model::{
     FleetView,
     PrimaryState,
@@ -20,8 +25,10 @@
     GroupReport,
     HealthReport, //
 };
+use parking_lot::Mutex;
 use std::{
     collections::BTreeMap,
+    sync::Arc,
     time::Duration, //
 };
 use tokio::time::Instant;
@@ -32,9 +39,64 @@
 /// Time for which control is told again that a database was let go of.
 const LET_GO_REPEAT: Duration = Duration::from_secs(3);
 
+/// Holds databases as the view says and reports on them.
+#[derive(Clone)]
+pub(crate) struct HolderObserver {
+    table: HolderTable,
+    book: AnnouncementBook,
+    counts: TransactionCounts,
+    teller: Arc<Mutex<HealthTeller>>,
+}
+
+impl HolderObserver {
+    pub(crate) fn new(
+        table: HolderTable,
+        book: AnnouncementBook,
+        counts: TransactionCounts,
+    ) -> Self {
+        Self {
+            table,
+            book,
+            counts,
+            teller: Arc::default(),
+        }
+    }
+}
+
+impl FleetObserver for HolderObserver {
+    /// Transactions that go on while a database is handed over are reported as such; they are
+    /// ones that the earlier view let begin, and no other holder starts before their end.
+    async fn apply(&self, view: &FleetView) {
+        let hand_over = self.table.apply(view).await;
+        if !hand_over.is_empty() {
+            tokio::spawn(hand_over.finish());
+        }
+    }
+
+    async fn news(&self) {
+        self.table.news().await;
+    }
+
+    fn report(&self, named: ViewNumber, held: &FleetView) -> ObserverReport {
+        ObserverReport {
+            upstreams: self.book.take(),
+            health: self.teller.lock().reports(&self.table, named, held),
+            groups: group_reports(held, &self.counts),
+        }
+    }
+
+    fn lease_begun(&self) {
+        self.table.wake_all();
+    }
+
+    fn lease_ended(&self) {
+        self.table.close_all();
+    }
+}
+
 /// Remembers what was told, so that only changes are told again.
 #[derive(Default)]
-pub(super) struct HealthTeller {
+struct HealthTeller {
     told: BTreeMap<UpstreamId, (ToldHealth, Instant)>,
     moving: BTreeMap<UpstreamId, Instant>,
 }
@@ -50,7 +112,7 @@
     /// Returns the reports that are due; a database that does not answer is told of every time.
     ///
     /// `view` is the number that goes along, `held` the view in force.
-    pub(super) fn reports(
+    fn reports(
         &mut self,
         table: &HolderTable,
         view: ViewNumber,
@@ -114,7 +176,7 @@
 }
 
 /// Returns how many transactions are open at each group that is being moved.
-pub(super) fn group_reports(view: &FleetView, counts: &TransactionCounts) -> Vec<GroupReport> {
+fn group_reports(view: &FleetView, counts: &TransactionCounts) -> Vec<GroupReport> {
     view.groups
         .iter()
         .filter(|(_, group)| matches!(group.primary, PrimaryState::Draining(_)))
--- a/crates/daisyseam-entry/src/lib.rs
+++ b/crates/daisyseam-entry/src/lib.rs
@@ -7,15 +7,14 @@
 pub mod announce;
 mod broker;
 pub mod caller;
-pub mod control_client;
 mod daemon;
 pub mod database;
 pub mod fleet;
+mod health;
 pub mod holder;
 pub mod peer;
 pub mod security;
 mod settings;
-mod view_cell;
 
 pub use crate::{
     broker::{
@@ -24,7 +23,6 @@
         LinkError,
         LinkOrder,
         OpenedLink,
-        RateGate,
         StatementAccess,
         TransactionFate, //
     },
@@ -35,9 +33,10 @@
     settings::{
         EntryArguments,
         EntrySettings, //
-    },
-    view_cell::{
-        HeldView,
-        ViewCell, //
     }, //
 };
+pub use daisyseam_member::{
+    HeldView,
+    RateGate,
+    ViewCell, //
+};
--- a/crates/daisyseam-entry/src/peer.rs
+++ b/crates/daisyseam-entry/src/peer.rs
@@ -20,10 +20,10 @@
         PeerError,
         PeerSettings, //
     },
-    connection::IncarnationCell,
     link::PeerLink,
     server::{
         PeerServer,
         ServerSettings, //
     }, //
 };
+pub use daisyseam_member::IncarnationCell;
--- a/crates/daisyseam-entry/src/peer/client.rs
+++ b/crates/daisyseam-entry/src/peer/client.rs
@@ -1,8 +1,8 @@
 //! Asks other instances for links and positions.
 
 use super::{
+    IncarnationCell,
     connection::{
-        IncarnationCell,
         PeerConnection,
         RequestId, //
     },
--- a/crates/daisyseam-entry/src/peer/connection.rs
+++ b/crates/daisyseam-entry/src/peer/connection.rs
@@ -14,33 +14,10 @@
     StreamError,
     peer_message::Body, //
 };
-use std::sync::{
-    Arc,
-    atomic::{
-        AtomicU64,
-        Ordering, //
-    }, //
-};
 
 /// Bytes of protocol data in one message, at most.
 pub(super) const CHUNK_BYTES: usize = 256 << 10;
 
-/// The present incarnation of this instance, shared by its parts.
-#[derive(Clone, Debug, Default)]
-pub struct IncarnationCell(Arc<AtomicU64>);
-
-impl IncarnationCell {
-    /// Returns the incarnation; zero before control has given one.
-    pub fn get(&self) -> Incarnation {
-        Incarnation(self.0.load(Ordering::Acquire))
-    }
-
-    /// Replaces it.
-    pub fn set(&self, incarnation: Incarnation) {
-        self.0.store(incarnation.0, Ordering::Release);
-    }
-}
-
 /// Who asked, and the number of the request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) struct RequestId {
--- a/crates/daisyseam-entry/src/control_client.rs
+++ b/crates/daisyseam-member/src/control_client.rs
@@ -1,18 +1,13 @@
 //! Keeps this instance's lease and view: one connection to the leading control instance.
 
-mod health;
 mod keeper;
 mod session;
 
 use crate::{
-    ViewCell,
-    announce::AnnouncementBook,
-    fleet::{
-        FleetGate,
-        TransactionCounts, //
-    },
-    holder::HolderTable,
-    peer::IncarnationCell, //
+    FleetGate,
+    FleetObserver,
+    IncarnationCell,
+    ViewCell, //
 };
 use daisyseam_model::{
     ClusterId,
@@ -46,7 +41,7 @@
 
 /// What the client needs.
 #[derive(Clone)]
-pub struct ClientSettings {
+pub struct ClientSettings<O> {
     /// Cluster.
     pub cluster: ClusterId,
     /// This instance.
@@ -61,12 +56,8 @@
     pub incarnation: IncarnationCell,
     /// The view, filled in by the client.
     pub cell: ViewCell,
-    /// The databases held here.
-    pub table: HolderTable,
-    /// Announcements to pass on.
-    pub book: AnnouncementBook,
-    /// Open transactions to report.
-    pub counts: TransactionCounts,
+    /// What acts on views and reports on databases.
+    pub observer: O,
     /// Rates, for demand and shares.
     pub gate: FleetGate,
     /// Outgoing connections.
@@ -86,11 +77,11 @@
 
 impl ControlClient {
     /// Starts to look for the leader and to keep the lease.
-    pub fn start(settings: ClientSettings) -> Self {
-        let keeper = ViewKeeper::new(settings.cell.clone(), settings.table.clone());
-        let lease = end_links_with_lease(
+    pub fn start<O: FleetObserver>(settings: ClientSettings<O>) -> Self {
+        let keeper = ViewKeeper::new(settings.cell.clone(), settings.observer.clone());
+        let lease = watch_lease(
             settings.cell.clone(),
-            settings.table.clone(),
+            settings.observer.clone(),
             settings.timer.clone(),
         );
         let follow = follow_leader(settings, keeper);
@@ -112,7 +103,7 @@
 }
 
 /// Goes from control instance to control instance until one leads, and stays with it.
-async fn follow_leader(settings: ClientSettings, mut keeper: ViewKeeper) {
+async fn follow_leader<O: FleetObserver>(settings: ClientSettings<O>, mut keeper: ViewKeeper<O>) {
     let mut next = rand::rng().random_range(0..settings.control.len().max(1));
     let mut leader = None;
     loop {
@@ -142,8 +133,8 @@
     }
 }
 
-/// Closes every connection to a database at the moment when the lease runs out.
-async fn end_links_with_lease(cell: ViewCell, table: HolderTable, timer: TimerService) {
+/// Tells the observer at the moment when the lease runs out.
+async fn watch_lease<O: FleetObserver>(cell: ViewCell, observer: O, timer: TimerService) {
     let mut changes = cell.subscribe();
     loop {
         let until = cell.held().lease_until;
@@ -153,8 +144,8 @@
             }
             None => {
                 if until.is_some() {
-                    log::warn!("the lease has run out; every link ends");
-                    table.close_all();
+                    log::warn!("the lease on the view has run out");
+                    observer.lease_ended();
                 }
                 if changes.changed().await.is_err() {
                     return;
--- a/crates/daisyseam-entry/src/control_client/keeper.rs
+++ b/crates/daisyseam-member/src/control_client/keeper.rs
@@ -1,9 +1,9 @@
 //! Puts views in force and keeps the lease on them.
 
 use crate::{
+    FleetObserver,
     HeldView,
-    ViewCell,
-    holder::HolderTable, //
+    ViewCell, //
 };
 use daisyseam_model::{
     FleetView,
@@ -17,9 +17,9 @@
 use tokio::time::Instant;
 
 /// Owns the view that is in force here, with the text of its document.
-pub(super) struct ViewKeeper {
+pub(super) struct ViewKeeper<O> {
     cell: ViewCell,
-    table: HolderTable,
+    observer: O,
     view: Arc<FleetView>,
     text: String,
     digest: u64,
@@ -27,11 +27,11 @@
     sequence: u64,
 }
 
-impl ViewKeeper {
-    pub(super) fn new(cell: ViewCell, table: HolderTable) -> Self {
+impl<O: FleetObserver> ViewKeeper<O> {
+    pub(super) fn new(cell: ViewCell, observer: O) -> Self {
         Self {
             cell,
-            table,
+            observer,
             view: Arc::default(),
             text: String::new(),
             digest: 0,
@@ -62,9 +62,7 @@
 
     /// Puts an update in force; when it returns, nothing here acts on an earlier view.
     ///
-    /// Transactions that go on while a database is handed over are reported as such; they are
-    /// ones that the earlier view let begin, and no other holder starts before their end. An
-    /// update that is not newer changes nothing.
+    /// An update that is not newer changes nothing.
     ///
     /// # Errors
     ///
@@ -85,10 +83,7 @@
             view: Arc::clone(&self.view),
             lease_until: self.cell.held().lease_until,
         });
-        let hand_over = self.table.apply(&self.view).await;
-        if !hand_over.is_empty() {
-            tokio::spawn(hand_over.finish());
-        }
+        self.observer.apply(&self.view).await;
         Ok(())
     }
 
@@ -100,7 +95,7 @@
             lease_until: held.lease_until.max(Some(until)),
         });
         if !held.is_valid() {
-            self.table.wake_all();
+            self.observer.lease_begun();
         }
     }
 }
--- a/crates/daisyseam-entry/src/control_client/session.rs
+++ b/crates/daisyseam-member/src/control_client/session.rs
@@ -2,12 +2,9 @@
 
 use super::{
     ClientSettings,
-    health::{
-        HealthTeller,
-        group_reports, //
-    },
     keeper::ViewKeeper, //
 };
+use crate::FleetObserver;
 use daisyseam_model::Incarnation;
 use daisyseam_wire::{
     ControlMessage,
@@ -60,22 +57,21 @@
 }
 
 /// A connection on which this instance has been welcomed.
-pub(super) struct ControlSession<'a> {
-    settings: &'a ClientSettings,
-    keeper: &'a mut ViewKeeper,
+pub(super) struct ControlSession<'a, O> {
+    settings: &'a ClientSettings<O>,
+    keeper: &'a mut ViewKeeper<O>,
     sender: MessageSender<PeerSocket, ControlMessage>,
     receiver: MessageReceiver<PeerSocket, ControlMessage>,
-    teller: HealthTeller,
     sent: VecDeque<(u64, Instant)>,
     heard_at: Instant,
     next_beat: Instant,
 }
 
-impl<'a> ControlSession<'a> {
+impl<'a, O: FleetObserver> ControlSession<'a, O> {
     /// Connects, introduces this instance and waits to be welcomed.
     pub(super) async fn open(
-        settings: &'a ClientSettings,
-        keeper: &'a mut ViewKeeper,
+        settings: &'a ClientSettings<O>,
+        keeper: &'a mut ViewKeeper<O>,
         target: SocketAddr,
     ) -> Result<Self, SessionEnd> {
         let deadline = settings.timer.now() + WELCOME_TIMEOUT;
@@ -89,7 +85,6 @@
             keeper,
             sender,
             receiver,
-            teller: HealthTeller::default(),
             sent: VecDeque::new(),
             heard_at: now,
             next_beat: now,
@@ -106,7 +101,7 @@
                     Ok(message) => self.handle(message.body).await,
                     Err(error) => Err(error.into()),
                 },
-                () = self.settings.table.news() => {
+                () = self.settings.observer.news() => {
                     self.next_beat = Instant::now();
                     Ok(())
                 }
@@ -135,15 +130,16 @@
         let settings = self.settings;
         let view = self.keeper.named();
         let held = settings.cell.held();
+        let report = settings.observer.report(view, &held.view);
         let heartbeat = Heartbeat {
             sequence,
             incarnation: settings.incarnation.get().0,
             view: view.0,
             leaving: settings.stop.is_stopping(),
             shares: Some(settings.gate.report()),
-            upstreams: settings.book.take(),
-            health: self.teller.reports(&settings.table, view, &held.view),
-            groups: group_reports(&held.view, &settings.counts),
+            upstreams: report.upstreams,
+            health: report.health,
+            groups: report.groups,
             instance: settings.instance.to_string(),
             view_digest: self.keeper.digest(),
         };
@@ -207,9 +203,9 @@
     }
 }
 
-async fn introduce(
-    settings: &ClientSettings,
-    keeper: &ViewKeeper,
+async fn introduce<O: FleetObserver>(
+    settings: &ClientSettings<O>,
+    keeper: &ViewKeeper<O>,
     target: SocketAddr,
 ) -> Result<MessageStream<PeerSocket, ControlMessage>, SessionEnd> {
     let socket = settings.dialer.connect(target).await;
--- a/crates/daisyseam-entry/src/fleet/gate.rs
+++ b/crates/daisyseam-member/src/gate.rs
@@ -6,11 +6,7 @@
     GateState,
     LineGuard, //
 };
-use super::broker::VIEW_WAIT;
-use crate::{
-    RateGate,
-    ViewCell, //
-};
+use crate::ViewCell;
 use daisyseam_coord::quota::{
     NoToken,
     RateKey, //
@@ -29,6 +25,7 @@
 };
 use parking_lot::Mutex;
 use std::{
+    future::Future,
     sync::Arc,
     time::Duration, //
 };
@@ -37,9 +34,37 @@
     time::Instant, //
 };
 
+/// Longest time that a request is held while this instance has no lease.
+const VIEW_WAIT: Duration = Duration::from_secs(2);
+
 /// Time between two looks at whether a report is due while requests wait.
 const REPORT_LOOK: Duration = Duration::from_millis(25);
 
+/// Admits requests within an organisation's rate and burst.
+pub trait RateGate: Clone + Send + Sync + 'static {
+    /// Waits for a token, but not past the deadline.
+    ///
+    /// # Errors
+    ///
+    /// `RateExceeded` with the time after which to come back.
+    fn admit(
+        &self,
+        organisation: &OrganisationId,
+        deadline: Instant,
+    ) -> impl Future<Output = Result<(), RequestError>> + Send;
+
+    /// Waits for a token of a service's open route, but not past the deadline.
+    ///
+    /// # Errors
+    ///
+    /// `RateExceeded` with the time after which to come back.
+    fn admit_open(
+        &self,
+        service: &ServiceId,
+        deadline: Instant,
+    ) -> impl Future<Output = Result<(), RequestError>> + Send;
+}
+
 /// Admits requests within this instance's share of each rate; cheap to clone.
 ///
 /// Requests wait in line for a token. One that could not be served in time even if the whole rate
