--- a/crates/daisyseam-wire/src/control.rs
+++ b/crates/daisyseam-wire/src/control.rs
@@ -14,7 +14,7 @@
     /// The message proper.
     #[prost(
         oneof = "control_message::Body",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28, 29"
     )]
     pub body: Option<control_message::Body>,
 }
@@ -87,6 +87,30 @@
         /// A spare control instance makes itself known.
         #[prost(message, tag = "21")]
         Spare(super::SpareNotice),
+        /// Submits a document that takes effect if its number is the highest.
+        #[prost(message, tag = "22")]
+        SubmitNewest(crate::SubmitNewestRequest),
+        /// What became of it.
+        #[prost(message, tag = "23")]
+        SubmittedNewest(crate::SubmitNewestReply),
+        /// Asks for the source of the newest document.
+        #[prost(message, tag = "24")]
+        Source(crate::SourceRequest),
+        /// The source.
+        #[prost(message, tag = "25")]
+        SourceShown(crate::SourceReply),
+        /// Passes an announcement on.
+        #[prost(message, tag = "26")]
+        Announce(crate::AnnounceRequest),
+        /// The announcement is known.
+        #[prost(message, tag = "27")]
+        Announced(crate::AnnounceReply),
+        /// Takes a data centre out of service, or brings it back.
+        #[prost(message, tag = "28")]
+        Evacuate(crate::EvacuateRequest),
+        /// The order on a data centre is durable.
+        #[prost(message, tag = "29")]
+        Evacuated(crate::EvacuateReply),
     }
 }
 
--- a/crates/daisyseam-wire/src/lib.rs
+++ b/crates/daisyseam-wire/src/lib.rs
@@ -7,6 +7,7 @@
 mod control;
 mod convert;
 mod envelope;
+mod order;
 mod peer;
 mod security;
 mod share;
@@ -49,6 +50,16 @@
         Envelope,
         PROTOCOL_VERSION, //
     },
+    order::{
+        AnnounceReply,
+        AnnounceRequest,
+        EvacuateReply,
+        EvacuateRequest,
+        SourceReply,
+        SourceRequest,
+        SubmitNewestReply,
+        SubmitNewestRequest, //
+    },
     peer::{
         AwaitReply,
         AwaitRequest,
