Let the stand-in report a transaction that a savepoint brought back as open

After ROLLBACK TO SAVEPOINT in a failed transaction the stand-in's session went on, but its protocol library kept the status E in ReadyForQuery: its own state only leaves E when the transaction ends. The message is looked at before it is processed, and the library's state is put back to open when a failed transaction returns to a savepoint. Ruled out: answering it as the end of a transaction, which would say idle.

--- a/crates/daisyseam-bench/src/standin/server.rs
+++ b/crates/daisyseam-bench/src/standin/server.rs
@@ -12,7 +12,8 @@
     session::Session,
     translate::{
         self,
-        ParsedStatement, //
+        ParsedStatement,
+        StatementKind, //
     }, //
 };
 use async_trait::async_trait;
@@ -28,6 +29,7 @@
         ClientInfo,
         ClientPortalStore,
         ConnectionManager,
+        DEFAULT_NAME,
         DefaultClient,
         NoopHandler,
         PgWireConnectionState,
@@ -64,7 +66,8 @@
         cancel::CancelRequest,
         response::{
             GssEncResponse,
-            SslResponse, //
+            SslResponse,
+            TransactionStatus, //
         }, //
     },
     tokio::server::{
@@ -178,6 +181,10 @@
         }
         let extended = message.is_extended_query();
         let cancels = matches!(message, PgWireFrontendMessage::CancelRequest(_));
+        if handlers.parser.returns_to_savepoint(&socket, &message) {
+            // The library lets a failed transaction only end; if this fails it is failed again.
+            socket.set_transaction_status(TransactionStatus::Transaction);
+        }
         let processed = process_message(
             message,
             &mut socket,
@@ -237,6 +244,27 @@
 }
 
 impl SessionParser {
+    /// Returns whether a message begins with the return of a failed transaction to a savepoint.
+    fn returns_to_savepoint(&self, socket: &ClientSocket, message: &PgWireFrontendMessage) -> bool {
+        if socket.transaction_status() != TransactionStatus::Error {
+            return false;
+        }
+        let first = match message {
+            PgWireFrontendMessage::Query(query) => {
+                let parsed = self.shared.parse(&query.query).ok();
+                parsed.and_then(|statements| statements.first().cloned())
+            }
+            PgWireFrontendMessage::Execute(execute) => {
+                let name = execute.name.as_deref().unwrap_or(DEFAULT_NAME);
+                let portal = socket.portal_store().get_portal(name);
+                let portal = portal.as_ref().and_then(|portal| portal.value());
+                portal.map(|portal| Arc::clone(&portal.statement.statement))
+            }
+            _ => None,
+        };
+        first.is_some_and(|statement| matches!(statement.kind, StatementKind::RollBackTo))
+    }
+
     fn session(&self) -> PgWireResult<&Session> {
         self.session.get().ok_or(PgWireError::NotReadyForQuery)
     }
