--- a/crates/daisyseam-model/src/document/schema.rs
+++ b/crates/daisyseam-model/src/document/schema.rs
@@ -7,7 +7,10 @@
 use serde::Serialize;
 use serde_json::Value;
 
-use super::DataCentreState;
+use super::{
+    DataCentreState,
+    ReadConsistency, //
+};
 
 /// Returns the JSON schema of the document.
 ///
@@ -81,14 +84,19 @@
 struct GroupShape {
     /// Name.
     name: String,
-    /// How many databases belong to it.
-    #[schemars(range(min = 1, max = 31))]
-    databases: u64,
+    /// How many databases belong to it; as many as announce themselves when missing, which needs
+    /// `acknowledging_replicas`.
+    #[schemars(range(min = 0, max = 31))]
+    databases: Option<u64>,
     /// Connections that each database admits for the whole fleet.
     #[schemars(range(min = 1, max = 10_000))]
     slots: u64,
     /// Statements a second that one database is rated for.
     capacity: Option<f64>,
+    /// Replicas that have a commit before the primary acknowledges it; when missing, a majority of
+    /// the databases is asked for each commit.
+    #[schemars(range(min = 0, max = 31))]
+    acknowledging_replicas: Option<u64>,
 }
 
 #[derive(JsonSchema, Serialize)]
@@ -98,6 +106,19 @@
     name: String,
     /// Group that serves it.
     group: String,
+    /// Which commits its reads must see; those of the session when missing.
+    consistency: Option<ReadConsistency>,
+    /// Greatest age of the data that a read may see, in milliseconds.
+    max_staleness_ms: Option<u64>,
+    /// Longest time one statement may run, in milliseconds.
+    statement_timeout_ms: Option<u64>,
+    /// Time within which a request should be answered, in milliseconds.
+    target_latency_ms: Option<u64>,
+    /// Urgency among services; 0 is the highest.
+    #[schemars(range(min = 0, max = 1_000))]
+    priority: Option<u64>,
+    /// Whether callers need no key.
+    public: Option<bool>,
 }
 
 #[derive(JsonSchema, Serialize)]
--- a/crates/daisyseam-model/tests/document.rs
+++ b/crates/daisyseam-model/tests/document.rs
@@ -1,6 +1,7 @@
 //! The validation of documents: every problem at once, with its place.
 
 use daisyseam_model::document::{
+    CommitPolicy,
     DOCUMENT_BYTES_MAX,
     Document,
     Problem,
@@ -70,6 +71,11 @@
 #[test_case("sha256:00", "sha256:zz", "64 hexadecimal"; "a hash that is none")]
 #[test_case("region = \"khomas\"\n", "region = \"khomas\"\nstate = \"out\"\n", "at least one"; "the last data centre taken out")]
 #[test_case("group = \"bookings-db\"", "group = \"other\"", "not in the document"; "a group that is missing")]
+#[test_case("group = \"bookings-db\"", "group = \"bookings-db\"\nconsistency = \"all\"", "\"bounded\""; "a consistency that is none")]
+#[test_case("group = \"bookings-db\"", "group = \"bookings-db\"\nconsistency = \"bounded\"", "max_staleness_ms"; "a bounded service without a bound")]
+#[test_case("group = \"bookings-db\"", "group = \"bookings-db\"\nstatement_timeout_ms = 0", "outside"; "a statement timeout of nothing")]
+#[test_case("group = \"bookings-db\"", "group = \"bookings-db\"\npublic = 1", "true or false"; "a flag that is a number")]
+#[test_case("databases = 3", "databases = 0", "outside"; "no databases though a majority confirms commits")]
 fn a_wrong_value_is_an_error(from: &str, to: &str, words: &str) {
     let problems = errors(&SOUND.replace(from, to));
     assert!(
@@ -80,6 +86,17 @@
     );
 }
 
+#[test]
+fn a_group_that_acknowledges_by_replicas_needs_no_number_of_databases() {
+    let text = SOUND.replace("databases = 3", "acknowledging_replicas = 1");
+    let document = Document::parse(&text).expect("a sound document");
+    let group = document.groups.values().next().expect("the group");
+    assert_eq!(group.databases, 0);
+    assert_eq!(group.commit, CommitPolicy::Replicas(1));
+    assert_eq!(group.commit.copies(3), 2);
+    assert_eq!(CommitPolicy::Majority.copies(5), 3);
+}
+
 #[test]
 fn an_oversized_document_is_refused_before_it_is_read() {
     let text = "#".repeat(DOCUMENT_BYTES_MAX + 1);
