--- a/crates/daisyseam-bench/src/fleet/node.rs
+++ b/crates/daisyseam-bench/src/fleet/node.rs
@@ -12,7 +12,8 @@
 };
 use daisyseam_control::{
     ControlDaemon,
-    ControlSettings, //
+    ControlSettings,
+    ControlTuning, //
 };
 use daisyseam_entry::{
     EntryDaemon,
@@ -267,7 +268,8 @@
             data_centre: self.data_centre.clone(),
             listen: FREE_PORT,
             advertise: Some(self.forwarder.address()),
-            http_listen: FREE_PORT,
+            http_listen: Some(FREE_PORT),
+            tuning: ControlTuning::default(),
             data_folder: self.folder.clone(),
             members,
             spare: false,
--- a/crates/daisyseam-control/src/admin.rs
+++ b/crates/daisyseam-control/src/admin.rs
@@ -1,5 +1,6 @@
 //! Calls to the HTTP ports of databases.
 
+use crate::core::DatabaseCall;
 use daisyseam_coord::promotion::CallAnswer;
 use daisyseam_model::{
     LogPosition,
@@ -52,8 +53,7 @@
 /// Reaches the databases of the platform.
 pub trait UpstreamAdmin: Clone + Send + Sync + 'static {
     /// Makes a call; it ends by itself.
-    fn call(&self, address: SocketAddr, call: AdminCall)
-    -> impl Future<Output = CallAnswer> + Send;
+    fn call(&self, call: DatabaseCall) -> impl Future<Output = CallAnswer> + Send;
 }
 
 /// Reaches databases over HTTP with JSON.
@@ -93,8 +93,9 @@
 }
 
 impl UpstreamAdmin for HttpAdmin {
-    async fn call(&self, address: SocketAddr, call: AdminCall) -> CallAnswer {
-        match call {
+    async fn call(&self, call: DatabaseCall) -> CallAnswer {
+        let address = call.address;
+        match call.call {
             AdminCall::State => {
                 let request = self.client.get(format!("http://{address}/state"));
                 self.send(request, CALL_TIMEOUT).await
--- a/crates/daisyseam-control/src/core.rs
+++ b/crates/daisyseam-control/src/core.rs
@@ -1,15 +1,18 @@
 //! What a control instance decides; no input, no output, no clock.
 
+mod announcements;
 mod departures;
 mod groups;
 mod holders;
 mod leader;
+mod orders;
 mod repair;
 mod requests;
 mod shares;
 mod status;
 
 use self::leader::LeaderWork;
+use crate::admin::AdminCall;
 use bytes::Bytes;
 use daisyseam_coord::{
     Moment,
@@ -49,8 +52,6 @@
     time::Duration, //
 };
 
-use crate::admin::AdminCall;
-
 /// Tells requests apart whose answers are still to come.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct RequestId(pub u64);
@@ -72,6 +73,8 @@
     pub repair_after: Duration,
     /// Applied entries after which a snapshot is made.
     pub snapshot_every: u64,
+    /// Bytes of applied entries after which a snapshot is made.
+    pub snapshot_bytes: usize,
 }
 
 impl CoreSettings {
@@ -85,6 +88,7 @@
             forget_after: Duration::from_millis(500),
             repair_after: Duration::from_secs(5),
             snapshot_every: 4_096,
+            snapshot_bytes: 4 << 20,
         }
     }
 }
@@ -96,7 +100,7 @@
     pub group: GroupId,
     /// The database.
     pub upstream: UpstreamId,
-    /// Its HTTP address.
+    /// Its address for such calls.
     pub address: SocketAddr,
     /// Kind of the call, named with the answer.
     pub kind: CallKind,
@@ -104,6 +108,9 @@
     pub term: Term,
     /// The call.
     pub call: AdminCall,
+    /// Term of the log in which the call was decided: whoever sees calls of several leaders of
+    /// control takes none that has a lower one than it has seen.
+    pub fence: u64,
 }
 
 /// What is to be done.
@@ -125,6 +132,7 @@
     waiters: BTreeMap<LogIndex, RequestWaiter>,
     output: CoreOutput,
     since_snapshot: u64,
+    bytes_since_snapshot: usize,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -137,6 +145,9 @@
 #[derive(Clone, Copy, Debug)]
 enum WaiterKind {
     Submit,
+    SubmitNewest,
+    Evacuate,
+    Announce,
     Join,
 }
 
@@ -151,6 +162,7 @@
             waiters: BTreeMap::new(),
             output: CoreOutput::default(),
             since_snapshot: 0,
+            bytes_since_snapshot: 0,
         }
     }
 
@@ -236,10 +248,13 @@
 
     /// Makes a snapshot if enough was applied since the last one.
     pub fn take_snapshot(&mut self) -> Option<LogSnapshot> {
-        if self.since_snapshot < self.settings.snapshot_every {
+        let due = self.since_snapshot >= self.settings.snapshot_every
+            || self.bytes_since_snapshot >= self.settings.snapshot_bytes;
+        if !due {
             return None;
         }
         self.since_snapshot = 0;
+        self.bytes_since_snapshot = 0;
         Some(self.log.compact(self.fleet.encode()))
     }
 
@@ -252,10 +267,12 @@
         );
         self.fleet = fleet;
         self.since_snapshot = 0;
+        self.bytes_since_snapshot = 0;
     }
 
     fn apply_entry(&mut self, now: Moment, entry: &LogEntry) {
         self.since_snapshot += 1;
+        self.bytes_since_snapshot += entry.payload.len();
         if entry.kind != EntryKind::Command {
             return;
         }
@@ -343,6 +360,7 @@
         self.schedule_upkeep(now);
         if let Some(leader) = &mut self.leader {
             leader.shares.tick(now, self.fleet.view());
+            leader.prune_notes(now, self.fleet.view());
         }
         self.step_groups(now);
         let applied = self.log.applied();
--- /dev/null
+++ b/crates/daisyseam-control/src/core/announcements.rs
@@ -0,0 +1,240 @@
+//! Announcements that are passed on one by one and acknowledged once what they change is durable.
+
+use super::{
+    ControlCore,
+    RequestId,
+    WaiterKind,
+    leader::{
+        AnnouncedUpstream,
+        LeaderWork,
+        read_announcement, //
+    }, //
+};
+use daisyseam_coord::{
+    Moment,
+    fleet::{
+        FleetCommand,
+        UpstreamCommand, //
+    },
+    log::LogIndex, //
+};
+use daisyseam_model::{
+    FleetView,
+    UpstreamId,
+    UpstreamView, //
+};
+use daisyseam_wire::{
+    AnnounceReply,
+    AnnounceRequest,
+    control_message::Body, //
+};
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+/// Time for which late announcements of a database that is gone are known as such.
+const DEPARTED_FOR: Duration = Duration::from_secs(120);
+/// Most databases of which it is known that they are gone, and most that no group claims.
+const NOTES_MAX: usize = 4_096;
+
+impl ControlCore {
+    pub(super) fn announce(&mut self, now: Moment, request: RequestId, announce: &AnnounceRequest) {
+        if !self.is_in_charge(now) {
+            return self.reply_not_leader(request);
+        }
+        let commands = match (&announce.report, announce.gone) {
+            (Some(report), true) => self.take_departure(now, &report.upstream),
+            (Some(report), false) => match read_announcement(now, report) {
+                Some(announced) => self.take_announcement(announced),
+                None => Vec::new(),
+            },
+            (None, _) => Vec::new(),
+        };
+        let mut last = None;
+        for command in &commands {
+            match self.propose(now, command) {
+                Some(index) => last = Some(index),
+                None => return self.reply_not_leader(request),
+            }
+        }
+        self.answer_announcement(request, last);
+    }
+
+    fn answer_announcement(&mut self, request: RequestId, last: Option<LogIndex>) {
+        match last {
+            Some(index) => self.wait_for(index, request, WaiterKind::Announce),
+            None => self.reply(request, Body::Announced(AnnounceReply {})),
+        }
+    }
+
+    /// Takes an announcement in, and returns what it changes.
+    fn take_announcement(&mut self, mut announced: AnnouncedUpstream) -> Vec<FleetCommand> {
+        let view = Arc::clone(self.fleet.view());
+        let Some(leader) = &mut self.leader else {
+            return Vec::new();
+        };
+        if leader.is_outdated(&view, &announced) {
+            return Vec::new();
+        }
+        keep_leaving(&view, &mut announced.command);
+        let superseded = leader.superseded(&view, &announced.command);
+        let mut commands = Vec::new();
+        for name in superseded {
+            log::info!("database {name} has given its address to another");
+            commands.extend(leader.depart(announced.at, &view, &name));
+        }
+        let command = announced.command.clone();
+        let name = command.upstream.clone();
+        leader.departed.remove(&name);
+        let former = leader.announced.insert(name.clone(), announced);
+        let role = |known: &AnnouncedUpstream| (known.command.born_ms, known.state.primary);
+        let changed = former.as_ref().map(role) != leader.announced.get(&name).map(role);
+        if changed {
+            leader.hasten();
+        }
+        if is_news(&view, &command) {
+            commands.push(FleetCommand::Upstream(command));
+        }
+        commands
+    }
+
+    fn take_departure(&mut self, now: Moment, name: &str) -> Vec<FleetCommand> {
+        let view = Arc::clone(self.fleet.view());
+        let (Some(leader), Ok(name)) = (&mut self.leader, name.parse::<UpstreamId>()) else {
+            return Vec::new();
+        };
+        log::info!("database {name} says that it is gone");
+        leader.depart(now, &view, &name)
+    }
+}
+
+impl LeaderWork {
+    /// Returns whether an announcement tells nothing that is newer than what is known.
+    fn is_outdated(&self, view: &FleetView, announced: &AnnouncedUpstream) -> bool {
+        let command = &announced.command;
+        let name = &command.upstream;
+        let stated = view.upstreams.get(name);
+        if stated.is_some_and(|known| known.born_ms > command.born_ms) {
+            return true;
+        }
+        let gone = self.departed.get(name);
+        if gone.is_some_and(|(born_ms, _)| command.born_ms <= *born_ms) {
+            return true;
+        }
+        let known = self.announced.get(name);
+        let older = known.is_some_and(|known| {
+            let (born, sequence) = (known.command.born_ms, known.sequence);
+            command.born_ms < born
+                || command.born_ms == born
+                    && announced.sequence != 0
+                    && announced.sequence <= sequence
+        });
+        older
+            || self
+                .at_address(view, command)
+                .any(|(_, born_ms)| command.born_ms < born_ms)
+    }
+
+    /// Returns the databases whose address a newer one has taken over.
+    fn superseded(&self, view: &FleetView, command: &UpstreamCommand) -> Vec<UpstreamId> {
+        let others = self.at_address(view, command);
+        let older = others.filter(|(_, born_ms)| *born_ms < command.born_ms);
+        older.map(|(name, _)| name.clone()).collect()
+    }
+
+    /// Lists the other databases that said when they started and have the same address.
+    fn at_address<'a>(
+        &'a self,
+        view: &'a FleetView,
+        command: &'a UpstreamCommand,
+    ) -> impl Iterator<Item = (&'a UpstreamId, u64)> {
+        let dated = command.born_ms != 0;
+        let stated = view.upstreams.iter();
+        let stated = stated.map(|(name, known)| (name, known.address, known.born_ms));
+        let others = stated.filter(move |(name, address, born_ms)| {
+            dated && *born_ms != 0 && **name != command.upstream && *address == command.address
+        });
+        // One that is gone for good has no address any more.
+        let others = others.filter(|(name, ..)| !self.departed.contains_key(*name));
+        others.map(|(name, _, born_ms)| (name, born_ms))
+    }
+
+    /// Notes that a database is gone; it is dropped once no acknowledged write depends on it.
+    fn depart(&mut self, now: Moment, view: &FleetView, name: &UpstreamId) -> Vec<FleetCommand> {
+        let announced = self
+            .announced
+            .remove(name)
+            .map(|known| known.command.born_ms);
+        let stated = view.upstreams.get(name);
+        let born_ms = stated.map(|known| known.born_ms).max(announced);
+        if let Some(born_ms) = born_ms
+            && self.departed.len() < NOTES_MAX
+        {
+            self.departed.entry(name.clone()).or_insert((born_ms, now));
+        }
+        self.hasten();
+        let Some(stated) = stated else {
+            return Vec::new();
+        };
+        match view.groups.contains_key(&stated.group) {
+            // Nothing was ever written by its copy.
+            false => vec![FleetCommand::DropUpstream(name.clone())],
+            true if !stated.leaving => vec![leave(name, stated)],
+            true => Vec::new(),
+        }
+    }
+
+    /// Forgets what nobody asks for any more.
+    pub(super) fn prune_notes(&mut self, now: Moment, view: &FleetView) {
+        self.departed.retain(|name, (_, at)| {
+            view.upstreams.contains_key(name) || now.since(*at) < DEPARTED_FOR
+        });
+        if self.announced.len() > NOTES_MAX {
+            self.announced
+                .retain(|name, _| view.upstreams.contains_key(name));
+        }
+    }
+}
+
+fn leave(name: &UpstreamId, stated: &UpstreamView) -> FleetCommand {
+    FleetCommand::Upstream(UpstreamCommand {
+        upstream: name.clone(),
+        group: stated.group.clone(),
+        data_centre: stated.data_centre.clone(),
+        address: stated.address,
+        admin_address: stated.admin_address,
+        leaving: true,
+        born_ms: stated.born_ms,
+    })
+}
+
+/// Keeps a process that said that it leaves as leaving, whatever a late word of it says.
+fn keep_leaving(view: &FleetView, command: &mut UpstreamCommand) {
+    let known = view.upstreams.get(&command.upstream);
+    let same = known.filter(|known| known.born_ms == command.born_ms && known.born_ms != 0);
+    command.leaving |= same.is_some_and(|known| known.leaving);
+}
+
+/// Returns whether a command changes what the view says; one for a group that is not known does not.
+pub(super) fn is_news(view: &FleetView, command: &UpstreamCommand) -> bool {
+    let document = view.document.as_ref();
+    if !document.is_some_and(|document| document.groups.contains_key(&command.group)) {
+        return false;
+    }
+    let known = view.upstreams.get(&command.upstream);
+    known.is_none_or(|known| known.group == command.group && differs(known, command))
+}
+
+fn differs(known: &UpstreamView, command: &UpstreamCommand) -> bool {
+    let told = UpstreamView {
+        group: command.group.clone(),
+        data_centre: command.data_centre.clone(),
+        address: command.address,
+        admin_address: command.admin_address,
+        holder: known.holder.clone(),
+        leaving: command.leaving,
+        born_ms: command.born_ms,
+    };
+    *known != told
+}
--- a/crates/daisyseam-control/src/core/groups.rs
+++ b/crates/daisyseam-control/src/core/groups.rs
@@ -28,8 +28,7 @@
     announce::{
         FollowCall,
         PromoteCall, //
-    },
-    document::DataCentreState, //
+    }, //
 };
 use std::{
     collections::BTreeMap,
@@ -105,6 +104,7 @@
             view: state,
             members,
             expected: entry.databases,
+            commit: entry.commit,
             confirmed: moving && leader.leases.is_finished(now, changed),
             open_transactions: open.and_then(|state| leader.open(view, group, state.term)),
         };
@@ -175,6 +175,7 @@
             kind,
             term,
             call,
+            fence: self.log.term().0,
         });
     }
 }
@@ -190,15 +191,10 @@
         let announced = self.announced.get(name);
         let announced_silence = now.since(announced.map_or(self.begun, |known| known.at));
         let holder = self.holder_word(now, view, name, upstream);
-        let centres = view
-            .document
-            .as_ref()
-            .map(|document| &document.data_centres);
-        let centre = centres.and_then(|centres| centres.get(&upstream.data_centre));
         MemberFacts {
             upstream: name.clone(),
             leaving: upstream.leaving,
-            in_service: centre.is_none_or(|centre| centre.state == DataCentreState::Active),
+            in_service: view.in_service(&upstream.data_centre),
             silence: match holder {
                 HolderWord::Vouches(silence) => silence.min(announced_silence),
                 HolderWord::Denies | HolderWord::Unknown => announced_silence,
--- a/crates/daisyseam-control/src/core/holders.rs
+++ b/crates/daisyseam-control/src/core/holders.rs
@@ -1,6 +1,9 @@
 //! Databases, instances and holders: what was announced goes into the log.
 
-use super::ControlCore;
+use super::{
+    ControlCore,
+    announcements::is_news, //
+};
 use daisyseam_coord::{
     Moment,
     fleet::{
@@ -14,7 +17,8 @@
     FleetView,
     InstanceId,
     UpstreamId,
-    UpstreamView, //
+    UpstreamView,
+    document::CommitPolicy, //
 };
 use std::{
     sync::Arc,
@@ -27,33 +31,14 @@
 impl ControlCore {
     pub(super) fn update_upstreams(&mut self, now: Moment) {
         let view = Arc::clone(self.fleet.view());
-        let (Some(document), Some(leader)) = (&view.document, &self.leader) else {
+        let Some(leader) = &self.leader else {
             return;
         };
         let commands: Vec<FleetCommand> = leader
             .announced
             .values()
             .map(|announced| &announced.command)
-            .filter(|command| document.groups.contains_key(&command.group))
-            .filter(|command| {
-                let known = view.upstreams.get(&command.upstream);
-                known.is_none_or(|known| {
-                    known.group == command.group
-                        && (
-                            &known.data_centre,
-                            known.address,
-                            known.admin_address,
-                            known.leaving,
-                            known.born_ms,
-                        ) != (
-                            &command.data_centre,
-                            command.address,
-                            command.admin_address,
-                            command.leaving,
-                            command.born_ms,
-                        )
-                })
-            })
+            .filter(|command| is_news(&view, command))
             .map(|command| FleetCommand::Upstream(command.clone()))
             .collect();
         for command in commands {
@@ -98,10 +83,14 @@
         let wanted = wanted_holders(&view);
         for (name, upstream) in &view.upstreams {
             let wanted = wanted.get(name).cloned().flatten();
+            if upstream.holder.is_none() && is_reached_directly(&view, upstream) {
+                continue;
+            }
             let next = match &upstream.holder {
                 Some(holder) => {
                     self.note_held(name);
-                    let moves = wanted.is_some() && wanted.as_ref() != Some(holder);
+                    let direct = is_reached_directly(&view, upstream);
+                    let moves = direct || wanted.is_some() && wanted.as_ref() != Some(holder);
                     moves.then_some(None)
                 }
                 None => self.may_assign(now, name, upstream).then_some(wanted),
@@ -169,3 +158,10 @@
         !holds || now.since(since) >= LET_GO_WAIT
     }
 }
+
+/// Returns whether every entry opens its own connections to a database, so that nobody holds them.
+fn is_reached_directly(view: &FleetView, upstream: &UpstreamView) -> bool {
+    let groups = view.document.as_ref().map(|document| &document.groups);
+    let group = groups.and_then(|groups| groups.get(&upstream.group));
+    group.is_some_and(|group| matches!(group.commit, CommitPolicy::Replicas(_)))
+}
--- a/crates/daisyseam-control/src/core/leader.rs
+++ b/crates/daisyseam-control/src/core/leader.rs
@@ -64,6 +64,8 @@
     pub(super) announced: BTreeMap<UpstreamId, AnnouncedUpstream>,
     /// Places that the others must reach before a silent leaving database is dropped.
     pub(super) departing: BTreeMap<UpstreamId, LogPosition>,
+    /// Databases that are gone, with the start of the process that is and since when.
+    pub(super) departed: BTreeMap<UpstreamId, (u64, Moment)>,
     pub(super) health: BTreeMap<UpstreamId, HealthNote>,
     pub(super) open: BTreeMap<(Incarnation, GroupId), OpenNote>,
     pub(super) leaving: BTreeSet<Incarnation>,
@@ -78,6 +80,8 @@
     pub(super) command: UpstreamCommand,
     pub(super) state: AnnouncedState,
     pub(super) at: Moment,
+    /// Number of the announcement within the life of its process; 0 if it counts none.
+    pub(super) sequence: u64,
 }
 
 /// What the holder of a database last said of it.
@@ -115,6 +119,7 @@
             holders_seen: None,
             announced: BTreeMap::new(),
             departing: BTreeMap::new(),
+            departed: BTreeMap::new(),
             health: BTreeMap::new(),
             open: BTreeMap::new(),
             leaving: BTreeSet::new(),
@@ -124,6 +129,11 @@
         }
     }
 
+    /// Lets the next upkeep come as soon as it may.
+    pub(super) fn hasten(&mut self) {
+        self.upkeep_at = self.begun;
+    }
+
     pub(super) fn take_call(
         &mut self,
         now: Moment,
@@ -147,7 +157,7 @@
         let newer = self
             .announced
             .get(&name)
-            .is_none_or(|known| announced.at >= known.at);
+            .is_none_or(|known| is_later(&announced, known));
         if newer {
             self.announced.insert(name, announced);
         }
@@ -178,7 +188,12 @@
     }
 }
 
-fn read_announcement(now: Moment, report: &UpstreamReport) -> Option<AnnouncedUpstream> {
+/// Returns whether an announcement of a database follows another one.
+fn is_later(announced: &AnnouncedUpstream, known: &AnnouncedUpstream) -> bool {
+    announced.command.born_ms >= known.command.born_ms && announced.at >= known.at
+}
+
+pub(super) fn read_announcement(now: Moment, report: &UpstreamReport) -> Option<AnnouncedUpstream> {
     let command = UpstreamCommand {
         upstream: report.upstream.parse().ok()?,
         group: report.group.parse().ok()?,
@@ -199,5 +214,6 @@
             primary: report.primary,
         },
         at: now - Duration::from_millis(report.age_ms),
+        sequence: report.sequence,
     })
 }
--- a/crates/daisyseam-control/src/core/requests.rs
+++ b/crates/daisyseam-control/src/core/requests.rs
@@ -38,6 +38,8 @@
     }, //
 };
 use daisyseam_wire::{
+    AnnounceReply,
+    EvacuateReply,
     Heartbeat,
     HeartbeatReply,
     Hello,
@@ -72,6 +74,10 @@
             Body::History(history) => self.history(now, request, &history),
             Body::Status(_) => self.status(now, request),
             Body::Spare(spare) => self.note_spare(now, &spare),
+            Body::SubmitNewest(submit) => self.submit_newest(now, unix_ms, request, submit),
+            Body::Source(_) => self.source(now, request),
+            Body::Evacuate(order) => self.evacuate(now, request, &order),
+            Body::Announce(announce) => self.announce(now, request, &announce),
             _ => log::warn!("a request holds no message that is known"),
         }
     }
@@ -80,7 +86,7 @@
         self.output.replies.push((request, body));
     }
 
-    fn reply_not_leader(&mut self, request: RequestId) {
+    pub(super) fn reply_not_leader(&mut self, request: RequestId) {
         let leader = self.log.leader();
         let address = leader.and_then(|leader| self.log.members().address(leader));
         let body = Body::NotLeader(NotLeader {
@@ -119,7 +125,7 @@
         self.propose_for(now, request, WaiterKind::Join, &command);
     }
 
-    fn propose_for(
+    pub(super) fn propose_for(
         &mut self,
         now: Moment,
         request: RequestId,
@@ -129,6 +135,10 @@
         let Some(index) = self.propose(now, command) else {
             return self.reply_not_leader(request);
         };
+        self.wait_for(index, request, kind);
+    }
+
+    pub(super) fn wait_for(&mut self, index: LogIndex, request: RequestId, kind: WaiterKind) {
         let waiter = RequestWaiter {
             term: self.log.term(),
             request,
@@ -232,17 +242,9 @@
                 "the identifier must have 1 to {SUBMIT_ID_BYTES_MAX} bytes"
             )];
         }
-        if submit.text.len() > DOCUMENT_BYTES_MAX {
-            return vec![format!(
-                "the document is longer than {DOCUMENT_BYTES_MAX} bytes"
-            )];
-        }
-        let (document, problems) = Document::check(&submit.text);
-        let Some(document) = document else {
-            let errors = problems
-                .iter()
-                .filter(|problem| problem.severity == Severity::Error);
-            return errors.map(ToString::to_string).collect();
+        let document = match read_document(&submit.text) {
+            Ok(document) => document,
+            Err(problems) => return problems,
         };
         let mut problems = Vec::new();
         let wanted = DocumentNumber(submit.replaces + 1);
@@ -252,15 +254,20 @@
                 document.number.0, submit.replaces, wanted.0
             ));
         }
-        if document.cluster != self.settings.cluster {
-            problems.push(format!(
-                "the document is for cluster `{}`, this is `{}`",
-                document.cluster, self.settings.cluster
-            ));
-        }
+        problems.extend(self.cluster_problem(&document));
         problems
     }
 
+    pub(super) fn cluster_problem(&self, document: &Document) -> Option<String> {
+        let own = &self.settings.cluster;
+        (document.cluster != *own).then(|| {
+            format!(
+                "the document is for cluster `{}`, this is `{own}`",
+                document.cluster
+            )
+        })
+    }
+
     fn submit_reply(&self, outcome: &SubmitOutcome) -> SubmitReply {
         match outcome {
             SubmitOutcome::Accepted(number) => SubmitReply {
@@ -295,6 +302,17 @@
                 let incarnation = incarnation.0;
                 self.reply(waiter.request, Body::Welcome(Welcome { incarnation }));
             }
+            (WaiterKind::SubmitNewest, CommandAnswer::InForce(number)) => {
+                self.reply_in_force(waiter.request, number.0);
+            }
+            (WaiterKind::Evacuate, CommandAnswer::Done) => {
+                let known = true;
+                self.reply(waiter.request, Body::Evacuated(EvacuateReply { known }));
+            }
+            // What no longer fits changes nothing and is known all the same.
+            (WaiterKind::Announce, _) => {
+                self.reply(waiter.request, Body::Announced(AnnounceReply {}));
+            }
             _ => self.answer_undecided(waiter),
         }
     }
@@ -312,7 +330,10 @@
                 };
                 self.reply(waiter.request, Body::Submitted(reply));
             }
-            WaiterKind::Join => self.reply_not_leader(waiter.request),
+            WaiterKind::SubmitNewest
+            | WaiterKind::Evacuate
+            | WaiterKind::Announce
+            | WaiterKind::Join => self.reply_not_leader(waiter.request),
         }
     }
 
@@ -384,3 +405,19 @@
         peer_address: hello.peer_address.parse().ok()?,
     })
 }
+
+/// Reads a document, or lists its problems.
+pub(super) fn read_document(text: &str) -> Result<Document, Vec<String>> {
+    if text.len() > DOCUMENT_BYTES_MAX {
+        return Err(vec![format!(
+            "the document is longer than {DOCUMENT_BYTES_MAX} bytes"
+        )]);
+    }
+    let (document, problems) = Document::check(text);
+    document.ok_or_else(|| {
+        let errors = problems
+            .iter()
+            .filter(|problem| problem.severity == Severity::Error);
+        errors.map(ToString::to_string).collect()
+    })
+}
--- a/crates/daisyseam-control/src/daemon.rs
+++ b/crates/daisyseam-control/src/daemon.rs
@@ -1,12 +1,16 @@
 //! The daemon: starts and stops the parts.
 
 use crate::{
-    admin::HttpAdmin,
+    admin::{
+        HttpAdmin,
+        UpstreamAdmin, //
+    },
     convert::durable_log,
     core::{
         ControlCore,
         CoreSettings, //
     },
+    handle::ControlHandle,
     link::LinkContext,
     node::{
         NodeActor,
@@ -24,7 +28,6 @@
 use daisyseam_coord::{
     Moment,
     log::{
-        LogSettings,
         MemberTable,
         ReplicatedLog, //
     }, //
@@ -122,7 +125,7 @@
     stop: StopSignal,
     timer: TimerService,
     address: SocketAddr,
-    health: HealthServer,
+    health: Option<HealthServer>,
     tasks: Vec<AbortHandle>,
 }
 
@@ -147,6 +150,29 @@
         security: PeerSecurity,
     ) -> Result<Self, StartError> {
         let timer = TimerService::start();
+        let admin = HttpAdmin::new(settings.source, timer.clone()).map_err(StartError::Client)?;
+        Self::start_on(timer, settings, security, admin).await
+    }
+
+    /// Starts with another way to reach the databases.
+    ///
+    /// # Errors
+    ///
+    /// [`StartError`] when the data folder, an address or the metrics cannot be used.
+    pub async fn start_with<A: UpstreamAdmin>(
+        settings: ControlSettings,
+        security: PeerSecurity,
+        admin: A,
+    ) -> Result<Self, StartError> {
+        Self::start_on(TimerService::start(), settings, security, admin).await
+    }
+
+    async fn start_on<A: UpstreamAdmin>(
+        timer: TimerService,
+        settings: ControlSettings,
+        security: PeerSecurity,
+        admin: A,
+    ) -> Result<Self, StartError> {
         let metrics = MetricClient::new(settings.metrics).map_err(StartError::Metrics)?;
         let listener = bind(settings.listen).await?;
         let address = listener
@@ -155,7 +181,6 @@
         let (store, recovered) = open_store(&settings, &timer).await?;
         let origin = Instant::now();
         let core = recover_core(&settings, recovered)?;
-        let admin = HttpAdmin::new(settings.source, timer.clone()).map_err(StartError::Client)?;
         let report = Arc::<ArcSwap<NodeReport>>::default();
         let (wake, woken) = watch::channel(origin);
         let dialer = Dialer {
@@ -180,9 +205,10 @@
             wake,
             report: Arc::clone(&report),
             metrics,
+            keeps_status: settings.http_listen.is_some(),
             context: Box::new(context),
         };
-        let actor = NodeActor::<FolderStore, HttpAdmin>::new();
+        let actor = NodeActor::<FolderStore, A>::new();
         let spawned = Actor::spawn(None, actor, arguments).await;
         let (node, node_end) = spawned.map_err(StartError::Node)?;
         let stop = StopSignal::new();
@@ -190,10 +216,10 @@
             report: Arc::clone(&report),
             stop: stop.clone(),
         };
-        let health = HealthServer::start(settings.http_listen, state, axum::Router::new());
-        let health = health
-            .await
-            .map_err(|error| StartError::Listen(settings.http_listen, error))?;
+        let health = match settings.http_listen {
+            Some(address) => Some(start_pages(address, state).await?),
+            None => None,
+        };
         let sessions = SessionContext {
             cluster: settings.cluster.clone(),
             security: security.clone(),
@@ -227,9 +253,15 @@
         self.address
     }
 
-    /// Returns the address of the health pages.
-    pub fn http_address(&self) -> SocketAddr {
-        self.health.address()
+    /// Returns the address of the health pages, if there are any.
+    pub fn http_address(&self) -> Option<SocketAddr> {
+        self.health.as_ref().map(HealthServer::address)
+    }
+
+    /// Returns a handle for requests of this process.
+    pub fn handle(&self) -> ControlHandle {
+        let report = Arc::clone(&self.report);
+        ControlHandle::new(self.node.clone(), report, self.timer.clone())
     }
 
     /// Returns whether this instance leads, as of a moment ago.
@@ -237,7 +269,7 @@
         self.report.load().leads
     }
 
-    /// Returns the status page, as of a moment ago.
+    /// Returns the status page, as of a moment ago; nothing if there are no pages.
     pub fn status(&self) -> Value {
         self.report.load().status.as_ref().clone()
     }
@@ -302,7 +334,10 @@
         if let Some(failure) = &report.failure {
             return Some(failure.clone());
         }
-        (!report.leader_known).then(|| "no leader is known".to_owned())
+        report
+            .leader
+            .is_none()
+            .then(|| "no leader is known".to_owned())
     }
 
     fn status(&self) -> Value {
@@ -310,6 +345,11 @@
     }
 }
 
+async fn start_pages(address: SocketAddr, state: PageState) -> Result<HealthServer, StartError> {
+    let pages = HealthServer::start(address, state, axum::Router::new()).await;
+    pages.map_err(|error| StartError::Listen(address, error))
+}
+
 async fn bind(address: SocketAddr) -> Result<TcpListener, StartError> {
     let listener = TcpListener::bind(address).await;
     listener.map_err(|error| StartError::Listen(address, error))
@@ -345,8 +385,12 @@
     let me = settings.instance.clone();
     let random = ChaCha8Rng::from_os_rng();
     let origin = Moment::ORIGIN;
-    let log = ReplicatedLog::recover(me.clone(), LogSettings::default(), durable, origin, random);
-    let core = CoreSettings::new(me, settings.cluster.clone());
+    let tuning = &settings.tuning;
+    let log = ReplicatedLog::recover(me.clone(), tuning.log.clone(), durable, origin, random);
+    let mut core = CoreSettings::new(me, settings.cluster.clone());
+    core.lease = tuning.lease;
+    core.promotion = tuning.promotion;
+    core.snapshot_bytes = tuning.snapshot_bytes.unwrap_or(core.snapshot_bytes);
     Ok(ControlCore::new(core, log))
 }
 
--- a/crates/daisyseam-control/src/lib.rs
+++ b/crates/daisyseam-control/src/lib.rs
@@ -7,6 +7,7 @@
 mod convert;
 mod core;
 mod daemon;
+mod handle;
 mod link;
 mod node;
 mod session;
@@ -29,8 +30,10 @@
         ControlDaemon,
         StartError, //
     },
+    handle::ControlHandle,
     settings::{
         ControlFlags,
-        ControlSettings, //
+        ControlSettings,
+        ControlTuning, //
     }, //
 };
--- a/crates/daisyseam-control/src/node.rs
+++ b/crates/daisyseam-control/src/node.rs
@@ -55,6 +55,7 @@
 use std::{
     collections::BTreeMap,
     marker::PhantomData,
+    net::SocketAddr,
     sync::Arc,
     time::{
         Duration,
@@ -99,14 +100,23 @@
 pub(crate) struct NodeReport {
     /// Whether this instance leads with a lease.
     pub(crate) leads: bool,
-    /// Whether a leader is known.
-    pub(crate) leader_known: bool,
+    /// Address of the leader, if one is known.
+    pub(crate) leader: Option<SocketAddr>,
     /// Why the node stopped deciding, if it did.
     pub(crate) failure: Option<String>,
     /// The status page, as of a moment ago.
     pub(crate) status: Arc<Value>,
 }
 
+impl NodeReport {
+    fn is_same(&self, other: &Self) -> bool {
+        self.leads == other.leads
+            && self.leader == other.leader
+            && self.failure == other.failure
+            && Arc::ptr_eq(&self.status, &other.status)
+    }
+}
+
 /// The actor; `S` is its store and `A` how it reaches databases.
 pub(crate) struct NodeActor<S, A>(PhantomData<fn() -> (S, A)>);
 
@@ -126,6 +136,8 @@
     pub(crate) wake: watch::Sender<Instant>,
     pub(crate) report: Arc<ArcSwap<NodeReport>>,
     pub(crate) metrics: MetricClient,
+    /// Whether the status page is kept up to date.
+    pub(crate) keeps_status: bool,
     pub(crate) context: Box<dyn Fn(ActorRef<NodeMessage>) -> LinkContext + Send>,
 }
 
@@ -141,6 +153,7 @@
     reported_at: Option<Moment>,
     status: Arc<Value>,
     metrics: MetricClient,
+    keeps_status: bool,
     context: LinkContext,
     links: BTreeMap<InstanceId, MemberLink>,
     routes: BTreeMap<InstanceId, AnswerSender>,
@@ -173,6 +186,7 @@
             reported_at: None,
             status: Arc::default(),
             metrics: arguments.metrics,
+            keeps_status: arguments.keeps_status,
             context,
             links: BTreeMap::new(),
             routes: BTreeMap::new(),
@@ -358,13 +372,14 @@
         let admin = self.admin.clone();
         let node = self.context.node.clone();
         tokio::spawn(async move {
-            let answer = admin.call(call.address, call.call).await;
+            let (group, upstream) = (call.group.clone(), call.upstream.clone());
+            let (kind, term) = (call.kind, call.term);
             let message = NodeMessage::Called {
-                group: call.group,
-                upstream: call.upstream,
-                kind: call.kind,
-                term: call.term,
-                answer,
+                group,
+                upstream,
+                kind,
+                term,
+                answer: admin.call(call).await,
             };
             if node.cast(message).is_err() {
                 log::debug!("the answer of a database came after the stop");
@@ -380,7 +395,9 @@
         let due = |at: Moment| now.since(at) >= STATUS_EVERY;
         if self.reported_at.is_none_or(due) {
             self.reported_at = Some(now);
-            self.status = Arc::new(self.core.status_json(now));
+            if self.keeps_status {
+                self.status = Arc::new(self.core.status_json(now));
+            }
             self.measure();
         }
         self.publish(now);
@@ -395,12 +412,16 @@
 
     fn publish(&self, now: Moment) {
         let log = self.core.log();
-        self.report.store(Arc::new(NodeReport {
+        let leader = log.leader();
+        let report = NodeReport {
             leads: self.failure.is_none() && log.has_lease(now),
-            leader_known: log.leader().is_some(),
+            leader: leader.and_then(|leader| log.members().address(leader)),
             failure: self.failure.clone(),
             status: Arc::clone(&self.status),
-        }));
+        };
+        if !report.is_same(&self.report.load()) {
+            self.report.store(Arc::new(report));
+        }
     }
 
     /// Stops deciding: nothing that is not durable may be acknowledged.
--- a/crates/daisyseam-control/src/node/tests.rs
+++ b/crates/daisyseam-control/src/node/tests.rs
@@ -7,14 +7,12 @@
     NodeReport, //
 };
 use crate::{
-    admin::{
-        AdminCall,
-        UpstreamAdmin, //
-    },
+    admin::UpstreamAdmin,
     convert::durable_log,
     core::{
         ControlCore,
-        CoreSettings, //
+        CoreSettings,
+        DatabaseCall, //
     },
     link::LinkContext, //
 };
@@ -49,7 +47,6 @@
     rand_core::SeedableRng, //
 };
 use std::{
-    net::SocketAddr,
     sync::Arc,
     time::Duration, //
 };
@@ -79,7 +76,7 @@
 struct NoDatabases;
 
 impl UpstreamAdmin for NoDatabases {
-    async fn call(&self, _address: SocketAddr, _call: AdminCall) -> CallAnswer {
+    async fn call(&self, _call: DatabaseCall) -> CallAnswer {
         CallAnswer::Lost
     }
 }
@@ -111,6 +108,7 @@
         wake,
         report: Arc::clone(&report),
         metrics: MetricClient::new(None).expect("no socket is needed"),
+        keeps_status: true,
         context: Box::new(move |node| LinkContext {
             cluster: cluster.clone(),
             dialer: Dialer::default(),
--- a/crates/daisyseam-control/src/settings.rs
+++ b/crates/daisyseam-control/src/settings.rs
@@ -1,6 +1,11 @@
 //! Settings of the daemon.
 
 use argh::FromArgs;
+use daisyseam_coord::{
+    log::LogSettings,
+    promotion::PromotionSettings,
+    view_lease::LeaseSettings, //
+};
 use daisyseam_model::{
     ClusterId,
     DataCentreId,
@@ -38,8 +43,8 @@
     pub listen: SocketAddr,
     /// Address under which others reach it, if it is another one.
     pub advertise: Option<SocketAddr>,
-    /// Address of the health pages.
-    pub http_listen: SocketAddr,
+    /// Address of the health pages; none for no pages.
+    pub http_listen: Option<SocketAddr>,
     /// Folder of the durable state.
     pub data_folder: PathBuf,
     /// The first voters with their addresses, this one included unless it is a spare.
@@ -50,6 +55,21 @@
     pub source: Option<IpAddr>,
     /// Address that metrics are sent to.
     pub metrics: Option<SocketAddr>,
+    /// Times and sizes.
+    pub tuning: ControlTuning,
+}
+
+/// Times and sizes that fit the distances between the members.
+#[derive(Clone, Debug, Default)]
+pub struct ControlTuning {
+    /// Of the replicated log.
+    pub log: LogSettings,
+    /// Of the leases on views.
+    pub lease: LeaseSettings,
+    /// Of changes of primaries.
+    pub promotion: PromotionSettings,
+    /// Bytes of applied entries after which a snapshot is made, if not as many as by default.
+    pub snapshot_bytes: Option<usize>,
 }
 
 /// the control daemon of a daisyseam fleet; each flag --x-y has the variable DAISYSEAM_X_Y
@@ -153,7 +173,7 @@
                 data_centre: data_centre?,
                 listen: listen?,
                 advertise,
-                http_listen: http_listen?,
+                http_listen: Some(http_listen?),
                 data_folder: data_folder?,
                 members: members
                     .into_iter()
@@ -162,6 +182,7 @@
                 spare,
                 source,
                 metrics,
+                tuning: ControlTuning::default(),
             })
         };
         let settings = settings().zip(security);
--- a/crates/daisyseam-control/tests/core.rs
+++ b/crates/daisyseam-control/tests/core.rs
@@ -3,6 +3,7 @@
 #[expect(dead_code, reason = "the other test file uses the rest")]
 mod support;
 
+#[expect(dead_code, reason = "the other test file uses the rest")]
 mod core_support;
 
 use crate::core_support::World;
--- a/crates/daisyseam-control/tests/core_support/mod.rs
+++ b/crates/daisyseam-control/tests/core_support/mod.rs
@@ -98,6 +98,9 @@
 /// A database that only knows its state.
 pub(crate) struct Database {
     pub(crate) name: String,
+    /// Whether it acknowledges by itself and announces itself to control.
+    pub(crate) direct: bool,
+    pub(crate) data_centre: &'static str,
     pub(crate) state: UpstreamState,
     pub(crate) cut: bool,
     pub(crate) leaving: bool,
@@ -135,6 +138,8 @@
     pub(crate) read: Option<Body>,
     /// Whether replicas get nothing new.
     pub(crate) stalled: bool,
+    /// How often a database was asked to be primary.
+    pub(crate) promotes: usize,
     seed: u64,
 }
 
@@ -156,6 +161,8 @@
         };
         let database = |number: usize| Database {
             name: format!("bookings-{number}"),
+            direct: false,
+            data_centre: "khomas-1",
             state: UpstreamState {
                 promised: Term(1),
                 end: LogPosition {
@@ -184,6 +191,7 @@
             operators: Vec::new(),
             read: None,
             stalled: false,
+            promotes: 0,
             seed: 0,
         };
         for number in 0..world.members.len() {
@@ -260,16 +268,35 @@
     }
 
     pub(crate) fn read(&mut self, member: usize, linearizable: bool) -> Body {
-        self.read = None;
         let show = ShowRequest {
             number: 0,
             linearizable,
         };
-        self.ask(member, Asker::Reader, Body::Show(show));
-        self.pass(5);
+        self.request(member, Body::Show(show), 5);
         self.read.clone().expect("a member that runs answers")
     }
 
+    /// Makes a request, and lets so much time pass for the answer.
+    pub(crate) fn request(&mut self, member: usize, body: Body, millis: u64) -> Option<Body> {
+        self.read = None;
+        self.ask(member, Asker::Reader, body);
+        self.pass(millis);
+        self.read.clone()
+    }
+
+    /// Makes a request to the leader, again until one answers.
+    pub(crate) fn order(&mut self, body: Body) -> Body {
+        for _ in 0..100 {
+            self.pass_until("there is a leader", |world| world.leader().is_some());
+            let leader = self.leader().expect("a leader");
+            match self.request(leader, body.clone(), 50) {
+                None | Some(Body::NotLeader(_)) => self.pass(50),
+                Some(answer) => return answer,
+            }
+        }
+        panic!("no leader answers");
+    }
+
     pub(crate) fn pass(&mut self, millis: u64) {
         for _ in 0..millis {
             self.now += 1;
@@ -454,9 +481,13 @@
     }
 
     fn call(&mut self, member: usize, call: &DatabaseCall) -> CallAnswer {
+        self.promotes += usize::from(matches!(call.call, AdminCall::Promote(_)));
         let database = self.databases.iter_mut();
         let mut database = database.filter(|database| database.name == call.upstream.as_str());
-        let database = database.next().expect("a database");
+        let Some(database) = database.next() else {
+            // It was announced only.
+            return CallAnswer::Lost;
+        };
         if database.cut || self.cut_members.contains(&member) {
             return CallAnswer::Lost;
         }
@@ -561,7 +592,7 @@
             0 => self
                 .databases
                 .iter()
-                .filter(|database| !database.cut)
+                .filter(|database| !database.cut && !database.direct)
                 .map(report)
                 .collect(),
             _ => Vec::new(),
@@ -694,12 +725,13 @@
     draining.map(report).collect()
 }
 
-fn report(database: &Database) -> UpstreamReport {
+/// Describes a database as it announces itself.
+pub(crate) fn report(database: &Database) -> UpstreamReport {
     let address = "127.0.0.1:5432".to_owned();
     UpstreamReport {
         upstream: database.name.clone(),
         group: GROUP.to_owned(),
-        data_centre: "khomas-1".to_owned(),
+        data_centre: database.data_centre.to_owned(),
         admin_address: address.clone(),
         address,
         term: database.state.end.term.0,
--- a/crates/daisyseam-coord/src/fleet.rs
+++ b/crates/daisyseam-coord/src/fleet.rs
@@ -39,6 +39,7 @@
     },
     command::{
         CommandAnswer,
+        EvacuateCommand,
         FleetCommand,
         GroupCommand,
         HolderCommand,
@@ -46,12 +47,14 @@
         LeaveCommand,
         RefusedCommand,
         SubmitCommand,
+        SubmitNewestCommand,
         SubmitOutcome,
         UpstreamCommand, //
     },
     documents::{
         AcceptedDocument,
         DocumentLedger,
+        HISTORY_BYTES,
         HISTORY_LENGTH, //
     },
     state::FleetState, //
--- a/crates/daisyseam-coord/src/fleet/command.rs
+++ b/crates/daisyseam-coord/src/fleet/command.rs
@@ -18,6 +18,8 @@
 pub enum FleetCommand {
     /// A document in place of the one with a stated number.
     Submit(SubmitCommand),
+    /// A document that takes effect if its number is the highest.
+    SubmitNewest(SubmitNewestCommand),
     /// An instance joins, or comes back as a new process.
     Join(JoinCommand),
     /// An instance is stopping, or is taken off the list.
@@ -30,6 +32,8 @@
     Group(GroupCommand),
     /// The holder of a database changes.
     Holder(HolderCommand),
+    /// A data centre is taken out of service, or comes back.
+    Evacuate(EvacuateCommand),
 }
 
 /// A document in place of the one with a stated number.
@@ -47,6 +51,30 @@
     pub accepted_unix_ms: u64,
 }
 
+/// A document that takes effect if its number is above the one in force, by whatever step.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SubmitNewestCommand {
+    /// Its number.
+    pub number: DocumentNumber,
+    /// The document; it was validated before it was proposed.
+    pub text: String,
+    /// What it was made from, kept beside it while it is in force.
+    pub source: String,
+    /// Who submits it.
+    pub operator: String,
+    /// When, by the leader's clock, in milliseconds since 1970.
+    pub accepted_unix_ms: u64,
+}
+
+/// An order on a data centre.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EvacuateCommand {
+    /// The data centre.
+    pub data_centre: DataCentreId,
+    /// Whether it is taken out of service; else it comes back.
+    pub out: bool,
+}
+
 /// An instance joins.
 #[derive(Clone, Debug, PartialEq)]
 pub struct JoinCommand {
@@ -123,6 +151,8 @@
     Joined(Incarnation),
     /// What became of a submission.
     Submitted(SubmitOutcome),
+    /// A document with at least the submitted number is in force, this one.
+    InForce(DocumentNumber),
     /// It no longer fitted the state and changed nothing.
     Refused(RefusedCommand),
 }
--- a/crates/daisyseam-coord/src/fleet/documents.rs
+++ b/crates/daisyseam-coord/src/fleet/documents.rs
@@ -2,6 +2,7 @@
 
 use super::{
     SubmitCommand,
+    SubmitNewestCommand,
     SubmitOutcome, //
 };
 use daisyseam_model::DocumentNumber;
@@ -10,8 +11,11 @@
     sync::Arc, //
 };
 
-/// Accepted documents of which the text is kept.
+/// Most accepted documents of which the text is kept.
 pub const HISTORY_LENGTH: usize = 16;
+/// Most bytes of text kept of documents before the one in force; of the last one it is kept in any
+/// case, so that instances get the next as a change of it.
+pub const HISTORY_BYTES: usize = 256 << 10;
 /// Accepted submissions whose identifiers are kept.
 const IDS_LENGTH: usize = 4_096;
 
@@ -20,7 +24,7 @@
 pub struct AcceptedDocument {
     /// Its number.
     pub number: DocumentNumber,
-    /// Identifier of its submission.
+    /// Identifier of its submission; empty if it has none.
     pub id: String,
     /// Who submitted it.
     pub operator: String,
@@ -28,6 +32,8 @@
     pub accepted_unix_ms: u64,
     /// Its text; empty once it is no longer kept.
     pub text: Arc<str>,
+    /// What it was made from; empty if that is not known, or once another is in force.
+    pub source: Arc<str>,
 }
 
 /// The accepted documents, oldest first.
@@ -63,7 +69,8 @@
     /// Returns what a submission would get without being decided: the first answer of a resend, or
     /// a race that is lost already.
     pub fn answer_known(&self, id: &str, replaces: u64) -> Option<SubmitOutcome> {
-        let resent = self.accepted.iter().find(|document| document.id == id);
+        let mut accepted = self.accepted.iter().filter(|_| !id.is_empty());
+        let resent = accepted.find(|document| document.id == id);
         if let Some(document) = resent {
             return Some(SubmitOutcome::Accepted(document.number));
         }
@@ -75,28 +82,63 @@
             return (known, false);
         }
         let number = DocumentNumber(self.number().0 + 1);
-        self.accepted.push_back(AcceptedDocument {
+        self.accept(AcceptedDocument {
             number,
             id: command.id.clone(),
             operator: command.operator.clone(),
             accepted_unix_ms: command.accepted_unix_ms,
             text: Arc::from(command.text.as_str()),
+            source: Arc::default(),
         });
-        if self.accepted.len() > HISTORY_LENGTH {
-            let forgotten = self.accepted.len() - HISTORY_LENGTH - 1;
-            self.accepted[forgotten].text = Arc::from("");
+        (SubmitOutcome::Accepted(number), true)
+    }
+
+    /// Accepts a document if its number is the highest; returns whether it was accepted.
+    pub(super) fn submit_newest(&mut self, command: &SubmitNewestCommand) -> bool {
+        if command.number <= self.number() {
+            return false;
+        }
+        self.accept(AcceptedDocument {
+            number: command.number,
+            id: String::new(),
+            operator: command.operator.clone(),
+            accepted_unix_ms: command.accepted_unix_ms,
+            text: Arc::from(command.text.as_str()),
+            source: Arc::from(command.source.as_str()),
+        });
+        true
+    }
+
+    fn accept(&mut self, document: AcceptedDocument) {
+        if let Some(former) = self.accepted.back_mut() {
+            former.source = Arc::default();
         }
+        self.accepted.push_back(document);
+        self.forget_texts();
         if self.accepted.len() > IDS_LENGTH {
             self.accepted.pop_front();
         }
-        (SubmitOutcome::Accepted(number), true)
+    }
+
+    /// Drops the texts that are too old or too many.
+    fn forget_texts(&mut self) {
+        let mut bytes = 0;
+        for (age, document) in self.accepted.iter_mut().rev().enumerate().skip(1) {
+            if document.text.is_empty() {
+                break;
+            }
+            bytes += document.text.len();
+            if age > 1 && (age >= HISTORY_LENGTH || bytes > HISTORY_BYTES) {
+                document.text = Arc::default();
+            }
+        }
     }
 
     fn lost(&self, replaces: u64) -> SubmitOutcome {
         let taken = self
             .accepted
             .iter()
-            .find(|document| document.number.0 == replaces + 1);
+            .find(|document| document.number.0 > replaces);
         SubmitOutcome::Lost {
             current: self.number(),
             winner: taken
--- a/crates/daisyseam-coord/src/fleet/record.rs
+++ b/crates/daisyseam-coord/src/fleet/record.rs
@@ -2,6 +2,7 @@
 
 use super::{
     AcceptedDocument,
+    EvacuateCommand,
     FleetCommand,
     FleetState,
     GroupCommand,
@@ -9,6 +10,7 @@
     JoinCommand,
     LeaveCommand,
     SubmitCommand,
+    SubmitNewestCommand,
     UpstreamCommand, //
 };
 use bytes::Bytes;
@@ -43,6 +45,13 @@
                 operator: command.operator.clone(),
                 accepted_unix_ms: command.accepted_unix_ms,
             }),
+            Self::SubmitNewest(command) => Body::SubmitNewest(NewestRecord {
+                number: command.number.0,
+                text: command.text.clone(),
+                source: command.source.clone(),
+                operator: command.operator.clone(),
+                accepted_unix_ms: command.accepted_unix_ms,
+            }),
             Self::Join(command) => Body::Join(InstanceRecord {
                 name: command.instance.to_string(),
                 data_centre: command.data_centre.to_string(),
@@ -79,6 +88,10 @@
                 expected: name_or_empty(command.expected.as_ref()),
                 holder: name_or_empty(command.holder.as_ref()),
             }),
+            Self::Evacuate(command) => Body::Evacuate(EvacuateRecord {
+                data_centre: command.data_centre.to_string(),
+                out: command.out,
+            }),
         };
         Bytes::from(CommandRecord { body: Some(body) }.encode_to_vec())
     }
@@ -93,6 +106,13 @@
                 operator: record.operator,
                 accepted_unix_ms: record.accepted_unix_ms,
             }),
+            Body::SubmitNewest(record) => Self::SubmitNewest(SubmitNewestCommand {
+                number: DocumentNumber(record.number),
+                text: record.text,
+                source: record.source,
+                operator: record.operator,
+                accepted_unix_ms: record.accepted_unix_ms,
+            }),
             Body::Join(record) => Self::Join(JoinCommand {
                 instance: read(&record.name)?,
                 data_centre: read(&record.data_centre)?,
@@ -130,6 +150,10 @@
                 expected: read_optional(&record.expected)?,
                 holder: read_optional(&record.holder)?,
             }),
+            Body::Evacuate(record) => Self::Evacuate(EvacuateCommand {
+                data_centre: read(&record.data_centre)?,
+                out: record.out,
+            }),
         })
     }
 }
@@ -212,7 +236,7 @@
 
 #[derive(Clone, PartialEq, prost::Message)]
 struct CommandRecord {
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9")]
     body: Option<Body>,
 }
 
@@ -232,6 +256,10 @@
     Group(GroupChangeRecord),
     #[prost(message, tag = "7")]
     Holder(HolderRecord),
+    #[prost(message, tag = "8")]
+    SubmitNewest(NewestRecord),
+    #[prost(message, tag = "9")]
+    Evacuate(EvacuateRecord),
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -248,6 +276,28 @@
     accepted_unix_ms: u64,
 }
 
+#[derive(Clone, PartialEq, prost::Message)]
+struct NewestRecord {
+    #[prost(uint64, tag = "1")]
+    number: u64,
+    #[prost(string, tag = "2")]
+    text: String,
+    #[prost(string, tag = "3")]
+    source: String,
+    #[prost(string, tag = "4")]
+    operator: String,
+    #[prost(uint64, tag = "5")]
+    accepted_unix_ms: u64,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct EvacuateRecord {
+    #[prost(string, tag = "1")]
+    data_centre: String,
+    #[prost(bool, tag = "2")]
+    out: bool,
+}
+
 #[derive(Clone, PartialEq, prost::Message)]
 struct LeaveRecord {
     #[prost(string, tag = "1")]
@@ -306,6 +356,8 @@
     accepted_unix_ms: u64,
     #[prost(string, tag = "5")]
     text: String,
+    #[prost(string, tag = "6")]
+    source: String,
 }
 
 impl DocumentRecord {
@@ -316,6 +368,7 @@
             operator: document.operator.clone(),
             accepted_unix_ms: document.accepted_unix_ms,
             text: document.text.to_string(),
+            source: document.source.to_string(),
         }
     }
 
@@ -326,6 +379,7 @@
             operator: self.operator,
             accepted_unix_ms: self.accepted_unix_ms,
             text: Arc::from(self.text),
+            source: Arc::from(self.source),
         }
     }
 }
--- a/crates/daisyseam-coord/src/fleet/state.rs
+++ b/crates/daisyseam-coord/src/fleet/state.rs
@@ -3,6 +3,7 @@
 use super::{
     CommandAnswer,
     DocumentLedger,
+    EvacuateCommand,
     FleetCommand,
     GroupCommand,
     HolderCommand,
@@ -10,11 +11,13 @@
     LeaveCommand,
     RefusedCommand,
     SubmitCommand,
+    SubmitNewestCommand,
     UpstreamCommand,
     ViewChanges,
     changes::ChangeRing, //
 };
 use daisyseam_model::{
+    DocumentNumber,
     FleetView,
     GroupView,
     Incarnation,
@@ -60,12 +63,14 @@
     pub fn apply(&mut self, command: &FleetCommand) -> CommandAnswer {
         match command {
             FleetCommand::Submit(submit) => self.submit(submit),
+            FleetCommand::SubmitNewest(submit) => self.submit_newest(submit),
             FleetCommand::Join(join) => self.join(join),
             FleetCommand::Leave(leave) => self.leave(leave),
             FleetCommand::Upstream(upstream) => self.update_upstream(upstream),
             FleetCommand::DropUpstream(upstream) => self.drop_upstream(upstream),
             FleetCommand::Group(group) => self.update_group(group),
             FleetCommand::Holder(holder) => self.update_holder(holder),
+            FleetCommand::Evacuate(order) => self.evacuate(order),
         }
     }
 
@@ -73,17 +78,43 @@
         let from = self.documents.number();
         let (outcome, accepted) = self.documents.submit(command);
         if accepted {
-            let number = self.documents.number();
-            // Validity was checked before the proposal, maybe by another version.
-            let document = Document::parse(&command.text).ok();
-            self.change(ViewChanges::of_document(from), |view| {
-                view.document_number = number;
-                view.document = document.map(Arc::new);
-            });
+            self.put_in_force(from, &command.text);
         }
         CommandAnswer::Submitted(outcome)
     }
 
+    fn submit_newest(&mut self, command: &SubmitNewestCommand) -> CommandAnswer {
+        let from = self.documents.number();
+        if self.documents.submit_newest(command) {
+            self.put_in_force(from, &command.text);
+        }
+        CommandAnswer::InForce(self.documents.number())
+    }
+
+    fn put_in_force(&mut self, from: DocumentNumber, text: &str) {
+        let number = self.documents.number();
+        // Validity was checked before the proposal, maybe by another version.
+        let document = Document::parse(text).ok();
+        self.change(ViewChanges::of_document(from), |view| {
+            view.document_number = number;
+            view.document = document.map(Arc::new);
+        });
+    }
+
+    fn evacuate(&mut self, command: &EvacuateCommand) -> CommandAnswer {
+        if self.view.evacuated.contains(&command.data_centre) != command.out {
+            // Every update names all data centres that are out.
+            self.change(ViewChanges::default(), |view| {
+                if command.out {
+                    view.evacuated.insert(command.data_centre.clone());
+                } else {
+                    view.evacuated.remove(&command.data_centre);
+                }
+            });
+        }
+        CommandAnswer::Done
+    }
+
     fn join(&mut self, command: &JoinCommand) -> CommandAnswer {
         self.last_incarnation = Incarnation(self.last_incarnation.0 + 1);
         let incarnation = self.last_incarnation;
@@ -138,6 +169,10 @@
             // A database that changes its group would bring a foreign history along.
             return CommandAnswer::Refused(RefusedCommand::Superseded);
         }
+        if known.is_some_and(|known| known.born_ms > command.born_ms) {
+            // A late word of a process that another one has replaced.
+            return CommandAnswer::Refused(RefusedCommand::Superseded);
+        }
         let upstream = UpstreamView {
             group: command.group.clone(),
             data_centre: command.data_centre.clone(),
--- a/crates/daisyseam-coord/src/promotion.rs
+++ b/crates/daisyseam-coord/src/promotion.rs
@@ -13,6 +13,7 @@
 //! asked only under a later term, after a fence at that term.
 
 mod choice;
+mod founding;
 mod group;
 mod stage;
 
--- a/crates/daisyseam-coord/src/promotion/group.rs
+++ b/crates/daisyseam-coord/src/promotion/group.rs
@@ -15,7 +15,8 @@
     announce::{
         UpstreamRole,
         UpstreamState, //
-    }, //
+    },
+    document::CommitPolicy, //
 };
 use std::{
     collections::BTreeMap,
@@ -67,8 +68,10 @@
     pub view: Option<&'a GroupView>,
     /// Its databases, in the order of their names.
     pub members: &'a [MemberFacts],
-    /// Number of databases by the document.
+    /// Number of databases by the document; 0 for as many as there are members.
     pub expected: usize,
+    /// When a commit of the group counts as durable.
+    pub commit: CommitPolicy,
     /// Whether no instance may act on an earlier state of the group.
     pub confirmed: bool,
     /// Transactions still open in the group by the reports of every instance; none while one of
@@ -185,7 +188,10 @@
     /// Decides what is to be done now.
     pub fn step(&mut self, now: Moment, facts: GroupFacts<'_>) -> Vec<PromotionAction> {
         match facts.view {
-            None => self.found(now, facts),
+            None => match facts.commit {
+                CommitPolicy::Majority => self.found(now, facts),
+                CommitPolicy::Replicas(_) => self.adopt(now, facts),
+            },
             Some(view) => match &view.primary {
                 PrimaryState::Fenced => self.elect(now, facts, view),
                 PrimaryState::Draining(primary) => self.drain(now, facts, view, primary),
--- a/crates/daisyseam-coord/tests/promotion_support/mod.rs
+++ b/crates/daisyseam-coord/tests/promotion_support/mod.rs
@@ -31,7 +31,8 @@
     announce::{
         UpstreamRole,
         UpstreamState, //
-    }, //
+    },
+    document::CommitPolicy, //
 };
 use proptest::prelude::*;
 use std::{
@@ -333,6 +334,7 @@
             view: view.as_ref(),
             members: &members,
             expected: self.databases.len(),
+            commit: CommitPolicy::Majority,
             confirmed: self.entry.0 >= self.changed,
             open_transactions: (self.entry.0 >= self.changed).then_some(0),
         };
