--- a/crates/daisyseam-bench/src/standin/core.rs
+++ b/crates/daisyseam-bench/src/standin/core.rs
@@ -1,5 +1,22 @@
 //! Tables, log, term and promise of one stand-in.
 
+mod history;
+mod tables;
+
+use self::{
+    history::{
+        common_end,
+        segments, //
+    },
+    tables::{
+        append_row,
+        drop_tables,
+        open_tables,
+        read_durable,
+        read_log,
+        replay, //
+    }, //
+};
 use super::{
     error::StandInError,
     functions::{
@@ -23,11 +40,7 @@
     }, //
 };
 use parking_lot::Mutex;
-use rusqlite::{
-    Connection,
-    Statement,
-    types::Value, //
-};
+use rusqlite::Connection;
 use serde::{
     Deserialize,
     Serialize, //
@@ -55,6 +68,9 @@
     watch, //
 };
 
+pub use self::history::HistorySegment;
+pub(super) use self::tables::bind;
+
 /// Bits of a transaction number below the term that gave it, so that no two terms give the same.
 const XID_TERM_SHIFT: u32 = 32;
 /// Statements that make the stand-in's own tables.
@@ -565,17 +581,6 @@
     }
 }
 
-/// The part of a log that one term wrote.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub struct HistorySegment {
-    /// The term.
-    pub term: Term,
-    /// Position before its first record.
-    pub start: Position,
-    /// Position after its last record.
-    pub end: Position,
-}
-
 /// Returns the time of the system's clock in milliseconds since 1970.
 pub(super) fn unix_ms() -> i64 {
     let since = std::time::SystemTime::UNIX_EPOCH.elapsed();
@@ -583,125 +588,3 @@
         i64::try_from(since.as_millis()).unwrap_or(i64::MAX)
     })
 }
-
-fn segments(log: &[Arc<LogRecord>]) -> Vec<HistorySegment> {
-    let mut segments: Vec<HistorySegment> = Vec::new();
-    for record in log {
-        match segments.last_mut() {
-            Some(last) if last.term == record.term => last.end = record.end,
-            _ => segments.push(HistorySegment {
-                term: record.term,
-                start: record.start,
-                end: record.end,
-            }),
-        }
-    }
-    segments
-}
-
-fn common_end(own: &[HistorySegment], other: &[HistorySegment]) -> Position {
-    let mut common = Position(0);
-    for (own, other) in own.iter().zip(other) {
-        if own.term != other.term || own.start != other.start {
-            break;
-        }
-        common = own.end.min(other.end);
-        if own.end != other.end {
-            break;
-        }
-    }
-    common
-}
-
-fn open_tables(folder: &Path) -> Result<Connection, StandInError> {
-    let connection = Connection::open(folder.join("tables.sqlite"))?;
-    connection.pragma_update(None, "journal_mode", "wal")?;
-    connection.pragma_update(None, "synchronous", "off")?;
-    connection.busy_timeout(std::time::Duration::from_secs(1))?;
-    connection.set_prepared_statement_cache_capacity(64);
-    Ok(connection)
-}
-
-fn read_log(connection: &Connection) -> Result<Vec<Arc<LogRecord>>, StandInError> {
-    let mut statement = connection.prepare("SELECT body FROM standin_log ORDER BY position")?;
-    let bodies = statement.query_map((), |row| row.get::<_, String>(0))?;
-    let mut log = Vec::new();
-    for body in bodies {
-        let record = serde_json::from_str(&body?).map_err(std::io::Error::from)?;
-        log.push(Arc::new(record));
-    }
-    Ok(log)
-}
-
-fn read_durable(folder: &Path) -> Result<DurableState, StandInError> {
-    let path = folder.join("state.json");
-    if !path.exists() {
-        return Ok(DurableState::default());
-    }
-    let bytes = fs::read(path)?;
-    Ok(serde_json::from_slice(&bytes).map_err(std::io::Error::from)?)
-}
-
-fn append_row(connection: &Connection, record: &LogRecord) -> Result<(), StandInError> {
-    let body = serde_json::to_string(record).map_err(std::io::Error::from)?;
-    let position = i64::try_from(record.end.0).unwrap_or(i64::MAX);
-    connection
-        .prepare_cached("INSERT INTO standin_log (position, body) VALUES (?1, ?2)")?
-        .execute((position, body))?;
-    Ok(())
-}
-
-fn replay(
-    connection: &Connection,
-    context: &ConnectionContext,
-    record: &LogRecord,
-) -> Result<(), StandInError> {
-    context.set_xid(record.xid);
-    context.set_unix_ms(record.unix_ms);
-    connection.execute_batch("BEGIN IMMEDIATE")?;
-    let applied = replay_statements(connection, record)
-        .and_then(|()| append_row(connection, record))
-        .and_then(|()| Ok(connection.execute_batch("COMMIT")?));
-    if applied.is_err() {
-        // The error that counts is the first one.
-        let _ = connection.execute_batch("ROLLBACK");
-    }
-    applied
-}
-
-fn replay_statements(connection: &Connection, record: &LogRecord) -> Result<(), StandInError> {
-    for statement in &record.statements {
-        let mut prepared = connection.prepare_cached(&statement.sql)?;
-        bind(&mut prepared, statement.values.iter().map(Value::from))?;
-        let mut rows = prepared.raw_query();
-        while rows.next()?.is_some() {}
-    }
-    Ok(())
-}
-
-/// Binds values to the parameters `$1`, `$2` and so on, whatever SQLite's own numbers for them.
-pub(super) fn bind(
-    statement: &mut Statement<'_>,
-    values: impl Iterator<Item = Value>,
-) -> rusqlite::Result<()> {
-    for (index, value) in values.enumerate() {
-        if let Some(place) = statement.parameter_index(&format!("${}", index + 1))? {
-            statement.raw_bind_parameter(place, value)?;
-        }
-    }
-    Ok(())
-}
-
-fn drop_tables(connection: &Connection) -> Result<(), StandInError> {
-    let mut statement = connection.prepare(
-        "SELECT type, name FROM sqlite_schema WHERE type IN ('table', 'view') \
-         AND name NOT LIKE 'sqlite_%' AND name NOT IN ('standin_log', 'pg_control_checkpoint')",
-    )?;
-    let found = statement.query_map((), |row| Ok((row.get(0)?, row.get(1)?)))?;
-    let found: Vec<(String, String)> = found.collect::<Result<_, _>>()?;
-    drop(statement);
-    for (kind, name) in found {
-        connection.execute_batch(&format!("DROP {kind} \"{name}\""))?;
-    }
-    Ok(())
-}
