Let a data folder name its own instance and begin again

An instance that is known by its address only has no name in its settings, so the folder must hold it, with the first voters, before the first vote is written. A folder can also become another instance's: the identity says first that the log files are a former one's, so that a crash at any point leaves either the old log or none. A folder with log files and no identity is refused: the identity is always written first.

--- a/crates/daisyseam-store/src/folder.rs
+++ b/crates/daisyseam-store/src/folder.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     EntryRecord,
+    FolderIdentity,
     FolderOwner,
     LogStorage,
     RecoveredState,
@@ -15,14 +16,18 @@
     identity::{
         check_owner,
         lock_folder,
-        sync_folder, //
+        read_identity,
+        sync_folder,
+        write_identity, //
     },
     record::WalRecord,
     snapshot::{
+        SNAPSHOT_FILE,
         read_snapshot,
         write_snapshot, //
     }, //
 };
+use daisyseam_model::ClusterId;
 use std::{
     fs::{
         self,
@@ -69,9 +74,45 @@
     ///
     /// [`StoreError`] when the folder is damaged, in use, another instance's or of a newer format.
     pub fn open(folder: &Path, owner: &FolderOwner) -> Result<(Self, RecoveredState), StoreError> {
-        fs::create_dir_all(folder).map_err(|error| StoreError::io(folder, error))?;
+        create_folder(folder)?;
         let lock = lock_folder(folder)?;
         check_owner(folder, owner)?;
+        Self::recover(folder, lock)
+    }
+
+    /// Opens a folder under the identity that it holds; a new one gets the identity that `first`
+    /// makes, durable before anything else is.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError`] when the folder is damaged, in use, another cluster's or of a newer format.
+    pub fn open_as_stored(
+        folder: &Path,
+        cluster: &ClusterId,
+        first: impl FnOnce() -> FolderIdentity,
+    ) -> Result<(Self, FolderIdentity, RecoveredState), StoreError> {
+        create_folder(folder)?;
+        let lock = lock_folder(folder)?;
+        let identity = match read_identity(folder)? {
+            Some(stored) => {
+                check_cluster(folder, &stored.identity.owner, cluster)?;
+                if stored.forget {
+                    forget_log(folder, &stored.identity)?;
+                }
+                stored.identity
+            }
+            None => {
+                check_no_log(folder)?;
+                let identity = first();
+                write_identity(folder, &identity, false)?;
+                identity
+            }
+        };
+        let (store, recovered) = Self::recover(folder, lock)?;
+        Ok((store, identity, recovered))
+    }
+
+    fn recover(folder: &Path, lock: File) -> Result<(Self, RecoveredState), StoreError> {
         let mut state = RecoveredState {
             snapshot: read_snapshot(folder)?,
             ..RecoveredState::default()
@@ -185,6 +226,75 @@
         self.poisoned |= replaced.is_err();
         replaced
     }
+
+    fn begin_again(&mut self, identity: &FolderIdentity) -> Result<(), StoreError> {
+        // Until the identity is clean again, a start removes the log files first.
+        self.poisoned = true;
+        self.pending.clear();
+        write_identity(&self.folder, identity, true)?;
+        forget_log(&self.folder, identity)?;
+        self.state = RecoveredState::default();
+        self.segment = open_segment(&self.folder, 1, 0)?;
+        self.poisoned = false;
+        Ok(())
+    }
+}
+
+/// Creates a folder whose name is durable.
+fn create_folder(folder: &Path) -> Result<(), StoreError> {
+    if folder.is_dir() {
+        return Ok(());
+    }
+    fs::create_dir_all(folder).map_err(|error| StoreError::io(folder, error))?;
+    for parent in folder.ancestors().skip(1) {
+        // A folder above may be another's, who has made its name durable.
+        if parent.as_os_str().is_empty() || sync_folder(parent).is_err() {
+            break;
+        }
+    }
+    Ok(())
+}
+
+fn check_cluster(
+    folder: &Path,
+    owner: &FolderOwner,
+    cluster: &ClusterId,
+) -> Result<(), StoreError> {
+    if owner.cluster == *cluster {
+        return Ok(());
+    }
+    Err(StoreError::OtherOwner {
+        path: folder.to_owned(),
+        found: owner.cluster.to_string(),
+        wanted: cluster.to_string(),
+    })
+}
+
+/// Refuses log files without an identity: it is written before them, so it has been lost.
+fn check_no_log(folder: &Path) -> Result<(), StoreError> {
+    let segments = list_segments(folder)?;
+    let snapshot = folder.join(SNAPSHOT_FILE);
+    let found = segments.into_iter().map(|(_, path)| path).next();
+    match found.or_else(|| snapshot.exists().then_some(snapshot)) {
+        None => Ok(()),
+        Some(path) => Err(StoreError::Damaged {
+            path,
+            offset: 0,
+            reason: "the folder says no longer whose it is",
+        }),
+    }
+}
+
+/// Removes the log files of a former identity, then says so.
+fn forget_log(folder: &Path, identity: &FolderIdentity) -> Result<(), StoreError> {
+    match fs::remove_file(folder.join(SNAPSHOT_FILE)) {
+        Err(error) if error.kind() != io::ErrorKind::NotFound => {
+            return Err(StoreError::io(folder, error));
+        }
+        _ => {}
+    }
+    remove_segments(folder, u64::MAX)?;
+    write_identity(folder, identity, false)
 }
 
 /// Drops what only the caller needs; the store itself keeps the vote.
--- a/crates/daisyseam-store/src/identity.rs
+++ b/crates/daisyseam-store/src/identity.rs
@@ -16,6 +16,7 @@
         self,
         Write, //
     },
+    net::SocketAddr,
     path::Path, //
 };
 
@@ -24,6 +25,10 @@
 
 const IDENTITY_FILE: &str = "identity";
 const LOCK_FILE: &str = "lock";
+/// Start of a line that names a first voter.
+const VOTER_LINE: &str = "voter";
+/// The line that says that the log files are those of a former identity.
+const FORGET_LINE: &str = "forget";
 
 /// The instance that a folder belongs to.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -38,6 +43,30 @@
     fn line(&self) -> String {
         format!("{}/{}", self.cluster, self.instance)
     }
+
+    fn read(line: &str) -> Option<Self> {
+        let (cluster, instance) = line.split_once('/')?;
+        Some(Self {
+            cluster: cluster.parse().ok()?,
+            instance: instance.parse().ok()?,
+        })
+    }
+}
+
+/// Whose folder it is, and with whom its log began.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct FolderIdentity {
+    /// The instance.
+    pub owner: FolderOwner,
+    /// The first voters of the whole system; none for an instance that was taken in later.
+    pub voters: Vec<(InstanceId, SocketAddr)>,
+}
+
+/// What the identity file says.
+pub(crate) struct StoredIdentity {
+    pub(crate) identity: FolderIdentity,
+    /// Whether the log files are those of a former identity.
+    pub(crate) forget: bool,
 }
 
 /// Locks the folder for this process; the lock ends with the file.
@@ -60,24 +89,38 @@
 
 /// Checks whose folder it is; a new folder becomes the asker's.
 pub(crate) fn check_owner(folder: &Path, owner: &FolderOwner) -> Result<(), StoreError> {
-    let path = folder.join(IDENTITY_FILE);
-    match fs::read_to_string(&path) {
-        Ok(text) => compare_owner(folder, &text, owner),
-        Err(error) if error.kind() == io::ErrorKind::NotFound => {
-            let text = format!("{FORMAT_VERSION} {}\n", owner.line());
-            write_durably(folder, IDENTITY_FILE, &[text.as_bytes()])
-        }
-        Err(error) => Err(StoreError::io(&path, error)),
+    let Some(stored) = read_identity(folder)? else {
+        let identity = FolderIdentity {
+            owner: owner.clone(),
+            voters: Vec::new(),
+        };
+        return write_identity(folder, &identity, false);
+    };
+    let found = &stored.identity.owner;
+    if found != owner {
+        return Err(StoreError::OtherOwner {
+            path: folder.to_owned(),
+            found: found.line(),
+            wanted: owner.line(),
+        });
     }
+    Ok(())
 }
 
-fn compare_owner(folder: &Path, text: &str, owner: &FolderOwner) -> Result<(), StoreError> {
+/// Reads the identity; nothing if the folder has none yet.
+pub(crate) fn read_identity(folder: &Path) -> Result<Option<StoredIdentity>, StoreError> {
+    let path = folder.join(IDENTITY_FILE);
+    let text = match fs::read_to_string(&path) {
+        Ok(text) => text,
+        Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(None),
+        Err(error) => return Err(StoreError::io(&path, error)),
+    };
     let damaged = || StoreError::Damaged {
-        path: folder.join(IDENTITY_FILE),
+        path: path.clone(),
         offset: 0,
         reason: "no version and owner",
     };
-    let (version, found) = text.trim_end().split_once(' ').ok_or_else(damaged)?;
+    let (version, rest) = text.split_once(' ').ok_or_else(damaged)?;
     let version: u32 = version.parse().map_err(|_| damaged())?;
     if version > FORMAT_VERSION {
         return Err(StoreError::FutureFormat {
@@ -86,14 +129,43 @@
             known: FORMAT_VERSION,
         });
     }
-    if found != owner.line() {
-        return Err(StoreError::OtherOwner {
-            path: folder.to_owned(),
-            found: found.to_owned(),
-            wanted: owner.line(),
-        });
+    parse_identity(rest).map(Some).ok_or_else(damaged)
+}
+
+fn parse_identity(text: &str) -> Option<StoredIdentity> {
+    let mut lines = text.lines();
+    let owner = FolderOwner::read(lines.next()?)?;
+    let mut voters = Vec::new();
+    let mut forget = false;
+    for line in lines {
+        match line.split_once(' ') {
+            Some((VOTER_LINE, voter)) => {
+                let (name, address) = voter.split_once('=')?;
+                voters.push((name.parse().ok()?, address.parse().ok()?));
+            }
+            None if line == FORGET_LINE => forget = true,
+            _ => return None,
+        }
     }
-    Ok(())
+    let identity = FolderIdentity { owner, voters };
+    Some(StoredIdentity { identity, forget })
+}
+
+/// Writes the identity; it is durable on return.
+pub(crate) fn write_identity(
+    folder: &Path,
+    identity: &FolderIdentity,
+    forget: bool,
+) -> Result<(), StoreError> {
+    let mut text = format!("{FORMAT_VERSION} {}\n", identity.owner.line());
+    for (name, address) in &identity.voters {
+        text.push_str(&format!("{VOTER_LINE} {name}={address}\n"));
+    }
+    if forget {
+        text.push_str(FORGET_LINE);
+        text.push('\n');
+    }
+    write_durably(folder, IDENTITY_FILE, &[text.as_bytes()])
 }
 
 /// Writes a file beside its place, syncs it, moves it there and syncs the folder.
--- a/crates/daisyseam-store/src/lib.rs
+++ b/crates/daisyseam-store/src/lib.rs
@@ -18,6 +18,7 @@
     folder::FolderStore,
     identity::{
         FORMAT_VERSION,
+        FolderIdentity,
         FolderOwner, //
     },
     memory::{
--- a/crates/daisyseam-store/src/memory.rs
+++ b/crates/daisyseam-store/src/memory.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     EntryRecord,
+    FolderIdentity,
     LogStorage,
     RecoveredState,
     SnapshotRecord,
@@ -103,4 +104,10 @@
         disk.durable.entries.retain(kept);
         Ok(())
     }
+
+    fn begin_again(&mut self, _identity: &FolderIdentity) -> Result<(), StoreError> {
+        self.pending.clear();
+        self.disk.lock().durable = RecoveredState::default();
+        Ok(())
+    }
 }
--- a/crates/daisyseam-store/src/snapshot.rs
+++ b/crates/daisyseam-store/src/snapshot.rs
@@ -16,7 +16,7 @@
     path::Path, //
 };
 
-const SNAPSHOT_FILE: &str = "snapshot";
+pub(crate) const SNAPSHOT_FILE: &str = "snapshot";
 /// Start of the file.
 const MARK: [u8; 4] = *b"dss1";
 /// Bytes before the body: mark and checksum.
--- a/crates/daisyseam-store/src/storage.rs
+++ b/crates/daisyseam-store/src/storage.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     EntryRecord,
+    FolderIdentity,
     SnapshotRecord,
     StoreError,
     VoteRecord, //
@@ -44,4 +45,11 @@
     ///
     /// [`StoreError`] when it is not, or not for certain.
     fn save_snapshot(&mut self, snapshot: SnapshotRecord, whole: bool) -> Result<(), StoreError>;
+
+    /// Drops the vote, the snapshot and all entries, and becomes another's; durable on return.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError`] when it is not, or not for certain.
+    fn begin_again(&mut self, identity: &FolderIdentity) -> Result<(), StoreError>;
 }
