--- a/crates/daisyseam-bench/src/fleet/node.rs
+++ b/crates/daisyseam-bench/src/fleet/node.rs
@@ -12,8 +12,10 @@
 };
 use daisyseam_control::{
     ControlDaemon,
-    ControlSettings, //
+    ControlSettings,
+    REPAIR_AFTER, //
 };
+use daisyseam_coord::log::LogSettings;
 use daisyseam_entry::{
     EntryDaemon,
     EntrySettings,
@@ -271,6 +273,10 @@
             data_folder: self.folder.clone(),
             members,
             spare: false,
+            seeds: Vec::new(),
+            bootstrap: false,
+            repair_after: REPAIR_AFTER,
+            log: LogSettings::default(),
             source: Some(self.source),
             metrics: None,
         };
--- a/crates/daisyseam-control/src/convert.rs
+++ b/crates/daisyseam-control/src/convert.rs
@@ -51,12 +51,23 @@
 const KIND_COMMAND: u8 = 1;
 const KIND_MEMBERS: u8 = 2;
 
-/// Turns a message of the log into one for the wire.
-pub(crate) fn to_wire(me: &InstanceId, message: LogMessage) -> Body {
+/// A message between members with the names of both.
+#[derive(Debug)]
+pub(crate) struct MemberLetter {
+    pub(crate) from: InstanceId,
+    /// Who it is meant for; an instance that lost its folder has another name than before.
+    pub(crate) to: InstanceId,
+    pub(crate) message: LogMessage,
+}
+
+/// Turns a message of the log into one for the wire; both ends are named in it.
+pub(crate) fn to_wire(me: &InstanceId, to: &InstanceId, message: LogMessage) -> Body {
     let from = me.to_string();
+    let to = to.to_string();
     match message {
         LogMessage::Vote(vote) => Body::Vote(wire::VoteRequest {
             from,
+            to,
             term: vote.term.0,
             last_index: vote.last_index.0,
             last_term: vote.last_term.0,
@@ -65,12 +76,14 @@
         }),
         LogMessage::Voted(vote) => Body::Voted(wire::VoteReply {
             from,
+            to,
             term: vote.term.0,
             granted: vote.granted,
             pre_vote: vote.pre_vote,
         }),
         LogMessage::Append(append) => Body::Append(wire::AppendRequest {
             from,
+            to,
             term: append.term.0,
             previous_index: append.previous_index.0,
             previous_term: append.previous_term.0,
@@ -80,6 +93,7 @@
         }),
         LogMessage::Appended(answer) => Body::Appended(wire::AppendReply {
             from,
+            to,
             term: answer.term.0,
             success: answer.success,
             match_index: answer.match_index.0,
@@ -88,6 +102,7 @@
         }),
         LogMessage::Snapshot(chunk) => Body::Snapshot(wire::SnapshotChunk {
             from,
+            to,
             term: chunk.term.0,
             last_index: chunk.last_index.0,
             last_term: chunk.last_term.0,
@@ -99,6 +114,7 @@
         }),
         LogMessage::SnapshotTaken(answer) => Body::SnapshotTaken(wire::SnapshotReply {
             from,
+            to,
             term: answer.term.0,
             last_index: answer.last_index.0,
             next_offset: answer.next_offset,
@@ -107,14 +123,15 @@
         }),
         LogMessage::Transfer(transfer) => Body::Transfer(wire::TransferRequest {
             from,
+            to,
             term: transfer.term.0,
         }),
     }
 }
 
 /// Reads a message between members; nothing if it is none or cannot be read.
-pub(crate) fn from_wire(body: Body) -> Option<(InstanceId, LogMessage)> {
-    let (from, message) = match body {
+pub(crate) fn from_wire(body: Body) -> Option<MemberLetter> {
+    let (from, to, message) = match body {
         Body::Vote(vote) => {
             let message = LogMessage::Vote(VoteRequest {
                 term: LogTerm(vote.term),
@@ -123,7 +140,7 @@
                 pre_vote: vote.pre_vote,
                 transfer: vote.transfer,
             });
-            (vote.from, message)
+            (vote.from, vote.to, message)
         }
         Body::Voted(vote) => {
             let message = LogMessage::Voted(VoteResponse {
@@ -131,7 +148,7 @@
                 granted: vote.granted,
                 pre_vote: vote.pre_vote,
             });
-            (vote.from, message)
+            (vote.from, vote.to, message)
         }
         Body::Append(append) => {
             let entries = append.entries.into_iter().map(entry_from_wire);
@@ -143,7 +160,7 @@
                 entries: entries.collect::<Option<_>>()?,
                 round: append.round,
             });
-            (append.from, message)
+            (append.from, append.to, message)
         }
         Body::Appended(answer) => {
             let message = LogMessage::Appended(AppendResponse {
@@ -153,7 +170,7 @@
                 hint_index: LogIndex(answer.hint_index),
                 round: answer.round,
             });
-            (answer.from, message)
+            (answer.from, answer.to, message)
         }
         Body::Snapshot(chunk) => {
             let message = LogMessage::Snapshot(SnapshotChunk {
@@ -166,7 +183,7 @@
                 bytes: chunk.bytes,
                 round: chunk.round,
             });
-            (chunk.from, message)
+            (chunk.from, chunk.to, message)
         }
         Body::SnapshotTaken(answer) => {
             let message = LogMessage::SnapshotTaken(SnapshotResponse {
@@ -176,17 +193,21 @@
                 done: answer.done,
                 round: answer.round,
             });
-            (answer.from, message)
+            (answer.from, answer.to, message)
         }
         Body::Transfer(transfer) => {
             let message = LogMessage::Transfer(TransferRequest {
                 term: LogTerm(transfer.term),
             });
-            (transfer.from, message)
+            (transfer.from, transfer.to, message)
         }
         _ => return None,
     };
-    Some((from.parse().ok()?, message))
+    Some(MemberLetter {
+        from: from.parse().ok()?,
+        to: to.parse().ok()?,
+        message,
+    })
 }
 
 fn kind_number(kind: EntryKind) -> u8 {
--- a/crates/daisyseam-control/src/core.rs
+++ b/crates/daisyseam-control/src/core.rs
@@ -7,6 +7,7 @@
 mod repair;
 mod requests;
 mod shares;
+mod spares;
 mod status;
 
 use self::leader::LeaderWork;
@@ -125,6 +126,8 @@
     waiters: BTreeMap<LogIndex, RequestWaiter>,
     output: CoreOutput,
     since_snapshot: u64,
+    /// The leader as it was last heard of, for an instance that is no member.
+    leader_hint: Option<SocketAddr>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -151,6 +154,7 @@
             waiters: BTreeMap::new(),
             output: CoreOutput::default(),
             since_snapshot: 0,
+            leader_hint: None,
         }
     }
 
--- a/crates/daisyseam-control/src/core/leader.rs
+++ b/crates/daisyseam-control/src/core/leader.rs
@@ -2,6 +2,7 @@
 
 use super::{
     CoreSettings,
+    repair::SpareNote,
     shares::ShareDesk, //
 };
 use daisyseam_coord::{
@@ -43,7 +44,6 @@
         BTreeMap,
         BTreeSet, //
     },
-    net::SocketAddr,
     time::Duration, //
 };
 
@@ -67,7 +67,7 @@
     pub(super) health: BTreeMap<UpstreamId, HealthNote>,
     pub(super) open: BTreeMap<(Incarnation, GroupId), OpenNote>,
     pub(super) leaving: BTreeSet<Incarnation>,
-    pub(super) spares: BTreeMap<InstanceId, (SocketAddr, Moment)>,
+    pub(super) spares: BTreeMap<InstanceId, SpareNote>,
     pub(super) upkeep_at: Moment,
     pub(super) upkeep_index: LogIndex,
 }
--- a/crates/daisyseam-control/src/core/repair.rs
+++ b/crates/daisyseam-control/src/core/repair.rs
@@ -9,7 +9,10 @@
     log::MemberChange, //
 };
 use daisyseam_model::InstanceId;
-use std::time::Duration;
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
 
 /// Silence after which a spare no longer counts as there.
 const SPARE_SILENCE: Duration = Duration::from_secs(3);
@@ -29,39 +32,85 @@
     }
 
     /// Returns the next step of a repair: a spare learns, the lost voter goes, the spare counts.
+    ///
+    /// The leader's lease proves that a majority answers, and a voter that goes is none of it, so
+    /// what is left still has a majority that answers.
     fn wanted_change(&self, now: Moment) -> Option<MemberChange> {
-        let leader = self.leader.as_ref()?;
         let members = self.log.members();
         let lost = self.lost_voter(now);
-        let learner = members.learners.keys().next();
-        if let Some(learner) = learner {
-            let there = leader.is_spare_there(now, learner);
-            if !there && self.is_silent(now, learner) {
-                return Some(MemberChange::Remove(learner.clone()));
-            }
-            if !self.log.has_caught_up(learner) {
-                return None;
+        if let Some(learner) = members.learners.keys().next() {
+            return self.learner_change(now, learner, lost);
+        }
+        if lost.is_none() && members.voters.len() >= members.wanted {
+            return None;
+        }
+        let (name, address) = self.fit_spare(now)?;
+        Some(MemberChange::AddLearner(name, address))
+    }
+
+    fn learner_change(
+        &self,
+        now: Moment,
+        learner: &InstanceId,
+        lost: Option<InstanceId>,
+    ) -> Option<MemberChange> {
+        let leader = self.leader.as_ref()?;
+        let members = self.log.members();
+        let remove = MemberChange::Remove(learner.clone());
+        let there = leader.is_spare_there(now, learner) || !self.is_silent(now, learner);
+        if !there || self.is_replaced(now, learner) {
+            return Some(remove);
+        }
+        if !self.log.has_caught_up(learner) {
+            return None;
+        }
+        match lost {
+            Some(lost) => Some(MemberChange::Remove(lost)),
+            None if members.voters.len() < members.wanted => {
+                Some(MemberChange::Promote(learner.clone()))
             }
-            return Some(match lost {
-                Some(lost) => MemberChange::Remove(lost),
-                None => MemberChange::Promote(learner.clone()),
-            });
+            // Whom it was to replace has come back.
+            None => Some(remove),
         }
-        lost.as_ref()?;
-        let mut spares = leader.spares.iter();
+    }
+
+    /// Returns the spare that is to learn: one whose address no other member has, if there is one.
+    fn fit_spare(&self, now: Moment) -> Option<(InstanceId, SocketAddr)> {
+        let leader = self.leader.as_ref()?;
+        let members = self.log.members();
         let fit =
             |name: &InstanceId| members.address(name).is_none() && leader.is_spare_there(now, name);
-        let (name, (address, _)) = spares.find(|(name, _)| fit(name))?;
-        Some(MemberChange::AddLearner(name.clone(), *address))
+        let spares = leader.spares.iter().filter(|(name, _)| fit(name));
+        // At one address only the newest process can still be there.
+        let newest = spares.max_by_key(|(_, spare)| spare.first_heard);
+        newest.map(|(name, spare)| (name.clone(), spare.address))
     }
 
+    /// Returns a voter that has lost its folder, else one that has been silent for too long.
     fn lost_voter(&self, now: Moment) -> Option<InstanceId> {
         let voters = self.log.members().voters.keys();
         let others = voters.filter(|voter| **voter != self.settings.me);
-        others
-            .into_iter()
-            .find(|voter| self.is_silent(now, voter))
-            .cloned()
+        let others: Vec<&InstanceId> = others.collect();
+        let replaced = others.iter().find(|voter| self.is_replaced(now, voter));
+        let lost = replaced.or_else(|| others.iter().find(|voter| self.is_silent(now, voter)));
+        lost.map(|voter| (*voter).clone())
+    }
+
+    /// Returns whether another process answers at a member's address: what it held is lost.
+    fn is_replaced(&self, now: Moment, member: &InstanceId) -> bool {
+        let Some(leader) = &self.leader else {
+            return false;
+        };
+        let address = self.log.members().address(member);
+        let mut spares = leader.spares.iter();
+        let successor = spares.find(|(name, spare)| {
+            *name != member && Some(spare.address) == address && spare.is_there(now)
+        });
+        // An answer to a later round would prove that the member is still there.
+        successor.is_some_and(|(_, spare)| {
+            let answered = self.log.last_answer(member);
+            answered.is_none_or(|answered| answered <= spare.first_heard)
+        })
     }
 
     fn is_silent(&self, now: Moment, member: &InstanceId) -> bool {
@@ -70,9 +119,34 @@
     }
 }
 
+/// A control instance that waits to be taken in.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct SpareNote {
+    pub(super) address: SocketAddr,
+    pub(super) first_heard: Moment,
+    pub(super) heard: Moment,
+}
+
+impl SpareNote {
+    fn is_there(&self, now: Moment) -> bool {
+        now.since(self.heard) < SPARE_SILENCE
+    }
+}
+
 impl LeaderWork {
+    pub(super) fn note_spare(&mut self, now: Moment, name: InstanceId, address: SocketAddr) {
+        let note = self.spares.entry(name).or_insert(SpareNote {
+            address,
+            first_heard: now,
+            heard: now,
+        });
+        note.address = address;
+        note.heard = now;
+        self.spares.retain(|_, note| note.is_there(now));
+    }
+
     fn is_spare_there(&self, now: Moment, name: &InstanceId) -> bool {
-        let heard = self.spares.get(name);
-        heard.is_some_and(|(_, heard)| now.since(*heard) < SPARE_SILENCE)
+        let note = self.spares.get(name);
+        note.is_some_and(|note| note.is_there(now))
     }
 }
--- a/crates/daisyseam-control/src/core/requests.rs
+++ b/crates/daisyseam-control/src/core/requests.rs
@@ -47,7 +47,6 @@
     NotLeader,
     ShowReply,
     ShowRequest,
-    SpareNotice,
     SubmitReply,
     SubmitRequest,
     Welcome,
@@ -71,7 +70,7 @@
             Body::Show(show) => self.show(now, request, &show),
             Body::History(history) => self.history(now, request, &history),
             Body::Status(_) => self.status(now, request),
-            Body::Spare(spare) => self.note_spare(now, &spare),
+            Body::Spare(spare) => self.spare(now, request, &spare),
             _ => log::warn!("a request holds no message that is known"),
         }
     }
@@ -81,12 +80,8 @@
     }
 
     fn reply_not_leader(&mut self, request: RequestId) {
-        let leader = self.log.leader();
-        let address = leader.and_then(|leader| self.log.members().address(leader));
         let body = Body::NotLeader(NotLeader {
-            leader: address
-                .map(|address| address.to_string())
-                .unwrap_or_default(),
+            leader: self.leader_address(),
             term: self.log.term().0,
         });
         self.reply(request, body);
@@ -190,6 +185,7 @@
             lease_ms: u64::try_from(lease.as_millis()).unwrap_or(0),
             update: view_update(&self.fleet, held),
             shares,
+            members: self.members_update(heartbeat.members),
         });
         self.reply(request, body);
     }
@@ -366,15 +362,6 @@
         let point = self.log.read_point(now);
         point.map_or(true, |index| self.log.applied() < index)
     }
-
-    fn note_spare(&mut self, now: Moment, spare: &SpareNotice) {
-        let (Ok(instance), Ok(address)) = (spare.instance.parse(), spare.address.parse()) else {
-            return;
-        };
-        if let Some(leader) = &mut self.leader {
-            leader.spares.insert(instance, (address, now));
-        }
-    }
 }
 
 fn read_hello(hello: &Hello) -> Option<JoinCommand> {
--- /dev/null
+++ b/crates/daisyseam-control/src/core/spares.rs
@@ -0,0 +1,110 @@
+//! What instances that no leader speaks to, and entries, are told of the members.
+
+use super::{
+    ControlCore,
+    CoreSettings,
+    RequestId, //
+};
+use daisyseam_coord::{
+    Moment,
+    log::{
+        DurableLog,
+        ReplicatedLog, //
+    }, //
+};
+use daisyseam_model::{
+    ClusterId,
+    InstanceId, //
+};
+use daisyseam_wire::{
+    ControlMembers,
+    SpareNotice,
+    SpareReply,
+    control_message::Body, //
+};
+use rand_chacha::ChaCha8Rng;
+use std::net::SocketAddr;
+
+impl ControlCore {
+    /// Returns the cluster that this instance belongs to.
+    pub fn cluster(&self) -> &ClusterId {
+        &self.settings.cluster
+    }
+
+    /// Learns of the leader from outside the log.
+    pub fn set_leader_hint(&mut self, leader: Option<SocketAddr>) {
+        self.leader_hint = leader;
+    }
+
+    /// Returns what this instance decides under another name and with an empty log.
+    pub fn begin_again(&self, name: InstanceId, now: Moment, random: ChaCha8Rng) -> Self {
+        let settings = CoreSettings {
+            me: name.clone(),
+            ..self.settings.clone()
+        };
+        let durable = DurableLog::default();
+        let times = self.log.settings().clone();
+        let log = ReplicatedLog::recover(name, times, durable, now, random);
+        Self::new(settings, log)
+    }
+
+    /// Returns whether this instance is a member by its own log.
+    pub fn is_member(&self) -> bool {
+        self.log.members().address(&self.settings.me).is_some()
+    }
+
+    /// Returns the address of the leader if it is known, else nothing.
+    pub(super) fn leader_address(&self) -> String {
+        let leader = self.log.leader();
+        let address = leader.and_then(|leader| self.log.members().address(leader));
+        let hint = self.leader_hint.filter(|_| !self.is_member());
+        let address = address.or(hint);
+        address
+            .map(|address| address.to_string())
+            .unwrap_or_default()
+    }
+
+    /// Takes the notice of a spare, or of a member that no leader speaks to.
+    pub(super) fn spare(&mut self, now: Moment, request: RequestId, notice: &SpareNotice) {
+        let in_charge = self.is_in_charge(now);
+        let read = notice.instance.parse::<InstanceId>();
+        let (Ok(name), Ok(address)) = (read, notice.address.parse()) else {
+            return log::warn!("a spare `{}` cannot be read", notice.instance);
+        };
+        let known = self.log.members().address(&name).is_some();
+        // Names are never given twice, so one that a decided change took out stays out.
+        let decided = self.log.members_index() <= self.log.commit();
+        let removed = in_charge && decided && notice.member && !known;
+        let spare = in_charge && !known && !removed;
+        if let Some(leader) = self.leader.as_mut().filter(|_| spare) {
+            leader.note_spare(now, name, address);
+        }
+        let members = match in_charge {
+            true => self.member_addresses(),
+            false => Vec::new(),
+        };
+        let reply = SpareReply {
+            leader: self.leader_address(),
+            members,
+            removed,
+        };
+        self.reply(request, Body::SpareKnown(reply));
+    }
+
+    /// Returns the members if an entry knows others, once they are decided.
+    pub(super) fn members_update(&self, known: u64) -> Option<ControlMembers> {
+        let index = self.log.members_index();
+        if known == index.next().0 || index > self.log.commit() {
+            return None;
+        }
+        Some(ControlMembers {
+            index: index.next().0,
+            addresses: self.member_addresses(),
+        })
+    }
+
+    fn member_addresses(&self) -> Vec<String> {
+        let voters = self.log.members().voters.values();
+        voters.map(ToString::to_string).collect()
+    }
+}
--- a/crates/daisyseam-control/src/daemon.rs
+++ b/crates/daisyseam-control/src/daemon.rs
@@ -7,6 +7,7 @@
         ControlCore,
         CoreSettings, //
     },
+    identity::first_identity,
     link::LinkContext,
     node::{
         NodeActor,
@@ -14,6 +15,7 @@
         NodeMessage,
         NodeReport, //
     },
+    notice::SpareNotifier,
     session::{
         SessionContext,
         accept_sessions, //
@@ -24,12 +26,12 @@
 use daisyseam_coord::{
     Moment,
     log::{
-        LogSettings,
         MemberTable,
         ReplicatedLog, //
     }, //
 };
 use daisyseam_runtime::{
+    ControlAddresses,
     Dialer,
     HealthServer,
     HealthState,
@@ -39,19 +41,13 @@
     TimerService, //
 };
 use daisyseam_store::{
+    FolderIdentity,
     FolderOwner,
     FolderStore,
     RecoveredState,
     StoreError, //
 };
-use daisyseam_wire::{
-    ControlMessage,
-    MessageStream,
-    PeerRole,
-    PeerSecurity,
-    SpareNotice,
-    control_message::Body, //
-};
+use daisyseam_wire::PeerSecurity;
 use displaydoc::Display;
 use ractor::{
     Actor,
@@ -85,8 +81,8 @@
 const LOCK_WAIT: Duration = Duration::from_secs(2);
 /// Time between two attempts to lock the data folder.
 const LOCK_RETRY: Duration = Duration::from_millis(20);
-/// Time between two notices of a spare.
-const SPARE_EVERY: Duration = Duration::from_millis(1_000);
+/// Time between two looks at whether the node has failed.
+const FAILURE_POLL: Duration = Duration::from_millis(1_000);
 /// Time between two readings of the certificates.
 const RELOAD_EVERY: Duration = Duration::from_secs(30);
 /// Time between two looks at whether the leadership is handed over.
@@ -123,6 +119,7 @@
     timer: TimerService,
     address: SocketAddr,
     health: HealthServer,
+    addresses: ControlAddresses,
     tasks: Vec<AbortHandle>,
 }
 
@@ -152,9 +149,10 @@
         let address = listener
             .local_addr()
             .map_err(|error| StartError::Listen(settings.listen, error))?;
-        let (store, recovered) = open_store(&settings, &timer).await?;
+        let own = settings.advertise.unwrap_or(address);
+        let (store, identity, recovered) = open_store(&settings, own, &timer).await?;
         let origin = Instant::now();
-        let core = recover_core(&settings, recovered)?;
+        let core = recover_core(&settings, &identity, recovered)?;
         let admin = HttpAdmin::new(settings.source, timer.clone()).map_err(StartError::Client)?;
         let report = Arc::<ArcSwap<NodeReport>>::default();
         let (wake, woken) = watch::channel(origin);
@@ -173,7 +171,8 @@
         };
         let arguments = NodeArguments {
             core,
-            me: settings.instance.clone(),
+            me: identity.owner.instance,
+            named_by: (!settings.seeds.is_empty()).then_some(own),
             store,
             admin,
             origin,
@@ -205,10 +204,19 @@
             tokio::spawn(accept_sessions(listener, sessions)).abort_handle(),
             tokio::spawn(reload_often(security.clone(), timer.clone())).abort_handle(),
         ];
-        if settings.spare {
-            let own = settings.advertise.unwrap_or(address);
-            let notices = send_notices(settings, own, security, timer.clone());
-            tasks.push(tokio::spawn(notices).abort_handle());
+        let addresses = known_addresses(&settings);
+        if settings.spare || !settings.seeds.is_empty() {
+            let notifier = SpareNotifier {
+                cluster: settings.cluster,
+                own,
+                addresses: addresses.clone(),
+                report: Arc::clone(&report),
+                dialer,
+                security,
+                timer: timer.clone(),
+                node: node.clone(),
+            };
+            tasks.push(tokio::spawn(notifier.run()).abort_handle());
         }
         Ok(Self {
             node,
@@ -218,6 +226,7 @@
             timer,
             address,
             health,
+            addresses,
             tasks,
         })
     }
@@ -232,6 +241,11 @@
         self.health.address()
     }
 
+    /// Returns where other control instances are looked for; the seeds in it may be replaced.
+    pub fn addresses(&self) -> &ControlAddresses {
+        &self.addresses
+    }
+
     /// Returns whether this instance leads, as of a moment ago.
     pub fn leads(&self) -> bool {
         self.report.load().leads
@@ -251,7 +265,7 @@
             if self.node_end.is_finished() {
                 return "an invariant does not hold; see the log".to_owned();
             }
-            self.timer.after(SPARE_EVERY).await;
+            self.timer.after(FAILURE_POLL).await;
         }
     }
 
@@ -315,38 +329,66 @@
     listener.map_err(|error| StartError::Listen(address, error))
 }
 
+/// Returns the addresses of the settings.
+fn known_addresses(settings: &ControlSettings) -> ControlAddresses {
+    let members = settings.members.iter().map(|(_, address)| *address);
+    ControlAddresses::new(match settings.seeds.is_empty() {
+        true => members.collect(),
+        false => settings.seeds.clone(),
+    })
+}
+
 /// Opens the data folder; a former process may need a moment to let go of it.
 async fn open_store(
     settings: &ControlSettings,
+    own: SocketAddr,
     timer: &TimerService,
-) -> Result<(FolderStore, RecoveredState), StartError> {
-    let owner = FolderOwner {
-        cluster: settings.cluster.clone(),
-        instance: settings.instance.clone(),
-    };
+) -> Result<(FolderStore, FolderIdentity, RecoveredState), StartError> {
     let until = timer.now() + LOCK_WAIT;
     loop {
-        match FolderStore::open(&settings.data_folder, &owner) {
+        match open_folder(settings, own) {
             Err(StoreError::Locked { .. }) if timer.now() < until => timer.after(LOCK_RETRY).await,
             opened => return opened.map_err(StartError::Store),
         }
     }
 }
 
+fn open_folder(
+    settings: &ControlSettings,
+    own: SocketAddr,
+) -> Result<(FolderStore, FolderIdentity, RecoveredState), StoreError> {
+    let folder = &settings.data_folder;
+    if !settings.seeds.is_empty() {
+        let first = || first_identity(settings, own);
+        return FolderStore::open_as_stored(folder, &settings.cluster, first);
+    }
+    let owner = FolderOwner {
+        cluster: settings.cluster.clone(),
+        instance: settings.instance.clone(),
+    };
+    let (store, recovered) = FolderStore::open(folder, &owner)?;
+    let voters = match settings.spare {
+        true => Vec::new(),
+        false => settings.members.clone(),
+    };
+    Ok((store, FolderIdentity { owner, voters }, recovered))
+}
+
 fn recover_core(
     settings: &ControlSettings,
+    identity: &FolderIdentity,
     recovered: RecoveredState,
 ) -> Result<ControlCore, StartError> {
-    let first = match settings.spare {
-        true => MemberTable::default(),
-        false => MemberTable::of_voters(settings.members.iter().cloned()),
-    };
+    let first = MemberTable::of_voters(identity.voters.iter().cloned());
     let durable = durable_log(recovered, first).ok_or(StartError::Unreadable)?;
-    let me = settings.instance.clone();
+    let me = identity.owner.instance.clone();
     let random = ChaCha8Rng::from_os_rng();
-    let origin = Moment::ORIGIN;
-    let log = ReplicatedLog::recover(me.clone(), LogSettings::default(), durable, origin, random);
-    let core = CoreSettings::new(me, settings.cluster.clone());
+    let times = settings.log.clone();
+    let log = ReplicatedLog::recover(me.clone(), times, durable, Moment::ORIGIN, random);
+    let core = CoreSettings {
+        repair_after: settings.repair_after,
+        ..CoreSettings::new(me, settings.cluster.clone())
+    };
     Ok(ControlCore::new(core, log))
 }
 
@@ -387,36 +429,3 @@
         }
     }
 }
-
-/// Tells every first member, again and again, that this spare is there.
-async fn send_notices(
-    settings: ControlSettings,
-    own: SocketAddr,
-    security: PeerSecurity,
-    timer: TimerService,
-) {
-    let dialer = Dialer {
-        source: settings.source,
-    };
-    let notice = ControlMessage {
-        body: Some(Body::Spare(SpareNotice {
-            instance: settings.instance.to_string(),
-            address: own.to_string(),
-        })),
-    };
-    loop {
-        for (_, address) in &settings.members {
-            let until = timer.now() + SPARE_EVERY;
-            let send = async {
-                let socket = dialer.connect(*address).await.ok()?;
-                let socket = security.client(socket, PeerRole::Control).await.ok()?;
-                let mut stream = MessageStream::new(socket, settings.cluster.clone());
-                stream.send(&notice).await.ok()
-            };
-            if timer.within(until, send).await.is_none() {
-                log::debug!("{address} does not take the notice of this spare");
-            }
-        }
-        timer.after(SPARE_EVERY).await;
-    }
-}
--- a/crates/daisyseam-control/src/lib.rs
+++ b/crates/daisyseam-control/src/lib.rs
@@ -7,8 +7,10 @@
 mod convert;
 mod core;
 mod daemon;
+mod identity;
 mod link;
 mod node;
+mod notice;
 mod session;
 mod settings;
 
@@ -31,6 +33,7 @@
     },
     settings::{
         ControlFlags,
-        ControlSettings, //
+        ControlSettings,
+        REPAIR_AFTER, //
     }, //
 };
--- a/crates/daisyseam-control/src/node.rs
+++ b/crates/daisyseam-control/src/node.rs
@@ -14,6 +14,7 @@
         DatabaseCall,
         RequestId, //
     },
+    identity::fresh_identity,
     link::{
         LinkContext,
         MemberLink, //
@@ -51,10 +52,15 @@
     ActorRef,
     RpcReplyPort, //
 };
+use rand_chacha::{
+    ChaCha8Rng,
+    rand_core::SeedableRng, //
+};
 use serde_json::Value;
 use std::{
     collections::BTreeMap,
     marker::PhantomData,
+    net::SocketAddr,
     sync::Arc,
     time::{
         Duration,
@@ -86,6 +92,10 @@
         term: Term,
         answer: CallAnswer,
     },
+    /// The leader as others name it, for an instance that is no member.
+    LeaderHint(Option<SocketAddr>),
+    /// This instance, under this name, has been taken out of the members for good.
+    BeginAgain(InstanceId),
     /// Time has passed.
     Tick,
     /// What was decided is to be written and sent.
@@ -97,6 +107,10 @@
 /// What the daemon's pages and its stop need to know.
 #[derive(Debug, Default)]
 pub(crate) struct NodeReport {
+    /// Its present name.
+    pub(crate) me: Option<InstanceId>,
+    /// Whether it is a member by its own log.
+    pub(crate) is_member: bool,
     /// Whether this instance leads with a lease.
     pub(crate) leads: bool,
     /// Whether a leader is known.
@@ -120,6 +134,8 @@
 pub(crate) struct NodeArguments<S, A> {
     pub(crate) core: ControlCore,
     pub(crate) me: InstanceId,
+    /// Address that its next name would come from; none if its name is set.
+    pub(crate) named_by: Option<SocketAddr>,
     pub(crate) store: S,
     pub(crate) admin: A,
     pub(crate) origin: Instant,
@@ -133,6 +149,7 @@
 pub(crate) struct NodeState<S, A> {
     core: ControlCore,
     me: InstanceId,
+    named_by: Option<SocketAddr>,
     store: Option<S>,
     admin: A,
     origin: Instant,
@@ -165,6 +182,7 @@
         Ok(NodeState {
             core: arguments.core,
             me: arguments.me,
+            named_by: arguments.named_by,
             store: Some(arguments.store),
             admin: arguments.admin,
             origin: arguments.origin,
@@ -199,7 +217,13 @@
             }
             return Ok(());
         }
-        state.take(message);
+        if let NodeMessage::BeginAgain(former) = message {
+            if let Err(error) = state.begin_again(&former).await {
+                state.fail(&error);
+            }
+        } else {
+            state.take(message);
+        }
         if !state.flushing {
             // What else waits in the mailbox is written with the same sync.
             state.flushing = true;
@@ -230,35 +254,60 @@
                 core.call_answered(now, &group, &upstream, (kind, term), &answer);
             }
             NodeMessage::Tick => self.core.tick(now),
+            NodeMessage::LeaderHint(leader) => self.core.set_leader_hint(leader),
             NodeMessage::HandOver(reply) => {
                 let begun = self.core.hand_over(now);
                 // A daemon that no longer waits stops all the same.
                 let _ = reply.send(begun);
             }
-            NodeMessage::Flush => {}
+            NodeMessage::Flush | NodeMessage::BeginAgain(_) => {}
         }
     }
 
     fn take_peer(&mut self, now: Moment, body: Body, route: Option<AnswerSender>) {
-        let Some((from, message)) = from_wire(body) else {
+        let Some(letter) = from_wire(body) else {
             log::warn!("a message of a member cannot be read");
             return;
         };
+        let from = letter.from;
+        if letter.to != self.me {
+            // It is meant for who was here before the folder was lost.
+            log::debug!("{from} sent a message for {}: it is dropped", letter.to);
+            return;
+        }
         if let Some(route) = route {
             self.routes.insert(from.clone(), route);
         }
-        self.core.receive(now, &from, message);
+        self.core.receive(now, &from, letter.message);
     }
 
     fn take_request(&mut self, now: Moment, body: Body, answers: AnswerSender) {
         self.last_request = RequestId(self.last_request.0 + 1);
         let request = self.last_request;
-        if !matches!(body, Body::Spare(_)) {
-            self.requests.insert(request, answers);
-        }
+        self.requests.insert(request, answers);
         self.core.request(now, unix_millis(), request, body);
     }
 
+    /// Drops the log and waits under another name to be taken in again.
+    async fn begin_again(&mut self, former: &InstanceId) -> Result<(), StoreError> {
+        let Some(address) = self.named_by.filter(|_| self.me == *former) else {
+            log::warn!("{former} is no longer a member of control");
+            return Ok(());
+        };
+        let identity = fresh_identity(self.core.cluster(), address);
+        let name = identity.owner.instance.clone();
+        log::warn!("{former} is no longer a member of control: it is a spare as {name}");
+        self.links.clear();
+        self.routes.clear();
+        self.requests.clear();
+        self.write(move |store| store.begin_again(&identity))
+            .await?;
+        let random = ChaCha8Rng::from_os_rng();
+        self.core = self.core.begin_again(name.clone(), self.now(), random);
+        self.me = name;
+        Ok(())
+    }
+
     /// Writes, sends and applies until nothing is left to do.
     async fn flush(&mut self) -> Result<(), StoreError> {
         loop {
@@ -316,7 +365,7 @@
                 message,
                 LogMessage::Voted(_) | LogMessage::Appended(_) | LogMessage::SnapshotTaken(_)
             );
-            let body = to_wire(&self.me, message);
+            let body = to_wire(&self.me, &to, message);
             match self.routes.get(&to) {
                 // A lost answer is asked for again.
                 Some(route) if answers => drop(route.try_send(body)),
@@ -396,6 +445,8 @@
     fn publish(&self, now: Moment) {
         let log = self.core.log();
         self.report.store(Arc::new(NodeReport {
+            me: Some(self.me.clone()),
+            is_member: self.core.is_member(),
             leads: self.failure.is_none() && log.has_lease(now),
             leader_known: log.leader().is_some(),
             failure: self.failure.clone(),
--- a/crates/daisyseam-control/src/node/tests.rs
+++ b/crates/daisyseam-control/src/node/tests.rs
@@ -105,6 +105,7 @@
     let arguments = NodeArguments {
         core,
         me,
+        named_by: None,
         store,
         admin: NoDatabases,
         origin,
--- /dev/null
+++ b/crates/daisyseam-control/src/notice.rs
@@ -0,0 +1,147 @@
+//! Notices of an instance that no leader speaks to.
+
+use crate::node::{
+    NodeMessage,
+    NodeReport, //
+};
+use arc_swap::ArcSwap;
+use daisyseam_model::{
+    ClusterId,
+    InstanceId, //
+};
+use daisyseam_runtime::{
+    ControlAddresses,
+    Dialer,
+    TimerService, //
+};
+use daisyseam_wire::{
+    ControlMessage,
+    MessageStream,
+    PeerRole,
+    PeerSecurity,
+    PeerSocket,
+    SpareNotice,
+    SpareReply,
+    control_message::Body, //
+};
+use ractor::ActorRef;
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration, //
+};
+
+/// Time between two notices to the leader.
+const NOTICE_EVERY: Duration = Duration::from_millis(1_000);
+/// Time between two instances that are asked while no leader is found.
+const SEARCH_EVERY: Duration = Duration::from_millis(100);
+/// Longest time that connecting may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Longest time that an answer may take.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Makes this instance known for as long as no leader speaks to it.
+pub(crate) struct SpareNotifier {
+    pub(crate) cluster: ClusterId,
+    pub(crate) own: SocketAddr,
+    pub(crate) addresses: ControlAddresses,
+    pub(crate) report: Arc<ArcSwap<NodeReport>>,
+    pub(crate) dialer: Dialer,
+    pub(crate) security: PeerSecurity,
+    pub(crate) timer: TimerService,
+    pub(crate) node: ActorRef<NodeMessage>,
+}
+
+impl SpareNotifier {
+    /// Sends notices until it is aborted or the node has ended.
+    pub(crate) async fn run(self) {
+        let mut next = 0;
+        loop {
+            if self.notice().is_none() {
+                self.timer.after(NOTICE_EVERY).await;
+                continue;
+            }
+            let known = self.addresses.list();
+            let others = known.into_iter().filter(|address| *address != self.own);
+            let others: Vec<SocketAddr> = others.collect();
+            next += 1;
+            let mut target = others.get(next % others.len().max(1)).copied();
+            while let Some(address) = target {
+                target = self.follow(address).await;
+            }
+            self.timer.after(SEARCH_EVERY).await;
+        }
+    }
+
+    /// Returns what is to be said, if anything.
+    fn notice(&self) -> Option<(InstanceId, SpareNotice)> {
+        let report = self.report.load();
+        if report.failure.is_some() || (report.is_member && report.leader_known) {
+            return None;
+        }
+        let name = report.me.clone()?;
+        let notice = SpareNotice {
+            instance: name.to_string(),
+            address: self.own.to_string(),
+            member: report.is_member,
+        };
+        Some((name, notice))
+    }
+
+    /// Sends notices to one instance while it leads; returns who leads in its place.
+    async fn follow(&self, address: SocketAddr) -> Option<SocketAddr> {
+        let until = self.timer.now() + CONNECT_TIMEOUT;
+        let connected = self.timer.within(until, self.connect(address)).await;
+        let mut stream = connected.flatten()?;
+        while let Some((name, notice)) = self.notice() {
+            let until = self.timer.now() + ANSWER_TIMEOUT;
+            let answered = self.timer.within(until, ask(&mut stream, notice)).await;
+            let reply = answered.flatten()?;
+            let leader = self.take(name, &reply)?;
+            if leader != address {
+                return Some(leader);
+            }
+            self.timer.after(NOTICE_EVERY).await;
+        }
+        None
+    }
+
+    async fn connect(
+        &self,
+        address: SocketAddr,
+    ) -> Option<MessageStream<PeerSocket, ControlMessage>> {
+        let socket = self.dialer.connect(address).await.ok()?;
+        let secured = self.security.client(socket, PeerRole::Control).await;
+        Some(MessageStream::new(secured.ok()?, self.cluster.clone()))
+    }
+
+    /// Passes an answer on; returns the leader that it names.
+    fn take(&self, name: InstanceId, reply: &SpareReply) -> Option<SocketAddr> {
+        let members = reply.members.iter();
+        let members: Vec<SocketAddr> = members.filter_map(|text| text.parse().ok()).collect();
+        self.addresses.learn(members);
+        let leader: Option<SocketAddr> = reply.leader.parse().ok();
+        let leader = leader.filter(|leader| *leader != self.own);
+        let message = match reply.removed {
+            true => NodeMessage::BeginAgain(name),
+            false => NodeMessage::LeaderHint(leader),
+        };
+        // Without a node there is nothing to make known.
+        self.node.cast(message).ok()?;
+        leader
+    }
+}
+
+async fn ask(
+    stream: &mut MessageStream<PeerSocket, ControlMessage>,
+    notice: SpareNotice,
+) -> Option<SpareReply> {
+    let message = ControlMessage {
+        body: Some(Body::Spare(notice)),
+    };
+    stream.send(&message).await.ok()?;
+    match stream.receive().await.ok()?.body? {
+        Body::SpareKnown(reply) => Some(reply),
+        _ => None,
+    }
+}
--- a/crates/daisyseam-control/src/settings.rs
+++ b/crates/daisyseam-control/src/settings.rs
@@ -1,6 +1,8 @@
 //! Settings of the daemon.
 
+use crate::identity::address_name;
 use argh::FromArgs;
+use daisyseam_coord::log::LogSettings;
 use daisyseam_model::{
     ClusterId,
     DataCentreId,
@@ -25,6 +27,9 @@
 /// Deadline of a graceful stop if none is set.
 const STOP_DEADLINE: Duration = Duration::from_secs(10);
 
+/// Silence of a member before a spare replaces it, if none is set.
+pub const REPAIR_AFTER: Duration = Duration::from_secs(5);
+
 /// Checked settings.
 #[derive(Clone, Debug)]
 pub struct ControlSettings {
@@ -46,12 +51,52 @@
     pub members: Vec<(InstanceId, SocketAddr)>,
     /// Whether it waits to replace a lost member.
     pub spare: bool,
+    /// Addresses of some control instances; with any, names come from addresses, and `instance`,
+    /// `members` and `spare` are not looked at.
+    pub seeds: Vec<SocketAddr>,
+    /// Whether the whole system starts for the first time, with `seeds` as its voters.
+    pub bootstrap: bool,
+    /// Silence of a member before a spare replaces it.
+    pub repair_after: Duration,
+    /// Times and sizes of the log.
+    pub log: LogSettings,
     /// Address that outgoing connections start from.
     pub source: Option<IpAddr>,
     /// Address that metrics are sent to.
     pub metrics: Option<SocketAddr>,
 }
 
+impl ControlSettings {
+    /// Returns the settings of an instance that knows others by their addresses only.
+    pub fn from_seeds(
+        cluster: ClusterId,
+        data_centre: DataCentreId,
+        listen: SocketAddr,
+        http_listen: SocketAddr,
+        data_folder: PathBuf,
+        seeds: Vec<SocketAddr>,
+        bootstrap: bool,
+    ) -> Self {
+        Self {
+            cluster,
+            instance: address_name(listen),
+            data_centre,
+            listen,
+            advertise: None,
+            http_listen,
+            data_folder,
+            members: Vec::new(),
+            spare: false,
+            seeds,
+            bootstrap,
+            repair_after: Duration::from_secs(2),
+            log: LogSettings::default(),
+            source: None,
+            metrics: None,
+        }
+    }
+}
+
 /// the control daemon of a daisyseam fleet; each flag --x-y has the variable DAISYSEAM_X_Y
 #[derive(Clone, Debug, Default, FromArgs)]
 pub struct ControlFlags {
@@ -160,6 +205,10 @@
                     .map(|member| (member.name, member.address))
                     .collect(),
                 spare,
+                seeds: Vec::new(),
+                bootstrap: false,
+                repair_after: REPAIR_AFTER,
+                log: LogSettings::default(),
                 source,
                 metrics,
             })
--- a/crates/daisyseam-control/tests/core_support/mod.rs
+++ b/crates/daisyseam-control/tests/core_support/mod.rs
@@ -118,6 +118,7 @@
     Entry(usize, u64, u64),
     Operator(usize),
     Reader,
+    Spare,
 }
 
 pub(crate) struct World {
@@ -489,7 +490,7 @@
             {
                 self.answer_entry(number, sent, body);
             }
-            Asker::Operator(_) | Asker::Entry(..) => {}
+            Asker::Operator(_) | Asker::Entry(..) | Asker::Spare => {}
         }
     }
 
@@ -616,9 +617,10 @@
             let notice = SpareNotice {
                 instance: member.name.to_string(),
                 address: address(number).to_string(),
+                member: false,
             };
             for other in 0..self.members.len() {
-                self.ask(other, Asker::Reader, Body::Spare(notice.clone()));
+                self.ask(other, Asker::Spare, Body::Spare(notice.clone()));
             }
         }
     }
--- /dev/null
+++ b/crates/daisyseam-control/tests/members.rs
@@ -0,0 +1,199 @@
+//! Control instances that know each other by their addresses only.
+
+#[expect(dead_code, reason = "other tests use the rest")]
+mod support;
+
+use crate::support::{
+    DOCUMENT,
+    ask_leader,
+    cluster,
+    free_addresses,
+    submit, //
+};
+use daisyseam_control::{
+    ControlDaemon,
+    ControlSettings, //
+};
+use daisyseam_wire::{
+    ShowRequest,
+    control_message::Body, //
+};
+use serde_json::Map;
+use std::{
+    net::SocketAddr,
+    path::Path,
+    time::Duration, //
+};
+use tempfile::TempDir;
+
+const STOP: Duration = Duration::from_secs(10);
+
+/// Instances with a folder each; the first three are the seeds.
+struct Place {
+    folder: TempDir,
+    addresses: Vec<SocketAddr>,
+    daemons: Vec<Option<ControlDaemon>>,
+}
+
+impl Place {
+    async fn start(count: usize) -> Self {
+        let mut place = Self {
+            folder: tempfile::tempdir().expect("a folder"),
+            addresses: free_addresses(count),
+            daemons: (0..count).map(|_| None).collect(),
+        };
+        for number in 0..count {
+            place.run(number, true).await;
+        }
+        place
+    }
+
+    fn folder(&self, number: usize) -> std::path::PathBuf {
+        self.folder.path().join(number.to_string())
+    }
+
+    fn settings(&self, number: usize, bootstrap: bool) -> ControlSettings {
+        ControlSettings {
+            repair_after: Duration::from_millis(1_000),
+            ..ControlSettings::from_seeds(
+                cluster(),
+                "khomas-1".parse().expect("a sound name"),
+                self.addresses[number],
+                "127.0.0.1:0".parse().expect("an address"),
+                self.folder(number),
+                self.addresses.iter().take(3).copied().collect(),
+                bootstrap,
+            )
+        }
+    }
+
+    async fn run(&mut self, number: usize, bootstrap: bool) {
+        let settings = self.settings(number, bootstrap);
+        let daemon = ControlDaemon::start(settings).await.expect("it starts");
+        self.daemons[number] = Some(daemon);
+    }
+
+    async fn stop(&mut self, number: usize) {
+        let daemon = self.daemons[number].take().expect("it runs");
+        daemon.stop(STOP).await;
+    }
+
+    /// Returns the voters by the leader's word.
+    fn voters(&self) -> Vec<String> {
+        let running = self.daemons.iter().flatten();
+        let leader = running.filter(|daemon| daemon.leads());
+        let status = leader.map(ControlDaemon::status).next();
+        let voters = status.map(|status| status["control"]["voters"].clone());
+        let voters = voters.unwrap_or_default();
+        let names = voters.as_object().into_iter().flat_map(Map::keys);
+        names.cloned().collect()
+    }
+
+    async fn until(&self, what: &str, holds: impl Fn(&[String]) -> bool) -> Vec<String> {
+        for _ in 0..1_000 {
+            let voters = self.voters();
+            if holds(&voters) {
+                return voters;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        panic!("{what}: not within 20 seconds: {:?}", self.voters());
+    }
+
+    async fn shown(&self) -> u64 {
+        let show = Body::Show(ShowRequest {
+            number: 0,
+            linearizable: true,
+        });
+        match ask_leader(&self.addresses, show).await.1 {
+            Body::Shown(shown) => shown.number,
+            other => panic!("{other:?}"),
+        }
+    }
+}
+
+fn name(address: SocketAddr) -> String {
+    format!("m-{}", address.to_string().replace(['.', ':'], "-"))
+}
+
+fn wipe(folder: &Path) {
+    std::fs::remove_dir_all(folder).expect("it is there");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn instances_that_know_addresses_only_agree_on_the_seeds_as_voters() {
+    let place = Place::start(4).await;
+    let accepted = submit(&place.addresses, "change-1", 0, DOCUMENT).await;
+    assert!(accepted.accepted);
+    let mut seeds: Vec<String> = place.addresses[..3].iter().copied().map(name).collect();
+    seeds.sort();
+    let mut voters = place.until("voters", |voters| voters.len() == 3).await;
+    voters.sort();
+    assert_eq!(voters, seeds);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_restart_with_bootstrap_and_a_full_folder_keeps_everything() {
+    let mut place = Place::start(3).await;
+    let accepted = submit(&place.addresses, "change-1", 0, DOCUMENT).await;
+    assert!(accepted.accepted);
+    for number in 0..3 {
+        place.stop(number).await;
+    }
+    for (number, bootstrap) in [(0, true), (1, false), (2, true)] {
+        place.run(number, bootstrap).await;
+    }
+    assert_eq!(place.shown().await, 1);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_instance_that_lost_its_folder_comes_back_under_another_name() {
+    let mut place = Place::start(3).await;
+    assert!(
+        submit(&place.addresses, "change-1", 0, DOCUMENT)
+            .await
+            .accepted
+    );
+    let lost = name(place.addresses[2]);
+    place.stop(2).await;
+    wipe(&place.folder(2));
+    place.run(2, false).await;
+    let taken_in = |voters: &[String]| {
+        let fresh = |voter: &String| voter.starts_with(&lost) && *voter != lost;
+        voters.len() == 3 && voters.iter().any(fresh)
+    };
+    place.until("taken in", taken_in).await;
+    // It counts now: two of the three are enough.
+    place.stop(0).await;
+    assert_eq!(place.shown().await, 1);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_member_that_was_replaced_comes_back_as_a_spare_under_another_name() {
+    let mut place = Place::start(4).await;
+    assert!(
+        submit(&place.addresses, "change-1", 0, DOCUMENT)
+            .await
+            .accepted
+    );
+    let away = place.daemons[..3].iter().flatten();
+    let away = away.enumerate().find(|(_, daemon)| !daemon.leads());
+    let (away, _) = away.expect("two follow");
+    let lost = name(place.addresses[away]);
+    place.stop(away).await;
+    let replaced = |voters: &[String]| voters.len() == 3 && !voters.contains(&lost);
+    place.until("replaced", replaced).await;
+    place.run(away, false).await;
+    for _ in 0..500 {
+        let status = place.daemons[away].as_ref().expect("it runs").status();
+        if status["control"]["instance"]
+            .as_str()
+            .is_some_and(|me| me != lost)
+        {
+            assert_eq!(place.shown().await, 1);
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    panic!("it still has its former name");
+}
--- a/crates/daisyseam-control/tests/support/mod.rs
+++ b/crates/daisyseam-control/tests/support/mod.rs
@@ -13,6 +13,7 @@
     ControlDaemon,
     ControlSettings, //
 };
+use daisyseam_coord::log::LogSettings;
 use daisyseam_model::{
     ClusterId,
     FleetView,
@@ -117,6 +118,10 @@
         http_listen: "127.0.0.1:0".parse().expect("an address"),
         members: members.to_vec(),
         spare: false,
+        seeds: Vec::new(),
+        bootstrap: false,
+        repair_after: Duration::from_secs(2),
+        log: LogSettings::default(),
         source: None,
         metrics: None,
     }
--- a/crates/daisyseam-coord/src/log/leader.rs
+++ b/crates/daisyseam-coord/src/log/leader.rs
@@ -51,6 +51,8 @@
 pub(super) struct PeerProgress {
     pub(super) next: LogIndex,
     pub(super) matched: LogIndex,
+    /// Last index when the leader began to send; a learner counts once it has that.
+    target: LogIndex,
     answered: Option<Moment>,
     pub(super) chunk_offset: Option<u64>,
     pub(super) chunk_sent: Moment,
@@ -61,6 +63,7 @@
         Self {
             next,
             matched: LogIndex(0),
+            target: next.previous(),
             answered: None,
             chunk_offset: None,
             chunk_sent: Moment::ORIGIN,
@@ -157,14 +160,16 @@
         Ok(index)
     }
 
-    /// Returns whether a member has nearly all of the log.
+    /// Returns whether a member has all that was there when it began, and nearly all since.
     pub fn has_caught_up(&self, member: &InstanceId) -> bool {
         let MemberRole::Leader(state) = &self.role else {
             return false;
         };
         let peer = state.peers.get(member);
         peer.is_some_and(|peer| {
-            peer.answered.is_some() && peer.matched.0 + CAUGHT_UP_LAG >= self.tail.last_index().0
+            peer.answered.is_some()
+                && peer.matched >= peer.target
+                && peer.matched.0 + CAUGHT_UP_LAG >= self.tail.last_index().0
         })
     }
 
--- a/crates/daisyseam-coord/src/log/members.rs
+++ b/crates/daisyseam-coord/src/log/members.rs
@@ -15,6 +15,8 @@
     pub voters: BTreeMap<InstanceId, SocketAddr>,
     /// Members that are sent the log but count only once they have caught up.
     pub learners: BTreeMap<InstanceId, SocketAddr>,
+    /// How many voters there are to be: the greatest odd number up to that of the first ones.
+    pub wanted: usize,
 }
 
 /// One change of the members; only one is under way at a time.
@@ -31,9 +33,12 @@
 impl MemberTable {
     /// Makes a table of voters.
     pub fn of_voters(voters: impl IntoIterator<Item = (InstanceId, SocketAddr)>) -> Self {
+        let voters: BTreeMap<_, _> = voters.into_iter().collect();
+        let wanted = odd_below(voters.len());
         Self {
-            voters: voters.into_iter().collect(),
+            voters,
             learners: BTreeMap::new(),
+            wanted,
         }
     }
 
@@ -90,6 +95,7 @@
         let record = MembersRecord {
             voters: list(&self.voters),
             learners: list(&self.learners),
+            wanted: self.wanted as u64,
         };
         Bytes::from(record.encode_to_vec())
     }
@@ -104,19 +110,32 @@
             };
             members.into_iter().map(pair).collect()
         };
+        let voters = map(record.voters)?;
+        let wanted = match usize::try_from(record.wanted).ok()? {
+            0 => odd_below(voters.len()),
+            wanted => wanted,
+        };
         Some(Self {
-            voters: map(record.voters)?,
+            voters,
             learners: map(record.learners)?,
+            wanted,
         })
     }
 }
 
+/// Returns the greatest odd number that is not above a count, or 0.
+fn odd_below(count: usize) -> usize {
+    count.saturating_sub(1) / 2 * 2 + usize::from(count > 0)
+}
+
 #[derive(Clone, PartialEq, prost::Message)]
 struct MembersRecord {
     #[prost(message, repeated, tag = "1")]
     voters: Vec<MemberRecord>,
     #[prost(message, repeated, tag = "2")]
     learners: Vec<MemberRecord>,
+    #[prost(uint64, tag = "3")]
+    wanted: u64,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
--- a/crates/daisyseam-coord/src/log/role.rs
+++ b/crates/daisyseam-coord/src/log/role.rs
@@ -208,6 +208,11 @@
         self.leader.as_ref()
     }
 
+    /// Returns its times and sizes.
+    pub fn settings(&self) -> &LogSettings {
+        &self.settings
+    }
+
     /// Returns the present term.
     pub fn term(&self) -> LogTerm {
         self.term
@@ -238,6 +243,11 @@
         &self.members
     }
 
+    /// Returns the index of the newest entry about the members, committed or not.
+    pub fn members_index(&self) -> LogIndex {
+        self.members_index
+    }
+
     /// Returns an entry that is still kept.
     pub fn entry(&self, index: LogIndex) -> Option<&LogEntry> {
         self.tail.get(index)
--- a/crates/daisyseam-coord/src/log/vote.rs
+++ b/crates/daisyseam-coord/src/log/vote.rs
@@ -15,10 +15,10 @@
 impl ReplicatedLog {
     pub(super) fn start_pre_vote(&mut self, now: Moment) {
         self.postpone_election(now);
+        self.leader = None;
         if !self.is_voter() {
             return;
         }
-        self.leader = None;
         let granted = BTreeSet::from([self.me.clone()]);
         self.role = MemberRole::PreCandidate { granted };
         self.ask_for_votes(true, false);
--- a/crates/daisyseam-entry/src/daemon.rs
+++ b/crates/daisyseam-entry/src/daemon.rs
@@ -35,7 +35,8 @@
 use daisyseam_member::{
     ClientSettings,
     ControlClient,
-    FleetGate, //
+    FleetGate,
+    HEARTBEAT, //
 };
 use daisyseam_runtime::{
     Dialer,
@@ -207,7 +208,8 @@
             instance: settings.instance,
             data_centre: settings.data_centre,
             peer_address: settings.peer_advertise.unwrap_or(peers.address()),
-            control: settings.control,
+            control: settings.control.into(),
+            heartbeat: HEARTBEAT,
             incarnation,
             cell: cell.clone(),
             observer: HolderObserver::new(table.clone(), book, broker.counts().clone()),
--- a/crates/daisyseam-entry/tests/links_suite/support/control.rs
+++ b/crates/daisyseam-entry/tests/links_suite/support/control.rs
@@ -241,5 +241,6 @@
         lease_ms: *parts.lease_ms.borrow(),
         update,
         shares: None,
+        members: None,
     }
 }
--- a/crates/daisyseam-member/src/control_client.rs
+++ b/crates/daisyseam-member/src/control_client.rs
@@ -1,6 +1,7 @@
 //! Keeps this instance's lease and view: one connection to the leading control instance.
 
 mod keeper;
+mod search;
 mod session;
 
 use crate::{
@@ -15,6 +16,7 @@
     InstanceId, //
 };
 use daisyseam_runtime::{
+    ControlAddresses,
     Dialer,
     StopSignal,
     TimerService, //
@@ -22,6 +24,7 @@
 use daisyseam_wire::PeerSecurity;
 use keeper::ViewKeeper;
 use rand::Rng;
+use search::LeaderSearch;
 use session::{
     ControlSession,
     SessionEnd, //
@@ -39,6 +42,9 @@
 const RECONNECT_MIN: Duration = Duration::from_millis(20);
 const RECONNECT_MAX: Duration = Duration::from_millis(150);
 
+/// Time between two heartbeats, if none is set.
+pub const HEARTBEAT: Duration = Duration::from_millis(200);
+
 /// What the client needs.
 #[derive(Clone)]
 pub struct ClientSettings<O> {
@@ -50,8 +56,10 @@
     pub data_centre: DataCentreId,
     /// Address that other instances reach it at.
     pub peer_address: SocketAddr,
-    /// Control instances.
-    pub control: Vec<SocketAddr>,
+    /// Control instances; the seeds in it may be replaced at any time.
+    pub control: ControlAddresses,
+    /// Time between two heartbeats.
+    pub heartbeat: Duration,
     /// Its incarnation, filled in by the client.
     pub incarnation: IncarnationCell,
     /// The view, filled in by the client.
@@ -104,16 +112,12 @@
 
 /// Goes from control instance to control instance until one leads, and stays with it.
 async fn follow_leader<O: FleetObserver>(settings: ClientSettings<O>, mut keeper: ViewKeeper<O>) {
-    let mut next = rand::rng().random_range(0..settings.control.len().max(1));
-    let mut leader = None;
+    let mut search = LeaderSearch::new(settings.control.clone());
     loop {
-        let target = leader.take().or_else(|| {
-            next = (next + 1) % settings.control.len().max(1);
-            settings.control.get(next).copied()
-        });
-        let Some(target) = target else {
+        let Some(target) = search.next(Instant::now()) else {
             log::error!("no control instance is named");
-            return;
+            settings.timer.after(RECONNECT_MAX).await;
+            continue;
         };
         let session = ControlSession::open(&settings, &mut keeper, target).await;
         let end = match session {
@@ -121,12 +125,13 @@
             Err(end) => end,
         };
         match end {
-            SessionEnd::NotLeader(hint) => {
-                leader = hint.filter(|hint| *hint != target);
+            SessionEnd::NotLeader(hint) => search.named(target, hint),
+            SessionEnd::Failed(why) => {
+                log::info!("control instance {target}: {why}");
+                search.failed(target, Instant::now());
             }
-            SessionEnd::Failed(why) => log::info!("control instance {target}: {why}"),
         }
-        if leader.is_none() {
+        if !search.has_hint() {
             let pause = rand::rng().random_range(RECONNECT_MIN..RECONNECT_MAX);
             settings.timer.after(pause).await;
         }
--- a/crates/daisyseam-member/src/control_client/keeper.rs
+++ b/crates/daisyseam-member/src/control_client/keeper.rs
@@ -9,7 +9,9 @@
     FleetView,
     ViewNumber, //
 };
+use daisyseam_runtime::ControlAddresses;
 use daisyseam_wire::{
+    ControlMembers,
     ConvertError,
     WireView, //
 };
@@ -25,6 +27,7 @@
     digest: u64,
     whole_wanted: bool,
     sequence: u64,
+    members: u64,
 }
 
 impl<O: FleetObserver> ViewKeeper<O> {
@@ -37,6 +40,7 @@
             digest: 0,
             whole_wanted: false,
             sequence: 0,
+            members: 0,
         }
     }
 
@@ -55,6 +59,18 @@
         self.sequence
     }
 
+    /// Returns which members of control are known, for the heartbeat.
+    pub(super) fn members_known(&self) -> u64 {
+        self.members
+    }
+
+    /// Takes the members of control in.
+    pub(super) fn learn_members(&mut self, known: &ControlAddresses, members: &ControlMembers) {
+        let addresses = members.addresses.iter();
+        known.learn(addresses.filter_map(|text| text.parse().ok()).collect());
+        self.members = members.index;
+    }
+
     /// Returns the digest that came with the view in force.
     pub(super) fn digest(&self) -> u64 {
         self.digest
--- /dev/null
+++ b/crates/daisyseam-member/src/control_client/search.rs
@@ -0,0 +1,63 @@
+//! Which control instance is asked next.
+
+use daisyseam_runtime::ControlAddresses;
+use rand::Rng;
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    time::Duration, //
+};
+use tokio::time::Instant;
+
+/// Time for which an instance that did not answer is asked after the others.
+const FAILURE_MEMORY: Duration = Duration::from_secs(5);
+
+/// Goes through the known instances; one that another names as the leader is asked at once.
+pub(super) struct LeaderSearch {
+    addresses: ControlAddresses,
+    turn: usize,
+    hint: Option<SocketAddr>,
+    failed: BTreeMap<SocketAddr, Instant>,
+}
+
+impl LeaderSearch {
+    pub(super) fn new(addresses: ControlAddresses) -> Self {
+        Self {
+            addresses,
+            turn: rand::rng().random_range(0..1_000),
+            hint: None,
+            failed: BTreeMap::new(),
+        }
+    }
+
+    /// Returns whom to ask, if any instance is known.
+    pub(super) fn next(&mut self, now: Instant) -> Option<SocketAddr> {
+        if let Some(hint) = self.hint.take() {
+            return Some(hint);
+        }
+        self.failed
+            .retain(|_, failed| now < *failed + FAILURE_MEMORY);
+        let mut known = self.addresses.list();
+        self.turn += 1;
+        let turn = self.turn % known.len().max(1);
+        known.rotate_left(turn);
+        // The one that failed longest ago goes first among those that failed.
+        known.sort_by_key(|address| self.failed.get(address).copied());
+        known.first().copied()
+    }
+
+    /// Learns that an instance does not lead, and whom it follows.
+    pub(super) fn named(&mut self, target: SocketAddr, leader: Option<SocketAddr>) {
+        self.failed.remove(&target);
+        self.hint = leader.filter(|leader| *leader != target && !self.failed.contains_key(leader));
+    }
+
+    /// Learns that an instance did not answer.
+    pub(super) fn failed(&mut self, target: SocketAddr, now: Instant) {
+        self.failed.insert(target, now);
+    }
+
+    pub(super) fn has_hint(&self) -> bool {
+        self.hint.is_some()
+    }
+}
--- a/crates/daisyseam-member/src/control_client/session.rs
+++ b/crates/daisyseam-member/src/control_client/session.rs
@@ -27,14 +27,14 @@
 };
 use tokio::time::Instant;
 
-/// Time between two heartbeats.
-const HEARTBEAT: Duration = Duration::from_millis(200);
-
-/// Time without any answer after which another control instance is tried.
+/// Time without any answer to a heartbeat after which another control instance is tried.
 const SILENCE_MAX: Duration = Duration::from_millis(500);
 
+/// Longest time that connecting may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// Longest time that connecting and being welcomed may take.
-const WELCOME_TIMEOUT: Duration = Duration::from_millis(500);
+const WELCOME_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Why a session ended.
 pub(super) enum SessionEnd {
@@ -96,6 +96,7 @@
         let mut leaving = self.settings.stop.is_stopping();
         loop {
             let timer = &self.settings.timer;
+            let silence_until = self.silence_until();
             let done = tokio::select! {
                 message = self.receiver.receive() => match message {
                     Ok(message) => self.handle(message.body).await,
@@ -115,7 +116,7 @@
                     Ok(())
                 }
                 () = timer.at(self.next_beat) => self.beat().await,
-                () = timer.at(self.heard_at + SILENCE_MAX) => {
+                () = timer.at(silence_until) => {
                     Err(SessionEnd::Failed("it has fallen silent".to_owned()))
                 }
             };
@@ -125,6 +126,12 @@
         }
     }
 
+    /// Returns when the other side has been silent for too long; it speaks only when asked.
+    fn silence_until(&self) -> Instant {
+        let asked = self.sent.front().map(|(_, sent)| *sent);
+        asked.unwrap_or(self.next_beat).max(self.heard_at) + SILENCE_MAX
+    }
+
     async fn beat(&mut self) -> Result<(), SessionEnd> {
         let sequence = self.keeper.next_sequence();
         let settings = self.settings;
@@ -142,10 +149,11 @@
             groups: report.groups,
             instance: settings.instance.to_string(),
             view_digest: self.keeper.digest(),
+            members: self.keeper.members_known(),
         };
         let now = Instant::now();
         self.sent.push_back((sequence, now));
-        self.next_beat = now + HEARTBEAT;
+        self.next_beat = now + settings.heartbeat;
         let message = ControlMessage {
             body: Some(Body::Heartbeat(heartbeat)),
         };
@@ -173,6 +181,9 @@
                 "it answered what was not asked".to_owned(),
             ));
         };
+        if let Some(members) = &reply.members {
+            self.keeper.learn_members(&self.settings.control, members);
+        }
         if let Some(update) = &reply.update {
             // Without the update the lease would be one on a view that is over.
             self.keeper
@@ -208,7 +219,12 @@
     keeper: &ViewKeeper<O>,
     target: SocketAddr,
 ) -> Result<MessageStream<PeerSocket, ControlMessage>, SessionEnd> {
-    let socket = settings.dialer.connect(target).await;
+    let until = settings.timer.now() + CONNECT_TIMEOUT;
+    let socket = settings
+        .timer
+        .within(until, settings.dialer.connect(target));
+    let socket = socket.await;
+    let socket = socket.ok_or(SessionEnd::Failed("it cannot be reached".to_owned()))?;
     let socket = socket.map_err(|error| SessionEnd::Failed(error.to_string()))?;
     let secured = settings.security.client(socket, PeerRole::Control).await;
     let socket = secured.map_err(|error| SessionEnd::Failed(error.to_string()))?;
--- a/crates/daisyseam-member/src/lib.rs
+++ b/crates/daisyseam-member/src/lib.rs
@@ -13,7 +13,8 @@
 pub use crate::{
     control_client::{
         ClientSettings,
-        ControlClient, //
+        ControlClient,
+        HEARTBEAT, //
     },
     gate::{
         FleetGate,
@@ -29,3 +30,4 @@
         ViewCell, //
     }, //
 };
+pub use daisyseam_runtime::ControlAddresses;
--- a/crates/daisyseam-runtime/src/lib.rs
+++ b/crates/daisyseam-runtime/src/lib.rs
@@ -3,6 +3,7 @@
 //! Checked settings, JSON logs, metrics, spans, the one timer service, health pages and the
 //! signal that asks for a graceful stop.
 
+mod addresses;
 mod dialer;
 mod health;
 mod logs;
@@ -15,6 +16,7 @@
 mod timer;
 
 pub use crate::{
+    addresses::ControlAddresses,
     dialer::Dialer,
     health::{
         HealthServer,
--- a/crates/daisyseam-wire/src/control.rs
+++ b/crates/daisyseam-wire/src/control.rs
@@ -14,7 +14,7 @@
     /// The message proper.
     #[prost(
         oneof = "control_message::Body",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28, 29"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28, 29, 30"
     )]
     pub body: Option<control_message::Body>,
 }
@@ -111,6 +111,9 @@
         /// The order on a data centre is durable.
         #[prost(message, tag = "29")]
         Evacuated(crate::EvacuateReply),
+        /// What a spare must know.
+        #[prost(message, tag = "30")]
+        SpareKnown(super::SpareReply),
     }
 }
 
@@ -267,6 +270,9 @@
     /// Digest of the view that the sender acts on.
     #[prost(uint64, tag = "10")]
     pub view_digest: u64,
+    /// One more than the index of the control members that the sender knows; 0 for none.
+    #[prost(uint64, tag = "11")]
+    pub members: u64,
 }
 
 /// The lease, and what has changed.
@@ -284,6 +290,20 @@
     /// Shares of rates that the receiver gets and is to return.
     #[prost(message, optional, tag = "4")]
     pub shares: Option<WireShareReply>,
+    /// The members of control, if the sender knows others.
+    #[prost(message, optional, tag = "5")]
+    pub members: Option<ControlMembers>,
+}
+
+/// The members of control.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct ControlMembers {
+    /// One more than the index from which they are members.
+    #[prost(uint64, tag = "1")]
+    pub index: u64,
+    /// Their addresses.
+    #[prost(string, repeated, tag = "2")]
+    pub addresses: Vec<String>,
 }
 
 /// Submits a document in place of the one with a stated number.
@@ -423,6 +443,9 @@
     /// Whether the former leader gave its lease up for the sender.
     #[prost(bool, tag = "6")]
     pub transfer: bool,
+    /// Name of the member that it is meant for.
+    #[prost(string, tag = "7")]
+    pub to: String,
 }
 
 /// The leader hands its place over; it has given up its lease.
@@ -434,9 +457,12 @@
     /// Term of the leader.
     #[prost(uint64, tag = "2")]
     pub term: u64,
+    /// Name of the member that it is meant for.
+    #[prost(string, tag = "3")]
+    pub to: String,
 }
 
-/// A spare control instance makes itself known; it gets no answer.
+/// A control instance that no leader speaks to makes itself known.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct SpareNotice {
     /// Its name.
@@ -445,6 +471,23 @@
     /// Address on which it answers.
     #[prost(string, tag = "2")]
     pub address: String,
+    /// Whether it is a member by its own log.
+    #[prost(bool, tag = "3")]
+    pub member: bool,
+}
+
+/// What a control instance that no leader speaks to must know.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct SpareReply {
+    /// Address of the leader if it is known, else empty.
+    #[prost(string, tag = "1")]
+    pub leader: String,
+    /// Addresses of the members, if the sender leads.
+    #[prost(string, repeated, tag = "2")]
+    pub members: Vec<String>,
+    /// Whether the asker, a member by its own log, has been taken out for good.
+    #[prost(bool, tag = "3")]
+    pub removed: bool,
 }
 
 /// A vote.
@@ -462,6 +505,9 @@
     /// Whether it answers a pre-vote.
     #[prost(bool, tag = "4")]
     pub pre_vote: bool,
+    /// Name of the member that it is meant for.
+    #[prost(string, tag = "5")]
+    pub to: String,
 }
 
 /// One entry of the log.
@@ -505,6 +551,9 @@
     /// Counts the rounds of the leader, for its lease.
     #[prost(uint64, tag = "7")]
     pub round: u64,
+    /// Name of the member that it is meant for.
+    #[prost(string, tag = "8")]
+    pub to: String,
 }
 
 /// Whether entries were appended.
@@ -528,6 +577,9 @@
     /// Round that is answered.
     #[prost(uint64, tag = "6")]
     pub round: u64,
+    /// Name of the member that it is meant for.
+    #[prost(string, tag = "7")]
+    pub to: String,
 }
 
 /// A piece of a snapshot.
@@ -560,6 +612,9 @@
     /// Round of the leader.
     #[prost(uint64, tag = "9")]
     pub round: u64,
+    /// Name of the member that it is meant for.
+    #[prost(string, tag = "10")]
+    pub to: String,
 }
 
 /// How much of a snapshot was taken.
@@ -583,4 +638,7 @@
     /// Round that is answered.
     #[prost(uint64, tag = "6")]
     pub round: u64,
+    /// Name of the member that it is meant for.
+    #[prost(string, tag = "7")]
+    pub to: String,
 }
--- a/crates/daisyseam-wire/src/lib.rs
+++ b/crates/daisyseam-wire/src/lib.rs
@@ -18,6 +18,7 @@
     control::{
         AppendReply,
         AppendRequest,
+        ControlMembers,
         ControlMessage,
         GroupReport,
         HealthReport,
@@ -34,6 +35,7 @@
         SnapshotChunk,
         SnapshotReply,
         SpareNotice,
+        SpareReply,
         StatusReply,
         StatusRequest,
         SubmitReply,
