--- a/crates/daisyseam-bench/src/fleet/node.rs
+++ b/crates/daisyseam-bench/src/fleet/node.rs
@@ -13,7 +13,8 @@
 use daisyseam_control::{
     ControlDaemon,
     ControlSettings,
-    ControlTuning, //
+    ControlTuning,
+    REPAIR_AFTER, //
 };
 use daisyseam_entry::{
     EntryDaemon,
@@ -273,6 +274,9 @@
             data_folder: self.folder.clone(),
             members,
             spare: false,
+            seeds: Vec::new(),
+            bootstrap: false,
+            repair_after: REPAIR_AFTER,
             source: Some(self.source),
             metrics: None,
         };
--- a/crates/daisyseam-control/src/core.rs
+++ b/crates/daisyseam-control/src/core.rs
@@ -9,6 +9,7 @@
 mod repair;
 mod requests;
 mod shares;
+mod spares;
 mod status;
 
 use self::leader::LeaderWork;
@@ -133,6 +134,8 @@
     output: CoreOutput,
     since_snapshot: u64,
     bytes_since_snapshot: usize,
+    /// The leader as it was last heard of, for an instance that is no member.
+    leader_hint: Option<SocketAddr>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -163,6 +166,7 @@
             output: CoreOutput::default(),
             since_snapshot: 0,
             bytes_since_snapshot: 0,
+            leader_hint: None,
         }
     }
 
--- a/crates/daisyseam-control/src/core/requests.rs
+++ b/crates/daisyseam-control/src/core/requests.rs
@@ -49,7 +49,6 @@
     NotLeader,
     ShowReply,
     ShowRequest,
-    SpareNotice,
     SubmitReply,
     SubmitRequest,
     Welcome,
@@ -73,11 +72,11 @@
             Body::Show(show) => self.show(now, request, &show),
             Body::History(history) => self.history(now, request, &history),
             Body::Status(_) => self.status(now, request),
-            Body::Spare(spare) => self.note_spare(now, &spare),
             Body::SubmitNewest(submit) => self.submit_newest(now, unix_ms, request, submit),
             Body::Source(_) => self.source(now, request),
             Body::Evacuate(order) => self.evacuate(now, request, &order),
             Body::Announce(announce) => self.announce(now, request, &announce),
+            Body::Spare(spare) => self.spare(now, request, &spare),
             _ => log::warn!("a request holds no message that is known"),
         }
     }
@@ -87,12 +86,8 @@
     }
 
     pub(super) fn reply_not_leader(&mut self, request: RequestId) {
-        let leader = self.log.leader();
-        let address = leader.and_then(|leader| self.log.members().address(leader));
         let body = Body::NotLeader(NotLeader {
-            leader: address
-                .map(|address| address.to_string())
-                .unwrap_or_default(),
+            leader: self.leader_address(),
             term: self.log.term().0,
         });
         self.reply(request, body);
@@ -200,6 +195,7 @@
             lease_ms: u64::try_from(lease.as_millis()).unwrap_or(0),
             update: view_update(&self.fleet, held),
             shares,
+            members: self.members_update(heartbeat.members),
         });
         self.reply(request, body);
     }
@@ -387,15 +383,6 @@
         let point = self.log.read_point(now);
         point.map_or(true, |index| self.log.applied() < index)
     }
-
-    fn note_spare(&mut self, now: Moment, spare: &SpareNotice) {
-        let (Ok(instance), Ok(address)) = (spare.instance.parse(), spare.address.parse()) else {
-            return;
-        };
-        if let Some(leader) = &mut self.leader {
-            leader.spares.insert(instance, (address, now));
-        }
-    }
 }
 
 fn read_hello(hello: &Hello) -> Option<JoinCommand> {
--- a/crates/daisyseam-control/src/lib.rs
+++ b/crates/daisyseam-control/src/lib.rs
@@ -8,8 +8,10 @@
 mod core;
 mod daemon;
 mod handle;
+mod identity;
 mod link;
 mod node;
+mod notice;
 mod session;
 mod settings;
 
@@ -34,6 +36,7 @@
     settings::{
         ControlFlags,
         ControlSettings,
-        ControlTuning, //
+        ControlTuning,
+        REPAIR_AFTER, //
     }, //
 };
--- a/crates/daisyseam-control/src/settings.rs
+++ b/crates/daisyseam-control/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of the daemon.
 
+use crate::identity::address_name;
 use argh::FromArgs;
 use daisyseam_coord::{
     log::LogSettings,
@@ -30,6 +31,9 @@
 /// Deadline of a graceful stop if none is set.
 const STOP_DEADLINE: Duration = Duration::from_secs(10);
 
+/// Silence of a member before a spare replaces it, if none is set.
+pub const REPAIR_AFTER: Duration = Duration::from_secs(5);
+
 /// Checked settings.
 #[derive(Clone, Debug)]
 pub struct ControlSettings {
@@ -51,6 +55,13 @@
     pub members: Vec<(InstanceId, SocketAddr)>,
     /// Whether it waits to replace a lost member.
     pub spare: bool,
+    /// Addresses of some control instances; with any, names come from addresses, and `instance`,
+    /// `members` and `spare` are not looked at.
+    pub seeds: Vec<SocketAddr>,
+    /// Whether the whole system starts for the first time, with `seeds` as its voters.
+    pub bootstrap: bool,
+    /// Silence of a member before a spare replaces it.
+    pub repair_after: Duration,
     /// Address that outgoing connections start from.
     pub source: Option<IpAddr>,
     /// Address that metrics are sent to.
@@ -72,6 +83,37 @@
     pub snapshot_bytes: Option<usize>,
 }
 
+impl ControlSettings {
+    /// Returns the settings of an instance that knows others by their addresses only.
+    pub fn from_seeds(
+        cluster: ClusterId,
+        data_centre: DataCentreId,
+        listen: SocketAddr,
+        http_listen: Option<SocketAddr>,
+        data_folder: PathBuf,
+        seeds: Vec<SocketAddr>,
+        bootstrap: bool,
+    ) -> Self {
+        Self {
+            cluster,
+            instance: address_name(listen),
+            data_centre,
+            listen,
+            advertise: None,
+            http_listen,
+            data_folder,
+            members: Vec::new(),
+            spare: false,
+            seeds,
+            bootstrap,
+            repair_after: Duration::from_secs(2),
+            source: None,
+            metrics: None,
+            tuning: ControlTuning::default(),
+        }
+    }
+}
+
 /// the control daemon of a daisyseam fleet; each flag --x-y has the variable DAISYSEAM_X_Y
 #[derive(Clone, Debug, Default, FromArgs)]
 pub struct ControlFlags {
@@ -180,6 +222,9 @@
                     .map(|member| (member.name, member.address))
                     .collect(),
                 spare,
+                seeds: Vec::new(),
+                bootstrap: false,
+                repair_after: REPAIR_AFTER,
                 source,
                 metrics,
                 tuning: ControlTuning::default(),
--- a/crates/daisyseam-control/tests/support/mod.rs
+++ b/crates/daisyseam-control/tests/support/mod.rs
@@ -118,6 +118,9 @@
         tuning: daisyseam_control::ControlTuning::default(),
         members: members.to_vec(),
         spare: false,
+        seeds: Vec::new(),
+        bootstrap: false,
+        repair_after: Duration::from_secs(2),
         source: None,
         metrics: None,
     }
