--- /dev/null
+++ b/crates/daisyseam-engine/src/attempt.rs
@@ -0,0 +1,335 @@
+//! One try of a call at one database.
+
+use crate::{
+    ConnectError,
+    DatabaseCall,
+    DatabaseConnector,
+    DatabaseReply,
+    DatabaseVerb,
+    RefusalKind,
+    TransactionState,
+    engine::EngineShared,
+    pool::{
+        CallEnd,
+        ConnectionOrder,
+        NoConnection,
+        PooledConnection,
+        SetUp, //
+    },
+    route::{
+        Route,
+        leads,
+        present_primary, //
+    },
+    times::OperationTimes,
+    values::{
+        PreparedShape,
+        SessionValues, //
+    }, //
+};
+use bytes::Bytes;
+use daisyseam_model::{
+    LogPosition,
+    OrganisationId, //
+};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Time without an answer that speaks against the database.
+const SILENCE: Duration = Duration::from_millis(300);
+
+/// Why a try has no answer of the database.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum AttemptEnd {
+    /// All connections stayed in use; not run.
+    Full,
+    /// There was no connection, or it broke before the call was sent; not run.
+    Unreachable,
+    /// The view or the lease on it changed; not run.
+    Fenced,
+    /// The call was sent, and the connection broke.
+    Lost,
+    /// The call was sent, and no answer came in time.
+    TimedOut,
+}
+
+/// A statement of a caller.
+#[derive(Clone, Debug)]
+pub(crate) enum Statement {
+    /// Its whole text.
+    Text(Bytes),
+    /// A prepared one and its arguments.
+    Prepared(PreparedShape, Bytes),
+}
+
+impl Statement {
+    /// Returns what must be prepared before it runs.
+    pub(crate) fn shape(&self) -> Option<&PreparedShape> {
+        match self {
+            Self::Text(_) => None,
+            Self::Prepared(shape, _) => Some(shape),
+        }
+    }
+}
+
+/// What a try is made with.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct AttemptOrder<'a> {
+    /// The database.
+    pub(crate) route: &'a Route,
+    /// On whose behalf.
+    pub(crate) organisation: Option<&'a OrganisationId>,
+    /// Values that must hold.
+    pub(crate) values: &'a SessionValues,
+    /// Times of the operation.
+    pub(crate) times: &'a OperationTimes,
+}
+
+/// A statement on its way to a database.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct StatementCall<'a> {
+    /// Identifier of the caller's request.
+    pub(crate) id: &'a [u8],
+    /// The statement.
+    pub(crate) statement: &'a Statement,
+    /// Position that the database's log must hold.
+    pub(crate) at_least: Option<LogPosition>,
+    /// Whether it is part of a transaction on the connection.
+    pub(crate) in_transaction: bool,
+}
+
+impl<D: DatabaseConnector, G> EngineShared<D, G> {
+    /// Takes a connection to the database of a route.
+    pub(crate) async fn connect(
+        &self,
+        order: AttemptOrder<'_>,
+    ) -> Result<PooledConnection<D::Connection>, AttemptEnd> {
+        let taken = self.pool.take(ConnectionOrder {
+            view: &order.route.held.view,
+            upstream: &order.route.upstream,
+            organisation: order.organisation,
+            values: order.values,
+            wait_until: order.times.queue_until(Instant::now()),
+            until: order.times.deadline(),
+        });
+        taken.await.map_err(|error| self.note(order.route, &error))
+    }
+
+    /// Runs a statement on a connection, with values and prepared statement in place before.
+    ///
+    /// If the database has forgotten the prepared statement, it is prepared once more.
+    pub(crate) async fn run(
+        &self,
+        connection: &mut PooledConnection<D::Connection>,
+        order: AttemptOrder<'_>,
+        call: StatementCall<'_>,
+    ) -> Result<DatabaseReply, AttemptEnd> {
+        let reply = self.run_once(connection, order, call).await?;
+        let Some(shape) = call.statement.shape() else {
+            return Ok(reply);
+        };
+        let expected = match call.in_transaction {
+            true => TransactionState::Open,
+            false => TransactionState::Idle,
+        };
+        if refusal(&reply) != Some(RefusalKind::UnknownStatement) || reply.state != expected {
+            return Ok(reply);
+        }
+        connection.memory().forget(shape);
+        self.run_once(connection, order, call).await
+    }
+
+    async fn run_once(
+        &self,
+        connection: &mut PooledConnection<D::Connection>,
+        order: AttemptOrder<'_>,
+        call: StatementCall<'_>,
+    ) -> Result<DatabaseReply, AttemptEnd> {
+        let shape = call.statement.shape();
+        let set_up = SetUp {
+            values: order.values,
+            shape,
+            in_transaction: call.in_transaction,
+        };
+        self.set_up(connection, order, set_up).await?;
+        let name = shape.and_then(|shape| connection.memory().name(shape));
+        let verb = match (call.statement, &name) {
+            (Statement::Text(text), _) => DatabaseVerb::Run(text),
+            (Statement::Prepared(_, arguments), Some(name)) => {
+                DatabaseVerb::Execute(name.as_bytes(), arguments)
+            }
+            (Statement::Prepared(..), None) => return Err(AttemptEnd::Unreachable),
+        };
+        let call_of = DatabaseCall {
+            id: Some(call.id),
+            at_least: call.at_least,
+            verb,
+        };
+        let fence = match call.in_transaction {
+            true => Fence::Transaction,
+            false => Fence::NewWork,
+        };
+        self.call(connection, order, call_of, fence).await
+    }
+
+    /// Brings a connection in line with a session.
+    pub(crate) async fn set_up(
+        &self,
+        connection: &mut PooledConnection<D::Connection>,
+        order: AttemptOrder<'_>,
+        set_up: SetUp<'_>,
+    ) -> Result<(), AttemptEnd> {
+        let timer = &self.settings.timer;
+        let asked = Instant::now();
+        let done = connection
+            .set_up(timer, set_up, order.times.deadline())
+            .await;
+        done.map_err(|end| {
+            self.note_end(order.route, asked, end);
+            AttemptEnd::Unreachable
+        })
+    }
+
+    /// Makes a call if the view and the lease still allow it as the last thing before it is sent.
+    pub(crate) async fn call(
+        &self,
+        connection: &mut PooledConnection<D::Connection>,
+        order: AttemptOrder<'_>,
+        call: DatabaseCall<'_>,
+        fence: Fence,
+    ) -> Result<DatabaseReply, AttemptEnd> {
+        if !self.passes(order.route, fence) {
+            return Err(AttemptEnd::Fenced);
+        }
+        let asked = Instant::now();
+        let timer = &self.settings.timer;
+        let reply = connection.call(timer, call, order.times.deadline()).await;
+        match reply {
+            Ok(reply) => {
+                self.note_reply(order.route, asked, &reply);
+                Ok(reply)
+            }
+            Err(end) => Err(self.note_end(order.route, asked, end)),
+        }
+    }
+
+    /// Returns whether a route may still be used at this moment.
+    pub(crate) fn passes(&self, route: &Route, fence: Fence) -> bool {
+        let Some(term) = route.term else {
+            return true;
+        };
+        let held = self.settings.cell.held();
+        if !leads(&held.view, &route.group, &route.upstream, term) {
+            return false;
+        }
+        match fence {
+            Fence::Transaction => true,
+            Fence::Commit => held.is_valid(),
+            Fence::NewWork => {
+                let group = held.view.groups.get(&route.group);
+                let active = group.and_then(|group| group.primary.active());
+                held.is_valid() && active == Some(&route.upstream)
+            }
+        }
+    }
+
+    /// Waits until the lease holds on a view in which the route's primary still leads its term;
+    /// returns whether that came by `until`.
+    pub(crate) async fn confirm(&self, route: &Route, until: Instant) -> bool {
+        if self.passes(route, Fence::Commit) {
+            return true;
+        }
+        let cell = &self.settings.cell;
+        let mut changes = cell.subscribe();
+        loop {
+            if self.passes(route, Fence::Commit) {
+                return true;
+            }
+            if !self.passes(route, Fence::Transaction) {
+                return false;
+            }
+            let timer = &self.settings.timer;
+            match timer.within(until, changes.changed()).await {
+                Some(Ok(())) => {}
+                Some(Err(_)) | None => return false,
+            }
+        }
+    }
+
+    fn note(&self, route: &Route, error: &NoConnection) -> AttemptEnd {
+        match error {
+            NoConnection::Full => return AttemptEnd::Full,
+            NoConnection::Gone => {}
+            NoConnection::Connect(ConnectError::Refused(RefusalKind::Misdirected)) => {
+                let view = route.held.view.number;
+                self.health.misdirected(&route.upstream, view);
+            }
+            NoConnection::Connect(ConnectError::Refused(_)) => {
+                self.health.busy(&route.upstream);
+            }
+            NoConnection::Connect(ConnectError::Unreachable(why)) => {
+                log::debug!("{} cannot be reached: {why}", route.upstream);
+                self.health.failed(&route.upstream);
+            }
+        }
+        AttemptEnd::Unreachable
+    }
+
+    fn note_end(&self, route: &Route, asked: Instant, end: CallEnd) -> AttemptEnd {
+        // Little time left speaks of the request, not of the database.
+        let speaks = match end {
+            CallEnd::NotSent => false,
+            CallEnd::Lost => true,
+            CallEnd::TimedOut => asked.elapsed() >= SILENCE,
+        };
+        if speaks {
+            self.health.failed(&route.upstream);
+        }
+        match end {
+            CallEnd::NotSent => AttemptEnd::Unreachable,
+            CallEnd::Lost => AttemptEnd::Lost,
+            CallEnd::TimedOut => AttemptEnd::TimedOut,
+        }
+    }
+
+    fn note_reply(&self, route: &Route, asked: Instant, reply: &DatabaseReply) {
+        match refusal(reply) {
+            Some(RefusalKind::Lagging) => self.health.lagging(&route.upstream),
+            Some(RefusalKind::Misdirected) => {
+                let view = route.held.view.number;
+                self.health.misdirected(&route.upstream, view);
+            }
+            _ => self.health.good(&route.upstream),
+        }
+        if let Some(position) = reply.position {
+            self.sample(route, asked, position);
+        }
+    }
+
+    /// Keeps a position if nobody else can be primary at this moment.
+    fn sample(&self, route: &Route, asked: Instant, position: LogPosition) {
+        let held = self.settings.cell.held();
+        let primary = present_primary(&held.view, &route.group);
+        let term = held.view.groups.get(&route.group).map(|group| group.term);
+        let told = held.is_valid() && primary == Some(&route.upstream);
+        if told && term == Some(position.term) {
+            self.samples.learn(&route.group, asked, position);
+        }
+    }
+}
+
+/// What must hold as the last thing before a call to a primary is sent.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Fence {
+    /// It takes new work, under a valid lease.
+    NewWork,
+    /// It leads its term as far as the view says.
+    Transaction,
+    /// It leads its term, under a valid lease.
+    Commit,
+}
+
+/// Returns how a database refused, if it did.
+pub(crate) fn refusal(reply: &DatabaseReply) -> Option<RefusalKind> {
+    reply.outcome.as_ref().err().map(|refusal| refusal.kind)
+}
--- /dev/null
+++ b/crates/daisyseam-engine/src/engine.rs
@@ -0,0 +1,174 @@
+//! The engine that serves sessions.
+
+use crate::{
+    CallerStream,
+    DatabaseConnector,
+    health::HealthBook,
+    observer::EngineObserver,
+    pool::ConnectionPool,
+    route::Router,
+    samples::PositionSamples,
+    session,
+    writers::WriterCounts, //
+};
+use daisyseam_member::{
+    FleetGate,
+    FleetObserver,
+    RateGate,
+    ViewCell, //
+};
+use daisyseam_model::{
+    DataCentreId,
+    InstanceId, //
+};
+use daisyseam_runtime::{
+    StopSignal,
+    TimerService, //
+};
+use std::{
+    future::Future,
+    sync::{
+        Arc,
+        OnceLock, //
+    },
+    time::Duration, //
+};
+use tokio::{
+    sync::watch,
+    time::Instant, //
+};
+
+/// What an engine needs.
+#[derive(Clone)]
+pub struct EngineSettings<D, G = FleetGate> {
+    /// This instance.
+    pub instance: InstanceId,
+    /// Its data centre.
+    pub data_centre: DataCentreId,
+    /// The view and the lease on it.
+    pub cell: ViewCell,
+    /// Rates.
+    pub gate: G,
+    /// Timer service.
+    pub timer: TimerService,
+    /// Opens connections to databases.
+    pub connector: D,
+    /// Given when the instance is leaving.
+    pub stop: StopSignal,
+    /// Time that open transactions get once it is given.
+    pub drain: Duration,
+}
+
+/// Serves the sessions of callers; cheap to clone.
+pub struct SessionEngine<D: DatabaseConnector, G: RateGate = FleetGate> {
+    shared: Arc<EngineShared<D, G>>,
+}
+
+/// What all sessions share.
+pub(crate) struct EngineShared<D: DatabaseConnector, G> {
+    pub(crate) settings: EngineSettings<D, G>,
+    pub(crate) pool: ConnectionPool<D>,
+    pub(crate) health: HealthBook,
+    pub(crate) samples: PositionSamples,
+    pub(crate) writers: WriterCounts,
+    sessions: watch::Sender<usize>,
+    stop_seen: OnceLock<Instant>,
+}
+
+impl<D: DatabaseConnector, G: RateGate> SessionEngine<D, G> {
+    /// Makes an engine without sessions.
+    pub fn new(settings: EngineSettings<D, G>) -> Self {
+        let pool = ConnectionPool::new(settings.connector.clone(), settings.timer.clone());
+        let shared = EngineShared {
+            settings,
+            pool,
+            health: HealthBook::default(),
+            samples: PositionSamples::default(),
+            writers: WriterCounts::default(),
+            sessions: watch::Sender::new(0),
+            stop_seen: OnceLock::new(),
+        };
+        Self {
+            shared: Arc::new(shared),
+        }
+    }
+
+    /// Serves one caller's connection to its end.
+    pub fn serve<S: CallerStream>(
+        &self,
+        stream: S,
+    ) -> impl Future<Output = ()> + Send + use<D, G, S> {
+        let guard = SessionGuard::enter(Arc::clone(&self.shared));
+        async move { session::serve(&guard.shared, stream).await }
+    }
+
+    /// Returns what acts on views and reports on databases for this engine.
+    pub fn observer(&self) -> impl FleetObserver + use<D, G> {
+        EngineObserver::new(Arc::clone(&self.shared))
+    }
+
+    /// Returns the number of sessions that are being served.
+    pub fn open_sessions(&self) -> usize {
+        *self.shared.sessions.borrow()
+    }
+
+    /// Waits until the stop signal is given and all sessions have ended.
+    pub async fn drained(&self) {
+        self.shared.settings.stop.stopped().await;
+        self.shared.stop_seen();
+        let mut sessions = self.shared.sessions.subscribe();
+        // The sender lives in `self`, so waiting cannot fail.
+        let _ = sessions.wait_for(|open| *open == 0).await;
+    }
+}
+
+impl<D: DatabaseConnector, G: RateGate> Clone for SessionEngine<D, G> {
+    fn clone(&self) -> Self {
+        Self {
+            shared: Arc::clone(&self.shared),
+        }
+    }
+}
+
+impl<D: DatabaseConnector, G> EngineShared<D, G> {
+    /// Returns what chooses databases.
+    pub(crate) fn router(&self) -> Router<'_, D> {
+        Router {
+            cell: &self.settings.cell,
+            timer: &self.settings.timer,
+            health: &self.health,
+            pool: &self.pool,
+            data_centre: &self.settings.data_centre,
+        }
+    }
+
+    /// Waits for the stop signal, and then as long as open transactions get.
+    pub(crate) async fn drain_over(&self) {
+        self.settings.stop.stopped().await;
+        let over = self.stop_seen() + self.settings.drain;
+        self.settings.timer.at(over).await;
+    }
+
+    /// Returns when the stop signal was first seen, which is now at the latest.
+    fn stop_seen(&self) -> Instant {
+        *self.stop_seen.get_or_init(Instant::now)
+    }
+}
+
+/// Counts a session until it is dropped.
+struct SessionGuard<D: DatabaseConnector, G> {
+    shared: Arc<EngineShared<D, G>>,
+}
+
+impl<D: DatabaseConnector, G> SessionGuard<D, G> {
+    fn enter(shared: Arc<EngineShared<D, G>>) -> Self {
+        shared.sessions.send_modify(|open| *open += 1);
+        Self { shared }
+    }
+}
+
+impl<D: DatabaseConnector, G> Drop for SessionGuard<D, G> {
+    fn drop(&mut self) {
+        self.shared.sessions.send_modify(|open| *open -= 1);
+    }
+}
--- /dev/null
+++ b/crates/daisyseam-engine/src/health.rs
@@ -0,0 +1,202 @@
+//! How the databases have answered this instance of late.
+
+use daisyseam_model::{
+    UpstreamId,
+    ViewNumber, //
+};
+use parking_lot::Mutex;
+use std::{
+    collections::HashMap,
+    time::Duration, //
+};
+use tokio::{
+    sync::watch,
+    time::Instant, //
+};
+
+/// First time for which a database that failed is avoided; it doubles with each failure.
+const AVOID: Duration = Duration::from_millis(200);
+
+/// Longest time for which a database that failed is avoided.
+const AVOID_MAX: Duration = Duration::from_secs(2);
+
+/// Time for which a database that lacked a position is not asked for one.
+const LAGGING: Duration = Duration::from_millis(100);
+
+/// Failures without anything good between them that make a database unreachable.
+const UNREACHABLE_FAILURES: u32 = 2;
+
+/// Time without anything good that makes a database unreachable.
+const UNREACHABLE_AFTER: Duration = Duration::from_millis(300);
+
+/// What is known of each database; wakes who waits for a change of its health.
+#[derive(Debug, Default)]
+pub(crate) struct HealthBook {
+    upstreams: Mutex<HashMap<UpstreamId, UpstreamHealth>>,
+    changes: watch::Sender<()>,
+}
+
+#[derive(Debug, Default)]
+struct UpstreamHealth {
+    failures: u32,
+    failing_since: Option<Instant>,
+    avoid_until: Option<Instant>,
+    lagging_until: Option<Instant>,
+    misdirected: Option<ViewNumber>,
+    told_bad: bool,
+}
+
+/// A database's health, as control is told.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct HealthNote {
+    /// The database.
+    pub(crate) upstream: UpstreamId,
+    /// Whether it answers.
+    pub(crate) reachable: bool,
+    /// Time since it first failed to.
+    pub(crate) silence: Duration,
+}
+
+impl HealthBook {
+    /// Notes an answer.
+    pub(crate) fn good(&self, upstream: &UpstreamId) {
+        let mut upstreams = self.upstreams.lock();
+        let health = entry(&mut upstreams, upstream);
+        health.failures = 0;
+        health.avoid_until = None;
+        if health.failing_since.take().is_some() && health.told_bad {
+            drop(upstreams);
+            self.changes.send_replace(());
+        }
+    }
+
+    /// Notes a failure to connect, a lost connection or an answer that did not come.
+    pub(crate) fn failed(&self, upstream: &UpstreamId) {
+        let mut upstreams = self.upstreams.lock();
+        let health = entry(&mut upstreams, upstream);
+        let now = Instant::now();
+        health.failures = health.failures.saturating_add(1);
+        health.failing_since.get_or_insert(now);
+        let doublings = (health.failures - 1).min(8);
+        health.avoid_until = Some(now + (AVOID * (1 << doublings)).min(AVOID_MAX));
+        let news = health.failures >= UNREACHABLE_FAILURES && !health.told_bad;
+        drop(upstreams);
+        if news {
+            self.changes.send_replace(());
+        }
+    }
+
+    /// Notes that a database answered that it has no room for a connection.
+    pub(crate) fn busy(&self, upstream: &UpstreamId) {
+        self.good(upstream);
+        let mut upstreams = self.upstreams.lock();
+        entry(&mut upstreams, upstream).avoid_until = Some(Instant::now() + AVOID / 4);
+    }
+
+    /// Notes that a database lacked a position.
+    pub(crate) fn lagging(&self, upstream: &UpstreamId) {
+        let mut upstreams = self.upstreams.lock();
+        entry(&mut upstreams, upstream).lagging_until = Some(Instant::now() + LAGGING);
+    }
+
+    /// Notes that another database answers at its address, as a view named it.
+    pub(crate) fn misdirected(&self, upstream: &UpstreamId, view: ViewNumber) {
+        let mut upstreams = self.upstreams.lock();
+        entry(&mut upstreams, upstream).misdirected = Some(view);
+    }
+
+    /// Returns until when a database should be avoided; `view` is the one that names it now.
+    pub(crate) fn avoid_until(&self, upstream: &UpstreamId, view: ViewNumber) -> Option<Instant> {
+        let now = Instant::now();
+        let upstreams = self.upstreams.lock();
+        let health = upstreams.get(upstream)?;
+        if health.misdirected == Some(view) {
+            return Some(now + AVOID_MAX);
+        }
+        health.avoid_until.filter(|until| now < *until)
+    }
+
+    /// Returns whether a database lacked a position a moment ago.
+    pub(crate) fn is_lagging(&self, upstream: &UpstreamId) -> bool {
+        let upstreams = self.upstreams.lock();
+        let until = upstreams
+            .get(upstream)
+            .and_then(|health| health.lagging_until);
+        until.is_some_and(|until| Instant::now() < until)
+    }
+
+    /// Forgets databases that are gone.
+    pub(crate) fn retain(&self, keep: impl Fn(&UpstreamId) -> bool) {
+        self.upstreams.lock().retain(|upstream, _| keep(upstream));
+    }
+
+    /// Returns what control should be told now: all that do not answer, and those that answer
+    /// again.
+    pub(crate) fn notes(&self) -> Vec<HealthNote> {
+        let now = Instant::now();
+        let mut notes = Vec::new();
+        for (upstream, health) in self.upstreams.lock().iter_mut() {
+            let reachable = !health.is_bad(now);
+            if reachable && !health.told_bad {
+                continue;
+            }
+            health.told_bad = !reachable;
+            notes.push(HealthNote {
+                upstream: upstream.clone(),
+                reachable,
+                silence: health.silence(now),
+            });
+        }
+        notes
+    }
+
+    /// Returns when control should be told of a change; none while there is none to come.
+    pub(crate) fn news_at(&self) -> Option<Instant> {
+        let now = Instant::now();
+        let upstreams = self.upstreams.lock();
+        let moments = upstreams.values().filter_map(|health| health.news_at(now));
+        moments.min()
+    }
+
+    /// Returns a receiver that is woken when the health of a database may have changed.
+    pub(crate) fn subscribe(&self) -> watch::Receiver<()> {
+        self.changes.subscribe()
+    }
+}
+
+impl UpstreamHealth {
+    fn is_bad(&self, now: Instant) -> bool {
+        self.bad_at().is_some_and(|at| at <= now)
+    }
+
+    fn bad_at(&self) -> Option<Instant> {
+        let enough = self.failures >= UNREACHABLE_FAILURES;
+        let since = self.failing_since.filter(|_| enough)?;
+        Some(since + UNREACHABLE_AFTER)
+    }
+
+    fn news_at(&self, now: Instant) -> Option<Instant> {
+        match self.told_bad {
+            true => (!self.is_bad(now)).then_some(now),
+            false => self.bad_at(),
+        }
+    }
+
+    fn silence(&self, now: Instant) -> Duration {
+        self.failing_since
+            .map_or(Duration::ZERO, |since| now.saturating_duration_since(since))
+    }
+}
+
+fn entry<'a>(
+    upstreams: &'a mut HashMap<UpstreamId, UpstreamHealth>,
+    upstream: &UpstreamId,
+) -> &'a mut UpstreamHealth {
+    if !upstreams.contains_key(upstream) {
+        upstreams.insert(upstream.clone(), UpstreamHealth::default());
+    }
+    // Just inserted if it was not there.
+    upstreams
+        .get_mut(upstream)
+        .expect("the database has an entry")
+}
--- a/crates/daisyseam-engine/src/lib.rs
+++ b/crates/daisyseam-engine/src/lib.rs
@@ -3,9 +3,22 @@
 //! Towards callers stands [`CallerStream`], towards databases [`DatabaseConnector`]; between them
 //! one code decides routes, floors, retries, limits and stops.
 
+mod attempt;
 mod caller;
 mod database;
+mod engine;
+mod health;
+mod identity;
+mod memory;
+mod observer;
+mod pool;
 mod request;
+mod route;
+mod samples;
+mod session;
+mod times;
+mod values;
+mod writers;
 
 pub use crate::{
     caller::{
@@ -24,6 +37,10 @@
         DatabaseVerb,
         RefusalKind, //
     },
+    engine::{
+        EngineSettings,
+        SessionEngine, //
+    },
     request::{
         CallerRequest,
         RequestVerb,
--- /dev/null
+++ b/crates/daisyseam-engine/src/observer.rs
@@ -0,0 +1,133 @@
+//! The engine's databases as control's decisions reach them, and what control is told of them.
+
+use crate::{
+    DatabaseConnector,
+    engine::EngineShared,
+    health::HealthNote, //
+};
+use daisyseam_member::{
+    FleetObserver,
+    ObserverReport,
+    RateGate, //
+};
+use daisyseam_model::{
+    FleetView,
+    GroupId,
+    PrimaryState,
+    Term,
+    ViewNumber, //
+};
+use daisyseam_wire::{
+    GroupReport,
+    HealthReport, //
+};
+use std::{
+    sync::{
+        Arc,
+        atomic::{
+            AtomicBool,
+            Ordering, //
+        }, //
+    },
+    time::Duration, //
+};
+use tokio::time::Instant;
+
+/// Acts on views for an engine and reports on its databases.
+pub(crate) struct EngineObserver<D: DatabaseConnector, G> {
+    shared: Arc<EngineShared<D, G>>,
+    draining: Arc<AtomicBool>,
+}
+
+impl<D: DatabaseConnector, G> EngineObserver<D, G> {
+    pub(crate) fn new(shared: Arc<EngineShared<D, G>>) -> Self {
+        Self {
+            shared,
+            draining: Arc::default(),
+        }
+    }
+}
+
+impl<D: DatabaseConnector, G> Clone for EngineObserver<D, G> {
+    fn clone(&self) -> Self {
+        Self {
+            shared: Arc::clone(&self.shared),
+            draining: Arc::clone(&self.draining),
+        }
+    }
+}
+
+impl<D: DatabaseConnector, G: RateGate> FleetObserver for EngineObserver<D, G> {
+    /// Sessions look at the view themselves, last thing before anything is sent and before a
+    /// commit is acknowledged; here only what nobody uses is closed.
+    async fn apply(&self, view: &FleetView) {
+        self.shared.pool.apply(view);
+        let known = |upstream: &_| view.upstreams.contains_key(upstream);
+        self.shared.health.retain(known);
+        let known = |group: &_| view.groups.contains_key(group);
+        self.shared.samples.retain(known);
+        let draining = draining_groups(view).next().is_some();
+        self.draining.store(draining, Ordering::Release);
+    }
+
+    async fn news(&self) {
+        let mut health = self.shared.health.subscribe();
+        let mut ended = self.shared.writers.subscribe();
+        let timer = &self.shared.settings.timer;
+        loop {
+            let now = Instant::now();
+            let due = self.shared.health.news_at();
+            if due.is_some_and(|due| due <= now) {
+                return;
+            }
+            tokio::select! {
+                _ = health.changed() => {}
+                _ = ended.changed() => {
+                    if self.draining.load(Ordering::Acquire) {
+                        return;
+                    }
+                }
+                () = timer.at(due.unwrap_or(now)), if due.is_some() => {}
+            }
+        }
+    }
+
+    fn report(&self, named: ViewNumber, held: &FleetView) -> ObserverReport {
+        let notes = self.shared.health.notes();
+        let groups = draining_groups(held).map(|(group, term)| GroupReport {
+            group: group.to_string(),
+            term: term.0,
+            open_transactions: self.shared.writers.open(group, term),
+        });
+        ObserverReport {
+            upstreams: Vec::new(),
+            health: notes.iter().map(|note| report(note, named)).collect(),
+            groups: groups.collect(),
+        }
+    }
+
+    fn lease_begun(&self) {}
+
+    fn lease_ended(&self) {}
+}
+
+fn draining_groups(view: &FleetView) -> impl Iterator<Item = (&GroupId, Term)> {
+    view.groups
+        .iter()
+        .filter(|(_, group)| matches!(group.primary, PrimaryState::Draining(_)))
+        .map(|(name, group)| (name, group.term))
+}
+
+fn report(note: &HealthNote, named: ViewNumber) -> HealthReport {
+    HealthReport {
+        upstream: note.upstream.to_string(),
+        reachable: note.reachable,
+        silent_ms: millis(note.silence),
+        held_for_view: named.0,
+        ..HealthReport::default()
+    }
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/daisyseam-engine/src/pool.rs
@@ -0,0 +1,199 @@
+//! Connections to databases, shared by the sessions of this instance.
+
+mod connection;
+mod upstream;
+
+pub(crate) use self::connection::{
+    CallEnd,
+    PooledConnection,
+    SetUp, //
+};
+use self::upstream::{
+    Claim,
+    Grant,
+    Place,
+    UpstreamPool, //
+};
+use crate::{
+    ConnectError,
+    DatabaseConnector,
+    DatabaseTarget,
+    values::SessionValues, //
+};
+use daisyseam_model::{
+    FleetView,
+    OrganisationId,
+    UpstreamId,
+    UpstreamView, //
+};
+use daisyseam_runtime::TimerService;
+use parking_lot::Mutex;
+use std::{
+    collections::HashMap,
+    sync::Arc,
+    time::Duration, //
+};
+use tokio::time::Instant;
+
+/// Longest time that opening a connection may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Part of a database's connections that the instances share out among them, in tenths.
+const SHARED_TENTHS: usize = 9;
+
+/// The connections of this instance, by database.
+pub(crate) struct ConnectionPool<D: DatabaseConnector> {
+    connector: D,
+    timer: TimerService,
+    upstreams: Mutex<HashMap<UpstreamId, Arc<UpstreamPool<D::Connection>>>>,
+}
+
+/// The connection that is wanted.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ConnectionOrder<'a> {
+    /// The view that names the database.
+    pub(crate) view: &'a FleetView,
+    /// The database.
+    pub(crate) upstream: &'a UpstreamId,
+    /// On whose behalf.
+    pub(crate) organisation: Option<&'a OrganisationId>,
+    /// Values that it should hold already, if one does.
+    pub(crate) values: &'a SessionValues,
+    /// Longest wait for a place among the connections.
+    pub(crate) wait_until: Instant,
+    /// Moment after which the connection is of no use.
+    pub(crate) until: Instant,
+}
+
+/// Why there is no connection.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum NoConnection {
+    /// The view does not name the database.
+    Gone,
+    /// All connections stayed in use.
+    Full,
+    /// It could not be opened.
+    Connect(ConnectError),
+}
+
+impl<D: DatabaseConnector> ConnectionPool<D> {
+    /// Makes a pool without connections.
+    pub(crate) fn new(connector: D, timer: TimerService) -> Self {
+        Self {
+            connector,
+            timer,
+            upstreams: Mutex::default(),
+        }
+    }
+
+    /// Takes an idle connection, or opens one within the budget.
+    pub(crate) async fn take(
+        &self,
+        order: ConnectionOrder<'_>,
+    ) -> Result<PooledConnection<D::Connection>, NoConnection> {
+        let named = order.view.upstreams.get(order.upstream);
+        let named = named.ok_or(NoConnection::Gone)?;
+        let pool = self.upstream(order.view, order.upstream, named);
+        let place = match pool.claim(order.organisation, order.values) {
+            Claim::Granted(grant) => grant,
+            Claim::Wait(granted) => {
+                let granted = self.timer.within(order.wait_until, granted).await;
+                granted
+                    .ok_or(NoConnection::Full)?
+                    .map_err(|_| NoConnection::Gone)?
+            }
+        };
+        match place {
+            Grant::Connection(connection) => Ok(connection.lend()),
+            Grant::Place(place) => self.open(place, order, named).await,
+        }
+    }
+
+    async fn open(
+        &self,
+        place: Place<D::Connection>,
+        order: ConnectionOrder<'_>,
+        named: &UpstreamView,
+    ) -> Result<PooledConnection<D::Connection>, NoConnection> {
+        let target = DatabaseTarget {
+            upstream: order.upstream.clone(),
+            group: named.group.clone(),
+            address: named.address,
+            organisation: order.organisation.cloned(),
+        };
+        let until = order.until.min(Instant::now() + CONNECT_TIMEOUT);
+        let opened = self.timer.within(until, self.connector.connect(&target));
+        let silent = || ConnectError::Unreachable("no answer in time".to_owned());
+        let opened = opened.await.unwrap_or_else(|| Err(silent()));
+        let connection = opened.map_err(NoConnection::Connect)?;
+        Ok(PooledConnection::opened(
+            place,
+            target.organisation,
+            connection,
+        ))
+    }
+
+    /// Returns how many connections to a database are in use, and whether one more is at hand.
+    pub(crate) fn load(&self, upstream: &UpstreamId) -> (usize, bool) {
+        let upstreams = self.upstreams.lock();
+        upstreams
+            .get(upstream)
+            .map_or((0, true), |pool| pool.load())
+    }
+
+    /// Brings the pool in line with a view: closes idle connections of databases that take no
+    /// work, and shares the databases' connections out anew.
+    pub(crate) fn apply(&self, view: &FleetView) {
+        let mut upstreams = self.upstreams.lock();
+        let mut closed = Vec::new();
+        upstreams.retain(|name, pool| {
+            let named = view.upstreams.get(name);
+            let named = named.filter(|named| pool.is_of(named));
+            let Some(named) = named else {
+                closed.push((Arc::clone(pool), true));
+                return false;
+            };
+            pool.set_budget(budget(view, named));
+            if named.leaving || !view.in_service(&named.data_centre) {
+                closed.push((Arc::clone(pool), false));
+            }
+            true
+        });
+        drop(upstreams);
+        for (pool, retired) in closed {
+            match retired {
+                true => pool.retire(),
+                false => pool.close_idle(),
+            }
+        }
+    }
+
+    fn upstream(
+        &self,
+        view: &FleetView,
+        name: &UpstreamId,
+        named: &UpstreamView,
+    ) -> Arc<UpstreamPool<D::Connection>> {
+        let mut upstreams = self.upstreams.lock();
+        let known = upstreams.get(name).filter(|pool| pool.is_of(named));
+        if let Some(pool) = known {
+            return Arc::clone(pool);
+        }
+        let pool = Arc::new(UpstreamPool::new(named, budget(view, named)));
+        let former = upstreams.insert(name.clone(), Arc::clone(&pool));
+        drop(upstreams);
+        if let Some(former) = former {
+            former.retire();
+        }
+        pool
+    }
+}
+
+/// Returns this instance's share of a database's connections.
+fn budget(view: &FleetView, named: &UpstreamView) -> usize {
+    let document = view.document.as_ref();
+    let group = document.and_then(|document| document.groups.get(&named.group));
+    let slots = group.map_or(0, |group| group.slots);
+    let shared = slots * SHARED_TENTHS / 10;
+    (shared / view.instances.len().max(1)).max(1)
+}
--- /dev/null
+++ b/crates/daisyseam-engine/src/pool/upstream.rs
@@ -0,0 +1,287 @@
+//! The connections to one database.
+
+use super::connection::{
+    DatabaseLink,
+    PooledConnection, //
+};
+use crate::{
+    DatabaseConnection,
+    values::SessionValues, //
+};
+use daisyseam_model::{
+    OrganisationId,
+    UpstreamView, //
+};
+use parking_lot::Mutex;
+use std::{
+    collections::VecDeque,
+    net::SocketAddr,
+    sync::Arc, //
+};
+use tokio::sync::oneshot;
+
+/// The connections to one process of a database, within this instance's budget.
+pub(super) struct UpstreamPool<C: DatabaseConnection> {
+    address: SocketAddr,
+    born_ms: u64,
+    state: Mutex<PoolState<C>>,
+}
+
+struct PoolState<C: DatabaseConnection> {
+    retired: bool,
+    budget: usize,
+    /// Places that are lent: connections in use and those being opened.
+    lent: usize,
+    /// Least recently used first.
+    idle: Vec<IdleLink<C>>,
+    waiting: VecDeque<Waiter<C>>,
+}
+
+struct IdleLink<C> {
+    organisation: Option<OrganisationId>,
+    link: DatabaseLink<C>,
+}
+
+struct Waiter<C: DatabaseConnection> {
+    organisation: Option<OrganisationId>,
+    granted: oneshot::Sender<Grant<C>>,
+}
+
+/// What a session that needs a connection gets.
+pub(super) enum Grant<C: DatabaseConnection> {
+    /// A connection.
+    Connection(PooledConnection<C>),
+    /// The right to open one.
+    Place(Place<C>),
+}
+
+/// A grant now or later.
+pub(super) enum Claim<C: DatabaseConnection> {
+    /// It is there.
+    Granted(Grant<C>),
+    /// It comes when another session is done.
+    Wait(oneshot::Receiver<Grant<C>>),
+}
+
+/// One connection's worth of the budget; dropping it gives it back.
+pub(super) struct Place<C: DatabaseConnection> {
+    pool: Arc<UpstreamPool<C>>,
+    held: bool,
+}
+
+impl<C: DatabaseConnection> UpstreamPool<C> {
+    pub(super) fn new(named: &UpstreamView, budget: usize) -> Self {
+        Self {
+            address: named.address,
+            born_ms: named.born_ms,
+            state: Mutex::new(PoolState {
+                retired: false,
+                budget,
+                lent: 0,
+                idle: Vec::new(),
+                waiting: VecDeque::new(),
+            }),
+        }
+    }
+
+    /// Returns whether these are connections to the process that a view names.
+    pub(super) fn is_of(&self, named: &UpstreamView) -> bool {
+        self.address == named.address && self.born_ms == named.born_ms
+    }
+
+    /// Returns how many places are lent, and whether one more is at hand.
+    pub(super) fn load(&self) -> (usize, bool) {
+        let state = self.state.lock();
+        (state.lent, state.lent < state.budget)
+    }
+
+    pub(super) fn set_budget(self: &Arc<Self>, budget: usize) {
+        let mut state = self.state.lock();
+        state.budget = budget;
+        let keep = budget.saturating_sub(state.lent);
+        let surplus = state.idle.len().saturating_sub(keep);
+        let surplus: Vec<_> = state.idle.drain(..surplus).collect();
+        drop(state);
+        drop(surplus);
+        while let Some(waiter) = self.next_place() {
+            self.grant_place(waiter);
+        }
+    }
+
+    /// Closes all connections, those in use when they come back.
+    pub(super) fn retire(&self) {
+        let mut state = self.state.lock();
+        state.retired = true;
+        let idle = std::mem::take(&mut state.idle);
+        let waiting = std::mem::take(&mut state.waiting);
+        drop(state);
+        drop((idle, waiting));
+    }
+
+    /// Closes the connections that nobody uses.
+    pub(super) fn close_idle(&self) {
+        let idle = std::mem::take(&mut self.state.lock().idle);
+        drop(idle);
+    }
+
+    /// Claims a connection for an organisation, at best one that holds the values already.
+    pub(super) fn claim(
+        self: &Arc<Self>,
+        organisation: Option<&OrganisationId>,
+        values: &SessionValues,
+    ) -> Claim<C> {
+        loop {
+            let mut state = self.state.lock();
+            if let Some(mut link) = state.take_idle(organisation, values) {
+                state.lent += 1;
+                drop(state);
+                let place = Place::of(self);
+                if link.connection.is_stale() {
+                    drop(link);
+                    drop(place);
+                    continue;
+                }
+                let connection = PooledConnection::lent(place, organisation.cloned(), link);
+                return Claim::Granted(Grant::Connection(connection));
+            }
+            let evicted = match state.make_room() {
+                Room::Free => None,
+                Room::Evicted(link) => Some(link),
+                Room::None => {
+                    let (granted, receiver) = oneshot::channel();
+                    state.waiting.push_back(Waiter {
+                        organisation: organisation.cloned(),
+                        granted,
+                    });
+                    return Claim::Wait(receiver);
+                }
+            };
+            state.lent += 1;
+            drop(state);
+            drop(evicted);
+            return Claim::Granted(Grant::Place(Place::of(self)));
+        }
+    }
+
+    /// Takes a connection back that the next session may use.
+    fn give_back(
+        self: &Arc<Self>,
+        mut place: Place<C>,
+        organisation: Option<OrganisationId>,
+        link: DatabaseLink<C>,
+    ) {
+        let mut state = self.state.lock();
+        if state.retired || state.used() > state.budget {
+            drop(state);
+            // The connection is closed before its place can be given on.
+            drop(link);
+            drop(place);
+            return;
+        }
+        let Some(waiter) = state.next_waiter() else {
+            state.lent -= 1;
+            place.held = false;
+            state.idle.push(IdleLink { organisation, link });
+            return;
+        };
+        drop(state);
+        let grant = if waiter.organisation == organisation {
+            Grant::Connection(PooledConnection::lent(place, organisation, link))
+        } else {
+            drop(link);
+            Grant::Place(place)
+        };
+        // A grant that nobody waits for any more comes back here when it is dropped.
+        let _ = waiter.granted.send(grant);
+    }
+
+    /// Counts a place for the next that waits, if there is one and the budget has room.
+    fn next_place(&self) -> Option<Waiter<C>> {
+        let mut state = self.state.lock();
+        if state.retired || state.used() >= state.budget {
+            return None;
+        }
+        let waiter = state.next_waiter()?;
+        state.lent += 1;
+        Some(waiter)
+    }
+
+    fn grant_place(self: &Arc<Self>, waiter: Waiter<C>) {
+        let _ = waiter.granted.send(Grant::Place(Place::of(self)));
+    }
+
+    fn release_place(self: &Arc<Self>) {
+        self.state.lock().lent -= 1;
+        if let Some(waiter) = self.next_place() {
+            self.grant_place(waiter);
+        }
+    }
+}
+
+impl<C: DatabaseConnection> PoolState<C> {
+    fn used(&self) -> usize {
+        self.lent + self.idle.len()
+    }
+
+    fn take_idle(
+        &mut self,
+        organisation: Option<&OrganisationId>,
+        values: &SessionValues,
+    ) -> Option<DatabaseLink<C>> {
+        let own = |idle: &IdleLink<C>| idle.organisation.as_ref() == organisation;
+        let equal = |idle: &IdleLink<C>| own(idle) && idle.link.memory.equals(values);
+        let index = self.idle.iter().rposition(equal);
+        let index = index.or_else(|| self.idle.iter().rposition(own))?;
+        Some(self.idle.remove(index).link)
+    }
+
+    /// Returns the first that still waits.
+    fn next_waiter(&mut self) -> Option<Waiter<C>> {
+        loop {
+            let waiter = self.waiting.pop_front()?;
+            if !waiter.granted.is_closed() {
+                return Some(waiter);
+            }
+        }
+    }
+
+    fn make_room(&mut self) -> Room<C> {
+        if self.used() < self.budget {
+            return Room::Free;
+        }
+        if self.idle.is_empty() || self.lent >= self.budget {
+            return Room::None;
+        }
+        Room::Evicted(self.idle.remove(0).link)
+    }
+}
+
+/// Whether one more connection fits.
+enum Room<C> {
+    Free,
+    Evicted(DatabaseLink<C>),
+    None,
+}
+
+impl<C: DatabaseConnection> Place<C> {
+    fn of(pool: &Arc<UpstreamPool<C>>) -> Self {
+        Self {
+            pool: Arc::clone(pool),
+            held: true,
+        }
+    }
+
+    /// Gives a connection back with its place.
+    pub(super) fn give_back(self, organisation: Option<OrganisationId>, link: DatabaseLink<C>) {
+        let pool = Arc::clone(&self.pool);
+        pool.give_back(self, organisation, link);
+    }
+}
+
+impl<C: DatabaseConnection> Drop for Place<C> {
+    fn drop(&mut self) {
+        if self.held {
+            self.pool.release_place();
+        }
+    }
+}
--- /dev/null
+++ b/crates/daisyseam-engine/src/route.rs
@@ -0,0 +1,207 @@
+//! The choice of the database that a call goes to.
+
+use crate::{
+    DatabaseConnector, //
+    health::HealthBook,
+    pool::ConnectionPool,
+};
+use daisyseam_coord::route::RouteDistance;
+use daisyseam_member::{
+    HeldView,
+    ViewCell, //
+};
+use daisyseam_model::{
+    DataCentreId,
+    ErrorKind,
+    FleetView,
+    GroupId,
+    LogPosition,
+    PrimaryState,
+    RegionId,
+    Term,
+    UpstreamId,
+    UpstreamView, //
+};
+use daisyseam_runtime::TimerService;
+use smallvec::SmallVec;
+use std::sync::Arc;
+use tokio::time::Instant;
+
+/// The databases that one read was tried at.
+pub(crate) type TriedUpstreams = SmallVec<[UpstreamId; 4]>;
+
+/// A database that a call goes to.
+#[derive(Clone, Debug)]
+pub(crate) struct Route {
+    /// What names it.
+    pub(crate) held: Arc<HeldView>,
+    /// The database.
+    pub(crate) upstream: UpstreamId,
+    /// Its group.
+    pub(crate) group: GroupId,
+    /// The group's term if the call needs the primary, else none.
+    pub(crate) term: Option<Term>,
+}
+
+/// What a read must see.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum ReadFloor {
+    /// All that is acknowledged: it goes to the primary, whose log must hold the position.
+    Primary(Option<LogPosition>),
+    /// What lies up to a position, if there is one.
+    Position(Option<LogPosition>),
+}
+
+impl ReadFloor {
+    /// Returns the position that the database's log must hold.
+    pub(crate) fn position(self) -> Option<LogPosition> {
+        match self {
+            Self::Primary(position) | Self::Position(position) => position,
+        }
+    }
+}
+
+/// Returns the database that takes the writes of a group, while a planned move drains it too.
+pub(crate) fn present_primary<'a>(view: &'a FleetView, group: &GroupId) -> Option<&'a UpstreamId> {
+    match &view.groups.get(group)?.primary {
+        PrimaryState::Active(upstream) | PrimaryState::Draining(upstream) => Some(upstream),
+        PrimaryState::Fenced => None,
+    }
+}
+
+/// Returns whether a database leads its group in a term, lease aside.
+pub(crate) fn leads(view: &FleetView, group: &GroupId, upstream: &UpstreamId, term: Term) -> bool {
+    let known = view.groups.get(group).map(|group| group.term);
+    known == Some(term) && present_primary(view, group) == Some(upstream)
+}
+
+/// Chooses databases for calls.
+pub(crate) struct Router<'a, D: DatabaseConnector> {
+    pub(crate) cell: &'a ViewCell,
+    pub(crate) timer: &'a TimerService,
+    pub(crate) health: &'a HealthBook,
+    pub(crate) pool: &'a ConnectionPool<D>,
+    pub(crate) data_centre: &'a DataCentreId,
+}
+
+impl<D: DatabaseConnector> Router<'_, D> {
+    /// Waits for a primary that may take new work under a valid lease.
+    ///
+    /// # Errors
+    ///
+    /// `NoPrimary` or `NoView` when there is none by `until`.
+    pub(crate) async fn primary(
+        &self,
+        group: &GroupId,
+        until: Instant,
+    ) -> Result<Route, ErrorKind> {
+        let route = match self.primary_now(group) {
+            Ok(route) => route,
+            Err(_) => return self.wait_for_primary(group, until).await,
+        };
+        let view = route.held.view.number;
+        match self.health.avoid_until(&route.upstream, view) {
+            None => Ok(route),
+            Some(_) => self.wait_for_primary(group, until).await,
+        }
+    }
+
+    async fn wait_for_primary(&self, group: &GroupId, until: Instant) -> Result<Route, ErrorKind> {
+        let mut changes = self.cell.subscribe();
+        loop {
+            let route = self.primary_now(group);
+            let avoided = route.as_ref().ok().and_then(|route| {
+                let view = route.held.view.number;
+                self.health.avoid_until(&route.upstream, view)
+            });
+            let look = match (&route, avoided) {
+                (Ok(_), None) => return route,
+                (_, avoided) => avoided.unwrap_or(until).min(until),
+            };
+            if Instant::now() >= until {
+                return Err(route.err().unwrap_or(ErrorKind::UpstreamUnreachable));
+            }
+            // The sender lives in the cell, so waiting cannot fail.
+            let _ = self.timer.within(look, changes.changed()).await;
+        }
+    }
+
+    /// Returns the primary that may take new work at this moment.
+    pub(crate) fn primary_now(&self, group: &GroupId) -> Result<Route, ErrorKind> {
+        let held = self.cell.held();
+        if !held.is_valid() {
+            return Err(ErrorKind::NoView);
+        }
+        let state = held.view.groups.get(group).ok_or(ErrorKind::NoPrimary)?;
+        let upstream = state.primary.active().ok_or(ErrorKind::NoPrimary)?.clone();
+        let named = held.view.upstreams.get(&upstream);
+        let named = named.ok_or(ErrorKind::NoPrimary)?;
+        if !held.view.in_service(&named.data_centre) {
+            return Err(ErrorKind::NoPrimary);
+        }
+        let term = Some(state.term);
+        Ok(Route {
+            upstream,
+            group: group.clone(),
+            term,
+            held,
+        })
+    }
+
+    /// Chooses a database that may have reached a position; none if no one is left to try.
+    ///
+    /// The nearest comes first, among equals the one with fewer calls under way here.
+    pub(crate) fn reader(
+        &self,
+        group: &GroupId,
+        floor: Option<LogPosition>,
+        tried: &[UpstreamId],
+    ) -> Option<Route> {
+        let held = self.cell.held();
+        let view = &held.view;
+        let candidates = view.members(group).filter(|(name, named)| {
+            !tried.contains(name) && !named.leaving && view.in_service(&named.data_centre)
+        });
+        let usable = candidates.filter(|(name, _)| {
+            let avoided = self.health.avoid_until(name, view.number).is_some();
+            let lagging = floor.is_some() && self.health.is_lagging(name);
+            !avoided && !lagging
+        });
+        let best = usable.min_by_key(|(name, named)| self.rank(view, name, named))?;
+        let upstream = best.0.clone();
+        Some(Route {
+            upstream,
+            group: group.clone(),
+            term: None,
+            held,
+        })
+    }
+
+    fn rank(
+        &self,
+        view: &FleetView,
+        name: &UpstreamId,
+        named: &UpstreamView,
+    ) -> (bool, RouteDistance, usize, u32) {
+        let (load, free) = self.pool.load(name);
+        let distance = self.distance(view, &named.data_centre);
+        (!free, distance, load, rand::random())
+    }
+
+    fn distance(&self, view: &FleetView, other: &DataCentreId) -> RouteDistance {
+        if other == self.data_centre {
+            return RouteDistance::Here;
+        }
+        let near = region(view, self.data_centre);
+        match near.is_some() && near == region(view, other) {
+            true => RouteDistance::Region,
+            false => RouteDistance::Far,
+        }
+    }
+}
+
+fn region<'a>(view: &'a FleetView, data_centre: &DataCentreId) -> Option<&'a RegionId> {
+    let document = view.document.as_ref()?;
+    let entry = document.data_centres.get(data_centre)?;
+    Some(&entry.region)
+}
--- /dev/null
+++ b/crates/daisyseam-engine/src/session/transaction.rs
@@ -0,0 +1,508 @@
+//! Transactions: begun here at once, and at a database with their first statement.
+
+use super::{
+    CallerSession,
+    SessionCore,
+    answer::{
+        self,
+        RunAnswer,
+        RunResult,
+        TryOutcome, //
+    },
+    single::{
+        ATTEMPTS,
+        is_final, //
+    }, //
+};
+use crate::{
+    DatabaseCall,
+    DatabaseConnection,
+    DatabaseConnector,
+    DatabaseReply,
+    DatabaseVerb,
+    RefusalKind,
+    StatementKind,
+    TransactionMode,
+    TransactionState,
+    attempt::{
+        AttemptEnd,
+        AttemptOrder,
+        Fence,
+        Statement,
+        StatementCall, //
+    },
+    identity::CallerRights,
+    pool::{
+        PooledConnection,
+        SetUp, //
+    },
+    route::{
+        ReadFloor,
+        Route,
+        TriedUpstreams, //
+    },
+    times::{
+        OperationTimes,
+        idle_limit, //
+    },
+    writers::WriterGuard, //
+};
+use bytes::Bytes;
+use daisyseam_member::RateGate;
+use daisyseam_model::{
+    ErrorKind,
+    LogPosition,
+    RequestError, //
+};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Longest time that a transaction whose caller has left is given to roll back.
+const ABANDON_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Least time that is left for a commit once the primary is certain.
+const COMMIT_TRIES: u32 = 3;
+
+/// A transaction of a caller.
+pub(super) struct OpenTransaction<C: DatabaseConnection> {
+    mode: TransactionMode,
+    /// What held when it began; a changed service applies from the next one.
+    rights: CallerRights,
+    stage: Stage<C>,
+}
+
+enum Stage<C: DatabaseConnection> {
+    /// No database has seen it.
+    Pending,
+    /// It is open at a database.
+    Running(RunningTransaction<C>),
+    /// It can only be rolled back, at a database too if it is still open there.
+    Failed(Option<RunningTransaction<C>>),
+}
+
+/// A transaction that is open at a database.
+struct RunningTransaction<C: DatabaseConnection> {
+    connection: PooledConnection<C>,
+    route: Route,
+    wrote: bool,
+    /// Counted until the connection is closed or given back.
+    counted: Option<WriterGuard>,
+}
+
+impl<C: DatabaseConnection> OpenTransaction<C> {
+    pub(super) fn new(mode: TransactionMode, rights: CallerRights) -> Self {
+        Self {
+            mode,
+            rights,
+            stage: Stage::Pending,
+        }
+    }
+
+    pub(super) fn state(&self) -> TransactionState {
+        match self.stage {
+            Stage::Pending | Stage::Running(_) => TransactionState::Open,
+            Stage::Failed(_) => TransactionState::Failed,
+        }
+    }
+
+    /// Returns whether it holds a connection, which an idle one may not for long.
+    fn may_expire(&self) -> bool {
+        !matches!(self.stage, Stage::Failed(None))
+    }
+}
+
+impl<C: DatabaseConnection> RunningTransaction<C> {
+    /// Gives the connection back after the transaction's end.
+    fn finish(mut self, committed: bool) {
+        self.connection.memory().transaction_ended(committed);
+        self.connection.finish();
+        drop(self.counted);
+    }
+}
+
+impl<D: DatabaseConnector, G: RateGate> CallerSession<'_, D, G> {
+    /// Returns when the open transaction has been idle for too long.
+    pub(super) fn idle_over(&self) -> Option<Instant> {
+        let transaction = self.transaction.as_ref()?;
+        let limit = idle_limit(&transaction.rights);
+        transaction.may_expire().then(|| self.idle_since + limit)
+    }
+
+    /// Rolls an idle transaction back; its caller learns of it with the next request.
+    pub(super) fn expire_transaction(&mut self) {
+        if let Some(transaction) = &mut self.transaction {
+            transaction.stage = Stage::Failed(None);
+        }
+    }
+
+    /// Rolls back what a caller left open.
+    pub(super) async fn abandon(&mut self) {
+        let Some(transaction) = self.transaction.take() else {
+            return;
+        };
+        if let Stage::Running(running) | Stage::Failed(Some(running)) = transaction.stage {
+            let until = Instant::now() + ABANDON_TIMEOUT;
+            self.core.roll_back_at(running, None, until).await;
+        }
+    }
+
+    /// Runs a statement of the open transaction.
+    pub(super) async fn run_in_transaction(
+        &mut self,
+        id: &Bytes,
+        kind: StatementKind,
+        statement: &Statement,
+    ) -> RunResult {
+        let Some(mut transaction) = self.transaction.take() else {
+            return Err(ErrorKind::TransactionAborted.into());
+        };
+        let times = OperationTimes::start(&transaction.rights);
+        let stage = std::mem::replace(&mut transaction.stage, Stage::Failed(None));
+        let running = match stage {
+            Stage::Pending => {
+                let OpenTransaction { mode, rights, .. } = &transaction;
+                self.core.begin_at(*mode, rights, &times).await
+            }
+            Stage::Running(running) => Ok(running),
+            Stage::Failed(running) => {
+                transaction.stage = Stage::Failed(running);
+                self.transaction = Some(transaction);
+                return Err(ErrorKind::TransactionAborted.into());
+            }
+        };
+        let result = match running {
+            Ok(running) => {
+                let (stage, result) = self
+                    .core
+                    .run_statement(running, id, kind, statement, &times)
+                    .await;
+                transaction.stage = stage;
+                result
+            }
+            Err(error) => Err(error),
+        };
+        self.transaction = Some(transaction);
+        result
+    }
+
+    /// Ends the open transaction and keeps its writes.
+    pub(super) async fn commit(&mut self, id: &Bytes) -> RunResult {
+        let transaction = self.transaction.take().ok_or_else(no_transaction)?;
+        match transaction.stage {
+            Stage::Pending => answer::local(),
+            Stage::Running(running) => {
+                let times = OperationTimes::start(&transaction.rights);
+                self.core.commit_at(running, id, &times).await
+            }
+            Stage::Failed(running) => {
+                if let Some(running) = running {
+                    let times = OperationTimes::start(&transaction.rights);
+                    self.core
+                        .roll_back_at(running, None, times.deadline())
+                        .await;
+                }
+                Err(ErrorKind::TransactionLost.into())
+            }
+        }
+    }
+
+    /// Ends the open transaction and drops its writes.
+    pub(super) async fn roll_back(&mut self, id: &Bytes) -> RunResult {
+        let transaction = self.transaction.take().ok_or_else(no_transaction)?;
+        let times = OperationTimes::start(&transaction.rights);
+        match transaction.stage {
+            Stage::Running(running) | Stage::Failed(Some(running)) => Ok(self
+                .core
+                .roll_back_at(running, Some(id), times.deadline())
+                .await),
+            Stage::Pending | Stage::Failed(None) => answer::local(),
+        }
+    }
+}
+
+impl<D: DatabaseConnector, G: RateGate> SessionCore<'_, D, G> {
+    /// Begins the transaction at a database; nothing else is sent before it has agreed.
+    async fn begin_at(
+        &self,
+        mode: TransactionMode,
+        rights: &CallerRights,
+        times: &OperationTimes,
+    ) -> Result<RunningTransaction<D::Connection>, RequestError> {
+        let floor = match mode {
+            TransactionMode::ReadWrite => ReadFloor::Primary(None),
+            TransactionMode::ReadOnly => self.read_floor(rights, times),
+        };
+        let mut tried = TriedUpstreams::new();
+        let mut last = None;
+        for attempt in 1..=ATTEMPTS {
+            let route = self
+                .read_route(&rights.service.group, floor, &tried, attempt, times)
+                .await;
+            let route = match route {
+                Ok(route) => route,
+                Err(kind) => return Err(last.unwrap_or_else(|| kind.into())),
+            };
+            tried.push(route.upstream.clone());
+            let begun = self.try_begin(route, mode, floor.position(), times).await;
+            let error = match begun {
+                Ok(running) => return Ok(running),
+                Err(error) => error,
+            };
+            if is_final(&error) || Instant::now() >= times.deadline() {
+                return Err(error);
+            }
+            last = Some(error);
+        }
+        Err(last.unwrap_or_else(|| ErrorKind::UpstreamUnreachable.into()))
+    }
+
+    async fn try_begin(
+        &self,
+        route: Route,
+        mode: TransactionMode,
+        at_least: Option<LogPosition>,
+        times: &OperationTimes,
+    ) -> Result<RunningTransaction<D::Connection>, RequestError> {
+        let counted = route
+            .term
+            .map(|term| self.engine.writers.enter(&route.group, term));
+        let begun = self.send_begin(&route, mode, at_least, times).await;
+        // Nothing of the transaction can be kept before it has begun, so all ends alike.
+        let (connection, reply) = match begun {
+            Ok(begun) => begun,
+            Err(end) => return Err(answer::end_kind(end, StatementKind::Read).into()),
+        };
+        let state = reply.state;
+        match TryOutcome::of(Ok(reply), StatementKind::Read) {
+            TryOutcome::Done(..) if state == TransactionState::Open => Ok(RunningTransaction {
+                connection,
+                route,
+                wrote: false,
+                counted,
+            }),
+            TryOutcome::Done(..) => Err(ErrorKind::UpstreamUnreachable.into()),
+            TryOutcome::Refused(_, error) => {
+                if state == TransactionState::Idle {
+                    connection.finish();
+                }
+                Err(error)
+            }
+            TryOutcome::Ended(end) => Err(answer::end_kind(end, StatementKind::Read).into()),
+        }
+    }
+
+    async fn send_begin(
+        &self,
+        route: &Route,
+        mode: TransactionMode,
+        at_least: Option<LogPosition>,
+        times: &OperationTimes,
+    ) -> Result<(PooledConnection<D::Connection>, DatabaseReply), AttemptEnd> {
+        let order = self.order(route, times);
+        let mut connection = self.engine.connect(order).await?;
+        let set_up = SetUp {
+            values: &self.values,
+            shape: None,
+            in_transaction: false,
+        };
+        self.engine.set_up(&mut connection, order, set_up).await?;
+        let call = DatabaseCall {
+            id: None,
+            at_least,
+            verb: DatabaseVerb::Begin(mode),
+        };
+        let reply = self
+            .engine
+            .call(&mut connection, order, call, Fence::NewWork)
+            .await?;
+        Ok((connection, reply))
+    }
+
+    /// Runs a statement where the transaction is open; returns what becomes of it.
+    async fn run_statement(
+        &self,
+        mut running: RunningTransaction<D::Connection>,
+        id: &Bytes,
+        kind: StatementKind,
+        statement: &Statement,
+        times: &OperationTimes,
+    ) -> (Stage<D::Connection>, RunResult) {
+        running.wrote |= kind == StatementKind::Write;
+        let call = StatementCall {
+            id,
+            statement,
+            at_least: None,
+            in_transaction: true,
+        };
+        for attempt in 1..=ATTEMPTS {
+            let order = AttemptOrder {
+                route: &running.route,
+                organisation: self.identity.organisation(),
+                values: &self.values,
+                times,
+            };
+            let reply = self.engine.run(&mut running.connection, order, call).await;
+            let Ok(reply) = reply else {
+                break;
+            };
+            let state = reply.state;
+            match (TryOutcome::of(Ok(reply), kind), state) {
+                (TryOutcome::Done(reply, receipt), TransactionState::Open) => {
+                    let result = answer::ran(reply.rows, receipt, reply.position);
+                    return (Stage::Running(running), result);
+                }
+                (TryOutcome::Refused(RefusalKind::Busy, error), TransactionState::Open) => {
+                    if attempt == ATTEMPTS || !self.pause(attempt, times).await {
+                        return (Stage::Failed(Some(running)), Err(error));
+                    }
+                }
+                (
+                    TryOutcome::Refused(refusal, error),
+                    TransactionState::Open | TransactionState::Failed,
+                ) if stays_open(refusal) => {
+                    return (Stage::Failed(Some(running)), Err(error));
+                }
+                _ => break,
+            }
+        }
+        // The connection is closed, which rolls back.
+        drop(running);
+        (Stage::Failed(None), Err(ErrorKind::TransactionLost.into()))
+    }
+
+    async fn commit_at(
+        &mut self,
+        mut running: RunningTransaction<D::Connection>,
+        id: &Bytes,
+        times: &OperationTimes,
+    ) -> RunResult {
+        let wrote = running.wrote;
+        let call = DatabaseCall {
+            id: Some(id),
+            at_least: None,
+            verb: DatabaseVerb::Commit,
+        };
+        for attempt in 1..=COMMIT_TRIES {
+            if wrote
+                && !self
+                    .engine
+                    .confirm(&running.route, times.primary_until())
+                    .await
+            {
+                break;
+            }
+            let fence = match wrote {
+                true => Fence::Commit,
+                false => Fence::Transaction,
+            };
+            let order = self.order(&running.route, times);
+            let reply = self
+                .engine
+                .call(&mut running.connection, order, call, fence)
+                .await;
+            let state = reply.as_ref().ok().map(|reply| reply.state);
+            match TryOutcome::of(reply, StatementKind::Write) {
+                TryOutcome::Done(reply, receipt) => {
+                    return self.committed(running, reply, receipt, times).await;
+                }
+                TryOutcome::Refused(RefusalKind::Busy, error)
+                    if state == Some(TransactionState::Open) =>
+                {
+                    if attempt == COMMIT_TRIES || !self.pause(attempt, times).await {
+                        return Err(error);
+                    }
+                }
+                TryOutcome::Refused(refusal, _) if !is_certain(refusal) && wrote => {
+                    return Err(ErrorKind::OutcomeUnknown.into());
+                }
+                TryOutcome::Ended(AttemptEnd::Lost | AttemptEnd::TimedOut) if wrote => {
+                    return Err(ErrorKind::OutcomeUnknown.into());
+                }
+                TryOutcome::Refused(..) | TryOutcome::Ended(_) => break,
+            }
+        }
+        Err(ErrorKind::TransactionLost.into())
+    }
+
+    /// Acknowledges a commit if nobody else can have been primary when it ran.
+    async fn committed(
+        &mut self,
+        running: RunningTransaction<D::Connection>,
+        reply: DatabaseReply,
+        receipt: Bytes,
+        times: &OperationTimes,
+    ) -> RunResult {
+        let until = times.primary_until();
+        if running.wrote && !self.engine.confirm(&running.route, until).await {
+            return Err(ErrorKind::OutcomeUnknown.into());
+        }
+        if running.wrote {
+            self.floor.committed(&running.route.group, reply.position);
+        }
+        if reply.state == TransactionState::Idle {
+            running.finish(true);
+        }
+        answer::ran(reply.rows, receipt, reply.position)
+    }
+
+    /// Rolls back; if the database does not say so, closing the connection does.
+    async fn roll_back_at(
+        &self,
+        mut running: RunningTransaction<D::Connection>,
+        id: Option<&Bytes>,
+        until: Instant,
+    ) -> RunAnswer {
+        let call = DatabaseCall {
+            id: id.map(|id| &id[..]),
+            at_least: None,
+            verb: DatabaseVerb::Rollback,
+        };
+        let timer = &self.engine.settings.timer;
+        let reply = running.connection.call(timer, call, until).await;
+        let outcome = reply.map(|reply| (reply.state, reply.outcome, reply.position));
+        match outcome {
+            Ok((TransactionState::Idle, Ok(receipt), position)) => {
+                running.finish(false);
+                RunAnswer::of(Vec::new(), receipt, position)
+            }
+            Ok(_) | Err(_) => RunAnswer::default(),
+        }
+    }
+
+    fn order<'a>(&'a self, route: &'a Route, times: &'a OperationTimes) -> AttemptOrder<'a> {
+        AttemptOrder {
+            route,
+            organisation: self.identity.organisation(),
+            values: &self.values,
+            times,
+        }
+    }
+}
+
+fn no_transaction() -> RequestError {
+    RequestError::new(ErrorKind::StatementUnclear, "no transaction is open")
+}
+
+/// Returns whether a transaction of which a statement was refused so is still the database's to
+/// roll back.
+fn stays_open(refusal: RefusalKind) -> bool {
+    matches!(
+        refusal,
+        RefusalKind::Busy | RefusalKind::Failed | RefusalKind::Malformed
+    )
+}
+
+/// Returns whether a commit that was refused so kept nothing for certain.
+fn is_certain(refusal: RefusalKind) -> bool {
+    match refusal {
+        RefusalKind::Busy
+        | RefusalKind::Lagging
+        | RefusalKind::ReadOnly
+        | RefusalKind::Misdirected
+        | RefusalKind::TooManyConnections
+        | RefusalKind::UnknownStatement
+        | RefusalKind::Aborted
+        | RefusalKind::Malformed => true,
+        RefusalKind::Failed | RefusalKind::TimedOut | RefusalKind::Unknown => false,
+    }
+}
--- /dev/null
+++ b/crates/daisyseam-engine/src/times.rs
@@ -0,0 +1,68 @@
+//! The times that bound an operation.
+
+use crate::identity::CallerRights;
+use daisyseam_model::document::RequestLimits;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Time within which an operation should be answered if its service does not say.
+const TARGET: Duration = Duration::from_secs(1);
+
+/// Longest wait for a token.
+const TOKEN_WAIT_MAX: Duration = Duration::from_millis(200);
+
+/// The times that bound one request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct OperationTimes {
+    start: Instant,
+    timeout: Duration,
+    target: Duration,
+}
+
+impl OperationTimes {
+    /// Returns the times of a request that has just come in.
+    pub(crate) fn start(rights: &CallerRights) -> Self {
+        let stated = rights.service.statement_timeout;
+        let timeout = stated.unwrap_or_else(|| limits(rights).statement_timeout);
+        Self {
+            start: Instant::now(),
+            timeout,
+            target: rights.service.target_latency.unwrap_or(TARGET),
+        }
+    }
+
+    /// Returns when the request came in.
+    pub(crate) fn began(&self) -> Instant {
+        self.start
+    }
+
+    /// Returns when the statement's time is over.
+    pub(crate) fn deadline(&self) -> Instant {
+        self.start + self.timeout
+    }
+
+    /// Returns until when it waits for a token.
+    pub(crate) fn token_until(&self) -> Instant {
+        self.start + (self.target / 10).min(TOKEN_WAIT_MAX)
+    }
+
+    /// Returns until when it waits for a connection from now on.
+    pub(crate) fn queue_until(&self, now: Instant) -> Instant {
+        (now + self.target / 4).min(self.deadline())
+    }
+
+    /// Returns until when it waits for a primary.
+    pub(crate) fn primary_until(&self) -> Instant {
+        self.start + self.target.min(self.timeout)
+    }
+}
+
+/// Returns how long a transaction may sit idle.
+pub(crate) fn idle_limit(rights: &CallerRights) -> Duration {
+    limits(rights).idle_in_transaction_timeout
+}
+
+fn limits(rights: &CallerRights) -> RequestLimits {
+    let document = rights.held.view.document.as_ref();
+    document.map_or_else(RequestLimits::default, |document| document.limits.clone())
+}
--- /dev/null
+++ b/crates/daisyseam-engine/src/values.rs
@@ -0,0 +1,74 @@
+//! What a session keeps between its requests: values and prepared statements.
+
+use crate::StatementKind;
+use bytes::Bytes;
+use std::collections::BTreeMap;
+
+/// Session values, in the order of their names.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub(crate) struct SessionValues(Vec<(Bytes, Bytes)>);
+
+impl SessionValues {
+    /// Sets a value in place of a former one of that name.
+    pub(crate) fn set(&mut self, name: Bytes, value: Bytes) {
+        match self.0.binary_search_by(|(known, _)| known.cmp(&name)) {
+            Ok(index) => self.0[index].1 = value,
+            Err(index) => self.0.insert(index, (name, value)),
+        }
+    }
+
+    /// Forgets all values.
+    pub(crate) fn clear(&mut self) {
+        self.0.clear();
+    }
+
+    /// Returns whether a name is held here that the other lacks.
+    pub(crate) fn exceeds(&self, other: &Self) -> bool {
+        self.0.iter().any(|(name, _)| other.get(name).is_none())
+    }
+
+    /// Returns the values that the other lacks or holds differently.
+    pub(crate) fn missing_in<'a>(
+        &'a self,
+        other: &'a Self,
+    ) -> impl Iterator<Item = &'a (Bytes, Bytes)> {
+        self.0
+            .iter()
+            .filter(|(name, value)| other.get(name) != Some(value))
+    }
+
+    fn get(&self, name: &[u8]) -> Option<&Bytes> {
+        let found = self.0.binary_search_by(|(known, _)| known[..].cmp(name));
+        found.ok().map(|index| &self.0[index].1)
+    }
+}
+
+/// What a prepared statement runs.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub(crate) struct PreparedShape {
+    /// What it does.
+    pub(crate) kind: StatementKind,
+    /// What was prepared.
+    pub(crate) shape: Bytes,
+}
+
+/// The prepared statements of a session, by the names that its caller gave.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct PreparedNames(BTreeMap<Bytes, PreparedShape>);
+
+impl PreparedNames {
+    /// Keeps a statement in place of a former one of that name.
+    pub(crate) fn insert(&mut self, name: Bytes, shape: PreparedShape) {
+        self.0.insert(name, shape);
+    }
+
+    /// Forgets a statement; returns whether there was one.
+    pub(crate) fn remove(&mut self, name: &[u8]) -> bool {
+        self.0.remove(name).is_some()
+    }
+
+    /// Returns the statement of a name.
+    pub(crate) fn get(&self, name: &[u8]) -> Option<&PreparedShape> {
+        self.0.get(name)
+    }
+}
--- /dev/null
+++ b/crates/daisyseam-engine/tests/support/database.rs
@@ -0,0 +1,343 @@
+//! Databases that record what they are asked and do as the test says.
+
+use bytes::Bytes;
+use daisyseam_engine::{
+    ConnectError,
+    ConnectionLost,
+    DatabaseCall,
+    DatabaseConnection,
+    DatabaseConnector,
+    DatabaseRefusal,
+    DatabaseReply,
+    DatabaseTarget,
+    DatabaseVerb,
+    RefusalKind,
+    StatementKind,
+    TransactionMode,
+    TransactionState, //
+};
+use daisyseam_model::{
+    LogPosition,
+    OrganisationId,
+    Position,
+    UpstreamId, //
+};
+use parking_lot::Mutex;
+use std::{
+    collections::{
+        BTreeMap,
+        VecDeque, //
+    },
+    future,
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration, //
+};
+
+/// All databases of a test.
+#[derive(Clone)]
+pub struct FakeDatabases {
+    all: Arc<Mutex<BTreeMap<UpstreamId, FakeDatabase>>>,
+}
+
+/// One database.
+pub struct FakeDatabase {
+    pub position: LogPosition,
+    pub delay: Duration,
+    pub connect_error: Option<ConnectError>,
+    pub open: usize,
+    pub most_open: usize,
+    pub connects: usize,
+    /// What it was asked, with the number of the connection.
+    pub calls: Vec<String>,
+    /// What it does at the next call that starts so, instead of running it.
+    pub faults: VecDeque<(&'static str, Fault)>,
+}
+
+/// What goes wrong.
+pub enum Fault {
+    Refuse(RefusalKind),
+    /// Runs it, and the connection breaks before the answer.
+    Lose,
+    /// Never answers.
+    Silence,
+    /// Runs it, and does this before it answers.
+    Then(Box<dyn FnOnce() + Send>),
+}
+
+/// A connection to one of them.
+pub struct FakeConnection {
+    databases: FakeDatabases,
+    upstream: UpstreamId,
+    number: usize,
+    state: TransactionState,
+    values: BTreeMap<Vec<u8>, Vec<u8>>,
+    prepared: BTreeMap<Vec<u8>, Vec<u8>>,
+    replies: VecDeque<Option<DatabaseReply>>,
+    lost: bool,
+    wrote: bool,
+}
+
+impl FakeDatabases {
+    pub fn new(names: &[&str]) -> Self {
+        let all = names.iter().map(|name| {
+            let database = FakeDatabase {
+                position: super::position(1, 100),
+                delay: Duration::from_millis(2),
+                connect_error: None,
+                open: 0,
+                most_open: 0,
+                connects: 0,
+                calls: Vec::new(),
+                faults: VecDeque::new(),
+            };
+            (name.parse().unwrap(), database)
+        });
+        Self {
+            all: Arc::new(Mutex::new(all.collect())),
+        }
+    }
+
+    pub fn addresses(&self) -> Vec<(UpstreamId, SocketAddr)> {
+        let all = self.all.lock();
+        let names = all.keys().cloned().zip(1_u16..);
+        names
+            .map(|(name, port)| (name, SocketAddr::from(([127, 0, 0, 1], port))))
+            .collect()
+    }
+
+    /// Looks at a database or changes it.
+    pub fn at<T>(&self, name: &str, look: impl FnOnce(&mut FakeDatabase) -> T) -> T {
+        look(self.all.lock().get_mut(name).unwrap())
+    }
+
+    /// Returns what a database was asked, without the system's own calls.
+    pub fn asked(&self, name: &str) -> Vec<String> {
+        self.at(name, |database| database.calls.clone())
+    }
+
+    pub fn fault(&self, name: &str, call: &'static str, fault: Fault) {
+        self.at(name, |database| database.faults.push_back((call, fault)));
+    }
+}
+
+impl FakeDatabase {
+    fn take_fault(&mut self, words: &str) -> Option<Fault> {
+        let due = |(call, _): &(&str, Fault)| words.starts_with(call);
+        let index = self.faults.iter().position(due)?;
+        self.faults.remove(index).map(|(_, fault)| fault)
+    }
+}
+
+impl DatabaseConnector for FakeDatabases {
+    type Connection = FakeConnection;
+
+    async fn connect(&self, target: &DatabaseTarget) -> Result<FakeConnection, ConnectError> {
+        let number = self.at(target.upstream.as_str(), |database| {
+            database.open += 1;
+            database.connects += 1;
+            database.most_open = database.most_open.max(database.open);
+            database.connects
+        });
+        let connection = FakeConnection {
+            databases: self.clone(),
+            upstream: target.upstream.clone(),
+            number,
+            state: TransactionState::Idle,
+            values: BTreeMap::new(),
+            prepared: BTreeMap::new(),
+            replies: VecDeque::new(),
+            lost: false,
+            wrote: false,
+        };
+        tokio::time::sleep(Duration::from_millis(2)).await;
+        let error = self.at(target.upstream.as_str(), |database| {
+            let organisation = target.organisation.as_ref().map(OrganisationId::as_str);
+            let words = format!("{number} connect {}", organisation.unwrap_or("-"));
+            database.calls.push(words);
+            database.connect_error.clone()
+        });
+        match error {
+            Some(error) => Err(error),
+            None => Ok(connection),
+        }
+    }
+}
+
+impl DatabaseConnection for FakeConnection {
+    async fn send(&mut self, call: DatabaseCall<'_>) -> Result<(), ConnectionLost> {
+        if self.lost {
+            return Err(ConnectionLost("closed".to_owned()));
+        }
+        let words = words(&call);
+        let (fault, held) = self.databases.at(self.upstream.as_str(), |database| {
+            database.calls.push(format!("{} {words}", self.number));
+            (database.take_fault(&words), database.position)
+        });
+        let lagging = call.at_least.is_some_and(|floor| floor > held);
+        let reply = match fault {
+            Some(Fault::Silence) => None,
+            Some(Fault::Refuse(kind)) => Some(self.refuse(kind)),
+            Some(Fault::Lose) => {
+                self.act(&call);
+                self.lost = true;
+                return Ok(());
+            }
+            Some(Fault::Then(then)) => {
+                let reply = self.act(&call);
+                then();
+                Some(reply)
+            }
+            None if lagging => Some(self.refuse(RefusalKind::Lagging)),
+            None => Some(self.act(&call)),
+        };
+        self.replies.push_back(reply);
+        Ok(())
+    }
+
+    async fn receive(&mut self) -> Result<DatabaseReply, ConnectionLost> {
+        let delay = self
+            .databases
+            .at(self.upstream.as_str(), |found| found.delay);
+        tokio::time::sleep(delay).await;
+        if self.lost {
+            return Err(ConnectionLost("reset".to_owned()));
+        }
+        match self.replies.front().cloned() {
+            Some(Some(reply)) => {
+                self.replies.pop_front();
+                Ok(reply)
+            }
+            Some(None) => future::pending().await,
+            None => panic!("an answer was awaited that nobody asked for"),
+        }
+    }
+
+    fn is_stale(&mut self) -> bool {
+        self.lost
+    }
+}
+
+impl Drop for FakeConnection {
+    fn drop(&mut self) {
+        self.databases
+            .at(self.upstream.as_str(), |database| database.open -= 1);
+    }
+}
+
+impl FakeConnection {
+    fn act(&mut self, call: &DatabaseCall<'_>) -> DatabaseReply {
+        let row = match call.verb {
+            DatabaseVerb::Begin(_) => {
+                assert_eq!(self.state, TransactionState::Idle);
+                self.state = TransactionState::Open;
+                None
+            }
+            DatabaseVerb::Commit | DatabaseVerb::Rollback => {
+                assert_ne!(self.state, TransactionState::Idle);
+                let commits = matches!(call.verb, DatabaseVerb::Commit);
+                self.state = TransactionState::Idle;
+                if std::mem::take(&mut self.wrote) && commits {
+                    self.advance();
+                }
+                None
+            }
+            DatabaseVerb::Set(name, value) => {
+                self.values.insert(name.to_vec(), value.to_vec());
+                None
+            }
+            DatabaseVerb::Prepare(name, _, shape) => {
+                self.prepared.insert(name.to_vec(), shape.to_vec());
+                None
+            }
+            DatabaseVerb::Discard => {
+                assert_eq!(self.state, TransactionState::Idle);
+                self.values.clear();
+                self.prepared.clear();
+                None
+            }
+            DatabaseVerb::Run(text) => {
+                if text.starts_with(b"write") {
+                    self.write();
+                }
+                Some(format!("{}{}", text_of(text), self.session_values()))
+            }
+            DatabaseVerb::Execute(name, arguments) => match self.prepared.get(name) {
+                Some(shape) => Some(format!("{} {}", text_of(shape), text_of(arguments))),
+                None => return self.refuse(RefusalKind::UnknownStatement),
+            },
+        };
+        let rows = row.map(Bytes::from).into_iter().collect();
+        self.reply(
+            rows,
+            Ok(Bytes::from(format!("{}-{}", self.upstream, self.number))),
+        )
+    }
+
+    fn write(&mut self) {
+        match self.state {
+            TransactionState::Idle => self.advance(),
+            TransactionState::Open | TransactionState::Failed => self.wrote = true,
+        }
+    }
+
+    fn advance(&self) {
+        self.databases.at(self.upstream.as_str(), |database| {
+            database.position.position = Position(database.position.position.0 + 1);
+        });
+    }
+
+    fn refuse(&mut self, kind: RefusalKind) -> DatabaseReply {
+        if self.state == TransactionState::Open && kind != RefusalKind::Busy {
+            self.state = TransactionState::Failed;
+        }
+        let detail = "as told".to_owned();
+        self.reply(Vec::new(), Err(DatabaseRefusal { kind, detail }))
+    }
+
+    fn reply(&self, rows: Vec<Bytes>, outcome: Result<Bytes, DatabaseRefusal>) -> DatabaseReply {
+        let position = self
+            .databases
+            .at(self.upstream.as_str(), |found| found.position);
+        DatabaseReply {
+            rows,
+            outcome,
+            state: self.state,
+            position: Some(position),
+        }
+    }
+
+    fn session_values(&self) -> String {
+        let values = self.values.iter();
+        values
+            .map(|(name, value)| format!(" {}={}", text_of(name), text_of(value)))
+            .collect()
+    }
+}
+
+fn words(call: &DatabaseCall<'_>) -> String {
+    let words = match call.verb {
+        DatabaseVerb::Begin(TransactionMode::ReadWrite) => "begin".to_owned(),
+        DatabaseVerb::Begin(TransactionMode::ReadOnly) => "begin-read".to_owned(),
+        DatabaseVerb::Commit => "commit".to_owned(),
+        DatabaseVerb::Rollback => "rollback".to_owned(),
+        DatabaseVerb::Run(text) => text_of(text),
+        DatabaseVerb::Set(name, value) => format!("set {}={}", text_of(name), text_of(value)),
+        DatabaseVerb::Prepare(name, kind, shape) => {
+            assert_eq!(kind, StatementKind::Read);
+            format!("prepare {} {}", text_of(name), text_of(shape))
+        }
+        DatabaseVerb::Execute(name, arguments) => {
+            format!("execute {} {}", text_of(name), text_of(arguments))
+        }
+        DatabaseVerb::Discard => "discard".to_owned(),
+    };
+    match call.at_least {
+        Some(floor) => format!("{words} @{}", floor.position.0),
+        None => words,
+    }
+}
+
+fn text_of(bytes: &[u8]) -> String {
+    String::from_utf8(bytes.to_vec()).unwrap()
+}
--- a/crates/daisyseam-model/src/error.rs
+++ b/crates/daisyseam-model/src/error.rs
@@ -27,6 +27,10 @@
     KeyInStatement,
     /// the statement cannot be understood
     StatementUnclear,
+    /// the prepared statement is not known in this session
+    StatementUnknown,
+    /// the statement failed at the database
+    StatementFailed,
     /// the statement needs session state that pooled connections cannot keep
     SessionStateRefused,
     /// the feature is not supported
@@ -97,7 +101,7 @@
 
 impl ErrorKind {
     /// Every kind, in the order of the list.
-    pub const ALL: [Self; 29] = [
+    pub const ALL: [Self; 31] = [
         Self::ProtocolViolation,
         Self::MessageTooLarge,
         Self::UnknownService,
@@ -107,6 +111,8 @@
         Self::OpenRouteDenied,
         Self::KeyInStatement,
         Self::StatementUnclear,
+        Self::StatementUnknown,
+        Self::StatementFailed,
         Self::SessionStateRefused,
         Self::FeatureUnsupported,
         Self::InvalidSetting,
@@ -142,6 +148,8 @@
             Self::OpenRouteDenied => row("42501", NotRun, false, false, "open_route_denied"),
             Self::KeyInStatement => row("28000", NotRun, false, false, "key_in_statement"),
             Self::StatementUnclear => row("42601", NotRun, false, false, "statement_unclear"),
+            Self::StatementUnknown => row("26000", NotRun, false, false, "statement_unknown"),
+            Self::StatementFailed => row("XX001", Unknown, false, false, "statement_failed"),
             Self::SessionStateRefused => row("0A000", NotRun, false, false, "session_state"),
             Self::FeatureUnsupported => row("0A000", NotRun, false, false, "unsupported"),
             Self::InvalidSetting => row("22023", NotRun, false, false, "invalid_setting"),
