Count suspended time in leases, and notice dead connections

The steady clock stands still while a machine is suspended, so a lease on a view, on shares or of control's leader seemed valid after a thaw. They are counted on a clock that adds what CLOCK_BOOTTIME has gained on the steady clock; timers still run by the steady clock, and a thaw shows within 250 ms. A connection may also go silent for good. Sockets are tuned before they are opened (user timeout 2 s, probes after 1 s), a link on which a member does not answer for 1 s is opened anew, and a member or entry that says nothing for 5 s loses its session. Attempts to reach a member that is gone become rarer, up to every 400 ms.

--- a/crates/daisyseam-control/src/daemon.rs
+++ b/crates/daisyseam-control/src/daemon.rs
@@ -31,6 +31,7 @@
     }, //
 };
 use daisyseam_runtime::{
+    BootClock,
     ControlAddresses,
     Dialer,
     HealthServer,
@@ -151,11 +152,11 @@
             .map_err(|error| StartError::Listen(settings.listen, error))?;
         let own = settings.advertise.unwrap_or(address);
         let (store, identity, recovered) = open_store(&settings, own, &timer).await?;
-        let origin = Instant::now();
+        let origin = BootClock::now();
         let core = recover_core(&settings, &identity, recovered)?;
         let admin = HttpAdmin::new(settings.source, timer.clone()).map_err(StartError::Client)?;
         let report = Arc::<ArcSwap<NodeReport>>::default();
-        let (wake, woken) = watch::channel(origin);
+        let (wake, woken) = watch::channel(timer.now());
         let dialer = Dialer {
             source: settings.source,
         };
--- a/crates/daisyseam-control/src/link.rs
+++ b/crates/daisyseam-control/src/link.rs
@@ -27,10 +27,14 @@
 
 /// Messages that wait for a connection; more are dropped, as a network may.
 const QUEUE_LENGTH: usize = 256;
-/// Time between two attempts to connect.
-const RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Shortest and longest time between two attempts to connect.
+const RETRY_DELAY_MIN: Duration = Duration::from_millis(50);
+const RETRY_DELAY_MAX: Duration = Duration::from_millis(400);
 /// Time after which an attempt to connect is given up.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time without an answer after which a new connection is tried: this one may be dead while
+/// others work.
+const SILENCE_MAX: Duration = Duration::from_millis(1_000);
 
 /// What every link needs.
 #[derive(Clone)]
@@ -77,6 +81,7 @@
 }
 
 async fn run_link(address: SocketAddr, context: LinkContext, mut receiver: mpsc::Receiver<Body>) {
+    let mut delay = RETRY_DELAY_MIN;
     loop {
         let until = context.timer.now() + CONNECT_TIMEOUT;
         let connect = connect_member(&context, address);
@@ -86,8 +91,10 @@
             if exchange(socket, &context, &mut receiver).await.is_none() {
                 return;
             }
+            delay = RETRY_DELAY_MIN;
         }
-        context.timer.after(RETRY_DELAY).await;
+        context.timer.after(delay).await;
+        delay = (delay * 2).min(RETRY_DELAY_MAX);
     }
 }
 
@@ -104,16 +111,29 @@
 ) -> Option<()> {
     let stream = MessageStream::<_, ControlMessage>::new(socket, context.cluster.clone());
     let (mut sender, mut answers) = stream.split();
+    let timer = &context.timer;
+    let mut asked_at = None;
     loop {
+        let silent = asked_at.unwrap_or_else(|| timer.now()) + SILENCE_MAX;
         tokio::select! {
             body = receiver.recv() => {
-                let message = ControlMessage { body: Some(body?) };
-                if sender.send(&message).await.is_err() {
+                let body = body?;
+                if is_answered(&body) {
+                    asked_at.get_or_insert_with(|| timer.now());
+                }
+                let message = ControlMessage { body: Some(body) };
+                let sent = timer.within(silent, sender.send(&message)).await;
+                if !matches!(sent, Some(Ok(()))) {
                     return Some(());
                 }
             }
+            () = timer.at(silent), if asked_at.is_some() => {
+                log::debug!("a connection to a member has fallen silent");
+                return Some(());
+            }
             answer = answers.receive() => match answer {
                 Ok(ControlMessage { body: Some(body) }) => {
+                    asked_at = None;
                     let message = NodeMessage::Peer { body, route: None };
                     context.node.cast(message).ok()?;
                 }
@@ -126,3 +146,8 @@
         }
     }
 }
+
+/// Returns whether the other member answers a message on the same connection.
+fn is_answered(body: &Body) -> bool {
+    matches!(body, Body::Vote(_) | Body::Append(_) | Body::Snapshot(_))
+}
--- a/crates/daisyseam-control/src/node.rs
+++ b/crates/daisyseam-control/src/node.rs
@@ -40,7 +40,10 @@
     Term,
     UpstreamId, //
 };
-use daisyseam_runtime::MetricClient;
+use daisyseam_runtime::{
+    BootClock,
+    MetricClient, //
+};
 use daisyseam_store::{
     LogStorage,
     StoreError, //
@@ -138,6 +141,7 @@
     pub(crate) named_by: Option<SocketAddr>,
     pub(crate) store: S,
     pub(crate) admin: A,
+    /// When time begins, by [`BootClock`].
     pub(crate) origin: Instant,
     pub(crate) wake: watch::Sender<Instant>,
     pub(crate) report: Arc<ArcSwap<NodeReport>>,
@@ -235,7 +239,7 @@
 
 impl<S: LogStorage, A: UpstreamAdmin> NodeState<S, A> {
     fn now(&self) -> Moment {
-        Moment::after_origin(Instant::now() - self.origin)
+        Moment::after_origin(BootClock::now() - self.origin)
     }
 
     fn take(&mut self, message: NodeMessage) {
@@ -423,7 +427,7 @@
 
     fn finish_flush(&mut self) {
         let now = self.now();
-        let wake = self.origin + self.core.next_tick().since_origin();
+        let wake = BootClock::steady(self.origin + self.core.next_tick().since_origin());
         self.wake
             .send_if_modified(|held| std::mem::replace(held, wake) != wake);
         let due = |at: Moment| now.since(at) >= STATUS_EVERY;
--- a/crates/daisyseam-control/src/session.rs
+++ b/crates/daisyseam-control/src/session.rs
@@ -2,7 +2,10 @@
 
 use crate::node::NodeMessage;
 use daisyseam_model::ClusterId;
-use daisyseam_runtime::TimerService;
+use daisyseam_runtime::{
+    TimerService,
+    tune_socket, //
+};
 use daisyseam_wire::{
     ControlMessage,
     MessageStream,
@@ -43,6 +46,9 @@
 /// Time that a connection may take to prove who opened it.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Silence after which a connection of a member or entry is closed.
+const SILENCE_MAX: Duration = Duration::from_secs(5);
+
 /// What every session needs.
 #[derive(Clone)]
 pub(crate) struct SessionContext {
@@ -76,7 +82,7 @@
     context: SessionContext,
     _permit: OwnedSemaphorePermit,
 ) {
-    if let Err(error) = socket.set_nodelay(true) {
+    if let Err(error) = tune_socket(&socket) {
         log::debug!("{address}: {error}");
     }
     let until = context.timer.now() + HANDSHAKE_TIMEOUT;
@@ -90,6 +96,9 @@
         None => return,
     };
     let node = context.node;
+    let timer = context.timer;
+    let mut speaks = false;
+    let mut heard_at = timer.now();
     let stream = MessageStream::<_, ControlMessage>::new(socket, context.cluster);
     let (mut sender, mut receiver) = stream.split();
     let (answers, mut outgoing) = mpsc::channel(ANSWERS_MAX);
@@ -105,6 +114,8 @@
                         return;
                     }
                 };
+                heard_at = timer.now();
+                speaks |= is_repeated(&body);
                 if !may_send(role, &body) {
                     log::warn!("{address} sent what its role may not: it is closed");
                     return;
@@ -113,10 +124,16 @@
                     return;
                 }
             }
+            () = timer.at(heard_at + SILENCE_MAX), if speaks => {
+                log::debug!("the connection from {address} has fallen silent");
+                return;
+            }
             Some(body) = outgoing.recv() => {
                 let message = ControlMessage { body: Some(body) };
-                if let Err(error) = sender.send(&message).await {
-                    log::debug!("the connection from {address} failed: {error}");
+                let until = timer.now() + SILENCE_MAX;
+                let sent = timer.within(until, sender.send(&message)).await;
+                if !matches!(sent, Some(Ok(()))) {
+                    log::debug!("the connection from {address} takes nothing more");
                     return;
                 }
             }
@@ -124,6 +141,11 @@
     }
 }
 
+/// Returns whether the sender of a message goes on to speak for as long as it is there.
+fn is_repeated(body: &Body) -> bool {
+    is_between_members(body) || matches!(body, Body::Heartbeat(_) | Body::Spare(_))
+}
+
 /// Returns whether a process of a role may send a message; without TLS there are no roles.
 fn may_send(role: Option<PeerRole>, body: &Body) -> bool {
     let Some(role) = role else {
@@ -138,17 +160,7 @@
 }
 
 fn route(body: Body, answers: &AnswerSender) -> NodeMessage {
-    let from_member = matches!(
-        body,
-        Body::Vote(_)
-            | Body::Voted(_)
-            | Body::Append(_)
-            | Body::Appended(_)
-            | Body::Snapshot(_)
-            | Body::SnapshotTaken(_)
-            | Body::Transfer(_)
-    );
-    if from_member {
+    if is_between_members(&body) {
         NodeMessage::Peer {
             body,
             route: Some(answers.clone()),
@@ -160,3 +172,16 @@
         }
     }
 }
+
+fn is_between_members(body: &Body) -> bool {
+    matches!(
+        body,
+        Body::Vote(_)
+            | Body::Voted(_)
+            | Body::Append(_)
+            | Body::Appended(_)
+            | Body::Snapshot(_)
+            | Body::SnapshotTaken(_)
+            | Body::Transfer(_)
+    )
+}
--- a/crates/daisyseam-entry/src/daemon/status.rs
+++ b/crates/daisyseam-entry/src/daemon/status.rs
@@ -13,6 +13,7 @@
     InstanceId, //
 };
 use daisyseam_runtime::{
+    BootClock,
     HealthState,
     MetricClient,
     StopSignal, //
@@ -21,7 +22,6 @@
     Value,
     json, //
 };
-use tokio::time::Instant;
 
 /// The parts that the health pages look at.
 #[derive(Clone)]
@@ -51,7 +51,7 @@
 
     fn status(&self) -> Value {
         let held = self.cell.held();
-        let now = Instant::now();
+        let now = BootClock::now();
         let lease = held
             .lease_until
             .map_or(0, |until| until.saturating_duration_since(now).as_millis());
--- a/crates/daisyseam-entry/src/peer/server.rs
+++ b/crates/daisyseam-entry/src/peer/server.rs
@@ -36,7 +36,8 @@
 use daisyseam_runtime::{
     SpanExporter,
     TimerService,
-    TraceContext, //
+    TraceContext,
+    tune_socket, //
 };
 use daisyseam_wire::{
     AwaitReply,
@@ -154,7 +155,7 @@
 }
 
 async fn serve(socket: TcpStream, settings: ServerSettings) {
-    if socket.set_nodelay(true).is_err() {
+    if tune_socket(&socket).is_err() {
         return;
     }
     let deadline = settings.timer.now() + SECURE_TIMEOUT;
--- a/crates/daisyseam-member/src/control_client.rs
+++ b/crates/daisyseam-member/src/control_client.rs
@@ -16,6 +16,7 @@
     InstanceId, //
 };
 use daisyseam_runtime::{
+    BootClock,
     ControlAddresses,
     Dialer,
     StopSignal,
@@ -42,6 +43,9 @@
 const RECONNECT_MIN: Duration = Duration::from_millis(20);
 const RECONNECT_MAX: Duration = Duration::from_millis(150);
 
+/// Longest time between two looks at the lease; a suspension shows only after it.
+const LEASE_LOOK: Duration = Duration::from_millis(250);
+
 /// Time between two heartbeats, if none is set.
 pub const HEARTBEAT: Duration = Duration::from_millis(200);
 
@@ -138,13 +142,15 @@
     }
 }
 
-/// Tells the observer at the moment when the lease runs out.
+/// Tells the observer when the lease runs out, or soon after the end of a suspension.
 async fn watch_lease<O: FleetObserver>(cell: ViewCell, observer: O, timer: TimerService) {
     let mut changes = cell.subscribe();
     loop {
         let until = cell.held().lease_until;
-        match until.filter(|until| *until > Instant::now()) {
+        match until.filter(|until| *until > BootClock::now()) {
             Some(until) => {
+                let look = timer.now() + LEASE_LOOK;
+                let until = BootClock::steady(until).min(look);
                 timer.within(until, changes.changed()).await;
             }
             None => {
--- a/crates/daisyseam-member/src/control_client/session.rs
+++ b/crates/daisyseam-member/src/control_client/session.rs
@@ -6,6 +6,7 @@
 };
 use crate::FleetObserver;
 use daisyseam_model::Incarnation;
+use daisyseam_runtime::BootClock;
 use daisyseam_wire::{
     ControlMessage,
     Heartbeat,
@@ -56,13 +57,22 @@
     }
 }
 
+/// A heartbeat whose answer is still to come.
+struct SentBeat {
+    sequence: u64,
+    /// When it was sent, by the steady clock.
+    at: Instant,
+    /// When it was sent, by the clock of leases.
+    lease_from: Instant,
+}
+
 /// A connection on which this instance has been welcomed.
 pub(super) struct ControlSession<'a, O> {
     settings: &'a ClientSettings<O>,
     keeper: &'a mut ViewKeeper<O>,
     sender: MessageSender<PeerSocket, ControlMessage>,
     receiver: MessageReceiver<PeerSocket, ControlMessage>,
-    sent: VecDeque<(u64, Instant)>,
+    sent: VecDeque<SentBeat>,
     heard_at: Instant,
     next_beat: Instant,
 }
@@ -128,11 +138,13 @@
 
     /// Returns when the other side has been silent for too long; it speaks only when asked.
     fn silence_until(&self) -> Instant {
-        let asked = self.sent.front().map(|(_, sent)| *sent);
+        let asked = self.sent.front().map(|sent| sent.at);
         asked.unwrap_or(self.next_beat).max(self.heard_at) + SILENCE_MAX
     }
 
     async fn beat(&mut self) -> Result<(), SessionEnd> {
+        // Taken first: a suspension from here on shortens the lease.
+        let lease_from = BootClock::now();
         let sequence = self.keeper.next_sequence();
         let settings = self.settings;
         let view = self.keeper.named();
@@ -152,7 +164,11 @@
             members: self.keeper.members_known(),
         };
         let now = Instant::now();
-        self.sent.push_back((sequence, now));
+        self.sent.push_back(SentBeat {
+            sequence,
+            at: now,
+            lease_from,
+        });
         self.next_beat = now + settings.heartbeat;
         let message = ControlMessage {
             body: Some(Body::Heartbeat(heartbeat)),
@@ -176,7 +192,7 @@
 
     async fn replied(&mut self, reply: HeartbeatReply) -> Result<(), SessionEnd> {
         self.heard_at = Instant::now();
-        let Some(sent) = self.sent_at(reply.sequence) else {
+        let Some(lease_from) = self.lease_from(reply.sequence) else {
             return Err(SessionEnd::Failed(
                 "it answered what was not asked".to_owned(),
             ));
@@ -195,7 +211,7 @@
         }
         if reply.lease_ms > 0 {
             let lease = Duration::from_millis(reply.lease_ms);
-            self.keeper.extend(sent + lease);
+            self.keeper.extend(lease_from + lease);
             if let Some(shares) = &reply.shares {
                 self.settings.gate.replied(shares, lease);
             }
@@ -203,11 +219,11 @@
         Ok(())
     }
 
-    /// Returns when a heartbeat was sent, and forgets the earlier ones.
-    fn sent_at(&mut self, sequence: u64) -> Option<Instant> {
-        while let Some((number, at)) = self.sent.pop_front() {
-            if number == sequence {
-                return Some(at);
+    /// Returns when the lease of a heartbeat begins, and forgets the earlier ones.
+    fn lease_from(&mut self, sequence: u64) -> Option<Instant> {
+        while let Some(sent) = self.sent.pop_front() {
+            if sent.sequence == sequence {
+                return Some(sent.lease_from);
             }
         }
         None
--- a/crates/daisyseam-member/src/gate.rs
+++ b/crates/daisyseam-member/src/gate.rs
@@ -18,7 +18,10 @@
     RequestError,
     ServiceId, //
 };
-use daisyseam_runtime::TimerService;
+use daisyseam_runtime::{
+    BootClock,
+    TimerService, //
+};
 use daisyseam_wire::{
     WireShareReply,
     WireShareReport, //
@@ -90,7 +93,7 @@
         let shared = GateShared {
             cell,
             timer,
-            state: Mutex::new(GateState::new(Instant::now())),
+            state: Mutex::new(GateState::new(BootClock::now())),
             shares: watch::Sender::new(()),
             stirred: watch::Sender::new(()),
         };
@@ -104,7 +107,7 @@
         let view = Arc::clone(&self.shared.cell.held().view);
         let mut state = self.shared.state.lock();
         state.take_document(&view);
-        WireShareReport::present(&state.report(Instant::now()))
+        WireShareReport::present(&state.report(BootClock::now()))
     }
 
     /// Waits until a report should not wait for the next heartbeat.
@@ -113,7 +116,7 @@
         loop {
             let (due, waiting) = {
                 let mut state = self.shared.state.lock();
-                (state.is_report_due(Instant::now()), state.has_waiting())
+                (state.is_report_due(BootClock::now()), state.has_waiting())
             };
             if due {
                 return;
@@ -135,7 +138,7 @@
                 .shared
                 .state
                 .lock()
-                .apply(Instant::now(), lease, &reply),
+                .apply(BootClock::now(), lease, &reply),
             Err(error) => log::warn!("shares cannot be read: {error}"),
         }
         self.shared.shares.send_replace(());
@@ -144,7 +147,7 @@
 
     /// Returns all shares for good: no caller is left.
     pub fn leave(&self) {
-        self.shared.state.lock().leave(Instant::now());
+        self.shared.state.lock().leave(BootClock::now());
         self.shared.stirred.send_replace(());
     }
 
@@ -180,7 +183,7 @@
     ) -> Result<Option<LineGuard<'a>>, RequestError> {
         let mut state = self.shared.state.lock();
         // Taken under the lock, so that no wait for it makes a lease seem longer.
-        let now = Instant::now();
+        let now = BootClock::now();
         state.take_document(view);
         state.count(now, key);
         if state.waiting(key) == 0 {
@@ -190,7 +193,7 @@
                 Err(NoToken::Wait(_)) => {}
             }
         }
-        if now + state.least_wait(key) > deadline {
+        if Instant::now() + state.least_wait(key) > deadline {
             let retry_after = state.retry_after(now, key);
             return Err(rate_exceeded(retry_after));
         }
@@ -208,11 +211,10 @@
     /// Takes a token, or returns when to look again; no moment while there is no share.
     fn take_now(&self, key: &RateKey) -> Result<Option<Option<Instant>>, RequestError> {
         let mut state = self.shared.state.lock();
-        let now = Instant::now();
-        match state.take(now, key) {
+        match state.take(BootClock::now(), key) {
             Ok(()) => Ok(None),
             Err(NoToken::UnknownKey) => Err(ErrorKind::ServiceDenied.into()),
-            Err(NoToken::Wait(wait)) => Ok(Some(wait.map(|wait| now + wait))),
+            Err(NoToken::Wait(wait)) => Ok(Some(wait.map(|wait| Instant::now() + wait))),
         }
     }
 
@@ -237,7 +239,7 @@
             return kind.into();
         }
         let mut state = self.shared.state.lock();
-        rate_exceeded(state.retry_after(Instant::now(), key))
+        rate_exceeded(state.retry_after(BootClock::now(), key))
     }
 }
 
--- a/crates/daisyseam-member/src/gate/state.rs
+++ b/crates/daisyseam-member/src/gate/state.rs
@@ -16,6 +16,7 @@
     DocumentNumber,
     FleetView, //
 };
+use daisyseam_runtime::BootClock;
 use parking_lot::Mutex;
 use std::{
     collections::{
@@ -75,7 +76,7 @@
             return;
         }
         self.document = Some(view.document_number);
-        let now = self.moment(Instant::now());
+        let now = self.moment(BootClock::now());
         self.set.set_totals(now, document_rates(document));
     }
 
--- a/crates/daisyseam-member/src/view_cell.rs
+++ b/crates/daisyseam-member/src/view_cell.rs
@@ -5,6 +5,7 @@
     ErrorKind,
     FleetView, //
 };
+use daisyseam_runtime::BootClock;
 use std::sync::Arc;
 use tokio::{
     sync::watch,
@@ -16,14 +17,15 @@
 pub struct HeldView {
     /// The view.
     pub view: Arc<FleetView>,
-    /// End of the lease; none before the first one.
+    /// End of the lease by [`BootClock`]; none before the first one.
     pub lease_until: Option<Instant>,
 }
 
 impl HeldView {
-    /// Returns whether the lease holds at this moment.
+    /// Returns whether the lease holds at this moment; time spent suspended counts.
     pub fn is_valid(&self) -> bool {
-        self.lease_until.is_some_and(|until| Instant::now() < until)
+        let until = self.lease_until;
+        until.is_some_and(|until| BootClock::now() < until)
     }
 }
 
--- a/crates/daisyseam-runtime/src/dialer.rs
+++ b/crates/daisyseam-runtime/src/dialer.rs
@@ -1,5 +1,6 @@
 //! Outgoing connections.
 
+use crate::tune_socket;
 use std::{
     io,
     net::{
@@ -20,7 +21,8 @@
 }
 
 impl Dialer {
-    /// Connects without delay of small segments.
+    /// Connects; the connection is tuned by [`tune_socket`] before it is opened, so that an attempt
+    /// is bounded too.
     ///
     /// # Errors
     ///
@@ -33,8 +35,7 @@
         if let Some(source) = self.source {
             socket.bind(SocketAddr::new(source, 0))?;
         }
-        let stream = socket.connect(target).await?;
-        stream.set_nodelay(true)?;
-        Ok(stream)
+        tune_socket(&socket)?;
+        socket.connect(target).await
     }
 }
--- a/crates/daisyseam-runtime/src/lib.rs
+++ b/crates/daisyseam-runtime/src/lib.rs
@@ -4,6 +4,7 @@
 //! signal that asks for a graceful stop.
 
 mod addresses;
+mod clock;
 mod dialer;
 mod health;
 mod logs;
@@ -12,11 +13,13 @@
 mod security;
 mod settings;
 mod shutdown;
+mod socket;
 mod span;
 mod timer;
 
 pub use crate::{
     addresses::ControlAddresses,
+    clock::BootClock,
     dialer::Dialer,
     health::{
         HealthServer,
@@ -43,6 +46,7 @@
         StopSignal,
         stop_on_signal, //
     },
+    socket::tune_socket,
     span::{
         HopSpan,
         SpanExporter,
