--- a/crates/daisyseam-control/src/daemon.rs
+++ b/crates/daisyseam-control/src/daemon.rs
@@ -35,6 +35,7 @@
     }, //
 };
 use daisyseam_runtime::{
+    BootClock,
     ControlAddresses,
     Dialer,
     HealthServer,
@@ -178,10 +179,10 @@
             .map_err(|error| StartError::Listen(settings.listen, error))?;
         let own = settings.advertise.unwrap_or(address);
         let (store, identity, recovered) = open_store(&settings, own, &timer).await?;
-        let origin = Instant::now();
+        let origin = BootClock::now();
         let core = recover_core(&settings, &identity, recovered)?;
         let report = Arc::<ArcSwap<NodeReport>>::default();
-        let (wake, woken) = watch::channel(origin);
+        let (wake, woken) = watch::channel(timer.now());
         let dialer = Dialer {
             source: settings.source,
         };
