--- a/crates/daisyseam-engine/src/attempt.rs
+++ b/crates/daisyseam-engine/src/attempt.rs
@@ -96,6 +96,8 @@
     pub(crate) at_least: Option<LogPosition>,
     /// Whether it is part of a transaction on the connection.
     pub(crate) in_transaction: bool,
+    /// What must hold when it is sent.
+    pub(crate) fence: Fence,
 }
 
 impl<D: DatabaseConnector, G> EngineShared<D, G> {
@@ -104,13 +106,14 @@
         &self,
         order: AttemptOrder<'_>,
     ) -> Result<PooledConnection<D::Connection>, AttemptEnd> {
+        let now = Instant::now();
         let taken = self.pool.take(ConnectionOrder {
             view: &order.route.held.view,
             upstream: &order.route.upstream,
             organisation: order.organisation,
             values: order.values,
-            wait_until: order.times.queue_until(Instant::now()),
-            until: order.times.deadline(),
+            wait_until: order.times.queue_until(now),
+            connect_until: order.times.connect_until(now),
         });
         taken.await.map_err(|error| self.note(order.route, &error))
     }
@@ -165,11 +168,7 @@
             at_least: call.at_least,
             verb,
         };
-        let fence = match call.in_transaction {
-            true => Fence::Transaction,
-            false => Fence::NewWork,
-        };
-        self.call(connection, order, call_of, fence).await
+        self.call(connection, order, call_of, call.fence).await
     }
 
     /// Brings a connection in line with a session.
@@ -203,7 +202,9 @@
         }
         let asked = Instant::now();
         let timer = &self.settings.timer;
+        let under_way = self.health.asked(&order.route.upstream);
         let reply = connection.call(timer, call, order.times.deadline()).await;
+        drop(under_way);
         match reply {
             Ok(reply) => {
                 self.note_reply(order.route, asked, &reply);
@@ -215,37 +216,35 @@
 
     /// Returns whether a route may still be used at this moment.
     pub(crate) fn passes(&self, route: &Route, fence: Fence) -> bool {
-        let Some(term) = route.term else {
+        let Some(term) = route.term.filter(|_| fence != Fence::Nothing) else {
             return true;
         };
         let held = self.settings.cell.held();
         if !leads(&held.view, &route.group, &route.upstream, term) {
             return false;
         }
+        let group = held.view.groups.get(&route.group);
+        let active = group.and_then(|group| group.primary.active());
         match fence {
-            Fence::Transaction => true,
-            Fence::Commit => held.is_valid(),
-            Fence::NewWork => {
-                let group = held.view.groups.get(&route.group);
-                let active = group.and_then(|group| group.primary.active());
-                held.is_valid() && active == Some(&route.upstream)
-            }
+            Fence::Nothing | Fence::Leads => true,
+            Fence::Leased => held.is_valid(),
+            Fence::NewWrites => held.is_valid() && active == Some(&route.upstream),
         }
     }
 
     /// Waits until the lease holds on a view in which the route's primary still leads its term;
     /// returns whether that came by `until`.
     pub(crate) async fn confirm(&self, route: &Route, until: Instant) -> bool {
-        if self.passes(route, Fence::Commit) {
+        if self.passes(route, Fence::Leased) {
             return true;
         }
         let cell = &self.settings.cell;
         let mut changes = cell.subscribe();
         loop {
-            if self.passes(route, Fence::Commit) {
+            if self.passes(route, Fence::Leased) {
                 return true;
             }
-            if !self.passes(route, Fence::Transaction) {
+            if !self.passes(route, Fence::Leads) {
                 return false;
             }
             let timer = &self.settings.timer;
@@ -321,12 +320,14 @@
 /// What must hold as the last thing before a call to a primary is sent.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Fence {
-    /// It takes new work, under a valid lease.
-    NewWork,
+    /// Nothing: no answer to it can be wrong.
+    Nothing,
     /// It leads its term as far as the view says.
-    Transaction,
+    Leads,
     /// It leads its term, under a valid lease.
-    Commit,
+    Leased,
+    /// It also takes new writes: no planned move drains it.
+    NewWrites,
 }
 
 /// Returns how a database refused, if it did.
--- a/crates/daisyseam-engine/src/health.rs
+++ b/crates/daisyseam-engine/src/health.rs
@@ -29,6 +29,15 @@
 /// Time without anything good that makes a database unreachable.
 const UNREACHABLE_AFTER: Duration = Duration::from_millis(300);
 
+/// Time without any answer while calls are under way after which a database is avoided.
+const SUSPECT_AFTER: Duration = Duration::from_millis(500);
+
+/// Time without any answer while several calls are under way that makes a database unreachable.
+const SILENT_AFTER: Duration = Duration::from_millis(1_000);
+
+/// Calls under way whose silence makes a database unreachable.
+const SILENT_CALLS: usize = 2;
+
 /// What is known of each database; wakes who waits for a change of its health.
 #[derive(Debug, Default)]
 pub(crate) struct HealthBook {
@@ -43,6 +52,8 @@
     avoid_until: Option<Instant>,
     lagging_until: Option<Instant>,
     misdirected: Option<ViewNumber>,
+    under_way: usize,
+    quiet_since: Option<Instant>,
     told_bad: bool,
 }
 
@@ -58,13 +69,29 @@
 }
 
 impl HealthBook {
+    /// Notes that a call is under way until the guard is dropped.
+    pub(crate) fn asked<'a>(&'a self, upstream: &'a UpstreamId) -> UnderWay<'a> {
+        let mut upstreams = self.upstreams.lock();
+        let health = entry(&mut upstreams, upstream);
+        if health.under_way == 0 {
+            health.quiet_since = Some(Instant::now());
+        }
+        health.under_way += 1;
+        UnderWay {
+            book: self,
+            upstream,
+        }
+    }
+
     /// Notes an answer.
     pub(crate) fn good(&self, upstream: &UpstreamId) {
         let mut upstreams = self.upstreams.lock();
         let health = entry(&mut upstreams, upstream);
+        health.quiet_since = Some(Instant::now());
         health.failures = 0;
         health.avoid_until = None;
-        if health.failing_since.take().is_some() && health.told_bad {
+        health.failing_since = None;
+        if health.told_bad {
             drop(upstreams);
             self.changes.send_replace(());
         }
@@ -113,6 +140,9 @@
         if health.misdirected == Some(view) {
             return Some(now + AVOID_MAX);
         }
+        if health.quiet(now) >= SUSPECT_AFTER {
+            return Some(now + AVOID);
+        }
         health.avoid_until.filter(|until| now < *until)
     }
 
@@ -166,7 +196,14 @@
 
 impl UpstreamHealth {
     fn is_bad(&self, now: Instant) -> bool {
-        self.bad_at().is_some_and(|at| at <= now)
+        let silent = self.under_way >= SILENT_CALLS && self.quiet(now) >= SILENT_AFTER;
+        silent || self.bad_at().is_some_and(|at| at <= now)
+    }
+
+    /// Returns for how long calls under way have had no answer.
+    fn quiet(&self, now: Instant) -> Duration {
+        let since = self.quiet_since.filter(|_| self.under_way > 0);
+        since.map_or(Duration::ZERO, |since| now.saturating_duration_since(since))
     }
 
     fn bad_at(&self) -> Option<Instant> {
@@ -183,8 +220,24 @@
     }
 
     fn silence(&self, now: Instant) -> Duration {
-        self.failing_since
-            .map_or(Duration::ZERO, |since| now.saturating_duration_since(since))
+        let failing = self.failing_since;
+        let failing = failing.map(|since| now.saturating_duration_since(since));
+        failing.unwrap_or_default().max(self.quiet(now))
+    }
+}
+
+/// A call that is under way until this is dropped.
+pub(crate) struct UnderWay<'a> {
+    book: &'a HealthBook,
+    upstream: &'a UpstreamId,
+}
+
+impl Drop for UnderWay<'_> {
+    fn drop(&mut self) {
+        let mut upstreams = self.book.upstreams.lock();
+        if let Some(health) = upstreams.get_mut(self.upstream) {
+            health.under_way = health.under_way.saturating_sub(1);
+        }
     }
 }
 
--- a/crates/daisyseam-engine/src/pool.rs
+++ b/crates/daisyseam-engine/src/pool.rs
@@ -18,6 +18,7 @@
     ConnectError,
     DatabaseConnector,
     DatabaseTarget,
+    route::present_primary,
     values::SessionValues, //
 };
 use daisyseam_model::{
@@ -30,14 +31,10 @@
 use parking_lot::Mutex;
 use std::{
     collections::HashMap,
-    sync::Arc,
-    time::Duration, //
+    sync::Arc, //
 };
 use tokio::time::Instant;
 
-/// Longest time that opening a connection may take.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
-
 /// Part of a database's connections that the instances share out among them, in tenths.
 const SHARED_TENTHS: usize = 9;
 
@@ -61,8 +58,8 @@
     pub(crate) values: &'a SessionValues,
     /// Longest wait for a place among the connections.
     pub(crate) wait_until: Instant,
-    /// Moment after which the connection is of no use.
-    pub(crate) until: Instant,
+    /// Moment by which a new one must be open.
+    pub(crate) connect_until: Instant,
 }
 
 /// Why there is no connection.
@@ -121,8 +118,8 @@
             address: named.address,
             organisation: order.organisation.cloned(),
         };
-        let until = order.until.min(Instant::now() + CONNECT_TIMEOUT);
-        let opened = self.timer.within(until, self.connector.connect(&target));
+        let opening = self.connector.connect(&target);
+        let opened = self.timer.within(order.connect_until, opening);
         let silent = || ConnectError::Unreachable("no answer in time".to_owned());
         let opened = opened.await.unwrap_or_else(|| Err(silent()));
         let connection = opened.map_err(NoConnection::Connect)?;
@@ -154,7 +151,9 @@
                 return false;
             };
             pool.set_budget(budget(view, named));
-            if named.leaving || !view.in_service(&named.data_centre) {
+            let shut = is_shut(view, name, named);
+            pool.set_shut(shut);
+            if shut {
                 closed.push((Arc::clone(pool), false));
             }
             true
@@ -189,6 +188,13 @@
     }
 }
 
+/// Returns whether connections to a database are not worth keeping: it takes no new work. One that
+/// leaves takes work as long as it is primary.
+fn is_shut(view: &FleetView, name: &UpstreamId, named: &UpstreamView) -> bool {
+    let leaving = named.leaving && present_primary(view, &named.group) != Some(name);
+    leaving || !view.in_service(&named.data_centre)
+}
+
 /// Returns this instance's share of a database's connections.
 fn budget(view: &FleetView, named: &UpstreamView) -> usize {
     let document = view.document.as_ref();
--- a/crates/daisyseam-engine/src/pool/upstream.rs
+++ b/crates/daisyseam-engine/src/pool/upstream.rs
@@ -29,6 +29,8 @@
 
 struct PoolState<C: DatabaseConnection> {
     retired: bool,
+    /// Whether nothing is kept idle.
+    shut: bool,
     budget: usize,
     /// Places that are lent: connections in use and those being opened.
     lent: usize,
@@ -76,6 +78,7 @@
             born_ms: named.born_ms,
             state: Mutex::new(PoolState {
                 retired: false,
+                shut: false,
                 budget,
                 lent: 0,
                 idle: Vec::new(),
@@ -108,6 +111,11 @@
         }
     }
 
+    /// Says whether connections that come back are kept.
+    pub(super) fn set_shut(&self, shut: bool) {
+        self.state.lock().shut = shut;
+    }
+
     /// Closes all connections, those in use when they come back.
     pub(super) fn retire(&self) {
         let mut state = self.state.lock();
@@ -171,7 +179,7 @@
         link: DatabaseLink<C>,
     ) {
         let mut state = self.state.lock();
-        if state.retired || state.used() > state.budget {
+        if state.retired || state.shut || state.used() > state.budget {
             drop(state);
             // The connection is closed before its place can be given on.
             drop(link);
--- a/crates/daisyseam-engine/src/route.rs
+++ b/crates/daisyseam-engine/src/route.rs
@@ -43,6 +43,15 @@
     pub(crate) term: Option<Term>,
 }
 
+/// What a primary is wanted for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum PrimaryUse {
+    /// Reads, which a planned move does not hold.
+    Reads,
+    /// Writes.
+    Writes,
+}
+
 /// What a read must see.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum ReadFloor {
@@ -85,7 +94,7 @@
 }
 
 impl<D: DatabaseConnector> Router<'_, D> {
-    /// Waits for a primary that may take new work under a valid lease.
+    /// Waits for a primary of use, under a valid lease.
     ///
     /// # Errors
     ///
@@ -93,23 +102,29 @@
     pub(crate) async fn primary(
         &self,
         group: &GroupId,
+        usage: PrimaryUse,
         until: Instant,
     ) -> Result<Route, ErrorKind> {
-        let route = match self.primary_now(group) {
+        let route = match self.primary_now(group, usage) {
             Ok(route) => route,
-            Err(_) => return self.wait_for_primary(group, until).await,
+            Err(_) => return self.wait_for_primary(group, usage, until).await,
         };
         let view = route.held.view.number;
         match self.health.avoid_until(&route.upstream, view) {
             None => Ok(route),
-            Some(_) => self.wait_for_primary(group, until).await,
+            Some(_) => self.wait_for_primary(group, usage, until).await,
         }
     }
 
-    async fn wait_for_primary(&self, group: &GroupId, until: Instant) -> Result<Route, ErrorKind> {
+    async fn wait_for_primary(
+        &self,
+        group: &GroupId,
+        usage: PrimaryUse,
+        until: Instant,
+    ) -> Result<Route, ErrorKind> {
         let mut changes = self.cell.subscribe();
         loop {
-            let route = self.primary_now(group);
+            let route = self.primary_now(group, usage);
             let avoided = route.as_ref().ok().and_then(|route| {
                 let view = route.held.view.number;
                 self.health.avoid_until(&route.upstream, view)
@@ -126,14 +141,18 @@
         }
     }
 
-    /// Returns the primary that may take new work at this moment.
-    pub(crate) fn primary_now(&self, group: &GroupId) -> Result<Route, ErrorKind> {
+    /// Returns the primary that is of use at this moment.
+    fn primary_now(&self, group: &GroupId, usage: PrimaryUse) -> Result<Route, ErrorKind> {
         let held = self.cell.held();
         if !held.is_valid() {
             return Err(ErrorKind::NoView);
         }
         let state = held.view.groups.get(group).ok_or(ErrorKind::NoPrimary)?;
-        let upstream = state.primary.active().ok_or(ErrorKind::NoPrimary)?.clone();
+        let upstream = match usage {
+            PrimaryUse::Reads => present_primary(&held.view, group),
+            PrimaryUse::Writes => state.primary.active(),
+        };
+        let upstream = upstream.ok_or(ErrorKind::NoPrimary)?.clone();
         let named = held.view.upstreams.get(&upstream);
         let named = named.ok_or(ErrorKind::NoPrimary)?;
         if !held.view.in_service(&named.data_centre) {
--- a/crates/daisyseam-engine/src/session/answer.rs
+++ b/crates/daisyseam-engine/src/session/answer.rs
@@ -18,6 +18,9 @@
 /// What came of a request.
 pub(super) type RunResult = Result<RunAnswer, RequestError>;
 
+/// What a request is answered if no other try does better, or what it is answered at once.
+pub(super) type RunRetry = Result<RequestError, RequestError>;
+
 /// What a request that succeeded is answered.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub(super) struct RunAnswer {
@@ -94,6 +97,66 @@
     }
 }
 
+impl TryOutcome {
+    /// Returns what a read that ended so is answered if no other try does better.
+    ///
+    /// # Errors
+    ///
+    /// What it is answered at once: no connection or no time is left, or no database would
+    /// understand it.
+    pub(super) fn read_again(self) -> RunRetry {
+        match self {
+            Self::Done(..) => Err(ErrorKind::Internal.into()),
+            Self::Refused(RefusalKind::Malformed, error) => Err(error),
+            Self::Refused(_, error) => Ok(error),
+            Self::Ended(end) => {
+                let error = end_kind(end, StatementKind::Read).into();
+                match end {
+                    AttemptEnd::Full | AttemptEnd::TimedOut => Err(error),
+                    AttemptEnd::Unreachable | AttemptEnd::Fenced | AttemptEnd::Lost => Ok(error),
+                }
+            }
+        }
+    }
+
+    /// Returns what a write that certainly did not run is answered if no other try does better.
+    ///
+    /// # Errors
+    ///
+    /// What it is answered at once: it may have run, or no other try would do better.
+    pub(super) fn write_again(self) -> RunRetry {
+        match self {
+            Self::Done(..) => Err(ErrorKind::Internal.into()),
+            Self::Refused(refusal, error) if is_not_run(refusal) => Ok(error),
+            Self::Refused(_, error) => Err(error),
+            Self::Ended(end) => {
+                let error = end_kind(end, StatementKind::Write).into();
+                match end {
+                    AttemptEnd::Unreachable | AttemptEnd::Fenced => Ok(error),
+                    AttemptEnd::Full | AttemptEnd::Lost | AttemptEnd::TimedOut => Err(error),
+                }
+            }
+        }
+    }
+}
+
+/// Returns whether a refusal says that a statement did not run, and another try may do better.
+fn is_not_run(refusal: RefusalKind) -> bool {
+    match refusal {
+        RefusalKind::Busy
+        | RefusalKind::Lagging
+        | RefusalKind::ReadOnly
+        | RefusalKind::Misdirected
+        | RefusalKind::TooManyConnections
+        | RefusalKind::UnknownStatement => true,
+        RefusalKind::Aborted
+        | RefusalKind::Failed
+        | RefusalKind::TimedOut
+        | RefusalKind::Malformed
+        | RefusalKind::Unknown => false,
+    }
+}
+
 /// Returns the kind under which a single statement that a database refused is answered.
 pub(super) fn refusal_kind(refusal: RefusalKind, kind: StatementKind) -> ErrorKind {
     match (refusal, kind) {
--- a/crates/daisyseam-engine/src/session/single.rs
+++ b/crates/daisyseam-engine/src/session/single.rs
@@ -9,20 +9,22 @@
     }, //
 };
 use crate::{
+    DatabaseConnection,
     DatabaseConnector,
     DatabaseReply,
-    RefusalKind,
     StatementKind,
     TransactionState,
     attempt::{
         AttemptEnd,
         AttemptOrder,
+        Fence,
         Statement,
         StatementCall, //
     },
     identity::CallerRights,
     pool::PooledConnection,
     route::{
+        PrimaryUse,
         ReadFloor,
         Route,
         TriedUpstreams, //
@@ -41,7 +43,7 @@
 use tokio::time::Instant;
 
 /// Most tries of one statement.
-pub(super) const ATTEMPTS: u32 = 4;
+pub(super) const ATTEMPTS: usize = 4;
 
 /// Time before the same database is tried again, by the number of tries.
 pub(super) const PAUSE: Duration = Duration::from_millis(15);
@@ -61,31 +63,29 @@
             statement,
             at_least: floor.position(),
             in_transaction: false,
+            fence: Fence::Leased,
         };
         let mut tried = TriedUpstreams::new();
-        let mut last = None;
-        for attempt in 1..=ATTEMPTS {
-            let route = self
-                .read_route(&rights.service.group, floor, &tried, attempt, times)
-                .await;
-            let route = match route {
+        let mut last: Option<RequestError> = None;
+        while tried.len() < ATTEMPTS {
+            let group = &rights.service.group;
+            let route = match self.read_route(group, floor, &tried, times).await {
                 Ok(route) => route,
                 Err(kind) => return Err(last.unwrap_or_else(|| kind.into())),
             };
             let reply = self.try_once(&route, call, times).await;
-            tried.push(route.upstream);
-            let error = match TryOutcome::of(reply, StatementKind::Read) {
+            let outcome = match TryOutcome::of(reply, StatementKind::Read) {
                 TryOutcome::Done(reply, receipt) => {
                     return answer::ran(reply.rows, receipt, reply.position);
                 }
-                TryOutcome::Refused(RefusalKind::Malformed, error) => return Err(error),
-                TryOutcome::Refused(_, error) => error,
-                TryOutcome::Ended(end) => answer::end_kind(end, StatementKind::Read).into(),
+                outcome => outcome,
             };
-            if is_final(&error) || Instant::now() >= times.deadline() {
+            let error = outcome.read_again()?;
+            if Instant::now() >= times.deadline() {
                 return Err(error);
             }
             last = Some(error);
+            tried.push(route.upstream);
         }
         Err(last.unwrap_or_else(|| ErrorKind::UpstreamUnreachable.into()))
     }
@@ -103,39 +103,30 @@
             statement,
             at_least: None,
             in_transaction: false,
+            fence: Fence::NewWrites,
         };
         let group = &rights.service.group;
+        let mut tried = TriedUpstreams::new();
         let mut last: Option<RequestError> = None;
-        for attempt in 1..=ATTEMPTS {
-            let router = self.engine.router();
-            let route = match router.primary(group, times.primary_until()).await {
+        while tried.len() < ATTEMPTS {
+            let route = self.primary_route(group, PrimaryUse::Writes, &tried, times);
+            let route = match route.await {
                 Ok(route) => route,
                 Err(kind) => return Err(last.unwrap_or_else(|| kind.into())),
             };
-            let _counted = route
+            let counted = route
                 .term
                 .map(|term| self.engine.writers.enter(group, term));
             let reply = self.try_once(&route, call, times).await;
-            let error = match TryOutcome::of(reply, StatementKind::Write) {
+            let outcome = match TryOutcome::of(reply, StatementKind::Write) {
                 TryOutcome::Done(reply, receipt) => {
                     return self.acknowledge(&route, reply, receipt, times).await;
                 }
-                TryOutcome::Refused(refusal, error) if may_repeat(refusal) => error,
-                TryOutcome::Refused(_, error) => return Err(error),
-                TryOutcome::Ended(end) => {
-                    let error = answer::end_kind(end, StatementKind::Write).into();
-                    match end {
-                        AttemptEnd::Unreachable | AttemptEnd::Fenced => error,
-                        AttemptEnd::Full | AttemptEnd::Lost | AttemptEnd::TimedOut => {
-                            return Err(error);
-                        }
-                    }
-                }
+                outcome => outcome,
             };
-            if !self.pause(attempt, times).await {
-                return Err(error);
-            }
-            last = Some(error);
+            drop(counted);
+            last = Some(outcome.write_again()?);
+            tried.push(route.upstream);
         }
         Err(last.unwrap_or_else(|| ErrorKind::UpstreamUnreachable.into()))
     }
@@ -152,29 +143,44 @@
         group: &GroupId,
         floor: ReadFloor,
         tried: &[UpstreamId],
-        attempt: u32,
         times: &OperationTimes,
     ) -> Result<Route, ErrorKind> {
         let router = self.engine.router();
         if let ReadFloor::Position(position) = floor
-            && attempt < ATTEMPTS
+            && tried.len() + 1 < ATTEMPTS
             && let Some(route) = router.reader(group, position, tried)
         {
             return Ok(route);
         }
-        let route = router.primary(group, times.primary_until()).await?;
-        if tried.contains(&route.upstream) {
-            self.pause(attempt, times).await;
-            return router.primary(group, times.primary_until()).await;
+        self.primary_route(group, PrimaryUse::Reads, tried, times)
+            .await
+    }
+
+    /// Waits for the primary, and a little longer if it has been tried already.
+    pub(super) async fn primary_route(
+        &self,
+        group: &GroupId,
+        usage: PrimaryUse,
+        tried: &[UpstreamId],
+        times: &OperationTimes,
+    ) -> Result<Route, ErrorKind> {
+        let (router, until) = (self.engine.router(), times.primary_until());
+        let route = router.primary(group, usage, until).await?;
+        if !tried.contains(&route.upstream) {
+            return Ok(route);
+        }
+        match self.pause(tried.len(), times).await {
+            true => router.primary(group, usage, until).await,
+            false => Err(ErrorKind::DeadlineBeforeSend),
         }
-        Ok(route)
     }
 
     /// Waits a little longer with each try, or until the view changes; returns whether there is
     /// time left.
-    pub(super) async fn pause(&self, attempt: u32, times: &OperationTimes) -> bool {
+    pub(super) async fn pause(&self, tries: usize, times: &OperationTimes) -> bool {
         let settings = &self.engine.settings;
-        let until = Instant::now() + PAUSE * attempt;
+        let tries = u32::try_from(tries).unwrap_or(u32::MAX);
+        let until = Instant::now() + PAUSE.saturating_mul(tries);
         if until >= times.deadline() {
             return false;
         }
@@ -220,33 +226,8 @@
 }
 
 /// Gives a connection back if nothing is open on it.
-fn give_back<C: crate::DatabaseConnection>(connection: PooledConnection<C>, reply: &DatabaseReply) {
+fn give_back<C: DatabaseConnection>(connection: PooledConnection<C>, reply: &DatabaseReply) {
     if reply.state == TransactionState::Idle {
         connection.finish();
     }
 }
-
-/// Returns whether a read that ended so is not tried elsewhere: no time or no connection is left.
-pub(super) fn is_final(error: &RequestError) -> bool {
-    matches!(
-        error.kind,
-        ErrorKind::DeadlineWhileRunning | ErrorKind::QueueFull if error.detail.is_empty()
-    )
-}
-
-/// Returns whether a refusal says that a write did not run, and another try may do better.
-fn may_repeat(refusal: RefusalKind) -> bool {
-    match refusal {
-        RefusalKind::Busy
-        | RefusalKind::Lagging
-        | RefusalKind::ReadOnly
-        | RefusalKind::Misdirected
-        | RefusalKind::TooManyConnections
-        | RefusalKind::UnknownStatement => true,
-        RefusalKind::Aborted
-        | RefusalKind::Failed
-        | RefusalKind::TimedOut
-        | RefusalKind::Malformed
-        | RefusalKind::Unknown => false,
-    }
-}
--- a/crates/daisyseam-engine/src/session/transaction.rs
+++ b/crates/daisyseam-engine/src/session/transaction.rs
@@ -9,10 +9,7 @@
         RunResult,
         TryOutcome, //
     },
-    single::{
-        ATTEMPTS,
-        is_final, //
-    }, //
+    single::ATTEMPTS, //
 };
 use crate::{
     DatabaseCall,
@@ -37,6 +34,7 @@
         SetUp, //
     },
     route::{
+        PrimaryUse,
         ReadFloor,
         Route,
         TriedUpstreams, //
@@ -60,8 +58,8 @@
 /// Longest time that a transaction whose caller has left is given to roll back.
 const ABANDON_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Least time that is left for a commit once the primary is certain.
-const COMMIT_TRIES: u32 = 3;
+/// Most times that a commit is sent which the database is too busy for.
+const COMMIT_TRIES: usize = 3;
 
 /// A transaction of a caller.
 pub(super) struct OpenTransaction<C: DatabaseConnection> {
@@ -233,22 +231,27 @@
             TransactionMode::ReadOnly => self.read_floor(rights, times),
         };
         let mut tried = TriedUpstreams::new();
-        let mut last = None;
-        for attempt in 1..=ATTEMPTS {
-            let route = self
-                .read_route(&rights.service.group, floor, &tried, attempt, times)
-                .await;
+        let mut last: Option<RequestError> = None;
+        while tried.len() < ATTEMPTS {
+            let group = &rights.service.group;
+            let route = match mode {
+                TransactionMode::ReadOnly => self.read_route(group, floor, &tried, times).await,
+                TransactionMode::ReadWrite => {
+                    self.primary_route(group, PrimaryUse::Writes, &tried, times)
+                        .await
+                }
+            };
             let route = match route {
                 Ok(route) => route,
                 Err(kind) => return Err(last.unwrap_or_else(|| kind.into())),
             };
             tried.push(route.upstream.clone());
-            let begun = self.try_begin(route, mode, floor.position(), times).await;
-            let error = match begun {
+            let outcome = match self.try_begin(route, mode, floor.position(), times).await {
                 Ok(running) => return Ok(running),
-                Err(error) => error,
+                Err(outcome) => outcome,
             };
-            if is_final(&error) || Instant::now() >= times.deadline() {
+            let error = outcome.read_again()?;
+            if Instant::now() >= times.deadline() {
                 return Err(error);
             }
             last = Some(error);
@@ -256,22 +259,19 @@
         Err(last.unwrap_or_else(|| ErrorKind::UpstreamUnreachable.into()))
     }
 
+    /// Begins at one database. Nothing of the transaction can be kept before it has begun, so a
+    /// begin that went wrong is like a read that did.
     async fn try_begin(
         &self,
         route: Route,
         mode: TransactionMode,
         at_least: Option<LogPosition>,
         times: &OperationTimes,
-    ) -> Result<RunningTransaction<D::Connection>, RequestError> {
-        let counted = route
-            .term
-            .map(|term| self.engine.writers.enter(&route.group, term));
+    ) -> Result<RunningTransaction<D::Connection>, TryOutcome> {
+        let term = route.term.filter(|_| mode == TransactionMode::ReadWrite);
+        let counted = term.map(|term| self.engine.writers.enter(&route.group, term));
         let begun = self.send_begin(&route, mode, at_least, times).await;
-        // Nothing of the transaction can be kept before it has begun, so all ends alike.
-        let (connection, reply) = match begun {
-            Ok(begun) => begun,
-            Err(end) => return Err(answer::end_kind(end, StatementKind::Read).into()),
-        };
+        let (connection, reply) = begun.map_err(TryOutcome::Ended)?;
         let state = reply.state;
         match TryOutcome::of(Ok(reply), StatementKind::Read) {
             TryOutcome::Done(..) if state == TransactionState::Open => Ok(RunningTransaction {
@@ -280,14 +280,13 @@
                 wrote: false,
                 counted,
             }),
-            TryOutcome::Done(..) => Err(ErrorKind::UpstreamUnreachable.into()),
-            TryOutcome::Refused(_, error) => {
+            TryOutcome::Done(..) => Err(TryOutcome::Ended(AttemptEnd::Unreachable)),
+            outcome => {
                 if state == TransactionState::Idle {
                     connection.finish();
                 }
-                Err(error)
+                Err(outcome)
             }
-            TryOutcome::Ended(end) => Err(answer::end_kind(end, StatementKind::Read).into()),
         }
     }
 
@@ -311,9 +310,13 @@
             at_least,
             verb: DatabaseVerb::Begin(mode),
         };
+        let fence = match mode {
+            TransactionMode::ReadOnly => Fence::Leased,
+            TransactionMode::ReadWrite => Fence::NewWrites,
+        };
         let reply = self
             .engine
-            .call(&mut connection, order, call, Fence::NewWork)
+            .call(&mut connection, order, call, fence)
             .await?;
         Ok((connection, reply))
     }
@@ -333,6 +336,7 @@
             statement,
             at_least: None,
             in_transaction: true,
+            fence: Fence::Leads,
         };
         for attempt in 1..=ATTEMPTS {
             let order = AttemptOrder {
@@ -392,8 +396,8 @@
                 break;
             }
             let fence = match wrote {
-                true => Fence::Commit,
-                false => Fence::Transaction,
+                true => Fence::Leased,
+                false => Fence::Nothing,
             };
             let order = self.order(&running.route, times);
             let reply = self
--- a/crates/daisyseam-engine/src/times.rs
+++ b/crates/daisyseam-engine/src/times.rs
@@ -11,6 +11,10 @@
 /// Longest wait for a token.
 const TOKEN_WAIT_MAX: Duration = Duration::from_millis(200);
 
+/// Shortest and longest time that opening a connection may take.
+const CONNECT_MIN: Duration = Duration::from_millis(300);
+const CONNECT_MAX: Duration = Duration::from_millis(1_000);
+
 /// The times that bound one request.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct OperationTimes {
@@ -51,6 +55,12 @@
         (now + self.target / 4).min(self.deadline())
     }
 
+    /// Returns until when a connection that is opened from now on may take.
+    pub(crate) fn connect_until(&self, now: Instant) -> Instant {
+        let most = (self.target / 2).clamp(CONNECT_MIN, CONNECT_MAX);
+        (now + most).min(self.deadline())
+    }
+
     /// Returns until when it waits for a primary.
     pub(crate) fn primary_until(&self) -> Instant {
         self.start + self.target.min(self.timeout)
