Check answers of the engine against what databases kept, under random faults

Found on the way: one lost connection held all writes for a while, though only the primary can serve them; now a second failure in a row does. Equal databases take turns instead of drawing lots.

--- a/crates/daisyseam-engine/src/health.rs
+++ b/crates/daisyseam-engine/src/health.rs
@@ -132,18 +132,20 @@
         entry(&mut upstreams, upstream).misdirected = Some(view);
     }
 
-    /// Returns until when a database should be avoided; `view` is the one that names it now.
-    pub(crate) fn avoid_until(&self, upstream: &UpstreamId, view: ViewNumber) -> Option<Instant> {
-        let now = Instant::now();
+    /// Returns whether another database should be preferred; `view` is the one that names it now.
+    pub(crate) fn is_avoided(&self, upstream: &UpstreamId, view: ViewNumber) -> bool {
+        let upstreams = self.upstreams.lock();
+        let health = upstreams.get(upstream);
+        health.is_some_and(|health| health.avoid_until(Instant::now(), view).is_some())
+    }
+
+    /// Returns until when calls that only this database can serve should be held: while it has
+    /// failed more than once, or is silent.
+    pub(crate) fn hold_until(&self, upstream: &UpstreamId, view: ViewNumber) -> Option<Instant> {
         let upstreams = self.upstreams.lock();
         let health = upstreams.get(upstream)?;
-        if health.misdirected == Some(view) {
-            return Some(now + AVOID_MAX);
-        }
-        if health.quiet(now) >= SUSPECT_AFTER {
-            return Some(now + AVOID);
-        }
-        health.avoid_until.filter(|until| now < *until)
+        let until = health.avoid_until(Instant::now(), view)?;
+        (health.failures != 1).then_some(until)
     }
 
     /// Returns whether a database lacked a position a moment ago.
@@ -195,6 +197,16 @@
 }
 
 impl UpstreamHealth {
+    fn avoid_until(&self, now: Instant, view: ViewNumber) -> Option<Instant> {
+        if self.misdirected == Some(view) {
+            return Some(now + AVOID_MAX);
+        }
+        if self.quiet(now) >= SUSPECT_AFTER {
+            return Some(now + AVOID);
+        }
+        self.avoid_until.filter(|until| now < *until)
+    }
+
     fn is_bad(&self, now: Instant) -> bool {
         let silent = self.under_way >= SILENT_CALLS && self.quiet(now) >= SILENT_AFTER;
         silent || self.bad_at().is_some_and(|at| at <= now)
--- a/crates/daisyseam-engine/src/pool.rs
+++ b/crates/daisyseam-engine/src/pool.rs
@@ -8,6 +8,7 @@
     PooledConnection,
     SetUp, //
 };
+pub(crate) use self::upstream::UpstreamLoad;
 use self::upstream::{
     Claim,
     Grant,
@@ -31,7 +32,13 @@
 use parking_lot::Mutex;
 use std::{
     collections::HashMap,
-    sync::Arc, //
+    sync::{
+        Arc,
+        atomic::{
+            AtomicU64,
+            Ordering, //
+        }, //
+    }, //
 };
 use tokio::time::Instant;
 
@@ -43,6 +50,7 @@
     connector: D,
     timer: TimerService,
     upstreams: Mutex<HashMap<UpstreamId, Arc<UpstreamPool<D::Connection>>>>,
+    turns: AtomicU64,
 }
 
 /// The connection that is wanted.
@@ -80,6 +88,7 @@
             connector,
             timer,
             upstreams: Mutex::default(),
+            turns: AtomicU64::new(0),
         }
     }
 
@@ -91,7 +100,8 @@
         let named = order.view.upstreams.get(order.upstream);
         let named = named.ok_or(NoConnection::Gone)?;
         let pool = self.upstream(order.view, order.upstream, named);
-        let place = match pool.claim(order.organisation, order.values) {
+        let turn = self.turns.fetch_add(1, Ordering::Relaxed) + 1;
+        let place = match pool.claim(order.organisation, order.values, turn) {
             Claim::Granted(grant) => grant,
             Claim::Wait(granted) => {
                 let granted = self.timer.within(order.wait_until, granted).await;
@@ -130,12 +140,11 @@
         ))
     }
 
-    /// Returns how many connections to a database are in use, and whether one more is at hand.
-    pub(crate) fn load(&self, upstream: &UpstreamId) -> (usize, bool) {
+    /// Returns how much the connections to a database are in use.
+    pub(crate) fn load(&self, upstream: &UpstreamId) -> UpstreamLoad {
         let upstreams = self.upstreams.lock();
-        upstreams
-            .get(upstream)
-            .map_or((0, true), |pool| pool.load())
+        let pool = upstreams.get(upstream);
+        pool.map_or_else(UpstreamLoad::default, |pool| pool.load())
     }
 
     /// Brings the pool in line with a view: closes idle connections of databases that take no
--- a/crates/daisyseam-engine/src/pool/upstream.rs
+++ b/crates/daisyseam-engine/src/pool/upstream.rs
@@ -27,6 +27,17 @@
     state: Mutex<PoolState<C>>,
 }
 
+/// How much the connections to a database are in use; the lesser is to be preferred.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub(crate) struct UpstreamLoad {
+    /// Whether none is at hand.
+    pub(crate) full: bool,
+    /// Places that are lent.
+    pub(crate) lent: usize,
+    /// Turn in which one was last claimed.
+    pub(crate) last_turn: u64,
+}
+
 struct PoolState<C: DatabaseConnection> {
     retired: bool,
     /// Whether nothing is kept idle.
@@ -37,6 +48,8 @@
     /// Least recently used first.
     idle: Vec<IdleLink<C>>,
     waiting: VecDeque<Waiter<C>>,
+    /// Turn in which a connection was last claimed.
+    last_turn: u64,
 }
 
 struct IdleLink<C> {
@@ -83,6 +96,7 @@
                 lent: 0,
                 idle: Vec::new(),
                 waiting: VecDeque::new(),
+                last_turn: 0,
             }),
         }
     }
@@ -92,10 +106,14 @@
         self.address == named.address && self.born_ms == named.born_ms
     }
 
-    /// Returns how many places are lent, and whether one more is at hand.
-    pub(super) fn load(&self) -> (usize, bool) {
+    /// Returns how much the connections are in use.
+    pub(super) fn load(&self) -> UpstreamLoad {
         let state = self.state.lock();
-        (state.lent, state.lent < state.budget)
+        UpstreamLoad {
+            full: state.lent >= state.budget,
+            lent: state.lent,
+            last_turn: state.last_turn,
+        }
     }
 
     pub(super) fn set_budget(self: &Arc<Self>, budget: usize) {
@@ -137,9 +155,11 @@
         self: &Arc<Self>,
         organisation: Option<&OrganisationId>,
         values: &SessionValues,
+        turn: u64,
     ) -> Claim<C> {
         loop {
             let mut state = self.state.lock();
+            state.last_turn = turn;
             if let Some(mut link) = state.take_idle(organisation, values) {
                 state.lent += 1;
                 drop(state);
--- a/crates/daisyseam-engine/src/route.rs
+++ b/crates/daisyseam-engine/src/route.rs
@@ -3,7 +3,10 @@
 use crate::{
     DatabaseConnector, //
     health::HealthBook,
-    pool::ConnectionPool,
+    pool::{
+        ConnectionPool,
+        UpstreamLoad, //
+    },
 };
 use daisyseam_coord::route::RouteDistance;
 use daisyseam_member::{
@@ -110,7 +113,7 @@
             Err(_) => return self.wait_for_primary(group, usage, until).await,
         };
         let view = route.held.view.number;
-        match self.health.avoid_until(&route.upstream, view) {
+        match self.health.hold_until(&route.upstream, view) {
             None => Ok(route),
             Some(_) => self.wait_for_primary(group, usage, until).await,
         }
@@ -125,13 +128,13 @@
         let mut changes = self.cell.subscribe();
         loop {
             let route = self.primary_now(group, usage);
-            let avoided = route.as_ref().ok().and_then(|route| {
+            let held = route.as_ref().ok().and_then(|route| {
                 let view = route.held.view.number;
-                self.health.avoid_until(&route.upstream, view)
+                self.health.hold_until(&route.upstream, view)
             });
-            let look = match (&route, avoided) {
+            let look = match (&route, held) {
                 (Ok(_), None) => return route,
-                (_, avoided) => avoided.unwrap_or(until).min(until),
+                (_, held) => held.unwrap_or(until).min(until),
             };
             if Instant::now() >= until {
                 return Err(route.err().unwrap_or(ErrorKind::UpstreamUnreachable));
@@ -182,7 +185,7 @@
             !tried.contains(name) && !named.leaving && view.in_service(&named.data_centre)
         });
         let usable = candidates.filter(|(name, _)| {
-            let avoided = self.health.avoid_until(name, view.number).is_some();
+            let avoided = self.health.is_avoided(name, view.number);
             let lagging = floor.is_some() && self.health.is_lagging(name);
             !avoided && !lagging
         });
@@ -201,10 +204,9 @@
         view: &FleetView,
         name: &UpstreamId,
         named: &UpstreamView,
-    ) -> (bool, RouteDistance, usize, u32) {
-        let (load, free) = self.pool.load(name);
-        let distance = self.distance(view, &named.data_centre);
-        (!free, distance, load, rand::random())
+    ) -> (bool, RouteDistance, UpstreamLoad) {
+        let load = self.pool.load(name);
+        (load.full, self.distance(view, &named.data_centre), load)
     }
 
     fn distance(&self, view: &FleetView, other: &DataCentreId) -> RouteDistance {
--- /dev/null
+++ b/crates/daisyseam-engine/tests/history.rs
@@ -0,0 +1,198 @@
+//! Many sessions under random faults: what was answered and what was kept agree.
+
+mod support;
+
+use daisyseam_engine::{
+    RefusalKind,
+    RequestVerb,
+    SessionAnswer, //
+};
+use daisyseam_model::Execution;
+use rand::{
+    Rng,
+    SeedableRng,
+    seq::IndexedRandom, //
+};
+use rand_chacha::ChaCha8Rng;
+use std::time::Duration;
+use support::{
+    Fleet,
+    caller::{
+        BEGIN,
+        FakeCaller,
+        execute,
+        prepare,
+        read,
+        set,
+        write, //
+    },
+    database::Fault, //
+};
+use test_case::test_case;
+use tokio::time::sleep;
+
+/// What came of one write or one transaction's writes.
+struct Attempt {
+    texts: Vec<String>,
+    /// Whether it must be kept or must not; none if it may.
+    kept: Option<bool>,
+}
+
+/// One caller and what it expects.
+struct Player {
+    caller: FakeCaller,
+    random: ChaCha8Rng,
+    name: usize,
+    value: Option<String>,
+    attempts: Vec<Attempt>,
+    served: usize,
+}
+
+impl Player {
+    async fn play(mut self, rounds: usize) -> (Vec<Attempt>, usize) {
+        let shape = format!("shape-{}", self.name);
+        self.caller.ok(prepare("s", &shape)).await;
+        for round in 0..rounds {
+            let text = format!("write {}-{round}", self.name);
+            match self.random.random_range(0..6) {
+                0 => self.change_value(round).await,
+                1 => self.read().await,
+                2 => {
+                    let answer = self.caller.ask(execute("s", "1")).await;
+                    if answer.outcome.is_ok() {
+                        assert_eq!(answer.rows, [format!("{shape} 1")]);
+                    }
+                }
+                3 => {
+                    let answer = self.caller.ask(write(&text)).await;
+                    self.note(vec![text], &answer);
+                }
+                _ => self.transaction(text).await,
+            }
+            sleep(Duration::from_millis(self.random.random_range(0..20))).await;
+        }
+        (self.attempts, self.served)
+    }
+
+    async fn change_value(&mut self, round: usize) {
+        let value = format!("{}-{round}", self.name);
+        self.caller.ok(set("v", &value)).await;
+        self.value = Some(value);
+    }
+
+    async fn read(&mut self) {
+        let answer = self.caller.ask(read("read x")).await;
+        if answer.outcome.is_ok() {
+            let value = self.value.as_ref();
+            let expected = value.map_or_else(String::new, |value| format!(" v={value}"));
+            assert_eq!(answer.rows, [format!("read x{expected}")]);
+        }
+    }
+
+    async fn transaction(&mut self, text: String) {
+        self.caller.ok(BEGIN).await;
+        let texts: Vec<String> = (0..3).map(|number| format!("{text}-{number}")).collect();
+        for text in &texts {
+            self.read_in_transaction().await;
+            let _ = self.caller.ask(write(text)).await;
+            sleep(Duration::from_millis(self.random.random_range(0..5))).await;
+        }
+        if self.random.random_bool(0.2) {
+            let answer = self.caller.ask(RequestVerb::Rollback).await;
+            assert!(answer.outcome.is_ok());
+            let kept = Some(false);
+            self.attempts.push(Attempt { texts, kept });
+            return;
+        }
+        let answer = self.caller.ask(RequestVerb::Commit).await;
+        self.note(texts, &answer);
+    }
+
+    async fn read_in_transaction(&mut self) {
+        if self.random.random_bool(0.5) {
+            self.read().await;
+        }
+    }
+
+    fn note(&mut self, texts: Vec<String>, answer: &SessionAnswer) {
+        let kept = match &answer.outcome {
+            Ok(_) => Some(true),
+            Err(error) if error.kind.row().execution == Execution::NotRun => Some(false),
+            Err(_) => None,
+        };
+        self.served += usize::from(kept == Some(true));
+        self.attempts.push(Attempt { texts, kept });
+    }
+}
+
+#[test_case(1)]
+#[test_case(2)]
+#[test_case(3)]
+#[tokio::test(start_paused = true)]
+async fn answers_agree_with_what_was_kept(seed: u64) {
+    let fleet = Fleet::start(8);
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut players = Vec::new();
+    for name in 0..24 {
+        let key = ["key-one", "key-two"].choose(&mut random).unwrap();
+        let mut caller = fleet.caller("primary", key);
+        caller.opened().await;
+        let player = Player {
+            caller,
+            random: ChaCha8Rng::seed_from_u64(seed << 8 | name),
+            name: usize::try_from(name).unwrap(),
+            value: None,
+            attempts: Vec::new(),
+            served: 0,
+        };
+        players.push(tokio::spawn(player.play(40)));
+    }
+    while players.iter().any(|player| !player.is_finished()) {
+        disturb(&fleet, &mut random);
+        sleep(Duration::from_millis(random.random_range(0..60))).await;
+    }
+    let kept = fleet.databases.at("p", |p| p.kept.clone());
+    let mut served = 0;
+    for player in players {
+        let (attempts, good) = player.await.unwrap();
+        served += good;
+        for attempt in &attempts {
+            check(attempt, &kept);
+        }
+    }
+    assert!(served > 100, "{served}");
+    assert!(fleet.databases.at("p", |p| p.most_open) <= 7);
+}
+
+/// Lets the next call of some kind go wrong.
+fn disturb(fleet: &Fleet, random: &mut ChaCha8Rng) {
+    let calls = [
+        "write", "commit", "begin", "read", "execute", "set", "rollback",
+    ];
+    let call = calls.choose(random).unwrap();
+    let refusals = [
+        RefusalKind::Busy,
+        RefusalKind::Busy,
+        RefusalKind::ReadOnly,
+        RefusalKind::Failed,
+        RefusalKind::UnknownStatement,
+    ];
+    let fault = match random.random_range(0..6) {
+        0 => Fault::Lose,
+        1 => Fault::Silence,
+        _ => Fault::Refuse(*refusals.choose(random).unwrap()),
+    };
+    fleet.databases.fault("p", call, fault);
+}
+
+/// Writes of an attempt are kept all or none, once, and as the caller was told.
+fn check(attempt: &Attempt, kept: &[String]) {
+    let times = |text: &String| kept.iter().filter(|write| *write == text).count();
+    let counts: Vec<usize> = attempt.texts.iter().map(times).collect();
+    let all = counts.iter().all(|count| *count == 1);
+    let none = counts.iter().all(|count| *count == 0);
+    assert!(all || none, "{:?}: {counts:?}", attempt.texts);
+    if let Some(expected) = attempt.kept {
+        assert_eq!(all, expected, "{:?}", attempt.texts);
+    }
+}
--- a/crates/daisyseam-engine/tests/support/database.rs
+++ b/crates/daisyseam-engine/tests/support/database.rs
@@ -48,6 +48,8 @@
     pub open: usize,
     pub most_open: usize,
     pub connects: usize,
+    /// Writes that were committed.
+    pub kept: Vec<String>,
     /// What it was asked, with the number of the connection.
     pub calls: Vec<String>,
     /// What it does at the next call that starts so, instead of running it.
@@ -75,7 +77,7 @@
     prepared: BTreeMap<Vec<u8>, Vec<u8>>,
     replies: VecDeque<Option<DatabaseReply>>,
     lost: bool,
-    wrote: bool,
+    pending: Vec<String>,
 }
 
 impl FakeDatabases {
@@ -88,6 +90,7 @@
                 open: 0,
                 most_open: 0,
                 connects: 0,
+                kept: Vec::new(),
                 calls: Vec::new(),
                 faults: VecDeque::new(),
             };
@@ -148,7 +151,7 @@
             prepared: BTreeMap::new(),
             replies: VecDeque::new(),
             lost: false,
-            wrote: false,
+            pending: Vec::new(),
         };
         tokio::time::sleep(Duration::from_millis(2)).await;
         let error = self.at(target.upstream.as_str(), |database| {
@@ -237,8 +240,9 @@
                 assert_ne!(self.state, TransactionState::Idle);
                 let commits = matches!(call.verb, DatabaseVerb::Commit);
                 self.state = TransactionState::Idle;
-                if std::mem::take(&mut self.wrote) && commits {
-                    self.advance();
+                let pending = std::mem::take(&mut self.pending);
+                if commits {
+                    self.keep(pending);
                 }
                 None
             }
@@ -258,7 +262,7 @@
             }
             DatabaseVerb::Run(text) => {
                 if text.starts_with(b"write") {
-                    self.write();
+                    self.write(text_of(text));
                 }
                 Some(format!("{}{}", text_of(text), self.session_values()))
             }
@@ -274,16 +278,20 @@
         )
     }
 
-    fn write(&mut self) {
+    fn write(&mut self, text: String) {
         match self.state {
-            TransactionState::Idle => self.advance(),
-            TransactionState::Open | TransactionState::Failed => self.wrote = true,
+            TransactionState::Idle => self.keep(vec![text]),
+            TransactionState::Open | TransactionState::Failed => self.pending.push(text),
         }
     }
 
-    fn advance(&self) {
+    fn keep(&self, writes: Vec<String>) {
+        if writes.is_empty() {
+            return;
+        }
         self.databases.at(self.upstream.as_str(), |database| {
             database.position.position = Position(database.position.position.0 + 1);
+            database.kept.extend(writes);
         });
     }
 
