Ask a primary for the position that it told before, and probe failed databases one at a time

A primary that came back under its name without its log would have served reads on nothing until the view moved. Reads and begins at a primary now carry the highest position that it told in its term, so such a one refuses. A database that failed was tried by every session at once when its time was over; now by one. Requests are served on the heap, so that an idle session is small.

--- a/crates/daisyseam-engine/src/engine.rs
+++ b/crates/daisyseam-engine/src/engine.rs
@@ -109,7 +109,7 @@
 
     /// Returns the number of sessions that are being served.
     pub fn open_sessions(&self) -> usize {
-        *self.shared.sessions.borrow()
+        self.shared.open_sessions()
     }
 
     /// Waits until the stop signal is given and all sessions have ended.
@@ -142,6 +142,11 @@
         }
     }
 
+    /// Returns the number of sessions that are being served.
+    pub(crate) fn open_sessions(&self) -> usize {
+        *self.sessions.borrow()
+    }
+
     /// Waits for the stop signal, and then as long as open transactions get.
     pub(crate) async fn drain_over(&self) {
         self.settings.stop.stopped().await;
--- a/crates/daisyseam-engine/src/health.rs
+++ b/crates/daisyseam-engine/src/health.rs
@@ -97,6 +97,16 @@
         }
     }
 
+    /// Notes that a database is about to be asked; one that has failed is asked by one at a time.
+    pub(crate) fn chosen(&self, upstream: &UpstreamId) {
+        let mut upstreams = self.upstreams.lock();
+        if let Some(health) = upstreams.get_mut(upstream)
+            && health.failures > 0
+        {
+            health.avoid_until = Some(Instant::now() + AVOID);
+        }
+    }
+
     /// Notes a failure to connect, a lost connection or an answer that did not come.
     pub(crate) fn failed(&self, upstream: &UpstreamId) {
         let mut upstreams = self.upstreams.lock();
--- a/crates/daisyseam-engine/src/route.rs
+++ b/crates/daisyseam-engine/src/route.rs
@@ -56,21 +56,22 @@
 }
 
 /// What a read must see.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum ReadFloor {
-    /// All that is acknowledged: it goes to the primary, whose log must hold the position.
-    Primary(Option<LogPosition>),
-    /// What lies up to a position, if there is one.
-    Position(Option<LogPosition>),
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(crate) struct ReadFloor {
+    /// The session's own commits, up to here.
+    pub(crate) own: Option<LogPosition>,
+    /// Where it may run.
+    pub(crate) place: ReadPlace,
 }
 
-impl ReadFloor {
-    /// Returns the position that the database's log must hold.
-    pub(crate) fn position(self) -> Option<LogPosition> {
-        match self {
-            Self::Primary(position) | Self::Position(position) => position,
-        }
-    }
+/// Where a read may run.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(crate) enum ReadPlace {
+    /// At the primary.
+    #[default]
+    Primary,
+    /// Wherever the log holds a position, if there is one.
+    Reached(Option<LogPosition>),
 }
 
 /// Returns the database that takes the writes of a group, while a planned move drains it too.
@@ -191,6 +192,7 @@
         });
         let best = usable.min_by_key(|(name, named)| self.rank(view, name, named))?;
         let upstream = best.0.clone();
+        self.health.chosen(&upstream);
         Some(Route {
             upstream,
             group: group.clone(),
--- a/crates/daisyseam-engine/src/samples.rs
+++ b/crates/daisyseam-engine/src/samples.rs
@@ -2,7 +2,8 @@
 
 use daisyseam_model::{
     GroupId,
-    LogPosition, //
+    LogPosition,
+    Term, //
 };
 use parking_lot::Mutex;
 use std::{
@@ -28,7 +29,14 @@
 /// A sample says that all commits acknowledged before its moment lie at or below its position.
 #[derive(Debug, Default)]
 pub(crate) struct PositionSamples {
-    groups: Mutex<HashMap<GroupId, VecDeque<(Instant, LogPosition)>>>,
+    groups: Mutex<HashMap<GroupId, GroupSamples>>,
+}
+
+#[derive(Debug, Default)]
+struct GroupSamples {
+    /// By moment; positions never go back.
+    told: VecDeque<(Instant, LogPosition)>,
+    highest: Option<LogPosition>,
 }
 
 impl PositionSamples {
@@ -37,22 +45,22 @@
     /// The caller has made sure that no other database could be primary when the answer came.
     pub(crate) fn learn(&self, group: &GroupId, asked: Instant, position: LogPosition) {
         let mut groups = self.groups.lock();
-        if !groups.contains_key(group) {
-            groups.insert(group.clone(), VecDeque::new());
-        }
-        let Some(samples) = groups.get_mut(group) else {
-            return;
-        };
-        if let Some((latest, highest)) = samples.back() {
-            // A sample that came late adds nothing; a primary's position never goes back.
-            if asked < *latest + SPACING || position < *highest {
-                return;
+        match groups.get_mut(group) {
+            Some(samples) => samples.learn(asked, position),
+            None => {
+                let mut samples = GroupSamples::default();
+                samples.learn(asked, position);
+                groups.insert(group.clone(), samples);
             }
         }
-        if samples.len() == SAMPLES_MAX {
-            samples.pop_front();
-        }
-        samples.push_back((asked, position));
+    }
+
+    /// Returns the highest position that the primary of a term told; its log holds it for ever,
+    /// unless another process answers in its place.
+    pub(crate) fn highest(&self, group: &GroupId, term: Term) -> Option<LogPosition> {
+        let groups = self.groups.lock();
+        let highest = groups.get(group)?.highest;
+        highest.filter(|highest| highest.term == term)
     }
 
     /// Returns the lowest position that holds all commits which were acknowledged longer than
@@ -65,7 +73,7 @@
     ) -> Option<LogPosition> {
         let window = bound.saturating_sub(MARGIN);
         let groups = self.groups.lock();
-        let samples = groups.get(group)?;
+        let samples = &groups.get(group)?.told;
         let first = samples.partition_point(|(asked, _)| *asked + window < start);
         samples.get(first).map(|(_, position)| *position)
     }
@@ -75,3 +83,19 @@
         self.groups.lock().retain(|group, _| keep(group));
     }
 }
+
+impl GroupSamples {
+    fn learn(&mut self, asked: Instant, position: LogPosition) {
+        self.highest = self.highest.max(Some(position));
+        if let Some((latest, highest)) = self.told.back() {
+            // A sample that came late adds nothing.
+            if asked < *latest + SPACING || position < *highest {
+                return;
+            }
+        }
+        if self.told.len() == SAMPLES_MAX {
+            self.told.pop_front();
+        }
+        self.told.push_back((asked, position));
+    }
+}
--- a/crates/daisyseam-engine/src/session.rs
+++ b/crates/daisyseam-engine/src/session.rs
@@ -16,6 +16,7 @@
     DatabaseConnector,
     RequestVerb,
     SessionAnswer,
+    SessionStart,
     StatementKind,
     TransactionMode,
     TransactionState,
@@ -67,7 +68,7 @@
         idle_since: Instant::now(),
     };
     session.run(&mut stream).await;
-    session.abandon().await;
+    Box::pin(session.abandon()).await;
 }
 
 /// Lets a caller in or refuses it; returns nothing when the session is over.
@@ -89,11 +90,7 @@
         return None;
     };
     let start = start.ok()?;
-    let admitted = match settings.stop.is_stopping() {
-        true => Err(ErrorKind::Stopping),
-        false => CallerIdentity::admit(&settings.cell, &start),
-    };
-    match admitted {
+    match admit(engine, &start) {
         Ok(identity) => stream.opened().await.ok().map(|()| identity),
         Err(kind) => {
             stream.refuse(&kind.into()).await;
@@ -102,6 +99,27 @@
     }
 }
 
+fn admit<D, G>(
+    engine: &EngineShared<D, G>,
+    start: &SessionStart,
+) -> Result<CallerIdentity, ErrorKind>
+where
+    D: DatabaseConnector,
+    G: RateGate,
+{
+    if engine.settings.stop.is_stopping() {
+        return Err(ErrorKind::Stopping);
+    }
+    let held = engine.settings.cell.held();
+    let limits = held.view.document.as_ref().map(|document| &document.limits);
+    let full =
+        limits.is_some_and(|limits| engine.open_sessions() > limits.connections_per_instance);
+    match full {
+        true => Err(ErrorKind::TooManyConnections),
+        false => CallerIdentity::admit(&engine.settings.cell, start),
+    }
+}
+
 /// One caller's session.
 struct CallerSession<'e, D: DatabaseConnector, G> {
     core: SessionCore<'e, D, G>,
@@ -145,7 +163,8 @@
                     return;
                 }
             };
-            let answer = self.serve(request).await;
+            // On the heap only while it is served: most sessions are idle most of the time.
+            let answer = Box::pin(self.serve(request)).await;
             if stream.answer(&answer).await.is_err() {
                 return;
             }
--- a/crates/daisyseam-engine/src/session/floor.rs
+++ b/crates/daisyseam-engine/src/session/floor.rs
@@ -2,7 +2,10 @@
 
 use crate::{
     identity::CallerRights,
-    route::ReadFloor,
+    route::{
+        ReadFloor,
+        ReadPlace, //
+    },
     samples::PositionSamples, //
 };
 use daisyseam_coord::floor::SessionFloor;
@@ -49,21 +52,28 @@
     ) -> ReadFloor {
         let service = &rights.service;
         let here = self.group.as_ref() == Some(&service.group);
-        let own = self.floor.position().filter(|_| here);
         let own = match service.consistency {
-            ReadConsistency::Primary => return ReadFloor::Primary(None),
+            ReadConsistency::Primary => return ReadFloor::default(),
             ReadConsistency::Bounded => None,
-            ReadConsistency::Session if here && self.unknown => {
-                return ReadFloor::Primary(own);
-            }
-            ReadConsistency::Session => own,
+            ReadConsistency::Session => self.floor.position().filter(|_| here),
+        };
+        let at_primary = ReadFloor {
+            own,
+            place: ReadPlace::Primary,
         };
+        if service.consistency == ReadConsistency::Session && here && self.unknown {
+            return at_primary;
+        }
         let Some(bound) = service.max_staleness else {
-            return ReadFloor::Position(own);
+            let place = ReadPlace::Reached(own);
+            return ReadFloor { own, place };
         };
         match samples.floor(&service.group, began, bound) {
-            Some(told) => ReadFloor::Position(own.max(Some(told))),
-            None => ReadFloor::Primary(own),
+            Some(told) => ReadFloor {
+                own,
+                place: ReadPlace::Reached(own.max(Some(told))),
+            },
+            None => at_primary,
         }
     }
 }
--- a/crates/daisyseam-engine/src/session/single.rs
+++ b/crates/daisyseam-engine/src/session/single.rs
@@ -26,6 +26,7 @@
     route::{
         PrimaryUse,
         ReadFloor,
+        ReadPlace,
         Route,
         TriedUpstreams, //
     },
@@ -36,6 +37,7 @@
 use daisyseam_model::{
     ErrorKind,
     GroupId,
+    LogPosition,
     RequestError,
     UpstreamId, //
 };
@@ -61,7 +63,7 @@
         let call = StatementCall {
             id,
             statement,
-            at_least: floor.position(),
+            at_least: None,
             in_transaction: false,
             fence: Fence::Leased,
         };
@@ -73,6 +75,10 @@
                 Ok(route) => route,
                 Err(kind) => return Err(last.unwrap_or_else(|| kind.into())),
             };
+            let call = StatementCall {
+                at_least: self.at_least(&route, floor),
+                ..call
+            };
             let reply = self.try_once(&route, call, times).await;
             let outcome = match TryOutcome::of(reply, StatementKind::Read) {
                 TryOutcome::Done(reply, receipt) => {
@@ -137,6 +143,18 @@
         self.floor.of_read(rights, samples, times.began())
     }
 
+    /// Returns the position that the log of a route's database must hold.
+    ///
+    /// Of a primary it is what it told before, so that one which lost its log is found out.
+    pub(super) fn at_least(&self, route: &Route, floor: ReadFloor) -> Option<LogPosition> {
+        let shared = match (route.term, floor.place) {
+            (Some(term), _) => self.engine.samples.highest(&route.group, term),
+            (None, ReadPlace::Reached(position)) => position,
+            (None, ReadPlace::Primary) => None,
+        };
+        shared.max(floor.own)
+    }
+
     /// Chooses the database for a try of a read; the last try goes to the primary.
     pub(super) async fn read_route(
         &self,
@@ -146,7 +164,7 @@
         times: &OperationTimes,
     ) -> Result<Route, ErrorKind> {
         let router = self.engine.router();
-        if let ReadFloor::Position(position) = floor
+        if let ReadPlace::Reached(position) = floor.place
             && tried.len() + 1 < ATTEMPTS
             && let Some(route) = router.reader(group, position, tried)
         {
--- a/crates/daisyseam-engine/src/session/transaction.rs
+++ b/crates/daisyseam-engine/src/session/transaction.rs
@@ -227,7 +227,7 @@
         times: &OperationTimes,
     ) -> Result<RunningTransaction<D::Connection>, RequestError> {
         let floor = match mode {
-            TransactionMode::ReadWrite => ReadFloor::Primary(None),
+            TransactionMode::ReadWrite => ReadFloor::default(),
             TransactionMode::ReadOnly => self.read_floor(rights, times),
         };
         let mut tried = TriedUpstreams::new();
@@ -246,7 +246,8 @@
                 Err(kind) => return Err(last.unwrap_or_else(|| kind.into())),
             };
             tried.push(route.upstream.clone());
-            let outcome = match self.try_begin(route, mode, floor.position(), times).await {
+            let at_least = self.at_least(&route, floor);
+            let outcome = match self.try_begin(route, mode, at_least, times).await {
                 Ok(running) => return Ok(running),
                 Err(outcome) => outcome,
             };
--- a/crates/daisyseam-engine/tests/faults.rs
+++ b/crates/daisyseam-engine/tests/faults.rs
@@ -98,6 +98,20 @@
     assert!(count(&fleet.databases.asked("a"), "read 1 @101") > 0);
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_primary_that_came_back_without_its_log_serves_nothing() {
+    let fleet = Fleet::start(30);
+    let mut caller = fleet.session("primary").await;
+    caller.ok(write("write 1")).await;
+    fleet
+        .databases
+        .at("p", |p| p.position = support::position(0, 0));
+    assert_eq!(caller.fail(read("read 1")).await, ErrorKind::NoReplica);
+    caller.ok(BEGIN).await;
+    assert_eq!(caller.fail(write("write 2")).await, ErrorKind::NoReplica);
+    assert_eq!(count(&fleet.databases.asked("p"), "write 2"), 0);
+}
+
 #[test_case(RefusalKind::Lagging)]
 #[test_case(RefusalKind::Busy)]
 #[test_case(RefusalKind::Failed)]
