Look at leaving and evacuated databases again before a call is sent

A call that waited for a connection could reach a database that had been taken out meanwhile. And what broke one connection has most likely broken the idle ones beside it: they are closed, so that no write is sent on a dead one.

--- a/crates/daisyseam-engine/src/attempt.rs
+++ b/crates/daisyseam-engine/src/attempt.rs
@@ -29,6 +29,7 @@
 };
 use bytes::Bytes;
 use daisyseam_model::{
+    FleetView,
     LogPosition,
     OrganisationId, //
 };
@@ -216,19 +217,24 @@
 
     /// Returns whether a route may still be used at this moment.
     pub(crate) fn passes(&self, route: &Route, fence: Fence) -> bool {
-        let Some(term) = route.term.filter(|_| fence != Fence::Nothing) else {
+        if fence == Fence::Nothing {
             return true;
-        };
+        }
         let held = self.settings.cell.held();
-        if !leads(&held.view, &route.group, &route.upstream, term) {
+        let leads = |term| leads(&held.view, &route.group, &route.upstream, term);
+        if !route.term.is_none_or(leads) {
             return false;
         }
-        let group = held.view.groups.get(&route.group);
-        let active = group.and_then(|group| group.primary.active());
+        let leased = route.term.is_none() || held.is_valid();
         match fence {
             Fence::Nothing | Fence::Leads => true,
-            Fence::Leased => held.is_valid(),
-            Fence::NewWrites => held.is_valid() && active == Some(&route.upstream),
+            Fence::Leased => leased,
+            Fence::NewReads => leased && takes_work(&held.view, route),
+            Fence::NewWrites => {
+                let group = held.view.groups.get(&route.group);
+                let active = group.and_then(|group| group.primary.active());
+                leased && takes_work(&held.view, route) && active == Some(&route.upstream)
+            }
         }
     }
 
@@ -283,6 +289,8 @@
         };
         if speaks {
             self.health.failed(&route.upstream);
+            // What broke one connection has most likely broken the others.
+            self.pool.close_idle(&route.upstream);
         }
         match end {
             CallEnd::NotSent => AttemptEnd::Unreachable,
@@ -317,19 +325,32 @@
     }
 }
 
-/// What must hold as the last thing before a call to a primary is sent.
+/// What must hold as the last thing before a call is sent. Of a route that needs no primary only
+/// that the database takes work.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Fence {
     /// Nothing: no answer to it can be wrong.
     Nothing,
-    /// It leads its term as far as the view says.
+    /// The primary leads its term as far as the view says.
     Leads,
-    /// It leads its term, under a valid lease.
+    /// The primary leads its term, under a valid lease.
     Leased,
-    /// It also takes new writes: no planned move drains it.
+    /// The database also takes new work.
+    NewReads,
+    /// No planned move drains the primary either.
     NewWrites,
 }
 
+/// Returns whether a view lets the database of a route take new work; a primary that leaves does
+/// until another one leads.
+fn takes_work(view: &FleetView, route: &Route) -> bool {
+    let named = view.upstreams.get(&route.upstream);
+    named.is_some_and(|named| {
+        let stays = route.term.is_some() || !named.leaving;
+        stays && view.in_service(&named.data_centre)
+    })
+}
+
 /// Returns how a database refused, if it did.
 pub(crate) fn refusal(reply: &DatabaseReply) -> Option<RefusalKind> {
     reply.outcome.as_ref().err().map(|refusal| refusal.kind)
--- a/crates/daisyseam-engine/src/pool.rs
+++ b/crates/daisyseam-engine/src/pool.rs
@@ -147,6 +147,14 @@
         pool.map_or_else(UpstreamLoad::default, |pool| pool.load())
     }
 
+    /// Closes the connections to a database that nobody uses.
+    pub(crate) fn close_idle(&self, upstream: &UpstreamId) {
+        let pool = self.upstreams.lock().get(upstream).cloned();
+        if let Some(pool) = pool {
+            pool.close_idle();
+        }
+    }
+
     /// Brings the pool in line with a view: closes idle connections of databases that take no
     /// work, and shares the databases' connections out anew.
     pub(crate) fn apply(&self, view: &FleetView) {
--- a/crates/daisyseam-engine/src/session/single.rs
+++ b/crates/daisyseam-engine/src/session/single.rs
@@ -65,7 +65,7 @@
             statement,
             at_least: None,
             in_transaction: false,
-            fence: Fence::Leased,
+            fence: Fence::NewReads,
         };
         let mut tried = TriedUpstreams::new();
         let mut last: Option<RequestError> = None;
--- a/crates/daisyseam-engine/src/session/transaction.rs
+++ b/crates/daisyseam-engine/src/session/transaction.rs
@@ -312,7 +312,7 @@
             verb: DatabaseVerb::Begin(mode),
         };
         let fence = match mode {
-            TransactionMode::ReadOnly => Fence::Leased,
+            TransactionMode::ReadOnly => Fence::NewReads,
             TransactionMode::ReadWrite => Fence::NewWrites,
         };
         let reply = self
