Part the commit of a transaction into steps, and bound its roll-back

A roll-back at a silent database held the caller for the whole time limit of a statement, though closing the connection does the same. A read-only transaction goes on after a promotion: what it sees does not change.

--- a/crates/daisyseam-engine/src/session.rs
+++ b/crates/daisyseam-engine/src/session.rs
@@ -215,14 +215,11 @@
     async fn serve_verb(&mut self, request: CallerRequest) -> RunResult {
         let CallerRequest { id, verb } = request;
         match verb {
-            RequestVerb::Commit => return self.commit(&id).await,
-            RequestVerb::Rollback => return self.roll_back(&id).await,
+            RequestVerb::Commit => self.commit(&id).await,
+            RequestVerb::Rollback => self.roll_back(&id).await,
             _ if self.state() == TransactionState::Failed => {
-                return Err(ErrorKind::TransactionAborted.into());
+                Err(ErrorKind::TransactionAborted.into())
             }
-            _ => {}
-        }
-        match verb {
             RequestVerb::Begin(mode) => self.begin(mode).await,
             RequestVerb::Run { kind, text } => {
                 self.statement(&id, kind, Statement::Text(text)).await
@@ -243,7 +240,6 @@
                 answer::local()
             }
             RequestVerb::Deallocate { name } => self.core.deallocate(&name),
-            RequestVerb::Commit | RequestVerb::Rollback => answer::local(),
         }
     }
 
--- a/crates/daisyseam-engine/src/session/transaction.rs
+++ b/crates/daisyseam-engine/src/session/transaction.rs
@@ -55,8 +55,8 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Longest time that a transaction whose caller has left is given to roll back.
-const ABANDON_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest time that a database is given to roll back before its connection is closed instead.
+const ROLL_BACK_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Most times that a commit is sent which the database is too busy for.
 const COMMIT_TRIES: usize = 3;
@@ -139,8 +139,7 @@
             return;
         };
         if let Stage::Running(running) | Stage::Failed(Some(running)) = transaction.stage {
-            let until = Instant::now() + ABANDON_TIMEOUT;
-            self.core.roll_back_at(running, None, until).await;
+            self.core.roll_back_at(running, None).await;
         }
     }
 
@@ -194,10 +193,7 @@
             }
             Stage::Failed(running) => {
                 if let Some(running) = running {
-                    let times = OperationTimes::start(&transaction.rights);
-                    self.core
-                        .roll_back_at(running, None, times.deadline())
-                        .await;
+                    self.core.roll_back_at(running, None).await;
                 }
                 Err(ErrorKind::TransactionLost.into())
             }
@@ -207,12 +203,10 @@
     /// Ends the open transaction and drops its writes.
     pub(super) async fn roll_back(&mut self, id: &Bytes) -> RunResult {
         let transaction = self.transaction.take().ok_or_else(no_transaction)?;
-        let times = OperationTimes::start(&transaction.rights);
         match transaction.stage {
-            Stage::Running(running) | Stage::Failed(Some(running)) => Ok(self
-                .core
-                .roll_back_at(running, Some(id), times.deadline())
-                .await),
+            Stage::Running(running) | Stage::Failed(Some(running)) => {
+                Ok(self.core.roll_back_at(running, Some(id)).await)
+            }
             Stage::Pending | Stage::Failed(None) => answer::local(),
         }
     }
@@ -264,7 +258,7 @@
     /// begin that went wrong is like a read that did.
     async fn try_begin(
         &self,
-        route: Route,
+        mut route: Route,
         mode: TransactionMode,
         at_least: Option<LogPosition>,
         times: &OperationTimes,
@@ -275,12 +269,16 @@
         let (connection, reply) = begun.map_err(TryOutcome::Ended)?;
         let state = reply.state;
         match TryOutcome::of(Ok(reply), StatementKind::Read) {
-            TryOutcome::Done(..) if state == TransactionState::Open => Ok(RunningTransaction {
-                connection,
-                route,
-                wrote: false,
-                counted,
-            }),
+            TryOutcome::Done(..) if state == TransactionState::Open => {
+                // Reads see what was there when they began, whoever leads from now on.
+                route.term = term;
+                Ok(RunningTransaction {
+                    connection,
+                    route,
+                    wrote: false,
+                    counted,
+                })
+            }
             TryOutcome::Done(..) => Err(TryOutcome::Ended(AttemptEnd::Unreachable)),
             outcome => {
                 if state == TransactionState::Idle {
@@ -340,35 +338,29 @@
             fence: Fence::Leads,
         };
         for attempt in 1..=ATTEMPTS {
-            let order = AttemptOrder {
-                route: &running.route,
-                organisation: self.identity.organisation(),
-                values: &self.values,
-                times,
-            };
+            let order = self.order(&running.route, times);
             let reply = self.engine.run(&mut running.connection, order, call).await;
             let Ok(reply) = reply else {
                 break;
             };
             let state = reply.state;
-            match (TryOutcome::of(Ok(reply), kind), state) {
-                (TryOutcome::Done(reply, receipt), TransactionState::Open) => {
+            let (refusal, error) = match TryOutcome::of(Ok(reply), kind) {
+                TryOutcome::Done(reply, receipt) if state == TransactionState::Open => {
                     let result = answer::ran(reply.rows, receipt, reply.position);
                     return (Stage::Running(running), result);
                 }
-                (TryOutcome::Refused(RefusalKind::Busy, error), TransactionState::Open) => {
-                    if attempt == ATTEMPTS || !self.pause(attempt, times).await {
-                        return (Stage::Failed(Some(running)), Err(error));
-                    }
-                }
-                (
-                    TryOutcome::Refused(refusal, error),
-                    TransactionState::Open | TransactionState::Failed,
-                ) if stays_open(refusal) => {
-                    return (Stage::Failed(Some(running)), Err(error));
-                }
-                _ => break,
+                TryOutcome::Refused(refusal, error) => (refusal, error),
+                TryOutcome::Done(..) | TryOutcome::Ended(_) => break,
+            };
+            let open = state == TransactionState::Open;
+            if refusal == RefusalKind::Busy && open && attempt < ATTEMPTS {
+                self.pause(attempt, times).await;
+                continue;
             }
+            if state != TransactionState::Idle && stays_open(refusal) {
+                return (Stage::Failed(Some(running)), Err(error));
+            }
+            break;
         }
         // The connection is closed, which rolls back.
         drop(running);
@@ -381,54 +373,51 @@
         id: &Bytes,
         times: &OperationTimes,
     ) -> RunResult {
-        let wrote = running.wrote;
-        let call = DatabaseCall {
-            id: Some(id),
-            at_least: None,
-            verb: DatabaseVerb::Commit,
-        };
         for attempt in 1..=COMMIT_TRIES {
-            if wrote
-                && !self
-                    .engine
-                    .confirm(&running.route, times.primary_until())
-                    .await
-            {
-                break;
-            }
-            let fence = match wrote {
-                true => Fence::Leased,
-                false => Fence::Nothing,
-            };
-            let order = self.order(&running.route, times);
-            let reply = self
-                .engine
-                .call(&mut running.connection, order, call, fence)
-                .await;
+            let reply = self.try_commit(&mut running, id, times).await;
             let state = reply.as_ref().ok().map(|reply| reply.state);
-            match TryOutcome::of(reply, StatementKind::Write) {
+            let outcome = match TryOutcome::of(reply, StatementKind::Write) {
                 TryOutcome::Done(reply, receipt) => {
                     return self.committed(running, reply, receipt, times).await;
                 }
-                TryOutcome::Refused(RefusalKind::Busy, error)
-                    if state == Some(TransactionState::Open) =>
-                {
-                    if attempt == COMMIT_TRIES || !self.pause(attempt, times).await {
-                        return Err(error);
-                    }
-                }
-                TryOutcome::Refused(refusal, _) if !is_certain(refusal) && wrote => {
-                    return Err(ErrorKind::OutcomeUnknown.into());
-                }
-                TryOutcome::Ended(AttemptEnd::Lost | AttemptEnd::TimedOut) if wrote => {
-                    return Err(ErrorKind::OutcomeUnknown.into());
-                }
-                TryOutcome::Refused(..) | TryOutcome::Ended(_) => break,
+                outcome => outcome,
+            };
+            let busy = matches!(outcome, TryOutcome::Refused(RefusalKind::Busy, _));
+            let open = state == Some(TransactionState::Open);
+            if !busy || !open || attempt == COMMIT_TRIES {
+                return Err(commit_kind(&outcome, running.wrote).into());
             }
+            self.pause(attempt, times).await;
         }
         Err(ErrorKind::TransactionLost.into())
     }
 
+    /// Sends a commit; one that keeps writes only while the primary is certain.
+    async fn try_commit(
+        &self,
+        running: &mut RunningTransaction<D::Connection>,
+        id: &Bytes,
+        times: &OperationTimes,
+    ) -> Result<DatabaseReply, AttemptEnd> {
+        let (engine, wrote) = (self.engine, running.wrote);
+        if wrote && !engine.confirm(&running.route, times.primary_until()).await {
+            return Err(AttemptEnd::Fenced);
+        }
+        let call = DatabaseCall {
+            id: Some(id),
+            at_least: None,
+            verb: DatabaseVerb::Commit,
+        };
+        let fence = match wrote {
+            true => Fence::Leased,
+            false => Fence::Nothing,
+        };
+        let order = self.order(&running.route, times);
+        engine
+            .call(&mut running.connection, order, call, fence)
+            .await
+    }
+
     /// Acknowledges a commit if nobody else can have been primary when it ran.
     async fn committed(
         &mut self,
@@ -455,7 +444,6 @@
         &self,
         mut running: RunningTransaction<D::Connection>,
         id: Option<&Bytes>,
-        until: Instant,
     ) -> RunAnswer {
         let call = DatabaseCall {
             id: id.map(|id| &id[..]),
@@ -463,6 +451,7 @@
             verb: DatabaseVerb::Rollback,
         };
         let timer = &self.engine.settings.timer;
+        let until = Instant::now() + ROLL_BACK_TIMEOUT;
         let reply = running.connection.call(timer, call, until).await;
         let outcome = reply.map(|reply| (reply.state, reply.outcome, reply.position));
         match outcome {
@@ -497,6 +486,20 @@
     )
 }
 
+/// Returns the kind under which a commit that was not acknowledged is answered.
+fn commit_kind(outcome: &TryOutcome, wrote: bool) -> ErrorKind {
+    let certain = match outcome {
+        TryOutcome::Done(..) => false,
+        TryOutcome::Refused(refusal, _) => is_certain(*refusal),
+        TryOutcome::Ended(AttemptEnd::Lost | AttemptEnd::TimedOut) => false,
+        TryOutcome::Ended(AttemptEnd::Full | AttemptEnd::Unreachable | AttemptEnd::Fenced) => true,
+    };
+    match certain || !wrote {
+        true => ErrorKind::TransactionLost,
+        false => ErrorKind::OutcomeUnknown,
+    }
+}
+
 /// Returns whether a commit that was refused so kept nothing for certain.
 fn is_certain(refusal: RefusalKind) -> bool {
     match refusal {
