--- a/crates/daisyseam-engine/src/pool.rs
+++ b/crates/daisyseam-engine/src/pool.rs
@@ -8,6 +8,7 @@
     PooledConnection,
     SetUp, //
 };
+pub(crate) use self::upstream::UpstreamLoad;
 use self::upstream::{
     Claim,
     Grant,
@@ -18,6 +19,7 @@
     ConnectError,
     DatabaseConnector,
     DatabaseTarget,
+    route::present_primary,
     values::SessionValues, //
 };
 use daisyseam_model::{
@@ -30,14 +32,16 @@
 use parking_lot::Mutex;
 use std::{
     collections::HashMap,
-    sync::Arc,
-    time::Duration, //
+    sync::{
+        Arc,
+        atomic::{
+            AtomicU64,
+            Ordering, //
+        }, //
+    }, //
 };
 use tokio::time::Instant;
 
-/// Longest time that opening a connection may take.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
-
 /// Part of a database's connections that the instances share out among them, in tenths.
 const SHARED_TENTHS: usize = 9;
 
@@ -46,6 +50,7 @@
     connector: D,
     timer: TimerService,
     upstreams: Mutex<HashMap<UpstreamId, Arc<UpstreamPool<D::Connection>>>>,
+    turns: AtomicU64,
 }
 
 /// The connection that is wanted.
@@ -61,8 +66,8 @@
     pub(crate) values: &'a SessionValues,
     /// Longest wait for a place among the connections.
     pub(crate) wait_until: Instant,
-    /// Moment after which the connection is of no use.
-    pub(crate) until: Instant,
+    /// Moment by which a new one must be open.
+    pub(crate) connect_until: Instant,
 }
 
 /// Why there is no connection.
@@ -83,6 +88,7 @@
             connector,
             timer,
             upstreams: Mutex::default(),
+            turns: AtomicU64::new(0),
         }
     }
 
@@ -94,7 +100,8 @@
         let named = order.view.upstreams.get(order.upstream);
         let named = named.ok_or(NoConnection::Gone)?;
         let pool = self.upstream(order.view, order.upstream, named);
-        let place = match pool.claim(order.organisation, order.values) {
+        let turn = self.turns.fetch_add(1, Ordering::Relaxed) + 1;
+        let place = match pool.claim(order.organisation, order.values, turn) {
             Claim::Granted(grant) => grant,
             Claim::Wait(granted) => {
                 let granted = self.timer.within(order.wait_until, granted).await;
@@ -121,8 +128,8 @@
             address: named.address,
             organisation: order.organisation.cloned(),
         };
-        let until = order.until.min(Instant::now() + CONNECT_TIMEOUT);
-        let opened = self.timer.within(until, self.connector.connect(&target));
+        let opening = self.connector.connect(&target);
+        let opened = self.timer.within(order.connect_until, opening);
         let silent = || ConnectError::Unreachable("no answer in time".to_owned());
         let opened = opened.await.unwrap_or_else(|| Err(silent()));
         let connection = opened.map_err(NoConnection::Connect)?;
@@ -133,12 +140,19 @@
         ))
     }
 
-    /// Returns how many connections to a database are in use, and whether one more is at hand.
-    pub(crate) fn load(&self, upstream: &UpstreamId) -> (usize, bool) {
+    /// Returns how much the connections to a database are in use.
+    pub(crate) fn load(&self, upstream: &UpstreamId) -> UpstreamLoad {
         let upstreams = self.upstreams.lock();
-        upstreams
-            .get(upstream)
-            .map_or((0, true), |pool| pool.load())
+        let pool = upstreams.get(upstream);
+        pool.map_or_else(UpstreamLoad::default, |pool| pool.load())
+    }
+
+    /// Closes the connections to a database that nobody uses.
+    pub(crate) fn close_idle(&self, upstream: &UpstreamId) {
+        let pool = self.upstreams.lock().get(upstream).cloned();
+        if let Some(pool) = pool {
+            pool.close_idle();
+        }
     }
 
     /// Brings the pool in line with a view: closes idle connections of databases that take no
@@ -154,7 +168,9 @@
                 return false;
             };
             pool.set_budget(budget(view, named));
-            if named.leaving || !view.in_service(&named.data_centre) {
+            let shut = is_shut(view, name, named);
+            pool.set_shut(shut);
+            if shut {
                 closed.push((Arc::clone(pool), false));
             }
             true
@@ -189,6 +205,13 @@
     }
 }
 
+/// Returns whether connections to a database are not worth keeping: it takes no new work. One that
+/// leaves takes work as long as it is primary.
+fn is_shut(view: &FleetView, name: &UpstreamId, named: &UpstreamView) -> bool {
+    let leaving = named.leaving && present_primary(view, &named.group) != Some(name);
+    leaving || !view.in_service(&named.data_centre)
+}
+
 /// Returns this instance's share of a database's connections.
 fn budget(view: &FleetView, named: &UpstreamView) -> usize {
     let document = view.document.as_ref();
--- a/crates/daisyseam-engine/src/pool/upstream.rs
+++ b/crates/daisyseam-engine/src/pool/upstream.rs
@@ -27,14 +27,29 @@
     state: Mutex<PoolState<C>>,
 }
 
+/// How much the connections to a database are in use; the lesser is to be preferred.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub(crate) struct UpstreamLoad {
+    /// Whether none is at hand.
+    pub(crate) full: bool,
+    /// Places that are lent.
+    pub(crate) lent: usize,
+    /// Turn in which one was last claimed.
+    pub(crate) last_turn: u64,
+}
+
 struct PoolState<C: DatabaseConnection> {
     retired: bool,
+    /// Whether nothing is kept idle.
+    shut: bool,
     budget: usize,
     /// Places that are lent: connections in use and those being opened.
     lent: usize,
     /// Least recently used first.
     idle: Vec<IdleLink<C>>,
     waiting: VecDeque<Waiter<C>>,
+    /// Turn in which a connection was last claimed.
+    last_turn: u64,
 }
 
 struct IdleLink<C> {
@@ -76,10 +91,12 @@
             born_ms: named.born_ms,
             state: Mutex::new(PoolState {
                 retired: false,
+                shut: false,
                 budget,
                 lent: 0,
                 idle: Vec::new(),
                 waiting: VecDeque::new(),
+                last_turn: 0,
             }),
         }
     }
@@ -89,10 +106,14 @@
         self.address == named.address && self.born_ms == named.born_ms
     }
 
-    /// Returns how many places are lent, and whether one more is at hand.
-    pub(super) fn load(&self) -> (usize, bool) {
+    /// Returns how much the connections are in use.
+    pub(super) fn load(&self) -> UpstreamLoad {
         let state = self.state.lock();
-        (state.lent, state.lent < state.budget)
+        UpstreamLoad {
+            full: state.lent >= state.budget,
+            lent: state.lent,
+            last_turn: state.last_turn,
+        }
     }
 
     pub(super) fn set_budget(self: &Arc<Self>, budget: usize) {
@@ -108,6 +129,11 @@
         }
     }
 
+    /// Says whether connections that come back are kept.
+    pub(super) fn set_shut(&self, shut: bool) {
+        self.state.lock().shut = shut;
+    }
+
     /// Closes all connections, those in use when they come back.
     pub(super) fn retire(&self) {
         let mut state = self.state.lock();
@@ -129,9 +155,11 @@
         self: &Arc<Self>,
         organisation: Option<&OrganisationId>,
         values: &SessionValues,
+        turn: u64,
     ) -> Claim<C> {
         loop {
             let mut state = self.state.lock();
+            state.last_turn = turn;
             if let Some(mut link) = state.take_idle(organisation, values) {
                 state.lent += 1;
                 drop(state);
@@ -171,7 +199,7 @@
         link: DatabaseLink<C>,
     ) {
         let mut state = self.state.lock();
-        if state.retired || state.used() > state.budget {
+        if state.retired || state.shut || state.used() > state.budget {
             drop(state);
             // The connection is closed before its place can be given on.
             drop(link);
--- a/crates/daisyseam-engine/src/route.rs
+++ b/crates/daisyseam-engine/src/route.rs
@@ -3,7 +3,10 @@
 use crate::{
     DatabaseConnector, //
     health::HealthBook,
-    pool::ConnectionPool,
+    pool::{
+        ConnectionPool,
+        UpstreamLoad, //
+    },
 };
 use daisyseam_coord::route::RouteDistance;
 use daisyseam_member::{
@@ -43,22 +46,32 @@
     pub(crate) term: Option<Term>,
 }
 
-/// What a read must see.
+/// What a primary is wanted for.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum ReadFloor {
-    /// All that is acknowledged: it goes to the primary, whose log must hold the position.
-    Primary(Option<LogPosition>),
-    /// What lies up to a position, if there is one.
-    Position(Option<LogPosition>),
+pub(crate) enum PrimaryUse {
+    /// Reads, which a planned move does not hold.
+    Reads,
+    /// Writes.
+    Writes,
 }
 
-impl ReadFloor {
-    /// Returns the position that the database's log must hold.
-    pub(crate) fn position(self) -> Option<LogPosition> {
-        match self {
-            Self::Primary(position) | Self::Position(position) => position,
-        }
-    }
+/// What a read must see.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(crate) struct ReadFloor {
+    /// The session's own commits, up to here.
+    pub(crate) own: Option<LogPosition>,
+    /// Where it may run.
+    pub(crate) place: ReadPlace,
+}
+
+/// Where a read may run.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(crate) enum ReadPlace {
+    /// At the primary.
+    #[default]
+    Primary,
+    /// Wherever the log holds a position, if there is one.
+    Reached(Option<LogPosition>),
 }
 
 /// Returns the database that takes the writes of a group, while a planned move drains it too.
@@ -85,7 +98,7 @@
 }
 
 impl<D: DatabaseConnector> Router<'_, D> {
-    /// Waits for a primary that may take new work under a valid lease.
+    /// Waits for a primary of use, under a valid lease.
     ///
     /// # Errors
     ///
@@ -93,30 +106,36 @@
     pub(crate) async fn primary(
         &self,
         group: &GroupId,
+        usage: PrimaryUse,
         until: Instant,
     ) -> Result<Route, ErrorKind> {
-        let route = match self.primary_now(group) {
+        let route = match self.primary_now(group, usage) {
             Ok(route) => route,
-            Err(_) => return self.wait_for_primary(group, until).await,
+            Err(_) => return self.wait_for_primary(group, usage, until).await,
         };
         let view = route.held.view.number;
-        match self.health.avoid_until(&route.upstream, view) {
+        match self.health.hold_until(&route.upstream, view) {
             None => Ok(route),
-            Some(_) => self.wait_for_primary(group, until).await,
+            Some(_) => self.wait_for_primary(group, usage, until).await,
         }
     }
 
-    async fn wait_for_primary(&self, group: &GroupId, until: Instant) -> Result<Route, ErrorKind> {
+    async fn wait_for_primary(
+        &self,
+        group: &GroupId,
+        usage: PrimaryUse,
+        until: Instant,
+    ) -> Result<Route, ErrorKind> {
         let mut changes = self.cell.subscribe();
         loop {
-            let route = self.primary_now(group);
-            let avoided = route.as_ref().ok().and_then(|route| {
+            let route = self.primary_now(group, usage);
+            let held = route.as_ref().ok().and_then(|route| {
                 let view = route.held.view.number;
-                self.health.avoid_until(&route.upstream, view)
+                self.health.hold_until(&route.upstream, view)
             });
-            let look = match (&route, avoided) {
+            let look = match (&route, held) {
                 (Ok(_), None) => return route,
-                (_, avoided) => avoided.unwrap_or(until).min(until),
+                (_, held) => held.unwrap_or(until).min(until),
             };
             if Instant::now() >= until {
                 return Err(route.err().unwrap_or(ErrorKind::UpstreamUnreachable));
@@ -126,14 +145,18 @@
         }
     }
 
-    /// Returns the primary that may take new work at this moment.
-    pub(crate) fn primary_now(&self, group: &GroupId) -> Result<Route, ErrorKind> {
+    /// Returns the primary that is of use at this moment.
+    fn primary_now(&self, group: &GroupId, usage: PrimaryUse) -> Result<Route, ErrorKind> {
         let held = self.cell.held();
         if !held.is_valid() {
             return Err(ErrorKind::NoView);
         }
         let state = held.view.groups.get(group).ok_or(ErrorKind::NoPrimary)?;
-        let upstream = state.primary.active().ok_or(ErrorKind::NoPrimary)?.clone();
+        let upstream = match usage {
+            PrimaryUse::Reads => present_primary(&held.view, group),
+            PrimaryUse::Writes => state.primary.active(),
+        };
+        let upstream = upstream.ok_or(ErrorKind::NoPrimary)?.clone();
         let named = held.view.upstreams.get(&upstream);
         let named = named.ok_or(ErrorKind::NoPrimary)?;
         if !held.view.in_service(&named.data_centre) {
@@ -163,12 +186,13 @@
             !tried.contains(name) && !named.leaving && view.in_service(&named.data_centre)
         });
         let usable = candidates.filter(|(name, _)| {
-            let avoided = self.health.avoid_until(name, view.number).is_some();
+            let avoided = self.health.is_avoided(name, view.number);
             let lagging = floor.is_some() && self.health.is_lagging(name);
             !avoided && !lagging
         });
         let best = usable.min_by_key(|(name, named)| self.rank(view, name, named))?;
         let upstream = best.0.clone();
+        self.health.chosen(&upstream);
         Some(Route {
             upstream,
             group: group.clone(),
@@ -182,10 +206,9 @@
         view: &FleetView,
         name: &UpstreamId,
         named: &UpstreamView,
-    ) -> (bool, RouteDistance, usize, u32) {
-        let (load, free) = self.pool.load(name);
-        let distance = self.distance(view, &named.data_centre);
-        (!free, distance, load, rand::random())
+    ) -> (bool, RouteDistance, UpstreamLoad) {
+        let load = self.pool.load(name);
+        (load.full, self.distance(view, &named.data_centre), load)
     }
 
     fn distance(&self, view: &FleetView, other: &DataCentreId) -> RouteDistance {
