Say names and the cluster once a connection

Heartbeats cost bytes between areas, and most of each was names: version and cluster in every frame, both members in every message of the log, the entry in every heartbeat. The first frame of each direction names them now, and a first frame without a cluster is refused like one of another. Instances that start from seeds use times for members tens of milliseconds apart: 250 ms between heartbeats, leases of 750 ms.

--- a/crates/daisyseam-bench/src/fleet/node.rs
+++ b/crates/daisyseam-bench/src/fleet/node.rs
@@ -15,7 +15,10 @@
     ControlSettings,
     REPAIR_AFTER, //
 };
-use daisyseam_coord::log::LogSettings;
+use daisyseam_coord::{
+    log::LogSettings,
+    view_lease::LeaseSettings, //
+};
 use daisyseam_entry::{
     EntryDaemon,
     EntrySettings,
@@ -277,6 +280,7 @@
             bootstrap: false,
             repair_after: REPAIR_AFTER,
             log: LogSettings::default(),
+            lease: LeaseSettings::default(),
             source: Some(self.source),
             metrics: None,
         };
--- a/crates/daisyseam-control/src/daemon.rs
+++ b/crates/daisyseam-control/src/daemon.rs
@@ -388,6 +388,7 @@
     let log = ReplicatedLog::recover(me.clone(), times, durable, Moment::ORIGIN, random);
     let core = CoreSettings {
         repair_after: settings.repair_after,
+        lease: settings.lease,
         ..CoreSettings::new(me, settings.cluster.clone())
     };
     Ok(ControlCore::new(core, log))
--- a/crates/daisyseam-control/src/lib.rs
+++ b/crates/daisyseam-control/src/lib.rs
@@ -9,6 +9,7 @@
 mod daemon;
 mod identity;
 mod link;
+mod names;
 mod node;
 mod notice;
 mod session;
--- a/crates/daisyseam-control/src/link.rs
+++ b/crates/daisyseam-control/src/link.rs
@@ -1,6 +1,9 @@
 //! Outgoing connections to the other members of control.
 
-use crate::node::NodeMessage;
+use crate::{
+    names::ConnectionNames,
+    node::NodeMessage, //
+};
 use daisyseam_model::ClusterId;
 use daisyseam_runtime::{
     Dialer,
@@ -113,11 +116,13 @@
     let (mut sender, mut answers) = stream.split();
     let timer = &context.timer;
     let mut asked_at = None;
+    let (mut said, mut heard) = (ConnectionNames::default(), ConnectionNames::default());
     loop {
         let silent = asked_at.unwrap_or_else(|| timer.now()) + SILENCE_MAX;
         tokio::select! {
             body = receiver.recv() => {
-                let body = body?;
+                let mut body = body?;
+                said.shorten(&mut body);
                 if is_answered(&body) {
                     asked_at.get_or_insert_with(|| timer.now());
                 }
@@ -132,7 +137,8 @@
                 return Some(());
             }
             answer = answers.receive() => match answer {
-                Ok(ControlMessage { body: Some(body) }) => {
+                Ok(ControlMessage { body: Some(mut body) }) => {
+                    heard.complete(&mut body);
                     asked_at = None;
                     let message = NodeMessage::Peer { body, route: None };
                     context.node.cast(message).ok()?;
--- /dev/null
+++ b/crates/daisyseam-control/src/names.rs
@@ -0,0 +1,63 @@
+//! Names that only the first message between two members on a connection must carry.
+
+use daisyseam_wire::control_message::Body;
+
+/// The names of both ends, in one direction of one connection.
+///
+/// A process that takes another name opens new connections, so names hold for a connection.
+#[derive(Debug, Default)]
+pub(crate) struct ConnectionNames {
+    members: Option<(String, String)>,
+    entry: String,
+}
+
+impl ConnectionNames {
+    /// Takes the names out of a message if the last one named the same.
+    pub(crate) fn shorten(&mut self, body: &mut Body) {
+        let Some((from, to)) = ends(body) else {
+            return;
+        };
+        let same = |(known_from, known_to): &(String, String)| known_from == from && known_to == to;
+        if self.members.as_ref().is_some_and(same) {
+            from.clear();
+            to.clear();
+        } else {
+            self.members = Some((from.clone(), to.clone()));
+        }
+    }
+
+    /// Puts the names back that an earlier message carried.
+    pub(crate) fn complete(&mut self, body: &mut Body) {
+        match body {
+            Body::Hello(hello) => self.entry.clone_from(&hello.instance),
+            Body::Heartbeat(heartbeat) if heartbeat.instance.is_empty() => {
+                heartbeat.instance.clone_from(&self.entry);
+            }
+            _ => {}
+        }
+        let Some((from, to)) = ends(body) else {
+            return;
+        };
+        match &self.members {
+            Some((known_from, known_to)) if from.is_empty() && to.is_empty() => {
+                from.clone_from(known_from);
+                to.clone_from(known_to);
+            }
+            _ => self.members = Some((from.clone(), to.clone())),
+        }
+    }
+}
+
+/// Returns the names of a message between members.
+fn ends(body: &mut Body) -> Option<(&mut String, &mut String)> {
+    match body {
+        Body::Vote(message) => Some((&mut message.from, &mut message.to)),
+        Body::Voted(message) => Some((&mut message.from, &mut message.to)),
+        Body::Append(message) => Some((&mut message.from, &mut message.to)),
+        Body::Appended(message) => Some((&mut message.from, &mut message.to)),
+        Body::Snapshot(message) => Some((&mut message.from, &mut message.to)),
+        Body::SnapshotTaken(message) => Some((&mut message.from, &mut message.to)),
+        Body::Transfer(message) => Some((&mut message.from, &mut message.to)),
+        _ => None,
+    }
+}
--- a/crates/daisyseam-control/src/session.rs
+++ b/crates/daisyseam-control/src/session.rs
@@ -1,6 +1,9 @@
 //! Connections of entries, operators and other members.
 
-use crate::node::NodeMessage;
+use crate::{
+    names::ConnectionNames,
+    node::NodeMessage, //
+};
 use daisyseam_model::ClusterId;
 use daisyseam_runtime::{
     TimerService,
@@ -98,6 +101,7 @@
     let node = context.node;
     let timer = context.timer;
     let mut speaks = false;
+    let (mut said, mut heard) = (ConnectionNames::default(), ConnectionNames::default());
     let mut heard_at = timer.now();
     let stream = MessageStream::<_, ControlMessage>::new(socket, context.cluster);
     let (mut sender, mut receiver) = stream.split();
@@ -105,7 +109,7 @@
     loop {
         tokio::select! {
             received = receiver.receive() => {
-                let body = match received {
+                let mut body = match received {
                     Ok(ControlMessage { body: Some(body) }) => body,
                     // A newer peer may send what this version does not know.
                     Ok(ControlMessage { body: None }) => continue,
@@ -114,6 +118,7 @@
                         return;
                     }
                 };
+                heard.complete(&mut body);
                 heard_at = timer.now();
                 speaks |= is_repeated(&body);
                 if !may_send(role, &body) {
@@ -128,7 +133,8 @@
                 log::debug!("the connection from {address} has fallen silent");
                 return;
             }
-            Some(body) = outgoing.recv() => {
+            Some(mut body) = outgoing.recv() => {
+                said.shorten(&mut body);
                 let message = ControlMessage { body: Some(body) };
                 let until = timer.now() + SILENCE_MAX;
                 let sent = timer.within(until, sender.send(&message)).await;
--- a/crates/daisyseam-control/src/settings.rs
+++ b/crates/daisyseam-control/src/settings.rs
@@ -2,7 +2,10 @@
 
 use crate::identity::address_name;
 use argh::FromArgs;
-use daisyseam_coord::log::LogSettings;
+use daisyseam_coord::{
+    log::LogSettings,
+    view_lease::LeaseSettings, //
+};
 use daisyseam_model::{
     ClusterId,
     DataCentreId,
@@ -30,6 +33,9 @@
 /// Silence of a member before a spare replaces it, if none is set.
 pub const REPAIR_AFTER: Duration = Duration::from_secs(5);
 
+/// The same for an instance that starts from seeds.
+const SEED_REPAIR_AFTER: Duration = Duration::from_secs(2);
+
 /// Checked settings.
 #[derive(Clone, Debug)]
 pub struct ControlSettings {
@@ -60,6 +66,8 @@
     pub repair_after: Duration,
     /// Times and sizes of the log.
     pub log: LogSettings,
+    /// Leases on views.
+    pub lease: LeaseSettings,
     /// Address that outgoing connections start from.
     pub source: Option<IpAddr>,
     /// Address that metrics are sent to.
@@ -67,7 +75,8 @@
 }
 
 impl ControlSettings {
-    /// Returns the settings of an instance that knows others by their addresses only.
+    /// Returns the settings of an instance that knows others by their addresses only, in several
+    /// areas; a spare replaces a member that was silent for two seconds.
     pub fn from_seeds(
         cluster: ClusterId,
         data_centre: DataCentreId,
@@ -89,8 +98,9 @@
             spare: false,
             seeds,
             bootstrap,
-            repair_after: Duration::from_secs(2),
-            log: LogSettings::default(),
+            repair_after: SEED_REPAIR_AFTER,
+            log: LogSettings::wide_area(),
+            lease: LeaseSettings::default(),
             source: None,
             metrics: None,
         }
@@ -209,6 +219,7 @@
                 bootstrap: false,
                 repair_after: REPAIR_AFTER,
                 log: LogSettings::default(),
+                lease: LeaseSettings::default(),
                 source,
                 metrics,
             })
--- a/crates/daisyseam-control/tests/bad_input.rs
+++ b/crates/daisyseam-control/tests/bad_input.rs
@@ -70,6 +70,7 @@
 }
 
 #[test_case(framed(PROTOCOL_VERSION, "other"); "another cluster")]
+#[test_case(framed(PROTOCOL_VERSION, ""); "no cluster in the first frame")]
 #[test_case(framed(PROTOCOL_VERSION + 1, "shellrest"); "a future version")]
 #[test_case(vec![0xFF; 64]; "a frame that is too long")]
 #[test_case(vec![0, 0, 0, 4, 0xFF, 0xFF, 0xFF, 0xFF]; "bytes that are no message")]
--- a/crates/daisyseam-control/tests/support/mod.rs
+++ b/crates/daisyseam-control/tests/support/mod.rs
@@ -13,7 +13,10 @@
     ControlDaemon,
     ControlSettings, //
 };
-use daisyseam_coord::log::LogSettings;
+use daisyseam_coord::{
+    log::LogSettings,
+    view_lease::LeaseSettings, //
+};
 use daisyseam_model::{
     ClusterId,
     FleetView,
@@ -122,6 +125,7 @@
         bootstrap: false,
         repair_after: Duration::from_secs(2),
         log: LogSettings::default(),
+        lease: LeaseSettings::default(),
         source: None,
         metrics: None,
     }
--- a/crates/daisyseam-coord/src/log/role.rs
+++ b/crates/daisyseam-coord/src/log/role.rs
@@ -47,6 +47,20 @@
     pub chunk_bytes: usize,
 }
 
+impl LogSettings {
+    /// Returns settings for members tens of milliseconds apart that get little processor time: the
+    /// next leader stands within about a second and a half.
+    pub fn wide_area() -> Self {
+        Self {
+            heartbeat: Duration::from_millis(250),
+            lease: Duration::from_millis(750),
+            vote_refusal: Duration::from_millis(900),
+            election_spread: Duration::from_millis(350),
+            ..Self::default()
+        }
+    }
+}
+
 impl Default for LogSettings {
     fn default() -> Self {
         Self {
--- a/crates/daisyseam-member/src/control_client/session.rs
+++ b/crates/daisyseam-member/src/control_client/session.rs
@@ -159,7 +159,8 @@
             upstreams: report.upstreams,
             health: report.health,
             groups: report.groups,
-            instance: settings.instance.to_string(),
+            // The hello on this connection named it.
+            instance: String::new(),
             view_digest: self.keeper.digest(),
             members: self.keeper.members_known(),
         };
--- a/crates/daisyseam-wire/src/control.rs
+++ b/crates/daisyseam-wire/src/control.rs
@@ -264,7 +264,7 @@
     /// Groups that are draining.
     #[prost(message, repeated, tag = "8")]
     pub groups: Vec<GroupReport>,
-    /// Name of the sender.
+    /// Name of the sender; empty for the one that said hello on this connection.
     #[prost(string, tag = "9")]
     pub instance: String,
     /// Digest of the view that the sender acts on.
@@ -425,7 +425,8 @@
 /// Asks for a vote, or whether one would be given.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct VoteRequest {
-    /// Sender.
+    /// Sender; empty, as the receiver is, for those whom the last such message on this connection
+    /// named.
     #[prost(string, tag = "1")]
     pub from: String,
     /// Term of the election.
@@ -451,7 +452,8 @@
 /// The leader hands its place over; it has given up its lease.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct TransferRequest {
-    /// Sender.
+    /// Sender; empty, as the receiver is, for those whom the last such message on this connection
+    /// named.
     #[prost(string, tag = "1")]
     pub from: String,
     /// Term of the leader.
@@ -493,7 +495,8 @@
 /// A vote.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct VoteReply {
-    /// Sender.
+    /// Sender; empty, as the receiver is, for those whom the last such message on this connection
+    /// named.
     #[prost(string, tag = "1")]
     pub from: String,
     /// Term of the sender, or of the pre-vote that is answered.
@@ -530,7 +533,8 @@
 /// Entries of the log, or none as a heartbeat.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct AppendRequest {
-    /// Sender.
+    /// Sender; empty, as the receiver is, for those whom the last such message on this connection
+    /// named.
     #[prost(string, tag = "1")]
     pub from: String,
     /// Term of the leader.
@@ -559,7 +563,8 @@
 /// Whether entries were appended.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct AppendReply {
-    /// Sender.
+    /// Sender; empty, as the receiver is, for those whom the last such message on this connection
+    /// named.
     #[prost(string, tag = "1")]
     pub from: String,
     /// Term of the sender.
@@ -585,7 +590,8 @@
 /// A piece of a snapshot.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct SnapshotChunk {
-    /// Sender.
+    /// Sender; empty, as the receiver is, for those whom the last such message on this connection
+    /// named.
     #[prost(string, tag = "1")]
     pub from: String,
     /// Term of the leader.
@@ -620,7 +626,8 @@
 /// How much of a snapshot was taken.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct SnapshotReply {
-    /// Sender.
+    /// Sender; empty, as the receiver is, for those whom the last such message on this connection
+    /// named.
     #[prost(string, tag = "1")]
     pub from: String,
     /// Term of the sender.
--- a/crates/daisyseam-wire/src/envelope.rs
+++ b/crates/daisyseam-wire/src/envelope.rs
@@ -3,7 +3,9 @@
 /// Version of the protocol between the system's processes that this build speaks.
 pub const PROTOCOL_VERSION: u32 = 1;
 
-/// Version and cluster in front of every message; the body is decoded only if both fit.
+/// Version and cluster in front of a message; the body is decoded only if both fit.
+///
+/// Only the first frame of a connection's direction must name them; what follows goes with it.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Envelope {
     /// Protocol version of the sender.
--- a/crates/daisyseam-wire/src/lib.rs
+++ b/crates/daisyseam-wire/src/lib.rs
@@ -1,7 +1,7 @@
 //! Messages and framing between the processes of the system.
 //!
-//! Every connection carries length-delimited frames, each one [`Envelope`] with the protocol
-//! version and the cluster it belongs to; [`MessageStream`] refuses frames of another cluster or a
+//! Every connection carries length-delimited frames, each one [`Envelope`]; the first one names the
+//! protocol version and the cluster. [`MessageStream`] refuses frames of another cluster or a
 //! future version.
 
 mod control;
--- a/crates/daisyseam-wire/src/stream.rs
+++ b/crates/daisyseam-wire/src/stream.rs
@@ -62,7 +62,8 @@
 /// A connection that carries messages of one type both ways.
 pub struct MessageStream<T, M> {
     framed: Framed<T, LengthDelimitedCodec>,
-    cluster: ClusterId,
+    outgoing: Introduction,
+    incoming: Introduction,
     message: PhantomData<M>,
 }
 
@@ -78,7 +79,8 @@
             .new_codec();
         Self {
             framed: Framed::new(socket, codec),
-            cluster,
+            outgoing: Introduction::of(cluster.clone()),
+            incoming: Introduction::of(cluster),
             message: PhantomData,
         }
     }
@@ -89,7 +91,7 @@
     ///
     /// [`StreamError::Io`] when the connection fails.
     pub async fn send(&mut self, message: &M) -> Result<(), StreamError> {
-        let frame = encode_frame(&self.cluster, message);
+        let frame = self.outgoing.encode(message);
         Ok(self.framed.send(frame).await?)
     }
 
@@ -102,7 +104,7 @@
     /// Any [`StreamError`]; the stream is of no more use after it.
     pub async fn receive(&mut self) -> Result<M, StreamError> {
         let frame = self.framed.next().await.ok_or(StreamError::Closed)??;
-        decode_frame(&self.cluster, frame)
+        self.incoming.decode(frame)
     }
 
     /// Splits the stream so that both ways can be used at once.
@@ -110,12 +112,12 @@
         let (sink, stream) = self.framed.split();
         let sender = MessageSender {
             sink,
-            cluster: self.cluster.clone(),
+            introduction: self.outgoing,
             message: PhantomData,
         };
         let receiver = MessageReceiver {
             stream,
-            cluster: self.cluster,
+            introduction: self.incoming,
             message: PhantomData,
         };
         (sender, receiver)
@@ -125,7 +127,7 @@
 /// The sending half of a [`MessageStream`].
 pub struct MessageSender<T, M> {
     sink: SplitSink<Framed<T, LengthDelimitedCodec>, Bytes>,
-    cluster: ClusterId,
+    introduction: Introduction,
     message: PhantomData<M>,
 }
 
@@ -140,7 +142,7 @@
     ///
     /// [`StreamError::Io`] when the connection fails.
     pub async fn send(&mut self, message: &M) -> Result<(), StreamError> {
-        let frame = encode_frame(&self.cluster, message);
+        let frame = self.introduction.encode(message);
         Ok(self.sink.send(frame).await?)
     }
 }
@@ -148,7 +150,7 @@
 /// The receiving half of a [`MessageStream`].
 pub struct MessageReceiver<T, M> {
     stream: SplitStream<Framed<T, LengthDelimitedCodec>>,
-    cluster: ClusterId,
+    introduction: Introduction,
     message: PhantomData<M>,
 }
 
@@ -164,29 +166,46 @@
     /// Any [`StreamError`]; the stream is of no more use after it.
     pub async fn receive(&mut self) -> Result<M, StreamError> {
         let frame = self.stream.next().await.ok_or(StreamError::Closed)??;
-        decode_frame(&self.cluster, frame)
+        self.introduction.decode(frame)
     }
 }
 
-fn encode_frame<M: Message>(cluster: &ClusterId, message: &M) -> Bytes {
-    let envelope = Envelope {
-        version: PROTOCOL_VERSION,
-        cluster: cluster.as_str().to_owned(),
-        body: Bytes::from(message.encode_to_vec()),
-    };
-    Bytes::from(envelope.encode_to_vec())
+/// Version and cluster, which the first frame of a direction names for all that follow.
+struct Introduction {
+    cluster: ClusterId,
+    done: bool,
 }
 
-fn decode_frame<M: Message + Default>(
-    cluster: &ClusterId,
-    frame: BytesMut,
-) -> Result<M, StreamError> {
-    let envelope = Envelope::decode(frame.freeze()).map_err(StreamError::Malformed)?;
-    if envelope.version > PROTOCOL_VERSION {
-        return Err(StreamError::FutureVersion(envelope.version));
+impl Introduction {
+    fn of(cluster: ClusterId) -> Self {
+        Self {
+            cluster,
+            done: false,
+        }
     }
-    if envelope.cluster != cluster.as_str() {
-        return Err(StreamError::OtherCluster(envelope.cluster));
+
+    fn encode<M: Message>(&mut self, message: &M) -> Bytes {
+        let mut envelope = Envelope {
+            body: Bytes::from(message.encode_to_vec()),
+            ..Envelope::default()
+        };
+        if !std::mem::replace(&mut self.done, true) {
+            envelope.version = PROTOCOL_VERSION;
+            envelope.cluster = self.cluster.as_str().to_owned();
+        }
+        Bytes::from(envelope.encode_to_vec())
+    }
+
+    fn decode<M: Message + Default>(&mut self, frame: BytesMut) -> Result<M, StreamError> {
+        let envelope = Envelope::decode(frame.freeze()).map_err(StreamError::Malformed)?;
+        if envelope.version > PROTOCOL_VERSION {
+            return Err(StreamError::FutureVersion(envelope.version));
+        }
+        let named = !self.done || !envelope.cluster.is_empty();
+        if named && envelope.cluster != self.cluster.as_str() {
+            return Err(StreamError::OtherCluster(envelope.cluster));
+        }
+        self.done = true;
+        M::decode(envelope.body).map_err(StreamError::Malformed)
     }
-    M::decode(envelope.body).map_err(StreamError::Malformed)
 }
