--- a/crates/daisyseam-control/src/lib.rs
+++ b/crates/daisyseam-control/src/lib.rs
@@ -10,6 +10,7 @@
 mod handle;
 mod identity;
 mod link;
+mod names;
 mod node;
 mod notice;
 mod session;
