--- a/crates/daisyseam-engine/tests/support/database.rs
+++ b/crates/daisyseam-engine/tests/support/database.rs
@@ -48,6 +48,8 @@
     pub open: usize,
     pub most_open: usize,
     pub connects: usize,
+    /// Databases that have a commit before it is acknowledged, in turn.
+    pub copies: VecDeque<UpstreamId>,
     /// Writes that were committed.
     pub kept: Vec<String>,
     /// What it was asked, with the number of the connection.
@@ -90,6 +92,7 @@
                 open: 0,
                 most_open: 0,
                 connects: 0,
+                copies: VecDeque::new(),
                 kept: Vec::new(),
                 calls: Vec::new(),
                 faults: VecDeque::new(),
@@ -289,10 +292,18 @@
         if writes.is_empty() {
             return;
         }
-        self.databases.at(self.upstream.as_str(), |database| {
+        let (position, copy) = self.databases.at(self.upstream.as_str(), |database| {
             database.position.position = Position(database.position.position.0 + 1);
             database.kept.extend(writes);
+            database
+                .copies
+                .rotate_left(usize::from(!database.copies.is_empty()));
+            (database.position, database.copies.front().cloned())
         });
+        if let Some(copy) = copy {
+            self.databases
+                .at(copy.as_str(), |copy| copy.position = position);
+        }
     }
 
     fn refuse(&mut self, kind: RefusalKind) -> DatabaseReply {
--- a/crates/daisyseam-engine/tests/support/mod.rs
+++ b/crates/daisyseam-engine/tests/support/mod.rs
@@ -104,7 +104,11 @@
 impl Fleet {
     /// Starts a fleet whose databases admit `slots` connections.
     pub fn start(slots: usize) -> Self {
-        let databases = FakeDatabases::new(&["p", "a", "b"]);
+        Self::over(FakeDatabases::new(&["p", "a", "b"]), slots)
+    }
+
+    /// Starts one more instance before the same databases.
+    pub fn over(databases: FakeDatabases, slots: usize) -> Self {
         let view = view(&databases, slots);
         let cell = ViewCell::new();
         let gate = FakeGate {
