Send nothing on a connection that its database has closed, and keep those of idle transactions

A commit on a closed connection left the caller without an outcome, though nothing had to be sent. And an idle transaction that is given up is rolled back rather than its connection closed: opening one is dear.

--- a/crates/daisyseam-engine/src/pool/connection.rs
+++ b/crates/daisyseam-engine/src/pool/connection.rs
@@ -95,6 +95,9 @@
         until: Instant,
     ) -> Result<DatabaseReply, CallEnd> {
         let connection = &mut self.link().connection;
+        if connection.is_stale() {
+            return Err(CallEnd::NotSent);
+        }
         let exchange = async {
             connection.send(call).await.map_err(|_| CallEnd::NotSent)?;
             connection.receive().await.map_err(|_| CallEnd::Lost)
--- a/crates/daisyseam-engine/src/session.rs
+++ b/crates/daisyseam-engine/src/session.rs
@@ -155,7 +155,7 @@
                 SessionEvent::Request(request) => request,
                 SessionEvent::End => return,
                 SessionEvent::IdleOver => {
-                    self.expire_transaction();
+                    Box::pin(self.expire_transaction()).await;
                     continue;
                 }
                 SessionEvent::Stopping => {
--- a/crates/daisyseam-engine/src/session/transaction.rs
+++ b/crates/daisyseam-engine/src/session/transaction.rs
@@ -127,19 +127,17 @@
     }
 
     /// Rolls an idle transaction back; its caller learns of it with the next request.
-    pub(super) fn expire_transaction(&mut self) {
+    pub(super) async fn expire_transaction(&mut self) {
         if let Some(transaction) = &mut self.transaction {
-            transaction.stage = Stage::Failed(None);
+            let stage = std::mem::replace(&mut transaction.stage, Stage::Failed(None));
+            self.core.abandon(stage).await;
         }
     }
 
     /// Rolls back what a caller left open.
     pub(super) async fn abandon(&mut self) {
-        let Some(transaction) = self.transaction.take() else {
-            return;
-        };
-        if let Stage::Running(running) | Stage::Failed(Some(running)) = transaction.stage {
-            self.core.roll_back_at(running, None).await;
+        if let Some(transaction) = self.transaction.take() {
+            self.core.abandon(transaction.stage).await;
         }
     }
 
@@ -439,6 +437,13 @@
         answer::ran(reply.rows, receipt, reply.position)
     }
 
+    /// Rolls back on the system's own account, so that the connection can be kept.
+    async fn abandon(&self, stage: Stage<D::Connection>) {
+        if let Stage::Running(running) | Stage::Failed(Some(running)) = stage {
+            self.roll_back_at(running, None).await;
+        }
+    }
+
     /// Rolls back; if the database does not say so, closing the connection does.
     async fn roll_back_at(
         &self,
--- a/crates/daisyseam-engine/tests/faults.rs
+++ b/crates/daisyseam-engine/tests/faults.rs
@@ -432,6 +432,22 @@
     );
     caller.ok(RequestVerb::Rollback).await;
     caller.ok(write("write 3")).await;
+    assert_eq!(fleet.databases.at("p", |p| p.connects), 1);
+    assert_eq!(fleet.databases.at("p", |p| p.kept.clone()), ["write 3"]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_commit_is_not_sent_on_a_connection_that_is_closed() {
+    let fleet = Fleet::start(30);
+    let mut caller = fleet.session("primary").await;
+    caller.ok(BEGIN).await;
+    caller.ok(write("write 1")).await;
+    fleet.databases.at("p", |p| p.stale = true);
+    assert_eq!(
+        caller.fail(RequestVerb::Commit).await,
+        ErrorKind::TransactionLost
+    );
+    assert_eq!(count(&fleet.databases.asked("p"), "commit"), 0);
 }
 
 #[tokio::test(start_paused = true)]
--- a/crates/daisyseam-engine/tests/support/database.rs
+++ b/crates/daisyseam-engine/tests/support/database.rs
@@ -44,6 +44,8 @@
 pub struct FakeDatabase {
     pub position: LogPosition,
     pub delay: Duration,
+    /// Whether it has closed its connections.
+    pub stale: bool,
     pub connect_error: Option<ConnectError>,
     pub open: usize,
     pub most_open: usize,
@@ -88,6 +90,7 @@
             let database = FakeDatabase {
                 position: super::position(1, 100),
                 delay: Duration::from_millis(2),
+                stale: false,
                 connect_error: None,
                 open: 0,
                 most_open: 0,
@@ -220,7 +223,10 @@
     }
 
     fn is_stale(&mut self) -> bool {
-        self.lost
+        let stale = self
+            .databases
+            .at(self.upstream.as_str(), |found| found.stale);
+        self.lost || stale
     }
 }
 
