--- a/crates/daisyseam-engine/tests/support/database.rs
+++ b/crates/daisyseam-engine/tests/support/database.rs
@@ -44,10 +44,14 @@
 pub struct FakeDatabase {
     pub position: LogPosition,
     pub delay: Duration,
+    /// Whether it has closed its connections.
+    pub stale: bool,
     pub connect_error: Option<ConnectError>,
     pub open: usize,
     pub most_open: usize,
     pub connects: usize,
+    /// Databases that have a commit before it is acknowledged, in turn.
+    pub copies: VecDeque<UpstreamId>,
     /// Writes that were committed.
     pub kept: Vec<String>,
     /// What it was asked, with the number of the connection.
@@ -86,10 +90,12 @@
             let database = FakeDatabase {
                 position: super::position(1, 100),
                 delay: Duration::from_millis(2),
+                stale: false,
                 connect_error: None,
                 open: 0,
                 most_open: 0,
                 connects: 0,
+                copies: VecDeque::new(),
                 kept: Vec::new(),
                 calls: Vec::new(),
                 faults: VecDeque::new(),
@@ -217,7 +223,10 @@
     }
 
     fn is_stale(&mut self) -> bool {
-        self.lost
+        let stale = self
+            .databases
+            .at(self.upstream.as_str(), |found| found.stale);
+        self.lost || stale
     }
 }
 
@@ -289,10 +298,18 @@
         if writes.is_empty() {
             return;
         }
-        self.databases.at(self.upstream.as_str(), |database| {
+        let (position, copy) = self.databases.at(self.upstream.as_str(), |database| {
             database.position.position = Position(database.position.position.0 + 1);
             database.kept.extend(writes);
+            database
+                .copies
+                .rotate_left(usize::from(!database.copies.is_empty()));
+            (database.position, database.copies.front().cloned())
         });
+        if let Some(copy) = copy {
+            self.databases
+                .at(copy.as_str(), |copy| copy.position = position);
+        }
     }
 
     fn refuse(&mut self, kind: RefusalKind) -> DatabaseReply {
