Choose primaries among databases that acknowledge by themselves

Such a database gives no promise and counts its terms itself, and an acknowledged commit is on the primary and a number of replicas that nobody can name. The machine for majorities asked the wrong number of copies, trusted copies that came back empty, and gave the view terms that no database led.

A machine of its own follows the databases: a new group keeps its primary; each election asks first, follows whoever already leads a later term, stops only the former primary where that answers and waits for a copy that has its end, and stops everybody else. A process counts only once its log has reached a place that the primary had reached after it started; the log keeps who has. Databases that are gone are dropped by the same proof. Notes about health are kept by instance, and a primary that a third of them miss is asked directly.

--- a/crates/daisyseam-control/src/core.rs
+++ b/crates/daisyseam-control/src/core.rs
@@ -10,6 +10,7 @@
 mod requests;
 mod shares;
 mod status;
+mod survey;
 
 use self::leader::LeaderWork;
 use crate::admin::AdminCall;
@@ -298,6 +299,9 @@
         let Some(leader) = &mut self.leader else {
             return;
         };
+        if let (FleetCommand::Join(join), CommandAnswer::Joined(incarnation)) = (command, answer) {
+            leader.leases.admit(now, &join.instance, *incarnation);
+        }
         if let FleetCommand::Group(group) = command {
             let number = self.fleet.view().number;
             leader.changed.insert(group.group.clone(), number);
@@ -375,6 +379,7 @@
         self.update_instances(now);
         self.update_holders(now);
         self.drop_departed(now);
+        self.survey_groups(now);
         self.repair_members(now);
     }
 }
--- a/crates/daisyseam-control/src/core/announcements.rs
+++ b/crates/daisyseam-control/src/core/announcements.rs
@@ -190,6 +190,10 @@
         self.departed.retain(|name, (_, at)| {
             view.upstreams.contains_key(name) || now.since(*at) < DEPARTED_FOR
         });
+        self.health.retain(|upstream, notes| {
+            notes.retain(|instance, _| view.instances.contains_key(instance));
+            view.upstreams.contains_key(upstream) && !notes.is_empty()
+        });
         if self.announced.len() > NOTES_MAX {
             self.announced
                 .retain(|name, _| view.upstreams.contains_key(name));
--- a/crates/daisyseam-control/src/core/departures.rs
+++ b/crates/daisyseam-control/src/core/departures.rs
@@ -2,6 +2,7 @@
 
 use super::{
     ControlCore,
+    holders::is_reached_directly,
     leader::LeaderWork, //
 };
 use daisyseam_coord::{
@@ -33,7 +34,7 @@
         let leaving = view
             .upstreams
             .iter()
-            .filter(|(_, upstream)| upstream.leaving);
+            .filter(|(_, upstream)| upstream.leaving && !is_reached_directly(&view, upstream));
         let mut gone =
             leaving.filter(|(name, upstream)| leader.is_departed(now, &view, name, upstream));
         // One at a time: the next one is judged by the list without the first.
@@ -62,7 +63,7 @@
             .announced
             .get(name)
             .map_or(self.begun, |known| known.at);
-        if now.since(heard) < GONE_AFTER {
+        if now.since(heard) < GONE_AFTER && !self.is_gone(name, upstream.born_ms) {
             self.departing.remove(name);
             return false;
         }
--- a/crates/daisyseam-control/src/core/groups.rs
+++ b/crates/daisyseam-control/src/core/groups.rs
@@ -3,12 +3,16 @@
 use super::{
     ControlCore,
     DatabaseCall,
+    holders::is_reached_directly,
     leader::LeaderWork, //
 };
 use crate::admin::AdminCall;
 use daisyseam_coord::{
     Moment,
-    fleet::FleetCommand,
+    fleet::{
+        FleetCommand,
+        FleetState, //
+    },
     promotion::{
         CallKind,
         GroupFacts,
@@ -21,6 +25,7 @@
     FleetView,
     GroupId,
     GroupView,
+    InstanceView,
     PrimaryState,
     Term,
     UpstreamId,
@@ -40,6 +45,8 @@
 const UPKEEP_IDLE: Duration = Duration::from_millis(50);
 /// Time between two rounds of upkeep while a primary changes.
 const UPKEEP_BUSY: Duration = Duration::from_millis(10);
+/// Age up to which the word of an instance counts as of now.
+const WORD_TIME: Duration = Duration::from_millis(1_000);
 /// Silence of a holder after which its word about a database no longer counts.
 const HOLDER_SILENCE: Duration = Duration::from_millis(500);
 
@@ -59,7 +66,7 @@
         };
         let mut members: BTreeMap<&GroupId, Vec<MemberFacts>> = BTreeMap::new();
         for (name, upstream) in &view.upstreams {
-            let facts = leader.member_facts(now, &view, name, upstream);
+            let facts = leader.member_facts(now, &self.fleet, name, upstream);
             members.entry(&upstream.group).or_default().push(facts);
         }
         for group in document.groups.keys() {
@@ -75,7 +82,7 @@
         };
         let members: Vec<MemberFacts> = view
             .members(group)
-            .map(|(name, upstream)| leader.member_facts(now, &view, name, upstream))
+            .map(|(name, upstream)| leader.member_facts(now, &self.fleet, name, upstream))
             .collect();
         self.step_with(now, &view, group, &members);
     }
@@ -161,22 +168,31 @@
                 (upstream, CallKind::Follow, call)
             }
         };
-        let Some(address) = view
-            .upstreams
-            .get(&upstream)
-            .map(|known| known.admin_address)
-        else {
-            return;
+        self.call_database(view, group, upstream, (kind, term), call);
+    }
+
+    /// Makes a call to a database; returns whether it is known.
+    pub(super) fn call_database(
+        &mut self,
+        view: &FleetView,
+        group: &GroupId,
+        upstream: UpstreamId,
+        (kind, term): (CallKind, Term),
+        call: AdminCall,
+    ) -> bool {
+        let Some(known) = view.upstreams.get(&upstream) else {
+            return false;
         };
         self.output.calls.push(DatabaseCall {
             group: group.clone(),
             upstream,
-            address,
+            address: known.admin_address,
             kind,
             term,
             call,
             fence: self.log.term().0,
         });
+        true
     }
 }
 
@@ -184,26 +200,38 @@
     fn member_facts(
         &self,
         now: Moment,
-        view: &FleetView,
+        fleet: &FleetState,
         name: &UpstreamId,
         upstream: &UpstreamView,
     ) -> MemberFacts {
+        let view = fleet.view();
         let announced = self.announced.get(name);
         let announced_silence = now.since(announced.map_or(self.begun, |known| known.at));
-        let holder = self.holder_word(now, view, name, upstream);
+        let words = match is_reached_directly(view, upstream) {
+            true => self.instance_words(now, view, name),
+            false => self.holder_word(now, view, name, upstream),
+        };
         MemberFacts {
             upstream: name.clone(),
             leaving: upstream.leaving,
             in_service: view.in_service(&upstream.data_centre),
-            silence: match holder {
-                HolderWord::Vouches(silence) => silence.min(announced_silence),
-                HolderWord::Denies | HolderWord::Unknown => announced_silence,
-            },
-            denied: matches!(holder, HolderWord::Denies),
+            silence: announced_silence.min(words.silence),
+            denied: words.denied,
+            shunned: words.shunned,
+            vouched: words.vouched,
+            born_ms: upstream.born_ms,
+            settled: fleet.is_settled(name),
+            gone: self.is_gone(name, upstream.born_ms),
             announced: announced.map(|known| (known.state, known.at)),
         }
     }
 
+    /// Returns whether the present process of a database said that it is gone.
+    pub(super) fn is_gone(&self, name: &UpstreamId, born_ms: u64) -> bool {
+        let departed = self.departed.get(name);
+        departed.is_some_and(|(born, _)| born_ms <= *born)
+    }
+
     /// Returns what the present holder of a database says, as long as it is heard itself.
     fn holder_word(
         &self,
@@ -211,25 +239,56 @@
         view: &FleetView,
         name: &UpstreamId,
         upstream: &UpstreamView,
-    ) -> HolderWord {
-        let note = self.health.get(name);
+    ) -> InstanceWords {
         let holder = upstream.holder.as_ref();
-        let note = note.filter(|note| Some(&note.holder) == holder);
+        let notes = self.health.get(name);
+        let note = holder.and_then(|holder| notes?.get(holder));
         let instance = holder.and_then(|holder| view.instances.get(holder));
         let (Some(note), Some(instance)) = (note, instance) else {
-            return HolderWord::Unknown;
+            return InstanceWords::default();
         };
         let silence = self.leases.silence(now, instance.incarnation);
         if silence > HOLDER_SILENCE {
-            return HolderWord::Unknown;
+            return InstanceWords::default();
+        }
+        let unanswered = now.since(note.answered_at);
+        InstanceWords {
+            silence: match note.reachable {
+                true => silence,
+                false => Duration::MAX,
+            },
+            denied: !note.reachable && unanswered > HOLDER_SILENCE,
+            ..InstanceWords::default()
         }
-        if note.reachable {
-            return HolderWord::Vouches(silence);
+    }
+
+    /// Returns what the instances that hold a lease say of a database.
+    fn instance_words(&self, now: Moment, view: &FleetView, name: &UpstreamId) -> InstanceWords {
+        let lease = self.leases.span();
+        let is_live =
+            |instance: &InstanceView| self.leases.silence(now, instance.incarnation) < lease;
+        let live = view.instances.values().filter(|instance| is_live(instance));
+        let live = live.count();
+        let words = self.words_of(name).filter(|(instance, _)| {
+            let instance = view.instances.get(*instance);
+            instance.is_some_and(is_live)
+        });
+        let denies = words.clone().filter(|(_, note)| !note.reachable).count();
+        let vouches = words.clone().count() - denies;
+        let recent = words.filter(|(_, note)| now.since(note.at) < WORD_TIME);
+        let (mut recent_denies, mut recent_vouches) = (0, 0);
+        for (_, note) in recent {
+            *match note.reachable {
+                true => &mut recent_vouches,
+                false => &mut recent_denies,
+            } += 1;
         }
-        if now.since(note.answered_at) > HOLDER_SILENCE {
-            return HolderWord::Denies;
+        InstanceWords {
+            silence: Duration::MAX,
+            denied: recent_denies > recent_vouches || denies >= live.div_ceil(3).max(1),
+            shunned: denies * 2 >= live.max(1),
+            vouched: vouches > denies,
         }
-        HolderWord::Unknown
     }
 
     /// Returns the open transactions of a draining group, if every instance reported them.
@@ -244,13 +303,23 @@
     }
 }
 
-/// What the holder of a database says of it.
+/// What instances say of a database.
 #[derive(Clone, Copy, Debug)]
-enum HolderWord {
-    /// It answered, so long ago at most.
-    Vouches(Duration),
-    /// It did not answer for too long.
-    Denies,
-    /// Nothing that counts.
-    Unknown,
+struct InstanceWords {
+    /// Time since one that vouches for it was heard.
+    silence: Duration,
+    denied: bool,
+    shunned: bool,
+    vouched: bool,
+}
+
+impl Default for InstanceWords {
+    fn default() -> Self {
+        Self {
+            silence: Duration::MAX,
+            denied: false,
+            shunned: false,
+            vouched: false,
+        }
+    }
 }
--- a/crates/daisyseam-control/src/core/holders.rs
+++ b/crates/daisyseam-control/src/core/holders.rs
@@ -149,9 +149,9 @@
         if !in_charge || !leader.leases.is_finished(now, released) {
             return false;
         }
-        let note = leader.health.get(name);
-        let holds = note.is_some_and(|note| {
-            let instance = self.fleet.view().instances.get(&note.holder);
+        let instances = &self.fleet.view().instances;
+        let holds = leader.words_of(name).any(|(instance, note)| {
+            let instance = instances.get(instance);
             note.holds
                 && instance.is_some_and(|known| leader.leases.may_hold(now, known.incarnation))
         });
@@ -160,7 +160,7 @@
 }
 
 /// Returns whether every entry opens its own connections to a database, so that nobody holds them.
-fn is_reached_directly(view: &FleetView, upstream: &UpstreamView) -> bool {
+pub(super) fn is_reached_directly(view: &FleetView, upstream: &UpstreamView) -> bool {
     let groups = view.document.as_ref().map(|document| &document.groups);
     let group = groups.and_then(|groups| groups.get(&upstream.group));
     group.is_some_and(|group| matches!(group.commit, CommitPolicy::Replicas(_)))
--- a/crates/daisyseam-control/src/core/leader.rs
+++ b/crates/daisyseam-control/src/core/leader.rs
@@ -2,7 +2,8 @@
 
 use super::{
     CoreSettings,
-    shares::ShareDesk, //
+    shares::ShareDesk,
+    survey::GroupSurvey, //
 };
 use daisyseam_coord::{
     Moment,
@@ -66,7 +67,9 @@
     pub(super) departing: BTreeMap<UpstreamId, LogPosition>,
     /// Databases that are gone, with the start of the process that is and since when.
     pub(super) departed: BTreeMap<UpstreamId, (u64, Moment)>,
-    pub(super) health: BTreeMap<UpstreamId, HealthNote>,
+    /// What each instance last said of each database that it reaches.
+    pub(super) health: BTreeMap<UpstreamId, BTreeMap<InstanceId, HealthNote>>,
+    pub(super) surveys: BTreeMap<GroupId, GroupSurvey>,
     pub(super) open: BTreeMap<(Incarnation, GroupId), OpenNote>,
     pub(super) leaving: BTreeSet<Incarnation>,
     pub(super) spares: BTreeMap<InstanceId, (SocketAddr, Moment)>,
@@ -84,13 +87,14 @@
     pub(super) sequence: u64,
 }
 
-/// What the holder of a database last said of it.
+/// What an instance last said of a database.
 #[derive(Clone, Debug)]
 pub(super) struct HealthNote {
-    pub(super) holder: InstanceId,
     pub(super) reachable: bool,
     pub(super) answered_at: Moment,
     pub(super) holds: bool,
+    /// When it said so.
+    pub(super) at: Moment,
 }
 
 /// Transactions that an instance has open in a draining group.
@@ -121,6 +125,7 @@
             departing: BTreeMap::new(),
             departed: BTreeMap::new(),
             health: BTreeMap::new(),
+            surveys: BTreeMap::new(),
             open: BTreeMap::new(),
             leaving: BTreeSet::new(),
             spares: BTreeMap::new(),
@@ -142,6 +147,12 @@
         (kind, term): (CallKind, Term),
         answer: &CallAnswer,
     ) {
+        if kind == CallKind::Survey {
+            if let Some(survey) = self.surveys.get_mut(group) {
+                survey.take_answer(upstream, answer);
+            }
+            return;
+        }
         if let Some(promotion) = self.groups.get_mut(group) {
             promotion.answer(now, upstream, kind, term, answer);
         }
@@ -163,17 +174,36 @@
         }
     }
 
-    pub(super) fn note_health(&mut self, now: Moment, holder: &InstanceId, report: &HealthReport) {
+    pub(super) fn note_health(
+        &mut self,
+        now: Moment,
+        instance: &InstanceId,
+        report: &HealthReport,
+    ) {
         let Ok(upstream) = report.upstream.parse() else {
             return;
         };
         let note = HealthNote {
-            holder: holder.clone(),
             reachable: report.reachable,
             answered_at: now - Duration::from_millis(report.silent_ms),
             holds: report.held_for_view != 0,
+            at: now,
         };
-        self.health.insert(upstream, note);
+        let reachable = note.reachable;
+        let notes: &mut BTreeMap<_, _> = self.health.entry(upstream).or_default();
+        let former = notes.insert(instance.clone(), note);
+        if former.is_none_or(|former| former.reachable != reachable) {
+            self.hasten();
+        }
+    }
+
+    /// Lists what instances last said of a database.
+    pub(super) fn words_of(
+        &self,
+        upstream: &UpstreamId,
+    ) -> impl Iterator<Item = (&InstanceId, &HealthNote)> + Clone {
+        let notes = self.health.get(upstream);
+        notes.into_iter().flatten()
     }
 
     pub(super) fn note_open(&mut self, incarnation: Incarnation, report: &GroupReport) {
--- a/crates/daisyseam-control/tests/core_support/mod.rs
+++ b/crates/daisyseam-control/tests/core_support/mod.rs
@@ -1,5 +1,8 @@
 //! Members of control, entries, databases and operators in one thread and in virtual time.
 
+pub(crate) mod direct;
+
+use self::direct::DirectGroup;
 use daisyseam_control::{
     AdminCall,
     ControlCore,
@@ -140,6 +143,10 @@
     pub(crate) stalled: bool,
     /// How often a database was asked to be primary.
     pub(crate) promotes: usize,
+    /// Databases that acknowledge by themselves, in place of the others.
+    pub(crate) direct: Option<DirectGroup>,
+    /// Whether entries write to them all the time.
+    pub(crate) writes: bool,
     seed: u64,
 }
 
@@ -192,6 +199,8 @@
             read: None,
             stalled: false,
             promotes: 0,
+            direct: None,
+            writes: false,
             seed: 0,
         };
         for number in 0..world.members.len() {
@@ -218,6 +227,10 @@
         self.flush(number);
     }
 
+    pub(crate) fn runs(&self, number: usize) -> bool {
+        self.members[number].core.is_some()
+    }
+
     pub(crate) fn stop(&mut self, number: usize) {
         self.members[number].core = None;
     }
@@ -302,6 +315,7 @@
             self.now += 1;
             self.deliver();
             self.replicate();
+            self.pass_direct();
             for number in 0..self.members.len() {
                 let now = self.moment();
                 if let Some(core) = &mut self.members[number].core
@@ -332,6 +346,7 @@
             }
             self.pass(1);
         }
+        self.describe_direct();
         panic!("{what}: not within 30 seconds");
     }
 
@@ -482,6 +497,9 @@
 
     fn call(&mut self, member: usize, call: &DatabaseCall) -> CallAnswer {
         self.promotes += usize::from(matches!(call.call, AdminCall::Promote(_)));
+        if let Some(group) = &mut self.direct {
+            return group.call(self.now, call, self.cut_members.contains(&member));
+        }
         let database = self.databases.iter_mut();
         let mut database = database.filter(|database| database.name == call.upstream.as_str());
         let Some(database) = database.next() else {
@@ -589,7 +607,7 @@
     fn run_entry(&mut self, number: usize) {
         let count = self.members.len();
         let reports: Vec<UpstreamReport> = match number {
-            0 => self
+            0 if self.direct.is_none() => self
                 .databases
                 .iter()
                 .filter(|database| !database.cut && !database.direct)
@@ -598,6 +616,7 @@
             _ => Vec::new(),
         };
         let now = self.now;
+        let health = self.direct.as_ref().map(|group| group.health(now));
         let entry = &mut self.entries[number];
         if entry.waits && now >= entry.asked_at + PATIENCE {
             entry.waits = false;
@@ -621,6 +640,7 @@
                 leaving: entry.leaving,
                 upstreams: reports,
                 groups: group_reports(&entry.view),
+                health: health.unwrap_or_default(),
                 instance: entry.name.clone(),
                 ..Heartbeat::default()
             })
--- a/crates/daisyseam-coord/src/fleet.rs
+++ b/crates/daisyseam-coord/src/fleet.rs
@@ -46,6 +46,7 @@
         JoinCommand,
         LeaveCommand,
         RefusedCommand,
+        SettleCommand,
         SubmitCommand,
         SubmitNewestCommand,
         SubmitOutcome,
--- a/crates/daisyseam-coord/src/fleet/command.rs
+++ b/crates/daisyseam-coord/src/fleet/command.rs
@@ -34,6 +34,8 @@
     Holder(HolderCommand),
     /// A data centre is taken out of service, or comes back.
     Evacuate(EvacuateCommand),
+    /// The log of a database has caught up with its primary since the database started.
+    Settle(SettleCommand),
 }
 
 /// A document in place of the one with a stated number.
@@ -75,6 +77,15 @@
     pub out: bool,
 }
 
+/// A process of a database has each commit that was acknowledged before it started.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SettleCommand {
+    /// The database.
+    pub upstream: UpstreamId,
+    /// When that process started, in milliseconds since 1970; another one has to catch up anew.
+    pub born_ms: u64,
+}
+
 /// An instance joins.
 #[derive(Clone, Debug, PartialEq)]
 pub struct JoinCommand {
--- a/crates/daisyseam-coord/src/fleet/record.rs
+++ b/crates/daisyseam-coord/src/fleet/record.rs
@@ -9,6 +9,7 @@
     HolderCommand,
     JoinCommand,
     LeaveCommand,
+    SettleCommand,
     SubmitCommand,
     SubmitNewestCommand,
     UpstreamCommand, //
@@ -92,6 +93,10 @@
                 data_centre: command.data_centre.to_string(),
                 out: command.out,
             }),
+            Self::Settle(command) => Body::Settle(SettledRecord {
+                upstream: command.upstream.to_string(),
+                born_ms: command.born_ms,
+            }),
         };
         Bytes::from(CommandRecord { body: Some(body) }.encode_to_vec())
     }
@@ -154,6 +159,10 @@
                 data_centre: read(&record.data_centre)?,
                 out: record.out,
             }),
+            Body::Settle(record) => Self::Settle(SettleCommand {
+                upstream: read(&record.upstream)?,
+                born_ms: record.born_ms,
+            }),
         })
     }
 }
@@ -190,6 +199,14 @@
                 .map(|(name, instance)| InstanceRecord::of(name.as_str(), instance))
                 .collect(),
             evacuated: view.evacuated.iter().map(ToString::to_string).collect(),
+            settled: self
+                .settled
+                .iter()
+                .map(|(upstream, born_ms)| SettledRecord {
+                    upstream: upstream.to_string(),
+                    born_ms: *born_ms,
+                })
+                .collect(),
         };
         Bytes::from(record.encode_to_vec())
     }
@@ -229,6 +246,11 @@
         for data_centre in &record.evacuated {
             view.evacuated.insert(read(data_centre)?);
         }
+        for record in &record.settled {
+            state
+                .settled
+                .insert(read(&record.upstream)?, record.born_ms);
+        }
         state.view = Arc::new(view);
         Some(state)
     }
@@ -236,7 +258,7 @@
 
 #[derive(Clone, PartialEq, prost::Message)]
 struct CommandRecord {
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
     body: Option<Body>,
 }
 
@@ -260,6 +282,8 @@
     SubmitNewest(NewestRecord),
     #[prost(message, tag = "9")]
     Evacuate(EvacuateRecord),
+    #[prost(message, tag = "10")]
+    Settle(SettledRecord),
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -298,6 +322,14 @@
     out: bool,
 }
 
+#[derive(Clone, PartialEq, prost::Message)]
+struct SettledRecord {
+    #[prost(string, tag = "1")]
+    upstream: String,
+    #[prost(uint64, tag = "2")]
+    born_ms: u64,
+}
+
 #[derive(Clone, PartialEq, prost::Message)]
 struct LeaveRecord {
     #[prost(string, tag = "1")]
@@ -342,6 +374,8 @@
     instances: Vec<InstanceRecord>,
     #[prost(string, repeated, tag = "7")]
     evacuated: Vec<String>,
+    #[prost(message, repeated, tag = "8")]
+    settled: Vec<SettledRecord>,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
--- a/crates/daisyseam-coord/src/fleet/state.rs
+++ b/crates/daisyseam-coord/src/fleet/state.rs
@@ -10,6 +10,7 @@
     JoinCommand,
     LeaveCommand,
     RefusedCommand,
+    SettleCommand,
     SubmitCommand,
     SubmitNewestCommand,
     UpstreamCommand,
@@ -30,7 +31,10 @@
     document::Document, //
 };
 use std::{
-    collections::BTreeSet,
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
     sync::Arc, //
 };
 
@@ -40,6 +44,8 @@
     pub(super) view: Arc<FleetView>,
     pub(super) documents: DocumentLedger,
     pub(super) last_incarnation: Incarnation,
+    /// Databases whose log has caught up, with the start of the process that has.
+    pub(super) settled: BTreeMap<UpstreamId, u64>,
     pub(super) ring: ChangeRing,
 }
 
@@ -54,6 +60,13 @@
         &self.documents
     }
 
+    /// Returns whether the present process of a database has caught up since it started.
+    pub fn is_settled(&self, upstream: &UpstreamId) -> bool {
+        let known = self.view.upstreams.get(upstream);
+        let settled = self.settled.get(upstream);
+        known.is_some_and(|known| settled == Some(&known.born_ms))
+    }
+
     /// Returns what changed after a view, if that is still known.
     pub fn changes_since(&self, held: ViewNumber) -> Option<ViewChanges> {
         self.ring.since(held, self.view.number)
@@ -71,6 +84,7 @@
             FleetCommand::Group(group) => self.update_group(group),
             FleetCommand::Holder(holder) => self.update_holder(holder),
             FleetCommand::Evacuate(order) => self.evacuate(order),
+            FleetCommand::Settle(settle) => self.settle(settle),
         }
     }
 
@@ -202,12 +216,25 @@
         if in_use {
             return CommandAnswer::Refused(RefusedCommand::Superseded);
         }
+        self.settled.remove(name);
         self.change(ViewChanges::of_upstream(name), |view| {
             view.upstreams.remove(name);
         });
         CommandAnswer::Done
     }
 
+    fn settle(&mut self, command: &SettleCommand) -> CommandAnswer {
+        let Some(upstream) = self.view.upstreams.get(&command.upstream) else {
+            return CommandAnswer::Refused(RefusedCommand::Unknown);
+        };
+        if upstream.born_ms != command.born_ms {
+            return CommandAnswer::Refused(RefusedCommand::Superseded);
+        }
+        self.settled
+            .insert(command.upstream.clone(), command.born_ms);
+        CommandAnswer::Done
+    }
+
     fn update_group(&mut self, command: &GroupCommand) -> CommandAnswer {
         let known = self.view.groups.get(&command.group);
         let term = known.map_or_else(Default::default, |known| known.term);
--- a/crates/daisyseam-coord/src/promotion.rs
+++ b/crates/daisyseam-coord/src/promotion.rs
@@ -11,9 +11,13 @@
 //!
 //! A promotion whose answer is lost is asked for again at the same database; any other database is
 //! asked only under a later term, after a fence at that term.
+//!
+//! Where databases acknowledge commits by themselves, once so many replicas have them, they are
+//! stopped instead of promising, and so many of them must be that each acknowledged commit is on
+//! one; or the former primary is stopped, whose end another one has reached.
 
 mod choice;
-mod founding;
+mod direct;
 mod group;
 mod stage;
 
--- a/crates/daisyseam-coord/src/promotion/founding.rs
+++ b/crates/daisyseam-coord/src/promotion/direct/founding.rs
@@ -1,15 +1,18 @@
 //! The first state of a group whose databases know among themselves who leads.
 
 use super::{
-    CallKind,
-    GroupFacts,
-    GroupPromotion,
-    PromotionAction,
-    stage::PromotionStage, //
+    DirectPromotion,
+    DirectStage, //
 };
 use crate::{
     Moment,
-    fleet::GroupCommand, //
+    fleet::GroupCommand,
+    promotion::{
+        CallAnswer,
+        CallKind,
+        GroupFacts,
+        PromotionAction, //
+    }, //
 };
 use daisyseam_model::{
     LogPosition,
@@ -21,7 +24,13 @@
         UpstreamState, //
     }, //
 };
-use std::collections::BTreeMap;
+use std::{
+    collections::BTreeMap,
+    time::Duration, //
+};
+
+/// Time after which databases that named no single primary are asked again.
+const ROUND_TIME: Duration = Duration::from_millis(1_000);
 
 /// What the databases of a new group said when they were asked.
 #[derive(Debug)]
@@ -38,8 +47,15 @@
         }
     }
 
-    pub(super) fn note(&mut self, upstream: &UpstreamId, state: &UpstreamState) {
-        self.states.insert(upstream.clone(), state.clone());
+    pub(super) fn take_answer(
+        &mut self,
+        upstream: &UpstreamId,
+        kind: CallKind,
+        answer: &CallAnswer,
+    ) {
+        if let (CallKind::State, CallAnswer::State(state)) = (kind, answer) {
+            self.states.insert(upstream.clone(), state.clone());
+        }
     }
 
     /// Returns the one database that leads in the highest term that any of them knows.
@@ -55,48 +71,47 @@
     }
 }
 
-impl GroupPromotion {
+impl DirectPromotion {
     /// Takes over the primary that the databases of a new group already have.
-    pub(super) fn adopt(&mut self, now: Moment, facts: GroupFacts<'_>) {
-        let fresh = |round: &FoundingRound| now.since(round.since) < self.settings.promote_for;
-        let asked = matches!(&self.stage, PromotionStage::Founding(round) if fresh(round));
-        if !asked {
-            self.stage = PromotionStage::Founding(FoundingRound::begin(now));
+    pub(super) fn found(&mut self, now: Moment, facts: GroupFacts<'_>) {
+        let fresh = |round: &FoundingRound| now.since(round.since) < ROUND_TIME;
+        if !matches!(&self.stage, DirectStage::Founding(round) if fresh(round)) {
+            self.stage = DirectStage::Founding(FoundingRound::begin(now));
         }
-        let PromotionStage::Founding(round) = &self.stage else {
+        let DirectStage::Founding(round) = &self.stage else {
             return;
         };
         let missing = facts.members.iter().map(|member| &member.upstream);
         let missing = missing.filter(|name| !round.states.contains_key(*name));
         let missing: Vec<UpstreamId> = missing.cloned().collect();
-        let waits = now.since(round.since) < self.settings.gather_for / 2;
-        let leading = round.leading().filter(|_| missing.is_empty() || !waits);
+        let late = now.since(round.since) >= self.settings.ask_for;
+        let leading = round.leading().filter(|_| missing.is_empty() || late);
         if let Some((upstream, term, end)) = leading {
-            let (upstream, start) = (upstream.clone(), LogPosition { term, ..end });
-            return self.propose_adopted(now, facts, term, upstream, start);
+            let position = end.position;
+            let (upstream, start) = (upstream.clone(), LogPosition { term, position });
+            return self.propose_first(now, facts, upstream, start);
         }
         for upstream in missing {
-            if self.is_due(now, &upstream, CallKind::State) {
-                self.actions.push(PromotionAction::State(upstream));
-            }
+            self.ask(now, &upstream, self.settings.call_every);
         }
     }
 
-    fn propose_adopted(
+    fn propose_first(
         &mut self,
         now: Moment,
         facts: GroupFacts<'_>,
-        term: Term,
         upstream: UpstreamId,
         lineage_start: LogPosition,
     ) {
-        if !self.is_due(now, &upstream, CallKind::Promote) {
+        let fresh = |at: Moment| now.since(at) < self.settings.call_every;
+        if self.proposed_at.is_some_and(fresh) {
             return;
         }
+        self.proposed_at = Some(now);
         self.actions.push(PromotionAction::Propose(GroupCommand {
             group: facts.group.clone(),
             expected: Term::default(),
-            term,
+            term: lineage_start.term,
             primary: PrimaryState::Active(upstream),
             lineage_start,
         }));
--- a/crates/daisyseam-coord/src/promotion/group.rs
+++ b/crates/daisyseam-coord/src/promotion/group.rs
@@ -1,6 +1,9 @@
 //! The promotion machine of one group.
 
-use super::stage::PromotionStage;
+use super::{
+    direct::DirectPromotion,
+    stage::PromotionStage, //
+};
 use crate::{
     Moment,
     fleet::GroupCommand, //
@@ -42,6 +45,14 @@
     pub gather_for: Duration,
     /// Time after which databases that follow are asked to do so again.
     pub follow_every: Duration,
+    /// Silence of a primary that acknowledges by itself after which it is asked directly.
+    pub suspect_direct_after: Duration,
+    /// Time after which a lost promotion among such databases gives way to another term.
+    pub promote_direct_for: Duration,
+    /// Time for which such databases are asked how they stand before all of them are stopped.
+    pub ask_for: Duration,
+    /// Time for which a stopped primary's end is waited for at a database that may take over.
+    pub reach_for: Duration,
 }
 
 impl Default for PromotionSettings {
@@ -55,6 +66,10 @@
             move_again_after: Duration::from_millis(5_000),
             gather_for: Duration::from_millis(1_000),
             follow_every: Duration::from_millis(5_000),
+            suspect_direct_after: Duration::from_millis(3_000),
+            promote_direct_for: Duration::from_millis(3_000),
+            ask_for: Duration::from_millis(400),
+            reach_for: Duration::from_millis(1_000),
         }
     }
 }
@@ -90,8 +105,20 @@
     pub in_service: bool,
     /// Time since an instance last vouched for it.
     pub silence: Duration,
-    /// Whether its holder, which control hears, cannot reach it.
+    /// Whether its holder, which control hears, cannot reach it; without a holder, whether enough
+    /// instances cannot.
     pub denied: bool,
+    /// Whether half of the instances that control hears cannot reach it.
+    pub shunned: bool,
+    /// Whether most of the instances that speak of it reach it.
+    pub vouched: bool,
+    /// When its process started, in milliseconds since 1970; 0 if it did not say.
+    pub born_ms: u64,
+    /// Whether this process of it has caught up with a primary since it started, so that its log
+    /// has all that any database before it was acknowledged for.
+    pub settled: bool,
+    /// Whether it said that it is gone.
+    pub gone: bool,
     /// What it last said of itself, with the moment.
     pub announced: Option<(AnnouncedState, Moment)>,
 }
@@ -118,6 +145,8 @@
     Promote,
     /// `POST /follow`.
     Follow,
+    /// `GET /state` for the list of databases, not for a change of primary.
+    Survey,
 }
 
 /// What became of a call.
@@ -168,6 +197,9 @@
     pub(super) active_since: Option<(Term, Moment)>,
     pub(super) move_after: Moment,
     pub(super) actions: Vec<PromotionAction>,
+    direct: DirectPromotion,
+    /// Whether the databases acknowledge by themselves, as of the last step.
+    is_direct: bool,
 }
 
 impl GroupPromotion {
@@ -182,16 +214,19 @@
             active_since: None,
             move_after: Moment::ORIGIN,
             actions: Vec::new(),
+            direct: DirectPromotion::new(settings),
+            is_direct: false,
         }
     }
 
     /// Decides what is to be done now.
     pub fn step(&mut self, now: Moment, facts: GroupFacts<'_>) -> Vec<PromotionAction> {
+        self.is_direct = matches!(facts.commit, CommitPolicy::Replicas(_));
+        if self.is_direct {
+            return self.direct.step(now, facts);
+        }
         match facts.view {
-            None => match facts.commit {
-                CommitPolicy::Majority => self.found(now, facts),
-                CommitPolicy::Replicas(_) => self.adopt(now, facts),
-            },
+            None => self.found(now, facts),
             Some(view) => match &view.primary {
                 PrimaryState::Fenced => self.elect(now, facts, view),
                 PrimaryState::Draining(primary) => self.drain(now, facts, view, primary),
@@ -210,7 +245,11 @@
         term: Term,
         answer: &CallAnswer,
     ) {
-        self.take_answer(now, upstream, kind, term, answer);
+        if self.is_direct {
+            self.direct.take_answer(now, upstream, kind, term, answer);
+        } else {
+            self.take_answer(now, upstream, kind, term, answer);
+        }
     }
 
     pub(super) fn note_active(&mut self, now: Moment, term: Term) {
--- a/crates/daisyseam-coord/src/promotion/stage.rs
+++ b/crates/daisyseam-coord/src/promotion/stage.rs
@@ -10,8 +10,7 @@
     choice::{
         choose,
         fence_quorum, //
-    },
-    founding::FoundingRound, //
+    }, //
 };
 use crate::{
     Moment,
@@ -45,8 +44,6 @@
     Fencing(FenceRound),
     /// One database is asked to become primary.
     Promoting(PromotionAttempt),
-    /// The databases of a new group are asked who leads.
-    Founding(FoundingRound),
 }
 
 #[derive(Debug)]
@@ -428,11 +425,6 @@
             return;
         }
         match &mut self.stage {
-            PromotionStage::Founding(round) if kind == CallKind::State => {
-                if let CallAnswer::State(state) = answer {
-                    round.note(upstream, state);
-                }
-            }
             PromotionStage::Probing { lost } if kind == CallKind::State => match answer {
                 CallAnswer::Lost => *lost += 1,
                 CallAnswer::State(state) if !Self::is_promoted(state, term) => {
--- a/crates/daisyseam-coord/src/view_lease.rs
+++ b/crates/daisyseam-coord/src/view_lease.rs
@@ -132,6 +132,11 @@
         }
     }
 
+    /// Returns the time after which a lease is over on every clock.
+    pub fn span(&self) -> Duration {
+        self.settings.span()
+    }
+
     /// Takes a heartbeat, and gives a lease on the newest view.
     ///
     /// # Errors
@@ -168,6 +173,17 @@
         Ok(self.settings.duration)
     }
 
+    /// Notes that an incarnation was given just now, so that it is not silent before it speaks.
+    pub fn admit(&mut self, now: Moment, instance: &InstanceId, incarnation: Incarnation) {
+        self.rows.entry(incarnation).or_insert_with(|| LeaseRow {
+            instance: instance.clone(),
+            view: ViewNumber::default(),
+            heard_at: now,
+            until: now,
+            offered: None,
+        });
+    }
+
     /// Returns whether nobody may act on a view before this one any more.
     pub fn is_finished(&self, now: Moment, view: ViewNumber) -> bool {
         now >= self.blind_until
--- a/crates/daisyseam-coord/tests/lease.rs
+++ b/crates/daisyseam-coord/tests/lease.rs
@@ -167,3 +167,24 @@
         Ok(settings.duration)
     );
 }
+
+#[test]
+fn an_incarnation_that_was_just_given_is_not_silent() {
+    let mut table = LeaseTable::begin(LeaseSettings::default(), Moment::ORIGIN);
+    let entry = InstanceId::new("entry-1").expect("a sound name");
+    let now = Moment::from_millis(60_000);
+    table.admit(now, &entry, Incarnation(7));
+    let later = Moment::from_millis(60_100);
+    assert_eq!(
+        table.silence(later, Incarnation(7)),
+        Duration::from_millis(100)
+    );
+    assert!(
+        !table.may_hold(later, Incarnation(7)),
+        "it has no lease yet"
+    );
+    assert!(
+        table.is_finished(later, ViewNumber(9)),
+        "it acts on no view"
+    );
+}
--- a/crates/daisyseam-coord/tests/promotion_support/mod.rs
+++ b/crates/daisyseam-coord/tests/promotion_support/mod.rs
@@ -362,6 +362,11 @@
             in_service: true,
             silence,
             denied: false,
+            shunned: false,
+            vouched: false,
+            born_ms: 0,
+            settled: true,
+            gone: false,
             announced: Some((announced, database.cut_since.unwrap_or(self.now))),
         }
     }
