--- a/crates/daisyseam-control/src/core.rs
+++ b/crates/daisyseam-control/src/core.rs
@@ -11,6 +11,7 @@
 mod shares;
 mod spares;
 mod status;
+mod survey;
 
 use self::leader::LeaderWork;
 use crate::admin::AdminCall;
@@ -302,6 +303,9 @@
         let Some(leader) = &mut self.leader else {
             return;
         };
+        if let (FleetCommand::Join(join), CommandAnswer::Joined(incarnation)) = (command, answer) {
+            leader.leases.admit(now, &join.instance, *incarnation);
+        }
         if let FleetCommand::Group(group) = command {
             let number = self.fleet.view().number;
             leader.changed.insert(group.group.clone(), number);
@@ -379,6 +383,7 @@
         self.update_instances(now);
         self.update_holders(now);
         self.drop_departed(now);
+        self.survey_groups(now);
         self.repair_members(now);
     }
 }
