Let a spare count before a lost voter goes

Random runs in which members lose folders, move and stop together stood still: the lost voter went first, the leader lost its folder while the two that were left were both needed, and the silent voter that came back could not help. The spare counts first now, then the lost one goes; a voter too many goes even if it has come back.

--- a/crates/daisyseam-control/src/core/repair.rs
+++ b/crates/daisyseam-control/src/core/repair.rs
@@ -31,17 +31,22 @@
         }
     }
 
-    /// Returns the next step of a repair: a spare learns, the lost voter goes, the spare counts.
+    /// Returns the next step of a repair: a spare learns, it counts, the lost voter goes.
     ///
-    /// The leader's lease proves that a majority answers, and a voter that goes is none of it, so
-    /// what is left still has a majority that answers.
+    /// The leader's lease proves that a majority answers, and it still is one with the spare. In
+    /// between, a voter that was only silent can still come back and help; without it, two voters
+    /// that must both be there would be left, and one more loss would be for good.
     fn wanted_change(&self, now: Moment) -> Option<MemberChange> {
         let members = self.log.members();
         let lost = self.lost_voter(now);
+        if members.voters.len() > members.wanted {
+            let odd_one = lost.or_else(|| self.laggard());
+            return odd_one.map(MemberChange::Remove);
+        }
         if let Some(learner) = members.learners.keys().next() {
-            return self.learner_change(now, learner, lost);
+            return self.learner_change(now, learner, lost.is_some());
         }
-        if lost.is_none() && members.voters.len() >= members.wanted {
+        if lost.is_none() && members.voters.len() == members.wanted {
             return None;
         }
         let (name, address) = self.fit_spare(now)?;
@@ -52,26 +57,27 @@
         &self,
         now: Moment,
         learner: &InstanceId,
-        lost: Option<InstanceId>,
+        one_is_lost: bool,
     ) -> Option<MemberChange> {
         let leader = self.leader.as_ref()?;
         let members = self.log.members();
-        let remove = MemberChange::Remove(learner.clone());
         let there = leader.is_spare_there(now, learner) || !self.is_silent(now, learner);
-        if !there || self.is_replaced(now, learner) {
-            return Some(remove);
-        }
-        if !self.log.has_caught_up(learner) {
-            return None;
-        }
-        match lost {
-            Some(lost) => Some(MemberChange::Remove(lost)),
-            None if members.voters.len() < members.wanted => {
-                Some(MemberChange::Promote(learner.clone()))
-            }
-            // Whom it was to replace has come back.
-            None => Some(remove),
+        let needed = one_is_lost || members.voters.len() < members.wanted;
+        // Not needed: whom it was to replace has come back.
+        if !there || !needed || self.is_replaced(now, learner) {
+            return Some(MemberChange::Remove(learner.clone()));
         }
+        let caught_up = self.log.has_caught_up(learner);
+        caught_up.then(|| MemberChange::Promote(learner.clone()))
+    }
+
+    /// Returns the other voter that answered longest ago.
+    fn laggard(&self) -> Option<InstanceId> {
+        let voters = self.log.members().voters.keys();
+        let others = voters.filter(|voter| **voter != self.settings.me);
+        others
+            .min_by_key(|voter| self.log.last_answer(voter))
+            .cloned()
     }
 
     /// Returns the spare that is to learn: one whose address no other member has, if there is one.
--- /dev/null
+++ b/crates/daisyseam-control/tests/member_support/mod.rs
@@ -0,0 +1,613 @@
+//! Members of control that lose folders and move, in one thread and in virtual time.
+
+use daisyseam_control::{
+    ControlCore,
+    CoreSettings,
+    RequestId, //
+};
+use daisyseam_coord::{
+    Moment,
+    log::{
+        DurableLog,
+        EntryKind,
+        LogEntry,
+        LogMessage,
+        LogSettings,
+        LogWrite,
+        MemberTable,
+        ReplicatedLog, //
+    }, //
+};
+use daisyseam_model::InstanceId;
+use daisyseam_wire::{
+    Hello,
+    SpareNotice,
+    SpareReply,
+    control_message::Body, //
+};
+use rand::Rng;
+use rand_chacha::{
+    ChaCha8Rng,
+    rand_core::SeedableRng, //
+};
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
+    net::SocketAddr,
+    time::Duration, //
+};
+
+/// Voters at the first start.
+pub(crate) const VOTERS: usize = 3;
+/// Time between two notices of an instance that no leader speaks to, in milliseconds.
+const NOTICE_EVERY: u64 = 500;
+
+/// What happens next.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Step {
+    Pass(u64),
+    /// An entry says hello at a machine.
+    Hello(usize),
+    Crash(usize),
+    /// A crash at the next sync: 0 before it, 1 after it.
+    CrashAtSync(usize, u8),
+    CrashAll,
+    Restart(usize),
+    Cut(usize),
+    CutPair(usize, usize),
+    Join,
+    /// The folder is lost; the process comes back at its address.
+    LoseDisk(usize),
+    /// The machine is gone for good; another one has another address.
+    Replace(usize),
+    HandOver(usize),
+}
+
+impl Step {
+    pub(crate) fn draw(chance: &mut ChaCha8Rng, machines: usize) -> Self {
+        let one = chance.random_range(0..machines);
+        let other = chance.random_range(0..machines);
+        match chance.random_range(0..100) {
+            0..40 => Self::Pass(chance.random_range(1..60)),
+            40..48 => Self::Pass(chance.random_range(200..3_000)),
+            48..70 => Self::Hello(one),
+            70..73 => Self::Crash(one),
+            73..76 => Self::CrashAtSync(one, chance.random_range(0..2)),
+            76..77 => Self::CrashAll,
+            77..85 => Self::Restart(one),
+            85..87 => Self::Cut(one),
+            87..89 => Self::CutPair(one, other),
+            89..93 => Self::Join,
+            93..96 => Self::LoseDisk(one),
+            96..98 => Self::Replace(one),
+            _ => Self::HandOver(one),
+        }
+    }
+}
+
+/// A machine with its disk.
+struct Machine {
+    name: InstanceId,
+    address: SocketAddr,
+    disk: DurableLog,
+    core: Option<ControlCore>,
+    crash: Option<u8>,
+    down: bool,
+}
+
+struct Letter {
+    due: u64,
+    from: usize,
+    to: usize,
+    body: LetterBody,
+}
+
+enum LetterBody {
+    /// From and to whom, as on the wire.
+    Log(InstanceId, InstanceId, Box<LogMessage>),
+    Notice(SpareNotice),
+    /// For whom, and what it must know.
+    Known(InstanceId, SpareReply),
+}
+
+#[derive(Clone)]
+enum Asker {
+    Entry,
+    Spare(usize, InstanceId),
+}
+
+/// The machines and everything that was promised.
+pub(crate) struct Place {
+    pub(crate) now: u64,
+    machines: Vec<Machine>,
+    wire: Vec<Letter>,
+    cut: BTreeSet<usize>,
+    cut_pairs: BTreeSet<(usize, usize)>,
+    chance: ChaCha8Rng,
+    askers: BTreeMap<(usize, RequestId), Asker>,
+    last_request: u64,
+    names: u32,
+    /// Whether a voter's folder was lost and the voters are not whole again.
+    disk_lost: bool,
+    committed: BTreeMap<u64, u64>,
+    incarnations: BTreeSet<u64>,
+    acknowledged: u64,
+    times: LogSettings,
+}
+
+impl Place {
+    pub(crate) fn new(machines: usize, times: LogSettings, seed: u64) -> Self {
+        let mut place = Self {
+            now: 0,
+            machines: Vec::new(),
+            wire: Vec::new(),
+            cut: BTreeSet::new(),
+            cut_pairs: BTreeSet::new(),
+            chance: ChaCha8Rng::seed_from_u64(seed),
+            askers: BTreeMap::new(),
+            last_request: 0,
+            names: 0,
+            disk_lost: false,
+            committed: BTreeMap::new(),
+            incarnations: BTreeSet::new(),
+            acknowledged: 0,
+            times,
+        };
+        for number in 0..machines {
+            let address = place.next_address();
+            let name = place.next_name();
+            place.machines.push(Machine {
+                name,
+                address,
+                disk: DurableLog::default(),
+                core: None,
+                crash: None,
+                down: number >= VOTERS,
+            });
+        }
+        let voters = place.machines[..VOTERS].iter();
+        let voters = voters.map(|machine| (machine.name.clone(), machine.address));
+        let table = MemberTable::of_voters(voters.collect::<Vec<_>>());
+        for number in 0..machines {
+            if number < VOTERS {
+                place.machines[number].disk = DurableLog::first(table.clone());
+            }
+            place.start(number);
+        }
+        place
+    }
+
+    pub(crate) fn run(&mut self, step: Step) {
+        match step {
+            Step::Pass(millis) => self.pass(millis),
+            Step::Hello(number) => self.hello(number),
+            Step::Crash(number) => self.machines[number].core = None,
+            Step::CrashAtSync(number, phase) => self.machines[number].crash = Some(phase),
+            Step::CrashAll => {
+                for number in 0..self.machines.len() {
+                    self.machines[number].core = None;
+                }
+                for number in 0..self.machines.len() {
+                    self.start(number);
+                }
+            }
+            Step::Restart(number) => self.start(number),
+            Step::Cut(number) => drop(self.cut.insert(number)),
+            Step::CutPair(one, other) => {
+                self.cut_pairs.insert((one, other));
+                self.cut_pairs.insert((other, one));
+            }
+            Step::Join => {
+                self.cut.clear();
+                self.cut_pairs.clear();
+            }
+            Step::LoseDisk(number) => self.lose(number, false),
+            Step::Replace(number) => self.lose(number, true),
+            Step::HandOver(number) => {
+                let now = self.moment();
+                if let Some(core) = &mut self.machines[number].core {
+                    core.hand_over(now);
+                }
+                self.flush(number);
+            }
+        }
+    }
+
+    /// Joins and restarts everybody, and checks that control goes on with three voters.
+    pub(crate) fn heal(&mut self) {
+        self.run(Step::Join);
+        for number in 0..self.machines.len() {
+            self.machines[number].crash = None;
+            self.start(number);
+        }
+        for _ in 0..200 {
+            self.pass(100);
+            if self.is_whole() {
+                break;
+            }
+        }
+        assert!(
+            self.is_whole(),
+            "the voters are whole again: {}",
+            self.describe()
+        );
+        let before = self.incarnations.len();
+        for _ in 0..20 {
+            for number in 0..self.machines.len() {
+                self.hello(number);
+            }
+            self.pass(200);
+        }
+        assert!(self.incarnations.len() > before, "a healed control decides");
+    }
+
+    fn describe(&self) -> String {
+        let describe = |machine: &Machine| {
+            let Some(core) = &machine.core else {
+                return format!("{}: down", machine.name);
+            };
+            let log = core.log();
+            format!(
+                "{}: term {}, last {}, commit {}, {:?}, {:?}",
+                machine.name,
+                log.term().0,
+                log.last_index().0,
+                log.commit().0,
+                log.leader(),
+                log.members(),
+            )
+        };
+        let machines: Vec<String> = self.machines.iter().map(describe).collect();
+        machines.join("\n")
+    }
+
+    pub(crate) fn leader(&self) -> Option<usize> {
+        let now = self.moment();
+        let leads = |machine: &Machine| {
+            let core = machine.core.as_ref();
+            core.is_some_and(|core| core.log().has_lease(now))
+        };
+        self.machines.iter().position(leads)
+    }
+
+    pub(crate) fn name(&self, number: usize) -> String {
+        self.machines[number].name.to_string()
+    }
+
+    /// Returns how many hellos were answered.
+    pub(crate) fn decided(&self) -> usize {
+        self.incarnations.len()
+    }
+
+    /// Returns the decided voters by the leader's word.
+    pub(crate) fn voters(&self) -> Vec<String> {
+        let leader = self.leader().and_then(|leader| {
+            let log = self.machines[leader].core.as_ref()?.log();
+            (log.members_index() <= log.commit()).then_some(log)
+        });
+        let voters = leader.map(|log| log.members().voters.keys().map(ToString::to_string));
+        voters.into_iter().flatten().collect()
+    }
+
+    /// Returns whether all voters are wanted ones that still have their folders.
+    pub(crate) fn is_whole(&self) -> bool {
+        let voters = self.voters();
+        let there = |voter: &String| self.machines.iter().any(|one| one.name.as_str() == voter);
+        voters.len() == VOTERS && voters.iter().all(there)
+    }
+
+    pub(crate) fn pass(&mut self, millis: u64) {
+        for _ in 0..millis {
+            self.now += 1;
+            self.deliver();
+            for number in 0..self.machines.len() {
+                let now = self.moment();
+                if let Some(core) = &mut self.machines[number].core
+                    && now >= core.next_tick()
+                {
+                    core.tick(now);
+                }
+                self.flush(number);
+                if (self.now + number as u64 * 37).is_multiple_of(NOTICE_EVERY) {
+                    self.notice(number);
+                }
+            }
+            self.check();
+        }
+    }
+
+    /// Loses a folder, but never one more while the voters are not whole.
+    fn lose(&mut self, number: usize, moves: bool) {
+        if self.disk_lost && self.is_whole() {
+            self.disk_lost = false;
+        }
+        let name = self.machines[number].name.clone();
+        let counts = |machine: &Machine| {
+            let members = match &machine.core {
+                Some(core) => core.log().members().clone(),
+                None => MemberTable::default(),
+            };
+            members.address(&name).is_some() || machine.core.is_none()
+        };
+        let voter = self.machines.iter().any(counts);
+        if voter && self.disk_lost {
+            return;
+        }
+        self.disk_lost |= voter;
+        self.machines[number].name = self.next_name();
+        if moves {
+            self.machines[number].address = self.next_address();
+        }
+        let machine = &mut self.machines[number];
+        machine.disk = DurableLog::default();
+        machine.core = None;
+        self.start(number);
+    }
+
+    fn start(&mut self, number: usize) {
+        let now = self.moment();
+        let random = ChaCha8Rng::seed_from_u64(self.chance.random());
+        let machine = &mut self.machines[number];
+        machine.down = false;
+        let name = machine.name.clone();
+        let disk = machine.disk.clone();
+        let log = ReplicatedLog::recover(name.clone(), self.times.clone(), disk, now, random);
+        let settings = CoreSettings {
+            snapshot_every: 24,
+            repair_after: Duration::from_millis(1_500),
+            ..CoreSettings::new(name, crate::support::cluster())
+        };
+        machine.core = Some(ControlCore::new(settings, log));
+        self.flush(number);
+    }
+
+    fn hello(&mut self, number: usize) {
+        self.names += 1;
+        let hello = Hello {
+            instance: format!("entry-{}", self.names),
+            data_centre: "khomas-1".to_owned(),
+            peer_address: "127.0.0.1:7400".to_owned(),
+            ..Hello::default()
+        };
+        self.ask(number, Asker::Entry, Body::Hello(hello));
+    }
+
+    fn ask(&mut self, number: usize, asker: Asker, body: Body) {
+        let now = self.moment();
+        self.last_request += 1;
+        let request = RequestId(self.last_request);
+        self.askers.insert((number, request), asker);
+        if let Some(core) = &mut self.machines[number].core {
+            core.request(now, self.now, request, body);
+        }
+        self.flush(number);
+    }
+
+    fn notice(&mut self, number: usize) {
+        let machine = &self.machines[number];
+        let Some(core) = &machine.core else {
+            return;
+        };
+        if core.is_member() && core.log().leader().is_some() {
+            return;
+        }
+        let notice = SpareNotice {
+            instance: machine.name.to_string(),
+            address: machine.address.to_string(),
+            member: core.is_member(),
+        };
+        for other in 0..self.machines.len() {
+            self.send(number, other, LetterBody::Notice(notice.clone()));
+        }
+    }
+
+    fn flush(&mut self, number: usize) {
+        let now = self.moment();
+        loop {
+            let Some(core) = &mut self.machines[number].core else {
+                return;
+            };
+            let output = core.take_log_output();
+            if output.is_empty() {
+                break;
+            }
+            self.send_all(number, output.early);
+            let machine = &mut self.machines[number];
+            let phase = match output.writes.is_empty() {
+                true => None,
+                false => machine.crash.take(),
+            };
+            if phase == Some(0) {
+                machine.core = None;
+                return;
+            }
+            write(&mut machine.disk, output.writes);
+            if phase == Some(1) {
+                machine.core = None;
+                return;
+            }
+            for entry in &output.apply {
+                self.commit(entry);
+            }
+            if let Some(core) = &mut self.machines[number].core {
+                core.synced(now);
+                core.apply(now, output.restore, output.apply);
+            }
+            self.send_all(number, output.late);
+        }
+        let machine = &mut self.machines[number];
+        let Some(core) = &mut machine.core else {
+            return;
+        };
+        if let Some(snapshot) = core.take_snapshot() {
+            let disk = &mut machine.disk;
+            disk.entries.retain(|entry| entry.index > snapshot.index);
+            disk.snapshot = snapshot;
+        }
+        let commit = core.log().commit().0;
+        for (request, body) in core.take_output().replies {
+            self.replied(number, commit, request, body);
+        }
+    }
+
+    fn replied(&mut self, number: usize, commit: u64, request: RequestId, body: Body) {
+        match (self.askers.remove(&(number, request)), body) {
+            (Some(Asker::Entry), Body::Welcome(welcome)) => {
+                self.acknowledged = self.acknowledged.max(commit);
+                let new = self.incarnations.insert(welcome.incarnation);
+                assert!(new, "incarnation {} is given twice", welcome.incarnation);
+            }
+            (Some(Asker::Spare(to, name)), Body::SpareKnown(reply)) => {
+                self.send(number, to, LetterBody::Known(name, reply));
+            }
+            _ => {}
+        }
+    }
+
+    fn send_all(&mut self, from: usize, messages: Vec<(InstanceId, LogMessage)>) {
+        let members = match &self.machines[from].core {
+            Some(core) => core.log().members().clone(),
+            None => return,
+        };
+        let name = self.machines[from].name.clone();
+        for (to, message) in messages {
+            // As links do: the address comes from the table, the name goes along.
+            let address = members.address(&to);
+            let known = |machine: &Machine| match address {
+                Some(address) => machine.address == address,
+                None => machine.name == to,
+            };
+            if let Some(number) = self.machines.iter().position(known) {
+                let body = LetterBody::Log(name.clone(), to, Box::new(message));
+                self.send(from, number, body);
+            }
+        }
+    }
+
+    fn send(&mut self, from: usize, to: usize, body: LetterBody) {
+        let delay = match self.chance.random_range(0..100) {
+            0..2 => return,
+            2..6 => self.chance.random_range(20..400),
+            _ => self.chance.random_range(1..12),
+        };
+        let due = self.now + delay;
+        self.wire.push(Letter {
+            due,
+            from,
+            to,
+            body,
+        });
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now;
+        let (due, later): (Vec<Letter>, Vec<Letter>) = std::mem::take(&mut self.wire)
+            .into_iter()
+            .partition(|letter| letter.due <= now);
+        self.wire = later;
+        for letter in due {
+            let pair = (letter.from, letter.to);
+            let cut = self.cut.contains(&letter.from) || self.cut.contains(&letter.to);
+            if letter.from != letter.to && !cut && !self.cut_pairs.contains(&pair) {
+                self.take(letter.from, letter.to, letter.body);
+            }
+        }
+    }
+
+    fn take(&mut self, from: usize, to: usize, body: LetterBody) {
+        let now = self.moment();
+        let random = ChaCha8Rng::seed_from_u64(self.chance.random());
+        let machine = &mut self.machines[to];
+        let Some(core) = &mut machine.core else {
+            return;
+        };
+        match body {
+            LetterBody::Log(sender, name, message) => {
+                if name == machine.name {
+                    core.receive(now, &sender, *message);
+                }
+            }
+            LetterBody::Notice(notice) => {
+                let name = notice.instance.parse().expect("a sound name");
+                return self.ask(to, Asker::Spare(from, name), Body::Spare(notice));
+            }
+            LetterBody::Known(name, reply) => {
+                if reply.removed && name == machine.name {
+                    let fresh = format!("m-{}-{}", self.now, self.names);
+                    self.names += 1;
+                    machine.name = fresh.parse().expect("a sound name");
+                    machine.disk = DurableLog::default();
+                    *core = core.begin_again(machine.name.clone(), now, random);
+                }
+            }
+        }
+        self.flush(to);
+    }
+
+    fn commit(&mut self, entry: &LogEntry) {
+        let kind = match entry.kind {
+            EntryKind::Blank => 0,
+            EntryKind::Command => 1,
+            EntryKind::Members => 2,
+        };
+        let start = entry.term.0 << 3 | kind;
+        let digest = entry.payload.iter().fold(start, |digest, byte| {
+            digest.wrapping_mul(31).wrapping_add(u64::from(*byte))
+        });
+        let known = *self.committed.entry(entry.index.0).or_insert(digest);
+        assert_eq!(known, digest, "index {} has two contents", entry.index.0);
+    }
+
+    fn check(&self) {
+        let now = self.moment();
+        let mut holders = 0;
+        for machine in &self.machines {
+            let Some(core) = &machine.core else {
+                continue;
+            };
+            holders += usize::from(core.log().has_lease(now));
+            if let Ok(point) = core.log().read_point(now) {
+                assert!(point.0 >= self.acknowledged, "a read misses a decision");
+            }
+        }
+        assert!(holders <= 1, "two members speak for control");
+    }
+
+    fn moment(&self) -> Moment {
+        Moment::from_millis(self.now)
+    }
+
+    fn next_name(&mut self) -> InstanceId {
+        self.names += 1;
+        format!("m-{}", self.names).parse().expect("a sound name")
+    }
+
+    fn next_address(&mut self) -> SocketAddr {
+        self.names += 1;
+        let port = u16::try_from(1_000 + self.names % 60_000).expect("it fits");
+        SocketAddr::from(([127, 0, 0, 1], port))
+    }
+}
+
+fn write(disk: &mut DurableLog, writes: Vec<LogWrite>) {
+    for write in writes {
+        match write {
+            LogWrite::Vote { term, voted_for } => {
+                let kept = term > disk.term || disk.voted_for.is_none();
+                assert!(kept || disk.voted_for == voted_for, "a vote is given twice");
+                (disk.term, disk.voted_for) = (term, voted_for);
+            }
+            LogWrite::Entries(entries) => {
+                let first = entries[0].index;
+                disk.entries.retain(|entry| entry.index < first);
+                disk.entries.extend(entries);
+            }
+            LogWrite::Snapshot(snapshot) => {
+                disk.entries.clear();
+                disk.snapshot = snapshot;
+            }
+        }
+    }
+}
--- a/crates/daisyseam-coord/src/log/members.rs
+++ b/crates/daisyseam-coord/src/log/members.rs
@@ -15,7 +15,7 @@
     pub voters: BTreeMap<InstanceId, SocketAddr>,
     /// Members that are sent the log but count only once they have caught up.
     pub learners: BTreeMap<InstanceId, SocketAddr>,
-    /// How many voters there are to be: the greatest odd number up to that of the first ones.
+    /// How many voters there are to be: as many as there were first.
     pub wanted: usize,
 }
 
@@ -34,7 +34,7 @@
     /// Makes a table of voters.
     pub fn of_voters(voters: impl IntoIterator<Item = (InstanceId, SocketAddr)>) -> Self {
         let voters: BTreeMap<_, _> = voters.into_iter().collect();
-        let wanted = odd_below(voters.len());
+        let wanted = voters.len();
         Self {
             voters,
             learners: BTreeMap::new(),
@@ -112,7 +112,7 @@
         };
         let voters = map(record.voters)?;
         let wanted = match usize::try_from(record.wanted).ok()? {
-            0 => odd_below(voters.len()),
+            0 => voters.len(),
             wanted => wanted,
         };
         Some(Self {
@@ -123,11 +123,6 @@
     }
 }
 
-/// Returns the greatest odd number that is not above a count, or 0.
-fn odd_below(count: usize) -> usize {
-    count.saturating_sub(1) / 2 * 2 + usize::from(count > 0)
-}
-
 #[derive(Clone, PartialEq, prost::Message)]
 struct MembersRecord {
     #[prost(message, repeated, tag = "1")]
