Keep entries of a replaced history out after a power loss

Names of removed segments may come back one by one. The segment that takes over says so in its first frame now; the format is 2, and folders of format 1 are read and marked. A daemon whose folder fails ends with exit code 4, as one whose folder is refused.

--- a/crates/daisyseam-control/src/daemon.rs
+++ b/crates/daisyseam-control/src/daemon.rs
@@ -39,7 +39,8 @@
     MetricClient,
     MetricsError,
     StopSignal,
-    TimerService, //
+    TimerService,
+    exit, //
 };
 use daisyseam_store::{
     FolderIdentity,
@@ -83,7 +84,7 @@
 /// Time between two attempts to lock the data folder.
 const LOCK_RETRY: Duration = Duration::from_millis(20);
 /// Time between two looks at whether the node has failed.
-const FAILURE_POLL: Duration = Duration::from_millis(1_000);
+const FAILURE_POLL: Duration = Duration::from_millis(250);
 /// Time between two readings of the certificates.
 const RELOAD_EVERY: Duration = Duration::from_secs(30);
 /// Time between two looks at whether the leadership is handed over.
@@ -111,6 +112,25 @@
 
 impl Error for StartError {}
 
+/// Why a running daemon can decide nothing more; it must be started again.
+#[derive(Clone, Debug, Display, Eq, PartialEq)]
+pub enum DaemonFailure {
+    /// the data folder failed: {0}
+    DataFolder(String),
+    /// an invariant does not hold; see the log
+    Invariant,
+}
+
+impl DaemonFailure {
+    /// Returns the exit code of a program that ends with it.
+    pub fn exit_code(&self) -> i32 {
+        match self {
+            Self::DataFolder(_) => exit::DATA_FOLDER,
+            Self::Invariant => exit::FAILURE,
+        }
+    }
+}
+
 /// A running control instance.
 pub struct ControlDaemon {
     node: ActorRef<NodeMessage>,
@@ -258,13 +278,13 @@
     }
 
     /// Waits until the daemon can decide nothing more, and returns why.
-    pub async fn failed(&self) -> String {
+    pub async fn failed(&self) -> DaemonFailure {
         loop {
             if let Some(failure) = self.report.load().failure.clone() {
-                return failure;
+                return DaemonFailure::DataFolder(failure);
             }
             if self.node_end.is_finished() {
-                return "an invariant does not hold; see the log".to_owned();
+                return DaemonFailure::Invariant;
             }
             self.timer.after(FAILURE_POLL).await;
         }
--- a/crates/daisyseam-control/src/lib.rs
+++ b/crates/daisyseam-control/src/lib.rs
@@ -30,6 +30,7 @@
     },
     daemon::{
         ControlDaemon,
+        DaemonFailure,
         StartError, //
     },
     settings::{
--- a/crates/daisyseam-control/src/main.rs
+++ b/crates/daisyseam-control/src/main.rs
@@ -59,7 +59,7 @@
         () = stop.stopped() => {}
         failure = daemon.failed() => {
             log::error!("{failure}");
-            return exit::FAILURE;
+            return failure.exit_code();
         }
     }
     if daemon.stop(deadline).await {
--- a/crates/daisyseam-runtime/src/lib.rs
+++ b/crates/daisyseam-runtime/src/lib.rs
@@ -68,7 +68,7 @@
     pub const USAGE: i32 = 2;
     /// The graceful stop was cut short by its deadline.
     pub const STOP_DEADLINE: i32 = 3;
-    /// The data folder is damaged or belongs to another instance.
+    /// The data folder is damaged, belongs to another instance, or failed.
     pub const DATA_FOLDER: i32 = 4;
     /// The document has errors.
     pub const INVALID_DOCUMENT: i32 = 5;
--- a/crates/daisyseam-store/src/folder.rs
+++ b/crates/daisyseam-store/src/folder.rs
@@ -96,6 +96,7 @@
         let identity = match read_identity(folder)? {
             Some(stored) => {
                 check_cluster(folder, &stored.identity.owner, cluster)?;
+                stored.bring_up_to_date(folder)?;
                 if stored.forget {
                     forget_log(folder, &stored.identity)?;
                 }
@@ -185,9 +186,10 @@
     fn rewrite_segments(&mut self, kept: Vec<EntryRecord>) -> Result<(), StoreError> {
         let old = self.segment.number;
         self.begin_segment()?;
-        self.pending = kept.into_iter().map(WalRecord::Entry).collect();
         let vote = self.state.vote.clone();
-        self.pending.insert(0, WalRecord::Vote(vote));
+        // A power loss may bring any of the older segments back.
+        self.pending = vec![WalRecord::Restart, WalRecord::Vote(vote)];
+        self.pending.extend(kept.into_iter().map(WalRecord::Entry));
         self.write_pending()?;
         // From here on the older segments are of no use.
         remove_segments(&self.folder, old)
@@ -317,7 +319,7 @@
     for (number, path) in segments {
         let bytes = fs::read(&path).map_err(|error| StoreError::io(&path, error))?;
         let content = read_segment(&path, &bytes, number == last)?;
-        boundary = term_at(state.snapshot.index, &content.records).or(boundary);
+        boundary = boundary_after(boundary, state.snapshot.index, &content.records);
         if content.length < bytes.len() as u64 {
             let torn = bytes.len() as u64 - content.length;
             log::warn!("{}: {torn} unsynced bytes are dropped", path.display());
@@ -332,12 +334,15 @@
     Ok((open_segment(folder, last, length)?, fits))
 }
 
-/// Returns the term that the last record of an index names.
-fn term_at(index: u64, records: &[WalRecord]) -> Option<u64> {
-    records.iter().rev().find_map(|record| match record {
-        WalRecord::Entry(entry) if entry.index == index => Some(entry.term),
-        _ => None,
-    })
+/// Returns the term that the last record of an index names, if the records do not begin again.
+fn boundary_after(before: Option<u64>, index: u64, records: &[WalRecord]) -> Option<u64> {
+    records
+        .iter()
+        .fold(before, |boundary, record| match record {
+            WalRecord::Restart => None,
+            WalRecord::Entry(entry) if entry.index == index => Some(entry.term),
+            _ => boundary,
+        })
 }
 
 fn replay(state: &mut RecoveredState, records: Vec<WalRecord>) {
@@ -345,6 +350,7 @@
         match record {
             WalRecord::Vote(vote) => state.vote = vote,
             WalRecord::Entry(entry) => replay_entry(state, entry),
+            WalRecord::Restart => state.entries.clear(),
         }
     }
 }
--- a/crates/daisyseam-store/src/identity.rs
+++ b/crates/daisyseam-store/src/identity.rs
@@ -21,7 +21,7 @@
 };
 
 /// Version of the files that this build writes.
-pub const FORMAT_VERSION: u32 = 1;
+pub const FORMAT_VERSION: u32 = 2;
 
 const IDENTITY_FILE: &str = "identity";
 const LOCK_FILE: &str = "lock";
@@ -67,6 +67,17 @@
     pub(crate) identity: FolderIdentity,
     /// Whether the log files are those of a former identity.
     pub(crate) forget: bool,
+    version: u32,
+}
+
+impl StoredIdentity {
+    /// Says, before anything else is written, that this version has written here.
+    pub(crate) fn bring_up_to_date(&self, folder: &Path) -> Result<(), StoreError> {
+        if self.version == FORMAT_VERSION {
+            return Ok(());
+        }
+        write_identity(folder, &self.identity, self.forget)
+    }
 }
 
 /// Locks the folder for this process; the lock ends with the file.
@@ -104,7 +115,7 @@
             wanted: owner.line(),
         });
     }
-    Ok(())
+    stored.bring_up_to_date(folder)
 }
 
 /// Reads the identity; nothing if the folder has none yet.
@@ -129,10 +140,10 @@
             known: FORMAT_VERSION,
         });
     }
-    parse_identity(rest).map(Some).ok_or_else(damaged)
+    parse_identity(version, rest).map(Some).ok_or_else(damaged)
 }
 
-fn parse_identity(text: &str) -> Option<StoredIdentity> {
+fn parse_identity(version: u32, text: &str) -> Option<StoredIdentity> {
     let mut lines = text.lines();
     let owner = FolderOwner::read(lines.next()?)?;
     let mut voters = Vec::new();
@@ -148,7 +159,11 @@
         }
     }
     let identity = FolderIdentity { owner, voters };
-    Some(StoredIdentity { identity, forget })
+    Some(StoredIdentity {
+        identity,
+        forget,
+        version,
+    })
 }
 
 /// Writes the identity; it is durable on return.
--- a/crates/daisyseam-store/src/record.rs
+++ b/crates/daisyseam-store/src/record.rs
@@ -37,12 +37,15 @@
 
 const TAG_VOTE: u8 = 1;
 const TAG_ENTRY: u8 = 2;
+const TAG_RESTART: u8 = 3;
 
 /// One record in a frame.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) enum WalRecord {
     Vote(VoteRecord),
     Entry(EntryRecord),
+    /// What follows stands in place of all entries before.
+    Restart,
 }
 
 impl WalRecord {
@@ -60,6 +63,7 @@
                 out.push(entry.kind);
                 put_bytes(out, &entry.payload);
             }
+            Self::Restart => out.push(TAG_RESTART),
         }
     }
 
@@ -76,6 +80,7 @@
                 kind: reader.u8()?,
                 payload: reader.bytes()?.to_vec(),
             })),
+            TAG_RESTART => Some(Self::Restart),
             _ => None,
         }
     }
--- a/crates/daisyseam-store/tests/recovery.rs
+++ b/crates/daisyseam-store/tests/recovery.rs
@@ -210,10 +210,10 @@
     let other = FolderStore::open(folder.path(), &owner("control-2"));
     assert!(matches!(other, Err(StoreError::OtherOwner { .. })));
     let identity = folder.path().join("identity");
-    fs::write(identity, "2 shellrest/control-1\n").expect("it is written");
+    fs::write(identity, "3 shellrest/control-1\n").expect("it is written");
     assert!(matches!(
         open(folder.path()),
-        Err(StoreError::FutureFormat { found: 2, .. })
+        Err(StoreError::FutureFormat { found: 3, .. })
     ));
 }
 
