--- a/crates/daisyseam-control/src/lib.rs
+++ b/crates/daisyseam-control/src/lib.rs
@@ -31,6 +31,7 @@
     },
     daemon::{
         ControlDaemon,
+        DaemonFailure,
         StartError, //
     },
     handle::ControlHandle,
