--- a/crates/daisyseam-control/src/settings.rs
+++ b/crates/daisyseam-control/src/settings.rs
@@ -34,6 +34,9 @@
 /// Silence of a member before a spare replaces it, if none is set.
 pub const REPAIR_AFTER: Duration = Duration::from_secs(5);
 
+/// The same for an instance that starts from seeds.
+const SEED_REPAIR_AFTER: Duration = Duration::from_secs(2);
+
 /// Checked settings.
 #[derive(Clone, Debug)]
 pub struct ControlSettings {
@@ -84,7 +87,8 @@
 }
 
 impl ControlSettings {
-    /// Returns the settings of an instance that knows others by their addresses only.
+    /// Returns the settings of an instance that knows others by their addresses only, in several
+    /// areas; a spare replaces a member that was silent for two seconds.
     pub fn from_seeds(
         cluster: ClusterId,
         data_centre: DataCentreId,
@@ -106,10 +110,13 @@
             spare: false,
             seeds,
             bootstrap,
-            repair_after: Duration::from_secs(2),
+            repair_after: SEED_REPAIR_AFTER,
             source: None,
             metrics: None,
-            tuning: ControlTuning::default(),
+            tuning: ControlTuning {
+                log: LogSettings::wide_area(),
+                ..ControlTuning::default()
+            },
         }
     }
 }
--- a/crates/daisyseam-engine/src/attempt.rs
+++ b/crates/daisyseam-engine/src/attempt.rs
@@ -29,6 +29,7 @@
 };
 use bytes::Bytes;
 use daisyseam_model::{
+    FleetView,
     LogPosition,
     OrganisationId, //
 };
@@ -96,6 +97,8 @@
     pub(crate) at_least: Option<LogPosition>,
     /// Whether it is part of a transaction on the connection.
     pub(crate) in_transaction: bool,
+    /// What must hold when it is sent.
+    pub(crate) fence: Fence,
 }
 
 impl<D: DatabaseConnector, G> EngineShared<D, G> {
@@ -104,13 +107,14 @@
         &self,
         order: AttemptOrder<'_>,
     ) -> Result<PooledConnection<D::Connection>, AttemptEnd> {
+        let now = Instant::now();
         let taken = self.pool.take(ConnectionOrder {
             view: &order.route.held.view,
             upstream: &order.route.upstream,
             organisation: order.organisation,
             values: order.values,
-            wait_until: order.times.queue_until(Instant::now()),
-            until: order.times.deadline(),
+            wait_until: order.times.queue_until(now),
+            connect_until: order.times.connect_until(now),
         });
         taken.await.map_err(|error| self.note(order.route, &error))
     }
@@ -165,11 +169,7 @@
             at_least: call.at_least,
             verb,
         };
-        let fence = match call.in_transaction {
-            true => Fence::Transaction,
-            false => Fence::NewWork,
-        };
-        self.call(connection, order, call_of, fence).await
+        self.call(connection, order, call_of, call.fence).await
     }
 
     /// Brings a connection in line with a session.
@@ -203,7 +203,9 @@
         }
         let asked = Instant::now();
         let timer = &self.settings.timer;
+        let under_way = self.health.asked(&order.route.upstream);
         let reply = connection.call(timer, call, order.times.deadline()).await;
+        drop(under_way);
         match reply {
             Ok(reply) => {
                 self.note_reply(order.route, asked, &reply);
@@ -215,20 +217,23 @@
 
     /// Returns whether a route may still be used at this moment.
     pub(crate) fn passes(&self, route: &Route, fence: Fence) -> bool {
-        let Some(term) = route.term else {
+        if fence == Fence::Nothing {
             return true;
-        };
+        }
         let held = self.settings.cell.held();
-        if !leads(&held.view, &route.group, &route.upstream, term) {
+        let leads = |term| leads(&held.view, &route.group, &route.upstream, term);
+        if !route.term.is_none_or(leads) {
             return false;
         }
+        let leased = route.term.is_none() || held.is_valid();
         match fence {
-            Fence::Transaction => true,
-            Fence::Commit => held.is_valid(),
-            Fence::NewWork => {
+            Fence::Nothing | Fence::Leads => true,
+            Fence::Leased => leased,
+            Fence::NewReads => leased && takes_work(&held.view, route),
+            Fence::NewWrites => {
                 let group = held.view.groups.get(&route.group);
                 let active = group.and_then(|group| group.primary.active());
-                held.is_valid() && active == Some(&route.upstream)
+                leased && takes_work(&held.view, route) && active == Some(&route.upstream)
             }
         }
     }
@@ -236,16 +241,16 @@
     /// Waits until the lease holds on a view in which the route's primary still leads its term;
     /// returns whether that came by `until`.
     pub(crate) async fn confirm(&self, route: &Route, until: Instant) -> bool {
-        if self.passes(route, Fence::Commit) {
+        if self.passes(route, Fence::Leased) {
             return true;
         }
         let cell = &self.settings.cell;
         let mut changes = cell.subscribe();
         loop {
-            if self.passes(route, Fence::Commit) {
+            if self.passes(route, Fence::Leased) {
                 return true;
             }
-            if !self.passes(route, Fence::Transaction) {
+            if !self.passes(route, Fence::Leads) {
                 return false;
             }
             let timer = &self.settings.timer;
@@ -284,6 +289,8 @@
         };
         if speaks {
             self.health.failed(&route.upstream);
+            // What broke one connection has most likely broken the others.
+            self.pool.close_idle(&route.upstream);
         }
         match end {
             CallEnd::NotSent => AttemptEnd::Unreachable,
@@ -318,15 +325,30 @@
     }
 }
 
-/// What must hold as the last thing before a call to a primary is sent.
+/// What must hold as the last thing before a call is sent. Of a route that needs no primary only
+/// that the database takes work.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Fence {
-    /// It takes new work, under a valid lease.
-    NewWork,
-    /// It leads its term as far as the view says.
-    Transaction,
-    /// It leads its term, under a valid lease.
-    Commit,
+    /// Nothing: no answer to it can be wrong.
+    Nothing,
+    /// The primary leads its term as far as the view says.
+    Leads,
+    /// The primary leads its term, under a valid lease.
+    Leased,
+    /// The database also takes new work.
+    NewReads,
+    /// No planned move drains the primary either.
+    NewWrites,
+}
+
+/// Returns whether a view lets the database of a route take new work; a primary that leaves does
+/// until another one leads.
+fn takes_work(view: &FleetView, route: &Route) -> bool {
+    let named = view.upstreams.get(&route.upstream);
+    named.is_some_and(|named| {
+        let stays = route.term.is_some() || !named.leaving;
+        stays && view.in_service(&named.data_centre)
+    })
 }
 
 /// Returns how a database refused, if it did.
