End transactions where the data centre has been taken out

A transaction with long pauses could go on sending to a database of a data centre that is to get nothing any more. It has half a second from the moment the view says so; then its connection is closed and the caller learns that nothing was kept.

--- a/crates/daisyseam-engine/src/engine.rs
+++ b/crates/daisyseam-engine/src/engine.rs
@@ -5,6 +5,7 @@
     DatabaseConnector,
     health::HealthBook,
     observer::EngineObserver,
+    outages::OutageClock,
     pool::ConnectionPool,
     route::Router,
     samples::PositionSamples,
@@ -71,6 +72,7 @@
     pub(crate) health: HealthBook,
     pub(crate) samples: PositionSamples,
     pub(crate) writers: WriterCounts,
+    pub(crate) outages: OutageClock,
     sessions: watch::Sender<usize>,
     stop_seen: OnceLock<Instant>,
 }
@@ -85,6 +87,7 @@
             health: HealthBook::default(),
             samples: PositionSamples::default(),
             writers: WriterCounts::default(),
+            outages: OutageClock::default(),
             sessions: watch::Sender::new(0),
             stop_seen: OnceLock::new(),
         };
--- a/crates/daisyseam-engine/src/lib.rs
+++ b/crates/daisyseam-engine/src/lib.rs
@@ -11,6 +11,7 @@
 mod identity;
 mod memory;
 mod observer;
+mod outages;
 mod pool;
 mod request;
 mod route;
--- a/crates/daisyseam-engine/src/observer.rs
+++ b/crates/daisyseam-engine/src/observer.rs
@@ -62,6 +62,7 @@
     /// commit is acknowledged; here only what nobody uses is closed.
     async fn apply(&self, view: &FleetView) {
         self.shared.pool.apply(view);
+        self.shared.outages.apply(view);
         let known = |upstream: &_| view.upstreams.contains_key(upstream);
         self.shared.health.retain(known);
         let known = |group: &_| view.groups.contains_key(group);
--- a/crates/daisyseam-engine/src/session/transaction.rs
+++ b/crates/daisyseam-engine/src/session/transaction.rs
@@ -158,6 +158,9 @@
                 let OpenTransaction { mode, rights, .. } = &transaction;
                 self.core.begin_at(*mode, rights, &times).await
             }
+            Stage::Running(running) if self.core.is_expelled(&running) => {
+                Err(ErrorKind::TransactionLost.into())
+            }
             Stage::Running(running) => Ok(running),
             Stage::Failed(running) => {
                 transaction.stage = Stage::Failed(running);
@@ -185,6 +188,9 @@
         let transaction = self.transaction.take().ok_or_else(no_transaction)?;
         match transaction.stage {
             Stage::Pending => answer::local(),
+            Stage::Running(running) if self.core.is_expelled(&running) => {
+                Err(ErrorKind::TransactionLost.into())
+            }
             Stage::Running(running) => {
                 let times = OperationTimes::start(&transaction.rights);
                 self.core.commit_at(running, id, &times).await
@@ -450,6 +456,9 @@
         mut running: RunningTransaction<D::Connection>,
         id: Option<&Bytes>,
     ) -> RunAnswer {
+        if self.is_expelled(&running) {
+            return RunAnswer::default();
+        }
         let call = DatabaseCall {
             id: id.map(|id| &id[..]),
             at_least: None,
@@ -468,6 +477,14 @@
         }
     }
 
+    /// Returns whether nothing more may be sent to the database, whose data centre is out: the
+    /// connection is closed, which rolls back.
+    fn is_expelled(&self, running: &RunningTransaction<D::Connection>) -> bool {
+        let view = &running.route.held.view;
+        let named = view.upstreams.get(&running.route.upstream);
+        named.is_some_and(|named| self.engine.outages.is_over(&named.data_centre))
+    }
+
     fn order<'a>(&'a self, route: &'a Route, times: &'a OperationTimes) -> AttemptOrder<'a> {
         AttemptOrder {
             route,
--- a/crates/daisyseam-engine/tests/fleet.rs
+++ b/crates/daisyseam-engine/tests/fleet.rs
@@ -105,6 +105,34 @@
     fleet.databases.at("p", |p| assert_eq!(p.open, 0));
 }
 
+#[tokio::test(start_paused = true)]
+async fn transactions_get_little_time_where_the_data_centre_is_out() {
+    let mut fleet = Fleet::start(30);
+    let observer = fleet.engine.observer();
+    let mut quick = fleet.session("primary").await;
+    let mut slow = fleet.session("primary").await;
+    for caller in [&mut quick, &mut slow] {
+        caller.ok(BEGIN).await;
+        caller.ok(write("write 1")).await;
+    }
+    let evacuated = support::data_centre("dc-1");
+    fleet.change(|view| {
+        view.evacuated.insert(evacuated);
+    });
+    observer.apply(&view(&fleet)).await;
+    sleep(Duration::from_millis(250)).await;
+    quick.ok(RequestVerb::Commit).await;
+    sleep(Duration::from_millis(250)).await;
+    let asked = fleet.databases.asked("p");
+    assert_eq!(
+        slow.fail(write("write 2")).await,
+        ErrorKind::TransactionLost
+    );
+    slow.ok(RequestVerb::Rollback).await;
+    assert_eq!(fleet.databases.asked("p"), asked);
+    assert_eq!(fleet.databases.at("p", |p| p.open), 0);
+}
+
 #[tokio::test(start_paused = true)]
 async fn control_learns_which_databases_do_not_answer() {
     let fleet = Fleet::start(30);
