Try databases that do not answer again though no caller needs them

A database of a quiet group that failed twice was told as unreachable until the next caller came, long after it was back. With each report it is now tried once a second on no caller's account.

--- a/crates/daisyseam-engine/src/attempt.rs
+++ b/crates/daisyseam-engine/src/attempt.rs
@@ -31,14 +31,22 @@
 use daisyseam_model::{
     FleetView,
     LogPosition,
-    OrganisationId, //
+    OrganisationId,
+    UpstreamId,
+    UpstreamView, //
+};
+use std::{
+    sync::Arc,
+    time::Duration, //
 };
-use std::time::Duration;
 use tokio::time::Instant;
 
 /// Time without an answer that speaks against the database.
 const SILENCE: Duration = Duration::from_millis(300);
 
+/// Longest time that a database is given to show that it can be reached again.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Why a try has no answer of the database.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum AttemptEnd {
@@ -119,6 +127,38 @@
         taken.await.map_err(|error| self.note(order.route, &error))
     }
 
+    /// Tries whether a database that did not answer can be reached again.
+    pub(crate) async fn probe(&self, upstream: UpstreamId) {
+        let held = self.settings.cell.held();
+        let named = held.view.upstreams.get(&upstream);
+        let in_service = |named: &&UpstreamView| held.view.in_service(&named.data_centre);
+        let Some(named) = named.filter(in_service) else {
+            return;
+        };
+        let values = SessionValues::default();
+        let now = Instant::now();
+        let taken = self.pool.take(ConnectionOrder {
+            view: &held.view,
+            upstream: &upstream,
+            organisation: None,
+            values: &values,
+            wait_until: now,
+            connect_until: now + PROBE_TIMEOUT,
+        });
+        match taken.await {
+            Ok(_) => self.health.good(&upstream),
+            Err(error) => {
+                let route = Route {
+                    group: named.group.clone(),
+                    held: Arc::clone(&held),
+                    upstream,
+                    term: None,
+                };
+                self.note(&route, &error);
+            }
+        }
+    }
+
     /// Runs a statement on a connection, with values and prepared statement in place before.
     ///
     /// If the database has forgotten the prepared statement, it is prepared once more.
--- a/crates/daisyseam-engine/src/health.rs
+++ b/crates/daisyseam-engine/src/health.rs
@@ -38,6 +38,9 @@
 /// Calls under way whose silence makes a database unreachable.
 const SILENT_CALLS: usize = 2;
 
+/// Time without a try after which a database that does not answer is tried on no caller's account.
+const PROBE_AFTER: Duration = Duration::from_millis(1_000);
+
 /// What is known of each database; wakes who waits for a change of its health.
 #[derive(Debug, Default)]
 pub(crate) struct HealthBook {
@@ -49,6 +52,7 @@
 struct UpstreamHealth {
     failures: u32,
     failing_since: Option<Instant>,
+    last_try: Option<Instant>,
     avoid_until: Option<Instant>,
     lagging_until: Option<Instant>,
     misdirected: Option<ViewNumber>,
@@ -114,6 +118,7 @@
         let now = Instant::now();
         health.failures = health.failures.saturating_add(1);
         health.failing_since.get_or_insert(now);
+        health.last_try = Some(now);
         let doublings = (health.failures - 1).min(8);
         health.avoid_until = Some(now + (AVOID * (1 << doublings)).min(AVOID_MAX));
         let news = health.failures >= UNREACHABLE_FAILURES && !health.told_bad;
@@ -192,6 +197,22 @@
         notes
     }
 
+    /// Returns the databases that do not answer and that nobody has tried for a while; they count
+    /// as tried from now on.
+    pub(crate) fn take_probes(&self) -> Vec<UpstreamId> {
+        let now = Instant::now();
+        let mut upstreams = self.upstreams.lock();
+        let due = upstreams.iter_mut().filter(|(_, health)| {
+            let tried = health.last_try.is_some_and(|at| now < at + PROBE_AFTER);
+            health.told_bad && health.under_way == 0 && !tried
+        });
+        let probes = due.map(|(upstream, health)| {
+            health.last_try = Some(now);
+            upstream.clone()
+        });
+        probes.collect()
+    }
+
     /// Returns when control should be told of a change; none while there is none to come.
     pub(crate) fn news_at(&self) -> Option<Instant> {
         let now = Instant::now();
--- a/crates/daisyseam-engine/src/observer.rs
+++ b/crates/daisyseam-engine/src/observer.rs
@@ -95,6 +95,10 @@
 
     fn report(&self, named: ViewNumber, held: &FleetView) -> ObserverReport {
         let notes = self.shared.health.notes();
+        for upstream in self.shared.health.take_probes() {
+            let shared = Arc::clone(&self.shared);
+            tokio::spawn(async move { shared.probe(upstream).await });
+        }
         let groups = draining_groups(held).map(|(group, term)| GroupReport {
             group: group.to_string(),
             term: term.0,
--- a/crates/daisyseam-engine/tests/fleet.rs
+++ b/crates/daisyseam-engine/tests/fleet.rs
@@ -165,14 +165,17 @@
         );
         assert!(report[0].silent_ms >= 300, "{report:?}");
     }
+    // Nobody asks it any more, and it is still found to be back.
     fleet.databases.at("p", |p| p.connect_error = None);
     sleep(Duration::from_secs(2)).await;
-    caller.ok(read("read 4")).await;
+    assert!(!report()[0].reachable);
     timeout(Duration::from_millis(10), observer.news())
         .await
         .unwrap();
     assert!(report()[0].reachable);
     assert!(report().is_empty());
+    caller.ok(read("read 4")).await;
+    assert_eq!(fleet.databases.at("p", |p| p.open), 1);
 }
 
 #[tokio::test(start_paused = true)]
