Wake the member's session only while a planned move waits for writers

Each single write that ended woke the connection to control, which had nothing to say. The parts of an operation's time that it may wait are named in one place.

--- a/crates/daisyseam-engine/src/health.rs
+++ b/crates/daisyseam-engine/src/health.rs
@@ -21,7 +21,7 @@
 const AVOID_MAX: Duration = Duration::from_secs(2);
 
 /// Time for which a database that lacked a position is not asked for one.
-const LAGGING: Duration = Duration::from_millis(100);
+const LAG_MEMORY: Duration = Duration::from_millis(100);
 
 /// Failures without anything good between them that make a database unreachable.
 const UNREACHABLE_FAILURES: u32 = 2;
@@ -138,7 +138,7 @@
     /// Notes that a database lacked a position.
     pub(crate) fn lagging(&self, upstream: &UpstreamId) {
         let mut upstreams = self.upstreams.lock();
-        entry(&mut upstreams, upstream).lagging_until = Some(Instant::now() + LAGGING);
+        entry(&mut upstreams, upstream).lagging_until = Some(Instant::now() + LAG_MEMORY);
     }
 
     /// Notes that another database answers at its address, as a view named it.
--- a/crates/daisyseam-engine/src/observer.rs
+++ b/crates/daisyseam-engine/src/observer.rs
@@ -22,13 +22,7 @@
     HealthReport, //
 };
 use std::{
-    sync::{
-        Arc,
-        atomic::{
-            AtomicBool,
-            Ordering, //
-        }, //
-    },
+    sync::Arc,
     time::Duration, //
 };
 use tokio::time::Instant;
@@ -36,15 +30,11 @@
 /// Acts on views for an engine and reports on its databases.
 pub(crate) struct EngineObserver<D: DatabaseConnector, G> {
     shared: Arc<EngineShared<D, G>>,
-    draining: Arc<AtomicBool>,
 }
 
 impl<D: DatabaseConnector, G> EngineObserver<D, G> {
     pub(crate) fn new(shared: Arc<EngineShared<D, G>>) -> Self {
-        Self {
-            shared,
-            draining: Arc::default(),
-        }
+        Self { shared }
     }
 }
 
@@ -52,7 +42,6 @@
     fn clone(&self) -> Self {
         Self {
             shared: Arc::clone(&self.shared),
-            draining: Arc::clone(&self.draining),
         }
     }
 }
@@ -68,7 +57,7 @@
         let known = |group: &_| view.groups.contains_key(group);
         self.shared.samples.retain(known);
         let draining = draining_groups(view).next().is_some();
-        self.draining.store(draining, Ordering::Release);
+        self.shared.writers.set_draining(draining);
     }
 
     async fn news(&self) {
@@ -83,11 +72,7 @@
             }
             tokio::select! {
                 _ = health.changed() => {}
-                _ = ended.changed() => {
-                    if self.draining.load(Ordering::Acquire) {
-                        return;
-                    }
-                }
+                _ = ended.changed() => return,
                 () = timer.at(due.unwrap_or(now)), if due.is_some() => {}
             }
         }
--- a/crates/daisyseam-engine/src/times.rs
+++ b/crates/daisyseam-engine/src/times.rs
@@ -11,6 +11,16 @@
 /// Longest wait for a token.
 const TOKEN_WAIT_MAX: Duration = Duration::from_millis(200);
 
+/// Part of the time within which an operation should be answered for which it waits for a primary,
+/// as a divisor.
+const PRIMARY_WAIT_DIVISOR: u32 = 1;
+
+/// Part of it for which it waits for a connection, as a divisor.
+const QUEUE_WAIT_DIVISOR: u32 = 4;
+
+/// Part of it for which it waits for a token, as a divisor.
+const TOKEN_WAIT_DIVISOR: u32 = 10;
+
 /// Shortest and longest time that opening a connection may take.
 const CONNECT_MIN: Duration = Duration::from_millis(300);
 const CONNECT_MAX: Duration = Duration::from_millis(1_000);
@@ -47,12 +57,12 @@
 
     /// Returns until when it waits for a token.
     pub(crate) fn token_until(&self) -> Instant {
-        self.start + (self.target / 10).min(TOKEN_WAIT_MAX)
+        self.start + (self.target / TOKEN_WAIT_DIVISOR).min(TOKEN_WAIT_MAX)
     }
 
     /// Returns until when it waits for a connection from now on.
     pub(crate) fn queue_until(&self, now: Instant) -> Instant {
-        (now + self.target / 4).min(self.deadline())
+        (now + self.target / QUEUE_WAIT_DIVISOR).min(self.deadline())
     }
 
     /// Returns until when a connection that is opened from now on may take.
@@ -63,7 +73,8 @@
 
     /// Returns until when it waits for a primary.
     pub(crate) fn primary_until(&self) -> Instant {
-        self.start + self.target.min(self.timeout)
+        let wait = self.target / PRIMARY_WAIT_DIVISOR;
+        self.start + wait.min(self.timeout)
     }
 }
 
--- a/crates/daisyseam-engine/src/writers.rs
+++ b/crates/daisyseam-engine/src/writers.rs
@@ -7,7 +7,13 @@
 use parking_lot::Mutex;
 use std::{
     collections::HashMap,
-    sync::Arc, //
+    sync::{
+        Arc,
+        atomic::{
+            AtomicBool,
+            Ordering, //
+        }, //
+    }, //
 };
 use tokio::sync::watch;
 
@@ -19,6 +25,8 @@
 
 #[derive(Debug, Default)]
 struct CountsShared {
+    /// Whether anybody waits for an end.
+    draining: AtomicBool,
     counts: Mutex<HashMap<(GroupId, Term), u64>>,
     ended: watch::Sender<()>,
 }
@@ -50,6 +58,11 @@
         counts.get(&(group.clone(), term)).copied().unwrap_or(0)
     }
 
+    /// Says whether a planned move waits for some to end; nobody is woken otherwise.
+    pub(crate) fn set_draining(&self, draining: bool) {
+        self.shared.draining.store(draining, Ordering::Release);
+    }
+
     /// Returns a receiver that is woken when the last one of a group and term has ended.
     pub(crate) fn subscribe(&self) -> watch::Receiver<()> {
         self.shared.ended.subscribe()
@@ -66,7 +79,9 @@
         if *count == 0 {
             counts.remove(&self.key);
             drop(counts);
-            self.shared.ended.send_replace(());
+            if self.shared.draining.load(Ordering::Acquire) {
+                self.shared.ended.send_replace(());
+            }
         }
     }
 }
