--- a/crates/daisyseam-control/src/settings.rs
+++ b/crates/daisyseam-control/src/settings.rs
@@ -113,10 +113,18 @@
             repair_after: SEED_REPAIR_AFTER,
             source: None,
             metrics: None,
-            tuning: ControlTuning {
-                log: LogSettings::wide_area(),
-                ..ControlTuning::default()
-            },
+            tuning: ControlTuning::wide_area(),
+        }
+    }
+}
+
+impl ControlTuning {
+    /// Returns times for members in several areas that pay for each message.
+    pub fn wide_area() -> Self {
+        Self {
+            log: LogSettings::wide_area(),
+            snapshot_bytes: Some(2 << 20),
+            ..Self::default()
         }
     }
 }
