--- a/crates/daisyseam-control/src/node.rs
+++ b/crates/daisyseam-control/src/node.rs
@@ -372,7 +372,7 @@
             let body = to_wire(&self.me, &to, message);
             match self.routes.get(&to) {
                 // A lost answer is asked for again.
-                Some(route) if answers => drop(route.try_send(body)),
+                Some(route) if answers && !route.is_closed() => drop(route.try_send(body)),
                 _ => self.link(&to, body),
             }
         }
--- a/crates/daisyseam-control/tests/member_runs.rs
+++ b/crates/daisyseam-control/tests/member_runs.rs
@@ -165,3 +165,26 @@
     }
     place.heal();
 }
+
+/// Members 20 ms apart, each way.
+#[test]
+fn a_lost_leader_of_a_wide_area_is_replaced_in_about_a_second() {
+    let mut place = Place::new(3, LogSettings::wide_area(), 8);
+    place.sound = Some(20);
+    place.pass(4_000);
+    let mut times = Vec::new();
+    for _ in 0..50 {
+        let leader = place.leader().expect("a leader");
+        place.run(Step::Crash(leader));
+        let lost_at = place.now;
+        while place.voters().is_empty() || place.leader() == Some(leader) {
+            place.pass(1);
+        }
+        times.push(place.now - lost_at);
+        place.run(Step::Restart(leader));
+        place.pass(1_200);
+    }
+    times.sort_unstable();
+    println!("p50 {} ms, greatest {} ms", times[25], times[49]);
+    assert!(times[25] < 1_300 && times[49] < 1_800, "{times:?}");
+}
--- a/crates/daisyseam-control/tests/member_support/mod.rs
+++ b/crates/daisyseam-control/tests/member_support/mod.rs
@@ -135,6 +135,8 @@
     incarnations: BTreeSet<u64>,
     acknowledged: u64,
     times: LogSettings,
+    /// Milliseconds from one machine to another if nothing is lost or late.
+    pub(crate) sound: Option<u64>,
 }
 
 impl Place {
@@ -154,6 +156,7 @@
             incarnations: BTreeSet::new(),
             acknowledged: 0,
             times,
+            sound: None,
         };
         for number in 0..machines {
             let address = place.next_address();
@@ -487,10 +490,11 @@
     }
 
     fn send(&mut self, from: usize, to: usize, body: LetterBody) {
-        let delay = match self.chance.random_range(0..100) {
-            0..2 => return,
-            2..6 => self.chance.random_range(20..400),
-            _ => self.chance.random_range(1..12),
+        let delay = match (self.sound, self.chance.random_range(0..100)) {
+            (Some(delay), _) => delay,
+            (None, 0..2) => return,
+            (None, 2..6) => self.chance.random_range(20..400),
+            (None, _) => self.chance.random_range(1..12),
         };
         let due = self.now + delay;
         self.wire.push(Letter {
--- a/crates/daisyseam-coord/src/log/role.rs
+++ b/crates/daisyseam-coord/src/log/role.rs
@@ -39,6 +39,9 @@
     pub vote_refusal: Duration,
     /// Greatest random addition to `vote_refusal` before a follower asks for votes.
     pub election_spread: Duration,
+    /// Time before a member asks for votes again, plus a random part of `election_spread`; longer
+    /// than two answers take.
+    pub election_retry: Duration,
     /// Most entries under way to one member.
     pub window: usize,
     /// Most bytes in one append.
@@ -56,6 +59,7 @@
             lease: Duration::from_millis(750),
             vote_refusal: Duration::from_millis(900),
             election_spread: Duration::from_millis(350),
+            election_retry: Duration::from_millis(150),
             ..Self::default()
         }
     }
@@ -68,6 +72,7 @@
             lease: Duration::from_millis(240),
             vote_refusal: Duration::from_millis(280),
             election_spread: Duration::from_millis(160),
+            election_retry: Duration::from_millis(100),
             window: 4_096,
             batch_bytes: 1 << 20,
             chunk_bytes: 256 << 10,
@@ -306,10 +311,19 @@
     }
 
     pub(super) fn postpone_election(&mut self, now: Moment) {
+        self.ask_after(now, self.settings.vote_refusal);
+    }
+
+    /// Lets a member that asks for votes ask again if it does not get them.
+    pub(super) fn schedule_retry(&mut self, now: Moment) {
+        self.ask_after(now, self.settings.election_retry);
+    }
+
+    fn ask_after(&mut self, now: Moment, delay: Duration) {
         let spread = self.settings.election_spread.as_micros();
         let spread = u64::try_from(spread).unwrap_or(u64::MAX);
         let extra = self.random.random_range(0..=spread);
-        self.election_at = now + self.settings.vote_refusal + Duration::from_micros(extra);
+        self.election_at = now + delay + Duration::from_micros(extra);
     }
 
     /// Appends new entries in place of everything from the first one's index on.
--- a/crates/daisyseam-coord/src/log/vote.rs
+++ b/crates/daisyseam-coord/src/log/vote.rs
@@ -14,11 +14,11 @@
 
 impl ReplicatedLog {
     pub(super) fn start_pre_vote(&mut self, now: Moment) {
-        self.postpone_election(now);
         self.leader = None;
         if !self.is_voter() {
-            return;
+            return self.postpone_election(now);
         }
+        self.schedule_retry(now);
         let granted = BTreeSet::from([self.me.clone()]);
         self.role = MemberRole::PreCandidate { granted };
         self.ask_for_votes(true, false);
@@ -26,7 +26,7 @@
     }
 
     fn start_vote(&mut self, now: Moment, transfer: bool) {
-        self.postpone_election(now);
+        self.schedule_retry(now);
         self.leader = None;
         self.term = self.term.next();
         self.voted_for = Some(self.me.clone());
