Let callers stop reading for a while

A user timeout also ends connections whose other end is there and does not read. Between processes that is wanted after two seconds; a caller may take longer, so his connection gets thirty. Connections to the health pages are tuned too.

--- a/crates/daisyseam-entry/src/caller/startup.rs
+++ b/crates/daisyseam-entry/src/caller/startup.rs
@@ -35,7 +35,7 @@
     ServiceId,
     document::Document, //
 };
-use daisyseam_runtime::tune_socket;
+use daisyseam_runtime::tune_caller_socket;
 use futures_util::{
     SinkExt,
     StreamExt, //
@@ -117,7 +117,7 @@
     G: RateGate,
 {
     // Small answers must not wait for more; without it the connection still works.
-    let _ = tune_socket(&stream);
+    let _ = tune_caller_socket(&stream);
     let mut stream = CallerStream::with_capacity(stream, CallerCodec::new(), BUFFER_BYTES);
     stream.set_backpressure_boundary(BACK_PRESSURE_BYTES);
     let deadline = shared.context.timer.now() + STARTUP_TIMEOUT;
--- a/crates/daisyseam-runtime/src/health.rs
+++ b/crates/daisyseam-runtime/src/health.rs
@@ -1,5 +1,6 @@
 //! Pages for the balancer and for people: `/live`, `/ready` and `/status`.
 
+use crate::tune_caller_socket;
 use axum::{
     Json,
     Router,
@@ -9,7 +10,8 @@
         IntoResponse,
         Response, //
     },
-    routing::get, //
+    routing::get,
+    serve::ListenerExt, //
 };
 use serde_json::Value;
 use std::{
@@ -55,6 +57,11 @@
             .route("/status", get(status::<S>))
             .with_state(state)
             .merge(routes);
+        let listener = listener.tap_io(|socket| {
+            if let Err(error) = tune_caller_socket(socket) {
+                log::debug!("a connection to the health pages: {error}");
+            }
+        });
         let task = tokio::spawn(async move {
             if let Err(error) = axum::serve(listener, router).await {
                 log::error!("the health pages ended: {error}");
--- a/crates/daisyseam-runtime/src/lib.rs
+++ b/crates/daisyseam-runtime/src/lib.rs
@@ -46,7 +46,10 @@
         StopSignal,
         stop_on_signal, //
     },
-    socket::tune_socket,
+    socket::{
+        tune_caller_socket,
+        tune_socket, //
+    },
     span::{
         HopSpan,
         SpanExporter,
