--- a/crates/daisyseam-control/tests/silence.rs
+++ b/crates/daisyseam-control/tests/silence.rs
@@ -91,7 +91,7 @@
                 cluster(),
                 "khomas-1".parse().expect("a sound name"),
                 listens[number],
-                "127.0.0.1:0".parse().expect("an address"),
+                Some("127.0.0.1:0".parse().expect("an address")),
                 folder.path().join(number.to_string()),
                 seeds.clone(),
                 true,
