Elect the first leader at once, and never ask in a circle

A member with an empty log of its own name has promised nothing, so at the first start of the system nobody waits for a former leader: with the times of a wide area the first one stands within 800 ms of 20 starts. Two instances that name each other as the leader were asked without a pause; at most two hints are followed now.

--- a/crates/daisyseam-control/src/notice.rs
+++ b/crates/daisyseam-control/src/notice.rs
@@ -68,6 +68,8 @@
             let mut target = others.get(next % others.len().max(1)).copied();
             while let Some(address) = target {
                 target = self.follow(address).await;
+                // Two that follow each other must not be asked without a pause.
+                self.timer.after(SEARCH_EVERY).await;
             }
             self.timer.after(SEARCH_EVERY).await;
         }
--- a/crates/daisyseam-control/src/session.rs
+++ b/crates/daisyseam-control/src/session.rs
@@ -49,6 +49,9 @@
 /// Time that a connection may take to prove who opened it.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time before the next attempt to accept a connection after one that failed.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
 /// Silence after which a connection of a member or entry is closed.
 const SILENCE_MAX: Duration = Duration::from_secs(5);
 
@@ -74,7 +77,10 @@
             Ok((socket, address)) => {
                 sessions.spawn(run_session(socket, address, context.clone(), permit));
             }
-            Err(error) => log::warn!("a connection was not accepted: {error}"),
+            Err(error) => {
+                log::warn!("a connection was not accepted: {error}");
+                context.timer.after(ACCEPT_PAUSE).await;
+            }
         }
     }
 }
--- a/crates/daisyseam-control/tests/member_runs.rs
+++ b/crates/daisyseam-control/tests/member_runs.rs
@@ -188,3 +188,16 @@
     println!("p50 {} ms, greatest {} ms", times[25], times[49]);
     assert!(times[25] < 1_300 && times[49] < 1_800, "{times:?}");
 }
+
+/// Nobody has promised anything yet, so nobody needs to wait for a former leader.
+#[test]
+fn the_first_leader_stands_soon_after_the_first_start() {
+    for seed in 0..20 {
+        let mut place = Place::new(3, LogSettings::wide_area(), seed);
+        place.sound = Some(20);
+        while place.leader().is_none() {
+            place.pass(1);
+        }
+        assert!(place.now < 800, "it took {} ms", place.now);
+    }
+}
--- a/crates/daisyseam-coord/src/log/follower.rs
+++ b/crates/daisyseam-coord/src/log/follower.rs
@@ -28,7 +28,7 @@
             self.become_follower(now, term);
         }
         self.leader = Some(from.clone());
-        self.heard_at = now;
+        self.refuses_until = now + self.settings.vote_refusal;
         self.postpone_election(now);
         true
     }
--- a/crates/daisyseam-coord/src/log/role.rs
+++ b/crates/daisyseam-coord/src/log/role.rs
@@ -116,7 +116,7 @@
     pub(super) durable: LogIndex,
     pub(super) role: MemberRole,
     pub(super) leader: Option<InstanceId>,
-    pub(super) heard_at: Moment,
+    pub(super) refuses_until: Moment,
     pub(super) election_at: Moment,
     pub(super) incoming: Option<IncomingSnapshot>,
     pub(super) output: LogOutput,
@@ -162,8 +162,7 @@
             members_index,
             role: MemberRole::Follower,
             leader: None,
-            // A restarted member may have heard from a leader just before it stopped.
-            heard_at: now,
+            refuses_until: Moment::ORIGIN,
             election_at: now,
             incoming: None,
             output: LogOutput {
@@ -171,7 +170,14 @@
                 ..LogOutput::default()
             },
         };
-        log.postpone_election(now);
+        if log.term == LogTerm(0) {
+            // It has never answered anybody, so no leader counts on it.
+            log.schedule_retry(now);
+        } else {
+            // It may have heard from a leader just before it stopped.
+            log.refuses_until = now + log.settings.vote_refusal;
+            log.postpone_election(now);
+        }
         log
     }
 
--- a/crates/daisyseam-coord/src/log/vote.rs
+++ b/crates/daisyseam-coord/src/log/vote.rs
@@ -106,7 +106,7 @@
     }
 
     fn refuses_votes(&self, now: Moment) -> bool {
-        self.leads() || now < self.heard_at + self.settings.vote_refusal
+        self.leads() || now < self.refuses_until
     }
 
     fn answer_vote(&mut self, to: &InstanceId, request: &VoteRequest, granted: bool) {
--- a/crates/daisyseam-member/src/control_client/search.rs
+++ b/crates/daisyseam-member/src/control_client/search.rs
@@ -12,11 +12,16 @@
 /// Time for which an instance that did not answer is asked after the others.
 const FAILURE_MEMORY: Duration = Duration::from_secs(5);
 
+/// Most hints that are followed without a pause.
+const HINTS_MAX: u32 = 2;
+
 /// Goes through the known instances; one that another names as the leader is asked at once.
 pub(super) struct LeaderSearch {
     addresses: ControlAddresses,
     turn: usize,
     hint: Option<SocketAddr>,
+    /// Hints that were followed one after the other.
+    hints: u32,
     failed: BTreeMap<SocketAddr, Instant>,
 }
 
@@ -26,6 +31,7 @@
             addresses,
             turn: rand::rng().random_range(0..1_000),
             hint: None,
+            hints: 0,
             failed: BTreeMap::new(),
         }
     }
@@ -33,8 +39,10 @@
     /// Returns whom to ask, if any instance is known.
     pub(super) fn next(&mut self, now: Instant) -> Option<SocketAddr> {
         if let Some(hint) = self.hint.take() {
+            self.hints += 1;
             return Some(hint);
         }
+        self.hints = 0;
         self.failed
             .retain(|_, failed| now < *failed + FAILURE_MEMORY);
         let mut known = self.addresses.list();
@@ -49,6 +57,8 @@
     /// Learns that an instance does not lead, and whom it follows.
     pub(super) fn named(&mut self, target: SocketAddr, leader: Option<SocketAddr>) {
         self.failed.remove(&target);
+        // Two that follow each other are not asked again without a pause.
+        let leader = leader.filter(|_| self.hints < HINTS_MAX);
         self.hint = leader.filter(|leader| *leader != target && !self.failed.contains_key(leader));
     }
 
