--- a/crates/daisyseam-bench/src/fleet/node.rs
+++ b/crates/daisyseam-bench/src/fleet/node.rs
@@ -13,12 +13,9 @@
 use daisyseam_control::{
     ControlDaemon,
     ControlSettings,
+    ControlTuning,
     REPAIR_AFTER, //
 };
-use daisyseam_coord::{
-    log::LogSettings,
-    view_lease::LeaseSettings, //
-};
 use daisyseam_entry::{
     EntryDaemon,
     EntrySettings,
@@ -272,15 +269,14 @@
             data_centre: self.data_centre.clone(),
             listen: FREE_PORT,
             advertise: Some(self.forwarder.address()),
-            http_listen: FREE_PORT,
+            http_listen: Some(FREE_PORT),
+            tuning: ControlTuning::default(),
             data_folder: self.folder.clone(),
             members,
             spare: false,
             seeds: Vec::new(),
             bootstrap: false,
             repair_after: REPAIR_AFTER,
-            log: LogSettings::default(),
-            lease: LeaseSettings::default(),
             source: Some(self.source),
             metrics: None,
         };
--- a/crates/daisyseam-control/src/core.rs
+++ b/crates/daisyseam-control/src/core.rs
@@ -1,16 +1,20 @@
 //! What a control instance decides; no input, no output, no clock.
 
+mod announcements;
 mod departures;
 mod groups;
 mod holders;
 mod leader;
+mod orders;
 mod repair;
 mod requests;
 mod shares;
 mod spares;
 mod status;
+mod survey;
 
 use self::leader::LeaderWork;
+use crate::admin::AdminCall;
 use bytes::Bytes;
 use daisyseam_coord::{
     Moment,
@@ -50,8 +54,6 @@
     time::Duration, //
 };
 
-use crate::admin::AdminCall;
-
 /// Tells requests apart whose answers are still to come.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct RequestId(pub u64);
@@ -73,6 +75,8 @@
     pub repair_after: Duration,
     /// Applied entries after which a snapshot is made.
     pub snapshot_every: u64,
+    /// Bytes of applied entries after which a snapshot is made.
+    pub snapshot_bytes: usize,
 }
 
 impl CoreSettings {
@@ -86,6 +90,7 @@
             forget_after: Duration::from_millis(500),
             repair_after: Duration::from_secs(5),
             snapshot_every: 4_096,
+            snapshot_bytes: 4 << 20,
         }
     }
 }
@@ -97,7 +102,7 @@
     pub group: GroupId,
     /// The database.
     pub upstream: UpstreamId,
-    /// Its HTTP address.
+    /// Its address for such calls.
     pub address: SocketAddr,
     /// Kind of the call, named with the answer.
     pub kind: CallKind,
@@ -105,6 +110,9 @@
     pub term: Term,
     /// The call.
     pub call: AdminCall,
+    /// Term of the log in which the call was decided: whoever sees calls of several leaders of
+    /// control takes none that has a lower one than it has seen.
+    pub fence: u64,
 }
 
 /// What is to be done.
@@ -126,6 +134,7 @@
     waiters: BTreeMap<LogIndex, RequestWaiter>,
     output: CoreOutput,
     since_snapshot: u64,
+    bytes_since_snapshot: usize,
     /// The leader as it was last heard of, for an instance that is no member.
     leader_hint: Option<SocketAddr>,
 }
@@ -140,6 +149,9 @@
 #[derive(Clone, Copy, Debug)]
 enum WaiterKind {
     Submit,
+    SubmitNewest,
+    Evacuate,
+    Announce,
     Join,
 }
 
@@ -154,6 +166,7 @@
             waiters: BTreeMap::new(),
             output: CoreOutput::default(),
             since_snapshot: 0,
+            bytes_since_snapshot: 0,
             leader_hint: None,
         }
     }
@@ -240,10 +253,13 @@
 
     /// Makes a snapshot if enough was applied since the last one.
     pub fn take_snapshot(&mut self) -> Option<LogSnapshot> {
-        if self.since_snapshot < self.settings.snapshot_every {
+        let due = self.since_snapshot >= self.settings.snapshot_every
+            || self.bytes_since_snapshot >= self.settings.snapshot_bytes;
+        if !due {
             return None;
         }
         self.since_snapshot = 0;
+        self.bytes_since_snapshot = 0;
         Some(self.log.compact(self.fleet.encode()))
     }
 
@@ -256,10 +272,12 @@
         );
         self.fleet = fleet;
         self.since_snapshot = 0;
+        self.bytes_since_snapshot = 0;
     }
 
     fn apply_entry(&mut self, now: Moment, entry: &LogEntry) {
         self.since_snapshot += 1;
+        self.bytes_since_snapshot += entry.payload.len();
         if entry.kind != EntryKind::Command {
             return;
         }
@@ -272,7 +290,13 @@
                 CommandAnswer::Refused(daisyseam_coord::fleet::RefusedCommand::Unreadable)
             }
         };
-        assert!(self.fleet.view().number >= before, "the view goes back");
+        let after = self.fleet.view().number;
+        assert!(after >= before, "the view goes back");
+        if after > before
+            && let Some(leader) = &mut self.leader
+        {
+            leader.hasten();
+        }
         if let Some(command) = &command {
             self.note_applied(now, command, &answer);
         }
@@ -285,6 +309,9 @@
         let Some(leader) = &mut self.leader else {
             return;
         };
+        if let (FleetCommand::Join(join), CommandAnswer::Joined(incarnation)) = (command, answer) {
+            leader.leases.admit(now, &join.instance, *incarnation);
+        }
         if let FleetCommand::Group(group) = command {
             let number = self.fleet.view().number;
             leader.changed.insert(group.group.clone(), number);
@@ -347,6 +374,7 @@
         self.schedule_upkeep(now);
         if let Some(leader) = &mut self.leader {
             leader.shares.tick(now, self.fleet.view());
+            leader.prune_notes(now, self.fleet.view());
         }
         self.step_groups(now);
         let applied = self.log.applied();
@@ -361,6 +389,7 @@
         self.update_instances(now);
         self.update_holders(now);
         self.drop_departed(now);
+        self.survey_groups(now);
         self.repair_members(now);
     }
 }
--- a/crates/daisyseam-control/src/core/leader.rs
+++ b/crates/daisyseam-control/src/core/leader.rs
@@ -3,7 +3,8 @@
 use super::{
     CoreSettings,
     repair::SpareNote,
-    shares::ShareDesk, //
+    shares::ShareDesk,
+    survey::GroupSurvey, //
 };
 use daisyseam_coord::{
     Moment,
@@ -64,7 +65,11 @@
     pub(super) announced: BTreeMap<UpstreamId, AnnouncedUpstream>,
     /// Places that the others must reach before a silent leaving database is dropped.
     pub(super) departing: BTreeMap<UpstreamId, LogPosition>,
-    pub(super) health: BTreeMap<UpstreamId, HealthNote>,
+    /// Databases that are gone, with the start of the process that is and since when.
+    pub(super) departed: BTreeMap<UpstreamId, (u64, Moment)>,
+    /// What each instance last said of each database that it reaches.
+    pub(super) health: BTreeMap<UpstreamId, BTreeMap<InstanceId, HealthNote>>,
+    pub(super) surveys: BTreeMap<GroupId, GroupSurvey>,
     pub(super) open: BTreeMap<(Incarnation, GroupId), OpenNote>,
     pub(super) leaving: BTreeSet<Incarnation>,
     pub(super) spares: BTreeMap<InstanceId, SpareNote>,
@@ -78,15 +83,18 @@
     pub(super) command: UpstreamCommand,
     pub(super) state: AnnouncedState,
     pub(super) at: Moment,
+    /// Number of the announcement within the life of its process; 0 if it counts none.
+    pub(super) sequence: u64,
 }
 
-/// What the holder of a database last said of it.
+/// What an instance last said of a database.
 #[derive(Clone, Debug)]
 pub(super) struct HealthNote {
-    pub(super) holder: InstanceId,
     pub(super) reachable: bool,
     pub(super) answered_at: Moment,
     pub(super) holds: bool,
+    /// When it said so.
+    pub(super) at: Moment,
 }
 
 /// Transactions that an instance has open in a draining group.
@@ -115,7 +123,9 @@
             holders_seen: None,
             announced: BTreeMap::new(),
             departing: BTreeMap::new(),
+            departed: BTreeMap::new(),
             health: BTreeMap::new(),
+            surveys: BTreeMap::new(),
             open: BTreeMap::new(),
             leaving: BTreeSet::new(),
             spares: BTreeMap::new(),
@@ -124,6 +134,11 @@
         }
     }
 
+    /// Lets the next upkeep come as soon as it may.
+    pub(super) fn hasten(&mut self) {
+        self.upkeep_at = self.begun;
+    }
+
     pub(super) fn take_call(
         &mut self,
         now: Moment,
@@ -132,6 +147,12 @@
         (kind, term): (CallKind, Term),
         answer: &CallAnswer,
     ) {
+        if kind == CallKind::Survey {
+            if let Some(survey) = self.surveys.get_mut(group) {
+                survey.take_answer(upstream, answer);
+            }
+            return;
+        }
         if let Some(promotion) = self.groups.get_mut(group) {
             promotion.answer(now, upstream, kind, term, answer);
         }
@@ -147,23 +168,47 @@
         let newer = self
             .announced
             .get(&name)
-            .is_none_or(|known| announced.at >= known.at);
+            .is_none_or(|known| is_later(&announced, known));
         if newer {
-            self.announced.insert(name, announced);
+            let said = |known: &AnnouncedUpstream| (known.command.clone(), known.state.primary);
+            let now_said = said(&announced);
+            let former = self.announced.insert(name, announced);
+            if former.as_ref().map(said) != Some(now_said) {
+                self.hasten();
+            }
         }
     }
 
-    pub(super) fn note_health(&mut self, now: Moment, holder: &InstanceId, report: &HealthReport) {
+    pub(super) fn note_health(
+        &mut self,
+        now: Moment,
+        instance: &InstanceId,
+        report: &HealthReport,
+    ) {
         let Ok(upstream) = report.upstream.parse() else {
             return;
         };
         let note = HealthNote {
-            holder: holder.clone(),
             reachable: report.reachable,
             answered_at: now - Duration::from_millis(report.silent_ms),
             holds: report.held_for_view != 0,
+            at: now,
         };
-        self.health.insert(upstream, note);
+        let reachable = note.reachable;
+        let notes: &mut BTreeMap<_, _> = self.health.entry(upstream).or_default();
+        let former = notes.insert(instance.clone(), note);
+        if former.is_none_or(|former| former.reachable != reachable) {
+            self.hasten();
+        }
+    }
+
+    /// Lists what instances last said of a database.
+    pub(super) fn words_of(
+        &self,
+        upstream: &UpstreamId,
+    ) -> impl Iterator<Item = (&InstanceId, &HealthNote)> + Clone {
+        let notes = self.health.get(upstream);
+        notes.into_iter().flatten()
     }
 
     pub(super) fn note_open(&mut self, incarnation: Incarnation, report: &GroupReport) {
@@ -178,7 +223,12 @@
     }
 }
 
-fn read_announcement(now: Moment, report: &UpstreamReport) -> Option<AnnouncedUpstream> {
+/// Returns whether an announcement of a database follows another one.
+fn is_later(announced: &AnnouncedUpstream, known: &AnnouncedUpstream) -> bool {
+    announced.command.born_ms >= known.command.born_ms && announced.at >= known.at
+}
+
+pub(super) fn read_announcement(now: Moment, report: &UpstreamReport) -> Option<AnnouncedUpstream> {
     let command = UpstreamCommand {
         upstream: report.upstream.parse().ok()?,
         group: report.group.parse().ok()?,
@@ -199,5 +249,6 @@
             primary: report.primary,
         },
         at: now - Duration::from_millis(report.age_ms),
+        sequence: report.sequence,
     })
 }
--- a/crates/daisyseam-control/src/daemon.rs
+++ b/crates/daisyseam-control/src/daemon.rs
@@ -1,12 +1,16 @@
 //! The daemon: starts and stops the parts.
 
 use crate::{
-    admin::HttpAdmin,
+    admin::{
+        HttpAdmin,
+        UpstreamAdmin, //
+    },
     convert::durable_log,
     core::{
         ControlCore,
         CoreSettings, //
     },
+    handle::ControlHandle,
     identity::first_identity,
     link::LinkContext,
     node::{
@@ -139,7 +143,7 @@
     stop: StopSignal,
     timer: TimerService,
     address: SocketAddr,
-    health: HealthServer,
+    health: Option<HealthServer>,
     addresses: ControlAddresses,
     tasks: Vec<AbortHandle>,
 }
@@ -165,6 +169,29 @@
         security: PeerSecurity,
     ) -> Result<Self, StartError> {
         let timer = TimerService::start();
+        let admin = HttpAdmin::new(settings.source, timer.clone()).map_err(StartError::Client)?;
+        Self::start_on(timer, settings, security, admin).await
+    }
+
+    /// Starts with another way to reach the databases.
+    ///
+    /// # Errors
+    ///
+    /// [`StartError`] when the data folder, an address or the metrics cannot be used.
+    pub async fn start_with<A: UpstreamAdmin>(
+        settings: ControlSettings,
+        security: PeerSecurity,
+        admin: A,
+    ) -> Result<Self, StartError> {
+        Self::start_on(TimerService::start(), settings, security, admin).await
+    }
+
+    async fn start_on<A: UpstreamAdmin>(
+        timer: TimerService,
+        settings: ControlSettings,
+        security: PeerSecurity,
+        admin: A,
+    ) -> Result<Self, StartError> {
         let metrics = MetricClient::new(settings.metrics).map_err(StartError::Metrics)?;
         let listener = bind(settings.listen).await?;
         let address = listener
@@ -174,7 +201,6 @@
         let (store, identity, recovered) = open_store(&settings, own, &timer).await?;
         let origin = BootClock::now();
         let core = recover_core(&settings, &identity, recovered)?;
-        let admin = HttpAdmin::new(settings.source, timer.clone()).map_err(StartError::Client)?;
         let report = Arc::<ArcSwap<NodeReport>>::default();
         let (wake, woken) = watch::channel(timer.now());
         let dialer = Dialer {
@@ -200,9 +226,10 @@
             wake,
             report: Arc::clone(&report),
             metrics,
+            keeps_status: settings.http_listen.is_some(),
             context: Box::new(context),
         };
-        let actor = NodeActor::<FolderStore, HttpAdmin>::new();
+        let actor = NodeActor::<FolderStore, A>::new();
         let spawned = Actor::spawn(None, actor, arguments).await;
         let (node, node_end) = spawned.map_err(StartError::Node)?;
         let stop = StopSignal::new();
@@ -210,10 +237,10 @@
             report: Arc::clone(&report),
             stop: stop.clone(),
         };
-        let health = HealthServer::start(settings.http_listen, state, axum::Router::new());
-        let health = health
-            .await
-            .map_err(|error| StartError::Listen(settings.http_listen, error))?;
+        let health = match settings.http_listen {
+            Some(address) => Some(start_pages(address, state).await?),
+            None => None,
+        };
         let sessions = SessionContext {
             cluster: settings.cluster.clone(),
             security: security.clone(),
@@ -257,9 +284,15 @@
         self.address
     }
 
-    /// Returns the address of the health pages.
-    pub fn http_address(&self) -> SocketAddr {
-        self.health.address()
+    /// Returns the address of the health pages, if there are any.
+    pub fn http_address(&self) -> Option<SocketAddr> {
+        self.health.as_ref().map(HealthServer::address)
+    }
+
+    /// Returns a handle for requests of this process.
+    pub fn handle(&self) -> ControlHandle {
+        let report = Arc::clone(&self.report);
+        ControlHandle::new(self.node.clone(), report, self.timer.clone())
     }
 
     /// Returns where other control instances are looked for; the seeds in it may be replaced.
@@ -272,7 +305,7 @@
         self.report.load().leads
     }
 
-    /// Returns the status page, as of a moment ago.
+    /// Returns the status page, as of a moment ago; nothing if there are no pages.
     pub fn status(&self) -> Value {
         self.report.load().status.as_ref().clone()
     }
@@ -337,7 +370,10 @@
         if let Some(failure) = &report.failure {
             return Some(failure.clone());
         }
-        (!report.leader_known).then(|| "no leader is known".to_owned())
+        report
+            .leader
+            .is_none()
+            .then(|| "no leader is known".to_owned())
     }
 
     fn status(&self) -> Value {
@@ -345,6 +381,11 @@
     }
 }
 
+async fn start_pages(address: SocketAddr, state: PageState) -> Result<HealthServer, StartError> {
+    let pages = HealthServer::start(address, state, axum::Router::new()).await;
+    pages.map_err(|error| StartError::Listen(address, error))
+}
+
 async fn bind(address: SocketAddr) -> Result<TcpListener, StartError> {
     let listener = TcpListener::bind(address).await;
     listener.map_err(|error| StartError::Listen(address, error))
@@ -404,13 +445,14 @@
     let durable = durable_log(recovered, first).ok_or(StartError::Unreadable)?;
     let me = identity.owner.instance.clone();
     let random = ChaCha8Rng::from_os_rng();
-    let times = settings.log.clone();
-    let log = ReplicatedLog::recover(me.clone(), times, durable, Moment::ORIGIN, random);
-    let core = CoreSettings {
-        repair_after: settings.repair_after,
-        lease: settings.lease,
-        ..CoreSettings::new(me, settings.cluster.clone())
-    };
+    let origin = Moment::ORIGIN;
+    let tuning = &settings.tuning;
+    let log = ReplicatedLog::recover(me.clone(), tuning.log.clone(), durable, origin, random);
+    let mut core = CoreSettings::new(me, settings.cluster.clone());
+    core.lease = tuning.lease;
+    core.promotion = tuning.promotion;
+    core.snapshot_bytes = tuning.snapshot_bytes.unwrap_or(core.snapshot_bytes);
+    core.repair_after = settings.repair_after;
     Ok(ControlCore::new(core, log))
 }
 
--- a/crates/daisyseam-control/src/lib.rs
+++ b/crates/daisyseam-control/src/lib.rs
@@ -7,6 +7,7 @@
 mod convert;
 mod core;
 mod daemon;
+mod handle;
 mod identity;
 mod link;
 mod names;
@@ -33,9 +34,11 @@
         DaemonFailure,
         StartError, //
     },
+    handle::ControlHandle,
     settings::{
         ControlFlags,
         ControlSettings,
+        ControlTuning,
         REPAIR_AFTER, //
     }, //
 };
--- a/crates/daisyseam-control/src/notice.rs
+++ b/crates/daisyseam-control/src/notice.rs
@@ -78,7 +78,7 @@
     /// Returns what is to be said, if anything.
     fn notice(&self) -> Option<(InstanceId, SpareNotice)> {
         let report = self.report.load();
-        if report.failure.is_some() || (report.is_member && report.leader_known) {
+        if report.failure.is_some() || (report.is_member && report.leader.is_some()) {
             return None;
         }
         let name = report.me.clone()?;
--- a/crates/daisyseam-control/src/settings.rs
+++ b/crates/daisyseam-control/src/settings.rs
@@ -4,6 +4,7 @@
 use argh::FromArgs;
 use daisyseam_coord::{
     log::LogSettings,
+    promotion::PromotionSettings,
     view_lease::LeaseSettings, //
 };
 use daisyseam_model::{
@@ -49,8 +50,8 @@
     pub listen: SocketAddr,
     /// Address under which others reach it, if it is another one.
     pub advertise: Option<SocketAddr>,
-    /// Address of the health pages.
-    pub http_listen: SocketAddr,
+    /// Address of the health pages; none for no pages.
+    pub http_listen: Option<SocketAddr>,
     /// Folder of the durable state.
     pub data_folder: PathBuf,
     /// The first voters with their addresses, this one included unless it is a spare.
@@ -64,14 +65,25 @@
     pub bootstrap: bool,
     /// Silence of a member before a spare replaces it.
     pub repair_after: Duration,
-    /// Times and sizes of the log.
-    pub log: LogSettings,
-    /// Leases on views.
-    pub lease: LeaseSettings,
     /// Address that outgoing connections start from.
     pub source: Option<IpAddr>,
     /// Address that metrics are sent to.
     pub metrics: Option<SocketAddr>,
+    /// Times and sizes.
+    pub tuning: ControlTuning,
+}
+
+/// Times and sizes that fit the distances between the members.
+#[derive(Clone, Debug, Default)]
+pub struct ControlTuning {
+    /// Of the replicated log.
+    pub log: LogSettings,
+    /// Of the leases on views.
+    pub lease: LeaseSettings,
+    /// Of changes of primaries.
+    pub promotion: PromotionSettings,
+    /// Bytes of applied entries after which a snapshot is made, if not as many as by default.
+    pub snapshot_bytes: Option<usize>,
 }
 
 impl ControlSettings {
@@ -81,7 +93,7 @@
         cluster: ClusterId,
         data_centre: DataCentreId,
         listen: SocketAddr,
-        http_listen: SocketAddr,
+        http_listen: Option<SocketAddr>,
         data_folder: PathBuf,
         seeds: Vec<SocketAddr>,
         bootstrap: bool,
@@ -99,10 +111,20 @@
             seeds,
             bootstrap,
             repair_after: SEED_REPAIR_AFTER,
-            log: LogSettings::wide_area(),
-            lease: LeaseSettings::default(),
             source: None,
             metrics: None,
+            tuning: ControlTuning::wide_area(),
+        }
+    }
+}
+
+impl ControlTuning {
+    /// Returns times for members in several areas that pay for each message.
+    pub fn wide_area() -> Self {
+        Self {
+            log: LogSettings::wide_area(),
+            snapshot_bytes: Some(2 << 20),
+            ..Self::default()
         }
     }
 }
@@ -208,7 +230,7 @@
                 data_centre: data_centre?,
                 listen: listen?,
                 advertise,
-                http_listen: http_listen?,
+                http_listen: Some(http_listen?),
                 data_folder: data_folder?,
                 members: members
                     .into_iter()
@@ -218,10 +240,9 @@
                 seeds: Vec::new(),
                 bootstrap: false,
                 repair_after: REPAIR_AFTER,
-                log: LogSettings::default(),
-                lease: LeaseSettings::default(),
                 source,
                 metrics,
+                tuning: ControlTuning::default(),
             })
         };
         let settings = settings().zip(security);
--- a/crates/daisyseam-control/tests/members.rs
+++ b/crates/daisyseam-control/tests/members.rs
@@ -59,7 +59,7 @@
                 cluster(),
                 "khomas-1".parse().expect("a sound name"),
                 self.addresses[number],
-                "127.0.0.1:0".parse().expect("an address"),
+                Some("127.0.0.1:0".parse().expect("an address")),
                 self.folder(number),
                 self.addresses.iter().take(3).copied().collect(),
                 bootstrap,
--- a/crates/daisyseam-control/tests/support/mod.rs
+++ b/crates/daisyseam-control/tests/support/mod.rs
@@ -13,10 +13,6 @@
     ControlDaemon,
     ControlSettings, //
 };
-use daisyseam_coord::{
-    log::LogSettings,
-    view_lease::LeaseSettings, //
-};
 use daisyseam_model::{
     ClusterId,
     FleetView,
@@ -118,14 +114,13 @@
         data_centre: "khomas-1".parse().expect("a sound name"),
         listen,
         advertise: None,
-        http_listen: "127.0.0.1:0".parse().expect("an address"),
+        http_listen: Some("127.0.0.1:0".parse().expect("an address")),
+        tuning: daisyseam_control::ControlTuning::default(),
         members: members.to_vec(),
         spare: false,
         seeds: Vec::new(),
         bootstrap: false,
         repair_after: Duration::from_secs(2),
-        log: LogSettings::default(),
-        lease: LeaseSettings::default(),
         source: None,
         metrics: None,
     }
--- a/crates/daisyseam-coord/src/fleet.rs
+++ b/crates/daisyseam-coord/src/fleet.rs
@@ -39,19 +39,23 @@
     },
     command::{
         CommandAnswer,
+        EvacuateCommand,
         FleetCommand,
         GroupCommand,
         HolderCommand,
         JoinCommand,
         LeaveCommand,
         RefusedCommand,
+        SettleCommand,
         SubmitCommand,
+        SubmitNewestCommand,
         SubmitOutcome,
         UpstreamCommand, //
     },
     documents::{
         AcceptedDocument,
         DocumentLedger,
+        HISTORY_BYTES,
         HISTORY_LENGTH, //
     },
     state::FleetState, //
--- a/crates/daisyseam-coord/src/fleet/record.rs
+++ b/crates/daisyseam-coord/src/fleet/record.rs
@@ -2,13 +2,16 @@
 
 use super::{
     AcceptedDocument,
+    EvacuateCommand,
     FleetCommand,
     FleetState,
     GroupCommand,
     HolderCommand,
     JoinCommand,
     LeaveCommand,
+    SettleCommand,
     SubmitCommand,
+    SubmitNewestCommand,
     UpstreamCommand, //
 };
 use bytes::Bytes;
@@ -43,6 +46,13 @@
                 operator: command.operator.clone(),
                 accepted_unix_ms: command.accepted_unix_ms,
             }),
+            Self::SubmitNewest(command) => Body::SubmitNewest(NewestRecord {
+                number: command.number.0,
+                text: command.text.clone(),
+                source: command.source.clone(),
+                operator: command.operator.clone(),
+                accepted_unix_ms: command.accepted_unix_ms,
+            }),
             Self::Join(command) => Body::Join(InstanceRecord {
                 name: command.instance.to_string(),
                 data_centre: command.data_centre.to_string(),
@@ -79,6 +89,14 @@
                 expected: name_or_empty(command.expected.as_ref()),
                 holder: name_or_empty(command.holder.as_ref()),
             }),
+            Self::Evacuate(command) => Body::Evacuate(EvacuateRecord {
+                data_centre: command.data_centre.to_string(),
+                out: command.out,
+            }),
+            Self::Settle(command) => Body::Settle(SettledRecord {
+                upstream: command.upstream.to_string(),
+                born_ms: command.born_ms,
+            }),
         };
         Bytes::from(CommandRecord { body: Some(body) }.encode_to_vec())
     }
@@ -93,6 +111,13 @@
                 operator: record.operator,
                 accepted_unix_ms: record.accepted_unix_ms,
             }),
+            Body::SubmitNewest(record) => Self::SubmitNewest(SubmitNewestCommand {
+                number: DocumentNumber(record.number),
+                text: record.text,
+                source: record.source,
+                operator: record.operator,
+                accepted_unix_ms: record.accepted_unix_ms,
+            }),
             Body::Join(record) => Self::Join(JoinCommand {
                 instance: read(&record.name)?,
                 data_centre: read(&record.data_centre)?,
@@ -130,6 +155,14 @@
                 expected: read_optional(&record.expected)?,
                 holder: read_optional(&record.holder)?,
             }),
+            Body::Evacuate(record) => Self::Evacuate(EvacuateCommand {
+                data_centre: read(&record.data_centre)?,
+                out: record.out,
+            }),
+            Body::Settle(record) => Self::Settle(SettleCommand {
+                upstream: read(&record.upstream)?,
+                born_ms: record.born_ms,
+            }),
         })
     }
 }
@@ -166,6 +199,14 @@
                 .map(|(name, instance)| InstanceRecord::of(name.as_str(), instance))
                 .collect(),
             evacuated: view.evacuated.iter().map(ToString::to_string).collect(),
+            settled: self
+                .settled
+                .iter()
+                .map(|(upstream, born_ms)| SettledRecord {
+                    upstream: upstream.to_string(),
+                    born_ms: *born_ms,
+                })
+                .collect(),
         };
         Bytes::from(record.encode_to_vec())
     }
@@ -205,6 +246,11 @@
         for data_centre in &record.evacuated {
             view.evacuated.insert(read(data_centre)?);
         }
+        for record in &record.settled {
+            state
+                .settled
+                .insert(read(&record.upstream)?, record.born_ms);
+        }
         state.view = Arc::new(view);
         Some(state)
     }
@@ -212,7 +258,7 @@
 
 #[derive(Clone, PartialEq, prost::Message)]
 struct CommandRecord {
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
     body: Option<Body>,
 }
 
@@ -232,6 +278,12 @@
     Group(GroupChangeRecord),
     #[prost(message, tag = "7")]
     Holder(HolderRecord),
+    #[prost(message, tag = "8")]
+    SubmitNewest(NewestRecord),
+    #[prost(message, tag = "9")]
+    Evacuate(EvacuateRecord),
+    #[prost(message, tag = "10")]
+    Settle(SettledRecord),
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -248,6 +300,36 @@
     accepted_unix_ms: u64,
 }
 
+#[derive(Clone, PartialEq, prost::Message)]
+struct NewestRecord {
+    #[prost(uint64, tag = "1")]
+    number: u64,
+    #[prost(string, tag = "2")]
+    text: String,
+    #[prost(string, tag = "3")]
+    source: String,
+    #[prost(string, tag = "4")]
+    operator: String,
+    #[prost(uint64, tag = "5")]
+    accepted_unix_ms: u64,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct EvacuateRecord {
+    #[prost(string, tag = "1")]
+    data_centre: String,
+    #[prost(bool, tag = "2")]
+    out: bool,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct SettledRecord {
+    #[prost(string, tag = "1")]
+    upstream: String,
+    #[prost(uint64, tag = "2")]
+    born_ms: u64,
+}
+
 #[derive(Clone, PartialEq, prost::Message)]
 struct LeaveRecord {
     #[prost(string, tag = "1")]
@@ -292,6 +374,8 @@
     instances: Vec<InstanceRecord>,
     #[prost(string, repeated, tag = "7")]
     evacuated: Vec<String>,
+    #[prost(message, repeated, tag = "8")]
+    settled: Vec<SettledRecord>,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -306,6 +390,8 @@
     accepted_unix_ms: u64,
     #[prost(string, tag = "5")]
     text: String,
+    #[prost(string, tag = "6")]
+    source: String,
 }
 
 impl DocumentRecord {
@@ -316,6 +402,7 @@
             operator: document.operator.clone(),
             accepted_unix_ms: document.accepted_unix_ms,
             text: document.text.to_string(),
+            source: document.source.to_string(),
         }
     }
 
@@ -326,6 +413,7 @@
             operator: self.operator,
             accepted_unix_ms: self.accepted_unix_ms,
             text: Arc::from(self.text),
+            source: Arc::from(self.source),
         }
     }
 }
--- a/crates/daisyseam-coord/src/fleet/state.rs
+++ b/crates/daisyseam-coord/src/fleet/state.rs
@@ -3,18 +3,22 @@
 use super::{
     CommandAnswer,
     DocumentLedger,
+    EvacuateCommand,
     FleetCommand,
     GroupCommand,
     HolderCommand,
     JoinCommand,
     LeaveCommand,
     RefusedCommand,
+    SettleCommand,
     SubmitCommand,
+    SubmitNewestCommand,
     UpstreamCommand,
     ViewChanges,
     changes::ChangeRing, //
 };
 use daisyseam_model::{
+    DocumentNumber,
     FleetView,
     GroupView,
     Incarnation,
@@ -27,7 +31,10 @@
     document::Document, //
 };
 use std::{
-    collections::BTreeSet,
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
     sync::Arc, //
 };
 
@@ -37,6 +44,8 @@
     pub(super) view: Arc<FleetView>,
     pub(super) documents: DocumentLedger,
     pub(super) last_incarnation: Incarnation,
+    /// Databases whose log has caught up, with the start of the process that has.
+    pub(super) settled: BTreeMap<UpstreamId, u64>,
     pub(super) ring: ChangeRing,
 }
 
@@ -51,6 +60,13 @@
         &self.documents
     }
 
+    /// Returns whether the present process of a database has caught up since it started.
+    pub fn is_settled(&self, upstream: &UpstreamId) -> bool {
+        let known = self.view.upstreams.get(upstream);
+        let settled = self.settled.get(upstream);
+        known.is_some_and(|known| settled == Some(&known.born_ms))
+    }
+
     /// Returns what changed after a view, if that is still known.
     pub fn changes_since(&self, held: ViewNumber) -> Option<ViewChanges> {
         self.ring.since(held, self.view.number)
@@ -60,12 +76,15 @@
     pub fn apply(&mut self, command: &FleetCommand) -> CommandAnswer {
         match command {
             FleetCommand::Submit(submit) => self.submit(submit),
+            FleetCommand::SubmitNewest(submit) => self.submit_newest(submit),
             FleetCommand::Join(join) => self.join(join),
             FleetCommand::Leave(leave) => self.leave(leave),
             FleetCommand::Upstream(upstream) => self.update_upstream(upstream),
             FleetCommand::DropUpstream(upstream) => self.drop_upstream(upstream),
             FleetCommand::Group(group) => self.update_group(group),
             FleetCommand::Holder(holder) => self.update_holder(holder),
+            FleetCommand::Evacuate(order) => self.evacuate(order),
+            FleetCommand::Settle(settle) => self.settle(settle),
         }
     }
 
@@ -73,17 +92,43 @@
         let from = self.documents.number();
         let (outcome, accepted) = self.documents.submit(command);
         if accepted {
-            let number = self.documents.number();
-            // Validity was checked before the proposal, maybe by another version.
-            let document = Document::parse(&command.text).ok();
-            self.change(ViewChanges::of_document(from), |view| {
-                view.document_number = number;
-                view.document = document.map(Arc::new);
-            });
+            self.put_in_force(from, &command.text);
         }
         CommandAnswer::Submitted(outcome)
     }
 
+    fn submit_newest(&mut self, command: &SubmitNewestCommand) -> CommandAnswer {
+        let from = self.documents.number();
+        if self.documents.submit_newest(command) {
+            self.put_in_force(from, &command.text);
+        }
+        CommandAnswer::InForce(self.documents.number())
+    }
+
+    fn put_in_force(&mut self, from: DocumentNumber, text: &str) {
+        let number = self.documents.number();
+        // Validity was checked before the proposal, maybe by another version.
+        let document = Document::parse(text).ok();
+        self.change(ViewChanges::of_document(from), |view| {
+            view.document_number = number;
+            view.document = document.map(Arc::new);
+        });
+    }
+
+    fn evacuate(&mut self, command: &EvacuateCommand) -> CommandAnswer {
+        if self.view.evacuated.contains(&command.data_centre) != command.out {
+            // Every update names all data centres that are out.
+            self.change(ViewChanges::default(), |view| {
+                if command.out {
+                    view.evacuated.insert(command.data_centre.clone());
+                } else {
+                    view.evacuated.remove(&command.data_centre);
+                }
+            });
+        }
+        CommandAnswer::Done
+    }
+
     fn join(&mut self, command: &JoinCommand) -> CommandAnswer {
         self.last_incarnation = Incarnation(self.last_incarnation.0 + 1);
         let incarnation = self.last_incarnation;
@@ -138,6 +183,10 @@
             // A database that changes its group would bring a foreign history along.
             return CommandAnswer::Refused(RefusedCommand::Superseded);
         }
+        if known.is_some_and(|known| known.born_ms > command.born_ms) {
+            // A late word of a process that another one has replaced.
+            return CommandAnswer::Refused(RefusedCommand::Superseded);
+        }
         let upstream = UpstreamView {
             group: command.group.clone(),
             data_centre: command.data_centre.clone(),
@@ -167,12 +216,25 @@
         if in_use {
             return CommandAnswer::Refused(RefusedCommand::Superseded);
         }
+        self.settled.remove(name);
         self.change(ViewChanges::of_upstream(name), |view| {
             view.upstreams.remove(name);
         });
         CommandAnswer::Done
     }
 
+    fn settle(&mut self, command: &SettleCommand) -> CommandAnswer {
+        let Some(upstream) = self.view.upstreams.get(&command.upstream) else {
+            return CommandAnswer::Refused(RefusedCommand::Unknown);
+        };
+        if upstream.born_ms != command.born_ms {
+            return CommandAnswer::Refused(RefusedCommand::Superseded);
+        }
+        self.settled
+            .insert(command.upstream.clone(), command.born_ms);
+        CommandAnswer::Done
+    }
+
     fn update_group(&mut self, command: &GroupCommand) -> CommandAnswer {
         let known = self.view.groups.get(&command.group);
         let term = known.map_or_else(Default::default, |known| known.term);
--- a/crates/daisyseam-coord/tests/promotion_support/mod.rs
+++ b/crates/daisyseam-coord/tests/promotion_support/mod.rs
@@ -31,7 +31,8 @@
     announce::{
         UpstreamRole,
         UpstreamState, //
-    }, //
+    },
+    document::CommitPolicy, //
 };
 use proptest::prelude::*;
 use std::{
@@ -333,6 +334,7 @@
             view: view.as_ref(),
             members: &members,
             expected: self.databases.len(),
+            commit: CommitPolicy::Majority,
             confirmed: self.entry.0 >= self.changed,
             open_transactions: (self.entry.0 >= self.changed).then_some(0),
         };
@@ -360,6 +362,11 @@
             in_service: true,
             silence,
             denied: false,
+            shunned: false,
+            vouched: false,
+            born_ms: 0,
+            settled: true,
+            gone: false,
             announced: Some((announced, database.cut_since.unwrap_or(self.now))),
         }
     }
--- /dev/null
+++ b/crates/daisyseam-engine/src/pool.rs
@@ -0,0 +1,222 @@
+//! Connections to databases, shared by the sessions of this instance.
+
+mod connection;
+mod upstream;
+
+pub(crate) use self::connection::{
+    CallEnd,
+    PooledConnection,
+    SetUp, //
+};
+pub(crate) use self::upstream::UpstreamLoad;
+use self::upstream::{
+    Claim,
+    Grant,
+    Place,
+    UpstreamPool, //
+};
+use crate::{
+    ConnectError,
+    DatabaseConnector,
+    DatabaseTarget,
+    route::present_primary,
+    values::SessionValues, //
+};
+use daisyseam_model::{
+    FleetView,
+    OrganisationId,
+    UpstreamId,
+    UpstreamView, //
+};
+use daisyseam_runtime::TimerService;
+use parking_lot::Mutex;
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc,
+        atomic::{
+            AtomicU64,
+            Ordering, //
+        }, //
+    }, //
+};
+use tokio::time::Instant;
+
+/// Part of a database's connections that the instances share out among them, in tenths.
+const SHARED_TENTHS: usize = 9;
+
+/// The connections of this instance, by database.
+pub(crate) struct ConnectionPool<D: DatabaseConnector> {
+    connector: D,
+    timer: TimerService,
+    upstreams: Mutex<HashMap<UpstreamId, Arc<UpstreamPool<D::Connection>>>>,
+    turns: AtomicU64,
+}
+
+/// The connection that is wanted.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ConnectionOrder<'a> {
+    /// The view that names the database.
+    pub(crate) view: &'a FleetView,
+    /// The database.
+    pub(crate) upstream: &'a UpstreamId,
+    /// On whose behalf.
+    pub(crate) organisation: Option<&'a OrganisationId>,
+    /// Values that it should hold already, if one does.
+    pub(crate) values: &'a SessionValues,
+    /// Longest wait for a place among the connections.
+    pub(crate) wait_until: Instant,
+    /// Moment by which a new one must be open.
+    pub(crate) connect_until: Instant,
+}
+
+/// Why there is no connection.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum NoConnection {
+    /// The view does not name the database.
+    Gone,
+    /// All connections stayed in use.
+    Full,
+    /// It could not be opened.
+    Connect(ConnectError),
+}
+
+impl<D: DatabaseConnector> ConnectionPool<D> {
+    /// Makes a pool without connections.
+    pub(crate) fn new(connector: D, timer: TimerService) -> Self {
+        Self {
+            connector,
+            timer,
+            upstreams: Mutex::default(),
+            turns: AtomicU64::new(0),
+        }
+    }
+
+    /// Takes an idle connection, or opens one within the budget.
+    pub(crate) async fn take(
+        &self,
+        order: ConnectionOrder<'_>,
+    ) -> Result<PooledConnection<D::Connection>, NoConnection> {
+        let named = order.view.upstreams.get(order.upstream);
+        let named = named.ok_or(NoConnection::Gone)?;
+        let pool = self.upstream(order.view, order.upstream, named);
+        let turn = self.turns.fetch_add(1, Ordering::Relaxed) + 1;
+        let place = match pool.claim(order.organisation, order.values, turn) {
+            Claim::Granted(grant) => grant,
+            Claim::Wait(granted) => {
+                let granted = self.timer.within(order.wait_until, granted).await;
+                granted
+                    .ok_or(NoConnection::Full)?
+                    .map_err(|_| NoConnection::Gone)?
+            }
+        };
+        match place {
+            Grant::Connection(connection) => Ok(connection.lend()),
+            Grant::Place(place) => self.open(place, order, named).await,
+        }
+    }
+
+    async fn open(
+        &self,
+        place: Place<D::Connection>,
+        order: ConnectionOrder<'_>,
+        named: &UpstreamView,
+    ) -> Result<PooledConnection<D::Connection>, NoConnection> {
+        let target = DatabaseTarget {
+            upstream: order.upstream.clone(),
+            group: named.group.clone(),
+            address: named.address,
+            organisation: order.organisation.cloned(),
+        };
+        let opening = self.connector.connect(&target);
+        let opened = self.timer.within(order.connect_until, opening);
+        let silent = || ConnectError::Unreachable("no answer in time".to_owned());
+        let opened = opened.await.unwrap_or_else(|| Err(silent()));
+        let connection = opened.map_err(NoConnection::Connect)?;
+        Ok(PooledConnection::opened(
+            place,
+            target.organisation,
+            connection,
+        ))
+    }
+
+    /// Returns how much the connections to a database are in use.
+    pub(crate) fn load(&self, upstream: &UpstreamId) -> UpstreamLoad {
+        let upstreams = self.upstreams.lock();
+        let pool = upstreams.get(upstream);
+        pool.map_or_else(UpstreamLoad::default, |pool| pool.load())
+    }
+
+    /// Closes the connections to a database that nobody uses.
+    pub(crate) fn close_idle(&self, upstream: &UpstreamId) {
+        let pool = self.upstreams.lock().get(upstream).cloned();
+        if let Some(pool) = pool {
+            pool.close_idle();
+        }
+    }
+
+    /// Brings the pool in line with a view: closes idle connections of databases that take no
+    /// work, and shares the databases' connections out anew.
+    pub(crate) fn apply(&self, view: &FleetView) {
+        let mut upstreams = self.upstreams.lock();
+        let mut closed = Vec::new();
+        upstreams.retain(|name, pool| {
+            let named = view.upstreams.get(name);
+            let named = named.filter(|named| pool.is_of(named));
+            let Some(named) = named else {
+                closed.push((Arc::clone(pool), true));
+                return false;
+            };
+            pool.set_budget(budget(view, named));
+            let shut = is_shut(view, name, named);
+            pool.set_shut(shut);
+            if shut {
+                closed.push((Arc::clone(pool), false));
+            }
+            true
+        });
+        drop(upstreams);
+        for (pool, retired) in closed {
+            match retired {
+                true => pool.retire(),
+                false => pool.close_idle(),
+            }
+        }
+    }
+
+    fn upstream(
+        &self,
+        view: &FleetView,
+        name: &UpstreamId,
+        named: &UpstreamView,
+    ) -> Arc<UpstreamPool<D::Connection>> {
+        let mut upstreams = self.upstreams.lock();
+        let known = upstreams.get(name).filter(|pool| pool.is_of(named));
+        if let Some(pool) = known {
+            return Arc::clone(pool);
+        }
+        let pool = Arc::new(UpstreamPool::new(named, budget(view, named)));
+        let former = upstreams.insert(name.clone(), Arc::clone(&pool));
+        drop(upstreams);
+        if let Some(former) = former {
+            former.retire();
+        }
+        pool
+    }
+}
+
+/// Returns whether connections to a database are not worth keeping: it takes no new work. One that
+/// leaves takes work as long as it is primary.
+fn is_shut(view: &FleetView, name: &UpstreamId, named: &UpstreamView) -> bool {
+    let leaving = named.leaving && present_primary(view, &named.group) != Some(name);
+    leaving || !view.in_service(&named.data_centre)
+}
+
+/// Returns this instance's share of a database's connections.
+fn budget(view: &FleetView, named: &UpstreamView) -> usize {
+    let document = view.document.as_ref();
+    let group = document.and_then(|document| document.groups.get(&named.group));
+    let slots = group.map_or(0, |group| group.slots);
+    let shared = slots * SHARED_TENTHS / 10;
+    (shared / view.instances.len().max(1)).max(1)
+}
--- /dev/null
+++ b/crates/daisyseam-engine/src/session/single.rs
@@ -0,0 +1,251 @@
+//! Statements outside transactions.
+
+use super::{
+    SessionCore,
+    answer::{
+        self,
+        RunResult,
+        TryOutcome, //
+    }, //
+};
+use crate::{
+    DatabaseConnection,
+    DatabaseConnector,
+    DatabaseReply,
+    StatementKind,
+    TransactionState,
+    attempt::{
+        AttemptEnd,
+        AttemptOrder,
+        Fence,
+        Statement,
+        StatementCall, //
+    },
+    identity::CallerRights,
+    pool::PooledConnection,
+    route::{
+        PrimaryUse,
+        ReadFloor,
+        ReadPlace,
+        Route,
+        TriedUpstreams, //
+    },
+    times::OperationTimes, //
+};
+use bytes::Bytes;
+use daisyseam_member::RateGate;
+use daisyseam_model::{
+    ErrorKind,
+    GroupId,
+    LogPosition,
+    RequestError,
+    UpstreamId, //
+};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Most tries of one statement.
+pub(super) const ATTEMPTS: usize = 4;
+
+/// Time before the same database is tried again, by the number of tries.
+pub(super) const PAUSE: Duration = Duration::from_millis(15);
+
+impl<D: DatabaseConnector, G: RateGate> SessionCore<'_, D, G> {
+    /// Runs a read wherever its floor is reached.
+    pub(super) async fn read(
+        &self,
+        id: &Bytes,
+        statement: &Statement,
+        rights: &CallerRights,
+        times: &OperationTimes,
+    ) -> RunResult {
+        let floor = self.read_floor(rights, times);
+        let call = StatementCall {
+            id,
+            statement,
+            at_least: None,
+            in_transaction: false,
+            fence: Fence::NewReads,
+        };
+        let mut tried = TriedUpstreams::new();
+        let mut last: Option<RequestError> = None;
+        while tried.len() < ATTEMPTS {
+            let group = &rights.service.group;
+            let route = match self.read_route(group, floor, &tried, times).await {
+                Ok(route) => route,
+                Err(kind) => return Err(last.unwrap_or_else(|| kind.into())),
+            };
+            let call = StatementCall {
+                at_least: self.at_least(&route, floor),
+                ..call
+            };
+            let reply = self.try_once(&route, call, times).await;
+            let outcome = match TryOutcome::of(reply, StatementKind::Read) {
+                TryOutcome::Done(reply, receipt) => {
+                    return answer::ran(reply.rows, receipt, reply.position);
+                }
+                outcome => outcome,
+            };
+            let error = outcome.read_again()?;
+            if Instant::now() >= times.deadline() {
+                return Err(error);
+            }
+            last = Some(error);
+            tried.push(route.upstream);
+        }
+        Err(last.unwrap_or_else(|| ErrorKind::UpstreamUnreachable.into()))
+    }
+
+    /// Runs a write at the primary, again only while it certainly did not run.
+    pub(super) async fn write(
+        &mut self,
+        id: &Bytes,
+        statement: &Statement,
+        rights: &CallerRights,
+        times: &OperationTimes,
+    ) -> RunResult {
+        let call = StatementCall {
+            id,
+            statement,
+            at_least: None,
+            in_transaction: false,
+            fence: Fence::NewWrites,
+        };
+        let group = &rights.service.group;
+        let mut tried = TriedUpstreams::new();
+        let mut last: Option<RequestError> = None;
+        while tried.len() < ATTEMPTS {
+            let route = self.primary_route(group, PrimaryUse::Writes, &tried, times);
+            let route = match route.await {
+                Ok(route) => route,
+                Err(kind) => return Err(last.unwrap_or_else(|| kind.into())),
+            };
+            let counted = route
+                .term
+                .map(|term| self.engine.writers.enter(group, term));
+            let reply = self.try_once(&route, call, times).await;
+            let outcome = match TryOutcome::of(reply, StatementKind::Write) {
+                TryOutcome::Done(reply, receipt) => {
+                    return self.acknowledge(&route, reply, receipt, times).await;
+                }
+                outcome => outcome,
+            };
+            drop(counted);
+            last = Some(outcome.write_again()?);
+            tried.push(route.upstream);
+        }
+        Err(last.unwrap_or_else(|| ErrorKind::UpstreamUnreachable.into()))
+    }
+
+    /// Returns what a read that has just begun must see.
+    pub(super) fn read_floor(&self, rights: &CallerRights, times: &OperationTimes) -> ReadFloor {
+        let samples = &self.engine.samples;
+        self.floor.of_read(rights, samples, times.began())
+    }
+
+    /// Returns the position that the log of a route's database must hold.
+    ///
+    /// Of a primary it is what it told before, so that one which lost its log is found out.
+    pub(super) fn at_least(&self, route: &Route, floor: ReadFloor) -> Option<LogPosition> {
+        let shared = match (route.term, floor.place) {
+            (Some(term), _) => self.engine.samples.highest(&route.group, term),
+            (None, ReadPlace::Reached(position)) => position,
+            (None, ReadPlace::Primary) => None,
+        };
+        shared.max(floor.own)
+    }
+
+    /// Chooses the database for a try of a read; the last try goes to the primary.
+    pub(super) async fn read_route(
+        &self,
+        group: &GroupId,
+        floor: ReadFloor,
+        tried: &[UpstreamId],
+        times: &OperationTimes,
+    ) -> Result<Route, ErrorKind> {
+        let router = self.engine.router();
+        if let ReadPlace::Reached(position) = floor.place
+            && tried.len() + 1 < ATTEMPTS
+            && let Some(route) = router.reader(group, position, tried)
+        {
+            return Ok(route);
+        }
+        self.primary_route(group, PrimaryUse::Reads, tried, times)
+            .await
+    }
+
+    /// Waits for the primary, and a little longer if it has been tried already.
+    pub(super) async fn primary_route(
+        &self,
+        group: &GroupId,
+        usage: PrimaryUse,
+        tried: &[UpstreamId],
+        times: &OperationTimes,
+    ) -> Result<Route, ErrorKind> {
+        let (router, until) = (self.engine.router(), times.primary_until());
+        let route = router.primary(group, usage, until).await?;
+        if !tried.contains(&route.upstream) {
+            return Ok(route);
+        }
+        match self.pause(tried.len(), times).await {
+            true => router.primary(group, usage, until).await,
+            false => Err(ErrorKind::DeadlineBeforeSend),
+        }
+    }
+
+    /// Waits a little longer with each try, or until the view changes; returns whether there is
+    /// time left.
+    pub(super) async fn pause(&self, tries: usize, times: &OperationTimes) -> bool {
+        let settings = &self.engine.settings;
+        let tries = u32::try_from(tries).unwrap_or(u32::MAX);
+        let until = Instant::now() + PAUSE.saturating_mul(tries);
+        if until >= times.deadline() {
+            return false;
+        }
+        let mut changes = settings.cell.subscribe();
+        // The sender lives in the cell, so waiting cannot fail.
+        let _ = settings.timer.within(until, changes.changed()).await;
+        true
+    }
+
+    async fn try_once(
+        &self,
+        route: &Route,
+        call: StatementCall<'_>,
+        times: &OperationTimes,
+    ) -> Result<DatabaseReply, AttemptEnd> {
+        let order = AttemptOrder {
+            route,
+            organisation: self.identity.organisation(),
+            values: &self.values,
+            times,
+        };
+        let mut connection = self.engine.connect(order).await?;
+        let reply = self.engine.run(&mut connection, order, call).await?;
+        give_back(connection, &reply);
+        Ok(reply)
+    }
+
+    /// Acknowledges a write if nobody else can have been primary when it ran.
+    async fn acknowledge(
+        &mut self,
+        route: &Route,
+        reply: DatabaseReply,
+        receipt: Bytes,
+        times: &OperationTimes,
+    ) -> RunResult {
+        let until = times.primary_until().max(Instant::now());
+        if !self.engine.confirm(route, until).await {
+            return Err(ErrorKind::OutcomeUnknown.into());
+        }
+        self.floor.committed(&route.group, reply.position);
+        answer::ran(reply.rows, receipt, reply.position)
+    }
+}
+
+/// Gives a connection back if nothing is open on it.
+fn give_back<C: DatabaseConnection>(connection: PooledConnection<C>, reply: &DatabaseReply) {
+    if reply.state == TransactionState::Idle {
+        connection.finish();
+    }
+}
--- /dev/null
+++ b/crates/daisyseam-engine/src/session/transaction.rs
@@ -0,0 +1,538 @@
+//! Transactions: begun here at once, and at a database with their first statement.
+
+use super::{
+    CallerSession,
+    SessionCore,
+    answer::{
+        self,
+        RunAnswer,
+        RunResult,
+        TryOutcome, //
+    },
+    single::ATTEMPTS, //
+};
+use crate::{
+    DatabaseCall,
+    DatabaseConnection,
+    DatabaseConnector,
+    DatabaseReply,
+    DatabaseVerb,
+    RefusalKind,
+    StatementKind,
+    TransactionMode,
+    TransactionState,
+    attempt::{
+        AttemptEnd,
+        AttemptOrder,
+        Fence,
+        Statement,
+        StatementCall, //
+    },
+    identity::CallerRights,
+    pool::{
+        PooledConnection,
+        SetUp, //
+    },
+    route::{
+        PrimaryUse,
+        ReadFloor,
+        Route,
+        TriedUpstreams, //
+    },
+    times::{
+        OperationTimes,
+        idle_limit, //
+    },
+    writers::WriterGuard, //
+};
+use bytes::Bytes;
+use daisyseam_member::RateGate;
+use daisyseam_model::{
+    ErrorKind,
+    LogPosition,
+    RequestError, //
+};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Longest time that a database is given to roll back before its connection is closed instead.
+const ROLL_BACK_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Most times that a commit is sent which the database is too busy for.
+const COMMIT_TRIES: usize = 3;
+
+/// A transaction of a caller.
+pub(super) struct OpenTransaction<C: DatabaseConnection> {
+    mode: TransactionMode,
+    /// What held when it began; a changed service applies from the next one.
+    rights: CallerRights,
+    stage: Stage<C>,
+}
+
+enum Stage<C: DatabaseConnection> {
+    /// No database has seen it.
+    Pending,
+    /// It is open at a database.
+    Running(RunningTransaction<C>),
+    /// It can only be rolled back, at a database too if it is still open there.
+    Failed(Option<RunningTransaction<C>>),
+}
+
+/// A transaction that is open at a database.
+struct RunningTransaction<C: DatabaseConnection> {
+    connection: PooledConnection<C>,
+    route: Route,
+    wrote: bool,
+    /// Counted until the connection is closed or given back.
+    counted: Option<WriterGuard>,
+}
+
+impl<C: DatabaseConnection> OpenTransaction<C> {
+    pub(super) fn new(mode: TransactionMode, rights: CallerRights) -> Self {
+        Self {
+            mode,
+            rights,
+            stage: Stage::Pending,
+        }
+    }
+
+    pub(super) fn state(&self) -> TransactionState {
+        match self.stage {
+            Stage::Pending | Stage::Running(_) => TransactionState::Open,
+            Stage::Failed(_) => TransactionState::Failed,
+        }
+    }
+
+    /// Returns whether it holds a connection, which an idle one may not for long.
+    fn may_expire(&self) -> bool {
+        !matches!(self.stage, Stage::Failed(None))
+    }
+}
+
+impl<C: DatabaseConnection> RunningTransaction<C> {
+    /// Gives the connection back after the transaction's end.
+    fn finish(mut self, committed: bool) {
+        self.connection.memory().transaction_ended(committed);
+        self.connection.finish();
+        drop(self.counted);
+    }
+}
+
+impl<D: DatabaseConnector, G: RateGate> CallerSession<'_, D, G> {
+    /// Returns when the open transaction has been idle for too long.
+    pub(super) fn idle_over(&self) -> Option<Instant> {
+        let transaction = self.transaction.as_ref()?;
+        let limit = idle_limit(&transaction.rights);
+        transaction.may_expire().then(|| self.idle_since + limit)
+    }
+
+    /// Rolls an idle transaction back; its caller learns of it with the next request.
+    pub(super) async fn expire_transaction(&mut self) {
+        if let Some(transaction) = &mut self.transaction {
+            let stage = std::mem::replace(&mut transaction.stage, Stage::Failed(None));
+            self.core.abandon(stage).await;
+        }
+    }
+
+    /// Rolls back what a caller left open.
+    pub(super) async fn abandon(&mut self) {
+        if let Some(transaction) = self.transaction.take() {
+            self.core.abandon(transaction.stage).await;
+        }
+    }
+
+    /// Runs a statement of the open transaction.
+    pub(super) async fn run_in_transaction(
+        &mut self,
+        id: &Bytes,
+        kind: StatementKind,
+        statement: &Statement,
+    ) -> RunResult {
+        let Some(mut transaction) = self.transaction.take() else {
+            return Err(ErrorKind::TransactionAborted.into());
+        };
+        let times = OperationTimes::start(&transaction.rights);
+        let stage = std::mem::replace(&mut transaction.stage, Stage::Failed(None));
+        let running = match stage {
+            Stage::Pending => {
+                let OpenTransaction { mode, rights, .. } = &transaction;
+                self.core.begin_at(*mode, rights, &times).await
+            }
+            Stage::Running(running) if self.core.is_expelled(&running) => {
+                Err(ErrorKind::TransactionLost.into())
+            }
+            Stage::Running(running) => Ok(running),
+            Stage::Failed(running) => {
+                transaction.stage = Stage::Failed(running);
+                self.transaction = Some(transaction);
+                return Err(ErrorKind::TransactionAborted.into());
+            }
+        };
+        let result = match running {
+            Ok(running) => {
+                let (stage, result) = self
+                    .core
+                    .run_statement(running, id, kind, statement, &times)
+                    .await;
+                transaction.stage = stage;
+                result
+            }
+            Err(error) => Err(error),
+        };
+        self.transaction = Some(transaction);
+        result
+    }
+
+    /// Ends the open transaction and keeps its writes.
+    pub(super) async fn commit(&mut self, id: &Bytes) -> RunResult {
+        let transaction = self.transaction.take().ok_or_else(no_transaction)?;
+        match transaction.stage {
+            Stage::Pending => answer::local(),
+            Stage::Running(running) if self.core.is_expelled(&running) => {
+                Err(ErrorKind::TransactionLost.into())
+            }
+            Stage::Running(running) => {
+                let times = OperationTimes::start(&transaction.rights);
+                self.core.commit_at(running, id, &times).await
+            }
+            Stage::Failed(running) => {
+                if let Some(running) = running {
+                    self.core.roll_back_at(running, None).await;
+                }
+                Err(ErrorKind::TransactionLost.into())
+            }
+        }
+    }
+
+    /// Ends the open transaction and drops its writes.
+    pub(super) async fn roll_back(&mut self, id: &Bytes) -> RunResult {
+        let transaction = self.transaction.take().ok_or_else(no_transaction)?;
+        match transaction.stage {
+            Stage::Running(running) | Stage::Failed(Some(running)) => {
+                Ok(self.core.roll_back_at(running, Some(id)).await)
+            }
+            Stage::Pending | Stage::Failed(None) => answer::local(),
+        }
+    }
+}
+
+impl<D: DatabaseConnector, G: RateGate> SessionCore<'_, D, G> {
+    /// Begins the transaction at a database; nothing else is sent before it has agreed.
+    async fn begin_at(
+        &self,
+        mode: TransactionMode,
+        rights: &CallerRights,
+        times: &OperationTimes,
+    ) -> Result<RunningTransaction<D::Connection>, RequestError> {
+        let floor = match mode {
+            TransactionMode::ReadWrite => ReadFloor::default(),
+            TransactionMode::ReadOnly => self.read_floor(rights, times),
+        };
+        let mut tried = TriedUpstreams::new();
+        let mut last: Option<RequestError> = None;
+        while tried.len() < ATTEMPTS {
+            let group = &rights.service.group;
+            let route = match mode {
+                TransactionMode::ReadOnly => self.read_route(group, floor, &tried, times).await,
+                TransactionMode::ReadWrite => {
+                    self.primary_route(group, PrimaryUse::Writes, &tried, times)
+                        .await
+                }
+            };
+            let route = match route {
+                Ok(route) => route,
+                Err(kind) => return Err(last.unwrap_or_else(|| kind.into())),
+            };
+            tried.push(route.upstream.clone());
+            let at_least = self.at_least(&route, floor);
+            let outcome = match self.try_begin(route, mode, at_least, times).await {
+                Ok(running) => return Ok(running),
+                Err(outcome) => outcome,
+            };
+            let error = outcome.read_again()?;
+            if Instant::now() >= times.deadline() {
+                return Err(error);
+            }
+            last = Some(error);
+        }
+        Err(last.unwrap_or_else(|| ErrorKind::UpstreamUnreachable.into()))
+    }
+
+    /// Begins at one database. Nothing of the transaction can be kept before it has begun, so a
+    /// begin that went wrong is like a read that did.
+    async fn try_begin(
+        &self,
+        mut route: Route,
+        mode: TransactionMode,
+        at_least: Option<LogPosition>,
+        times: &OperationTimes,
+    ) -> Result<RunningTransaction<D::Connection>, TryOutcome> {
+        let term = route.term.filter(|_| mode == TransactionMode::ReadWrite);
+        let counted = term.map(|term| self.engine.writers.enter(&route.group, term));
+        let begun = self.send_begin(&route, mode, at_least, times).await;
+        let (connection, reply) = begun.map_err(TryOutcome::Ended)?;
+        let state = reply.state;
+        match TryOutcome::of(Ok(reply), StatementKind::Read) {
+            TryOutcome::Done(..) if state == TransactionState::Open => {
+                // Reads see what was there when they began, whoever leads from now on.
+                route.term = term;
+                Ok(RunningTransaction {
+                    connection,
+                    route,
+                    wrote: false,
+                    counted,
+                })
+            }
+            TryOutcome::Done(..) => Err(TryOutcome::Ended(AttemptEnd::Unreachable)),
+            outcome => {
+                if state == TransactionState::Idle {
+                    connection.finish();
+                }
+                Err(outcome)
+            }
+        }
+    }
+
+    async fn send_begin(
+        &self,
+        route: &Route,
+        mode: TransactionMode,
+        at_least: Option<LogPosition>,
+        times: &OperationTimes,
+    ) -> Result<(PooledConnection<D::Connection>, DatabaseReply), AttemptEnd> {
+        let order = self.order(route, times);
+        let mut connection = self.engine.connect(order).await?;
+        let set_up = SetUp {
+            values: &self.values,
+            shape: None,
+            in_transaction: false,
+        };
+        self.engine.set_up(&mut connection, order, set_up).await?;
+        let call = DatabaseCall {
+            id: None,
+            at_least,
+            verb: DatabaseVerb::Begin(mode),
+        };
+        let fence = match mode {
+            TransactionMode::ReadOnly => Fence::NewReads,
+            TransactionMode::ReadWrite => Fence::NewWrites,
+        };
+        let reply = self
+            .engine
+            .call(&mut connection, order, call, fence)
+            .await?;
+        Ok((connection, reply))
+    }
+
+    /// Runs a statement where the transaction is open; returns what becomes of it.
+    async fn run_statement(
+        &self,
+        mut running: RunningTransaction<D::Connection>,
+        id: &Bytes,
+        kind: StatementKind,
+        statement: &Statement,
+        times: &OperationTimes,
+    ) -> (Stage<D::Connection>, RunResult) {
+        running.wrote |= kind == StatementKind::Write;
+        let call = StatementCall {
+            id,
+            statement,
+            at_least: None,
+            in_transaction: true,
+            fence: Fence::Leads,
+        };
+        for attempt in 1..=ATTEMPTS {
+            let order = self.order(&running.route, times);
+            let reply = self.engine.run(&mut running.connection, order, call).await;
+            let Ok(reply) = reply else {
+                break;
+            };
+            let state = reply.state;
+            let (refusal, error) = match TryOutcome::of(Ok(reply), kind) {
+                TryOutcome::Done(reply, receipt) if state == TransactionState::Open => {
+                    let result = answer::ran(reply.rows, receipt, reply.position);
+                    return (Stage::Running(running), result);
+                }
+                TryOutcome::Refused(refusal, error) => (refusal, error),
+                TryOutcome::Done(..) | TryOutcome::Ended(_) => break,
+            };
+            let open = state == TransactionState::Open;
+            if refusal == RefusalKind::Busy && open && attempt < ATTEMPTS {
+                self.pause(attempt, times).await;
+                continue;
+            }
+            if state != TransactionState::Idle && stays_open(refusal) {
+                return (Stage::Failed(Some(running)), Err(error));
+            }
+            break;
+        }
+        // The connection is closed, which rolls back.
+        drop(running);
+        (Stage::Failed(None), Err(ErrorKind::TransactionLost.into()))
+    }
+
+    async fn commit_at(
+        &mut self,
+        mut running: RunningTransaction<D::Connection>,
+        id: &Bytes,
+        times: &OperationTimes,
+    ) -> RunResult {
+        for attempt in 1..=COMMIT_TRIES {
+            let reply = self.try_commit(&mut running, id, times).await;
+            let state = reply.as_ref().ok().map(|reply| reply.state);
+            let outcome = match TryOutcome::of(reply, StatementKind::Write) {
+                TryOutcome::Done(reply, receipt) => {
+                    return self.committed(running, reply, receipt, times).await;
+                }
+                outcome => outcome,
+            };
+            let busy = matches!(outcome, TryOutcome::Refused(RefusalKind::Busy, _));
+            let open = state == Some(TransactionState::Open);
+            if !busy || !open || attempt == COMMIT_TRIES {
+                return Err(commit_kind(&outcome, running.wrote).into());
+            }
+            self.pause(attempt, times).await;
+        }
+        Err(ErrorKind::TransactionLost.into())
+    }
+
+    /// Sends a commit; one that keeps writes only while the primary is certain.
+    async fn try_commit(
+        &self,
+        running: &mut RunningTransaction<D::Connection>,
+        id: &Bytes,
+        times: &OperationTimes,
+    ) -> Result<DatabaseReply, AttemptEnd> {
+        let (engine, wrote) = (self.engine, running.wrote);
+        if wrote && !engine.confirm(&running.route, times.primary_until()).await {
+            return Err(AttemptEnd::Fenced);
+        }
+        let call = DatabaseCall {
+            id: Some(id),
+            at_least: None,
+            verb: DatabaseVerb::Commit,
+        };
+        let fence = match wrote {
+            true => Fence::Leased,
+            false => Fence::Nothing,
+        };
+        let order = self.order(&running.route, times);
+        engine
+            .call(&mut running.connection, order, call, fence)
+            .await
+    }
+
+    /// Acknowledges a commit if nobody else can have been primary when it ran.
+    async fn committed(
+        &mut self,
+        running: RunningTransaction<D::Connection>,
+        reply: DatabaseReply,
+        receipt: Bytes,
+        times: &OperationTimes,
+    ) -> RunResult {
+        let until = times.primary_until();
+        if running.wrote && !self.engine.confirm(&running.route, until).await {
+            return Err(ErrorKind::OutcomeUnknown.into());
+        }
+        if running.wrote {
+            self.floor.committed(&running.route.group, reply.position);
+        }
+        if reply.state == TransactionState::Idle {
+            running.finish(true);
+        }
+        answer::ran(reply.rows, receipt, reply.position)
+    }
+
+    /// Rolls back on the system's own account, so that the connection can be kept.
+    async fn abandon(&self, stage: Stage<D::Connection>) {
+        if let Stage::Running(running) | Stage::Failed(Some(running)) = stage {
+            self.roll_back_at(running, None).await;
+        }
+    }
+
+    /// Rolls back; if the database does not say so, closing the connection does.
+    async fn roll_back_at(
+        &self,
+        mut running: RunningTransaction<D::Connection>,
+        id: Option<&Bytes>,
+    ) -> RunAnswer {
+        if self.is_expelled(&running) {
+            return RunAnswer::default();
+        }
+        let call = DatabaseCall {
+            id: id.map(|id| &id[..]),
+            at_least: None,
+            verb: DatabaseVerb::Rollback,
+        };
+        let timer = &self.engine.settings.timer;
+        let until = Instant::now() + ROLL_BACK_TIMEOUT;
+        let reply = running.connection.call(timer, call, until).await;
+        let outcome = reply.map(|reply| (reply.state, reply.outcome, reply.position));
+        match outcome {
+            Ok((TransactionState::Idle, Ok(receipt), position)) => {
+                running.finish(false);
+                RunAnswer::of(Vec::new(), receipt, position)
+            }
+            Ok(_) | Err(_) => RunAnswer::default(),
+        }
+    }
+
+    /// Returns whether nothing more may be sent to the database, whose data centre is out: the
+    /// connection is closed, which rolls back.
+    fn is_expelled(&self, running: &RunningTransaction<D::Connection>) -> bool {
+        let view = &running.route.held.view;
+        let named = view.upstreams.get(&running.route.upstream);
+        named.is_some_and(|named| self.engine.outages.is_over(&named.data_centre))
+    }
+
+    fn order<'a>(&'a self, route: &'a Route, times: &'a OperationTimes) -> AttemptOrder<'a> {
+        AttemptOrder {
+            route,
+            organisation: self.identity.organisation(),
+            values: &self.values,
+            times,
+        }
+    }
+}
+
+fn no_transaction() -> RequestError {
+    RequestError::new(ErrorKind::StatementUnclear, "no transaction is open")
+}
+
+/// Returns whether a transaction of which a statement was refused so is still the database's to
+/// roll back.
+fn stays_open(refusal: RefusalKind) -> bool {
+    matches!(
+        refusal,
+        RefusalKind::Busy | RefusalKind::Failed | RefusalKind::Malformed
+    )
+}
+
+/// Returns the kind under which a commit that was not acknowledged is answered.
+fn commit_kind(outcome: &TryOutcome, wrote: bool) -> ErrorKind {
+    let certain = match outcome {
+        TryOutcome::Done(..) => false,
+        TryOutcome::Refused(refusal, _) => is_certain(*refusal),
+        TryOutcome::Ended(AttemptEnd::Lost | AttemptEnd::TimedOut) => false,
+        TryOutcome::Ended(AttemptEnd::Full | AttemptEnd::Unreachable | AttemptEnd::Fenced) => true,
+    };
+    match certain || !wrote {
+        true => ErrorKind::TransactionLost,
+        false => ErrorKind::OutcomeUnknown,
+    }
+}
+
+/// Returns whether a commit that was refused so kept nothing for certain.
+fn is_certain(refusal: RefusalKind) -> bool {
+    match refusal {
+        RefusalKind::Busy
+        | RefusalKind::Lagging
+        | RefusalKind::ReadOnly
+        | RefusalKind::Misdirected
+        | RefusalKind::TooManyConnections
+        | RefusalKind::UnknownStatement
+        | RefusalKind::Aborted
+        | RefusalKind::Malformed => true,
+        RefusalKind::Failed | RefusalKind::TimedOut | RefusalKind::Unknown => false,
+    }
+}
