Spread voters over regions again after a loss

A spare that took over may stand in the region of another voter, and the loss of that region then took the majority. Members say in the first answer on a connection where they run, spares in their notices; a spare in a region without a voter is taken first, and a voter that shares its region is replaced once such a spare is there.

--- a/crates/daisyseam-control/src/convert.rs
+++ b/crates/daisyseam-control/src/convert.rs
@@ -99,6 +99,7 @@
             match_index: answer.match_index.0,
             hint_index: answer.hint_index.0,
             round: answer.round,
+            data_centre: String::new(),
         }),
         LogMessage::Snapshot(chunk) => Body::Snapshot(wire::SnapshotChunk {
             from,
--- a/crates/daisyseam-control/src/core.rs
+++ b/crates/daisyseam-control/src/core.rs
@@ -6,6 +6,7 @@
 mod holders;
 mod leader;
 mod orders;
+mod places;
 mod repair;
 mod requests;
 mod shares;
@@ -42,6 +43,7 @@
 };
 use daisyseam_model::{
     ClusterId,
+    DataCentreId,
     GroupId,
     InstanceId,
     Term,
@@ -65,6 +67,8 @@
     pub me: InstanceId,
     /// Its cluster.
     pub cluster: ClusterId,
+    /// Data centre that it runs in, if voters are to be spread over regions.
+    pub data_centre: Option<DataCentreId>,
     /// Leases on views.
     pub lease: LeaseSettings,
     /// Changes of primaries.
@@ -85,6 +89,7 @@
         Self {
             me,
             cluster,
+            data_centre: None,
             lease: LeaseSettings::default(),
             promotion: PromotionSettings::default(),
             forget_after: Duration::from_millis(500),
@@ -137,6 +142,8 @@
     bytes_since_snapshot: usize,
     /// The leader as it was last heard of, for an instance that is no member.
     leader_hint: Option<SocketAddr>,
+    /// Where the other members run, as they said.
+    places: BTreeMap<InstanceId, DataCentreId>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -168,6 +175,7 @@
             since_snapshot: 0,
             bytes_since_snapshot: 0,
             leader_hint: None,
+            places: BTreeMap::new(),
         }
     }
 
--- /dev/null
+++ b/crates/daisyseam-control/src/core/places.rs
@@ -0,0 +1,81 @@
+//! Voters are spread over regions, so that the loss of one region leaves a majority.
+
+use super::ControlCore;
+use daisyseam_coord::Moment;
+use daisyseam_model::{
+    DataCentreId,
+    InstanceId, //
+};
+
+impl ControlCore {
+    /// Returns the data centre of this instance, if voters are to be spread.
+    pub fn data_centre(&self) -> Option<&DataCentreId> {
+        self.settings.data_centre.as_ref()
+    }
+
+    /// Learns where another member runs.
+    pub fn note_place(&mut self, member: InstanceId, place: DataCentreId) {
+        let members = self.log.members();
+        self.places
+            .retain(|name, _| members.address(name).is_some());
+        self.places.insert(member, place);
+    }
+
+    /// Returns the region of a member or spare by the newest document, else its data centre.
+    pub(super) fn region(&self, name: &InstanceId) -> Option<&str> {
+        let spares = self.leader.as_ref().map(|leader| &leader.spares);
+        let place = match *name == self.settings.me {
+            true => self.settings.data_centre.as_ref(),
+            false => self
+                .places
+                .get(name)
+                .or_else(|| spares?.get(name)?.data_centre.as_ref()),
+        }?;
+        let document = self.fleet.view().document.as_ref();
+        let entry = document.and_then(|document| document.data_centres.get(place));
+        Some(entry.map_or(place.as_str(), |entry| entry.region.as_str()))
+    }
+
+    /// Returns how many voters, but for one, run in the region of a member or spare.
+    pub(super) fn neighbours(&self, name: &InstanceId, without: Option<&InstanceId>) -> usize {
+        let Some(region) = self.region(name) else {
+            return 0;
+        };
+        let voters = self.log.members().voters.keys();
+        let others = voters.filter(|voter| *voter != name && Some(*voter) != without);
+        others
+            .filter(|voter| self.region(voter) == Some(region))
+            .count()
+    }
+
+    /// Returns whether it is still to be heard where some voter runs.
+    pub(super) fn misses_places(&self) -> bool {
+        let mut voters = self.log.members().voters.keys();
+        self.settings.data_centre.is_some() && voters.any(|voter| self.region(voter).is_none())
+    }
+
+    /// Returns a voter that shares its region with another while a spare, or the learner, is in a
+    /// region without any.
+    pub(super) fn crowded_voter(&self, now: Moment) -> Option<InstanceId> {
+        let leader = self.leader.as_ref()?;
+        if self.settings.data_centre.is_none() || self.misses_places() {
+            return None;
+        }
+        let members = self.log.members();
+        let spares = leader.spares.iter();
+        let spares = spares.filter(|(_, spare)| spare.is_there(now));
+        let mut free = spares.map(|(name, _)| name).chain(members.learners.keys());
+        let is_free = |name: &InstanceId| {
+            let known = self.region(name).is_some();
+            known && !members.voters.contains_key(name) && self.neighbours(name, None) == 0
+        };
+        if !free.any(is_free) {
+            return None;
+        }
+        let others = members.voters.keys();
+        let mut others = others.filter(|voter| **voter != self.settings.me);
+        others
+            .find(|voter| self.neighbours(voter, None) > 0)
+            .cloned()
+    }
+}
--- a/crates/daisyseam-control/src/core/repair.rs
+++ b/crates/daisyseam-control/src/core/repair.rs
@@ -8,8 +8,12 @@
     Moment,
     log::MemberChange, //
 };
-use daisyseam_model::InstanceId;
+use daisyseam_model::{
+    DataCentreId,
+    InstanceId, //
+};
 use std::{
+    cmp::Reverse,
     net::SocketAddr,
     time::Duration, //
 };
@@ -40,16 +44,17 @@
         let members = self.log.members();
         let lost = self.lost_voter(now);
         if members.voters.len() > members.wanted {
-            let odd_one = lost.or_else(|| self.laggard());
+            let odd_one = lost.or_else(|| self.odd_voter());
             return odd_one.map(MemberChange::Remove);
         }
+        let leaving = lost.or_else(|| self.crowded_voter(now));
         if let Some(learner) = members.learners.keys().next() {
-            return self.learner_change(now, learner, lost.is_some());
+            return self.learner_change(now, learner, leaving.is_some());
         }
-        if lost.is_none() && members.voters.len() == members.wanted {
+        if leaving.is_none() && members.voters.len() == members.wanted {
             return None;
         }
-        let (name, address) = self.fit_spare(now)?;
+        let (name, address) = self.fit_spare(now, leaving.as_ref())?;
         Some(MemberChange::AddLearner(name, address))
     }
 
@@ -57,39 +62,51 @@
         &self,
         now: Moment,
         learner: &InstanceId,
-        one_is_lost: bool,
+        one_leaves: bool,
     ) -> Option<MemberChange> {
         let leader = self.leader.as_ref()?;
         let members = self.log.members();
         let there = leader.is_spare_there(now, learner) || !self.is_silent(now, learner);
-        let needed = one_is_lost || members.voters.len() < members.wanted;
-        // Not needed: whom it was to replace has come back.
-        if !there || !needed || self.is_replaced(now, learner) {
+        if !there || self.is_replaced(now, learner) {
             return Some(MemberChange::Remove(learner.clone()));
         }
+        if !one_leaves && members.voters.len() == members.wanted {
+            // Whom it was to replace has come back.
+            let known = !self.misses_places();
+            return known.then(|| MemberChange::Remove(learner.clone()));
+        }
         let caught_up = self.log.has_caught_up(learner);
         caught_up.then(|| MemberChange::Promote(learner.clone()))
     }
 
-    /// Returns the other voter that answered longest ago.
-    fn laggard(&self) -> Option<InstanceId> {
+    /// Returns the other voter with most voters in its region, of these the one that answered
+    /// longest ago.
+    fn odd_voter(&self) -> Option<InstanceId> {
         let voters = self.log.members().voters.keys();
         let others = voters.filter(|voter| **voter != self.settings.me);
-        others
-            .min_by_key(|voter| self.log.last_answer(voter))
-            .cloned()
+        let rank = |voter: &&InstanceId| {
+            let neighbours = self.neighbours(voter, None);
+            (Reverse(neighbours), self.log.last_answer(voter))
+        };
+        others.min_by_key(rank).cloned()
     }
 
-    /// Returns the spare that is to learn: one whose address no other member has, if there is one.
-    fn fit_spare(&self, now: Moment) -> Option<(InstanceId, SocketAddr)> {
+    /// Returns the spare that is to learn, best in a region where no voter stays.
+    fn fit_spare(
+        &self,
+        now: Moment,
+        leaving: Option<&InstanceId>,
+    ) -> Option<(InstanceId, SocketAddr)> {
         let leader = self.leader.as_ref()?;
         let members = self.log.members();
         let fit =
             |name: &InstanceId| members.address(name).is_none() && leader.is_spare_there(now, name);
         let spares = leader.spares.iter().filter(|(name, _)| fit(name));
         // At one address only the newest process can still be there.
-        let newest = spares.max_by_key(|(_, spare)| spare.first_heard);
-        newest.map(|(name, spare)| (name.clone(), spare.address))
+        let best = spares.min_by_key(|(name, spare)| {
+            (self.neighbours(name, leaving), Reverse(spare.first_heard))
+        });
+        best.map(|(name, spare)| (name.clone(), spare.address))
     }
 
     /// Returns a voter that has lost its folder, else one that has been silent for too long.
@@ -126,28 +143,36 @@
 }
 
 /// A control instance that waits to be taken in.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct SpareNote {
     pub(super) address: SocketAddr,
+    pub(super) data_centre: Option<DataCentreId>,
     pub(super) first_heard: Moment,
     pub(super) heard: Moment,
 }
 
 impl SpareNote {
-    fn is_there(&self, now: Moment) -> bool {
+    pub(super) fn is_there(&self, now: Moment) -> bool {
         now.since(self.heard) < SPARE_SILENCE
     }
 }
 
 impl LeaderWork {
-    pub(super) fn note_spare(&mut self, now: Moment, name: InstanceId, address: SocketAddr) {
-        let note = self.spares.entry(name).or_insert(SpareNote {
+    pub(super) fn note_spare(
+        &mut self,
+        now: Moment,
+        name: InstanceId,
+        address: SocketAddr,
+        data_centre: Option<DataCentreId>,
+    ) {
+        let known = self.spares.get(&name);
+        let note = SpareNote {
             address,
-            first_heard: now,
+            data_centre,
+            first_heard: known.map_or(now, |known| known.first_heard),
             heard: now,
-        });
-        note.address = address;
-        note.heard = now;
+        };
+        self.spares.insert(name, note);
         self.spares.retain(|_, note| note.is_there(now));
     }
 
--- a/crates/daisyseam-control/src/core/spares.rs
+++ b/crates/daisyseam-control/src/core/spares.rs
@@ -77,7 +77,8 @@
         let removed = in_charge && decided && notice.member && !known;
         let spare = in_charge && !known && !removed;
         if let Some(leader) = self.leader.as_mut().filter(|_| spare) {
-            leader.note_spare(now, name, address);
+            let place = notice.data_centre.parse().ok();
+            leader.note_spare(now, name, address, place);
         }
         let members = match in_charge {
             true => self.member_addresses(),
--- a/crates/daisyseam-control/src/daemon.rs
+++ b/crates/daisyseam-control/src/daemon.rs
@@ -257,6 +257,7 @@
             let notifier = SpareNotifier {
                 cluster: settings.cluster,
                 own,
+                data_centre: settings.data_centre,
                 addresses: addresses.clone(),
                 report: Arc::clone(&report),
                 dialer,
--- a/crates/daisyseam-control/src/names.rs
+++ b/crates/daisyseam-control/src/names.rs
@@ -21,6 +21,9 @@
         if self.members.as_ref().is_some_and(same) {
             from.clear();
             to.clear();
+            if let Body::Appended(message) = body {
+                message.data_centre.clear();
+            }
         } else {
             self.members = Some((from.clone(), to.clone()));
         }
--- a/crates/daisyseam-control/src/node.rs
+++ b/crates/daisyseam-control/src/node.rs
@@ -281,7 +281,11 @@
         }
     }
 
-    fn take_peer(&mut self, now: Moment, body: Body, route: Option<AnswerSender>) {
+    fn take_peer(&mut self, now: Moment, mut body: Body, route: Option<AnswerSender>) {
+        let place = match &mut body {
+            Body::Appended(answer) => std::mem::take(&mut answer.data_centre).parse().ok(),
+            _ => None,
+        };
         let Some(letter) = from_wire(body) else {
             log::warn!("a message of a member cannot be read");
             return;
@@ -295,6 +299,9 @@
         if let Some(route) = route {
             self.routes.insert(from.clone(), route);
         }
+        if let Some(place) = place {
+            self.core.note_place(from.clone(), place);
+        }
         self.core.receive(now, &from, letter.message);
     }
 
@@ -382,7 +389,10 @@
                 message,
                 LogMessage::Voted(_) | LogMessage::Appended(_) | LogMessage::SnapshotTaken(_)
             );
-            let body = to_wire(&self.me, &to, message);
+            let mut body = to_wire(&self.me, &to, message);
+            if let (Body::Appended(answer), Some(place)) = (&mut body, self.core.data_centre()) {
+                answer.data_centre = place.to_string();
+            }
             match self.routes.get(&to) {
                 // A lost answer is asked for again.
                 Some(route) if answers && !route.is_closed() => drop(route.try_send(body)),
--- a/crates/daisyseam-control/src/notice.rs
+++ b/crates/daisyseam-control/src/notice.rs
@@ -7,6 +7,7 @@
 use arc_swap::ArcSwap;
 use daisyseam_model::{
     ClusterId,
+    DataCentreId,
     InstanceId, //
 };
 use daisyseam_runtime::{
@@ -44,6 +45,7 @@
 pub(crate) struct SpareNotifier {
     pub(crate) cluster: ClusterId,
     pub(crate) own: SocketAddr,
+    pub(crate) data_centre: DataCentreId,
     pub(crate) addresses: ControlAddresses,
     pub(crate) report: Arc<ArcSwap<NodeReport>>,
     pub(crate) dialer: Dialer,
@@ -86,6 +88,7 @@
             instance: name.to_string(),
             address: self.own.to_string(),
             member: report.is_member,
+            data_centre: self.data_centre.to_string(),
         };
         Some((name, notice))
     }
--- a/crates/daisyseam-control/tests/core_support/mod.rs
+++ b/crates/daisyseam-control/tests/core_support/mod.rs
@@ -669,6 +669,7 @@
                 instance: member.name.to_string(),
                 address: address(number).to_string(),
                 member: false,
+                data_centre: String::new(),
             };
             for other in 0..self.members.len() {
                 self.ask(other, Asker::Spare, Body::Spare(notice.clone()));
--- a/crates/daisyseam-control/tests/member_runs.rs
+++ b/crates/daisyseam-control/tests/member_runs.rs
@@ -201,3 +201,27 @@
         assert!(place.now < 800, "it took {} ms", place.now);
     }
 }
+
+/// A spare of another region takes over while a region is dark; once it is back, the voters are
+/// spread again.
+#[test]
+fn voters_are_spread_over_regions_again_after_the_loss_of_one() {
+    let mut place = settled(4, 11);
+    // The only machine of the third region.
+    let dark = VOTERS - 1;
+    place.run(Step::Crash(dark));
+    place.pass(6_000);
+    assert!(
+        place.is_whole() && !place.is_spread(),
+        "{:?}",
+        place.voters()
+    );
+    place.run(Step::Restart(dark));
+    place.pass(6_000);
+    assert!(
+        place.is_whole() && place.is_spread(),
+        "{:?}",
+        place.voters()
+    );
+    decide(&mut place);
+}
--- a/crates/daisyseam-control/tests/member_support/mod.rs
+++ b/crates/daisyseam-control/tests/member_support/mod.rs
@@ -18,7 +18,10 @@
         ReplicatedLog, //
     }, //
 };
-use daisyseam_model::InstanceId;
+use daisyseam_model::{
+    DataCentreId,
+    InstanceId, //
+};
 use daisyseam_wire::{
     Hello,
     SpareNotice,
@@ -227,10 +230,11 @@
         }
         for _ in 0..200 {
             self.pass(100);
-            if self.is_whole() {
+            if self.is_whole() && self.is_spread() {
                 break;
             }
         }
+        assert!(self.is_spread(), "two voters share a region");
         assert!(
             self.is_whole(),
             "the voters are whole again: {}",
@@ -301,6 +305,17 @@
         voters.len() == VOTERS && voters.iter().all(there)
     }
 
+    /// Returns whether all voters run in regions of their own.
+    pub(crate) fn is_spread(&self) -> bool {
+        let voters = self.voters();
+        let numbers = (0..self.machines.len()).filter(|number| {
+            let name = self.machines[*number].name.to_string();
+            voters.contains(&name)
+        });
+        let places: BTreeSet<DataCentreId> = numbers.map(place).collect();
+        places.len() == voters.len()
+    }
+
     pub(crate) fn pass(&mut self, millis: u64) {
         for _ in 0..millis {
             self.now += 1;
@@ -360,6 +375,7 @@
         let settings = CoreSettings {
             snapshot_every: 24,
             repair_after: Duration::from_millis(1_500),
+            data_centre: Some(place(number)),
             ..CoreSettings::new(name, crate::support::cluster())
         };
         machine.core = Some(ControlCore::new(settings, log));
@@ -400,6 +416,7 @@
             instance: machine.name.to_string(),
             address: machine.address.to_string(),
             member: core.is_member(),
+            data_centre: place(number).to_string(),
         };
         for other in 0..self.machines.len() {
             self.send(number, other, LetterBody::Notice(notice.clone()));
@@ -530,6 +547,9 @@
         match body {
             LetterBody::Log(sender, name, message) => {
                 if name == machine.name {
+                    if matches!(*message, LogMessage::Appended(_)) {
+                        core.note_place(sender.clone(), place(from));
+                    }
                     core.receive(now, &sender, *message);
                 }
             }
@@ -615,3 +635,9 @@
         }
     }
 }
+
+/// Three regions take turns.
+fn place(number: usize) -> DataCentreId {
+    let name = format!("khomas-{}", number % VOTERS);
+    name.parse().expect("a sound name")
+}
--- a/crates/daisyseam-wire/src/control.rs
+++ b/crates/daisyseam-wire/src/control.rs
@@ -476,6 +476,9 @@
     /// Whether it is a member by its own log.
     #[prost(bool, tag = "3")]
     pub member: bool,
+    /// Data centre that it runs in.
+    #[prost(string, tag = "4")]
+    pub data_centre: String,
 }
 
 /// What a control instance that no leader speaks to must know.
@@ -585,6 +588,9 @@
     /// Name of the member that it is meant for.
     #[prost(string, tag = "7")]
     pub to: String,
+    /// Data centre of the sender; empty where the names are.
+    #[prost(string, tag = "8")]
+    pub data_centre: String,
 }
 
 /// A piece of a snapshot.
