Answer resent announcements no sooner than their first copy

An announcement that repeats a sequence changes nothing, but its first copy may still be on its way through the log; an answer from memory acknowledged what a lost leader forgets. Every announcement now waits for all that earlier ones brought. A database that leaves and stays after all is believed when its word certainly comes later. A log that ends where its group's present lineage starts counts as having reached a primary that has written nothing yet.

The random run knows primaries that name their own term early, copies that refuse to follow an earlier term, and ends the wait of callers with the next primary.

--- a/crates/daisyseam-control/src/core.rs
+++ b/crates/daisyseam-control/src/core.rs
@@ -130,7 +130,7 @@
     log: ReplicatedLog,
     fleet: FleetState,
     leader: Option<LeaderWork>,
-    waiters: BTreeMap<LogIndex, RequestWaiter>,
+    waiters: BTreeMap<LogIndex, Vec<RequestWaiter>>,
     output: CoreOutput,
     since_snapshot: u64,
     bytes_since_snapshot: usize,
@@ -296,7 +296,7 @@
         if let Some(command) = &command {
             self.note_applied(now, command, &answer);
         }
-        if let Some(waiter) = self.waiters.remove(&entry.index) {
+        for waiter in self.waiters.remove(&entry.index).unwrap_or_default() {
             self.answer_waiter(waiter, entry.term, &answer);
         }
     }
--- a/crates/daisyseam-control/src/core/announcements.rs
+++ b/crates/daisyseam-control/src/core/announcements.rs
@@ -61,11 +61,17 @@
         self.answer_announcement(request, last);
     }
 
+    /// Answers once everything that was announced so far is durable: this may be a resend.
     fn answer_announcement(&mut self, request: RequestId, last: Option<LogIndex>) {
-        match last {
-            Some(index) => self.wait_for(index, request, WaiterKind::Announce),
-            None => self.reply(request, Body::Announced(AnnounceReply {})),
+        let Some(leader) = &mut self.leader else {
+            return self.reply_not_leader(request);
+        };
+        leader.announced_index = leader.announced_index.max(last.unwrap_or_default());
+        let index = leader.announced_index;
+        if self.log.applied() < index {
+            return self.wait_for(index, request, WaiterKind::Announce);
         }
+        self.reply(request, Body::Announced(AnnounceReply {}));
     }
 
     /// Takes an announcement in, and returns what it changes.
@@ -77,7 +83,9 @@
         if leader.is_outdated(&view, &announced) {
             return Vec::new();
         }
-        keep_leaving(&view, &mut announced.command);
+        if !leader.follows_known(&announced) {
+            keep_leaving(&view, &mut announced.command);
+        }
         let superseded = leader.superseded(&view, &announced.command);
         let mut commands = Vec::new();
         for name in superseded {
@@ -136,6 +144,15 @@
                 .any(|(_, born_ms)| command.born_ms < born_ms)
     }
 
+    /// Returns whether an announcement certainly comes after another one of the same process.
+    fn follows_known(&self, announced: &AnnouncedUpstream) -> bool {
+        let known = self.announced.get(&announced.command.upstream);
+        known.is_some_and(|known| {
+            known.command.born_ms == announced.command.born_ms
+                && announced.sequence > known.sequence
+        })
+    }
+
     /// Returns the databases whose address a newer one has taken over.
     fn superseded(&self, view: &FleetView, command: &UpstreamCommand) -> Vec<UpstreamId> {
         let others = self.at_address(view, command);
@@ -215,7 +232,7 @@
     })
 }
 
-/// Keeps a process that said that it leaves as leaving, whatever a late word of it says.
+/// Keeps a process that said that it leaves as leaving: what speaks against it may be late.
 fn keep_leaving(view: &FleetView, command: &mut UpstreamCommand) {
     let known = view.upstreams.get(&command.upstream);
     let same = known.filter(|known| known.born_ms == command.born_ms && known.born_ms != 0);
@@ -229,7 +246,10 @@
         return false;
     }
     let known = view.upstreams.get(&command.upstream);
-    known.is_none_or(|known| known.group == command.group && differs(known, command))
+    known.is_none_or(|known| {
+        let later = known.born_ms <= command.born_ms;
+        later && known.group == command.group && differs(known, command)
+    })
 }
 
 fn differs(known: &UpstreamView, command: &UpstreamCommand) -> bool {
--- a/crates/daisyseam-control/src/core/leader.rs
+++ b/crates/daisyseam-control/src/core/leader.rs
@@ -75,6 +75,8 @@
     pub(super) spares: BTreeMap<InstanceId, (SocketAddr, Moment)>,
     pub(super) upkeep_at: Moment,
     pub(super) upkeep_index: LogIndex,
+    /// Last entry that an announcement brought.
+    pub(super) announced_index: LogIndex,
 }
 
 /// A database as it last announced itself.
@@ -131,6 +133,7 @@
             spares: BTreeMap::new(),
             upkeep_at: now,
             upkeep_index: LogIndex(0),
+            announced_index: LogIndex(0),
         }
     }
 
--- a/crates/daisyseam-control/src/core/requests.rs
+++ b/crates/daisyseam-control/src/core/requests.rs
@@ -144,7 +144,7 @@
             request,
             kind,
         };
-        self.waiters.insert(index, waiter);
+        self.waiters.entry(index).or_default().push(waiter);
     }
 
     fn heartbeat(&mut self, now: Moment, request: RequestId, heartbeat: &Heartbeat) {
@@ -339,9 +339,7 @@
 
     /// Answers everybody who waits for a decision that this instance no longer makes.
     pub(super) fn drop_waiters(&mut self) {
-        let waiters: Vec<(LogIndex, RequestWaiter)> =
-            std::mem::take(&mut self.waiters).into_iter().collect();
-        for (_, waiter) in waiters {
+        for waiter in std::mem::take(&mut self.waiters).into_values().flatten() {
             self.answer_undecided(waiter);
         }
     }
--- a/crates/daisyseam-control/src/core/survey.rs
+++ b/crates/daisyseam-control/src/core/survey.rs
@@ -25,6 +25,7 @@
 use daisyseam_model::{
     FleetView,
     GroupId,
+    GroupView,
     LogPosition,
     Term,
     UpstreamId,
@@ -109,9 +110,14 @@
         note.filter(|note| note.born_ms == upstream.born_ms)
     }
 
-    fn has_reached(&self, name: &UpstreamId, upstream: &UpstreamView, place: LogPosition) -> bool {
+    fn has_reached(
+        &self,
+        facts: &SurveyFacts<'_>,
+        (name, upstream): (&UpstreamId, &UpstreamView),
+        place: LogPosition,
+    ) -> bool {
         let note = self.state(name, upstream);
-        note.is_some_and(|note| note.end >= place)
+        note.is_some_and(|note| facts.group.reaches(note.end, place))
     }
 }
 
@@ -119,7 +125,7 @@
 struct SurveyFacts<'a> {
     members: Vec<(&'a UpstreamId, &'a UpstreamView)>,
     primary: &'a UpstreamId,
-    least: Term,
+    group: &'a GroupView,
     replicas: CommitPolicy,
     /// Members that are not settled.
     unsettled: BTreeSet<&'a UpstreamId>,
@@ -168,7 +174,7 @@
             self.propose_upkeep(now, &command);
         }
         for name in asks {
-            let kind = (CallKind::Survey, facts.least);
+            let kind = (CallKind::Survey, facts.group.lineage_start.term);
             self.call_database(view, group, name, kind, AdminCall::State);
         }
     }
@@ -209,7 +215,7 @@
             departing,
             members,
             primary,
-            least: state.lineage_start.term,
+            group: state,
             replicas,
         })
     }
@@ -224,7 +230,7 @@
 impl GroupSurvey {
     /// Forgets what was meant for another primary.
     fn follow_primary(&mut self, facts: &SurveyFacts<'_>) {
-        let primary = (facts.primary.clone(), facts.least);
+        let primary = (facts.primary.clone(), facts.group.lineage_start.term);
         if self.primary.as_ref() != Some(&primary) {
             *self = Self {
                 primary: Some(primary),
@@ -260,7 +266,7 @@
             return self.state(name, upstream).is_some_and(|note| note.leads);
         }
         let goal = self.goal(name, upstream.born_ms);
-        goal.is_some_and(|goal| self.has_reached(name, upstream, goal))
+        goal.is_some_and(|goal| self.has_reached(facts, (name, upstream), goal))
     }
 
     /// Returns whether each acknowledged commit is on enough databases without this one.
@@ -281,7 +287,7 @@
         let reached = facts.members.iter().filter(|(other, upstream)| {
             let leads = *other == facts.primary;
             let whole = fleet.is_settled(other) && !facts.departing.contains(other);
-            whole && (leads || self.has_reached(other, upstream, goal))
+            whole && (leads || self.has_reached(facts, (other, upstream), goal))
         });
         reached.count() >= needed
     }
--- a/crates/daisyseam-control/tests/core_support/direct.rs
+++ b/crates/daisyseam-control/tests/core_support/direct.rs
@@ -45,6 +45,8 @@
     pub(crate) log: Vec<(u64, u64)>,
     /// Newest term that it knows; the one that it leads, of a primary.
     pub(crate) term: u64,
+    /// Newest term that it led or followed.
+    seen: u64,
     held: u64,
     pub(crate) leads: bool,
     pub(crate) up: bool,
@@ -64,14 +66,20 @@
     /// Its answers to control are lost.
     pub(crate) deaf: bool,
     pub(crate) data_centre: &'static str,
+    /// Whether it names its end in its own term as soon as it leads.
+    pub(crate) early: bool,
     named_at: Option<u64>,
     sees_later_since: Option<u64>,
 }
 
 impl Copy {
     fn end(&self) -> LogPosition {
+        let written = self.log.last().map_or(0, |(term, _)| *term);
         LogPosition {
-            term: Term(self.log.last().map_or(0, |(term, _)| *term)),
+            term: Term(match self.early && self.leads {
+                true => self.term,
+                false => written,
+            }),
             position: Position(self.log.len() as u64),
         }
     }
@@ -127,6 +135,7 @@
             name: format!("copy-{number}"),
             log: vec![(3, 0)],
             term: 3,
+            seen: 3,
             held: 0,
             leads: number == 0,
             up: true,
@@ -142,6 +151,7 @@
             isolated: false,
             deaf: false,
             data_centre: "khomas-1",
+            early: false,
             named_at: None,
             sees_later_since: None,
         };
@@ -181,7 +191,7 @@
         let copy = &mut self.copies[number];
         copy.gone = gone;
         copy.leads = false;
-        copy.term = 0;
+        (copy.term, copy.seen) = (0, 0);
         copy.log.clear();
         true
     }
@@ -243,7 +253,8 @@
             );
             let term = copy.term.max(latest) + 1;
             let copy = &mut self.copies[number];
-            (copy.leads, copy.term, copy.held, copy.named_at) = (true, term, 0, None);
+            (copy.leads, copy.held, copy.named_at) = (true, 0, None);
+            (copy.term, copy.seen) = (term, term);
             let name = copy.name.clone();
             let former = self.led.insert(term, name);
             assert!(former.is_none(), "term {term} has two primaries");
@@ -255,10 +266,10 @@
         if !copy.up || copy.leads || copy.held != 0 || copy.isolated {
             return;
         }
-        let least = copy.term;
+        let least = copy.seen;
         let sources = self.copies.iter().enumerate();
         let sources = sources.filter(|(_, copy)| copy.up && copy.leads && !copy.isolated);
-        let source = sources.filter(|(_, copy)| copy.term >= least || self.raises);
+        let source = sources.filter(|(_, copy)| copy.term >= least);
         let Some((source, _)) = source.max_by_key(|(_, copy)| copy.term) else {
             return;
         };
@@ -272,12 +283,16 @@
         let term = self.copies[source].term;
         let copy = &mut self.copies[number];
         copy.term = copy.term.max(term);
+        copy.seen = term;
         copy.log.truncate(common);
         copy.log.extend(next);
     }
 
     fn acknowledge(&mut self) {
-        for primary in self.copies.iter().filter(|copy| copy.up && copy.leads) {
+        // A later primary may have taken effect: whoever still waits here has given up.
+        let latest = self.latest();
+        let leads = |copy: &&Copy| copy.up && copy.leads && copy.term == latest;
+        for primary in self.copies.iter().filter(leads) {
             for (index, (term, write)) in primary.log.iter().enumerate().rev() {
                 let own = *term == primary.term && *write != 0;
                 if !own || self.acknowledged.contains(write) {
--- a/crates/daisyseam-control/tests/core_support/mod.rs
+++ b/crates/daisyseam-control/tests/core_support/mod.rs
@@ -6,6 +6,7 @@
 use daisyseam_control::{
     AdminCall,
     ControlCore,
+    ControlTuning,
     CoreSettings,
     DatabaseCall,
     RequestId, //
@@ -15,7 +16,6 @@
     log::{
         DurableLog,
         LogMessage,
-        LogSettings,
         LogWrite,
         MemberTable,
         ReplicatedLog, //
@@ -147,6 +147,9 @@
     pub(crate) direct: Option<DirectGroup>,
     /// Whether entries write to them all the time.
     pub(crate) writes: bool,
+    /// Time that a message takes one way, in milliseconds.
+    pub(crate) distance: u64,
+    pub(crate) tuning: ControlTuning,
     seed: u64,
 }
 
@@ -201,6 +204,8 @@
             promotes: 0,
             direct: None,
             writes: false,
+            distance: 1,
+            tuning: ControlTuning::default(),
             seed: 0,
         };
         for number in 0..world.members.len() {
@@ -217,10 +222,12 @@
         let random = ChaCha8Rng::seed_from_u64(self.seed);
         let disk = member.disk.clone();
         let name = member.name.clone();
-        let log = ReplicatedLog::recover(name.clone(), LogSettings::default(), disk, now, random);
+        let log = ReplicatedLog::recover(name.clone(), self.tuning.log.clone(), disk, now, random);
         let settings = CoreSettings {
             snapshot_every: 32,
             repair_after: Duration::from_secs(2),
+            lease: self.tuning.lease,
+            promotion: self.tuning.promotion,
             ..CoreSettings::new(name, crate::support::cluster())
         };
         member.core = Some(ControlCore::new(settings, log));
@@ -302,7 +309,7 @@
         for _ in 0..100 {
             self.pass_until("there is a leader", |world| world.leader().is_some());
             let leader = self.leader().expect("a leader");
-            match self.request(leader, body.clone(), 50) {
+            match self.request(leader, body.clone(), 10 + 40 * self.distance) {
                 None | Some(Body::NotLeader(_)) => self.pass(50),
                 Some(answer) => return answer,
             }
@@ -408,7 +415,8 @@
             for (to, message) in output.early.into_iter().chain(output.late) {
                 let to = self.members.iter().position(|member| member.name == to);
                 let to = to.expect("a member");
-                self.wire.push((self.now + 1, number, to, message));
+                self.wire
+                    .push((self.now + self.distance, number, to, message));
             }
         }
         let member = &mut self.members[number];
@@ -425,11 +433,13 @@
         let output = core.take_output();
         for (request, body) in output.replies {
             if let Some(asker) = self.askers.remove(&(number, request)) {
-                self.replies.push((self.now + 1, asker, number, body));
+                self.replies
+                    .push((self.now + 2 * self.distance - 1, asker, number, body));
             }
         }
         for call in output.calls {
-            self.calls.push((self.now + 2, number, call));
+            self.calls
+                .push((self.now + 2 * self.distance, number, call));
         }
     }
 
--- a/crates/daisyseam-control/tests/direct.rs
+++ b/crates/daisyseam-control/tests/direct.rs
@@ -28,7 +28,10 @@
 
 /// A fleet with a primary and replicas that entries write to, all of them settled.
 fn ready(copies: usize, raises: bool) -> World {
-    let mut world = World::new(3, 0, 2);
+    ready_in(World::new(3, 0, 2), copies, raises)
+}
+
+fn ready_in(mut world: World, copies: usize, raises: bool) -> World {
     world.direct = Some(DirectGroup::new(copies, raises));
     let text = document(1).replace("databases = 3", "acknowledging_replicas = 1");
     world.order(Body::SubmitNewest(SubmitNewestRequest {
@@ -106,6 +109,62 @@
     }
 }
 
+/// A fleet whose members lie far apart.
+fn far() -> World {
+    let mut world = World::new(3, 0, 2);
+    world.distance = 20;
+    world.tuning = daisyseam_control::ControlTuning::wide_area();
+    for member in 0..3 {
+        world.stop(member);
+        world.start(member);
+    }
+    ready_in(world, 3, false)
+}
+
+#[test]
+fn a_crashed_primary_is_replaced_between_areas() {
+    let mut world = far();
+    let former = active(&world);
+    let now = world.now;
+    world
+        .direct
+        .as_mut()
+        .expect("a group")
+        .crash(now, 0, 20_000);
+    let took = moves(&mut world, &former);
+    println!("{took} ms of virtual time");
+    assert!(took < 5_000, "{took} ms of virtual time");
+}
+
+#[test]
+fn a_planned_move_between_areas() {
+    let mut world = far();
+    let former = active(&world);
+    copy(&mut world, &former).leaving = true;
+    let took = moves(&mut world, &former);
+    println!("{took} ms of virtual time");
+    assert!(took < 4_000, "{took} ms of virtual time");
+}
+
+#[test]
+fn a_lost_leader_of_control_between_areas() {
+    let mut world = far();
+    let mut times = Vec::new();
+    for _ in 0..20 {
+        let leader = world.leader().expect("a leader");
+        world.stop(leader);
+        let lost_at = world.now;
+        world.pass_until("another leads", |world| world.leader().is_some());
+        times.push(world.now - lost_at);
+        world.start(leader);
+        world.pass(2_000);
+    }
+    times.sort_unstable();
+    println!("p50 {} ms, greatest {} ms", times[10], times[19]);
+    assert!(times[19] < 3_000, "{times:?}");
+    assert_eq!(group(&world).promotes, 0, "the primary stays");
+}
+
 #[test]
 fn a_planned_move_waits_for_a_copy_that_has_all() {
     for raises in [false, true] {
@@ -119,6 +178,30 @@
     }
 }
 
+#[test]
+fn a_group_without_writes_moves_too() {
+    let mut world = ready(3, false);
+    for copy in &mut world.direct.as_mut().expect("a group").copies {
+        copy.early = true;
+    }
+    let now = world.now;
+    world.direct.as_mut().expect("a group").crash(now, 0, 3_000);
+    let former = active(&world);
+    moves(&mut world, &former);
+    world.writes = false;
+    for _ in 0..3 {
+        let former = active(&world);
+        copy(&mut world, &former).leaving = true;
+        world.pass_until("another is primary", |world| {
+            world.primary(1).is_some_and(|primary| primary != former)
+        });
+        copy(&mut world, &former).leaving = false;
+        world.pass_until("all are settled", |world| settled(world) == 3);
+        world.pass(7_000);
+    }
+    assert_eq!(group(&world).promotes, 4);
+}
+
 #[test]
 fn an_order_on_the_primarys_data_centre_moves_it() {
     let mut world = World::new(3, 0, 2);
@@ -266,6 +349,10 @@
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     let copies = random.random_range(3..=4);
     let mut world = ready(copies, random.random());
+    let early = random.random();
+    for copy in &mut world.direct.as_mut().expect("a group").copies {
+        copy.early = early;
+    }
     for _ in 0..count {
         disturb(&mut world, &mut random, copies);
         let millis = random.random_range(1..1_200);
--- a/crates/daisyseam-control/tests/orders.rs
+++ b/crates/daisyseam-control/tests/orders.rs
@@ -299,6 +299,31 @@
     assert_eq!(before, after, "a repeat is not written");
 }
 
+#[test]
+fn a_resend_is_answered_no_sooner_than_what_it_repeats() {
+    let mut world = direct_world();
+    world.pass_until("the primary is known", |world| active(world).is_some());
+    let leader = world.leader().expect("a leader");
+    for member in (0..3).filter(|member| *member != leader) {
+        world.cut_members.insert(member);
+    }
+    let mut told = report(&world.databases[1]);
+    told.address = "127.0.0.1:5001".to_owned();
+    (told.born_ms, told.sequence, told.leaving) = (1_000, 6, true);
+    let announce = Body::Announce(AnnounceRequest {
+        report: Some(told),
+        gone: false,
+    });
+    for _ in 0..3 {
+        let answer = world.request(leader, announce.clone(), 20);
+        assert_eq!(answer, None, "nothing of it is durable");
+    }
+    world.cut_members.clear();
+    let answer = world.order(announce);
+    assert!(matches!(answer, Body::Announced(_)), "{answer:?}");
+    assert!(upstream(&world, "bookings-1").expect("known").leaving);
+}
+
 #[test]
 fn a_word_of_another_group_or_of_nobody_changes_nothing() {
     let mut world = direct_world();
--- a/crates/daisyseam-coord/src/promotion/direct/election.rs
+++ b/crates/daisyseam-coord/src/promotion/direct/election.rs
@@ -207,9 +207,13 @@
         end: LogPosition,
         fit_only: bool,
     ) -> Option<UpstreamId> {
+        let reaches = |other: LogPosition| {
+            let known = facts.view.is_some_and(|view| view.reaches(other, end));
+            known || other >= end
+        };
         let reached = facts.members.iter().filter(|member| {
             let note = self.note(member);
-            !member.gone && note.is_some_and(|note| note.end >= end)
+            !member.gone && note.is_some_and(|note| reaches(note.end))
         });
         let able = reached.filter(|member| !fit_only || is_fit(member) && !member.shunned);
         let best = able.rev().max_by_key(|member| {
--- a/crates/daisyseam-coord/src/promotion/direct/watch.rs
+++ b/crates/daisyseam-coord/src/promotion/direct/watch.rs
@@ -199,7 +199,7 @@
         }
         // It answers control, but callers cannot reach it.
         let settled = self.active_for(now) >= self.settings.suspect_direct_after;
-        if good && member.shunned && settled {
+        if good && member.shunned && settled && now >= self.move_after {
             return true;
         }
         let every = match good {
--- a/crates/daisyseam-model/src/view.rs
+++ b/crates/daisyseam-model/src/view.rs
@@ -87,6 +87,18 @@
     Active(UpstreamId),
 }
 
+impl GroupView {
+    /// Returns whether a log that ends here has all up to a place that the primary has named.
+    ///
+    /// A primary may name the start of its lineage in its own term before it has written anything;
+    /// others then still end in the term before.
+    pub fn reaches(&self, end: LogPosition, place: LogPosition) -> bool {
+        let unwritten =
+            place.position == self.lineage_start.position && place.term == self.lineage_start.term;
+        end >= place || unwritten && end.position == place.position
+    }
+}
+
 impl PrimaryState {
     /// Returns the database that may take new transactions.
     pub fn active(&self) -> Option<&UpstreamId> {
