--- a/crates/daisyseam-control/tests/direct.rs
+++ b/crates/daisyseam-control/tests/direct.rs
@@ -111,6 +111,10 @@
 
 /// A fleet whose members lie far apart.
 fn far() -> World {
+    ready_in(far_members(), 3, false)
+}
+
+fn far_members() -> World {
     let mut world = World::new(3, 0, 2);
     world.distance = 20;
     world.tuning = daisyseam_control::ControlTuning::wide_area();
@@ -118,7 +122,7 @@
         world.stop(member);
         world.start(member);
     }
-    ready_in(world, 3, false)
+    world
 }
 
 #[test]
@@ -348,7 +352,11 @@
 fn play(seed: u64, count: usize) {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     let copies = random.random_range(3..=4);
-    let mut world = ready(copies, random.random());
+    let world = match random.random_bool(0.3) {
+        true => far_members(),
+        false => World::new(3, 0, 2),
+    };
+    let mut world = ready_in(world, copies, random.random());
     let early = random.random();
     for copy in &mut world.direct.as_mut().expect("a group").copies {
         copy.early = early;
