Decide only on what has been applied

The log counts an entry as applied when it gives it out. Between that and the moment at which the state has it, a new leader began its work on the state before: it could show an older document, fence a group by a view that was already replaced, and take an earlier primary for the last one.

The state now carries the index of its own last entry, and leadership, read points and acknowledgements go by it.

--- a/crates/daisyseam-control/src/core.rs
+++ b/crates/daisyseam-control/src/core.rs
@@ -129,6 +129,8 @@
     settings: CoreSettings,
     log: ReplicatedLog,
     fleet: FleetState,
+    /// Last entry that the fleet's state has in it; the log counts what it gave out.
+    applied: LogIndex,
     leader: Option<LeaderWork>,
     waiters: BTreeMap<LogIndex, Vec<RequestWaiter>>,
     output: CoreOutput,
@@ -159,6 +161,7 @@
             settings,
             log,
             fleet: FleetState::default(),
+            applied: LogIndex(0),
             leader: None,
             waiters: BTreeMap::new(),
             output: CoreOutput::default(),
@@ -267,11 +270,13 @@
             "the view goes back"
         );
         self.fleet = fleet;
+        self.applied = snapshot.index;
         self.since_snapshot = 0;
         self.bytes_since_snapshot = 0;
     }
 
     fn apply_entry(&mut self, now: Moment, entry: &LogEntry) {
+        self.applied = entry.index;
         self.since_snapshot += 1;
         self.bytes_since_snapshot += entry.payload.len();
         if entry.kind != EntryKind::Command {
@@ -337,7 +342,8 @@
         if !leads {
             self.drop_waiters();
         }
-        let ready = self.log.has_committed_own() && self.log.applied() == self.log.commit();
+        // Decisions on an older state would be taken back by what is still to be applied.
+        let ready = self.log.has_committed_own() && self.applied == self.log.commit();
         if leads && self.leader.is_none() && ready {
             log::info!("this instance leads control in term {}", term.0);
             self.leader = Some(LeaderWork::begin(&self.settings, now, term, &self.fleet));
@@ -373,7 +379,7 @@
             leader.prune_notes(now, self.fleet.view());
         }
         self.step_groups(now);
-        let applied = self.log.applied();
+        let applied = self.applied;
         if self
             .leader
             .as_ref()
--- a/crates/daisyseam-control/src/core/announcements.rs
+++ b/crates/daisyseam-control/src/core/announcements.rs
@@ -68,7 +68,7 @@
         };
         leader.announced_index = leader.announced_index.max(last.unwrap_or_default());
         let index = leader.announced_index;
-        if self.log.applied() < index {
+        if self.applied < index {
             return self.wait_for(index, request, WaiterKind::Announce);
         }
         self.reply(request, Body::Announced(AnnounceReply {}));
--- a/crates/daisyseam-control/src/core/requests.rs
+++ b/crates/daisyseam-control/src/core/requests.rs
@@ -383,7 +383,7 @@
     /// Returns whether an answer of this instance may be older than the newest decision.
     pub(super) fn is_stale(&self, now: Moment) -> bool {
         let point = self.log.read_point(now);
-        point.map_or(true, |index| self.log.applied() < index)
+        point.map_or(true, |index| self.applied < index)
     }
 
     fn note_spare(&mut self, now: Moment, spare: &SpareNotice) {
--- a/crates/daisyseam-control/src/core/status.rs
+++ b/crates/daisyseam-control/src/core/status.rs
@@ -50,7 +50,7 @@
                 "leader": self.log.leader().map(ToString::to_string),
                 "term": self.log.term().0,
                 "commit": self.log.commit().0,
-                "applied": self.log.applied().0,
+                "applied": self.applied.0,
                 "voters": names(&members.voters),
                 "learners": names(&members.learners),
                 "spares": self.spare_names(),
--- a/crates/daisyseam-control/tests/core_support/direct.rs
+++ b/crates/daisyseam-control/tests/core_support/direct.rs
@@ -96,6 +96,10 @@
         }
     }
 
+    pub(crate) fn announce_now(&mut self) {
+        self.announce_at = 0;
+    }
+
     fn fence(&mut self, term: u64, raises: bool) -> bool {
         if term <= self.term {
             return false;
@@ -343,7 +347,13 @@
         }
     }
 
-    pub(crate) fn call(&mut self, now: u64, call: &DatabaseCall, cut: bool) -> CallAnswer {
+    pub(crate) fn call(
+        &mut self,
+        now: u64,
+        call: &DatabaseCall,
+        cut: bool,
+        stalls: bool,
+    ) -> CallAnswer {
         let Some(number) = self.position(call.upstream.as_str()) else {
             return CallAnswer::Lost;
         };
@@ -359,6 +369,7 @@
             return CallAnswer::Lost;
         }
         let taken = match &call.call {
+            AdminCall::Fence(_) if stalls => return CallAnswer::Lost,
             AdminCall::Fence(term) => copy.fence(term.0, raises),
             AdminCall::Follow(_) => {
                 copy.held = 0;
--- a/crates/daisyseam-control/tests/core_support/mod.rs
+++ b/crates/daisyseam-control/tests/core_support/mod.rs
@@ -147,6 +147,8 @@
     pub(crate) direct: Option<DirectGroup>,
     /// Whether entries write to them all the time.
     pub(crate) writes: bool,
+    /// Whether calls that stop a database are lost on the way.
+    pub(crate) stalls_fences: bool,
     /// Time that a message takes one way, in milliseconds.
     pub(crate) distance: u64,
     pub(crate) tuning: ControlTuning,
@@ -204,6 +206,7 @@
             promotes: 0,
             direct: None,
             writes: false,
+            stalls_fences: false,
             distance: 1,
             tuning: ControlTuning::default(),
             seed: 0,
@@ -234,6 +237,28 @@
         self.flush(number);
     }
 
+    /// Restarts the only member, and asks it as soon as it leads, before it applies its log.
+    pub(crate) fn ask_before_it_applies(&mut self, body: Body) -> Body {
+        assert_eq!(self.members.len(), 1, "it needs nobody else");
+        let member = &self.members[0];
+        let (name, disk) = (member.name.clone(), member.disk.clone());
+        let random = ChaCha8Rng::seed_from_u64(self.seed);
+        let settings = self.tuning.log.clone();
+        let log = ReplicatedLog::recover(name.clone(), settings, disk, self.moment(), random);
+        let settings = CoreSettings::new(name, crate::support::cluster());
+        let mut core = ControlCore::new(settings, log);
+        let now = Moment::from_millis(self.now + 2_000);
+        core.tick(now);
+        for _ in 0..3 {
+            drop(core.take_log_output());
+            core.synced(now);
+        }
+        assert!(core.log().has_lease(now) && core.log().commit() > core.log().snapshot_index());
+        core.request(now, self.now, RequestId(1), body);
+        let (_, answer) = core.take_output().replies.remove(0);
+        answer
+    }
+
     pub(crate) fn runs(&self, number: usize) -> bool {
         self.members[number].core.is_some()
     }
@@ -508,7 +533,8 @@
     fn call(&mut self, member: usize, call: &DatabaseCall) -> CallAnswer {
         self.promotes += usize::from(matches!(call.call, AdminCall::Promote(_)));
         if let Some(group) = &mut self.direct {
-            return group.call(self.now, call, self.cut_members.contains(&member));
+            let cut = self.cut_members.contains(&member);
+            return group.call(self.now, call, cut, self.stalls_fences);
         }
         let database = self.databases.iter_mut();
         let mut database = database.filter(|database| database.name == call.upstream.as_str());
--- a/crates/daisyseam-control/tests/direct.rs
+++ b/crates/daisyseam-control/tests/direct.rs
@@ -233,7 +233,40 @@
 }
 
 #[test]
-fn nobody_is_named_while_too_few_can_be_stopped() {
+fn nobody_is_named_while_an_instance_may_act_on_the_former() {
+    for delay in 0..10 {
+        let mut world = ready(3, false);
+        world.pass(delay * 20);
+        world.entries[1].cut = true;
+        let now = world.now;
+        let databases = world.direct.as_mut().expect("a group");
+        assert!(databases.wipe(now, 0, 20_000, true));
+        databases.copies[0].announce_now();
+        let until = world.entries[1].lease_until;
+        world.pass_until("another is named", |world| group(world).promotes > 0);
+        assert!(world.now > until, "{} is before {until}", world.now);
+    }
+}
+
+#[test]
+fn a_running_copy_does_not_count_as_stopped() {
+    for delay in 0..10 {
+        let mut world = ready(3, false);
+        world.pass(delay * 30);
+        let former = active(&world);
+        // Control hears nothing of the primary, which goes on with the copies that run.
+        copy(&mut world, &former).cut = true;
+        world.stalls_fences = true;
+        let now = world.now;
+        world.pass(12_000);
+        assert_eq!(group(&world).promotes, 0, "since {now}");
+        world.stalls_fences = false;
+        world.pass_until("another is named", |world| group(world).promotes > 0);
+    }
+}
+
+#[test]
+fn nobody_is_named_while_too_too_few_can_be_stopped() {
     let mut world = ready(3, false);
     let now = world.now;
     let databases = world.direct.as_mut().expect("a group");
--- a/crates/daisyseam-control/tests/orders.rs
+++ b/crates/daisyseam-control/tests/orders.rs
@@ -197,6 +197,17 @@
     assert!(matches!(answer, Some(Body::NotLeader(_))), "{answer:?}");
 }
 
+#[test]
+fn a_leader_that_has_not_applied_its_log_says_nothing() {
+    let mut world = World::new(1, 0, 1);
+    for number in 1..4 {
+        assert!(submit(&mut world, number, &document(number)).acknowledged);
+    }
+    let asked = Body::Source(SourceRequest {});
+    let answer = world.ask_before_it_applies(asked);
+    assert!(matches!(answer, Body::NotLeader(_)), "{answer:?}");
+}
+
 #[test]
 fn a_storm_of_large_documents_does_not_pile_up() {
     let mut world = World::new(1, 0, 1);
