Ask a chosen database again before it is named

A choice now counts only after the database has said once more that its log has what it was chosen for.

--- a/crates/daisyseam-control/tests/core_support/direct.rs
+++ b/crates/daisyseam-control/tests/core_support/direct.rs
@@ -252,8 +252,10 @@
                 .collect();
             assert!(
                 lost.is_empty(),
-                "{} leads without {lost:?} at {now}",
-                copy.name
+                "{} leads without {} commits from {:?} on at {now}",
+                copy.name,
+                lost.len(),
+                lost.first()
             );
             let term = copy.term.max(latest) + 1;
             let copy = &mut self.copies[number];
--- a/crates/daisyseam-coord/src/promotion/direct/election.rs
+++ b/crates/daisyseam-coord/src/promotion/direct/election.rs
@@ -79,6 +79,11 @@
     pub(super) term: Term,
     since: Moment,
     chosen: UpstreamId,
+    /// End for which it was chosen.
+    end: LogPosition,
+    /// Whether it said after the choice that its log still has that: it may have started again.
+    verified: bool,
+    lost: u32,
     accepted: bool,
     refused: bool,
     led: Option<(Term, LogPosition)>,
@@ -261,14 +266,23 @@
         match answer {
             CallAnswer::State(state) => {
                 self.accepted |= kind == CallKind::Promote;
+                if !self.verified {
+                    self.verified = state.end >= self.end;
+                    self.refused |= state.end < self.end;
+                }
                 if state.role == UpstreamRole::Primary && state.promised > base {
                     self.led = Some((state.promised, state.end));
                 }
             }
             CallAnswer::Refused => self.refused |= kind == CallKind::Promote,
-            CallAnswer::Lost => {}
+            CallAnswer::Lost => self.lost += 1,
         }
     }
+
+    /// Returns whether the choice was for nothing, and nobody was named yet.
+    fn is_void(&self) -> bool {
+        !self.verified && self.lost >= FORMER_CALLS
+    }
 }
 
 impl DirectPromotion {
@@ -386,10 +400,19 @@
         view: &GroupView,
         chosen: UpstreamId,
     ) {
+        let DirectStage::Electing(round) = &self.stage else {
+            return;
+        };
+        let Some(note) = round.ends.get(&chosen) else {
+            return;
+        };
         self.stage = DirectStage::Naming(NamingAttempt {
             term: view.term,
             since: now,
             chosen,
+            end: note.end,
+            verified: false,
+            lost: 0,
             accepted: false,
             refused: false,
             led: None,
@@ -412,11 +435,11 @@
             return self.propose_leading(now, facts, view, (chosen, led, end));
         }
         let late = now.since(attempt.since) >= self.settings.promote_direct_for;
-        if attempt.refused || late {
+        if attempt.refused || attempt.is_void() || late {
             return self.propose_fence(now, facts, view, view.term.next());
         }
-        let accepted = attempt.accepted;
-        if !accepted && self.is_due(now, &chosen, CallKind::Promote, NAME_RETRY) {
+        let names = attempt.verified && !attempt.accepted;
+        if names && self.is_due(now, &chosen, CallKind::Promote, NAME_RETRY) {
             let end = LogPosition::default();
             let action = PromotionAction::Promote(chosen.clone(), view.term, end);
             self.actions.push(action);
