Count a stopped database only if it is certainly the process that is known

A database that starts again empty answers before control has heard of its new start. A former primary now sets that end only if it led until it was told to step down; any other counts if its end is the highest, is not below what instances have told of it, or it has announced itself since it stopped.

--- a/crates/daisyseam-control/src/core/groups.rs
+++ b/crates/daisyseam-control/src/core/groups.rs
@@ -235,6 +235,7 @@
             born_ms: upstream.born_ms,
             settled: fleet.is_settled(name),
             gone: self.is_gone(name, upstream.born_ms),
+            least: self.words_of(name).filter_map(|(_, note)| note.end).max(),
             announced: announced.map(|known| (known.state, known.at)),
         }
     }
--- a/crates/daisyseam-control/src/core/leader.rs
+++ b/crates/daisyseam-control/src/core/leader.rs
@@ -95,6 +95,8 @@
     pub(super) reachable: bool,
     pub(super) answered_at: Moment,
     pub(super) holds: bool,
+    /// End of the database's log, if it was told.
+    pub(super) end: Option<LogPosition>,
     /// When it said so.
     pub(super) at: Moment,
 }
@@ -195,6 +197,10 @@
             reachable: report.reachable,
             answered_at: now - Duration::from_millis(report.silent_ms),
             holds: report.held_for_view != 0,
+            end: (report.position != 0).then_some(LogPosition {
+                term: Term(report.term),
+                position: Position(report.position),
+            }),
             at: now,
         };
         let reachable = note.reachable;
--- a/crates/daisyseam-coord/src/promotion/direct/election.rs
+++ b/crates/daisyseam-coord/src/promotion/direct/election.rs
@@ -181,7 +181,7 @@
 
     /// Returns where the former primary stopped, and when that was heard first.
     ///
-    /// A process that has started since only counts if its log is known to be whole.
+    /// It must have led until then: a process that has started since could have an empty log.
     fn stopped_end(
         &self,
         facts: GroupFacts<'_>,
@@ -190,7 +190,7 @@
         let mut members = facts.members.iter();
         let former = members.find(|member| Some(&member.upstream) == former)?;
         let note = self.note(former).filter(|note| note.stopped)?;
-        (former.settled || note.stepped_down).then_some((note.end, note.at))
+        note.stepped_down.then_some((note.end, note.at))
     }
 
     /// Returns what the present process of a database said.
@@ -228,11 +228,26 @@
         best.map(|member| member.upstream.clone())
     }
 
+    /// Returns whether it was certainly the known process of a database that stopped.
+    ///
+    /// One that has just started again, and has not said so, has a shorter log.
+    fn is_whole(&self, member: &MemberFacts, highest: LogPosition) -> bool {
+        let Some(note) = self.note(member) else {
+            return false;
+        };
+        let seen = member.least.is_some_and(|least| note.end >= least);
+        let announced = member.announced.is_some_and(|(_, at)| at >= note.at);
+        note.end >= highest || seen || announced
+    }
+
     /// Chooses the highest end among the stopped, if each acknowledged commit is on one of them.
     fn choose_stopped(&self, facts: GroupFacts<'_>) -> Option<UpstreamId> {
         let stopped = |member: &&MemberFacts| self.note(member).is_some_and(|note| note.stopped);
         let stopped = facts.members.iter().filter(stopped);
-        let counted = stopped.clone().filter(|member| member.settled).count();
+        let highest = stopped.clone().filter_map(|member| self.note(member));
+        let highest = highest.map(|note| note.end).max()?;
+        let counts = |member: &&MemberFacts| member.settled && self.is_whole(member, highest);
+        let counted = stopped.clone().filter(counts).count();
         let present = facts.members.iter().filter(|member| !member.gone).count();
         // Where all are stopped nobody is left who could have more.
         let all = stopped.clone().count() >= present.max(facts.expected).max(1);
--- a/crates/daisyseam-coord/src/promotion/group.rs
+++ b/crates/daisyseam-coord/src/promotion/group.rs
@@ -119,6 +119,8 @@
     pub settled: bool,
     /// Whether it said that it is gone.
     pub gone: bool,
+    /// Highest end of its log that instances have told.
+    pub least: Option<LogPosition>,
     /// What it last said of itself, with the moment.
     pub announced: Option<(AnnouncedState, Moment)>,
 }
--- a/crates/daisyseam-coord/tests/promotion_support/mod.rs
+++ b/crates/daisyseam-coord/tests/promotion_support/mod.rs
@@ -367,6 +367,7 @@
             born_ms: 0,
             settled: true,
             gone: false,
+            least: None,
             announced: Some((announced, database.cut_since.unwrap_or(self.now))),
         }
     }
