--- a/crates/daisyseam-control/src/core/leader.rs
+++ b/crates/daisyseam-control/src/core/leader.rs
@@ -75,6 +75,8 @@
     pub(super) spares: BTreeMap<InstanceId, SpareNote>,
     pub(super) upkeep_at: Moment,
     pub(super) upkeep_index: LogIndex,
+    /// Last entry that an announcement brought.
+    pub(super) announced_index: LogIndex,
 }
 
 /// A database as it last announced itself.
@@ -93,6 +95,8 @@
     pub(super) reachable: bool,
     pub(super) answered_at: Moment,
     pub(super) holds: bool,
+    /// End of the database's log, if it was told.
+    pub(super) end: Option<LogPosition>,
     /// When it said so.
     pub(super) at: Moment,
 }
@@ -131,6 +135,7 @@
             spares: BTreeMap::new(),
             upkeep_at: now,
             upkeep_index: LogIndex(0),
+            announced_index: LogIndex(0),
         }
     }
 
@@ -192,6 +197,10 @@
             reachable: report.reachable,
             answered_at: now - Duration::from_millis(report.silent_ms),
             holds: report.held_for_view != 0,
+            end: (report.position != 0).then_some(LogPosition {
+                term: Term(report.term),
+                position: Position(report.position),
+            }),
             at: now,
         };
         let reachable = note.reachable;
--- a/crates/daisyseam-control/src/core/requests.rs
+++ b/crates/daisyseam-control/src/core/requests.rs
@@ -139,7 +139,7 @@
             request,
             kind,
         };
-        self.waiters.insert(index, waiter);
+        self.waiters.entry(index).or_default().push(waiter);
     }
 
     fn heartbeat(&mut self, now: Moment, request: RequestId, heartbeat: &Heartbeat) {
@@ -335,9 +335,7 @@
 
     /// Answers everybody who waits for a decision that this instance no longer makes.
     pub(super) fn drop_waiters(&mut self) {
-        let waiters: Vec<(LogIndex, RequestWaiter)> =
-            std::mem::take(&mut self.waiters).into_iter().collect();
-        for (_, waiter) in waiters {
+        for waiter in std::mem::take(&mut self.waiters).into_values().flatten() {
             self.answer_undecided(waiter);
         }
     }
@@ -381,7 +379,7 @@
     /// Returns whether an answer of this instance may be older than the newest decision.
     pub(super) fn is_stale(&self, now: Moment) -> bool {
         let point = self.log.read_point(now);
-        point.map_or(true, |index| self.log.applied() < index)
+        point.map_or(true, |index| self.applied < index)
     }
 }
 
--- a/crates/daisyseam-control/tests/core_support/mod.rs
+++ b/crates/daisyseam-control/tests/core_support/mod.rs
@@ -6,6 +6,7 @@
 use daisyseam_control::{
     AdminCall,
     ControlCore,
+    ControlTuning,
     CoreSettings,
     DatabaseCall,
     RequestId, //
@@ -15,7 +16,6 @@
     log::{
         DurableLog,
         LogMessage,
-        LogSettings,
         LogWrite,
         MemberTable,
         ReplicatedLog, //
@@ -148,6 +148,11 @@
     pub(crate) direct: Option<DirectGroup>,
     /// Whether entries write to them all the time.
     pub(crate) writes: bool,
+    /// Whether calls that stop a database are lost on the way.
+    pub(crate) stalls_fences: bool,
+    /// Time that a message takes one way, in milliseconds.
+    pub(crate) distance: u64,
+    pub(crate) tuning: ControlTuning,
     seed: u64,
 }
 
@@ -202,6 +207,9 @@
             promotes: 0,
             direct: None,
             writes: false,
+            stalls_fences: false,
+            distance: 1,
+            tuning: ControlTuning::default(),
             seed: 0,
         };
         for number in 0..world.members.len() {
@@ -218,16 +226,40 @@
         let random = ChaCha8Rng::seed_from_u64(self.seed);
         let disk = member.disk.clone();
         let name = member.name.clone();
-        let log = ReplicatedLog::recover(name.clone(), LogSettings::default(), disk, now, random);
+        let log = ReplicatedLog::recover(name.clone(), self.tuning.log.clone(), disk, now, random);
         let settings = CoreSettings {
             snapshot_every: 32,
             repair_after: Duration::from_secs(2),
+            lease: self.tuning.lease,
+            promotion: self.tuning.promotion,
             ..CoreSettings::new(name, crate::support::cluster())
         };
         member.core = Some(ControlCore::new(settings, log));
         self.flush(number);
     }
 
+    /// Restarts the only member, and asks it as soon as it leads, before it applies its log.
+    pub(crate) fn ask_before_it_applies(&mut self, body: Body) -> Body {
+        assert_eq!(self.members.len(), 1, "it needs nobody else");
+        let member = &self.members[0];
+        let (name, disk) = (member.name.clone(), member.disk.clone());
+        let random = ChaCha8Rng::seed_from_u64(self.seed);
+        let settings = self.tuning.log.clone();
+        let log = ReplicatedLog::recover(name.clone(), settings, disk, self.moment(), random);
+        let settings = CoreSettings::new(name, crate::support::cluster());
+        let mut core = ControlCore::new(settings, log);
+        let now = Moment::from_millis(self.now + 2_000);
+        core.tick(now);
+        for _ in 0..3 {
+            drop(core.take_log_output());
+            core.synced(now);
+        }
+        assert!(core.log().has_lease(now) && core.log().commit() > core.log().snapshot_index());
+        core.request(now, self.now, RequestId(1), body);
+        let (_, answer) = core.take_output().replies.remove(0);
+        answer
+    }
+
     pub(crate) fn runs(&self, number: usize) -> bool {
         self.members[number].core.is_some()
     }
@@ -303,7 +335,7 @@
         for _ in 0..100 {
             self.pass_until("there is a leader", |world| world.leader().is_some());
             let leader = self.leader().expect("a leader");
-            match self.request(leader, body.clone(), 50) {
+            match self.request(leader, body.clone(), 10 + 40 * self.distance) {
                 None | Some(Body::NotLeader(_)) => self.pass(50),
                 Some(answer) => return answer,
             }
@@ -409,7 +441,8 @@
             for (to, message) in output.early.into_iter().chain(output.late) {
                 let to = self.members.iter().position(|member| member.name == to);
                 let to = to.expect("a member");
-                self.wire.push((self.now + 1, number, to, message));
+                self.wire
+                    .push((self.now + self.distance, number, to, message));
             }
         }
         let member = &mut self.members[number];
@@ -426,11 +459,13 @@
         let output = core.take_output();
         for (request, body) in output.replies {
             if let Some(asker) = self.askers.remove(&(number, request)) {
-                self.replies.push((self.now + 1, asker, number, body));
+                self.replies
+                    .push((self.now + 2 * self.distance - 1, asker, number, body));
             }
         }
         for call in output.calls {
-            self.calls.push((self.now + 2, number, call));
+            self.calls
+                .push((self.now + 2 * self.distance, number, call));
         }
     }
 
@@ -499,7 +534,8 @@
     fn call(&mut self, member: usize, call: &DatabaseCall) -> CallAnswer {
         self.promotes += usize::from(matches!(call.call, AdminCall::Promote(_)));
         if let Some(group) = &mut self.direct {
-            return group.call(self.now, call, self.cut_members.contains(&member));
+            let cut = self.cut_members.contains(&member);
+            return group.call(self.now, call, cut, self.stalls_fences);
         }
         let database = self.databases.iter_mut();
         let mut database = database.filter(|database| database.name == call.upstream.as_str());
--- a/crates/daisyseam-coord/src/promotion/direct/election.rs
+++ b/crates/daisyseam-coord/src/promotion/direct/election.rs
@@ -79,6 +79,11 @@
     pub(super) term: Term,
     since: Moment,
     chosen: UpstreamId,
+    /// End for which it was chosen.
+    end: LogPosition,
+    /// Whether it said after the choice that its log still has that: it may have started again.
+    verified: bool,
+    lost: u32,
     accepted: bool,
     refused: bool,
     led: Option<(Term, LogPosition)>,
@@ -176,7 +181,7 @@
 
     /// Returns where the former primary stopped, and when that was heard first.
     ///
-    /// A process that has started since only counts if its log is known to be whole.
+    /// It must have led until then: a process that has started since could have an empty log.
     fn stopped_end(
         &self,
         facts: GroupFacts<'_>,
@@ -185,7 +190,7 @@
         let mut members = facts.members.iter();
         let former = members.find(|member| Some(&member.upstream) == former)?;
         let note = self.note(former).filter(|note| note.stopped)?;
-        (former.settled || note.stepped_down).then_some((note.end, note.at))
+        note.stepped_down.then_some((note.end, note.at))
     }
 
     /// Returns what the present process of a database said.
@@ -207,9 +212,13 @@
         end: LogPosition,
         fit_only: bool,
     ) -> Option<UpstreamId> {
+        let reaches = |other: LogPosition| {
+            let known = facts.view.is_some_and(|view| view.reaches(other, end));
+            known || other >= end
+        };
         let reached = facts.members.iter().filter(|member| {
             let note = self.note(member);
-            !member.gone && note.is_some_and(|note| note.end >= end)
+            !member.gone && note.is_some_and(|note| reaches(note.end))
         });
         let able = reached.filter(|member| !fit_only || is_fit(member) && !member.shunned);
         let best = able.rev().max_by_key(|member| {
@@ -219,11 +228,26 @@
         best.map(|member| member.upstream.clone())
     }
 
+    /// Returns whether it was certainly the known process of a database that stopped.
+    ///
+    /// One that has just started again, and has not said so, has a shorter log.
+    fn is_whole(&self, member: &MemberFacts, highest: LogPosition) -> bool {
+        let Some(note) = self.note(member) else {
+            return false;
+        };
+        let seen = member.least.is_some_and(|least| note.end >= least);
+        let announced = member.announced.is_some_and(|(_, at)| at >= note.at);
+        note.end >= highest || seen || announced
+    }
+
     /// Chooses the highest end among the stopped, if each acknowledged commit is on one of them.
     fn choose_stopped(&self, facts: GroupFacts<'_>) -> Option<UpstreamId> {
         let stopped = |member: &&MemberFacts| self.note(member).is_some_and(|note| note.stopped);
         let stopped = facts.members.iter().filter(stopped);
-        let counted = stopped.clone().filter(|member| member.settled).count();
+        let highest = stopped.clone().filter_map(|member| self.note(member));
+        let highest = highest.map(|note| note.end).max()?;
+        let counts = |member: &&MemberFacts| member.settled && self.is_whole(member, highest);
+        let counted = stopped.clone().filter(counts).count();
         let present = facts.members.iter().filter(|member| !member.gone).count();
         // Where all are stopped nobody is left who could have more.
         let all = stopped.clone().count() >= present.max(facts.expected).max(1);
@@ -257,14 +281,23 @@
         match answer {
             CallAnswer::State(state) => {
                 self.accepted |= kind == CallKind::Promote;
+                if !self.verified {
+                    self.verified = state.end >= self.end;
+                    self.refused |= state.end < self.end;
+                }
                 if state.role == UpstreamRole::Primary && state.promised > base {
                     self.led = Some((state.promised, state.end));
                 }
             }
             CallAnswer::Refused => self.refused |= kind == CallKind::Promote,
-            CallAnswer::Lost => {}
+            CallAnswer::Lost => self.lost += 1,
         }
     }
+
+    /// Returns whether the choice was for nothing, and nobody was named yet.
+    fn is_void(&self) -> bool {
+        !self.verified && self.lost >= FORMER_CALLS
+    }
 }
 
 impl DirectPromotion {
@@ -382,10 +415,19 @@
         view: &GroupView,
         chosen: UpstreamId,
     ) {
+        let DirectStage::Electing(round) = &self.stage else {
+            return;
+        };
+        let Some(note) = round.ends.get(&chosen) else {
+            return;
+        };
         self.stage = DirectStage::Naming(NamingAttempt {
             term: view.term,
             since: now,
             chosen,
+            end: note.end,
+            verified: false,
+            lost: 0,
             accepted: false,
             refused: false,
             led: None,
@@ -408,11 +450,11 @@
             return self.propose_leading(now, facts, view, (chosen, led, end));
         }
         let late = now.since(attempt.since) >= self.settings.promote_direct_for;
-        if attempt.refused || late {
+        if attempt.refused || attempt.is_void() || late {
             return self.propose_fence(now, facts, view, view.term.next());
         }
-        let accepted = attempt.accepted;
-        if !accepted && self.is_due(now, &chosen, CallKind::Promote, NAME_RETRY) {
+        let names = attempt.verified && !attempt.accepted;
+        if names && self.is_due(now, &chosen, CallKind::Promote, NAME_RETRY) {
             let end = LogPosition::default();
             let action = PromotionAction::Promote(chosen.clone(), view.term, end);
             self.actions.push(action);
