Let a new leader act once it has heard every instance, and lease views for two seconds

A new leader waited a whole lease before it finished a change or granted shares, though every instance that can hold either stands in the view and had reported to it after a heartbeat; a restarted process blocked both as long as its former self. Both waits end once all instances are heard. Leases of 1 s were shorter than a change of leader (904 ms at the median, 1,577 ms at most).

--- a/crates/daisyseam-control/src/core/leader.rs
+++ b/crates/daisyseam-control/src/core/leader.rs
@@ -26,6 +26,7 @@
     view_lease::LeaseTable, //
 };
 use daisyseam_model::{
+    FleetView,
     GroupId,
     Incarnation,
     InstanceId,
@@ -53,6 +54,8 @@
 pub(super) struct LeaderWork {
     pub(super) term: LogTerm,
     pub(super) begun: Moment,
+    /// Whether nothing of an earlier leader is waited for any more.
+    has_looked_around: bool,
     /// View in force when the leadership began; every earlier change is finished with it.
     pub(super) begun_view: ViewNumber,
     pub(super) leases: LeaseTable,
@@ -118,6 +121,7 @@
         Self {
             term,
             begun: now,
+            has_looked_around: false,
             begun_view: fleet.view().number,
             leases: LeaseTable::begin(settings.lease, now),
             shares: ShareDesk::new(QuotaLedger::new(term.0, now, settings.lease.span())),
@@ -144,6 +148,22 @@
         self.upkeep_at = self.begun;
     }
 
+    /// Ends the wait for what an earlier leader may have granted once all instances are heard.
+    ///
+    /// Only members of the view can have a lease or shares: one is taken off the view after its
+    /// lease, and a process that joins anew has ended its former self.
+    pub(super) fn look_around(&mut self, now: Moment, view: &FleetView) {
+        if self.has_looked_around {
+            return;
+        }
+        let mut instances = view.instances.values();
+        if instances.all(|instance| self.leases.knows(instance.incarnation)) {
+            self.leases.end_blindness(now);
+        }
+        self.shares.open_if_all_reported(now, view);
+        self.has_looked_around = now.since(self.begun) > self.leases.span();
+    }
+
     pub(super) fn take_call(
         &mut self,
         now: Moment,
--- a/crates/daisyseam-control/src/core/requests.rs
+++ b/crates/daisyseam-control/src/core/requests.rs
@@ -190,6 +190,7 @@
         let report = heartbeat.shares.as_ref().filter(|_| granted.is_ok());
         let view = self.fleet.view();
         let shares = report.and_then(|report| leader.shares.answer(now, view, &holder, report));
+        leader.look_around(now, view);
         let body = Body::HeartbeatReply(HeartbeatReply {
             sequence: heartbeat.sequence,
             lease_ms: u64::try_from(lease.as_millis()).unwrap_or(0),
--- a/crates/daisyseam-control/src/core/shares.rs
+++ b/crates/daisyseam-control/src/core/shares.rs
@@ -38,6 +38,19 @@
         self.ledger.tick(now);
     }
 
+    /// Opens the ledger once every instance of the view has reported to it.
+    pub(super) fn open_if_all_reported(&mut self, now: Moment, view: &FleetView) {
+        let reported = view.instances.iter().all(|(name, instance)| {
+            self.ledger.has_adopted(&HolderId {
+                instance: name.clone(),
+                incarnation: instance.incarnation,
+            })
+        });
+        if reported {
+            self.ledger.open(now);
+        }
+    }
+
     /// Answers a report; nothing to one that is old or cannot be read.
     pub(super) fn answer(
         &mut self,
--- a/crates/daisyseam-control/src/settings.rs
+++ b/crates/daisyseam-control/src/settings.rs
@@ -86,6 +86,10 @@
     pub snapshot_bytes: Option<usize>,
 }
 
+/// Time that a lease on the view holds where members lie in several areas: it outlasts the change
+/// of a leader.
+const WIDE_LEASE: Duration = Duration::from_millis(2_000);
+
 impl ControlSettings {
     /// Returns the settings of an instance that knows others by their addresses only, in several
     /// areas; a spare replaces a member that was silent for two seconds.
@@ -123,6 +127,10 @@
     pub fn wide_area() -> Self {
         Self {
             log: LogSettings::wide_area(),
+            lease: LeaseSettings {
+                duration: WIDE_LEASE,
+                ..LeaseSettings::default()
+            },
             snapshot_bytes: Some(2 << 20),
             ..Self::default()
         }
--- a/crates/daisyseam-coord/src/quota/account.rs
+++ b/crates/daisyseam-coord/src/quota/account.rs
@@ -44,6 +44,11 @@
         }
     }
 
+    /// Lets the free part accrue from a moment on, if that is earlier than when it opens.
+    pub(super) fn open_by(&mut self, now: Moment) {
+        self.pool.start_by(now);
+    }
+
     pub(super) fn total(&self) -> RateShare {
         self.total
     }
--- a/crates/daisyseam-coord/src/quota/bucket.rs
+++ b/crates/daisyseam-coord/src/quota/bucket.rs
@@ -33,6 +33,11 @@
         Self { fine: 0, at }
     }
 
+    /// Lets tokens accrue from a moment on, if that is earlier than the one it starts at.
+    pub(super) fn start_by(&mut self, now: Moment) {
+        self.at = self.at.min(now);
+    }
+
     /// Adds what has accrued since the last call.
     pub(super) fn advance(&mut self, now: Moment, share: RateShare) {
         let passed = now.since(self.at).as_nanos();
--- a/crates/daisyseam-coord/src/quota/ledger.rs
+++ b/crates/daisyseam-coord/src/quota/ledger.rs
@@ -102,6 +102,25 @@
         self.tick(now);
     }
 
+    /// Opens the ledger before its time: every holder of an earlier epoch has reported to this one.
+    pub fn open(&mut self, now: Moment) {
+        if now >= self.open_from {
+            return;
+        }
+        self.open_from = now;
+        for account in self.accounts.values_mut() {
+            account.open_by(now);
+        }
+        self.dirty.extend(self.accounts.keys().cloned());
+        self.tick(now);
+    }
+
+    /// Returns whether a holder has reported under its holding.
+    pub fn has_adopted(&self, holder: &HolderId) -> bool {
+        let known = self.holders.get(holder);
+        known.is_some_and(|known| known.adopted)
+    }
+
     /// Takes a report in and answers it; nothing to a report that is older than another.
     pub fn report(
         &mut self,
--- a/crates/daisyseam-coord/src/view_lease.rs
+++ b/crates/daisyseam-coord/src/view_lease.rs
@@ -108,6 +108,7 @@
 #[derive(Clone, Debug)]
 pub struct LeaseTable {
     settings: LeaseSettings,
+    begun: Moment,
     /// Until then leases of an earlier leader may hold.
     blind_until: Moment,
     rows: BTreeMap<Incarnation, LeaseRow>,
@@ -127,6 +128,7 @@
     pub fn begin(settings: LeaseSettings, now: Moment) -> Self {
         Self {
             settings,
+            begun: now,
             blind_until: now + settings.span(),
             rows: BTreeMap::new(),
         }
@@ -173,8 +175,23 @@
         Ok(self.settings.duration)
     }
 
+    /// Learns that all instances that an earlier leader may have given a lease to have been heard:
+    /// what they may act on stands in the rows.
+    pub fn end_blindness(&mut self, now: Moment) {
+        self.blind_until = self.blind_until.min(now);
+    }
+
+    /// Returns whether an incarnation has been heard, or was given by this leader.
+    pub fn knows(&self, incarnation: Incarnation) -> bool {
+        self.rows.contains_key(&incarnation)
+    }
+
     /// Notes that an incarnation was given just now, so that it is not silent before it speaks.
+    ///
+    /// A former process of the same name has ended: two cannot listen on one address.
     pub fn admit(&mut self, now: Moment, instance: &InstanceId, incarnation: Incarnation) {
+        self.rows
+            .retain(|known, row| *known >= incarnation || row.instance != *instance);
         self.rows.entry(incarnation).or_insert_with(|| LeaseRow {
             instance: instance.clone(),
             view: ViewNumber::default(),
@@ -201,7 +218,7 @@
 
     /// Returns how long nothing was heard of an incarnation; since the start if nothing was.
     pub fn silence(&self, now: Moment, incarnation: Incarnation) -> Duration {
-        let begin = self.blind_until - self.settings.span();
+        let begin = self.begun;
         let heard = self
             .rows
             .get(&incarnation)
