--- a/crates/daisyseam-control/src/core/groups.rs
+++ b/crates/daisyseam-control/src/core/groups.rs
@@ -220,6 +220,9 @@
         let view = fleet.view();
         let announced = self.announced.get(name);
         let announced_silence = now.since(announced.map_or(self.begun, |known| known.at));
+        // What a later process announced may not be in the view yet.
+        let born_ms = announced.map_or(0, |known| known.command.born_ms);
+        let born_ms = born_ms.max(upstream.born_ms);
         let words = match is_reached_directly(view, upstream) {
             true => self.instance_words(now, view, name),
             false => self.holder_word(now, view, name, upstream),
@@ -232,8 +235,8 @@
             denied: words.denied,
             shunned: words.shunned,
             vouched: words.vouched,
-            born_ms: upstream.born_ms,
-            settled: fleet.is_settled(name),
+            born_ms,
+            settled: fleet.is_settled(name) && born_ms == upstream.born_ms,
             gone: self.is_gone(name, upstream.born_ms),
             least: self.words_of(name).filter_map(|(_, note)| note.end).max(),
             announced: announced.map(|known| (known.state, known.at)),
