--- a/crates/daisyseam-engine/src/engine.rs
+++ b/crates/daisyseam-engine/src/engine.rs
@@ -80,11 +80,7 @@
 impl<D: DatabaseConnector, G: RateGate> SessionEngine<D, G> {
     /// Makes an engine without sessions.
     pub fn new(settings: EngineSettings<D, G>) -> Self {
-        let pool = ConnectionPool::new(
-            settings.connector.clone(),
-            settings.data_centre.clone(),
-            settings.timer.clone(),
-        );
+        let pool = ConnectionPool::new(settings.connector.clone(), settings.timer.clone());
         let shared = EngineShared {
             settings,
             pool,
--- a/crates/daisyseam-engine/src/observer.rs
+++ b/crates/daisyseam-engine/src/observer.rs
@@ -79,7 +79,6 @@
     }
 
     fn report(&self, named: ViewNumber, held: &FleetView) -> ObserverReport {
-        self.shared.pool.trim();
         let notes = self.shared.health.notes();
         for upstream in self.shared.health.take_probes() {
             let shared = Arc::clone(&self.shared);
--- a/crates/daisyseam-engine/src/pool.rs
+++ b/crates/daisyseam-engine/src/pool.rs
@@ -1,10 +1,8 @@
 //! Connections to databases, shared by the sessions of this instance.
 
-mod budget;
 mod connection;
 mod upstream;
 
-use self::budget::ConnectionBudget;
 pub(crate) use self::connection::{
     CallEnd,
     PooledConnection,
@@ -25,7 +23,6 @@
     values::SessionValues, //
 };
 use daisyseam_model::{
-    DataCentreId,
     FleetView,
     OrganisationId,
     UpstreamId,
@@ -45,10 +42,12 @@
 };
 use tokio::time::Instant;
 
+/// Part of a database's connections that the instances share out among them, in tenths.
+const SHARED_TENTHS: usize = 9;
+
 /// The connections of this instance, by database.
 pub(crate) struct ConnectionPool<D: DatabaseConnector> {
     connector: D,
-    data_centre: DataCentreId,
     timer: TimerService,
     upstreams: Mutex<HashMap<UpstreamId, Arc<UpstreamPool<D::Connection>>>>,
     turns: AtomicU64,
@@ -84,10 +83,9 @@
 
 impl<D: DatabaseConnector> ConnectionPool<D> {
     /// Makes a pool without connections.
-    pub(crate) fn new(connector: D, data_centre: DataCentreId, timer: TimerService) -> Self {
+    pub(crate) fn new(connector: D, timer: TimerService) -> Self {
         Self {
             connector,
-            data_centre,
             timer,
             upstreams: Mutex::default(),
             turns: AtomicU64::new(0),
@@ -149,14 +147,6 @@
         pool.map_or_else(UpstreamLoad::default, |pool| pool.load())
     }
 
-    /// Closes idle connections above the shares that have not been used of late.
-    pub(crate) fn trim(&self) {
-        let upstreams: Vec<_> = self.upstreams.lock().values().cloned().collect();
-        for pool in upstreams {
-            pool.trim();
-        }
-    }
-
     /// Closes the connections to a database that nobody uses.
     pub(crate) fn close_idle(&self, upstream: &UpstreamId) {
         let pool = self.upstreams.lock().get(upstream).cloned();
@@ -177,7 +167,7 @@
                 closed.push((Arc::clone(pool), true));
                 return false;
             };
-            pool.set_budget(ConnectionBudget::of(view, &self.data_centre, name, named));
+            pool.set_budget(budget(view, named));
             let shut = is_shut(view, name, named);
             pool.set_shut(shut);
             if shut {
@@ -205,10 +195,7 @@
         if let Some(pool) = known {
             return Arc::clone(pool);
         }
-        let pool = Arc::new(UpstreamPool::new(
-            named,
-            ConnectionBudget::of(view, &self.data_centre, name, named),
-        ));
+        let pool = Arc::new(UpstreamPool::new(named, budget(view, named)));
         let former = upstreams.insert(name.clone(), Arc::clone(&pool));
         drop(upstreams);
         if let Some(former) = former {
@@ -224,3 +211,12 @@
     let leaving = named.leaving && present_primary(view, &named.group) != Some(name);
     leaving || !view.in_service(&named.data_centre)
 }
+
+/// Returns this instance's share of a database's connections.
+fn budget(view: &FleetView, named: &UpstreamView) -> usize {
+    let document = view.document.as_ref();
+    let group = document.and_then(|document| document.groups.get(&named.group));
+    let slots = group.map_or(0, |group| group.slots);
+    let shared = slots * SHARED_TENTHS / 10;
+    (shared / view.instances.len().max(1)).max(1)
+}
--- a/crates/daisyseam-engine/src/pool/upstream.rs
+++ b/crates/daisyseam-engine/src/pool/upstream.rs
@@ -1,11 +1,8 @@
 //! The connections to one database.
 
-use super::{
-    budget::ConnectionBudget,
-    connection::{
-        DatabaseLink,
-        PooledConnection, //
-    }, //
+use super::connection::{
+    DatabaseLink,
+    PooledConnection, //
 };
 use crate::{
     DatabaseConnection,
@@ -19,16 +16,9 @@
 use std::{
     collections::VecDeque,
     net::SocketAddr,
-    sync::Arc,
-    time::Duration, //
+    sync::Arc, //
 };
-use tokio::{
-    sync::oneshot,
-    time::Instant, //
-};
-
-/// Time after which an idle connection above the share is closed.
-const SURPLUS_IDLE: Duration = Duration::from_millis(500);
+use tokio::sync::oneshot;
 
 /// The connections to one process of a database, within this instance's budget.
 pub(super) struct UpstreamPool<C: DatabaseConnection> {
@@ -52,7 +42,7 @@
     retired: bool,
     /// Whether nothing is kept idle.
     shut: bool,
-    budget: ConnectionBudget,
+    budget: usize,
     /// Places that are lent: connections in use and those being opened.
     lent: usize,
     /// Least recently used first.
@@ -64,7 +54,6 @@
 
 struct IdleLink<C> {
     organisation: Option<OrganisationId>,
-    since: Instant,
     link: DatabaseLink<C>,
 }
 
@@ -96,7 +85,7 @@
 }
 
 impl<C: DatabaseConnection> UpstreamPool<C> {
-    pub(super) fn new(named: &UpstreamView, budget: ConnectionBudget) -> Self {
+    pub(super) fn new(named: &UpstreamView, budget: usize) -> Self {
         Self {
             address: named.address,
             born_ms: named.born_ms,
@@ -121,16 +110,18 @@
     pub(super) fn load(&self) -> UpstreamLoad {
         let state = self.state.lock();
         UpstreamLoad {
-            full: state.lent >= state.budget.most,
+            full: state.lent >= state.budget,
             lent: state.lent,
             last_turn: state.last_turn,
         }
     }
 
-    pub(super) fn set_budget(self: &Arc<Self>, budget: ConnectionBudget) {
+    pub(super) fn set_budget(self: &Arc<Self>, budget: usize) {
         let mut state = self.state.lock();
         state.budget = budget;
-        let surplus = state.take_surplus(budget.most);
+        let keep = budget.saturating_sub(state.lent);
+        let surplus = state.idle.len().saturating_sub(keep);
+        let surplus: Vec<_> = state.idle.drain(..surplus).collect();
         drop(state);
         drop(surplus);
         while let Some(waiter) = self.next_place() {
@@ -138,18 +129,6 @@
         }
     }
 
-    /// Closes idle connections above the share that have not been used of late.
-    pub(super) fn trim(&self) {
-        let mut state = self.state.lock();
-        let now = Instant::now();
-        let old = |idle: &&IdleLink<C>| now.duration_since(idle.since) >= SURPLUS_IDLE;
-        let old = state.idle.iter().take_while(old).count();
-        let most = state.budget.keep.max(state.used() - old);
-        let surplus = state.take_surplus(most);
-        drop(state);
-        drop(surplus);
-    }
-
     /// Says whether connections that come back are kept.
     pub(super) fn set_shut(&self, shut: bool) {
         self.state.lock().shut = shut;
@@ -220,7 +199,7 @@
         link: DatabaseLink<C>,
     ) {
         let mut state = self.state.lock();
-        if state.retired || state.shut || state.used() > state.budget.most {
+        if state.retired || state.shut || state.used() > state.budget {
             drop(state);
             // The connection is closed before its place can be given on.
             drop(link);
@@ -230,11 +209,7 @@
         let Some(waiter) = state.next_waiter() else {
             state.lent -= 1;
             place.held = false;
-            state.idle.push(IdleLink {
-                organisation,
-                since: Instant::now(),
-                link,
-            });
+            state.idle.push(IdleLink { organisation, link });
             return;
         };
         drop(state);
@@ -251,7 +226,7 @@
     /// Counts a place for the next that waits, if there is one and the budget has room.
     fn next_place(&self) -> Option<Waiter<C>> {
         let mut state = self.state.lock();
-        if state.retired || state.used() >= state.budget.most {
+        if state.retired || state.used() >= state.budget {
             return None;
         }
         let waiter = state.next_waiter()?;
@@ -288,13 +263,6 @@
         Some(self.idle.remove(index).link)
     }
 
-    /// Takes the idle connections out that lie above a number, least recently used first.
-    fn take_surplus(&mut self, most: usize) -> Vec<IdleLink<C>> {
-        let keep = most.saturating_sub(self.lent);
-        let surplus = self.idle.len().saturating_sub(keep);
-        self.idle.drain(..surplus).collect()
-    }
-
     /// Returns the first that still waits.
     fn next_waiter(&mut self) -> Option<Waiter<C>> {
         loop {
@@ -306,10 +274,10 @@
     }
 
     fn make_room(&mut self) -> Room<C> {
-        if self.used() < self.budget.most {
+        if self.used() < self.budget {
             return Room::Free;
         }
-        if self.idle.is_empty() || self.lent >= self.budget.most {
+        if self.idle.is_empty() || self.lent >= self.budget {
             return Room::None;
         }
         Room::Evicted(self.idle.remove(0).link)
--- a/crates/daisyseam-engine/src/times.rs
+++ b/crates/daisyseam-engine/src/times.rs
@@ -13,7 +13,7 @@
 
 /// Part of the time within which an operation should be answered for which it waits for a primary,
 /// as a divisor.
-const PRIMARY_WAIT_DIVISOR: u32 = 4;
+const PRIMARY_WAIT_DIVISOR: u32 = 1;
 
 /// Part of it for which it waits for a connection, as a divisor.
 const QUEUE_WAIT_DIVISOR: u32 = 4;
