Compare news of health with the moment that was asked for

Cause: a database that was told to be out of reach and answers again is news at once. The wait for news read the clock, and the question when news is due read it again, a little later, so the news was never due and the timer never in the future: a loop that never yields. Every entry stood still from then on, until it was killed.

With a paused clock both readings are equal, so no test saw it.

--- a/crates/daisyseam-engine/src/health.rs
+++ b/crates/daisyseam-engine/src/health.rs
@@ -1,5 +1,8 @@
 //! How the databases have answered this instance of late.
 
+#[cfg(test)]
+mod tests;
+
 use daisyseam_model::{
     UpstreamId,
     ViewNumber, //
@@ -213,9 +216,9 @@
         probes.collect()
     }
 
-    /// Returns when control should be told of a change; none while there is none to come.
-    pub(crate) fn news_at(&self) -> Option<Instant> {
-        let now = Instant::now();
+    /// Returns when control should be told of a change, `now` if it should be at once; none while
+    /// there is none to come.
+    pub(crate) fn news_at(&self, now: Instant) -> Option<Instant> {
         let upstreams = self.upstreams.lock();
         let moments = upstreams.values().filter_map(|health| health.news_at(now));
         moments.min()
--- a/crates/daisyseam-engine/src/observer.rs
+++ b/crates/daisyseam-engine/src/observer.rs
@@ -66,7 +66,7 @@
         let timer = &self.shared.settings.timer;
         loop {
             let now = Instant::now();
-            let due = self.shared.health.news_at();
+            let due = self.shared.health.news_at(now);
             if due.is_some_and(|due| due <= now) {
                 return;
             }
