Let tasks whose waits are over at once give way to others

Cause: a ticket of the timer that is ready at once took no part in cooperative scheduling, so a loop of such waits kept its thread for ever (as the wait for news of health did until it was mended).

Ruled out: a check in each loop; the timer is the one place through which all of them go.

Before: the new test ends with 10,000 turns without another task.

--- a/crates/daisyseam-runtime/src/timer.rs
+++ b/crates/daisyseam-runtime/src/timer.rs
@@ -9,13 +9,17 @@
     task::{
         Context,
         Poll,
-        Waker, //
+        Waker,
+        ready, //
     },
     time::Duration, //
 };
 use tokio::{
     sync::Notify,
-    task::AbortHandle,
+    task::{
+        AbortHandle,
+        coop::poll_proceed, //
+    },
     time::{
         Instant,
         sleep_until, //
@@ -92,7 +96,10 @@
     type Output = ();
 
     fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<()> {
+        // A loop of waits that are over at once gives way to other tasks all the same.
+        let budget = ready!(poll_proceed(context));
         if Instant::now() >= self.moment {
+            budget.made_progress();
             return Poll::Ready(());
         }
         let number = self
--- a/crates/daisyseam-runtime/tests/timer.rs
+++ b/crates/daisyseam-runtime/tests/timer.rs
@@ -49,3 +49,19 @@
     let ticket = TimerService::start().after(millis(5));
     ticket.await;
 }
+
+/// A loop whose waits are all over at once must not keep other tasks of the thread from running.
+#[tokio::test]
+async fn waits_that_are_over_let_other_tasks_run() {
+    const TURNS_MAX: usize = 10_000;
+    let timer = TimerService::start();
+    let other = tokio::spawn(async {});
+    let past = Instant::now();
+    for _ in 0..TURNS_MAX {
+        timer.at(past).await;
+        if other.is_finished() {
+            return;
+        }
+    }
+    panic!("{TURNS_MAX} waits were over, and no other task has run");
+}
