Follow a hint to a leader of a newer term although it failed before

A trial with logs shows why: entries start some 0.4 s before the members of control, so each tries one or two of them in vain. Five of nine entries had tried the member that was elected later. An entry did not follow a hint to an instance that had failed within five seconds, and asked it after all others, which answered; so those five came back exactly five seconds after their failure (35.15 s: failed; 36.66 s: leads; 40.3 to 40.7 s: welcomed). As they had not reported, the ledger of rates stayed shut for the others too, until its lease was over (38.8 s).

Now a failure is kept with the highest term that was heard of by then. A leader that is named in a newer term is asked at once, and a failure is forgotten after one second.

Ruled out: refused connections of databases. No TOOMANY was seen after the loss of power; the first connections were asked for at 39.1 s.

Tests: three of the four new ones fail with the former rule.

--- a/crates/daisyseam-member/src/control_client/search.rs
+++ b/crates/daisyseam-member/src/control_client/search.rs
@@ -10,7 +10,7 @@
 use tokio::time::Instant;
 
 /// Time for which an instance that did not answer is asked after the others.
-const FAILURE_MEMORY: Duration = Duration::from_secs(5);
+const FAILURE_MEMORY: Duration = Duration::from_secs(1);
 
 /// Most hints that are followed without a pause.
 const HINTS_MAX: u32 = 2;
@@ -22,7 +22,17 @@
     hint: Option<SocketAddr>,
     /// Hints that were followed one after the other.
     hints: u32,
-    failed: BTreeMap<SocketAddr, Instant>,
+    /// Highest term of control that was heard of.
+    term: u64,
+    failed: BTreeMap<SocketAddr, Failure>,
+}
+
+/// An instance that did not answer.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct Failure {
+    at: Instant,
+    /// Highest term that was heard of by then.
+    term: u64,
 }
 
 impl LeaderSearch {
@@ -32,6 +42,7 @@
             turn: rand::rng().random_range(0..1_000),
             hint: None,
             hints: 0,
+            term: 0,
             failed: BTreeMap::new(),
         }
     }
@@ -44,7 +55,7 @@
         }
         self.hints = 0;
         self.failed
-            .retain(|_, failed| now < *failed + FAILURE_MEMORY);
+            .retain(|_, failed| now < failed.at + FAILURE_MEMORY);
         let mut known = self.addresses.list();
         self.turn += 1;
         let turn = self.turn % known.len().max(1);
@@ -54,20 +65,39 @@
         known.first().copied()
     }
 
-    /// Learns that an instance does not lead, and whom it follows.
-    pub(super) fn named(&mut self, target: SocketAddr, leader: Option<SocketAddr>) {
+    /// Learns that an instance does not lead, and whom it follows in which term.
+    ///
+    /// A leader of a term that is newer than its failure is asked all the same: it answers others.
+    pub(super) fn named(
+        &mut self,
+        target: SocketAddr,
+        leader: Option<SocketAddr>,
+        term: u64,
+        now: Instant,
+    ) {
+        self.term = self.term.max(term);
         self.failed.remove(&target);
         // Two that follow each other are not asked again without a pause.
-        let leader = leader.filter(|_| self.hints < HINTS_MAX);
-        self.hint = leader.filter(|leader| *leader != target && !self.failed.contains_key(leader));
+        let leader = leader.filter(|leader| *leader != target && self.hints < HINTS_MAX);
+        self.hint = leader.filter(|leader| !self.has_failed(*leader, term, now));
+    }
+
+    /// Returns whether an instance did not answer a short while ago, in this term or a later one.
+    fn has_failed(&self, target: SocketAddr, term: u64, now: Instant) -> bool {
+        let failed = self.failed.get(&target);
+        failed.is_some_and(|failed| now < failed.at + FAILURE_MEMORY && term <= failed.term)
     }
 
     /// Learns that an instance did not answer.
     pub(super) fn failed(&mut self, target: SocketAddr, now: Instant) {
-        self.failed.insert(target, now);
+        let term = self.term;
+        self.failed.insert(target, Failure { at: now, term });
     }
 
     pub(super) fn has_hint(&self) -> bool {
         self.hint.is_some()
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/daisyseam-member/src/control_client/search/tests.rs
@@ -0,0 +1,65 @@
+//! Which instance is asked after failures and hints, with moments that the tests choose.
+
+use super::LeaderSearch;
+use daisyseam_runtime::ControlAddresses;
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
+use tokio::time::Instant;
+
+fn address(number: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 7_000 + number))
+}
+
+fn search_of(count: u16) -> LeaderSearch {
+    LeaderSearch::new(ControlAddresses::new((1..=count).map(address).collect()))
+}
+
+#[test]
+fn a_leader_of_a_newer_term_is_asked_although_it_failed_before() {
+    let now = Instant::now();
+    let mut search = search_of(3);
+    // It started a moment later than this instance.
+    search.failed(address(2), now);
+    let soon = now + Duration::from_millis(200);
+    search.named(address(1), Some(address(2)), 3, soon);
+    assert!(search.has_hint());
+    assert_eq!(search.next(soon), Some(address(2)));
+}
+
+#[test]
+fn a_leader_that_failed_in_its_term_is_not_asked_at_once() {
+    let now = Instant::now();
+    let mut search = search_of(3);
+    search.named(address(1), Some(address(2)), 3, now);
+    assert_eq!(search.next(now), Some(address(2)));
+    search.failed(address(2), now);
+    search.named(address(3), Some(address(2)), 3, now);
+    assert!(!search.has_hint(), "its followers do not know yet");
+    search.named(address(3), Some(address(2)), 4, now);
+    assert!(search.has_hint(), "it was elected anew");
+}
+
+#[test]
+fn a_leader_that_failed_is_asked_again_after_a_second() {
+    let now = Instant::now();
+    let mut search = search_of(3);
+    search.named(address(1), Some(address(2)), 3, now);
+    search.failed(address(2), now);
+    let later = now + Duration::from_millis(1_000);
+    search.named(address(3), Some(address(2)), 3, later);
+    assert_eq!(search.next(later), Some(address(2)));
+}
+
+#[test]
+fn an_instance_that_failed_is_asked_after_the_others() {
+    let now = Instant::now();
+    let mut search = search_of(3);
+    search.failed(address(1), now);
+    search.failed(address(3), now + Duration::from_millis(10));
+    let soon = now + Duration::from_millis(20);
+    assert_eq!(search.next(soon), Some(address(2)));
+    search.failed(address(2), soon);
+    assert_eq!(search.next(soon), Some(address(1)), "the longest ago");
+}
--- a/crates/daisyseam-member/src/control_client/session.rs
+++ b/crates/daisyseam-member/src/control_client/session.rs
@@ -39,8 +39,13 @@
 
 /// Why a session ended.
 pub(super) enum SessionEnd {
-    /// Another instance leads; its address, if it is known.
-    NotLeader(Option<SocketAddr>),
+    /// Another instance leads.
+    NotLeader {
+        /// Its address, if it is known.
+        leader: Option<SocketAddr>,
+        /// Term of control in which it is named.
+        term: u64,
+    },
     /// The connection failed or made no sense.
     Failed(String),
 }
@@ -53,7 +58,10 @@
 
 impl From<NotLeader> for SessionEnd {
     fn from(message: NotLeader) -> Self {
-        Self::NotLeader(message.leader.parse().ok())
+        Self::NotLeader {
+            leader: message.leader.parse().ok(),
+            term: message.term,
+        }
     }
 }
 
