Count the place of a database that left the list and may still run

Traced: a replica was cut from control and from the primary for 15 s, so it was dropped as lost; it reached the primary again while control still heard nothing of it, and commits were acknowledged by the primary and that replica only. The list then had two databases, so one stopped copy was taken for enough when the primary crashed.

Ruled out: the survey's goals (the copy that was chosen had been settled and its end was told truly), and late answers of a stop.

DropUpstream now leaves a vacant place in the log. It counts in the number of databases that must be stopped until the database announces itself, another one does so at its address, or the leader has known it for 60 s (ForgetUpstream). The price is that a crashed primary is waited for while a place is vacant.

--- a/crates/daisyseam-control/src/core.rs
+++ b/crates/daisyseam-control/src/core.rs
@@ -13,6 +13,7 @@
 mod spares;
 mod status;
 mod survey;
+mod vacancies;
 
 use self::leader::LeaderWork;
 use crate::admin::AdminCall;
@@ -404,6 +405,7 @@
         self.update_holders(now);
         self.drop_departed(now);
         self.survey_groups(now);
+        self.forget_vacant(now);
         self.repair_members(now);
     }
 }
--- a/crates/daisyseam-control/src/core/groups.rs
+++ b/crates/daisyseam-control/src/core/groups.rs
@@ -118,6 +118,7 @@
             view: state,
             members,
             expected: entry.databases,
+            vacant: self.fleet.vacant().filter(|(_, of)| *of == group).count(),
             commit: entry.commit,
             confirmed: moving && leader.leases.is_finished(now, changed),
             open_transactions: open.and_then(|state| leader.open(view, group, state.term)),
--- a/crates/daisyseam-control/src/core/leader.rs
+++ b/crates/daisyseam-control/src/core/leader.rs
@@ -73,6 +73,8 @@
     /// What each instance last said of each database that it reaches.
     pub(super) health: BTreeMap<UpstreamId, BTreeMap<InstanceId, HealthNote>>,
     pub(super) surveys: BTreeMap<GroupId, GroupSurvey>,
+    /// Since when this leader knows of databases that are on the list no more.
+    pub(super) vacant: BTreeMap<UpstreamId, Moment>,
     pub(super) open: BTreeMap<(Incarnation, GroupId), OpenNote>,
     pub(super) leaving: BTreeSet<Incarnation>,
     pub(super) spares: BTreeMap<InstanceId, SpareNote>,
@@ -134,6 +136,7 @@
             departed: BTreeMap::new(),
             health: BTreeMap::new(),
             surveys: BTreeMap::new(),
+            vacant: BTreeMap::new(),
             open: BTreeMap::new(),
             leaving: BTreeSet::new(),
             spares: BTreeMap::new(),
--- a/crates/daisyseam-control/tests/direct.rs
+++ b/crates/daisyseam-control/tests/direct.rs
@@ -304,6 +304,52 @@
     assert!(group(&world).acknowledged.len() > before, "it takes writes");
 }
 
+#[test]
+fn a_copy_that_left_the_list_while_it_ran_counts_until_it_is_forgotten() {
+    let mut world = ready(3, false);
+    let silent = copy(&mut world, "copy-1");
+    (silent.cut, silent.isolated) = (true, true);
+    world.pass_until("it is dropped", |world| {
+        world.entries[1].view.upstreams.len() == 2
+    });
+    // Control still hears nothing of it, but commits are on it and on the primary only.
+    copy(&mut world, "copy-1").isolated = false;
+    copy(&mut world, "copy-2").isolated = true;
+    let before = group(&world).acknowledged.len();
+    world.pass(5_000);
+    assert!(group(&world).acknowledged.len() > before, "it takes writes");
+    let now = world.now;
+    world.direct.as_mut().expect("a group").crash(now, 0, 9_000);
+    world.pass(8_000);
+    assert_eq!(
+        group(&world).promotes,
+        0,
+        "the log of the primary is missed"
+    );
+    world.direct.as_mut().expect("a group").mend();
+    world.pass_until("the primary is back", |world| world.primary(1).is_some());
+    world.pass_until("all are settled", |world| settled(world) == 3);
+}
+
+#[test]
+fn a_copy_that_left_the_list_is_forgotten_after_long() {
+    let mut world = ready(3, false);
+    let now = world.now;
+    let databases = world.direct.as_mut().expect("a group");
+    databases.crash(now, 2, 900_000);
+    world.pass_until("it is dropped", |world| {
+        world.entries[1].view.upstreams.len() == 2
+    });
+    world.pass(62_000);
+    let former = active(&world);
+    let now = world.now;
+    let databases = world.direct.as_mut().expect("a group");
+    databases.crash(now, 0, 900_000);
+    world.pass_until("another is named", |world| {
+        world.active().is_some_and(|primary| primary != former)
+    });
+}
+
 #[test]
 fn a_primary_that_only_entries_miss_is_moved() {
     let mut world = ready(3, false);
--- a/crates/daisyseam-coord/src/fleet/command.rs
+++ b/crates/daisyseam-coord/src/fleet/command.rs
@@ -26,8 +26,10 @@
     Leave(LeaveCommand),
     /// A database announced itself, or said something new.
     Upstream(UpstreamCommand),
-    /// A database is taken off the list.
+    /// A database is taken off the list; its place counts until it is taken or forgotten.
     DropUpstream(UpstreamId),
+    /// The place of a database that was taken off the list counts no longer.
+    ForgetUpstream(UpstreamId),
     /// A group's term or primary changes.
     Group(GroupCommand),
     /// The holder of a database changes.
--- a/crates/daisyseam-coord/src/fleet/record.rs
+++ b/crates/daisyseam-coord/src/fleet/record.rs
@@ -12,7 +12,8 @@
     SettleCommand,
     SubmitCommand,
     SubmitNewestCommand,
-    UpstreamCommand, //
+    UpstreamCommand,
+    state::VacantPlace, //
 };
 use bytes::Bytes;
 use daisyseam_model::{
@@ -75,6 +76,7 @@
                 born_ms: command.born_ms,
             }),
             Self::DropUpstream(upstream) => Body::DropUpstream(upstream.to_string()),
+            Self::ForgetUpstream(upstream) => Body::ForgetUpstream(upstream.to_string()),
             Self::Group(command) => Body::Group(GroupChangeRecord {
                 expected: command.expected.0,
                 group: Some(GroupRecord::of(
@@ -138,6 +140,7 @@
                 born_ms: record.born_ms,
             }),
             Body::DropUpstream(name) => Self::DropUpstream(read(&name)?),
+            Body::ForgetUpstream(name) => Self::ForgetUpstream(read(&name)?),
             Body::Group(record) => {
                 let expected = Term(record.expected);
                 let record = record.group?;
@@ -207,6 +210,15 @@
                     born_ms: *born_ms,
                 })
                 .collect(),
+            vacant: self
+                .vacant
+                .iter()
+                .map(|(upstream, place)| VacantRecord {
+                    upstream: upstream.to_string(),
+                    group: place.group.to_string(),
+                    address: place.address.to_string(),
+                })
+                .collect(),
         };
         Bytes::from(record.encode_to_vec())
     }
@@ -251,6 +263,13 @@
                 .settled
                 .insert(read(&record.upstream)?, record.born_ms);
         }
+        for record in &record.vacant {
+            let place = VacantPlace {
+                group: read(&record.group)?,
+                address: read(&record.address)?,
+            };
+            state.vacant.insert(read(&record.upstream)?, place);
+        }
         state.view = Arc::new(view);
         Some(state)
     }
@@ -258,7 +277,7 @@
 
 #[derive(Clone, PartialEq, prost::Message)]
 struct CommandRecord {
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
     body: Option<Body>,
 }
 
@@ -284,6 +303,8 @@
     Evacuate(EvacuateRecord),
     #[prost(message, tag = "10")]
     Settle(SettledRecord),
+    #[prost(string, tag = "11")]
+    ForgetUpstream(String),
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -330,6 +351,16 @@
     born_ms: u64,
 }
 
+#[derive(Clone, PartialEq, prost::Message)]
+struct VacantRecord {
+    #[prost(string, tag = "1")]
+    upstream: String,
+    #[prost(string, tag = "2")]
+    group: String,
+    #[prost(string, tag = "3")]
+    address: String,
+}
+
 #[derive(Clone, PartialEq, prost::Message)]
 struct LeaveRecord {
     #[prost(string, tag = "1")]
@@ -376,6 +407,8 @@
     evacuated: Vec<String>,
     #[prost(message, repeated, tag = "8")]
     settled: Vec<SettledRecord>,
+    #[prost(message, repeated, tag = "9")]
+    vacant: Vec<VacantRecord>,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
--- a/crates/daisyseam-coord/src/fleet/state.rs
+++ b/crates/daisyseam-coord/src/fleet/state.rs
@@ -20,6 +20,7 @@
 use daisyseam_model::{
     DocumentNumber,
     FleetView,
+    GroupId,
     GroupView,
     Incarnation,
     InstanceId,
@@ -35,6 +36,7 @@
         BTreeMap,
         BTreeSet, //
     },
+    net::SocketAddr,
     sync::Arc, //
 };
 
@@ -46,9 +48,18 @@
     pub(super) last_incarnation: Incarnation,
     /// Databases whose log has caught up, with the start of the process that has.
     pub(super) settled: BTreeMap<UpstreamId, u64>,
+    /// Databases that were taken off the list and may still run.
+    pub(super) vacant: BTreeMap<UpstreamId, VacantPlace>,
     pub(super) ring: ChangeRing,
 }
 
+/// The place of a database that was taken off the list.
+#[derive(Clone, Debug)]
+pub(super) struct VacantPlace {
+    pub(super) group: GroupId,
+    pub(super) address: SocketAddr,
+}
+
 impl FleetState {
     /// Returns the present view.
     pub fn view(&self) -> &Arc<FleetView> {
@@ -67,6 +78,13 @@
         known.is_some_and(|known| settled == Some(&known.born_ms))
     }
 
+    /// Lists the databases that were taken off the list and may still run, unheard by control, with
+    /// the group whose commits they may receive.
+    pub fn vacant(&self) -> impl Iterator<Item = (&UpstreamId, &GroupId)> {
+        let places = self.vacant.iter();
+        places.map(|(name, place)| (name, &place.group))
+    }
+
     /// Returns what changed after a view, if that is still known.
     pub fn changes_since(&self, held: ViewNumber) -> Option<ViewChanges> {
         self.ring.since(held, self.view.number)
@@ -81,6 +99,7 @@
             FleetCommand::Leave(leave) => self.leave(leave),
             FleetCommand::Upstream(upstream) => self.update_upstream(upstream),
             FleetCommand::DropUpstream(upstream) => self.drop_upstream(upstream),
+            FleetCommand::ForgetUpstream(upstream) => self.forget_upstream(upstream),
             FleetCommand::Group(group) => self.update_group(group),
             FleetCommand::Holder(holder) => self.update_holder(holder),
             FleetCommand::Evacuate(order) => self.evacuate(order),
@@ -187,6 +206,9 @@
             // A late word of a process that another one has replaced.
             return CommandAnswer::Refused(RefusedCommand::Superseded);
         }
+        // Whoever announces itself is on the list; whoever had its address before is gone.
+        self.vacant
+            .retain(|name, place| *name != command.upstream && place.address != command.address);
         let upstream = UpstreamView {
             group: command.group.clone(),
             data_centre: command.data_centre.clone(),
@@ -216,6 +238,16 @@
         if in_use {
             return CommandAnswer::Refused(RefusedCommand::Superseded);
         }
+        let mut others = self.view.upstreams.iter();
+        let replaced =
+            others.any(|(other, known)| other != name && known.address == upstream.address);
+        if !replaced && self.view.groups.contains_key(&upstream.group) {
+            let place = VacantPlace {
+                group: upstream.group.clone(),
+                address: upstream.address,
+            };
+            self.vacant.insert(name.clone(), place);
+        }
         self.settled.remove(name);
         self.change(ViewChanges::of_upstream(name), |view| {
             view.upstreams.remove(name);
@@ -223,6 +255,13 @@
         CommandAnswer::Done
     }
 
+    fn forget_upstream(&mut self, name: &UpstreamId) -> CommandAnswer {
+        match self.vacant.remove(name) {
+            Some(_) => CommandAnswer::Done,
+            None => CommandAnswer::Refused(RefusedCommand::Unknown),
+        }
+    }
+
     fn settle(&mut self, command: &SettleCommand) -> CommandAnswer {
         let Some(upstream) = self.view.upstreams.get(&command.upstream) else {
             return CommandAnswer::Refused(RefusedCommand::Unknown);
--- a/crates/daisyseam-coord/src/promotion/direct/election.rs
+++ b/crates/daisyseam-coord/src/promotion/direct/election.rs
@@ -250,6 +250,7 @@
         let counted = stopped.clone().filter(counts).count();
         let present = facts.members.iter().filter(|member| !member.gone).count();
         // Where all are stopped nobody is left who could have more.
+        let present = present + facts.vacant;
         let all = stopped.clone().count() >= present.max(facts.expected).max(1);
         if counted < stop_quorum(facts) && !all {
             return None;
@@ -264,7 +265,8 @@
 
 /// Returns how many must be stopped so that each acknowledged commit is on one of them.
 fn stop_quorum(facts: GroupFacts<'_>) -> usize {
-    let members = facts.members.len().max(facts.expected);
+    let members = facts.members.len() + facts.vacant;
+    let members = members.max(facts.expected);
     members + 1 - facts.commit.copies(members)
 }
 
--- a/crates/daisyseam-coord/src/promotion/group.rs
+++ b/crates/daisyseam-coord/src/promotion/group.rs
@@ -85,6 +85,8 @@
     pub members: &'a [MemberFacts],
     /// Number of databases by the document; 0 for as many as there are members.
     pub expected: usize,
+    /// Number of databases that are on the list no more but may still run and receive commits.
+    pub vacant: usize,
     /// When a commit of the group counts as durable.
     pub commit: CommitPolicy,
     /// Whether no instance may act on an earlier state of the group.
--- a/crates/daisyseam-coord/tests/promotion_support/mod.rs
+++ b/crates/daisyseam-coord/tests/promotion_support/mod.rs
@@ -334,6 +334,7 @@
             view: view.as_ref(),
             members: &members,
             expected: self.databases.len(),
+            vacant: 0,
             commit: CommitPolicy::Majority,
             confirmed: self.entry.0 >= self.changed,
             open_transactions: (self.entry.0 >= self.changed).then_some(0),
