Count connections of instances that are gone, and wait in the pool where a database has no room

Cause: shares followed the view at once. When four of six entries lost power, the two that were left took shares of 22 of 50 connections at once, while the database still counted those of the dark ones for 3 s. A refused connection also kept the database from being used at all for 50 ms, even by sessions with an open one.

Change: an instance that leaves the view without having said so, and a former incarnation of one that came back, count for 4 s more, against all connections of the database; the tenth in reserve takes most of that up. Where a database has no room, the pool opens no more connections than it has for 50 ms: sessions take those that are open, reads prefer other databases, and nothing is noted against the database's health.

Ruled out: TOOMANY after a loss of power of all entries.

Still over the limit: incarnations that start after such a loss cannot know of those before them.

--- a/crates/daisyseam-engine/src/attempt.rs
+++ b/crates/daisyseam-engine/src/attempt.rs
@@ -305,6 +305,10 @@
         match error {
             NoConnection::Full => return AttemptEnd::Full,
             NoConnection::Gone => {}
+            // It answers, and the pool knows that it has no room.
+            NoConnection::Connect(ConnectError::Refused(RefusalKind::TooManyConnections)) => {
+                self.health.good(&route.upstream);
+            }
             NoConnection::Connect(ConnectError::Refused(RefusalKind::Misdirected)) => {
                 let view = route.held.view.number;
                 self.health.misdirected(&route.upstream, view);
--- a/crates/daisyseam-engine/src/pool.rs
+++ b/crates/daisyseam-engine/src/pool.rs
@@ -1,6 +1,7 @@
 //! Connections to databases, shared by the sessions of this instance.
 
 mod connection;
+mod shares;
 mod upstream;
 
 pub(crate) use self::connection::{
@@ -8,6 +9,7 @@
     PooledConnection,
     SetUp, //
 };
+use self::shares::ConnectionShares;
 pub(crate) use self::upstream::UpstreamLoad;
 use self::upstream::{
     Claim,
@@ -19,6 +21,7 @@
     ConnectError,
     DatabaseConnector,
     DatabaseTarget,
+    RefusalKind,
     route::present_primary,
     values::SessionValues, //
 };
@@ -38,18 +41,20 @@
             AtomicU64,
             Ordering, //
         }, //
-    }, //
+    },
+    time::Duration, //
 };
 use tokio::time::Instant;
 
-/// Part of a database's connections that the instances share out among them, in tenths.
-const SHARED_TENTHS: usize = 9;
+/// Time for which no more connections are opened than there are to a database that had no room.
+const NO_ROOM: Duration = Duration::from_millis(50);
 
 /// The connections of this instance, by database.
 pub(crate) struct ConnectionPool<D: DatabaseConnector> {
     connector: D,
     timer: TimerService,
     upstreams: Mutex<HashMap<UpstreamId, Arc<UpstreamPool<D::Connection>>>>,
+    shares: Mutex<ConnectionShares>,
     turns: AtomicU64,
 }
 
@@ -88,6 +93,7 @@
             connector,
             timer,
             upstreams: Mutex::default(),
+            shares: Mutex::default(),
             turns: AtomicU64::new(0),
         }
     }
@@ -100,22 +106,33 @@
         let named = order.view.upstreams.get(order.upstream);
         let named = named.ok_or(NoConnection::Gone)?;
         let pool = self.upstream(order.view, order.upstream, named);
-        let turn = self.turns.fetch_add(1, Ordering::Relaxed) + 1;
-        let place = match pool.claim(order.organisation, order.values, turn) {
-            Claim::Granted(grant) => grant,
-            Claim::Wait(granted) => {
-                let granted = self.timer.within(order.wait_until, granted).await;
-                granted
-                    .ok_or(NoConnection::Full)?
-                    .map_err(|_| NoConnection::Gone)?
-            }
-        };
-        match place {
+        match self.claim(&pool, order).await? {
             Grant::Connection(connection) => Ok(connection.lend()),
             Grant::Place(place) => self.open(place, order, named).await,
         }
     }
 
+    /// Waits for a connection or for the right to open one.
+    async fn claim(
+        &self,
+        pool: &Arc<UpstreamPool<D::Connection>>,
+        order: ConnectionOrder<'_>,
+    ) -> Result<Grant<D::Connection>, NoConnection> {
+        let turn = self.turns.fetch_add(1, Ordering::Relaxed) + 1;
+        loop {
+            let (granted, held_until) = match pool.claim(order.organisation, order.values, turn) {
+                Claim::Granted(grant) => return Ok(grant),
+                Claim::Wait(granted, held_until) => (granted, held_until),
+            };
+            let look = held_until.map_or(order.wait_until, |held| held.min(order.wait_until));
+            match self.timer.within(look, granted).await {
+                Some(granted) => return granted.map_err(|_| NoConnection::Gone),
+                None if look < order.wait_until => {}
+                None => return Err(NoConnection::Full),
+            }
+        }
+    }
+
     async fn open(
         &self,
         place: Place<D::Connection>,
@@ -132,6 +149,9 @@
         let opened = self.timer.within(order.connect_until, opening);
         let silent = || ConnectError::Unreachable("no answer in time".to_owned());
         let opened = opened.await.unwrap_or_else(|| Err(silent()));
+        if let Err(ConnectError::Refused(RefusalKind::TooManyConnections)) = &opened {
+            place.hold(Instant::now() + NO_ROOM);
+        }
         let connection = opened.map_err(NoConnection::Connect)?;
         Ok(PooledConnection::opened(
             place,
@@ -158,6 +178,8 @@
     /// Brings the pool in line with a view: closes idle connections of databases that take no
     /// work, and shares the databases' connections out anew.
     pub(crate) fn apply(&self, view: &FleetView) {
+        let now = Instant::now();
+        self.shares.lock().apply(view, now);
         let mut upstreams = self.upstreams.lock();
         let mut closed = Vec::new();
         upstreams.retain(|name, pool| {
@@ -167,7 +189,7 @@
                 closed.push((Arc::clone(pool), true));
                 return false;
             };
-            pool.set_budget(budget(view, named));
+            pool.set_budget(self.shares.lock().budget(view, named, now));
             let shut = is_shut(view, name, named);
             pool.set_shut(shut);
             if shut {
@@ -190,12 +212,16 @@
         name: &UpstreamId,
         named: &UpstreamView,
     ) -> Arc<UpstreamPool<D::Connection>> {
+        let budget = self.shares.lock().budget(view, named, Instant::now());
         let mut upstreams = self.upstreams.lock();
         let known = upstreams.get(name).filter(|pool| pool.is_of(named));
-        if let Some(pool) = known {
-            return Arc::clone(pool);
+        if let Some(pool) = known.cloned() {
+            drop(upstreams);
+            // A share grows with time after an instance is gone, without a new view.
+            pool.set_budget(budget);
+            return pool;
         }
-        let pool = Arc::new(UpstreamPool::new(named, budget(view, named)));
+        let pool = Arc::new(UpstreamPool::new(named, budget));
         let former = upstreams.insert(name.clone(), Arc::clone(&pool));
         drop(upstreams);
         if let Some(former) = former {
@@ -211,12 +237,3 @@
     let leaving = named.leaving && present_primary(view, &named.group) != Some(name);
     leaving || !view.in_service(&named.data_centre)
 }
-
-/// Returns this instance's share of a database's connections.
-fn budget(view: &FleetView, named: &UpstreamView) -> usize {
-    let document = view.document.as_ref();
-    let group = document.and_then(|document| document.groups.get(&named.group));
-    let slots = group.map_or(0, |group| group.slots);
-    let shared = slots * SHARED_TENTHS / 10;
-    (shared / view.instances.len().max(1)).max(1)
-}
--- a/crates/daisyseam-engine/src/pool/upstream.rs
+++ b/crates/daisyseam-engine/src/pool/upstream.rs
@@ -18,7 +18,10 @@
     net::SocketAddr,
     sync::Arc, //
 };
-use tokio::sync::oneshot;
+use tokio::{
+    sync::oneshot,
+    time::Instant, //
+};
 
 /// The connections to one process of a database, within this instance's budget.
 pub(super) struct UpstreamPool<C: DatabaseConnection> {
@@ -43,6 +46,8 @@
     /// Whether nothing is kept idle.
     shut: bool,
     budget: usize,
+    /// Most connections until a moment, after the database had no room for more.
+    hold: Option<(usize, Instant)>,
     /// Places that are lent: connections in use and those being opened.
     lent: usize,
     /// Least recently used first.
@@ -74,8 +79,9 @@
 pub(super) enum Claim<C: DatabaseConnection> {
     /// It is there.
     Granted(Grant<C>),
-    /// It comes when another session is done.
-    Wait(oneshot::Receiver<Grant<C>>),
+    /// It comes when another session is done; or it may be asked for again at a moment, if one is
+    /// named.
+    Wait(oneshot::Receiver<Grant<C>>, Option<Instant>),
 }
 
 /// One connection's worth of the budget; dropping it gives it back.
@@ -93,6 +99,7 @@
                 retired: false,
                 shut: false,
                 budget,
+                hold: None,
                 lent: 0,
                 idle: Vec::new(),
                 waiting: VecDeque::new(),
@@ -110,7 +117,7 @@
     pub(super) fn load(&self) -> UpstreamLoad {
         let state = self.state.lock();
         UpstreamLoad {
-            full: state.lent >= state.budget,
+            full: state.lent >= state.most(),
             lent: state.lent,
             last_turn: state.last_turn,
         }
@@ -118,6 +125,9 @@
 
     pub(super) fn set_budget(self: &Arc<Self>, budget: usize) {
         let mut state = self.state.lock();
+        if state.budget == budget {
+            return;
+        }
         state.budget = budget;
         let keep = budget.saturating_sub(state.lent);
         let surplus = state.idle.len().saturating_sub(keep);
@@ -181,7 +191,7 @@
                         organisation: organisation.cloned(),
                         granted,
                     });
-                    return Claim::Wait(receiver);
+                    return Claim::Wait(receiver, state.held_until());
                 }
             };
             state.lent += 1;
@@ -226,7 +236,7 @@
     /// Counts a place for the next that waits, if there is one and the budget has room.
     fn next_place(&self) -> Option<Waiter<C>> {
         let mut state = self.state.lock();
-        if state.retired || state.used() >= state.budget {
+        if state.retired || state.used() >= state.most() {
             return None;
         }
         let waiter = state.next_waiter()?;
@@ -273,11 +283,23 @@
         }
     }
 
+    /// Returns how many connections there may be at this moment.
+    fn most(&self) -> usize {
+        let held = self.hold.filter(|(_, until)| Instant::now() < *until);
+        held.map_or(self.budget, |(most, _)| most.min(self.budget))
+    }
+
+    fn held_until(&self) -> Option<Instant> {
+        let held = self.hold.filter(|(_, until)| Instant::now() < *until);
+        held.map(|(_, until)| until)
+    }
+
     fn make_room(&mut self) -> Room<C> {
-        if self.used() < self.budget {
+        let most = self.most();
+        if self.used() < most {
             return Room::Free;
         }
-        if self.idle.is_empty() || self.lent >= self.budget {
+        if self.idle.is_empty() || self.lent >= most {
             return Room::None;
         }
         Room::Evicted(self.idle.remove(0).link)
@@ -299,6 +321,14 @@
         }
     }
 
+    /// Lets no more connections be opened than there are besides this one until
+    /// a moment: the database had no room for it.
+    pub(super) fn hold(&self, until: Instant) {
+        let mut state = self.pool.state.lock();
+        let others = state.used().saturating_sub(1);
+        state.hold = Some((others, until));
+    }
+
     /// Gives a connection back with its place.
     pub(super) fn give_back(self, organisation: Option<OrganisationId>, link: DatabaseLink<C>) {
         let pool = Arc::clone(&self.pool);
--- /dev/null
+++ b/crates/daisyseam-engine/tests/connections.rs
@@ -0,0 +1,199 @@
+//! How many connections an instance opens.
+
+mod support;
+
+use daisyseam_engine::{
+    ConnectError,
+    RefusalKind,
+    RequestVerb, //
+};
+use daisyseam_member::FleetObserver;
+use daisyseam_model::{
+    ErrorKind,
+    FleetView,
+    Incarnation,
+    InstanceView, //
+};
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+use support::{
+    Fleet,
+    caller::{
+        BEGIN,
+        FakeCaller,
+        read, //
+    }, //
+};
+use tokio::time::{
+    Instant,
+    sleep, //
+};
+
+/// Connections that each database admits.
+const SLOTS: usize = 20;
+
+/// Time after which a database has surely dropped a connection whose far end is dark.
+const DROPPED: Duration = Duration::from_millis(4_100);
+
+fn instance(incarnation: u64) -> InstanceView {
+    InstanceView {
+        incarnation: Incarnation(incarnation),
+        data_centre: support::data_centre("dc-1"),
+        peer_address: "127.0.0.1:1".parse().unwrap(),
+        leaving: false,
+    }
+}
+
+fn put(view: &mut FleetView, name: &str, incarnation: u64) {
+    let name = name.parse().unwrap();
+    view.instances.insert(name, instance(incarnation));
+}
+
+/// Puts a changed view in force, as the fleet's member would.
+async fn change(fleet: &mut Fleet, change: impl FnOnce(&mut FleetView)) {
+    fleet.change(change);
+    let view = Arc::clone(&fleet.cell.held().view);
+    fleet.engine.observer().apply(&view).await;
+}
+
+/// Starts a fleet of two instances.
+async fn two() -> Fleet {
+    let mut fleet = Fleet::start(SLOTS);
+    change(&mut fleet, |view| {
+        put(view, "e-1", 1);
+        put(view, "e-2", 1);
+    })
+    .await;
+    fleet
+}
+
+/// Opens transactions until there is no connection for one more; returns how many are open.
+async fn fill(fleet: &Fleet, open: &mut Vec<FakeCaller>) -> usize {
+    loop {
+        let mut caller = fleet.session("primary").await;
+        caller.ok(BEGIN).await;
+        match caller.ask(read("read x")).await.outcome {
+            Ok(_) => open.push(caller),
+            Err(error) => {
+                assert_eq!(error.kind, ErrorKind::QueueFull);
+                return fleet.databases.at("p", |p| p.open);
+            }
+        }
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn connections_of_an_instance_that_is_gone_count_until_they_are_dropped() {
+    let mut fleet = two().await;
+    let mut open = Vec::new();
+    let share = fill(&fleet, &mut open).await;
+    assert_eq!(share, 9);
+    change(&mut fleet, |view| {
+        view.instances.remove("e-2");
+    })
+    .await;
+    // The one that is gone may have as many: together they stay below the limit.
+    let kept = fill(&fleet, &mut open).await;
+    assert!(kept + share <= SLOTS, "{kept}");
+    sleep(DROPPED).await;
+    open.clear();
+    assert_eq!(fill(&fleet, &mut open).await, 18);
+}
+
+#[tokio::test(start_paused = true)]
+async fn connections_of_a_former_incarnation_count_until_they_are_dropped() {
+    let mut fleet = two().await;
+    change(&mut fleet, |view| put(view, "e-2", 2)).await;
+    let mut open = Vec::new();
+    // The new incarnation knows nothing of the one before, which may have had as many as this one.
+    assert_eq!(fill(&fleet, &mut open).await, 6);
+    open.clear();
+    sleep(DROPPED).await;
+    assert_eq!(fill(&fleet, &mut open).await, 9);
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_instance_that_said_that_it_leaves_counts_no_longer_once_it_is_gone() {
+    let mut fleet = two().await;
+    change(&mut fleet, |view| {
+        view.instances.get_mut("e-2").unwrap().leaving = true;
+    })
+    .await;
+    let mut open = Vec::new();
+    assert_eq!(fill(&fleet, &mut open).await, 9);
+    change(&mut fleet, |view| {
+        view.instances.remove("e-2");
+    })
+    .await;
+    assert_eq!(fill(&fleet, &mut open).await, 18);
+}
+
+fn set_room(fleet: &Fleet, room: bool) {
+    let no_room = ConnectError::Refused(RefusalKind::TooManyConnections);
+    fleet
+        .databases
+        .at("p", |p| p.connect_error = (!room).then_some(no_room));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_session_waits_for_an_open_connection_where_the_database_has_no_room() {
+    let fleet = Fleet::start(SLOTS);
+    let mut first = fleet.session("primary").await;
+    first.ok(read("read x")).await;
+    set_room(&fleet, false);
+    fleet
+        .databases
+        .at("p", |p| p.delay = Duration::from_millis(20));
+    let mut callers = Vec::new();
+    for _ in 0..4 {
+        callers.push(fleet.session("primary").await);
+    }
+    for caller in &mut callers {
+        caller.send(read("read x"));
+    }
+    for caller in &mut callers {
+        let answer = caller.answer().await;
+        assert_eq!(answer.outcome, Ok(Some("p-1".into())));
+    }
+    // Few tries: each is a refusal that the database spends time on.
+    let connects = fleet.databases.at("p", |p| p.connects);
+    assert!(connects <= 1 + 2 * callers.len(), "{connects}");
+    // With the connection free again nobody waits, though the database still has no room.
+    let start = Instant::now();
+    first.ok(read("read x")).await;
+    assert!(start.elapsed() <= Duration::from_millis(21));
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_open_connection_is_used_while_the_database_has_no_room() {
+    let fleet = Fleet::start(SLOTS);
+    let mut first = fleet.session("primary").await;
+    first.ok(read("read x")).await;
+    let mut other = fleet.session("primary").await;
+    other.ok(BEGIN).await;
+    other.ok(read("read x")).await;
+    set_room(&fleet, false);
+    let mut refused = fleet.session("primary").await;
+    refused.send(read("read x"));
+    // The database has answered that it has no room, and the transaction gives its connection back.
+    sleep(Duration::from_millis(3)).await;
+    other.ok(RequestVerb::Commit).await;
+    let start = Instant::now();
+    first.ok(read("read x")).await;
+    assert!(start.elapsed() <= Duration::from_millis(5));
+    assert!(refused.answer().await.outcome.is_ok());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_session_is_served_soon_after_the_database_has_room_again() {
+    let fleet = Fleet::start(SLOTS);
+    set_room(&fleet, false);
+    let mut caller = fleet.session("primary").await;
+    caller.send(read("read x"));
+    sleep(Duration::from_millis(40)).await;
+    set_room(&fleet, true);
+    let answer = caller.answer().await;
+    assert!(answer.outcome.is_ok(), "{answer:?}");
+}
