Let no document decide that is out of date

Cause: an entry checked callers, keys and services by the document that it held, whether the lease on the view held or not. Where it heard of no leader for seconds, it went on refusing services that a newer, acknowledged document has, and let a request in by the old document that then waited for the lease and ran although the document that came with the lease had taken its service away. Sessions without a bound also went on reading from replicas without an end.

Now the document counts for one second after the lease. After that a request waits for the lease as long as it would wait for a token, is checked against what has come by then, and else is refused as one that was not run; a session that the old document would refuse waits likewise. The log tells when a lease holds again and after how long.

Ruled out: requests that wait inside the second and run on an older document (they came in before the bound of any document that was acknowledged since).

--- a/crates/daisyseam-engine/src/session.rs
+++ b/crates/daisyseam-engine/src/session.rs
@@ -45,6 +45,9 @@
 /// Longest time until a caller says what session it wants.
 const START_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Longest wait for a document that is current where no target is known.
+const VIEW_WAIT: Duration = Duration::from_millis(200);
+
 /// Serves a caller's connection to its end.
 pub(crate) async fn serve<D, G, S>(engine: &EngineShared<D, G>, mut stream: S)
 where
@@ -90,7 +93,7 @@
         return None;
     };
     let start = start.ok()?;
-    match admit(engine, &start) {
+    match admit_by_current(engine, &start).await {
         Ok(identity) => stream.opened().await.ok().map(|()| identity),
         Err(kind) => {
             stream.refuse(&kind.into()).await;
@@ -99,6 +102,35 @@
     }
 }
 
+/// Lets a caller in; a document that is out of date does not refuse it.
+async fn admit_by_current<D, G>(
+    engine: &EngineShared<D, G>,
+    start: &SessionStart,
+) -> Result<CallerIdentity, ErrorKind>
+where
+    D: DatabaseConnector,
+    G: RateGate,
+{
+    let settings = &engine.settings;
+    let has_document = settings.cell.held().view.document.is_some();
+    match admit(engine, start) {
+        Err(kind) if has_document && decides_by_document(kind) => {
+            let until = Instant::now() + VIEW_WAIT;
+            settings.cell.current(&settings.timer, until).await?;
+            admit(engine, start)
+        }
+        admitted => admitted,
+    }
+}
+
+/// Returns whether a refusal rests on what the document says of callers and services.
+fn decides_by_document(kind: ErrorKind) -> bool {
+    matches!(
+        kind,
+        ErrorKind::UnknownService | ErrorKind::KeyRefused | ErrorKind::ServiceDenied
+    )
+}
+
 fn admit<D, G>(
     engine: &EngineShared<D, G>,
     start: &SessionStart,
@@ -252,8 +284,7 @@
         if self.transaction.is_some() {
             return self.run_in_transaction(id, kind, &statement).await;
         }
-        let rights = self.core.identity.check(&self.core.engine.settings.cell)?;
-        let times = OperationTimes::start(&rights);
+        let (rights, times) = self.core.rights().await?;
         self.core.admit(&rights, &times).await?;
         match kind {
             StatementKind::Read => self.core.read(id, &statement, &rights, &times).await,
@@ -266,8 +297,7 @@
             let words = "a transaction is open already";
             return Err(RequestError::new(ErrorKind::StatementUnclear, words));
         }
-        let rights = self.core.identity.check(&self.core.engine.settings.cell)?;
-        let times = OperationTimes::start(&rights);
+        let (rights, times) = self.core.rights().await?;
         self.core.admit(&rights, &times).await?;
         self.transaction = Some(OpenTransaction::new(mode, rights));
         answer::local()
@@ -288,6 +318,23 @@
 }
 
 impl<D: DatabaseConnector, G: RateGate> SessionCore<'_, D, G> {
+    /// Returns what the caller may do by a document that is current, and waits for one if need be;
+    /// and the times of its request.
+    async fn rights(&self) -> Result<(CallerRights, OperationTimes), RequestError> {
+        let settings = &self.engine.settings;
+        let began = Instant::now();
+        if !settings.cell.held().is_current() {
+            let known = self.identity.check(&settings.cell).ok();
+            let until = known.map_or(began + VIEW_WAIT, |rights| {
+                OperationTimes::since(began, &rights).token_until()
+            });
+            settings.cell.current(&settings.timer, until).await?;
+        }
+        let rights = self.identity.check(&settings.cell)?;
+        let times = OperationTimes::since(began, &rights);
+        Ok((rights, times))
+    }
+
     /// Takes a token of the caller's rate.
     async fn admit(
         &self,
--- a/crates/daisyseam-engine/src/times.rs
+++ b/crates/daisyseam-engine/src/times.rs
@@ -36,10 +36,15 @@
 impl OperationTimes {
     /// Returns the times of a request that has just come in.
     pub(crate) fn start(rights: &CallerRights) -> Self {
+        Self::since(Instant::now(), rights)
+    }
+
+    /// Returns the times of a request that came in at a moment.
+    pub(crate) fn since(start: Instant, rights: &CallerRights) -> Self {
         let stated = rights.service.statement_timeout;
         let timeout = stated.unwrap_or_else(|| limits(rights).statement_timeout);
         Self {
-            start: Instant::now(),
+            start,
             timeout,
             target: rights.service.target_latency.unwrap_or(TARGET),
         }
@@ -55,7 +60,7 @@
         self.start + self.timeout
     }
 
-    /// Returns until when it waits for a token.
+    /// Returns until when it waits for a token, and for a view on which rates are counted.
     pub(crate) fn token_until(&self) -> Instant {
         self.start + (self.target / TOKEN_WAIT_DIVISOR).min(TOKEN_WAIT_MAX)
     }
--- a/crates/daisyseam-engine/tests/support/mod.rs
+++ b/crates/daisyseam-engine/tests/support/mod.rs
@@ -153,6 +153,12 @@
         });
     }
 
+    /// Returns what the document says of a service.
+    pub fn service(&self, name: &str) -> ServiceEntry {
+        let document = self.view.document.as_ref().unwrap();
+        document.services[name].clone()
+    }
+
     /// Moves the primary to another database under the next term.
     pub fn promote(&mut self, upstream: &str) {
         let upstream = upstream.parse().unwrap();
--- a/crates/daisyseam-member/src/control_client/keeper.rs
+++ b/crates/daisyseam-member/src/control_client/keeper.rs
@@ -9,7 +9,10 @@
     FleetView,
     ViewNumber, //
 };
-use daisyseam_runtime::ControlAddresses;
+use daisyseam_runtime::{
+    BootClock,
+    ControlAddresses, //
+};
 use daisyseam_wire::{
     ControlMembers,
     ConvertError,
@@ -111,6 +114,13 @@
             lease_until: held.lease_until.max(Some(until)),
         });
         if !held.is_valid() {
+            if let Some(ended) = held.lease_until {
+                let gap = BootClock::now().saturating_duration_since(ended);
+                log::warn!(
+                    "the lease on the view holds again after {} ms",
+                    gap.as_millis()
+                );
+            }
             self.observer.lease_begun();
         }
     }
--- a/crates/daisyseam-member/src/view_cell.rs
+++ b/crates/daisyseam-member/src/view_cell.rs
@@ -5,13 +5,22 @@
     ErrorKind,
     FleetView, //
 };
-use daisyseam_runtime::BootClock;
-use std::sync::Arc;
+use daisyseam_runtime::{
+    BootClock,
+    TimerService, //
+};
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
 use tokio::{
     sync::watch,
     time::Instant, //
 };
 
+/// Time after the end of the lease for which the document of a view still counts.
+const DOCUMENT_GRACE: Duration = Duration::from_millis(1_000);
+
 /// A view and the time until which it may be acted on.
 #[derive(Clone, Debug, Default)]
 pub struct HeldView {
@@ -27,6 +36,13 @@
         let until = self.lease_until;
         until.is_some_and(|until| BootClock::now() < until)
     }
+
+    /// Returns whether the document may still decide on requests, which it may a little longer
+    /// than the lease holds: after that a newer one may have been acknowledged for long.
+    pub fn is_current(&self) -> bool {
+        let until = self.lease_until;
+        until.is_some_and(|until| BootClock::now() < until + DOCUMENT_GRACE)
+    }
 }
 
 /// Shares the held view between all parts of the instance; reads take no lock.
@@ -64,6 +80,23 @@
         }
     }
 
+    /// Waits until the document of the view is current.
+    ///
+    /// # Errors
+    ///
+    /// `NoView` when it is not by `until`.
+    pub async fn current(&self, timer: &TimerService, until: Instant) -> Result<(), ErrorKind> {
+        let mut changes = self.subscribe();
+        while !self.held.load().is_current() {
+            if Instant::now() >= until {
+                return Err(ErrorKind::NoView);
+            }
+            // The sender lives in the cell, so waiting cannot fail.
+            let _ = timer.within(until, changes.changed()).await;
+        }
+        Ok(())
+    }
+
     /// Replaces what is held.
     ///
     /// # Panics
