Ask a leader of control again as soon as a cut is over

Entries that had been cut from all of control had no lease for up to five seconds after the cut. Traced: each member that they tried was noted as failed for 5 s; the first follower that answered lost its mark, so it was asked again and again before the leader, and its hint was dropped because the leader still had a mark. The same happened after all of control had been killed.

Ruled out: leases refused for lag, and heartbeats ahead of the leader's view.

One that answers after a failure now clears all marks: it was this side that could reach nobody. A leader that failed alone is asked on a hint once its failure is 1 s old, not 5 s.

Two tests of the search fail without the change.

--- a/crates/daisyseam-member/src/control_client.rs
+++ b/crates/daisyseam-member/src/control_client.rs
@@ -129,7 +129,7 @@
             Err(end) => end,
         };
         match end {
-            SessionEnd::NotLeader(hint) => search.named(target, hint),
+            SessionEnd::NotLeader(hint) => search.named(target, hint, Instant::now()),
             SessionEnd::Failed(why) => {
                 log::info!("control instance {target}: {why}");
                 search.failed(target, Instant::now());
--- a/crates/daisyseam-member/src/control_client/search.rs
+++ b/crates/daisyseam-member/src/control_client/search.rs
@@ -1,5 +1,8 @@
 //! Which control instance is asked next.
 
+#[cfg(test)]
+mod tests;
+
 use daisyseam_runtime::ControlAddresses;
 use rand::Rng;
 use std::{
@@ -12,6 +15,10 @@
 /// Time for which an instance that did not answer is asked after the others.
 const FAILURE_MEMORY: Duration = Duration::from_secs(5);
 
+/// Time after a failure for which an instance is not asked because another one names it: whoever
+/// follows a leader that is lost may not know of it yet.
+const HINT_MEMORY: Duration = Duration::from_secs(1);
+
 /// Most hints that are followed without a pause.
 const HINTS_MAX: u32 = 2;
 
@@ -55,11 +62,17 @@
     }
 
     /// Learns that an instance does not lead, and whom it follows.
-    pub(super) fn named(&mut self, target: SocketAddr, leader: Option<SocketAddr>) {
-        self.failed.remove(&target);
+    pub(super) fn named(&mut self, target: SocketAddr, leader: Option<SocketAddr>, now: Instant) {
+        if self.failed.remove(&target).is_some() {
+            // It is reached again, so it was rather this instance that could reach nobody.
+            self.failed.clear();
+        }
         // Two that follow each other are not asked again without a pause.
         let leader = leader.filter(|_| self.hints < HINTS_MAX);
-        self.hint = leader.filter(|leader| *leader != target && !self.failed.contains_key(leader));
+        self.hint = leader.filter(|leader| {
+            let failed = self.failed.get(leader);
+            *leader != target && failed.is_none_or(|failed| now >= *failed + HINT_MEMORY)
+        });
     }
 
     /// Learns that an instance did not answer.
