Send callers elsewhere from an entry that has no lease

While a primary is cut off together with some of the entries, those entries have no lease and refuse nearly everything.

Once the lease has been gone for 500 ms, sessions in which nothing is open are closed, and new ones are refused with a promise.

--- a/crates/daisyseam-engine/src/engine.rs
+++ b/crates/daisyseam-engine/src/engine.rs
@@ -4,6 +4,7 @@
     CallerStream,
     DatabaseConnector,
     health::HealthBook,
+    lease::LeaseLoss,
     observer::EngineObserver,
     outages::OutageClock,
     pool::ConnectionPool,
@@ -73,6 +74,7 @@
     pub(crate) samples: PositionSamples,
     pub(crate) writers: WriterCounts,
     pub(crate) outages: OutageClock,
+    pub(crate) lease_loss: LeaseLoss,
     sessions: watch::Sender<usize>,
     stop_seen: OnceLock<Instant>,
 }
@@ -88,6 +90,7 @@
             samples: PositionSamples::default(),
             writers: WriterCounts::default(),
             outages: OutageClock::default(),
+            lease_loss: LeaseLoss::default(),
             sessions: watch::Sender::new(0),
             stop_seen: OnceLock::new(),
         };
--- a/crates/daisyseam-engine/src/lib.rs
+++ b/crates/daisyseam-engine/src/lib.rs
@@ -9,6 +9,7 @@
 mod engine;
 mod health;
 mod identity;
+mod lease;
 mod memory;
 mod observer;
 mod outages;
--- a/crates/daisyseam-engine/src/observer.rs
+++ b/crates/daisyseam-engine/src/observer.rs
@@ -96,9 +96,13 @@
         }
     }
 
-    fn lease_begun(&self) {}
+    fn lease_begun(&self) {
+        self.shared.lease_loss.begun();
+    }
 
-    fn lease_ended(&self) {}
+    fn lease_ended(&self) {
+        self.shared.lease_loss.ended();
+    }
 }
 
 fn draining_groups(view: &FleetView) -> impl Iterator<Item = (&GroupId, Term)> {
--- a/crates/daisyseam-engine/src/session.rs
+++ b/crates/daisyseam-engine/src/session.rs
@@ -110,6 +110,9 @@
     if engine.settings.stop.is_stopping() {
         return Err(ErrorKind::Stopping);
     }
+    if engine.lease_loss.is_given_up() {
+        return Err(ErrorKind::NoView);
+    }
     let held = engine.settings.cell.held();
     let limits = held.view.document.as_ref().map(|document| &document.limits);
     let full =
@@ -144,6 +147,8 @@
     End,
     /// The open transaction has been idle for too long.
     IdleOver,
+    /// Nothing is open, and callers are better off at an instance that has a lease.
+    Unleased,
     /// The instance is stopping and nothing is open any more, or has been for too long.
     Stopping,
 }
@@ -158,6 +163,10 @@
                     Box::pin(self.expire_transaction()).await;
                     continue;
                 }
+                SessionEvent::Unleased => {
+                    stream.close().await;
+                    return;
+                }
                 SessionEvent::Stopping => {
                     self.leave(stream).await;
                     return;
@@ -189,6 +198,9 @@
                 Err(_) => SessionEvent::End,
             },
             () = settings.stop.stopped(), if !in_transaction => SessionEvent::Stopping,
+            () = engine.lease_loss.given_up(&settings.timer), if !in_transaction => {
+                SessionEvent::Unleased
+            }
             () = engine.drain_over(), if in_transaction => SessionEvent::Stopping,
             () = settings.timer.at(idle_over.unwrap_or(self.idle_since)), if idle_over.is_some() => {
                 SessionEvent::IdleOver
--- a/crates/daisyseam-engine/tests/faults.rs
+++ b/crates/daisyseam-engine/tests/faults.rs
@@ -8,7 +8,10 @@
     RequestVerb,
     TransactionState, //
 };
-use daisyseam_member::HeldView;
+use daisyseam_member::{
+    FleetObserver,
+    HeldView, //
+};
 use daisyseam_model::{
     ErrorKind,
     FleetView,
@@ -76,6 +79,35 @@
     assert_eq!(caller.fail(read("read 3")).await, ErrorKind::NoView);
 }
 
+#[tokio::test(start_paused = true)]
+async fn an_idle_session_is_closed_where_the_lease_does_not_come_back() {
+    let fleet = Fleet::start(30);
+    let observer = fleet.engine.observer();
+    let mut idle = fleet.session("primary").await;
+    let mut busy = fleet.session("primary").await;
+    // A lease that comes back soon closes nobody.
+    observer.lease_ended();
+    sleep(Duration::from_millis(400)).await;
+    observer.lease_begun();
+    sleep(Duration::from_secs(2)).await;
+    idle.ok(read("read 1")).await;
+    busy.ok(BEGIN).await;
+    let lost_at = Instant::now();
+    observer.lease_ended();
+    assert!(matches!(idle.event().await, CallerEvent::Closed));
+    assert_eq!(lost_at.elapsed().as_millis(), 500);
+    // Whom no other instance takes is told at once; nobody is let in to be cut off.
+    let mut late = fleet.caller("primary", "key-one");
+    match late.event().await {
+        CallerEvent::Refused(error) => assert_eq!(error.kind, ErrorKind::NoView),
+        event => panic!("{event:?}"),
+    }
+    // What is open is ended by its caller.
+    sleep(Duration::from_millis(200)).await;
+    observer.lease_begun();
+    busy.ok(read("read 2")).await;
+}
+
 #[tokio::test(start_paused = true)]
 async fn positions_of_replicas_and_of_former_terms_are_no_floors() {
     let mut fleet = Fleet::start(30);
