--- a/crates/daisyseam-member/src/control_client/search.rs
+++ b/crates/daisyseam-member/src/control_client/search.rs
@@ -76,7 +76,10 @@
         now: Instant,
     ) {
         self.term = self.term.max(term);
-        self.failed.remove(&target);
+        if self.failed.remove(&target).is_some() {
+            // It is reached again, so it was rather this instance that could reach nobody.
+            self.failed.clear();
+        }
         // Two that follow each other are not asked again without a pause.
         let leader = leader.filter(|leader| *leader != target && self.hints < HINTS_MAX);
         self.hint = leader.filter(|leader| !self.has_failed(*leader, term, now));
