--- a/crates/daisyseam-engine/tests/connections.rs
+++ b/crates/daisyseam-engine/tests/connections.rs
@@ -4,8 +4,7 @@
 
 use daisyseam_engine::{
     ConnectError,
-    RefusalKind,
-    RequestVerb, //
+    RefusalKind, //
 };
 use daisyseam_member::FleetObserver;
 use daisyseam_model::{
@@ -171,18 +170,16 @@
     let fleet = Fleet::start(SLOTS);
     let mut first = fleet.session("primary").await;
     first.ok(read("read x")).await;
-    let mut other = fleet.session("primary").await;
-    other.ok(BEGIN).await;
-    other.ok(read("read x")).await;
     set_room(&fleet, false);
-    let mut refused = fleet.session("primary").await;
+    let mut refused = fleet.caller("primary", "key-two");
+    refused.opened().await;
     refused.send(read("read x"));
-    // The database has answered that it has no room, and the transaction gives its connection back.
+    // The database has answered the other organisation that it has no room.
     sleep(Duration::from_millis(3)).await;
-    other.ok(RequestVerb::Commit).await;
     let start = Instant::now();
     first.ok(read("read x")).await;
     assert!(start.elapsed() <= Duration::from_millis(5));
+    set_room(&fleet, true);
     assert!(refused.answer().await.outcome.is_ok());
 }
 
