Elect a leader by a unanimous vote when all members restarted

No such leader is left if every voter gives its vote: none leads when it does, and none follows an earlier term any more. A member that refuses votes after its start now asks for the votes of all; voters that wait for a lease give it. With one voter missing or leading it waits as before. Two gaps are closed for that: a leader whose own table lacks it, or whose first entry is not committed, has no lease.

A member that gives a pre-vote now asks for none itself for a while, and of two with equal logs the first by name goes.

Random runs restart several members at once; 600 cases passed.

--- a/crates/daisyseam-control/src/convert.rs
+++ b/crates/daisyseam-control/src/convert.rs
@@ -73,6 +73,7 @@
             last_term: vote.last_term.0,
             pre_vote: vote.pre_vote,
             transfer: vote.transfer,
+            unanimous: vote.unanimous,
         }),
         LogMessage::Voted(vote) => Body::Voted(wire::VoteReply {
             from,
@@ -140,6 +141,7 @@
                 last_term: LogTerm(vote.last_term),
                 pre_vote: vote.pre_vote,
                 transfer: vote.transfer,
+                unanimous: vote.unanimous,
             });
             (vote.from, vote.to, message)
         }
--- a/crates/daisyseam-coord/src/log/leader.rs
+++ b/crates/daisyseam-coord/src/log/leader.rs
@@ -182,11 +182,18 @@
         Some(peer?.answered.unwrap_or(state.since))
     }
 
-    /// Returns whether this member leads and a majority answered within the lease.
+    /// Returns whether this member leads, has committed an entry of its term, is still a voter, and
+    /// a majority answered within the lease.
+    ///
+    /// One whose table lacks itself, or is not on a majority yet, may be unknown to voters that all
+    /// vote for another member.
     pub fn has_lease(&self, now: Moment) -> bool {
         let MemberRole::Leader(state) = &self.role else {
             return false;
         };
+        if !self.is_voter() || !self.has_committed_own() {
+            return false;
+        }
         let lease = self.lease_start(state, now);
         state.transfer.is_none() && lease.is_some_and(|start| now < start + self.settings.lease)
     }
--- a/crates/daisyseam-coord/src/log/message.rs
+++ b/crates/daisyseam-coord/src/log/message.rs
@@ -40,6 +40,9 @@
     pub pre_vote: bool,
     /// Whether the former leader has given its lease up for this candidate.
     pub transfer: bool,
+    /// Whether the candidate wants the votes of all voters: a leader that still holds a lease is
+    /// one of them and refuses.
+    pub unanimous: bool,
 }
 
 /// A vote.
--- a/crates/daisyseam-coord/src/log/role.rs
+++ b/crates/daisyseam-coord/src/log/role.rs
@@ -126,8 +126,14 @@
 #[derive(Debug)]
 pub(super) enum MemberRole {
     Follower,
-    PreCandidate { granted: BTreeSet<InstanceId> },
-    Candidate { granted: BTreeSet<InstanceId> },
+    PreCandidate {
+        granted: BTreeSet<InstanceId>,
+        unanimous: bool,
+    },
+    Candidate {
+        granted: BTreeSet<InstanceId>,
+        unanimous: bool,
+    },
     Leader(LeaderState),
 }
 
@@ -170,14 +176,11 @@
                 ..LogOutput::default()
             },
         };
-        if log.term == LogTerm(0) {
-            // It has never answered anybody, so no leader counts on it.
-            log.schedule_retry(now);
-        } else {
-            // It may have heard from a leader just before it stopped.
+        if log.term > LogTerm(0) {
+            // It may have heard from a leader just before it stopped; else nobody counts on it.
             log.refuses_until = now + log.settings.vote_refusal;
-            log.postpone_election(now);
         }
+        log.schedule_retry(now);
         log
     }
 
--- a/crates/daisyseam-coord/src/log/vote.rs
+++ b/crates/daisyseam-coord/src/log/vote.rs
@@ -1,4 +1,10 @@
 //! Elections: a pre-vote that disturbs nobody, then a vote.
+//!
+//! A member that has just started may have answered a leader before, so it neither asks for votes
+//! nor gives one until that leader's lease is over. It need not wait if every voter gives its vote:
+//! none of them leads when it does, and each holds a term in which no earlier leader can be
+//! followed. A leader that is no voter of the candidate's table has committed the entry that made
+//! it one on a majority of the table before, and one of these refuses a log that lacks the entry.
 
 use super::{
     LogMessage,
@@ -12,6 +18,13 @@
 use daisyseam_model::InstanceId;
 use std::collections::BTreeSet;
 
+/// What kind of votes are asked for; see [`VoteRequest`].
+struct VoteKind {
+    pre_vote: bool,
+    transfer: bool,
+    unanimous: bool,
+}
+
 impl ReplicatedLog {
     pub(super) fn start_pre_vote(&mut self, now: Moment) {
         self.leader = None;
@@ -20,34 +33,44 @@
         }
         self.schedule_retry(now);
         let granted = BTreeSet::from([self.me.clone()]);
-        self.role = MemberRole::PreCandidate { granted };
-        self.ask_for_votes(true, false);
+        let unanimous = now < self.refuses_until;
+        self.role = MemberRole::PreCandidate { granted, unanimous };
+        self.ask_for_votes(VoteKind {
+            pre_vote: true,
+            transfer: false,
+            unanimous,
+        });
         self.count_votes(now);
     }
 
-    fn start_vote(&mut self, now: Moment, transfer: bool) {
+    fn start_vote(&mut self, now: Moment, transfer: bool, unanimous: bool) {
         self.schedule_retry(now);
         self.leader = None;
         self.term = self.term.next();
         self.voted_for = Some(self.me.clone());
         self.save_vote();
         let granted = BTreeSet::from([self.me.clone()]);
-        self.role = MemberRole::Candidate { granted };
-        self.ask_for_votes(false, transfer);
+        self.role = MemberRole::Candidate { granted, unanimous };
+        self.ask_for_votes(VoteKind {
+            pre_vote: false,
+            transfer,
+            unanimous,
+        });
         self.count_votes(now);
     }
 
-    fn ask_for_votes(&mut self, pre_vote: bool, transfer: bool) {
+    fn ask_for_votes(&mut self, kind: VoteKind) {
         let request = VoteRequest {
-            term: if pre_vote {
+            term: if kind.pre_vote {
                 self.term.next()
             } else {
                 self.term
             },
             last_index: self.tail.last_index(),
             last_term: self.tail.last_term(),
-            pre_vote,
-            transfer,
+            pre_vote: kind.pre_vote,
+            transfer: kind.transfer,
+            unanimous: kind.unanimous,
         };
         for voter in self.other_voters() {
             self.send_late(&voter, LogMessage::Vote(request.clone()));
@@ -55,31 +78,37 @@
     }
 
     fn count_votes(&mut self, now: Moment) {
-        let majority = self.members.majority();
-        let enough = |granted: &BTreeSet<InstanceId>, members: &super::MemberTable| {
-            let votes = granted
-                .iter()
-                .filter(|voter| members.voters.contains_key(*voter));
-            votes.count() >= majority
-        };
         match &self.role {
-            MemberRole::PreCandidate { granted } if enough(granted, &self.members) => {
-                self.start_vote(now, false);
+            MemberRole::PreCandidate { granted, unanimous } if self.wins(granted, *unanimous) => {
+                let unanimous = *unanimous;
+                self.start_vote(now, false, unanimous);
             }
-            MemberRole::Candidate { granted } if enough(granted, &self.members) => {
+            MemberRole::Candidate { granted, unanimous } if self.wins(granted, *unanimous) => {
                 self.become_leader(now);
             }
             _ => {}
         }
     }
 
+    /// Returns whether these votes are enough.
+    fn wins(&self, granted: &BTreeSet<InstanceId>, unanimous: bool) -> bool {
+        let voters = &self.members.voters;
+        let votes = granted.iter().filter(|voter| voters.contains_key(*voter));
+        let wanted = match unanimous {
+            true => voters.len(),
+            false => self.members.majority(),
+        };
+        votes.count() >= wanted
+    }
+
     pub(super) fn receive_vote_request(
         &mut self,
         now: Moment,
         from: &InstanceId,
         request: &VoteRequest,
     ) {
-        if !request.transfer && self.refuses_votes(now) {
+        let refuses = !request.transfer && self.refuses_votes(now, request.unanimous);
+        if refuses || self.goes_before(from, request) {
             // The sender learns a higher term at most; this member keeps its leader.
             self.answer_vote(from, request, false);
             return;
@@ -87,7 +116,11 @@
         let current = (request.last_term, request.last_index)
             >= (self.tail.last_term(), self.tail.last_index());
         if request.pre_vote {
-            self.answer_vote(from, request, request.term > self.term && current);
+            let granted = request.term > self.term && current;
+            if granted {
+                self.let_finish(now);
+            }
+            self.answer_vote(from, request, granted);
             return;
         }
         if request.term > self.term {
@@ -105,8 +138,25 @@
         self.answer_vote(from, request, granted);
     }
 
-    fn refuses_votes(&self, now: Moment) -> bool {
-        self.leads() || now < self.refuses_until
+    /// Returns whether this member asks for votes too and is the one to get them: of several whose
+    /// logs are equal the first by name, as one vote for another would spoil both.
+    fn goes_before(&self, other: &InstanceId, request: &VoteRequest) -> bool {
+        let asks = matches!(self.role, MemberRole::PreCandidate { .. });
+        let ends = (self.tail.last_term(), self.tail.last_index());
+        asks && request.pre_vote
+            && ends == (request.last_term, request.last_index)
+            && self.me < *other
+    }
+
+    /// Asks for no votes itself before another member has had the time to collect its own.
+    fn let_finish(&mut self, now: Moment) {
+        let due = self.election_at;
+        self.schedule_retry(now);
+        self.election_at = self.election_at.max(due);
+    }
+
+    fn refuses_votes(&self, now: Moment, unanimous: bool) -> bool {
+        self.leads() || !unanimous && now < self.refuses_until
     }
 
     fn answer_vote(&mut self, to: &InstanceId, request: &VoteRequest, granted: bool) {
@@ -127,12 +177,12 @@
             return;
         }
         match &mut self.role {
-            MemberRole::PreCandidate { granted }
+            MemberRole::PreCandidate { granted, .. }
                 if vote.pre_vote && vote.term == self.term.next() =>
             {
                 granted.insert(from.clone());
             }
-            MemberRole::Candidate { granted } if !vote.pre_vote && vote.term == self.term => {
+            MemberRole::Candidate { granted, .. } if !vote.pre_vote && vote.term == self.term => {
                 granted.insert(from.clone());
             }
             _ => return,
@@ -148,7 +198,7 @@
     ) {
         let from_leader = self.leader.as_ref() == Some(from) && request.term == self.term;
         if from_leader && self.is_voter() {
-            self.start_vote(now, true);
+            self.start_vote(now, true, false);
         }
     }
 }
--- a/crates/daisyseam-coord/tests/log.rs
+++ b/crates/daisyseam-coord/tests/log.rs
@@ -186,3 +186,64 @@
         assert_eq!(log.commit(), LogIndex(commit));
     }
 }
+
+#[test]
+fn members_that_all_restarted_elect_a_leader_without_waiting_for_a_lease() {
+    for seed in 0..20 {
+        let mut cluster = LogCluster::new(3, &[1_000; 6], seed);
+        cluster.elect();
+        for node in 0..3 {
+            cluster.run(LogEvent::Crash(node));
+        }
+        for node in 0..3 {
+            cluster.run(LogEvent::Restart(node));
+        }
+        let settings = LogSettings::default();
+        let once = settings.election_retry + settings.election_spread;
+        // Two that ask at the same time do not spoil each other's vote.
+        let wait = u64::try_from(once.as_millis()).expect("it fits") + 50;
+        let led = (0..wait).position(|_| {
+            cluster.pass(1);
+            (0..3).any(|node| cluster.leads(node))
+        });
+        assert!(led.is_some(), "seed {seed}: nobody leads after {wait} ms");
+    }
+}
+
+#[test]
+fn a_member_that_restarted_does_not_replace_a_leader_that_runs() {
+    for seed in 0..20 {
+        let mut cluster = LogCluster::new(3, &[1_000; 6], seed);
+        let leader = cluster.elect();
+        let term = cluster.term(leader);
+        for other in (0..3).filter(|node| *node != leader) {
+            cluster.run(LogEvent::Crash(other));
+            cluster.run(LogEvent::Restart(other));
+        }
+        cluster.pass(2_000);
+        assert!(cluster.leads(leader), "seed {seed}");
+        assert_eq!(cluster.term(leader), term, "seed {seed}");
+    }
+}
+
+#[test]
+fn members_that_restarted_wait_for_the_lease_of_a_leader_that_they_do_not_reach() {
+    let settings = LogSettings::default();
+    for seed in 0..20 {
+        let mut cluster = LogCluster::new(3, &[1_000; 6], seed);
+        let leader = cluster.elect();
+        cluster.run(LogEvent::Isolate(leader));
+        for other in (0..3).filter(|node| *node != leader) {
+            cluster.run(LogEvent::Crash(other));
+            cluster.run(LogEvent::Restart(other));
+        }
+        let refusal = u64::try_from(settings.vote_refusal.as_millis()).expect("it fits");
+        for _ in 0..refusal - 1 {
+            cluster.pass(1);
+            let others = (0..3).filter(|node| *node != leader);
+            assert_eq!(others.filter(|node| cluster.leads(*node)).count(), 0);
+        }
+        cluster.pass(1_500);
+        assert!((0..3).any(|node| node != leader && cluster.leads(node)));
+    }
+}
--- a/crates/daisyseam-coord/tests/log_support/mod.rs
+++ b/crates/daisyseam-coord/tests/log_support/mod.rs
@@ -44,6 +44,8 @@
     /// Crashes at the next output: 0 before the sync, 1 after it.
     CrashAtSync(usize, u8),
     Restart(usize),
+    /// Restarts every member whose bit is set, within one moment.
+    RestartMany(u8),
     Isolate(usize),
     /// Cuts the connection of two members, but not from the others.
     CutPair(usize, usize),
@@ -62,6 +64,7 @@
         1 => node.clone().prop_map(LogEvent::Crash),
         3 => (node.clone(), 0_u8..2).prop_map(|(node, phase)| LogEvent::CrashAtSync(node, phase)),
         5 => node.clone().prop_map(LogEvent::Restart),
+        3 => any::<u8>().prop_map(LogEvent::RestartMany),
         2 => node.clone().prop_map(LogEvent::Isolate),
         4 => (node.clone(), node.clone()).prop_map(|(node, other)| LogEvent::CutPair(node, other)),
         4 => Just(LogEvent::Join),
@@ -192,6 +195,11 @@
             LogEvent::Crash(node) => self.crash(node % count),
             LogEvent::CrashAtSync(node, phase) => self.nodes[node % count].crash = Some(phase),
             LogEvent::Restart(node) => self.restart(node % count),
+            LogEvent::RestartMany(set) => {
+                for node in (0..count).filter(|node| set >> node & 1 == 1) {
+                    self.restart(node);
+                }
+            }
             LogEvent::Isolate(node) => {
                 self.isolated.insert(node % count);
             }
--- a/crates/daisyseam-wire/src/control.rs
+++ b/crates/daisyseam-wire/src/control.rs
@@ -447,6 +447,9 @@
     /// Name of the member that it is meant for.
     #[prost(string, tag = "7")]
     pub to: String,
+    /// Whether the sender wants the votes of all voters.
+    #[prost(bool, tag = "8")]
+    pub unanimous: bool,
 }
 
 /// The leader hands its place over; it has given up its lease.
