--- a/crates/daisyseam-control/src/core.rs
+++ b/crates/daisyseam-control/src/core.rs
@@ -348,7 +348,7 @@
             .as_ref()
             .is_some_and(|leader| !leads || leader.term != term)
         {
-            log::info!("this instance no longer leads control");
+            log::warn!("this instance no longer leads control");
             self.leader = None;
         }
         if !leads {
@@ -357,7 +357,7 @@
         // Decisions on an older state would be taken back by what is still to be applied.
         let ready = self.log.has_committed_own() && self.applied == self.log.commit();
         if leads && self.leader.is_none() && ready {
-            log::info!("this instance leads control in term {}", term.0);
+            log::warn!("this instance leads control in term {}", term.0);
             self.leader = Some(LeaderWork::begin(&self.settings, now, term, &self.fleet));
         }
     }
--- a/crates/daisyseam-control/src/core/groups.rs
+++ b/crates/daisyseam-control/src/core/groups.rs
@@ -153,7 +153,7 @@
                 (upstream, CallKind::Fence, AdminCall::Fence(term))
             }
             PromotionAction::Promote(upstream, term, end) => {
-                log::info!("group {group}: {upstream} is asked to be primary in term {term}");
+                log::warn!("group {group}: {upstream} is asked to be primary in term {term}");
                 let call = AdminCall::Promote(PromoteCall { term, end });
                 (upstream, CallKind::Promote, call)
             }
--- a/crates/daisyseam-member/src/control_client/keeper.rs
+++ b/crates/daisyseam-member/src/control_client/keeper.rs
@@ -114,12 +114,15 @@
             lease_until: held.lease_until.max(Some(until)),
         });
         if !held.is_valid() {
-            if let Some(ended) = held.lease_until {
-                let gap = BootClock::now().saturating_duration_since(ended);
-                log::warn!(
-                    "the lease on the view holds again after {} ms",
-                    gap.as_millis()
-                );
+            match held.lease_until {
+                Some(ended) => {
+                    let gap = BootClock::now().saturating_duration_since(ended);
+                    log::warn!(
+                        "the lease on the view holds again after {} ms",
+                        gap.as_millis()
+                    );
+                }
+                None => log::warn!("the first lease on a view holds"),
             }
             self.observer.lease_begun();
         }
