Wait for a lost lease or a first share as long as it may still be in time

Cause: the gate refused every request after a tenth of the goal (200 ms at most) while the lease on the view was lost or no share had come, so that a consumer's three tries were over before the lease was back; a wait for a primary goes on for the whole goal.

Change: times of admission are two, for a turn (as before) and for a lease or a share that this instance lacks: the goal, at most 45 % of the statement's timeout. Both come from OperationTimes. The entry's own use of the gate is as it was (a deadline, a lease for 2 s at most).

Test first: tests/gate.rs; with one time for both, as before, two of its three tests fail.

The entry's tests were compiled, not run.

--- a/crates/daisyseam-engine/src/session.rs
+++ b/crates/daisyseam-engine/src/session.rs
@@ -296,7 +296,7 @@
     ) -> Result<(), RequestError> {
         let gate = &self.engine.settings.gate;
         if let Some(organisation) = self.identity.organisation() {
-            return gate.admit(organisation, times.token_until()).await;
+            return gate.admit_within(organisation, times.admit()).await;
         }
         let document = rights.document();
         let limited = document
@@ -304,7 +304,7 @@
         match limited {
             true => {
                 let service = &self.identity.service;
-                gate.admit_open(service, times.token_until()).await
+                gate.admit_open_within(service, times.admit()).await
             }
             false => Ok(()),
         }
--- a/crates/daisyseam-engine/src/times.rs
+++ b/crates/daisyseam-engine/src/times.rs
@@ -1,6 +1,7 @@
 //! The times that bound an operation.
 
 use crate::identity::CallerRights;
+use daisyseam_member::AdmitTimes;
 use daisyseam_model::document::RequestLimits;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -21,6 +22,9 @@
 /// Part of it for which it waits for a token, as a divisor.
 const TOKEN_WAIT_DIVISOR: u32 = 10;
 
+/// Part of a statement's timeout for which it waits for a lease or a share at most, in percent.
+const SHARE_WAIT_PERCENT: u32 = 45;
+
 /// Shortest and longest time that opening a connection may take.
 const CONNECT_MIN: Duration = Duration::from_millis(300);
 const CONNECT_MAX: Duration = Duration::from_millis(1_000);
@@ -55,9 +59,14 @@
         self.start + self.timeout
     }
 
-    /// Returns until when it waits for a token.
-    pub(crate) fn token_until(&self) -> Instant {
-        self.start + (self.target / TOKEN_WAIT_DIVISOR).min(TOKEN_WAIT_MAX)
+    /// Returns until when it waits to be admitted: for its turn only shortly, for a lease or a share
+    /// that this instance lacks as long as it may still be in time.
+    pub(crate) fn admit(&self) -> AdmitTimes {
+        let most = self.timeout * SHARE_WAIT_PERCENT / 100;
+        AdmitTimes {
+            token: self.start + (self.target / TOKEN_WAIT_DIVISOR).min(TOKEN_WAIT_MAX),
+            share: self.start + self.target.min(most),
+        }
     }
 
     /// Returns until when it waits for a connection from now on.
--- a/crates/daisyseam-member/src/gate.rs
+++ b/crates/daisyseam-member/src/gate.rs
@@ -37,12 +37,31 @@
     time::Instant, //
 };
 
-/// Longest time that a request is held while this instance has no lease.
+/// Longest wait for a lease where only one moment is given.
 const VIEW_WAIT: Duration = Duration::from_secs(2);
 
 /// Time between two looks at whether a report is due while requests wait.
 const REPORT_LOOK: Duration = Duration::from_millis(25);
 
+/// Until when a request waits to be admitted.
+#[derive(Clone, Copy, Debug)]
+pub struct AdmitTimes {
+    /// For its turn, where this instance has a share of the rate.
+    pub token: Instant,
+    /// For the lease on the view and for a share, where there is none.
+    pub share: Instant,
+}
+
+/// Waits for a turn until a moment, and for a lease no longer than [`VIEW_WAIT`] of it.
+impl From<Instant> for AdmitTimes {
+    fn from(until: Instant) -> Self {
+        Self {
+            token: until,
+            share: until.min(Instant::now() + VIEW_WAIT),
+        }
+    }
+}
+
 /// Admits requests within an organisation's rate and burst.
 pub trait RateGate: Clone + Send + Sync + 'static {
     /// Waits for a token, but not past the deadline.
@@ -56,6 +75,19 @@
         deadline: Instant,
     ) -> impl Future<Output = Result<(), RequestError>> + Send;
 
+    /// Waits for a token, and for a lease or a share, each up to its time.
+    ///
+    /// # Errors
+    ///
+    /// As of [`Self::admit`].
+    fn admit_within(
+        &self,
+        organisation: &OrganisationId,
+        times: AdmitTimes,
+    ) -> impl Future<Output = Result<(), RequestError>> + Send {
+        self.admit(organisation, times.token)
+    }
+
     /// Waits for a token of a service's open route, but not past the deadline.
     ///
     /// # Errors
@@ -66,6 +98,19 @@
         service: &ServiceId,
         deadline: Instant,
     ) -> impl Future<Output = Result<(), RequestError>> + Send;
+
+    /// Waits for a token of an open route, and for a lease or a share, each up to its time.
+    ///
+    /// # Errors
+    ///
+    /// As of [`Self::admit_open`].
+    fn admit_open_within(
+        &self,
+        service: &ServiceId,
+        times: AdmitTimes,
+    ) -> impl Future<Output = Result<(), RequestError>> + Send {
+        self.admit_open(service, times.token)
+    }
 }
 
 /// Admits requests within this instance's share of each rate; cheap to clone.
@@ -151,9 +196,9 @@
         self.shared.stirred.send_replace(());
     }
 
-    async fn take(&self, key: RateKey, deadline: Instant) -> Result<(), RequestError> {
-        let view = self.view(deadline).await?;
-        let Some(guard) = self.begin(&view, &key, deadline)? else {
+    async fn take(&self, key: RateKey, times: AdmitTimes) -> Result<(), RequestError> {
+        let view = self.view(times.share).await?;
+        let Some((guard, deadline)) = self.begin(&view, &key, times)? else {
             return Ok(());
         };
         self.shared.stirred.send_replace(());
@@ -174,18 +219,19 @@
         }
     }
 
-    /// Takes a token if there is one and nobody waits, else a place in the line.
+    /// Takes a token if there is one and nobody waits, else a place in the line until a moment.
     fn begin<'a>(
         &'a self,
         view: &FleetView,
         key: &RateKey,
-        deadline: Instant,
-    ) -> Result<Option<LineGuard<'a>>, RequestError> {
+        times: AdmitTimes,
+    ) -> Result<Option<(LineGuard<'a>, Instant)>, RequestError> {
         let mut state = self.shared.state.lock();
         // Taken under the lock, so that no wait for it makes a lease seem longer.
         let now = BootClock::now();
         state.take_document(view);
         state.count(now, key);
+        let mut deadline = times.token;
         if state.waiting(key) == 0 {
             match state.take(now, key) {
                 Ok(()) => return Ok(None),
@@ -193,6 +239,9 @@
                 Err(NoToken::Wait(_)) => {}
             }
         }
+        if !state.has_share(now, key) {
+            deadline = deadline.max(times.share);
+        }
         if Instant::now() + state.least_wait(key) > deadline {
             let retry_after = state.retry_after(now, key);
             return Err(rate_exceeded(retry_after));
@@ -200,12 +249,8 @@
         let number = state.enter_line(now, key);
         let line = state.line(key);
         drop(state);
-        Ok(Some(LineGuard::new(
-            &self.shared.state,
-            key.clone(),
-            number,
-            line,
-        )))
+        let guard = LineGuard::new(&self.shared.state, key.clone(), number, line);
+        Ok(Some((guard, deadline)))
     }
 
     /// Takes a token, or returns when to look again; no moment while there is no share.
@@ -218,9 +263,8 @@
         }
     }
 
-    /// Returns the view, waiting a while for a lease that has lapsed.
-    async fn view(&self, deadline: Instant) -> Result<Arc<FleetView>, RequestError> {
-        let until = deadline.min(Instant::now() + VIEW_WAIT);
+    /// Returns the view, waiting for a lease that has lapsed.
+    async fn view(&self, until: Instant) -> Result<Arc<FleetView>, RequestError> {
         let mut changes = self.shared.cell.subscribe();
         loop {
             match self.shared.cell.valid() {
@@ -248,13 +292,29 @@
         &self,
         organisation: &OrganisationId,
         deadline: Instant,
+    ) -> Result<(), RequestError> {
+        self.admit_within(organisation, deadline.into()).await
+    }
+
+    async fn admit_within(
+        &self,
+        organisation: &OrganisationId,
+        times: AdmitTimes,
     ) -> Result<(), RequestError> {
         let key = RateKey::Organisation(organisation.clone());
-        self.take(key, deadline).await
+        self.take(key, times).await
     }
 
     async fn admit_open(&self, service: &ServiceId, deadline: Instant) -> Result<(), RequestError> {
-        self.take(RateKey::Open(service.clone()), deadline).await
+        self.admit_open_within(service, deadline.into()).await
+    }
+
+    async fn admit_open_within(
+        &self,
+        service: &ServiceId,
+        times: AdmitTimes,
+    ) -> Result<(), RequestError> {
+        self.take(RateKey::Open(service.clone()), times).await
     }
 }
 
--- a/crates/daisyseam-member/src/gate/state.rs
+++ b/crates/daisyseam-member/src/gate/state.rs
@@ -117,6 +117,12 @@
         self.set.take(self.moment(now), key)
     }
 
+    /// Returns whether a share of a rate is held.
+    pub(super) fn has_share(&mut self, now: Instant, key: &RateKey) -> bool {
+        let now = self.moment(now);
+        !self.set.share(now, key).is_empty()
+    }
+
     /// Returns the number of requests that wait for a token of a key.
     pub(super) fn waiting(&self, key: &RateKey) -> usize {
         self.lines.get(key).map_or(0, |line| line.waiting.len())
--- a/crates/daisyseam-member/src/lib.rs
+++ b/crates/daisyseam-member/src/lib.rs
@@ -17,6 +17,7 @@
         HEARTBEAT, //
     },
     gate::{
+        AdmitTimes,
         FleetGate,
         RateGate, //
     },
--- /dev/null
+++ b/crates/daisyseam-member/tests/gate.rs
@@ -0,0 +1,149 @@
+//! How long a request waits to be admitted: shortly for its turn, longer for a lease or a share.
+
+use daisyseam_coord::{
+    Moment,
+    quota::{
+        HolderId,
+        QuotaLedger,
+        document_rates, //
+    }, //
+};
+use daisyseam_member::{
+    AdmitTimes,
+    FleetGate,
+    HeldView,
+    RateGate,
+    ViewCell, //
+};
+use daisyseam_model::document::Document;
+use daisyseam_model::{
+    ErrorKind,
+    FleetView,
+    Incarnation,
+    InstanceId,
+    OrganisationId,
+    RequestError, //
+};
+use daisyseam_runtime::{
+    BootClock,
+    TimerService, //
+};
+use daisyseam_wire::WireShareReply;
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+use tokio::time::{
+    Instant,
+    sleep, //
+};
+
+const LEASE: Duration = Duration::from_secs(10);
+const TOKEN_WAIT: Duration = Duration::from_millis(100);
+const SHARE_WAIT: Duration = Duration::from_millis(500);
+
+fn document() -> Arc<Document> {
+    let text = r#"
+        number = 1
+        cluster = "rates"
+        [[region]]
+        name = "north"
+        [[data_centre]]
+        name = "north-a"
+        region = "north"
+        [[organisation]]
+        name = "keepers"
+        rate = 10.0
+        burst = 1.0
+    "#;
+    Arc::new(Document::parse(text).unwrap())
+}
+
+fn hold(cell: &ViewCell) {
+    let document = document();
+    let view = FleetView {
+        document_number: document.number,
+        document: Some(document),
+        ..FleetView::default()
+    };
+    cell.replace(HeldView {
+        view: Arc::new(view),
+        lease_until: Some(BootClock::now() + LEASE),
+    });
+}
+
+/// Reports to a ledger that is open and takes its answers in.
+fn grant(gate: &FleetGate) {
+    let mut ledger = QuotaLedger::new(1, Moment::ORIGIN, LEASE);
+    let now = Moment::ORIGIN + LEASE;
+    ledger.set_totals(now, document_rates(&document()));
+    let holder = HolderId {
+        instance: InstanceId::new("entry-1").unwrap(),
+        incarnation: Incarnation(1),
+    };
+    for _ in 0..2 {
+        let report = gate.report().read().unwrap();
+        let reply = ledger.report(now, &holder, &report).unwrap();
+        gate.replied(&WireShareReply::present(&reply), LEASE);
+    }
+}
+
+async fn admit(gate: &FleetGate) -> Result<(), RequestError> {
+    let now = Instant::now();
+    let times = AdmitTimes {
+        token: now + TOKEN_WAIT,
+        share: now + SHARE_WAIT,
+    };
+    gate.admit_within(&OrganisationId::new("keepers").unwrap(), times)
+        .await
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_request_waits_for_a_lease_and_a_share_past_the_time_for_its_turn() {
+    let cell = ViewCell::new();
+    let gate = FleetGate::new(cell.clone(), TimerService::start());
+    let begun = Instant::now();
+    let waiting = tokio::spawn({
+        let gate = gate.clone();
+        async move { admit(&gate).await }
+    });
+    sleep(TOKEN_WAIT * 2).await;
+    hold(&cell);
+    sleep(TOKEN_WAIT).await;
+    grant(&gate);
+    waiting.await.unwrap().unwrap();
+    assert!(begun.elapsed() < SHARE_WAIT, "{:?}", begun.elapsed());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_request_is_refused_when_no_lease_or_no_share_has_come_in_time() {
+    let cell = ViewCell::new();
+    let gate = FleetGate::new(cell.clone(), TimerService::start());
+    let begun = Instant::now();
+    let error = admit(&gate).await.unwrap_err();
+    assert_eq!(error.kind, ErrorKind::NoView);
+    assert!(begun.elapsed() >= SHARE_WAIT);
+
+    hold(&cell);
+    let begun = Instant::now();
+    let error = admit(&gate).await.unwrap_err();
+    assert_eq!(error.kind, ErrorKind::RateExceeded);
+    assert!(begun.elapsed() >= SHARE_WAIT);
+    assert!(begun.elapsed() < SHARE_WAIT + TOKEN_WAIT);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_request_beyond_its_share_waits_no_longer_than_for_its_turn() {
+    let cell = ViewCell::new();
+    let gate = FleetGate::new(cell.clone(), TimerService::start());
+    hold(&cell);
+    grant(&gate);
+    sleep(TOKEN_WAIT * 2).await;
+    admit(&gate).await.unwrap();
+    // The next token comes 100 ms later: one waits for it, another is told at once.
+    let begun = Instant::now();
+    let (first, second) = tokio::join!(admit(&gate), admit(&gate));
+    let refused = [first, second].into_iter().filter(Result::is_err).count();
+    assert!(refused >= 1);
+    assert!(begun.elapsed() <= TOKEN_WAIT + Duration::from_millis(10));
+}
