--- a/crates/daisyseam-engine/src/session.rs
+++ b/crates/daisyseam-engine/src/session.rs
@@ -338,7 +338,7 @@
         if !settings.cell.held().is_current() {
             let known = self.identity.check(&settings.cell).ok();
             let until = known.map_or(began + VIEW_WAIT, |rights| {
-                OperationTimes::since(began, &rights).token_until()
+                OperationTimes::since(began, &rights).admit().token
             });
             settings.cell.current(&settings.timer, until).await?;
         }
@@ -355,7 +355,7 @@
     ) -> Result<(), RequestError> {
         let gate = &self.engine.settings.gate;
         if let Some(organisation) = self.identity.organisation() {
-            return gate.admit(organisation, times.token_until()).await;
+            return gate.admit_within(organisation, times.admit()).await;
         }
         let document = rights.document();
         let limited = document
@@ -363,7 +363,7 @@
         match limited {
             true => {
                 let service = &self.identity.service;
-                gate.admit_open(service, times.token_until()).await
+                gate.admit_open_within(service, times.admit()).await
             }
             false => Ok(()),
         }
