--- a/crates/daisyseam-bench/src/experiments.rs
+++ b/crates/daisyseam-bench/src/experiments.rs
@@ -13,7 +13,7 @@
     control_cost::ControlCost,
     failover::Failover,
     overhead::Overhead,
-    shape::FirmShape, //
+    shape::DeploymentShape, //
 };
 use crate::experiment::{
     Experiment,
@@ -40,7 +40,7 @@
 pub async fn run_named(
     name: &str,
     seed: u64,
-    shape: FirmShape,
+    shape: DeploymentShape,
 ) -> Result<ExperimentReport, ExperimentError> {
     let outcome = match name {
         "fairness" => fairness::run(shape, seed).await?,
--- a/crates/daisyseam-bench/src/experiments/failover.rs
+++ b/crates/daisyseam-bench/src/experiments/failover.rs
@@ -132,7 +132,7 @@
 
 fn set_stalled(fleet: &TestFleet, place: usize, stalled: bool) {
     if let Some(database) = fleet.databases[place].database() {
-        database.knobs().set_stalled(stalled);
+        database.options().set_stalled(stalled);
     }
 }
 
--- a/crates/daisyseam-bench/src/experiments/fairness.rs
+++ b/crates/daisyseam-bench/src/experiments/fairness.rs
@@ -1,7 +1,7 @@
 //! Eight organisations, one of which sends five times its rate.
 
 use super::{
-    FirmShape,
+    DeploymentShape,
     shape::{
         RatedOrganisation,
         equal_organisations,
@@ -11,7 +11,7 @@
     },
     traffic::{
         CallRecord,
-        CallerCrowd,
+        CallerPool,
         READ_STATEMENT,
         draw_arrivals,
         prepare, //
@@ -60,7 +60,10 @@
 const PHASE: Duration = Duration::from_secs(10);
 
 /// Runs the experiment once.
-pub(super) async fn run(shape: FirmShape, seed: u64) -> Result<ExperimentOutcome, ExperimentError> {
+pub(super) async fn run(
+    shape: DeploymentShape,
+    seed: u64,
+) -> Result<ExperimentOutcome, ExperimentError> {
     let organisations = equal_organisations(ORGANISATIONS, RATE, BURST);
     let measures = {
         let callers: Vec<&str> = organisations.iter().map(|one| one.name.as_str()).collect();
@@ -78,7 +81,7 @@
 }
 
 async fn measure(
-    shape: FirmShape,
+    shape: DeploymentShape,
     seed: u64,
     organisations: &[RatedOrganisation],
     callers: &[&str],
@@ -139,7 +142,7 @@
         });
         let flooding = factor > 1.0;
         let targets = fleet.entries.iter().map(EntryNode::caller_address);
-        let crowd = CallerCrowd {
+        let crowd = CallerPool {
             targets: targets
                 .map(|address| target(address, organisation))
                 .collect(),
--- a/crates/daisyseam-bench/src/experiments/quota.rs
+++ b/crates/daisyseam-bench/src/experiments/quota.rs
@@ -1,7 +1,7 @@
 //! Uneven, moving demand within rates, one organisation far over its own, and lost instances.
 
 use super::{
-    FirmShape,
+    DeploymentShape,
     shape::{
         equal_organisations,
         plan,
@@ -11,7 +11,7 @@
     traffic::{
         Arrival,
         CallRecord,
-        CallerCrowd,
+        CallerPool,
         READ_STATEMENT,
         draw_arrivals,
         prepare, //
@@ -66,7 +66,10 @@
 const BACK_AFTER: Duration = Duration::from_secs(18);
 
 /// Runs the experiment once.
-pub(super) async fn run(shape: FirmShape, seed: u64) -> Result<ExperimentOutcome, ExperimentError> {
+pub(super) async fn run(
+    shape: DeploymentShape,
+    seed: u64,
+) -> Result<ExperimentOutcome, ExperimentError> {
     let organisations = equal_organisations(ORGANISATIONS, RATE, BURST);
     let mut fleet = start(plan(shape, &organisations, QUEUE_TIMEOUT, seed)).await?;
     let addresses: Vec<_> = fleet
@@ -86,7 +89,7 @@
     for (place, organisation) in organisations.iter().enumerate() {
         let arrivals = arrivals(seed, place, addresses.len());
         offered.push(arrivals.clone());
-        let crowd = CallerCrowd {
+        let crowd = CallerPool {
             targets: addresses
                 .iter()
                 .map(|address| target(*address, &organisation.name))
--- a/crates/daisyseam-bench/src/experiments/sessions.rs
+++ b/crates/daisyseam-bench/src/experiments/sessions.rs
@@ -1,7 +1,7 @@
 //! Sessions that write, read what they wrote, and roam, with replicas that lag.
 
 use super::{
-    FirmShape,
+    DeploymentShape,
     shape::{
         GROUP,
         SERVICE,
@@ -65,7 +65,10 @@
 const QUEUE_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Runs the experiment once.
-pub(super) async fn run(shape: FirmShape, seed: u64) -> Result<ExperimentOutcome, ExperimentError> {
+pub(super) async fn run(
+    shape: DeploymentShape,
+    seed: u64,
+) -> Result<ExperimentOutcome, ExperimentError> {
     let organisations = equal_organisations(1, 10_000.0, 10_000.0);
     let organisation = organisations[0].name.as_str();
     let plan = plan(shape, &organisations, QUEUE_TIMEOUT, seed);
--- a/crates/daisyseam-bench/src/experiments/shape.rs
+++ b/crates/daisyseam-bench/src/experiments/shape.rs
@@ -29,14 +29,14 @@
 
 /// Which firm a fleet is laid out for.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum FirmShape {
+pub enum DeploymentShape {
     /// Kalahari Shellrest Systems.
     Shellrest,
     /// Brandvold & Sons.
     Brandvold,
 }
 
-impl FirmShape {
+impl DeploymentShape {
     /// Reads the name of a shape.
     pub fn parse(name: &str) -> Option<Self> {
         match name {
@@ -81,7 +81,7 @@
 
 /// Plans a fleet with one group and stated organisations.
 pub(super) fn plan(
-    shape: FirmShape,
+    shape: DeploymentShape,
     organisations: &[RatedOrganisation],
     queue_timeout: Duration,
     seed: u64,
@@ -110,7 +110,7 @@
 }
 
 fn document(
-    shape: FirmShape,
+    shape: DeploymentShape,
     organisations: &[RatedOrganisation],
     queue_timeout: Duration,
 ) -> String {
--- a/crates/daisyseam-bench/src/experiments/traffic.rs
+++ b/crates/daisyseam-bench/src/experiments/traffic.rs
@@ -71,7 +71,7 @@
 }
 
 /// One organisation's callers.
-pub(super) struct CallerCrowd {
+pub(super) struct CallerPool {
     /// Entry instances, as the organisation reaches them.
     pub(super) targets: Vec<CallerTarget>,
     /// Connections to each entry instance.
@@ -102,7 +102,7 @@
     }
 }
 
-impl CallerCrowd {
+impl CallerPool {
     /// Connects, sends each request at its time, and returns what became of them all.
     pub(super) async fn send(self, start: Instant, arrivals: Vec<Arrival>) -> Vec<CallRecord> {
         let (records, mut received) = mpsc::unbounded_channel();
--- a/crates/daisyseam-bench/src/load/history.rs
+++ b/crates/daisyseam-bench/src/load/history.rs
@@ -13,7 +13,7 @@
     Acknowledged,
     /// It was not run; the SQLSTATE says why.
     NotRun(String),
-    /// Nobody said whether it ran; the SQLSTATE or `connection_lost` says why.
+    /// IdleObserver said whether it ran; the SQLSTATE or `connection_lost` says why.
     Unknown(String),
     /// The database refused it.
     Failed(String),
--- a/crates/daisyseam-bench/src/main.rs
+++ b/crates/daisyseam-bench/src/main.rs
@@ -2,7 +2,7 @@
 
 use argh::FromArgs;
 use daisyseam_bench::experiments::{
-    FirmShape,
+    DeploymentShape,
     run_named, //
 };
 use daisyseam_runtime::exit;
@@ -39,15 +39,20 @@
     #[argh(option, default = "1")]
     seed: u64,
     /// firm whose places and delays are used: shellrest or brandvold
-    #[argh(option, default = "FirmShape::Shellrest", from_str_fn(read_shape))]
-    shape: FirmShape,
+    #[argh(
+        option,
+        default = "DeploymentShape::Shellrest",
+        from_str_fn(read_shape)
+    )]
+    shape: DeploymentShape,
     /// print the JSON object only
     #[argh(switch)]
     json: bool,
 }
 
-fn read_shape(name: &str) -> Result<FirmShape, String> {
-    FirmShape::parse(name).ok_or_else(|| format!("`{name}` is no shape: shellrest or brandvold"))
+fn read_shape(name: &str) -> Result<DeploymentShape, String> {
+    DeploymentShape::parse(name)
+        .ok_or_else(|| format!("`{name}` is no shape: shellrest or brandvold"))
 }
 
 fn main() -> ExitCode {
--- a/crates/daisyseam-bench/src/standin.rs
+++ b/crates/daisyseam-bench/src/standin.rs
@@ -6,8 +6,8 @@
 mod counters;
 mod error;
 mod functions;
-mod knobs;
 mod log_record;
+mod options;
 mod recorder;
 mod replica;
 mod rows;
@@ -26,12 +26,12 @@
     core::HistorySegment,
     counters::StatementCounters,
     error::StandInError,
-    knobs::StandInKnobs,
     log_record::{
         LogRecord,
         LoggedStatement,
         LoggedValue, //
     },
+    options::StandInOptions,
     recorder::ByteRecorder, //
 };
 use daisyseam_model::{
@@ -149,7 +149,7 @@
     address: SocketAddr,
     admin_address: SocketAddr,
     core: Arc<StandInCore>,
-    knobs: Arc<StandInKnobs>,
+    options: Arc<StandInOptions>,
     counters: Arc<StatementCounters>,
     recorder: Arc<ByteRecorder>,
     slots: Arc<Semaphore>,
@@ -176,7 +176,7 @@
         let admin_listener = listen(settings.admin_listen)?;
         let address = listener.local_addr()?;
         let admin_address = admin_listener.local_addr()?;
-        let knobs = Arc::new(StandInKnobs::new(
+        let options = Arc::new(StandInOptions::new(
             settings.open_delay,
             settings.service_time,
             settings.lag.clone(),
@@ -192,7 +192,7 @@
             .map_err(io::Error::other)?;
         let shared = Arc::new(ServerShared {
             core: Arc::clone(&core),
-            knobs: Arc::clone(&knobs),
+            options: Arc::clone(&options),
             counters: Arc::clone(&counters),
             recorder: Arc::clone(&recorder),
             timer: timer.clone(),
@@ -203,7 +203,7 @@
         runtime.spawn(server::accept(listener, shared));
         let admin = AdminState {
             core: Arc::clone(&core),
-            knobs: Arc::clone(&knobs),
+            options: Arc::clone(&options),
             timer: timer.clone(),
         };
         runtime.spawn(async move {
@@ -213,7 +213,7 @@
         });
         let puller = LogPuller {
             core: Arc::clone(&core),
-            knobs: Arc::clone(&knobs),
+            options: Arc::clone(&options),
             timer: timer.clone(),
             client: client.clone(),
             seed: settings.seed,
@@ -221,7 +221,7 @@
         runtime.spawn(puller.run());
         let announcer = Announcer {
             core: Arc::clone(&core),
-            knobs: Arc::clone(&knobs),
+            options: Arc::clone(&options),
             timer,
             client,
             template: Announcement {
@@ -243,7 +243,7 @@
             address,
             admin_address,
             core,
-            knobs,
+            options,
             counters,
             recorder,
             slots,
@@ -269,8 +269,8 @@
     }
 
     /// Returns what it can be told to do.
-    pub fn knobs(&self) -> &StandInKnobs {
-        &self.knobs
+    pub fn options(&self) -> &StandInOptions {
+        &self.options
     }
 
     /// Returns what it has been asked to do.
--- a/crates/daisyseam-bench/src/standin/admin.rs
+++ b/crates/daisyseam-bench/src/standin/admin.rs
@@ -6,8 +6,8 @@
         StandInCore, //
     },
     error::StandInError,
-    knobs::StandInKnobs,
     log_record::LogRecord, //
+    options::StandInOptions,
 };
 use axum::{
     Json,
@@ -55,7 +55,7 @@
 #[derive(Clone)]
 pub(super) struct AdminState {
     pub(super) core: Arc<StandInCore>,
-    pub(super) knobs: Arc<StandInKnobs>,
+    pub(super) options: Arc<StandInOptions>,
     pub(super) timer: TimerService,
 }
 
@@ -97,7 +97,7 @@
     State(admin): State<AdminState>,
     Query(query): Query<StateQuery>,
 ) -> Json<UpstreamState> {
-    admin.knobs.unstalled().await;
+    admin.options.unstalled().await;
     if let (Some(term), Some(position)) = (query.term, query.position) {
         let wanted = LogPosition { term, position };
         let wait = Duration::from_millis(query.wait_ms.unwrap_or(0));
@@ -110,22 +110,22 @@
 }
 
 async fn fence(State(admin): State<AdminState>, Json(call): Json<FenceCall>) -> Response {
-    admin.knobs.unstalled().await;
+    admin.options.unstalled().await;
     answer(admin.core.fence(call.term))
 }
 
 async fn promote(State(admin): State<AdminState>, Json(call): Json<PromoteCall>) -> Response {
-    admin.knobs.unstalled().await;
+    admin.options.unstalled().await;
     answer(admin.core.promote(&call))
 }
 
 async fn follow(State(admin): State<AdminState>, Json(call): Json<FollowCall>) -> Response {
-    admin.knobs.unstalled().await;
+    admin.options.unstalled().await;
     answer(admin.core.follow(&call).await)
 }
 
 async fn read_log(State(admin): State<AdminState>, Query(query): Query<LogQuery>) -> Response {
-    admin.knobs.unstalled().await;
+    admin.options.unstalled().await;
     let wait = Duration::from_millis(query.wait_ms);
     let mut changes = admin.core.subscribe();
     let more = changes.wait_for(|state| state.end.position > query.after);
--- a/crates/daisyseam-bench/src/standin/announcer.rs
+++ b/crates/daisyseam-bench/src/standin/announcer.rs
@@ -2,7 +2,7 @@
 
 use super::{
     core::StandInCore,
-    knobs::StandInKnobs, //
+    options::StandInOptions, //
 };
 use daisyseam_model::announce::{
     Announcement,
@@ -25,7 +25,7 @@
 /// Announces one stand-in.
 pub(super) struct Announcer {
     pub(super) core: Arc<StandInCore>,
-    pub(super) knobs: Arc<StandInKnobs>,
+    pub(super) options: Arc<StandInOptions>,
     pub(super) timer: TimerService,
     pub(super) client: reqwest::Client,
     /// The announcement but for its state.
@@ -40,7 +40,7 @@
         let mut next = 0_usize;
         let mut changes = self.core.subscribe();
         loop {
-            self.knobs.unstalled().await;
+            self.options.unstalled().await;
             let role = changes.borrow_and_update().role;
             let entry = {
                 let entries = self.entries.read();
@@ -65,7 +65,7 @@
     async fn announce(&self, entry: SocketAddr) -> Option<AnnouncementReply> {
         let announcement = Announcement {
             state: self.core.upstream(),
-            leaving: self.knobs.is_leaving(),
+            leaving: self.options.is_leaving(),
             ..self.template.clone()
         };
         let request = self
--- a/crates/daisyseam-bench/src/standin/knobs.rs
+++ b/crates/daisyseam-bench/src/standin/options.rs
@@ -14,7 +14,7 @@
 use tokio::sync::watch;
 
 /// Settings that may change while a stand-in runs.
-pub struct StandInKnobs {
+pub struct StandInOptions {
     service_us: AtomicU64,
     answer_delay_us: AtomicU64,
     open_delay_us: AtomicU64,
@@ -25,7 +25,7 @@
     cuts: watch::Sender<u64>,
 }
 
-impl StandInKnobs {
+impl StandInOptions {
     pub(super) fn new(
         open_delay: Duration,
         service: Duration,
--- a/crates/daisyseam-bench/src/standin/replica.rs
+++ b/crates/daisyseam-bench/src/standin/replica.rs
@@ -9,8 +9,8 @@
         FollowTarget,
         StandInCore, //
     },
-    knobs::StandInKnobs,
     log_record::LogRecord, //
+    options::StandInOptions,
 };
 use daisyseam_model::LogPosition;
 use daisyseam_runtime::TimerService;
@@ -38,7 +38,7 @@
 #[derive(Clone)]
 pub(super) struct LogPuller {
     pub(super) core: Arc<StandInCore>,
-    pub(super) knobs: Arc<StandInKnobs>,
+    pub(super) options: Arc<StandInOptions>,
     pub(super) timer: TimerService,
     pub(super) client: reqwest::Client,
     pub(super) seed: u64,
@@ -84,7 +84,7 @@
             let mut random = ChaCha8Rng::seed_from_u64(self.seed ^ end.position.0);
             loop {
                 let answer = self.fetch(target, end, LOG_WAIT).await?;
-                let due = Instant::now() + self.knobs.draw_lag(&mut random);
+                let due = Instant::now() + self.options.draw_lag(&mut random);
                 for record in answer.records {
                     end = record.reaches();
                     if sender.send((due, record)).await.is_err() {
@@ -106,7 +106,7 @@
     ) -> Result<(), String> {
         while let Some((due, record)) = receiver.recv().await {
             self.timer.at(due).await;
-            self.knobs.unstalled().await;
+            self.options.unstalled().await;
             let applied = self.core.apply(target, record).await;
             applied.map_err(|error| error.to_string())?;
         }
--- a/crates/daisyseam-bench/src/standin/server.rs
+++ b/crates/daisyseam-bench/src/standin/server.rs
@@ -4,7 +4,7 @@
     core::StandInCore,
     counters::StatementCounters,
     error::StandInError,
-    knobs::StandInKnobs,
+    options::StandInOptions,
     recorder::{
         ByteRecorder,
         TappedStream, //
@@ -106,7 +106,7 @@
 /// What all connections of a stand-in share.
 pub(super) struct ServerShared {
     pub(super) core: Arc<StandInCore>,
-    pub(super) knobs: Arc<StandInKnobs>,
+    pub(super) options: Arc<StandInOptions>,
     pub(super) counters: Arc<StatementCounters>,
     pub(super) recorder: Arc<ByteRecorder>,
     pub(super) timer: TimerService,
@@ -155,7 +155,7 @@
     let tapped = shared.recorder.tap(stream);
     let client = DefaultClient::new(address, false);
     let mut socket = Framed::new(tapped, PgWireMessageServerCodec::new(client));
-    let mut cuts = shared.knobs.cuts();
+    let mut cuts = shared.options.cuts();
     if !negotiate(&mut socket).await? {
         return Ok(());
     }
@@ -286,18 +286,23 @@
         C::Error: Debug,
         PgWireError: From<<C as Sink<PgWireBackendMessage>>::Error>,
     {
-        self.parser.shared.knobs.unstalled().await;
+        self.parser.shared.options.unstalled().await;
         let slots = Arc::clone(&self.parser.shared.slots);
         let permit = slots
             .try_acquire_owned()
             .map_err(|_| StandInError::TooManyConnections)?;
         *self.permit.lock() = Some(permit);
-        let delay = self.parser.shared.knobs.open_delay();
+        let delay = self.parser.shared.options.open_delay();
         if !delay.is_zero() {
             self.parser.shared.timer.after(delay).await;
         }
         let shared = &self.parser.shared;
-        let session = Session::open(&shared.core, &shared.knobs, &shared.counters, &shared.timer)?;
+        let session = Session::open(
+            &shared.core,
+            &shared.options,
+            &shared.counters,
+            &shared.timer,
+        )?;
         let first = self.parser.session.set(session).is_ok();
         assert!(first, "a connection starts up once");
         Ok(())
@@ -307,7 +312,7 @@
 #[async_trait]
 impl CancelHandler for ConnectionHandlers {
     async fn on_cancel_request(&self, request: CancelRequest) {
-        if self.parser.shared.knobs.ignores_cancel() {
+        if self.parser.shared.options.ignores_cancel() {
             return;
         }
         let cancels = Arc::clone(&self.parser.shared.cancels);
--- a/crates/daisyseam-bench/src/standin/session.rs
+++ b/crates/daisyseam-bench/src/standin/session.rs
@@ -9,8 +9,8 @@
     counters::StatementCounters,
     error::StandInError,
     functions::ConnectionContext,
-    knobs::StandInKnobs,
     log_record::LoggedStatement,
+    options::StandInOptions,
     rows::RowSchema,
     translate::{
         ParsedStatement,
@@ -48,7 +48,7 @@
 /// A connection's side of the tables.
 pub(super) struct Session {
     core: Arc<StandInCore>,
-    knobs: Arc<StandInKnobs>,
+    options: Arc<StandInOptions>,
     counters: Arc<StatementCounters>,
     timer: TimerService,
     connection: Arc<Mutex<Connection>>,
@@ -69,7 +69,7 @@
     /// Opens a session.
     pub(super) fn open(
         core: &Arc<StandInCore>,
-        knobs: &Arc<StandInKnobs>,
+        options: &Arc<StandInOptions>,
         counters: &Arc<StatementCounters>,
         timer: &TimerService,
     ) -> Result<Self, StandInError> {
@@ -77,7 +77,7 @@
         let connection = core.connect(&context)?;
         Ok(Self {
             core: Arc::clone(core),
-            knobs: Arc::clone(knobs),
+            options: Arc::clone(options),
             counters: Arc::clone(counters),
             timer: timer.clone(),
             connection: Arc::new(Mutex::new(connection)),
@@ -148,7 +148,7 @@
         values: Vec<Value>,
         format: &Format,
     ) -> Result<Response, StandInError> {
-        self.knobs.unstalled().await;
+        self.options.unstalled().await;
         match statement.kind {
             StatementKind::Begin => Ok(self.begin()),
             StatementKind::Commit => self.finish(true),
@@ -242,7 +242,7 @@
         if self.mode() == TransactionMode::Failed {
             return Err(StandInError::Aborted);
         }
-        self.pause(self.knobs.service_time() + statement.sleep)
+        self.pause(self.options.service_time() + statement.sleep)
             .await;
         self.counters
             .count(statement.reads_tables, self.core.upstream().role);
@@ -262,7 +262,7 @@
             let wrote = std::mem::take(&mut self.state.lock().wrote);
             self.end_transaction(true, wrote)?;
         }
-        self.pause(self.knobs.answer_delay()).await;
+        self.pause(self.options.answer_delay()).await;
         Ok(response)
     }
 
--- a/crates/daisyseam-bench/tests/caller_standin.rs
+++ b/crates/daisyseam-bench/tests/caller_standin.rs
@@ -13,7 +13,7 @@
     OpenedLink,
     RateGate,
     StatementAccess,
-    TransactionFate,
+    TransactionOutcome,
     ViewCell,
     caller::{
         CallerContext,
@@ -137,8 +137,8 @@
         Ok(self.database.state().end)
     }
 
-    async fn fate(&self, _: &GroupId, _: Term, _: u64, _: Instant) -> TransactionFate {
-        TransactionFate::Unknown
+    async fn outcome(&self, _: &GroupId, _: Term, _: u64, _: Instant) -> TransactionOutcome {
+        TransactionOutcome::Unknown
     }
 }
 
--- a/crates/daisyseam-bench/tests/path/cancel.rs
+++ b/crates/daisyseam-bench/tests/path/cancel.rs
@@ -33,9 +33,9 @@
 
 fn set_late(fleet: &PathFleet, delay: Duration) {
     for node in &fleet.databases {
-        let knobs = node.database().expect("it runs").knobs();
-        knobs.set_ignores_cancel(true);
-        knobs.set_answer_delay(delay);
+        let options = node.database().expect("it runs").options();
+        options.set_ignores_cancel(true);
+        options.set_answer_delay(delay);
     }
 }
 
--- a/crates/daisyseam-control/src/convert.rs
+++ b/crates/daisyseam-control/src/convert.rs
@@ -53,7 +53,7 @@
 
 /// A message between members with the names of both.
 #[derive(Debug)]
-pub(crate) struct MemberLetter {
+pub(crate) struct MemberEnvelope {
     pub(crate) from: InstanceId,
     /// Who it is meant for; an instance that lost its folder has another name than before.
     pub(crate) to: InstanceId,
@@ -132,7 +132,7 @@
 }
 
 /// Reads a message between members; nothing if it is none or cannot be read.
-pub(crate) fn from_wire(body: Body) -> Option<MemberLetter> {
+pub(crate) fn from_wire(body: Body) -> Option<MemberEnvelope> {
     let (from, to, message) = match body {
         Body::Vote(vote) => {
             let message = LogMessage::Vote(VoteRequest {
@@ -206,7 +206,7 @@
         }
         _ => return None,
     };
-    Some(MemberLetter {
+    Some(MemberEnvelope {
         from: from.parse().ok()?,
         to: to.parse().ok()?,
         message,
--- a/crates/daisyseam-control/src/core.rs
+++ b/crates/daisyseam-control/src/core.rs
@@ -309,7 +309,7 @@
         if after > before
             && let Some(leader) = &mut self.leader
         {
-            leader.hasten();
+            leader.schedule_now();
         }
         if let Some(command) = &command {
             self.note_applied(now, command, &answer);
--- a/crates/daisyseam-control/src/core/announcements.rs
+++ b/crates/daisyseam-control/src/core/announcements.rs
@@ -99,7 +99,7 @@
         let role = |known: &AnnouncedUpstream| (known.command.born_ms, known.state.primary);
         let changed = former.as_ref().map(role) != leader.announced.get(&name).map(role);
         if changed {
-            leader.hasten();
+            leader.schedule_now();
         }
         if is_news(&view, &command) {
             commands.push(FleetCommand::Upstream(command));
@@ -190,7 +190,7 @@
         {
             self.departed.entry(name.clone()).or_insert((born_ms, now));
         }
-        self.hasten();
+        self.schedule_now();
         let Some(stated) = stated else {
             return Vec::new();
         };
--- a/crates/daisyseam-control/src/core/groups.rs
+++ b/crates/daisyseam-control/src/core/groups.rs
@@ -225,8 +225,8 @@
         let born_ms = announced.map_or(0, |known| known.command.born_ms);
         let born_ms = born_ms.max(upstream.born_ms);
         let words = match is_reached_directly(view, upstream) {
-            true => self.instance_words(now, view, name),
-            false => self.holder_word(now, view, name, upstream),
+            true => self.instance_reports(now, view, name),
+            false => self.holder_report(now, view, name, upstream),
         };
         MemberFacts {
             upstream: name.clone(),
@@ -239,7 +239,7 @@
             born_ms,
             settled: fleet.is_settled(name) && born_ms == upstream.born_ms,
             gone: self.is_gone(name, upstream.born_ms),
-            least: self.words_of(name).filter_map(|(_, note)| note.end).max(),
+            least: self.reports_on(name).filter_map(|(_, note)| note.end).max(),
             announced: announced.map(|known| (known.state, known.at)),
         }
     }
@@ -251,43 +251,48 @@
     }
 
     /// Returns what the present holder of a database says, as long as it is heard itself.
-    fn holder_word(
+    fn holder_report(
         &self,
         now: Moment,
         view: &FleetView,
         name: &UpstreamId,
         upstream: &UpstreamView,
-    ) -> InstanceWords {
+    ) -> InstanceReports {
         let holder = upstream.holder.as_ref();
         let notes = self.health.get(name);
         let note = holder.and_then(|holder| notes?.get(holder));
         let instance = holder.and_then(|holder| view.instances.get(holder));
         let (Some(note), Some(instance)) = (note, instance) else {
-            return InstanceWords::default();
+            return InstanceReports::default();
         };
         let silence = self.leases.silence(now, instance.incarnation);
         if silence > HOLDER_SILENCE {
-            return InstanceWords::default();
+            return InstanceReports::default();
         }
         let unanswered = now.since(note.answered_at);
-        InstanceWords {
+        InstanceReports {
             silence: match note.reachable {
                 true => silence,
                 false => Duration::MAX,
             },
             denied: !note.reachable && unanswered > HOLDER_SILENCE,
-            ..InstanceWords::default()
+            ..InstanceReports::default()
         }
     }
 
     /// Returns what the instances that hold a lease say of a database.
-    fn instance_words(&self, now: Moment, view: &FleetView, name: &UpstreamId) -> InstanceWords {
+    fn instance_reports(
+        &self,
+        now: Moment,
+        view: &FleetView,
+        name: &UpstreamId,
+    ) -> InstanceReports {
         let lease = self.leases.span();
         let is_live =
             |instance: &InstanceView| self.leases.silence(now, instance.incarnation) < lease;
         let live = view.instances.values().filter(|instance| is_live(instance));
         let live = live.count();
-        let words = self.words_of(name).filter(|(instance, _)| {
+        let words = self.reports_on(name).filter(|(instance, _)| {
             let instance = view.instances.get(*instance);
             instance.is_some_and(is_live)
         });
@@ -301,7 +306,7 @@
                 false => &mut recent_denies,
             } += 1;
         }
-        InstanceWords {
+        InstanceReports {
             silence: Duration::MAX,
             denied: recent_denies > recent_vouches || denies >= live.div_ceil(3).max(1),
             shunned: denies * 2 >= live.max(1),
@@ -323,7 +328,7 @@
 
 /// What instances say of a database.
 #[derive(Clone, Copy, Debug)]
-struct InstanceWords {
+struct InstanceReports {
     /// Time since one that vouches for it was heard.
     silence: Duration,
     denied: bool,
@@ -331,7 +336,7 @@
     vouched: bool,
 }
 
-impl Default for InstanceWords {
+impl Default for InstanceReports {
     fn default() -> Self {
         Self {
             silence: Duration::MAX,
--- a/crates/daisyseam-control/src/core/holders.rs
+++ b/crates/daisyseam-control/src/core/holders.rs
@@ -150,7 +150,7 @@
             return false;
         }
         let instances = &self.fleet.view().instances;
-        let holds = leader.words_of(name).any(|(instance, note)| {
+        let holds = leader.reports_on(name).any(|(instance, note)| {
             let instance = instances.get(instance);
             note.holds
                 && instance.is_some_and(|known| leader.leases.may_hold(now, known.incarnation))
--- a/crates/daisyseam-control/src/core/leader.rs
+++ b/crates/daisyseam-control/src/core/leader.rs
@@ -3,7 +3,7 @@
 use super::{
     CoreSettings,
     repair::SpareNote,
-    shares::ShareDesk,
+    shares::ShareAllocator,
     survey::GroupSurvey, //
 };
 use daisyseam_coord::{
@@ -55,11 +55,11 @@
     pub(super) term: LogTerm,
     pub(super) begun: Moment,
     /// Whether nothing of an earlier leader is waited for any more.
-    has_looked_around: bool,
+    has_taken_over: bool,
     /// View in force when the leadership began; every earlier change is finished with it.
     pub(super) begun_view: ViewNumber,
     pub(super) leases: LeaseTable,
-    pub(super) shares: ShareDesk,
+    pub(super) shares: ShareAllocator,
     pub(super) groups: BTreeMap<GroupId, GroupPromotion>,
     pub(super) changed: BTreeMap<GroupId, ViewNumber>,
     pub(super) released: BTreeMap<UpstreamId, (ViewNumber, Moment)>,
@@ -123,10 +123,10 @@
         Self {
             term,
             begun: now,
-            has_looked_around: false,
+            has_taken_over: false,
             begun_view: fleet.view().number,
             leases: LeaseTable::begin(settings.lease, now),
-            shares: ShareDesk::new(QuotaLedger::new(term.0, now, settings.lease.span())),
+            shares: ShareAllocator::new(QuotaLedger::new(term.0, now, settings.lease.span())),
             groups: BTreeMap::new(),
             changed: BTreeMap::new(),
             released: BTreeMap::new(),
@@ -147,7 +147,7 @@
     }
 
     /// Lets the next upkeep come as soon as it may.
-    pub(super) fn hasten(&mut self) {
+    pub(super) fn schedule_now(&mut self) {
         self.upkeep_at = self.begun;
     }
 
@@ -155,16 +155,16 @@
     ///
     /// Only members of the view can have a lease or shares: one is taken off the view after its
     /// lease, and a process that joins anew has ended its former self.
-    pub(super) fn look_around(&mut self, now: Moment, view: &FleetView) {
-        if self.has_looked_around {
+    pub(super) fn check_takeover(&mut self, now: Moment, view: &FleetView) {
+        if self.has_taken_over {
             return;
         }
         let mut instances = view.instances.values();
         if instances.all(|instance| self.leases.knows(instance.incarnation)) {
-            self.leases.end_blindness(now);
+            self.leases.end_takeover(now);
         }
         self.shares.open_if_all_reported(now, view);
-        self.has_looked_around = now.since(self.begun) > self.leases.span();
+        self.has_taken_over = now.since(self.begun) > self.leases.span();
     }
 
     pub(super) fn take_call(
@@ -202,7 +202,7 @@
             let now_said = said(&announced);
             let former = self.announced.insert(name, announced);
             if former.as_ref().map(said) != Some(now_said) {
-                self.hasten();
+                self.schedule_now();
             }
         }
     }
@@ -230,12 +230,12 @@
         let notes: &mut BTreeMap<_, _> = self.health.entry(upstream).or_default();
         let former = notes.insert(instance.clone(), note);
         if former.is_none_or(|former| former.reachable != reachable) {
-            self.hasten();
+            self.schedule_now();
         }
     }
 
     /// Lists what instances last said of a database.
-    pub(super) fn words_of(
+    pub(super) fn reports_on(
         &self,
         upstream: &UpstreamId,
     ) -> impl Iterator<Item = (&InstanceId, &HealthNote)> + Clone {
--- a/crates/daisyseam-control/src/core/requests.rs
+++ b/crates/daisyseam-control/src/core/requests.rs
@@ -40,9 +40,9 @@
 use daisyseam_wire::{
     AnnounceReply,
     EvacuateReply,
+    Handshake,
     Heartbeat,
     HeartbeatReply,
-    Hello,
     HistoryEntry,
     HistoryReply,
     HistoryRequest,
@@ -66,7 +66,7 @@
     /// `unix_ms` is the wall clock, for the history only.
     pub fn request(&mut self, now: Moment, unix_ms: u64, request: RequestId, body: Body) {
         match body {
-            Body::Hello(hello) => self.hello(now, request, &hello),
+            Body::Handshake(handshake) => self.handshake(now, request, &handshake),
             Body::Heartbeat(heartbeat) => self.heartbeat(now, request, &heartbeat),
             Body::Submit(submit) => self.submit(now, unix_ms, request, submit),
             Body::Show(show) => self.show(now, request, &show),
@@ -98,17 +98,17 @@
         self.leader.is_some() && self.log.has_lease(now)
     }
 
-    fn hello(&mut self, now: Moment, request: RequestId, hello: &Hello) {
+    fn handshake(&mut self, now: Moment, request: RequestId, handshake: &Handshake) {
         if !self.is_in_charge(now) {
             return self.reply_not_leader(request);
         }
-        let Some(join) = read_hello(hello) else {
-            log::warn!("an instance `{}` cannot be read", hello.instance);
+        let Some(join) = read_handshake(handshake) else {
+            log::warn!("an instance `{}` cannot be read", handshake.instance);
             return self.reply_not_leader(request);
         };
         let known = self.fleet.view().instances.get(&join.instance);
         let same = known.filter(|known| {
-            known.incarnation == Incarnation(hello.incarnation)
+            known.incarnation == Incarnation(handshake.incarnation)
                 && known.data_centre == join.data_centre
                 && known.peer_address == join.peer_address
         });
@@ -155,7 +155,7 @@
             return self.reply_not_leader(request);
         };
         if !in_charge || !current || heartbeat.view > newest.0 {
-            // An old incarnation says hello again and gets a new one.
+            // An old incarnation opens with a handshake again and gets a new one.
             return self.reply_not_leader(request);
         }
         for report in &heartbeat.upstreams {
@@ -190,7 +190,7 @@
         let report = heartbeat.shares.as_ref().filter(|_| granted.is_ok());
         let view = self.fleet.view();
         let shares = report.and_then(|report| leader.shares.answer(now, view, &holder, report));
-        leader.look_around(now, view);
+        leader.check_takeover(now, view);
         let body = Body::HeartbeatReply(HeartbeatReply {
             sequence: heartbeat.sequence,
             lease_ms: u64::try_from(lease.as_millis()).unwrap_or(0),
@@ -384,11 +384,11 @@
     }
 }
 
-fn read_hello(hello: &Hello) -> Option<JoinCommand> {
+fn read_handshake(handshake: &Handshake) -> Option<JoinCommand> {
     Some(JoinCommand {
-        instance: hello.instance.parse().ok()?,
-        data_centre: hello.data_centre.parse().ok()?,
-        peer_address: hello.peer_address.parse().ok()?,
+        instance: handshake.instance.parse().ok()?,
+        data_centre: handshake.data_centre.parse().ok()?,
+        peer_address: handshake.peer_address.parse().ok()?,
     })
 }
 
--- a/crates/daisyseam-control/src/core/shares.rs
+++ b/crates/daisyseam-control/src/core/shares.rs
@@ -19,12 +19,12 @@
 
 /// The ledger of one leadership and the document that it follows.
 #[derive(Debug)]
-pub(super) struct ShareDesk {
+pub(super) struct ShareAllocator {
     ledger: QuotaLedger,
     document: Option<DocumentNumber>,
 }
 
-impl ShareDesk {
+impl ShareAllocator {
     pub(super) fn new(ledger: QuotaLedger) -> Self {
         Self {
             ledger,
--- a/crates/daisyseam-control/src/names.rs
+++ b/crates/daisyseam-control/src/names.rs
@@ -32,7 +32,7 @@
     /// Puts the names back that an earlier message carried.
     pub(crate) fn complete(&mut self, body: &mut Body) {
         match body {
-            Body::Hello(hello) => self.entry.clone_from(&hello.instance),
+            Body::Handshake(handshake) => self.entry.clone_from(&handshake.instance),
             Body::Heartbeat(heartbeat) if heartbeat.instance.is_empty() => {
                 heartbeat.instance.clone_from(&self.entry);
             }
--- a/crates/daisyseam-control/src/session.rs
+++ b/crates/daisyseam-control/src/session.rs
@@ -164,7 +164,7 @@
         return true;
     };
     match body {
-        Body::Hello(_) | Body::Heartbeat(_) => role == PeerRole::Entry,
+        Body::Handshake(_) | Body::Heartbeat(_) => role == PeerRole::Entry,
         Body::Submit(_) => role == PeerRole::Operator,
         Body::Show(_) | Body::History(_) | Body::Status(_) => true,
         _ => role == PeerRole::Control,
--- a/crates/daisyseam-control/tests/core_support/direct.rs
+++ b/crates/daisyseam-control/tests/core_support/direct.rs
@@ -1,8 +1,8 @@
 //! Databases that acknowledge commits by themselves, with the platform's way to name a primary.
 
 use super::{
-    Asker,
     GROUP,
+    RequestOrigin,
     World, //
 };
 use daisyseam_control::{
@@ -523,7 +523,11 @@
         let requests = group.announcements(now);
         for request in requests {
             for member in 0..self.members.len() {
-                self.ask(member, Asker::Reader, Body::Announce(request.clone()));
+                self.ask(
+                    member,
+                    RequestOrigin::Reader,
+                    Body::Announce(request.clone()),
+                );
             }
         }
         self.note_settled();
--- a/crates/daisyseam-control/tests/core_support/mod.rs
+++ b/crates/daisyseam-control/tests/core_support/mod.rs
@@ -38,8 +38,8 @@
 };
 use daisyseam_wire::{
     GroupReport,
+    Handshake,
     Heartbeat,
-    Hello,
     ShowRequest,
     SpareNotice,
     SubmitReply,
@@ -119,7 +119,7 @@
 }
 
 #[derive(Clone, Copy, Debug)]
-enum Asker {
+enum RequestOrigin {
     /// Number, process, and when it asked.
     Entry(usize, u64, u64),
     Operator(usize),
@@ -133,8 +133,8 @@
     pub(crate) cut_members: BTreeSet<usize>,
     wire: Vec<(u64, usize, usize, LogMessage)>,
     calls: Vec<(u64, usize, DatabaseCall)>,
-    replies: Vec<(u64, Asker, usize, Body)>,
-    askers: BTreeMap<(usize, RequestId), Asker>,
+    replies: Vec<(u64, RequestOrigin, usize, Body)>,
+    askers: BTreeMap<(usize, RequestId), RequestOrigin>,
     last_request: u64,
     pub(crate) entries: Vec<Entry>,
     pub(crate) databases: Vec<Database>,
@@ -325,7 +325,7 @@
     /// Makes a request, and lets so much time pass for the answer.
     pub(crate) fn request(&mut self, member: usize, body: Body, millis: u64) -> Option<Body> {
         self.read = None;
-        self.ask(member, Asker::Reader, body);
+        self.ask(member, RequestOrigin::Reader, body);
         self.pass(millis);
         self.read.clone()
     }
@@ -410,8 +410,8 @@
         Moment::from_millis(self.now)
     }
 
-    fn ask(&mut self, member: usize, asker: Asker, body: Body) {
-        if self.cut_members.contains(&member) && !matches!(asker, Asker::Reader) {
+    fn ask(&mut self, member: usize, asker: RequestOrigin, body: Body) {
+        if self.cut_members.contains(&member) && !matches!(asker, RequestOrigin::Reader) {
             return;
         }
         let now = self.moment();
@@ -564,18 +564,18 @@
         CallAnswer::State(state.clone())
     }
 
-    fn reply(&mut self, asker: Asker, member: usize, body: Body) {
+    fn reply(&mut self, asker: RequestOrigin, member: usize, body: Body) {
         let cut = self.cut_members.contains(&member);
         match asker {
-            Asker::Reader => self.read = Some(body),
-            Asker::Operator(number) if !cut => self.answer_operator(number, body),
+            RequestOrigin::Reader => self.read = Some(body),
+            RequestOrigin::Operator(number) if !cut => self.answer_operator(number, body),
             // An answer to a former process finds its connection closed.
-            Asker::Entry(number, process, sent)
+            RequestOrigin::Entry(number, process, sent)
                 if !cut && !self.entries[number].cut && self.entries[number].process == process =>
             {
                 self.answer_entry(number, sent, body);
             }
-            Asker::Operator(_) | Asker::Entry(..) | Asker::Spare => {}
+            RequestOrigin::Operator(_) | RequestOrigin::Entry(..) | RequestOrigin::Spare => {}
         }
     }
 
@@ -603,7 +603,7 @@
         operator.asks += 1;
         let member = operator.asks % count;
         let body = Body::Submit(operator.request.clone());
-        self.ask(member, Asker::Operator(number), body);
+        self.ask(member, RequestOrigin::Operator(number), body);
     }
 
     fn answer_entry(&mut self, number: usize, sent: u64, body: Body) {
@@ -682,7 +682,7 @@
                 ..Heartbeat::default()
             })
         } else {
-            Body::Hello(Hello {
+            Body::Handshake(Handshake {
                 instance: entry.name.clone(),
                 incarnation: entry.incarnation,
                 data_centre: "khomas-1".to_owned(),
@@ -692,7 +692,7 @@
         };
         let member = entry.asks;
         let process = entry.process;
-        self.ask(member, Asker::Entry(number, process, now), body);
+        self.ask(member, RequestOrigin::Entry(number, process, now), body);
     }
 
     fn notice_spares(&mut self) {
@@ -708,7 +708,7 @@
                 data_centre: String::new(),
             };
             for other in 0..self.members.len() {
-                self.ask(other, Asker::Spare, Body::Spare(notice.clone()));
+                self.ask(other, RequestOrigin::Spare, Body::Spare(notice.clone()));
             }
         }
     }
--- a/crates/daisyseam-control/tests/member_runs.rs
+++ b/crates/daisyseam-control/tests/member_runs.rs
@@ -36,7 +36,7 @@
     let before = place.decided();
     for _ in 0..50 {
         for number in 0..VOTERS {
-            place.run(Step::Hello(number));
+            place.run(Step::Handshake(number));
         }
         place.pass(100);
         if place.decided() > before {
@@ -91,7 +91,7 @@
         place.run(Step::Join);
         for _ in 0..100 {
             for number in 0..VOTERS {
-                place.run(Step::Hello(number));
+                place.run(Step::Handshake(number));
             }
             place.pass(100);
             assert_eq!(
@@ -157,9 +157,9 @@
     let mut place = settled(3, 7);
     for _ in 0..20 {
         decide(&mut place);
-        place.run(Step::Hello(0));
-        place.run(Step::Hello(1));
-        place.run(Step::Hello(2));
+        place.run(Step::Handshake(0));
+        place.run(Step::Handshake(1));
+        place.run(Step::Handshake(2));
         place.run(Step::CrashAll);
         place.pass(1_500);
     }
@@ -189,7 +189,7 @@
     assert!(times[25] < 1_300 && times[49] < 1_800, "{times:?}");
 }
 
-/// Nobody has promised anything yet, so nobody needs to wait for a former leader.
+/// IdleObserver has promised anything yet, so nobody needs to wait for a former leader.
 #[test]
 fn the_first_leader_stands_soon_after_the_first_start() {
     for seed in 0..20 {
--- a/crates/daisyseam-control/tests/member_support/mod.rs
+++ b/crates/daisyseam-control/tests/member_support/mod.rs
@@ -23,7 +23,7 @@
     InstanceId, //
 };
 use daisyseam_wire::{
-    Hello,
+    Handshake,
     SpareNotice,
     SpareReply,
     control_message::Body, //
@@ -51,8 +51,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum Step {
     Pass(u64),
-    /// An entry says hello at a machine.
-    Hello(usize),
+    /// An entry opens with a handshake at a machine.
+    Handshake(usize),
     Crash(usize),
     /// A crash at the next sync: 0 before it, 1 after it.
     CrashAtSync(usize, u8),
@@ -75,7 +75,7 @@
         match chance.random_range(0..100) {
             0..40 => Self::Pass(chance.random_range(1..60)),
             40..48 => Self::Pass(chance.random_range(200..3_000)),
-            48..70 => Self::Hello(one),
+            48..70 => Self::Handshake(one),
             70..73 => Self::Crash(one),
             73..76 => Self::CrashAtSync(one, chance.random_range(0..2)),
             76..77 => Self::CrashAll,
@@ -100,14 +100,14 @@
     down: bool,
 }
 
-struct Letter {
+struct Envelope {
     due: u64,
     from: usize,
     to: usize,
-    body: LetterBody,
+    body: EnvelopeBody,
 }
 
-enum LetterBody {
+enum EnvelopeBody {
     /// From and to whom, as on the wire.
     Log(InstanceId, InstanceId, Box<LogMessage>),
     Notice(SpareNotice),
@@ -116,7 +116,7 @@
 }
 
 #[derive(Clone)]
-enum Asker {
+enum RequestOrigin {
     Entry,
     Spare(usize, InstanceId),
 }
@@ -125,11 +125,11 @@
 pub(crate) struct Place {
     pub(crate) now: u64,
     machines: Vec<Machine>,
-    wire: Vec<Letter>,
+    wire: Vec<Envelope>,
     cut: BTreeSet<usize>,
     cut_pairs: BTreeSet<(usize, usize)>,
     chance: ChaCha8Rng,
-    askers: BTreeMap<(usize, RequestId), Asker>,
+    askers: BTreeMap<(usize, RequestId), RequestOrigin>,
     last_request: u64,
     names: u32,
     /// Whether a voter's folder was lost and the voters are not whole again.
@@ -188,7 +188,7 @@
     pub(crate) fn run(&mut self, step: Step) {
         match step {
             Step::Pass(millis) => self.pass(millis),
-            Step::Hello(number) => self.hello(number),
+            Step::Handshake(number) => self.handshake(number),
             Step::Crash(number) => self.machines[number].core = None,
             Step::CrashAtSync(number, phase) => self.machines[number].crash = Some(phase),
             Step::CrashAll => {
@@ -243,7 +243,7 @@
         let before = self.incarnations.len();
         for _ in 0..20 {
             for number in 0..self.machines.len() {
-                self.hello(number);
+                self.handshake(number);
             }
             self.pass(200);
         }
@@ -382,18 +382,18 @@
         self.flush(number);
     }
 
-    fn hello(&mut self, number: usize) {
+    fn handshake(&mut self, number: usize) {
         self.names += 1;
-        let hello = Hello {
+        let handshake = Handshake {
             instance: format!("entry-{}", self.names),
             data_centre: "khomas-1".to_owned(),
             peer_address: "127.0.0.1:7400".to_owned(),
-            ..Hello::default()
+            ..Handshake::default()
         };
-        self.ask(number, Asker::Entry, Body::Hello(hello));
+        self.ask(number, RequestOrigin::Entry, Body::Handshake(handshake));
     }
 
-    fn ask(&mut self, number: usize, asker: Asker, body: Body) {
+    fn ask(&mut self, number: usize, asker: RequestOrigin, body: Body) {
         let now = self.moment();
         self.last_request += 1;
         let request = RequestId(self.last_request);
@@ -419,7 +419,7 @@
             data_centre: place(number).to_string(),
         };
         for other in 0..self.machines.len() {
-            self.send(number, other, LetterBody::Notice(notice.clone()));
+            self.send(number, other, EnvelopeBody::Notice(notice.clone()));
         }
     }
 
@@ -474,13 +474,13 @@
 
     fn replied(&mut self, number: usize, commit: u64, request: RequestId, body: Body) {
         match (self.askers.remove(&(number, request)), body) {
-            (Some(Asker::Entry), Body::Welcome(welcome)) => {
+            (Some(RequestOrigin::Entry), Body::Welcome(welcome)) => {
                 self.acknowledged = self.acknowledged.max(commit);
                 let new = self.incarnations.insert(welcome.incarnation);
                 assert!(new, "incarnation {} is given twice", welcome.incarnation);
             }
-            (Some(Asker::Spare(to, name)), Body::SpareKnown(reply)) => {
-                self.send(number, to, LetterBody::Known(name, reply));
+            (Some(RequestOrigin::Spare(to, name)), Body::SpareKnown(reply)) => {
+                self.send(number, to, EnvelopeBody::Known(name, reply));
             }
             _ => {}
         }
@@ -500,13 +500,13 @@
                 None => machine.name == to,
             };
             if let Some(number) = self.machines.iter().position(known) {
-                let body = LetterBody::Log(name.clone(), to, Box::new(message));
+                let body = EnvelopeBody::Log(name.clone(), to, Box::new(message));
                 self.send(from, number, body);
             }
         }
     }
 
-    fn send(&mut self, from: usize, to: usize, body: LetterBody) {
+    fn send(&mut self, from: usize, to: usize, body: EnvelopeBody) {
         let delay = match (self.sound, self.chance.random_range(0..100)) {
             (Some(delay), _) => delay,
             (None, 0..2) => return,
@@ -514,7 +514,7 @@
             (None, _) => self.chance.random_range(1..12),
         };
         let due = self.now + delay;
-        self.wire.push(Letter {
+        self.wire.push(Envelope {
             due,
             from,
             to,
@@ -524,20 +524,20 @@
 
     fn deliver(&mut self) {
         let now = self.now;
-        let (due, later): (Vec<Letter>, Vec<Letter>) = std::mem::take(&mut self.wire)
+        let (due, later): (Vec<Envelope>, Vec<Envelope>) = std::mem::take(&mut self.wire)
             .into_iter()
-            .partition(|letter| letter.due <= now);
+            .partition(|envelope| envelope.due <= now);
         self.wire = later;
-        for letter in due {
-            let pair = (letter.from, letter.to);
-            let cut = self.cut.contains(&letter.from) || self.cut.contains(&letter.to);
-            if letter.from != letter.to && !cut && !self.cut_pairs.contains(&pair) {
-                self.take(letter.from, letter.to, letter.body);
+        for envelope in due {
+            let pair = (envelope.from, envelope.to);
+            let cut = self.cut.contains(&envelope.from) || self.cut.contains(&envelope.to);
+            if envelope.from != envelope.to && !cut && !self.cut_pairs.contains(&pair) {
+                self.take(envelope.from, envelope.to, envelope.body);
             }
         }
     }
 
-    fn take(&mut self, from: usize, to: usize, body: LetterBody) {
+    fn take(&mut self, from: usize, to: usize, body: EnvelopeBody) {
         let now = self.moment();
         let random = ChaCha8Rng::seed_from_u64(self.chance.random());
         let machine = &mut self.machines[to];
@@ -545,7 +545,7 @@
             return;
         };
         match body {
-            LetterBody::Log(sender, name, message) => {
+            EnvelopeBody::Log(sender, name, message) => {
                 if name == machine.name {
                     if matches!(*message, LogMessage::Appended(_)) {
                         core.note_place(sender.clone(), place(from));
@@ -553,11 +553,11 @@
                     core.receive(now, &sender, *message);
                 }
             }
-            LetterBody::Notice(notice) => {
+            EnvelopeBody::Notice(notice) => {
                 let name = notice.instance.parse().expect("a sound name");
-                return self.ask(to, Asker::Spare(from, name), Body::Spare(notice));
+                return self.ask(to, RequestOrigin::Spare(from, name), Body::Spare(notice));
             }
-            LetterBody::Known(name, reply) => {
+            EnvelopeBody::Known(name, reply) => {
                 if reply.removed && name == machine.name {
                     let fresh = format!("m-{}-{}", self.now, self.names);
                     self.names += 1;
--- a/crates/daisyseam-control/tests/support/mod.rs
+++ b/crates/daisyseam-control/tests/support/mod.rs
@@ -30,9 +30,9 @@
 };
 use daisyseam_wire::{
     ControlMessage,
+    Handshake,
     Heartbeat,
     HeartbeatReply,
-    Hello,
     MessageStream,
     SubmitReply,
     SubmitRequest,
@@ -186,7 +186,7 @@
     }
 }
 
-/// An entry that says hello, heartbeats and keeps its view.
+/// An entry that opens with a handshake, heartbeats and keeps its view.
 pub(crate) struct Entry {
     pub(crate) view: FleetView,
     pub(crate) lease_ms: u64,
@@ -216,15 +216,15 @@
         self.incarnation
     }
 
-    async fn hello(&mut self) {
-        let hello = Hello {
+    async fn handshake(&mut self) {
+        let handshake = Handshake {
             instance: self.name.clone(),
             incarnation: self.incarnation,
             data_centre: "khomas-1".to_owned(),
             peer_address: "127.0.0.1:7400".to_owned(),
             view: self.view.number.0,
         };
-        let (address, answer) = ask_leader(&self.members, Body::Hello(hello)).await;
+        let (address, answer) = ask_leader(&self.members, Body::Handshake(handshake)).await;
         if let Body::Welcome(welcome) = answer {
             self.incarnation = welcome.incarnation;
             self.client = Client::dial(address).await;
@@ -234,7 +234,7 @@
     /// Sends one heartbeat and applies what comes back.
     pub(crate) async fn beat(&mut self, upstreams: Vec<UpstreamReport>) {
         if self.client.is_none() {
-            self.hello().await;
+            self.handshake().await;
         }
         self.sequence += 1;
         let heartbeat = Heartbeat {
--- a/crates/daisyseam-coord/src/drain.rs
+++ b/crates/daisyseam-coord/src/drain.rs
@@ -19,7 +19,7 @@
     pub idle_connections: usize,
     /// Connections of callers on which a request or transaction runs.
     pub busy_connections: usize,
-    /// Links lent out to this instance's callers or to its peers.
+    /// Links checked out to this instance's callers or to its peers.
     pub links: usize,
     /// Databases whose connections are still held.
     pub holdings: usize,
--- a/crates/daisyseam-coord/src/fair_queue.rs
+++ b/crates/daisyseam-coord/src/fair_queue.rs
@@ -9,7 +9,7 @@
 
 use self::flow::{
     Flow,
-    FlowBook, //
+    FlowTable, //
 };
 use crate::Moment;
 use displaydoc::Display;
@@ -119,7 +119,7 @@
 #[derive(Debug)]
 pub struct FairQueue<K, T> {
     limits: QueueLimits,
-    book: FlowBook<K, T>,
+    book: FlowTable<K, T>,
     deadlines: BTreeSet<(Moment, u64, K)>,
     serving: BTreeMap<ServiceNumber, Serving<K>>,
     next_number: u64,
@@ -138,7 +138,7 @@
         );
         Self {
             limits,
-            book: FlowBook::new(limits.flow_in_service),
+            book: FlowTable::new(limits.flow_in_service),
             deadlines: BTreeSet::new(),
             serving: BTreeMap::new(),
             next_number: 0,
--- a/crates/daisyseam-coord/src/fair_queue/flow.rs
+++ b/crates/daisyseam-coord/src/fair_queue/flow.rs
@@ -74,7 +74,7 @@
 
 /// All flows, and the orders in which they are looked up.
 #[derive(Debug)]
-pub(super) struct FlowBook<K, T> {
+pub(super) struct FlowTable<K, T> {
     flows: BTreeMap<K, Flow<T>>,
     ready: BTreeSet<(VirtualTime, K)>,
     lengths: BTreeSet<(u128, K)>,
@@ -84,7 +84,7 @@
     estimate: Duration,
 }
 
-impl<K: Clone + Ord, T> FlowBook<K, T> {
+impl<K: Clone + Ord, T> FlowTable<K, T> {
     pub(super) fn new(in_service_max: usize) -> Self {
         Self {
             flows: BTreeMap::new(),
--- a/crates/daisyseam-coord/src/log/entry.rs
+++ b/crates/daisyseam-coord/src/log/entry.rs
@@ -60,12 +60,12 @@
 
 /// The entries after the last snapshot.
 #[derive(Clone, Debug)]
-pub(super) struct EntryTail {
+pub(super) struct LogTail {
     pub(super) snapshot: LogSnapshot,
     entries: VecDeque<LogEntry>,
 }
 
-impl EntryTail {
+impl LogTail {
     pub(super) fn new(snapshot: LogSnapshot, entries: Vec<LogEntry>) -> Self {
         let mut tail = Self {
             snapshot,
--- a/crates/daisyseam-coord/src/log/follower.rs
+++ b/crates/daisyseam-coord/src/log/follower.rs
@@ -14,7 +14,7 @@
 
 impl ReplicatedLog {
     /// Follows the sender if its term is not over; returns whether it is.
-    pub(super) fn hear_leader(&mut self, now: Moment, from: &InstanceId, term: LogTerm) -> bool {
+    pub(super) fn note_leader(&mut self, now: Moment, from: &InstanceId, term: LogTerm) -> bool {
         if term < self.term {
             return false;
         }
@@ -40,7 +40,7 @@
         request: AppendRequest,
     ) {
         let round = request.round;
-        if !self.hear_leader(now, from, request.term) {
+        if !self.note_leader(now, from, request.term) {
             return self.answer_append(from, round, Err(LogIndex(0)));
         }
         // Committed entries are the same everywhere.
--- a/crates/daisyseam-coord/src/log/role.rs
+++ b/crates/daisyseam-coord/src/log/role.rs
@@ -11,7 +11,7 @@
     LogTerm,
     LogWrite,
     MemberTable,
-    entry::EntryTail,
+    entry::LogTail,
     leader::LeaderState,
     snapshot::IncomingSnapshot, //
 };
@@ -107,7 +107,7 @@
     pub(super) random: ChaCha8Rng,
     pub(super) term: LogTerm,
     pub(super) voted_for: Option<InstanceId>,
-    pub(super) tail: EntryTail,
+    pub(super) tail: LogTail,
     pub(super) members: MemberTable,
     pub(super) members_index: LogIndex,
     pub(super) commit: LogIndex,
@@ -150,7 +150,7 @@
             settings.lease < settings.vote_refusal,
             "the leader's lease must end before votes are given"
         );
-        let tail = EntryTail::new(durable.snapshot, durable.entries);
+        let tail = LogTail::new(durable.snapshot, durable.entries);
         let (members_index, members) = tail.members();
         let restore = (tail.snapshot.index > LogIndex(0)).then(|| tail.snapshot.clone());
         let mut log = Self {
--- a/crates/daisyseam-coord/src/log/snapshot.rs
+++ b/crates/daisyseam-coord/src/log/snapshot.rs
@@ -9,7 +9,7 @@
     ReplicatedLog,
     SnapshotChunk,
     SnapshotResponse,
-    entry::EntryTail,
+    entry::LogTail,
     role::MemberRole, //
 };
 use crate::Moment;
@@ -68,7 +68,7 @@
     }
 
     pub(super) fn receive_chunk(&mut self, now: Moment, from: &InstanceId, chunk: SnapshotChunk) {
-        if !self.hear_leader(now, from, chunk.term) {
+        if !self.note_leader(now, from, chunk.term) {
             return self.answer_chunk(from, &chunk, 0, false);
         }
         if chunk.last_index <= self.commit {
@@ -114,7 +114,7 @@
         self.applied = snapshot.index;
         self.durable = snapshot.index;
         self.taken = snapshot.index;
-        self.tail = EntryTail::new(snapshot, Vec::new());
+        self.tail = LogTail::new(snapshot, Vec::new());
         (self.members_index, self.members) = self.tail.members();
     }
 
--- a/crates/daisyseam-coord/src/promotion/direct/election.rs
+++ b/crates/daisyseam-coord/src/promotion/direct/election.rs
@@ -446,7 +446,7 @@
         let chosen = attempt.chosen.clone();
         if let Some((led, end)) = attempt.led {
             if self.former.as_ref() == Some(&chosen) {
-                // Nobody else could take over a moment ago.
+                // IdleObserver else could take over a moment ago.
                 self.move_after = now + self.settings.move_again_after;
             }
             return self.propose_leading(now, facts, view, (chosen, led, end));
--- a/crates/daisyseam-coord/src/quota.rs
+++ b/crates/daisyseam-coord/src/quota.rs
@@ -18,7 +18,7 @@
 
 pub use self::{
     bucket::ShareBucket,
-    demand::WaitingLine,
+    demand::WaitingQueue,
     ledger::QuotaLedger,
     set::{
         BucketSet,
@@ -126,14 +126,14 @@
 
 /// Totals of what has been handed over in one direction since the start of a holding.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct HandedTotal {
+pub struct TransferTotal {
     /// Rate and burst.
     pub share: RateShare,
     /// Tokens that came with the burst, in thousandths.
     pub tokens: u64,
 }
 
-impl HandedTotal {
+impl TransferTotal {
     /// Returns the greater of each part, which is the later one.
     fn latest(self, other: Self) -> Self {
         Self {
@@ -174,9 +174,9 @@
     /// Share that was held when the holding began, taken over from an earlier epoch.
     pub base: RateShare,
     /// Total of the grants that have been applied.
-    pub applied: HandedTotal,
+    pub applied: TransferTotal,
     /// Total of what has been given up for good.
-    pub returned: HandedTotal,
+    pub returned: TransferTotal,
 }
 
 /// What an instance says of its shares.
@@ -198,7 +198,7 @@
     /// Whose rate.
     pub key: RateKey,
     /// Total of what has been granted.
-    pub granted: HandedTotal,
+    pub granted: TransferTotal,
     /// Total that the holder is asked to have returned.
     pub asked: RateShare,
 }
--- a/crates/daisyseam-coord/src/quota/account.rs
+++ b/crates/daisyseam-coord/src/quota/account.rs
@@ -3,11 +3,11 @@
 use super::{
     DemandEntry,
     GrantEntry,
-    HandedTotal,
     HolderId,
     MILLI,
     RateKey,
     RateShare,
+    TransferTotal,
     bucket::TokenStore,
     split::{
         SplitHolder,
@@ -219,9 +219,9 @@
 struct AccountEntry {
     wanted: u64,
     base: RateShare,
-    granted: HandedTotal,
-    applied: HandedTotal,
-    returned: HandedTotal,
+    granted: TransferTotal,
+    applied: TransferTotal,
+    returned: TransferTotal,
     asked: RateShare,
     without_since: Option<Moment>,
 }
@@ -231,9 +231,9 @@
         Self {
             wanted: 0,
             base,
-            granted: HandedTotal::default(),
-            applied: HandedTotal::default(),
-            returned: HandedTotal::default(),
+            granted: TransferTotal::default(),
+            applied: TransferTotal::default(),
+            returned: TransferTotal::default(),
             asked: RateShare::default(),
             without_since: None,
         }
--- a/crates/daisyseam-coord/src/quota/bucket.rs
+++ b/crates/daisyseam-coord/src/quota/bucket.rs
@@ -2,13 +2,13 @@
 
 use super::{
     DemandEntry,
-    HandedTotal,
     MILLI,
     RateKey,
     RateShare,
+    TransferTotal,
     demand::{
         DemandMeter,
-        WaitingLine, //
+        WaitingQueue, //
     }, //
 };
 use crate::Moment;
@@ -90,24 +90,24 @@
 /// # Examples
 ///
 /// ```
-/// use daisyseam_coord::{Moment, quota::{HandedTotal, RateShare, ShareBucket}};
+/// use daisyseam_coord::{Moment, quota::{TransferTotal, RateShare, ShareBucket}};
 ///
 /// let share = RateShare { rate: 10_000, burst: 2_000 };
 /// let mut bucket = ShareBucket::new(Moment::ORIGIN);
-/// bucket.apply(Moment::ORIGIN, HandedTotal { share, tokens: 0 }, RateShare::default());
+/// bucket.apply(Moment::ORIGIN, TransferTotal { share, tokens: 0 }, RateShare::default());
 /// assert!(!bucket.take(Moment::ORIGIN));
 /// assert!(bucket.take(Moment::from_millis(100)));
 /// ```
 #[derive(Clone, Debug)]
 pub struct ShareBucket {
     base: RateShare,
-    granted: HandedTotal,
-    returned: HandedTotal,
+    granted: TransferTotal,
+    returned: TransferTotal,
     /// Total of what is to be returned; handed over with the next report.
     asked: RateShare,
     tokens: TokenStore,
     demand: DemandMeter,
-    waiting: WaitingLine,
+    waiting: WaitingQueue,
 }
 
 impl ShareBucket {
@@ -115,12 +115,12 @@
     pub fn new(now: Moment) -> Self {
         Self {
             base: RateShare::default(),
-            granted: HandedTotal::default(),
-            returned: HandedTotal::default(),
+            granted: TransferTotal::default(),
+            returned: TransferTotal::default(),
             asked: RateShare::default(),
             tokens: TokenStore::starting_at(now),
             demand: DemandMeter::default(),
-            waiting: WaitingLine::default(),
+            waiting: WaitingQueue::default(),
         }
     }
 
@@ -143,7 +143,7 @@
     }
 
     /// Says what waits for a token here.
-    pub fn set_waiting(&mut self, waiting: WaitingLine) {
+    pub fn set_waiting(&mut self, waiting: WaitingQueue) {
         self.waiting = waiting;
     }
 
@@ -169,7 +169,7 @@
     }
 
     /// Applies the newest totals: what was granted, and what is to be returned.
-    pub fn apply(&mut self, now: Moment, granted: HandedTotal, asked: RateShare) {
+    pub fn apply(&mut self, now: Moment, granted: TransferTotal, asked: RateShare) {
         self.tokens.advance(now, self.share());
         let latest = self.granted.latest(granted);
         self.tokens.add_milli(latest.tokens - self.granted.tokens);
@@ -205,18 +205,18 @@
     pub(super) fn rebase(&mut self, now: Moment) {
         self.tokens.advance(now, self.share());
         self.base = self.share();
-        self.granted = HandedTotal::default();
-        self.returned = HandedTotal::default();
+        self.granted = TransferTotal::default();
+        self.returned = TransferTotal::default();
         self.asked = RateShare::default();
     }
 
-    pub(super) fn returned(&self) -> HandedTotal {
+    pub(super) fn returned(&self) -> TransferTotal {
         self.returned
     }
 
     /// Returns whether anything has come in during this holding.
     pub(super) fn was_granted(&self) -> bool {
-        !self.base.is_empty() || self.granted != HandedTotal::default()
+        !self.base.is_empty() || self.granted != TransferTotal::default()
     }
 
     pub(super) fn entry(&self, key: &RateKey, now: Moment) -> DemandEntry {
--- a/crates/daisyseam-coord/src/quota/demand.rs
+++ b/crates/daisyseam-coord/src/quota/demand.rs
@@ -11,7 +11,7 @@
 
 /// Requests that wait for a token.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct WaitingLine {
+pub struct WaitingQueue {
     /// How many.
     pub length: usize,
     /// When the first of them came.
@@ -35,7 +35,7 @@
     ///
     /// What waits counts more the longer it has waited, so that under pressure the fleet serves
     /// it nearly in the order in which it came.
-    pub(super) fn wanted(&self, now: Moment, line: WaitingLine) -> u64 {
+    pub(super) fn wanted(&self, now: Moment, line: WaitingQueue) -> u64 {
         let age = now.since(line.oldest).as_secs_f64();
         let backlog = line.length as f64 / WAITING_TIME.as_secs_f64() * (1.0 + age).powi(2);
         let wanted = (self.decayed(now) + backlog) * super::MILLI as f64;
--- a/crates/daisyseam-coord/src/quota/set.rs
+++ b/crates/daisyseam-coord/src/quota/set.rs
@@ -9,7 +9,7 @@
     ShareBucket,
     ShareReply,
     ShareReport,
-    WaitingLine, //
+    WaitingQueue, //
 };
 use crate::Moment;
 use std::{
@@ -59,7 +59,7 @@
     leaving: bool,
     last_report: Moment,
     eager_until: Moment,
-    buckets: BTreeMap<RateKey, KeptBucket>,
+    buckets: BTreeMap<RateKey, BucketEntry>,
 }
 
 impl BucketSet {
@@ -80,7 +80,7 @@
         }
         for (key, total) in totals {
             let kept = self.buckets.entry(key);
-            kept.or_insert_with(|| KeptBucket::new(now)).total = Some(total);
+            kept.or_insert_with(|| BucketEntry::new(now)).total = Some(total);
         }
         self.buckets
             .retain(|_, kept| kept.total.is_some() || kept.bucket.was_granted());
@@ -94,7 +94,7 @@
     }
 
     /// Says what waits for a token of a key.
-    pub fn set_waiting(&mut self, key: &RateKey, waiting: WaitingLine) {
+    pub fn set_waiting(&mut self, key: &RateKey, waiting: WaitingQueue) {
         if let Some(kept) = self.buckets.get_mut(key) {
             kept.bucket.set_waiting(waiting);
         }
@@ -234,7 +234,7 @@
         reply.renewed || !reply.grants.is_empty()
     }
 
-    fn known(&mut self, key: &RateKey) -> Option<&mut KeptBucket> {
+    fn known(&mut self, key: &RateKey) -> Option<&mut BucketEntry> {
         self.buckets
             .get_mut(key)
             .filter(|kept| kept.total.is_some())
@@ -274,7 +274,7 @@
 }
 
 #[derive(Debug)]
-struct KeptBucket {
+struct BucketEntry {
     bucket: ShareBucket,
     /// What the document gives to the whole fleet; none once the key is gone.
     total: Option<RateShare>,
@@ -282,7 +282,7 @@
     acked: Option<DemandEntry>,
 }
 
-impl KeptBucket {
+impl BucketEntry {
     fn new(now: Moment) -> Self {
         Self {
             bucket: ShareBucket::new(now),
--- a/crates/daisyseam-coord/src/route.rs
+++ b/crates/daisyseam-coord/src/route.rs
@@ -1,7 +1,7 @@
 //! The choice among the databases of a group.
 //!
-//! A [`RouteBook`] learns how far replicas are behind in time, how long links take, and what is
-//! under way; [`RouteBook::plan`] orders the databases that may serve a read by the time at which
+//! A [`RouteTable`] learns how far replicas are behind in time, how long links take, and what is
+//! under way; [`RouteTable::plan`] orders the databases that may serve a read by the time at which
 //! the read is expected to be over.
 
 mod lag;
@@ -107,14 +107,14 @@
 ///
 /// ```
 /// use daisyseam_coord::{Moment, route::{
-///     ReadRequest, RouteBook, RouteCandidate, RouteDistance, RoutePolicy,
+///     ReadRequest, RouteTable, RouteCandidate, RouteDistance, RoutePolicy,
 /// }};
 /// use daisyseam_model::{GroupId, UpstreamId};
 /// use rand::SeedableRng;
 ///
 /// let group = GroupId::new("bookings").unwrap();
 /// let (near, primary) = (UpstreamId::new("b-1").unwrap(), UpstreamId::new("b-2").unwrap());
-/// let book = RouteBook::new(RoutePolicy::default());
+/// let book = RouteTable::new(RoutePolicy::default());
 /// let candidate = |upstream, primary| RouteCandidate {
 ///     upstream, primary, distance: RouteDistance::Here, slots: 5, ejected: false,
 /// };
@@ -125,13 +125,13 @@
 /// assert_eq!(plan[0].upstream, &near);
 /// ```
 #[derive(Debug)]
-pub struct RouteBook {
+pub struct RouteTable {
     policy: RoutePolicy,
     groups: BTreeMap<GroupId, GroupHistory>,
     loads: BTreeMap<UpstreamId, UpstreamLoad>,
 }
 
-impl RouteBook {
+impl RouteTable {
     /// Makes a book that knows nothing.
     pub fn new(policy: RoutePolicy) -> Self {
         Self {
--- a/crates/daisyseam-coord/src/route/lag.rs
+++ b/crates/daisyseam-coord/src/route/lag.rs
@@ -27,7 +27,7 @@
 pub(super) struct GroupHistory {
     /// Moments at which positions were first known to be written; both rise.
     written: VecDeque<(Moment, LogPosition)>,
-    replicas: BTreeMap<UpstreamId, ReplicaSight>,
+    replicas: BTreeMap<UpstreamId, ReplicaObservation>,
 }
 
 impl GroupHistory {
@@ -52,12 +52,12 @@
         let first_missing = self.written.partition_point(|(_, written)| *written <= at);
         let missing_since = self.written.get(first_missing).map(|(since, _)| *since);
         let newest = self.written.back().map(|(since, _)| *since);
-        let sight = self.replicas.entry(upstream.clone()).or_default();
-        sight.at = sight.at.max(at);
+        let observation = self.replicas.entry(upstream.clone()).or_default();
+        observation.at = observation.at.max(at);
         match (missing_since, newest) {
-            (Some(since), _) => sight.measured(now.since(since)),
+            (Some(since), _) => observation.measured(now.since(since)),
             // It has all that is known, so it is at most as far behind as that is old.
-            (None, Some(newest)) => sight.at_most(now.since(newest)),
+            (None, Some(newest)) => observation.at_most(now.since(newest)),
             (None, None) => {}
         }
     }
@@ -76,8 +76,8 @@
         upstream: &UpstreamId,
         floor: LogPosition,
     ) -> Option<Duration> {
-        let sight = self.replicas.get(upstream)?;
-        if sight.at >= floor {
+        let observation = self.replicas.get(upstream)?;
+        if observation.at >= floor {
             return Some(Duration::ZERO);
         }
         let index = self
@@ -85,18 +85,18 @@
             .partition_point(|(_, written)| *written < floor);
         // A floor that was never seen here counts as written now.
         let since = self.written.get(index).map_or(now, |(since, _)| *since);
-        Some(sight.lag?.saturating_sub(now.since(since)))
+        Some(observation.lag?.saturating_sub(now.since(since)))
     }
 }
 
 /// What is known of one replica.
 #[derive(Debug, Default)]
-struct ReplicaSight {
+struct ReplicaObservation {
     at: LogPosition,
     lag: Option<Duration>,
 }
 
-impl ReplicaSight {
+impl ReplicaObservation {
     fn measured(&mut self, lag: Duration) {
         self.lag = Some(self.lag.map_or(lag, |former| {
             (former * (AVERAGE_DIVISOR - 1) + lag) / AVERAGE_DIVISOR
--- a/crates/daisyseam-coord/src/view_lease.rs
+++ b/crates/daisyseam-coord/src/view_lease.rs
@@ -110,7 +110,7 @@
     settings: LeaseSettings,
     begun: Moment,
     /// Until then leases of an earlier leader may hold.
-    blind_until: Moment,
+    takeover_until: Moment,
     rows: BTreeMap<Incarnation, LeaseRow>,
 }
 
@@ -129,7 +129,7 @@
         Self {
             settings,
             begun: now,
-            blind_until: now + settings.span(),
+            takeover_until: now + settings.span(),
             rows: BTreeMap::new(),
         }
     }
@@ -177,8 +177,8 @@
 
     /// Learns that all instances that an earlier leader may have given a lease to have been heard:
     /// what they may act on stands in the rows.
-    pub fn end_blindness(&mut self, now: Moment) {
-        self.blind_until = self.blind_until.min(now);
+    pub fn end_takeover(&mut self, now: Moment) {
+        self.takeover_until = self.takeover_until.min(now);
     }
 
     /// Returns whether an incarnation has been heard, or was given by this leader.
@@ -203,7 +203,7 @@
 
     /// Returns whether nobody may act on a view before this one any more.
     pub fn is_finished(&self, now: Moment, view: ViewNumber) -> bool {
-        now >= self.blind_until
+        now >= self.takeover_until
             && self
                 .rows
                 .values()
@@ -213,7 +213,7 @@
     /// Returns whether a lease of this incarnation may hold.
     pub fn may_hold(&self, now: Moment, incarnation: Incarnation) -> bool {
         let row = self.rows.get(&incarnation);
-        now < self.blind_until || row.is_some_and(|row| now < row.until)
+        now < self.takeover_until || row.is_some_and(|row| now < row.until)
     }
 
     /// Returns how long nothing was heard of an incarnation; since the start if nothing was.
--- a/crates/daisyseam-coord/tests/lease.rs
+++ b/crates/daisyseam-coord/tests/lease.rs
@@ -47,7 +47,7 @@
 }
 
 #[derive(Clone, Copy, Debug)]
-enum Letter {
+enum Envelope {
     /// Instance, the view it names, when it was sent by its own clock.
     Heartbeat(usize, ViewNumber, Moment),
     /// Instance, newest view, when the heartbeat was sent, how long the lease holds.
@@ -80,7 +80,7 @@
         let mut leader = 0;
         let mut newest = ViewNumber(1);
         let mut table = LeaseTable::begin(settings, local(now, clocks[leader]));
-        let mut letters: Vec<Letter> = Vec::new();
+        let mut envelopes: Vec<Envelope> = Vec::new();
         let instance = |number: usize| Instance {
             name: InstanceId::new(&format!("entry-{number}")).expect("a sound name"),
             held: ViewNumber(0),
@@ -93,19 +93,19 @@
                 Event::Pass(millis) => now += millis,
                 Event::Beat(number) => {
                     let named = instances[number].confirmed;
-                    letters.push(Letter::Heartbeat(number, named, local(now, rates[number])));
+                    envelopes.push(Envelope::Heartbeat(number, named, local(now, rates[number])));
                 }
-                Event::Lose(letter) if !letters.is_empty() => {
-                    letters.swap_remove(letter % letters.len());
+                Event::Lose(envelope) if !envelopes.is_empty() => {
+                    envelopes.swap_remove(envelope % envelopes.len());
                 }
-                Event::Arrive(letter, stays) if !letters.is_empty() => {
-                    let index = letter % letters.len();
-                    let letter = letters[index];
+                Event::Arrive(envelope, stays) if !envelopes.is_empty() => {
+                    let index = envelope % envelopes.len();
+                    let envelope = envelopes[index];
                     if !stays {
-                        letters.swap_remove(index);
+                        envelopes.swap_remove(index);
                     }
-                    match letter {
-                        Letter::Heartbeat(number, view, sent) => {
+                    match envelope {
+                        Envelope::Heartbeat(number, view, sent) => {
                             let claim = LeaseClaim {
                                 instance: &instances[number].name,
                                 incarnation: Incarnation(number as u64 + 1),
@@ -113,10 +113,10 @@
                             };
                             let granted = table.grant(local(now, clocks[leader]), claim, newest);
                             if let Ok(lease) = granted {
-                                letters.push(Letter::Reply(number, newest, sent, lease));
+                                envelopes.push(Envelope::Reply(number, newest, sent, lease));
                             }
                         }
-                        Letter::Reply(number, view, sent, lease) => {
+                        Envelope::Reply(number, view, sent, lease) => {
                             let instance = &mut instances[number];
                             instance.held = instance.held.max(view);
                             instance.until = instance.until.max(sent + lease);
--- a/crates/daisyseam-coord/tests/log_support/mod.rs
+++ b/crates/daisyseam-coord/tests/log_support/mod.rs
@@ -85,7 +85,7 @@
 }
 
 #[derive(Clone)]
-struct Letter {
+struct Envelope {
     from: usize,
     to: usize,
     due: u64,
@@ -95,7 +95,7 @@
 /// The cluster and everything that was promised in it.
 pub(crate) struct LogCluster {
     nodes: Vec<Node>,
-    wire: Vec<Letter>,
+    wire: Vec<Envelope>,
     /// Whether messages are late, doubled and lost.
     faulty: bool,
     chance: ChaCha8Rng,
@@ -264,17 +264,17 @@
         let now = self.now;
         let (due, later) = std::mem::take(&mut self.wire)
             .into_iter()
-            .partition(|letter| letter.due <= now);
+            .partition(|envelope| envelope.due <= now);
         self.wire = later;
-        let due: Vec<Letter> = due;
-        for letter in due {
-            let cut = self.isolated.contains(&letter.from)
-                || self.isolated.contains(&letter.to)
-                || self.cut_pairs.contains(&(letter.from, letter.to));
+        let due: Vec<Envelope> = due;
+        for envelope in due {
+            let cut = self.isolated.contains(&envelope.from)
+                || self.isolated.contains(&envelope.to)
+                || self.cut_pairs.contains(&(envelope.from, envelope.to));
             if !cut {
-                let from = self.nodes[letter.from].name.clone();
-                self.with(letter.to, |log, now| {
-                    log.receive(now, &from, letter.message)
+                let from = self.nodes[envelope.from].name.clone();
+                self.with(envelope.to, |log, now| {
+                    log.receive(now, &from, envelope.message)
                 });
                 self.check();
             }
@@ -395,7 +395,7 @@
                 let delay = self
                     .chance
                     .random_range(0..if late { 300_000 } else { 5_000 });
-                self.wire.push(Letter {
+                self.wire.push(Envelope {
                     from,
                     to,
                     due: self.now + delay,
--- a/crates/daisyseam-coord/tests/outcome.rs
+++ b/crates/daisyseam-coord/tests/outcome.rs
@@ -49,10 +49,10 @@
     commit(true, Some(7)).resolve(&answer(term, status, first))
 }
 
-/// What a primary knows: identifiers in the order in which they were given, and their fate.
+/// What a primary knows: identifiers in the order in which they were given, and their outcome.
 #[derive(Clone, Default)]
 struct History {
-    fates: BTreeMap<u64, bool>,
+    outcomes: BTreeMap<u64, bool>,
     next: u64,
 }
 
@@ -60,12 +60,12 @@
     fn run(&mut self, committed: bool) -> u64 {
         let xid = self.next;
         self.next += 1;
-        self.fates.insert(xid, committed);
+        self.outcomes.insert(xid, committed);
         xid
     }
 
     fn status(&self, xid: u64) -> XactStatus {
-        match self.fates.get(&xid) {
+        match self.outcomes.get(&xid) {
             Some(true) => XactStatus::Committed,
             Some(false) => XactStatus::Aborted,
             None => XactStatus::Future,
@@ -78,7 +78,7 @@
     #[test]
     fn a_later_primary_is_never_taken_at_the_wrong_word(
         before in prop::collection::vec(any::<bool>(), 0..10),
-        fate in any::<bool>(),
+        outcome in any::<bool>(),
         lost in 0_usize..12,
         after in prop::collection::vec(any::<bool>(), 0..12),
         first_known in any::<bool>(),
@@ -87,13 +87,13 @@
         for committed in before {
             old.run(committed);
         }
-        let xid = old.run(fate);
+        let xid = old.run(outcome);
         // The new primary has all but the last so many transactions.
-        let kept = old.fates.len().saturating_sub(lost);
+        let kept = old.outcomes.len().saturating_sub(lost);
         let mut new = History { next: kept as u64, ..History::default() };
-        new.fates = old.fates.iter().take(kept).map(|(xid, fate)| (*xid, *fate)).collect();
+        new.outcomes = old.outcomes.iter().take(kept).map(|(xid, outcome)| (*xid, *outcome)).collect();
         let first = new.next;
-        let truth = new.fates.get(&xid).copied().unwrap_or(false);
+        let truth = new.outcomes.get(&xid).copied().unwrap_or(false);
         for committed in after {
             new.run(committed);
         }
--- a/crates/daisyseam-coord/tests/quota.rs
+++ b/crates/daisyseam-coord/tests/quota.rs
@@ -11,7 +11,7 @@
         RateShare,
         ShareReply,
         ShareReport,
-        WaitingLine, //
+        WaitingQueue, //
     }, //
 };
 use daisyseam_model::{
@@ -73,7 +73,7 @@
     cut_until: Moment,
     /// The clock of this entry, in thousandths of true time.
     clock_permille: u64,
-    waiting: WaitingLine,
+    waiting: WaitingQueue,
 }
 
 impl Entry {
@@ -91,13 +91,13 @@
 
 /// How badly messages fare.
 #[derive(Clone, Copy, Debug)]
-struct Weather {
+struct NetworkFaults {
     lost_percent: u32,
     doubled_percent: u32,
     delay_ms_max: u64,
 }
 
-const CALM: Weather = Weather {
+const CALM: NetworkFaults = NetworkFaults {
     lost_percent: 0,
     doubled_percent: 0,
     delay_ms_max: 20,
@@ -112,11 +112,11 @@
     counter: u64,
     now: Moment,
     random: ChaCha8Rng,
-    weather: Weather,
+    network: NetworkFaults,
 }
 
 impl Fleet {
-    fn new(count: usize, total: RateShare, weather: Weather, seed: u64) -> Self {
+    fn new(count: usize, total: RateShare, network: NetworkFaults, seed: u64) -> Self {
         let entries = (0..count).map(|index| Entry {
             holder: HolderId {
                 instance: InstanceId::new(&format!("entry-{index}")).unwrap(),
@@ -127,7 +127,7 @@
             sent: BTreeMap::new(),
             cut_until: Moment::ORIGIN,
             clock_permille: 1_000,
-            waiting: WaitingLine::default(),
+            waiting: WaitingQueue::default(),
         });
         let mut fleet = Self {
             entries: entries.collect(),
@@ -138,7 +138,7 @@
             counter: 0,
             now: Moment::ORIGIN,
             random: ChaCha8Rng::seed_from_u64(seed),
-            weather,
+            network,
         };
         for index in 0..count {
             fleet.entries[index]
@@ -181,12 +181,12 @@
             return;
         }
         let copies = match self.random.random_range(0..100) {
-            roll if roll < self.weather.lost_percent => 0,
-            roll if roll < self.weather.lost_percent + self.weather.doubled_percent => 2,
+            roll if roll < self.network.lost_percent => 0,
+            roll if roll < self.network.lost_percent + self.network.doubled_percent => 2,
             _ => 1,
         };
         for _ in 0..copies {
-            let delay = self.random.random_range(1..=self.weather.delay_ms_max);
+            let delay = self.random.random_range(1..=self.network.delay_ms_max);
             self.at(self.now + Duration::from_millis(delay), event());
         }
     }
@@ -301,8 +301,8 @@
         faults in prop::collection::vec((0_u8..4, 0_usize..7, 1_u64..2_500), 0..12),
     ) {
         let total = RateShare { rate: rate * MILLI, burst: burst * MILLI };
-        let weather = Weather { lost_percent, doubled_percent, delay_ms_max };
-        let mut fleet = Fleet::new(count, total, weather, seed);
+        let network = NetworkFaults { lost_percent, doubled_percent, delay_ms_max };
+        let mut fleet = Fleet::new(count, total, network, seed);
         for index in (0..count).step_by(2) {
             fleet.entries[index].clock_permille = 1_000 + drift_permille;
         }
@@ -382,7 +382,7 @@
 }
 
 /// Requests that wait up to five seconds, in the order in which they came.
-struct WaitLine {
+struct WaitQueue {
     waiting: std::collections::VecDeque<Moment>,
     refused: u64,
     asked: u64,
@@ -392,8 +392,8 @@
 fn requests_within_the_rate_are_not_refused_while_demand_moves() {
     let total = RateShare::from_document(200.0, 50.0);
     let mut fleet = Fleet::new(9, total, CALM, 3);
-    let mut lines: Vec<WaitLine> = (0..9)
-        .map(|_| WaitLine {
+    let mut lines: Vec<WaitQueue> = (0..9)
+        .map(|_| WaitQueue {
             waiting: Default::default(),
             refused: 0,
             asked: 0,
@@ -422,7 +422,7 @@
                 }
                 line.waiting.pop_front();
             }
-            fleet.entries[index].waiting = WaitingLine {
+            fleet.entries[index].waiting = WaitingQueue {
                 length: line.waiting.len(),
                 oldest: line.waiting.front().copied().unwrap_or(now),
             };
@@ -437,11 +437,11 @@
 /// Asks at random for twice the rate, with waits of up to 200 ms; returns what part of the rate was
 /// used in the last ten seconds.
 fn used_part(count: usize, total: RateShare, seed: u64) -> f64 {
-    let weather = Weather {
+    let network = NetworkFaults {
         delay_ms_max: 20,
         ..CALM
     };
-    let mut fleet = Fleet::new(count, total, weather, seed);
+    let mut fleet = Fleet::new(count, total, network, seed);
     let mut lines = vec![std::collections::VecDeque::<Moment>::new(); count];
     let chance = total.rate as f64 / MILLI as f64 * 2.0 * 0.005;
     let mut taken = 0_u32;
@@ -463,7 +463,7 @@
                 taken += u32::from(!over && step >= 1_000);
                 line.pop_front();
             }
-            fleet.entries[index].waiting = WaitingLine {
+            fleet.entries[index].waiting = WaitingQueue {
                 length: line.len(),
                 oldest: line.front().copied().unwrap_or(now),
             };
@@ -559,7 +559,7 @@
     for step in 0..6_000_u64 {
         fleet.run_until(millis(step * 10));
         for (index, count) in admitted.iter_mut().enumerate() {
-            fleet.entries[index].waiting = WaitingLine {
+            fleet.entries[index].waiting = WaitingQueue {
                 length: 1,
                 oldest: millis(step * 10),
             };
--- a/crates/daisyseam-coord/tests/route.rs
+++ b/crates/daisyseam-coord/tests/route.rs
@@ -4,10 +4,10 @@
     Moment,
     route::{
         ReadRequest,
-        RouteBook,
         RouteCandidate,
         RouteDistance,
         RoutePolicy, //
+        RouteTable,
     }, //
 };
 use daisyseam_model::{
@@ -49,8 +49,8 @@
 }
 
 /// A book for a group that writes every 10 ms and a replica `lag_ms` behind, read every 10 ms.
-fn learned(lag_ms: u64, replica: &UpstreamId, until_ms: u64) -> RouteBook {
-    let mut book = RouteBook::new(RoutePolicy::default());
+fn learned(lag_ms: u64, replica: &UpstreamId, until_ms: u64) -> RouteTable {
+    let mut book = RouteTable::new(RoutePolicy::default());
     for tick in 0..=until_ms / 10 {
         let now = Moment::from_millis(tick * 10);
         book.learn_written(now, &group(), at(tick));
@@ -119,7 +119,7 @@
         floor: None,
         deadline: Moment::from_millis(10_000),
     };
-    let mut book = RouteBook::new(RoutePolicy::default());
+    let mut book = RouteTable::new(RoutePolicy::default());
     let mut random = ChaCha8Rng::seed_from_u64(1);
     let plan = book.plan(Moment::ORIGIN, request, &candidates, &mut random);
     assert_eq!(plan[0].upstream, &near);
@@ -139,7 +139,7 @@
 #[test]
 fn equal_replicas_share_the_reads() {
     let names = [upstream("left"), upstream("right")];
-    let mut book = RouteBook::new(RoutePolicy::default());
+    let mut book = RouteTable::new(RoutePolicy::default());
     for name in &names {
         book.begin(name);
         book.end(Moment::ORIGIN, name, Some(Duration::from_millis(5)));
--- a/crates/daisyseam-engine/src/engine.rs
+++ b/crates/daisyseam-engine/src/engine.rs
@@ -3,7 +3,7 @@
 use crate::{
     CallerStream,
     DatabaseConnector,
-    health::HealthBook,
+    health::HealthTable,
     lease::LeaseLoss,
     observer::EngineObserver,
     outages::OutageClock,
@@ -70,7 +70,7 @@
 pub(crate) struct EngineShared<D: DatabaseConnector, G> {
     pub(crate) settings: EngineSettings<D, G>,
     pub(crate) pool: ConnectionPool<D>,
-    pub(crate) health: HealthBook,
+    pub(crate) health: HealthTable,
     pub(crate) samples: PositionSamples,
     pub(crate) writers: WriterCounts,
     pub(crate) outages: OutageClock,
@@ -86,7 +86,7 @@
         let shared = EngineShared {
             settings,
             pool,
-            health: HealthBook::default(),
+            health: HealthTable::default(),
             samples: PositionSamples::default(),
             writers: WriterCounts::default(),
             outages: OutageClock::default(),
--- a/crates/daisyseam-engine/src/health.rs
+++ b/crates/daisyseam-engine/src/health.rs
@@ -46,7 +46,7 @@
 
 /// What is known of each database; wakes who waits for a change of its health.
 #[derive(Debug, Default)]
-pub(crate) struct HealthBook {
+pub(crate) struct HealthTable {
     upstreams: Mutex<HashMap<UpstreamId, UpstreamHealth>>,
     changes: watch::Sender<()>,
 }
@@ -61,7 +61,7 @@
     misdirected: Option<ViewNumber>,
     under_way: usize,
     quiet_since: Option<Instant>,
-    told_bad: bool,
+    reported_bad: bool,
 }
 
 /// A database's health, as control is told.
@@ -75,17 +75,17 @@
     pub(crate) silence: Duration,
 }
 
-impl HealthBook {
+impl HealthTable {
     /// Notes that a call is under way until the guard is dropped.
-    pub(crate) fn asked<'a>(&'a self, upstream: &'a UpstreamId) -> UnderWay<'a> {
+    pub(crate) fn asked<'a>(&'a self, upstream: &'a UpstreamId) -> CallGuard<'a> {
         let mut upstreams = self.upstreams.lock();
         let health = entry(&mut upstreams, upstream);
         if health.under_way == 0 {
             health.quiet_since = Some(Instant::now());
         }
         health.under_way += 1;
-        UnderWay {
-            book: self,
+        CallGuard {
+            table: self,
             upstream,
         }
     }
@@ -98,7 +98,7 @@
         health.failures = 0;
         health.avoid_until = None;
         health.failing_since = None;
-        if health.told_bad {
+        if health.reported_bad {
             drop(upstreams);
             self.changes.send_replace(());
         }
@@ -124,7 +124,7 @@
         health.last_try = Some(now);
         let doublings = (health.failures - 1).min(8);
         health.avoid_until = Some(now + (AVOID * (1 << doublings)).min(AVOID_MAX));
-        let news = health.failures >= UNREACHABLE_FAILURES && !health.told_bad;
+        let news = health.failures >= UNREACHABLE_FAILURES && !health.reported_bad;
         drop(upstreams);
         if news {
             self.changes.send_replace(());
@@ -187,10 +187,10 @@
         let mut notes = Vec::new();
         for (upstream, health) in self.upstreams.lock().iter_mut() {
             let reachable = !health.is_bad(now);
-            if reachable && !health.told_bad {
+            if reachable && !health.reported_bad {
                 continue;
             }
-            health.told_bad = !reachable;
+            health.reported_bad = !reachable;
             notes.push(HealthNote {
                 upstream: upstream.clone(),
                 reachable,
@@ -207,7 +207,7 @@
         let mut upstreams = self.upstreams.lock();
         let due = upstreams.iter_mut().filter(|(_, health)| {
             let tried = health.last_try.is_some_and(|at| now < at + PROBE_AFTER);
-            health.told_bad && health.under_way == 0 && !tried
+            health.reported_bad && health.under_way == 0 && !tried
         });
         let probes = due.map(|(upstream, health)| {
             health.last_try = Some(now);
@@ -259,7 +259,7 @@
     }
 
     fn news_at(&self, now: Instant) -> Option<Instant> {
-        match self.told_bad {
+        match self.reported_bad {
             true => (!self.is_bad(now)).then_some(now),
             false => self.bad_at(),
         }
@@ -273,14 +273,14 @@
 }
 
 /// A call that is under way until this is dropped.
-pub(crate) struct UnderWay<'a> {
-    book: &'a HealthBook,
+pub(crate) struct CallGuard<'a> {
+    table: &'a HealthTable,
     upstream: &'a UpstreamId,
 }
 
-impl Drop for UnderWay<'_> {
+impl Drop for CallGuard<'_> {
     fn drop(&mut self) {
-        let mut upstreams = self.book.upstreams.lock();
+        let mut upstreams = self.table.upstreams.lock();
         if let Some(health) = upstreams.get_mut(self.upstream) {
             health.under_way = health.under_way.saturating_sub(1);
         }
--- a/crates/daisyseam-engine/src/health/tests.rs
+++ b/crates/daisyseam-engine/src/health/tests.rs
@@ -1,6 +1,6 @@
 //! When control is told of a database's health.
 
-use super::HealthBook;
+use super::HealthTable;
 use daisyseam_model::UpstreamId;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -9,23 +9,23 @@
 /// asked for, not at a later reading of the clock: who waits for that one never stops.
 #[tokio::test]
 async fn a_database_that_answers_again_is_news_at_once() {
-    let book = HealthBook::default();
+    let table = HealthTable::default();
     let upstream: UpstreamId = "copy-1".parse().expect("a valid name");
-    book.failed(&upstream);
-    book.failed(&upstream);
+    table.failed(&upstream);
+    table.failed(&upstream);
     let bad = Instant::now() + Duration::from_secs(1);
-    assert!(book.news_at(bad).is_some_and(|at| at <= bad));
-    tell_bad(&book).await;
-    book.good(&upstream);
+    assert!(table.news_at(bad).is_some_and(|at| at <= bad));
+    report_bad(&table).await;
+    table.good(&upstream);
     let now = Instant::now();
-    assert_eq!(book.news_at(now), Some(now));
+    assert_eq!(table.news_at(now), Some(now));
 }
 
-/// Takes notes until the book counts a database as told to be bad.
-async fn tell_bad(book: &HealthBook) {
+/// Takes notes until the table counts a database as told to be bad.
+async fn report_bad(table: &HealthTable) {
     tokio::time::pause();
     tokio::time::advance(Duration::from_secs(1)).await;
-    let notes = book.notes();
+    let notes = table.notes();
     assert!(notes.iter().any(|note| !note.reachable));
     tokio::time::resume();
 }
--- a/crates/daisyseam-engine/src/pool.rs
+++ b/crates/daisyseam-engine/src/pool.rs
@@ -107,7 +107,7 @@
         let named = named.ok_or(NoConnection::Gone)?;
         let pool = self.upstream(order.view, order.upstream, named);
         match self.claim(&pool, order).await? {
-            Grant::Connection(connection) => Ok(connection.lend()),
+            Grant::Connection(connection) => Ok(connection.check_out()),
             Grant::Place(place) => self.open(place, order, named).await,
         }
     }
--- a/crates/daisyseam-engine/src/pool/connection.rs
+++ b/crates/daisyseam-engine/src/pool/connection.rs
@@ -55,10 +55,10 @@
     ) -> Self {
         let memory = ConnectionMemory::default();
         let link = DatabaseLink { connection, memory };
-        Self::lent(place, organisation, link).lend()
+        Self::checked_out(place, organisation, link).check_out()
     }
 
-    pub(super) fn lent(
+    pub(super) fn checked_out(
         place: Place<C>,
         organisation: Option<OrganisationId>,
         link: DatabaseLink<C>,
@@ -72,7 +72,7 @@
     }
 
     /// Marks the connection as in use.
-    pub(super) fn lend(mut self) -> Self {
+    pub(super) fn check_out(mut self) -> Self {
         self.clean = false;
         self
     }
--- a/crates/daisyseam-engine/src/pool/upstream.rs
+++ b/crates/daisyseam-engine/src/pool/upstream.rs
@@ -35,8 +35,8 @@
 pub(crate) struct UpstreamLoad {
     /// Whether none is at hand.
     pub(crate) full: bool,
-    /// Places that are lent.
-    pub(crate) lent: usize,
+    /// Places that are checked out.
+    pub(crate) checked_out: usize,
     /// Turn in which one was last claimed.
     pub(crate) last_turn: u64,
 }
@@ -48,8 +48,8 @@
     budget: usize,
     /// Most connections until a moment, after the database had no room for more.
     hold: Option<(usize, Instant)>,
-    /// Places that are lent: connections in use and those being opened.
-    lent: usize,
+    /// Places that are checked out: connections in use and those being opened.
+    checked_out: usize,
     /// Least recently used first.
     idle: Vec<IdleLink<C>>,
     waiting: VecDeque<Waiter<C>>,
@@ -100,7 +100,7 @@
                 shut: false,
                 budget,
                 hold: None,
-                lent: 0,
+                checked_out: 0,
                 idle: Vec::new(),
                 waiting: VecDeque::new(),
                 last_turn: 0,
@@ -117,8 +117,8 @@
     pub(super) fn load(&self) -> UpstreamLoad {
         let state = self.state.lock();
         UpstreamLoad {
-            full: state.lent >= state.most(),
-            lent: state.lent,
+            full: state.checked_out >= state.most(),
+            checked_out: state.checked_out,
             last_turn: state.last_turn,
         }
     }
@@ -129,7 +129,7 @@
             return;
         }
         state.budget = budget;
-        let keep = budget.saturating_sub(state.lent);
+        let keep = budget.saturating_sub(state.checked_out);
         let surplus = state.idle.len().saturating_sub(keep);
         let surplus: Vec<_> = state.idle.drain(..surplus).collect();
         drop(state);
@@ -171,7 +171,7 @@
             let mut state = self.state.lock();
             state.last_turn = turn;
             if let Some(mut link) = state.take_idle(organisation, values) {
-                state.lent += 1;
+                state.checked_out += 1;
                 drop(state);
                 let place = Place::of(self);
                 if link.connection.is_stale() {
@@ -179,7 +179,7 @@
                     drop(place);
                     continue;
                 }
-                let connection = PooledConnection::lent(place, organisation.cloned(), link);
+                let connection = PooledConnection::checked_out(place, organisation.cloned(), link);
                 return Claim::Granted(Grant::Connection(connection));
             }
             let evicted = match state.make_room() {
@@ -194,7 +194,7 @@
                     return Claim::Wait(receiver, state.held_until());
                 }
             };
-            state.lent += 1;
+            state.checked_out += 1;
             drop(state);
             drop(evicted);
             return Claim::Granted(Grant::Place(Place::of(self)));
@@ -217,14 +217,14 @@
             return;
         }
         let Some(waiter) = state.next_waiter() else {
-            state.lent -= 1;
+            state.checked_out -= 1;
             place.held = false;
             state.idle.push(IdleLink { organisation, link });
             return;
         };
         drop(state);
         let grant = if waiter.organisation == organisation {
-            Grant::Connection(PooledConnection::lent(place, organisation, link))
+            Grant::Connection(PooledConnection::checked_out(place, organisation, link))
         } else {
             drop(link);
             Grant::Place(place)
@@ -240,7 +240,7 @@
             return None;
         }
         let waiter = state.next_waiter()?;
-        state.lent += 1;
+        state.checked_out += 1;
         Some(waiter)
     }
 
@@ -249,7 +249,7 @@
     }
 
     fn release_place(self: &Arc<Self>) {
-        self.state.lock().lent -= 1;
+        self.state.lock().checked_out -= 1;
         if let Some(waiter) = self.next_place() {
             self.grant_place(waiter);
         }
@@ -258,7 +258,7 @@
 
 impl<C: DatabaseConnection> PoolState<C> {
     fn used(&self) -> usize {
-        self.lent + self.idle.len()
+        self.checked_out + self.idle.len()
     }
 
     fn take_idle(
@@ -299,7 +299,7 @@
         if self.used() < most {
             return Room::Free;
         }
-        if self.idle.is_empty() || self.lent >= most {
+        if self.idle.is_empty() || self.checked_out >= most {
             return Room::None;
         }
         Room::Evicted(self.idle.remove(0).link)
--- a/crates/daisyseam-engine/src/route.rs
+++ b/crates/daisyseam-engine/src/route.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     DatabaseConnector, //
-    health::HealthBook,
+    health::HealthTable,
     pool::{
         ConnectionPool,
         UpstreamLoad, //
@@ -92,7 +92,7 @@
 pub(crate) struct Router<'a, D: DatabaseConnector> {
     pub(crate) cell: &'a ViewCell,
     pub(crate) timer: &'a TimerService,
-    pub(crate) health: &'a HealthBook,
+    pub(crate) health: &'a HealthTable,
     pub(crate) pool: &'a ConnectionPool<D>,
     pub(crate) data_centre: &'a DataCentreId,
 }
--- a/crates/daisyseam-engine/tests/fleet.rs
+++ b/crates/daisyseam-engine/tests/fleet.rs
@@ -165,7 +165,7 @@
         );
         assert!(report[0].silent_ms >= 300, "{report:?}");
     }
-    // Nobody asks it any more, and it is still found to be back.
+    // IdleObserver asks it any more, and it is still found to be back.
     fleet.databases.at("p", |p| p.connect_error = None);
     sleep(Duration::from_secs(2)).await;
     assert!(!report()[0].reachable);
--- a/crates/daisyseam-entry/src/announce.rs
+++ b/crates/daisyseam-entry/src/announce.rs
@@ -43,12 +43,12 @@
 
 /// The newest announcement of each database that no heartbeat has taken along yet.
 #[derive(Clone)]
-pub struct AnnouncementBook {
+pub struct AnnouncementTable {
     cluster: ClusterId,
     entries: Arc<Mutex<BTreeMap<UpstreamId, (Announcement, Instant)>>>,
 }
 
-impl AnnouncementBook {
+impl AnnouncementTable {
     /// Makes an empty book.
     pub fn new(cluster: ClusterId) -> Self {
         Self {
@@ -95,7 +95,7 @@
     }
 }
 
-async fn announce(State(book): State<AnnouncementBook>, body: Bytes) -> Response {
+async fn announce(State(book): State<AnnouncementTable>, body: Bytes) -> Response {
     let announcement = match serde_json::from_slice::<Announcement>(&body) {
         Ok(announcement) => announcement,
         Err(error) => {
--- a/crates/daisyseam-entry/src/broker.rs
+++ b/crates/daisyseam-entry/src/broker.rs
@@ -67,9 +67,9 @@
     pub position: LogPosition,
 }
 
-/// A transaction's fate, as the present primary knows it.
+/// A transaction's outcome, as the present primary knows it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum TransactionFate {
+pub enum TransactionOutcome {
     /// It was committed, and the commit is confirmed by a majority.
     Committed(LogPosition),
     /// It was rolled back, or is not part of the present history.
@@ -104,7 +104,7 @@
     ///
     /// # Errors
     ///
-    /// When the term is over or the deadline passes; the commit's fate is open then.
+    /// When the term is over or the deadline passes; the commit's outcome is open then.
     fn confirm(
         &self,
         group: &GroupId,
@@ -126,16 +126,16 @@
     /// Finds out what became of a transaction whose link broke around its commit.
     ///
     /// `xid` is what `pg_current_xact_id()` gave in that transaction, under `term`.
-    fn fate(
+    fn outcome(
         &self,
         group: &GroupId,
         term: Term,
         xid: u64,
         deadline: Instant,
-    ) -> impl Future<Output = TransactionFate> + Send;
+    ) -> impl Future<Output = TransactionOutcome> + Send;
 }
 
-/// One connection to a database, lent out for one transaction.
+/// One connection to a database, checked out for one transaction.
 ///
 /// Dropping a link without [`DatabaseLink::release`] closes the connection behind it.
 pub trait DatabaseLink: Send + 'static {
--- a/crates/daisyseam-entry/src/caller/classify/split.rs
+++ b/crates/daisyseam-entry/src/caller/classify/split.rs
@@ -43,7 +43,7 @@
     let mut hints = StatementHints::default();
     let mut pieces = Vec::new();
     let mut piece = Vec::new();
-    let mut places = PlaceFinder::new(text);
+    let mut places = OffsetFinder::new(text);
     let mut start = 0;
     for token in tokens {
         match &token.token {
@@ -77,14 +77,14 @@
 }
 
 /// Turns rising places in lines and columns into byte offsets.
-struct PlaceFinder<'a> {
+struct OffsetFinder<'a> {
     characters: std::str::CharIndices<'a>,
     length: usize,
     line: u64,
     column: u64,
 }
 
-impl<'a> PlaceFinder<'a> {
+impl<'a> OffsetFinder<'a> {
     fn new(text: &'a str) -> Self {
         Self {
             characters: text.char_indices(),
--- a/crates/daisyseam-entry/src/caller/lease.rs
+++ b/crates/daisyseam-entry/src/caller/lease.rs
@@ -1,4 +1,4 @@
-//! A link lent to one transaction, and what is owed on it.
+//! A link checked out to one transaction, and what is owed on it.
 
 use super::prepared::PreparedText;
 use crate::{
--- a/crates/daisyseam-entry/src/caller/session.rs
+++ b/crates/daisyseam-entry/src/caller/session.rs
@@ -121,26 +121,26 @@
 
 /// Why a request does not end well.
 #[derive(Debug)]
-enum RequestTrouble {
+enum RequestFailure {
     /// The caller is told why.
     Refused(RequestError),
     /// The connection ends.
     Closed,
 }
 
-impl From<ErrorKind> for RequestTrouble {
+impl From<ErrorKind> for RequestFailure {
     fn from(kind: ErrorKind) -> Self {
         Self::Refused(kind.into())
     }
 }
 
-impl From<RequestError> for RequestTrouble {
+impl From<RequestError> for RequestFailure {
     fn from(error: RequestError) -> Self {
         Self::Refused(error)
     }
 }
 
-impl From<FrameError> for RequestTrouble {
+impl From<FrameError> for RequestFailure {
     fn from(error: FrameError) -> Self {
         match error {
             FrameError::Io(_) => Self::Closed,
@@ -207,16 +207,16 @@
         while went.is_ok() {
             went = match self.wait().await {
                 Ok(frame) => Box::pin(self.handle(frame)).await,
-                Err(trouble) => Err(trouble),
+                Err(failure) => Err(failure),
             };
         }
-        if let Err(RequestTrouble::Refused(error)) = went {
-            self.say_goodbye(&error).await;
+        if let Err(RequestFailure::Refused(error)) = went {
+            self.send_terminate(&error).await;
         }
         self.abandon_block().await;
     }
 
-    async fn handle(&mut self, frame: CallerFrame) -> Result<(), RequestTrouble> {
+    async fn handle(&mut self, frame: CallerFrame) -> Result<(), RequestFailure> {
         self.progress = SendProgress::Unsent;
         let message = match frame {
             CallerFrame::Message(message) => message,
@@ -238,7 +238,7 @@
             }
             PgWireFrontendMessage::Sync(_) => self.sync().await,
             PgWireFrontendMessage::Flush(_) => self.flush().await,
-            PgWireFrontendMessage::Terminate(_) => Err(RequestTrouble::Closed),
+            PgWireFrontendMessage::Terminate(_) => Err(RequestFailure::Closed),
             // Left over from a copy that was refused.
             PgWireFrontendMessage::CopyData(_)
             | PgWireFrontendMessage::CopyDone(_)
@@ -252,21 +252,21 @@
     }
 
     /// Answers the end of a request, with an error if it has one.
-    async fn conclude(&mut self, result: Result<(), RequestTrouble>) -> Result<(), RequestTrouble> {
-        if let Err(trouble) = result {
-            self.answer_trouble(trouble).await?;
+    async fn conclude(&mut self, result: Result<(), RequestFailure>) -> Result<(), RequestFailure> {
+        if let Err(failure) = result {
+            self.answer_failure(failure).await?;
         }
         self.ready().await
     }
 
     /// Answers an error; an error that ends the connection is passed on.
-    async fn answer_trouble(&mut self, trouble: RequestTrouble) -> Result<(), RequestTrouble> {
-        let RequestTrouble::Refused(mut error) = trouble else {
-            return Err(trouble);
+    async fn answer_failure(&mut self, failure: RequestFailure) -> Result<(), RequestFailure> {
+        let RequestFailure::Refused(mut error) = failure else {
+            return Err(failure);
         };
         error.kind = self.progress.settle(error.kind);
         if error.kind.row().closes {
-            return Err(RequestTrouble::Refused(error));
+            return Err(RequestFailure::Refused(error));
         }
         self.shared.count_error(error.kind);
         self.block.fail();
@@ -276,7 +276,7 @@
     }
 
     /// Tells the caller that its session is ready, and where it stands if that changed.
-    async fn ready(&mut self) -> Result<(), RequestTrouble> {
+    async fn ready(&mut self) -> Result<(), RequestFailure> {
         self.report_floor().await?;
         let ready = ReadyForQuery::new(self.block.status());
         let message = PgWireBackendMessage::ReadyForQuery(ready);
@@ -284,7 +284,7 @@
         Ok(())
     }
 
-    async fn report_floor(&mut self) -> Result<(), RequestTrouble> {
+    async fn report_floor(&mut self) -> Result<(), RequestFailure> {
         if self.floor.position() == self.reported {
             return Ok(());
         }
--- a/crates/daisyseam-entry/src/caller/session/autocommit.rs
+++ b/crates/daisyseam-entry/src/caller/session/autocommit.rs
@@ -2,7 +2,7 @@
 
 use super::{
     CallerSession,
-    RequestTrouble,
+    RequestFailure,
     request::{
         RequestFrame,
         RequestUnit,
@@ -62,7 +62,7 @@
         frame: &RequestFrame,
         unit: &RequestUnit<'_>,
         needs: &UnitNeeds,
-    ) -> Result<UnitEnd, RequestTrouble> {
+    ) -> Result<UnitEnd, RequestFailure> {
         let mut attempt = 1;
         loop {
             let access = self.read_access(frame, needs.max_age).await?;
@@ -134,7 +134,7 @@
         frame: &RequestFrame,
         unit: &RequestUnit<'_>,
         needs: &UnitNeeds,
-    ) -> Result<UnitEnd, RequestTrouble> {
+    ) -> Result<UnitEnd, RequestFailure> {
         let mut attempt = 1;
         loop {
             let mut lease = self.open_link(frame, StatementAccess::Write).await?;
@@ -179,7 +179,7 @@
         frame: &RequestFrame,
         mut exchange: Exchange,
         mut lease: LinkLease<B::Link>,
-    ) -> Result<UnitEnd, RequestTrouble> {
+    ) -> Result<UnitEnd, RequestFailure> {
         if exchange.status == TransactionStatus::Idle {
             // The statement ended the transaction that it ran in: nothing is known of it.
             drop(lease);
@@ -219,7 +219,7 @@
         drained.is_ok() && exchange.status == TransactionStatus::Idle
     }
 
-    /// Asks for the id under which the transaction's fate can be found out later.
+    /// Asks for the id under which the transaction's outcome can be found out later.
     pub(super) async fn ask_transaction_id(
         &mut self,
         exchange: &mut Exchange,
@@ -237,7 +237,7 @@
         &mut self,
         fault: ExchangeFault,
         mut lease: LinkLease<B::Link>,
-    ) -> RequestTrouble {
+    ) -> RequestFailure {
         match fault {
             ExchangeFault::Link(error) => {
                 drop(lease);
@@ -252,7 +252,7 @@
             ExchangeFault::Caller(error) => {
                 lease.cancel().await;
                 log::debug!("a caller left while its request ran: {error:?}");
-                RequestTrouble::Closed
+                RequestFailure::Closed
             }
         }
     }
@@ -264,6 +264,6 @@
 }
 
 /// Makes the error for a transaction that a broken link has rolled back.
-pub(super) fn lost(words: &str) -> RequestTrouble {
+pub(super) fn lost(words: &str) -> RequestFailure {
     RequestError::new(ErrorKind::TransactionLost, words).into()
 }
--- a/crates/daisyseam-entry/src/caller/session/batch.rs
+++ b/crates/daisyseam-entry/src/caller/session/batch.rs
@@ -2,7 +2,7 @@
 
 use super::{
     CallerSession,
-    RequestTrouble,
+    RequestFailure,
     block::{
         BlockStart,
         TransactionBlock, //
@@ -89,7 +89,7 @@
     pub(super) fn add_to_batch(
         &mut self,
         message: PgWireFrontendMessage,
-    ) -> Result<(), RequestTrouble> {
+    ) -> Result<(), RequestFailure> {
         if self.batch.skipping || self.batch.failure.is_some() {
             return Ok(());
         }
@@ -224,7 +224,7 @@
     }
 
     /// Runs the batch and tells the caller that the session is ready.
-    pub(super) async fn sync(&mut self) -> Result<(), RequestTrouble> {
+    pub(super) async fn sync(&mut self) -> Result<(), RequestFailure> {
         let skipping = std::mem::take(&mut self.batch.skipping);
         let mut result = if skipping {
             self.clear_batch();
@@ -244,7 +244,7 @@
     }
 
     /// Runs what was collected so far; the answers go out at once.
-    pub(super) async fn flush(&mut self) -> Result<(), RequestTrouble> {
+    pub(super) async fn flush(&mut self) -> Result<(), RequestFailure> {
         if self.batch.skipping {
             return Ok(());
         }
@@ -267,8 +267,8 @@
                 explicit: false,
             });
         }
-        if let Err(trouble) = self.run_batch().await {
-            self.answer_trouble(trouble).await?;
+        if let Err(failure) = self.run_batch().await {
+            self.answer_failure(failure).await?;
             self.batch.skipping = true;
         }
         self.stream.flush().await?;
@@ -281,7 +281,7 @@
         self.batch.failure = None;
     }
 
-    async fn run_batch(&mut self) -> Result<(), RequestTrouble> {
+    async fn run_batch(&mut self) -> Result<(), RequestFailure> {
         let parts = std::mem::take(&mut self.batch.parts);
         let failure = self.batch.failure.take();
         self.batch.bytes = 0;
@@ -326,7 +326,7 @@
     }
 
     /// Runs the parts between two statements that need no database.
-    async fn run_parts(&mut self, parts: &[BatchPart]) -> Result<bool, RequestTrouble> {
+    async fn run_parts(&mut self, parts: &[BatchPart]) -> Result<bool, RequestFailure> {
         let all_local = parts
             .iter()
             .all(|part| matches!(part, BatchPart::Answer(_)));
@@ -343,7 +343,7 @@
     }
 
     /// Ends the transaction of a batch that was flushed before its end.
-    async fn end_implicit_block(&mut self, succeeded: bool) -> Result<(), RequestTrouble> {
+    async fn end_implicit_block(&mut self, succeeded: bool) -> Result<(), RequestFailure> {
         match self.block.take() {
             TransactionBlock::Open(open) if succeeded && !open.failed => {
                 self.commit_open(open, None).await?;
--- a/crates/daisyseam-entry/src/caller/session/commit.rs
+++ b/crates/daisyseam-entry/src/caller/session/commit.rs
@@ -2,7 +2,7 @@
 
 use super::{
     CallerSession,
-    RequestTrouble,
+    RequestFailure,
     autocommit::{
         UnitEnd,
         lost, //
@@ -12,7 +12,7 @@
 use crate::{
     LinkBroker,
     RateGate,
-    TransactionFate,
+    TransactionOutcome,
     caller::{
         answer::SendProgress,
         exchange::{
@@ -60,7 +60,7 @@
         mut lease: LinkLease<B::Link>,
         id: Option<u64>,
         held: Option<CommandComplete>,
-    ) -> Result<UnitEnd, RequestTrouble> {
+    ) -> Result<UnitEnd, RequestFailure> {
         let term = lease.term;
         let deadline = frame.statement_deadline();
         let mut exchange = Exchange::new();
@@ -96,7 +96,7 @@
         };
         let position = match confirmed {
             Some(position) => position,
-            None => self.find_fate(frame, term, id).await?,
+            None => self.find_outcome(frame, term, id).await?,
         };
         self.raise_floor(position);
         if let Some(complete) = held {
@@ -136,13 +136,13 @@
     }
 
     /// Finds out what became of a commit whose answer or confirmation is missing.
-    async fn find_fate(
+    async fn find_outcome(
         &mut self,
         frame: &RequestFrame,
         term: Term,
         id: Option<u64>,
-    ) -> Result<LogPosition, RequestTrouble> {
-        self.shared.context.metrics.count("caller.fates_asked");
+    ) -> Result<LogPosition, RequestFailure> {
+        self.shared.context.metrics.count("caller.outcomes_asked");
         let Some(id) = id else {
             // It wrote nothing, so there is nothing that could be left of it.
             self.progress = SendProgress::RolledBack;
@@ -150,15 +150,17 @@
         };
         let deadline = frame.statement_deadline();
         let context = &self.shared.context;
-        let asking = context.broker.fate(&frame.group, term, id, deadline);
-        let fate = context.timer.within(deadline, asking).await;
-        match fate.unwrap_or(TransactionFate::Unknown) {
-            TransactionFate::Committed(position) => Ok(position),
-            TransactionFate::Aborted => {
+        let asking = context.broker.outcome(&frame.group, term, id, deadline);
+        let outcome = context.timer.within(deadline, asking).await;
+        match outcome.unwrap_or(TransactionOutcome::Unknown) {
+            TransactionOutcome::Committed(position) => Ok(position),
+            TransactionOutcome::Aborted => {
                 self.progress = SendProgress::RolledBack;
                 Err(lost("the commit did not take effect"))
             }
-            TransactionFate::Unknown => Err(RequestError::from(ErrorKind::OutcomeUnknown).into()),
+            TransactionOutcome::Unknown => {
+                Err(RequestError::from(ErrorKind::OutcomeUnknown).into())
+            }
         }
     }
 }
--- a/crates/daisyseam-entry/src/caller/session/idle.rs
+++ b/crates/daisyseam-entry/src/caller/session/idle.rs
@@ -3,7 +3,7 @@
 use super::{
     CallerSession,
     PlannedLeave,
-    RequestTrouble,
+    RequestFailure,
     block::TransactionBlock, //
 };
 use crate::{
@@ -75,7 +75,7 @@
     S: AsyncRead + AsyncWrite + Unpin,
 {
     /// Waits for the caller's next message.
-    pub(super) async fn wait(&mut self) -> Result<CallerFrame, RequestTrouble> {
+    pub(super) async fn wait(&mut self) -> Result<CallerFrame, RequestFailure> {
         self.progress = SendProgress::Unsent;
         if self.stream.read_buffer().is_empty() {
             if let Some(kind) = self.due_leave() {
@@ -91,7 +91,7 @@
                     self.served = true;
                     return Ok(frame?);
                 }
-                IdleEvent::Frame(None) => return Err(RequestTrouble::Closed),
+                IdleEvent::Frame(None) => return Err(RequestFailure::Closed),
                 IdleEvent::Stopping => {
                     let grace = match self.block.is_idle() {
                         true => IDLE_GRACE,
@@ -132,7 +132,7 @@
     }
 
     /// A caller that reads nothing for as long as a statement may run is given up.
-    async fn flush_within_limit(&mut self) -> Result<(), RequestTrouble> {
+    async fn flush_within_limit(&mut self) -> Result<(), RequestFailure> {
         let held = self.shared.context.view.held();
         let document = held.view.document.as_ref();
         let limit = document.map_or(GOODBYE_TIMEOUT, |document| {
@@ -146,7 +146,7 @@
             .within(deadline, self.stream.flush());
         match flushed.await {
             Some(flushed) => Ok(flushed?),
-            None => Err(RequestTrouble::Closed),
+            None => Err(RequestFailure::Closed),
         }
     }
 
@@ -170,7 +170,7 @@
     }
 
     /// Acts on a view that may have withdrawn the key or taken the data centre out.
-    fn follow_view(&mut self) -> Result<(), RequestTrouble> {
+    fn follow_view(&mut self) -> Result<(), RequestFailure> {
         match self.identity.check(&self.shared.context.view) {
             // Without a lease each request is refused; the connection may stay.
             Ok(_) | Err(ErrorKind::NoView) => {}
@@ -211,7 +211,7 @@
         (leaving.from <= Instant::now()).then_some(leaving.kind)
     }
 
-    fn end_of_time(&mut self) -> Result<(), RequestTrouble> {
+    fn end_of_time(&mut self) -> Result<(), RequestFailure> {
         if !self.block.holds_link() {
             let kind = self
                 .leaving
@@ -228,7 +228,7 @@
     }
 
     /// Tells the caller why its connection ends.
-    pub(super) async fn say_goodbye(&mut self, error: &RequestError) {
+    pub(super) async fn send_terminate(&mut self, error: &RequestError) {
         self.shared.count_error(error.kind);
         let mut error = error.clone();
         error.kind = self.progress.settle(error.kind);
--- a/crates/daisyseam-entry/src/caller/session/local.rs
+++ b/crates/daisyseam-entry/src/caller/session/local.rs
@@ -2,7 +2,7 @@
 
 use super::{
     CallerSession,
-    RequestTrouble,
+    RequestFailure,
     autocommit::{
         UnitEnd,
         lost, //
@@ -56,7 +56,7 @@
     S: AsyncRead + AsyncWrite + Unpin,
 {
     /// Runs a statement for which [`StatementKind::is_local`] holds.
-    pub(super) async fn run_local(&mut self, kind: &StatementKind) -> Result<(), RequestTrouble> {
+    pub(super) async fn run_local(&mut self, kind: &StatementKind) -> Result<(), RequestFailure> {
         self.progress = SendProgress::Unsent;
         self.check_caller().await?;
         let ends = matches!(kind, StatementKind::Commit | StatementKind::Rollback);
@@ -136,7 +136,7 @@
         }
     }
 
-    async fn commit_block(&mut self) -> Result<(), RequestTrouble> {
+    async fn commit_block(&mut self) -> Result<(), RequestFailure> {
         match self.block.take() {
             TransactionBlock::Idle | TransactionBlock::Pending(_) => self.complete("COMMIT").await,
             TransactionBlock::Failed => self.complete("ROLLBACK").await,
@@ -158,16 +158,16 @@
         &mut self,
         open: OpenBlock<B::Link>,
         held: Option<CommandComplete>,
-    ) -> Result<UnitEnd, RequestTrouble> {
+    ) -> Result<UnitEnd, RequestFailure> {
         let frame = self.start_request(&UnitNeeds::default()).await;
         let frame = match frame {
             Ok(frame) => frame,
-            Err(trouble) => {
+            Err(failure) => {
                 // The commit is not sent, so the block is rolled back.
                 self.block = TransactionBlock::Open(open);
                 self.roll_back_block().await?;
                 self.progress = SendProgress::Unsent;
-                return Err(trouble);
+                return Err(failure);
             }
         };
         if open.read_only {
@@ -199,7 +199,7 @@
         frame: &RequestFrame,
         mut lease: LinkLease<B::Link>,
         held: Option<CommandComplete>,
-    ) -> Result<UnitEnd, RequestTrouble> {
+    ) -> Result<UnitEnd, RequestFailure> {
         let seen = lease.position;
         let mut exchange = Exchange::new();
         let deadline = frame.statement_deadline();
@@ -229,7 +229,7 @@
     }
 
     /// Rolls back whatever block there is.
-    pub(super) async fn roll_back_block(&mut self) -> Result<(), RequestTrouble> {
+    pub(super) async fn roll_back_block(&mut self) -> Result<(), RequestFailure> {
         let TransactionBlock::Open(mut open) = self.block.take() else {
             return Ok(());
         };
@@ -243,7 +243,7 @@
         Ok(())
     }
 
-    async fn complete(&mut self, tag: &str) -> Result<(), RequestTrouble> {
+    async fn complete(&mut self, tag: &str) -> Result<(), RequestFailure> {
         let complete = CommandComplete::new(tag.to_owned());
         self.stream
             .feed(PgWireBackendMessage::CommandComplete(complete))
@@ -251,7 +251,7 @@
         Ok(())
     }
 
-    async fn show_own(&mut self, name: &str, described: bool) -> Result<(), RequestTrouble> {
+    async fn show_own(&mut self, name: &str, described: bool) -> Result<(), RequestFailure> {
         let value = match name {
             "daisyseam.session" => self.scope().and_then(|scope| self.floor.token(scope)),
             _ => self.max_age.map(|age| format!("{}ms", age.as_millis())),
@@ -276,7 +276,7 @@
     pub(super) async fn run_described(
         &mut self,
         kind: &StatementKind,
-    ) -> Result<(), RequestTrouble> {
+    ) -> Result<(), RequestFailure> {
         match kind {
             StatementKind::ShowOwn(name) => {
                 self.check_caller().await?;
--- a/crates/daisyseam-entry/src/caller/session/request.rs
+++ b/crates/daisyseam-entry/src/caller/session/request.rs
@@ -2,7 +2,7 @@
 
 use super::{
     CallerSession,
-    RequestTrouble, //
+    RequestFailure, //
 };
 use crate::{
     LinkBroker,
@@ -118,7 +118,7 @@
     /// Checks the caller against the present view, waiting a while for a lease that has lapsed.
     pub(super) async fn check_caller(
         &mut self,
-    ) -> Result<(Arc<FleetView>, GroupId), RequestTrouble> {
+    ) -> Result<(Arc<FleetView>, GroupId), RequestFailure> {
         let (view, group) = match self.identity.check(&self.shared.context.view) {
             Err(ErrorKind::NoView) => self.check_with_lease().await?,
             checked => checked?,
@@ -153,7 +153,7 @@
     pub(super) async fn start_request(
         &mut self,
         needs: &UnitNeeds,
-    ) -> Result<RequestFrame, RequestTrouble> {
+    ) -> Result<RequestFrame, RequestFailure> {
         self.progress = SendProgress::Unsent;
         let (view, group) = self.check_caller().await?;
         let document = view.document.as_ref().ok_or(ErrorKind::NoView)?;
@@ -215,7 +215,7 @@
         &mut self,
         frame: &RequestFrame,
         max_age: Option<Duration>,
-    ) -> Result<StatementAccess, RequestTrouble> {
+    ) -> Result<StatementAccess, RequestFailure> {
         if let Some(age) = max_age.or(self.max_age) {
             return Ok(StatementAccess::ReadWithin {
                 age,
@@ -239,7 +239,7 @@
         &mut self,
         frame: &RequestFrame,
         access: StatementAccess,
-    ) -> Result<LinkLease<B::Link>, RequestTrouble> {
+    ) -> Result<LinkLease<B::Link>, RequestFailure> {
         let deadline = Instant::now() + frame.limits.queue_timeout;
         let context = &self.shared.context;
         let order = LinkOrder {
--- a/crates/daisyseam-entry/src/caller/session/simple.rs
+++ b/crates/daisyseam-entry/src/caller/session/simple.rs
@@ -2,7 +2,7 @@
 
 use super::{
     CallerSession,
-    RequestTrouble,
+    RequestFailure,
     autocommit::{
         UnitEnd,
         lost, //
@@ -64,7 +64,7 @@
     S: AsyncRead + AsyncWrite + Unpin,
 {
     /// Runs the text of a simple query, without the answer that ends it.
-    pub(super) async fn run_query(&mut self, text: String) -> Result<(), RequestTrouble> {
+    pub(super) async fn run_query(&mut self, text: String) -> Result<(), RequestFailure> {
         self.check_caller().await?;
         let class = self.shared.cache.classify(&text);
         for statement in &class.statements {
@@ -92,7 +92,7 @@
         &mut self,
         text: &str,
         class: &ClassifiedText,
-    ) -> Result<(), RequestTrouble> {
+    ) -> Result<(), RequestFailure> {
         self.check_pieces(class)?;
         for statement in &class.statements {
             if statement.kind.is_local() {
@@ -131,7 +131,7 @@
         &mut self,
         unit: &RequestUnit<'_>,
         needs: &UnitNeeds,
-    ) -> Result<bool, RequestTrouble> {
+    ) -> Result<bool, RequestFailure> {
         self.check_block(needs)?;
         let frame = self.start_request(needs).await?;
         let _running = self.ticket.flag.start();
@@ -171,7 +171,7 @@
         frame: &RequestFrame,
         unit: &RequestUnit<'_>,
         needs: &UnitNeeds,
-    ) -> Result<UnitEnd, RequestTrouble> {
+    ) -> Result<UnitEnd, RequestFailure> {
         let end = self.read_once_or_again(frame, unit, needs).await?;
         if end != UnitEnd::IsWrite {
             return Ok(end);
@@ -203,7 +203,7 @@
         &mut self,
         frame: &RequestFrame,
         start: BlockStart,
-    ) -> Result<OpenBlock<B::Link>, RequestTrouble> {
+    ) -> Result<OpenBlock<B::Link>, RequestFailure> {
         // Until the link is there the block has failed, whatever goes wrong.
         if start.explicit {
             self.block = TransactionBlock::Failed;
@@ -263,7 +263,7 @@
         frame: &RequestFrame,
         mut open: OpenBlock<B::Link>,
         unit: &RequestUnit<'_>,
-    ) -> Result<UnitEnd, RequestTrouble> {
+    ) -> Result<UnitEnd, RequestFailure> {
         if open.explicit {
             self.block = TransactionBlock::Failed;
         }
--- a/crates/daisyseam-entry/src/daemon.rs
+++ b/crates/daisyseam-entry/src/daemon.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     ViewCell,
-    announce::AnnouncementBook,
+    announce::AnnouncementTable,
     caller::{
         CallerContext,
         CallerServer, //
@@ -190,7 +190,7 @@
             },
         )
         .map_err(|error| StartError::Listen(settings.caller_listen, error))?;
-        let book = AnnouncementBook::new(settings.cluster.clone());
+        let book = AnnouncementTable::new(settings.cluster.clone());
         let status = EntryStatus {
             instance: settings.instance.clone(),
             data_centre: settings.data_centre.clone(),
--- a/crates/daisyseam-entry/src/daemon/status.rs
+++ b/crates/daisyseam-entry/src/daemon/status.rs
@@ -71,7 +71,7 @@
 }
 
 fn describe(handle: &HolderHandle) -> Value {
-    let sight = handle.sight();
+    let observation = handle.observation();
     let counts = handle.counts();
     let settings = handle.settings();
     json!({
@@ -79,9 +79,9 @@
         "group": settings.group,
         "slots": settings.limits.slots,
         "open": counts.open,
-        "lent": counts.lent,
+        "checked_out": counts.checked_out,
         "queued": counts.queued,
-        "reachable": sight.state.is_some() && sight.silent_since.is_none(),
-        "state": sight.state,
+        "reachable": observation.state.is_some() && observation.silent_since.is_none(),
+        "state": observation.state,
     })
 }
--- a/crates/daisyseam-entry/src/database/connection.rs
+++ b/crates/daisyseam-entry/src/database/connection.rs
@@ -163,7 +163,7 @@
         &self.closer
     }
 
-    /// Returns whether it can be lent out again: nothing owed, no transaction open, not broken.
+    /// Returns whether it can be checked out again: nothing owed, no transaction open, not broken.
     pub fn is_clean(&self) -> bool {
         let intact = !self.writer.broken && !self.reader.broken;
         let finished = !self.writer.unfinished && self.writer.buffer.is_empty();
--- a/crates/daisyseam-entry/src/fleet.rs
+++ b/crates/daisyseam-entry/src/fleet.rs
@@ -2,10 +2,10 @@
 
 mod broker;
 mod confirm;
-mod fate;
 mod known;
 mod link;
 mod open;
+mod outcome;
 mod routes;
 
 pub use self::{
--- a/crates/daisyseam-entry/src/fleet/broker.rs
+++ b/crates/daisyseam-entry/src/fleet/broker.rs
@@ -12,7 +12,7 @@
     LinkBroker,
     LinkOrder,
     OpenedLink,
-    TransactionFate,
+    TransactionOutcome,
     ViewCell,
     holder::HolderTable,
     peer::PeerClient, //
@@ -249,13 +249,13 @@
         Ok(fresh.position)
     }
 
-    async fn fate(
+    async fn outcome(
         &self,
         group: &GroupId,
         term: Term,
         xid: u64,
         deadline: Instant,
-    ) -> TransactionFate {
-        self.find_fate(group, term, xid, deadline).await
+    ) -> TransactionOutcome {
+        self.find_outcome(group, term, xid, deadline).await
     }
 }
--- a/crates/daisyseam-entry/src/fleet/open.rs
+++ b/crates/daisyseam-entry/src/fleet/open.rs
@@ -244,8 +244,8 @@
         let mut route = self.shared.routes.begin(order.group, attempt.upstream);
         let (link, position) = match place {
             HolderPlace::Here => {
-                let lent = self.lend(order, &attempt).await;
-                let (pooled, position) = note_failure(&mut route, lent)?;
+                let checked_out = self.check_out(order, &attempt).await;
+                let (pooled, position) = note_failure(&mut route, checked_out)?;
                 route.opened(attempt.expected_wait);
                 (FleetLink::local(pooled, open, route), position)
             }
@@ -272,7 +272,7 @@
         })
     }
 
-    async fn lend(
+    async fn check_out(
         &self,
         order: &LinkOrder<'_>,
         attempt: &LinkAttempt<'_>,
@@ -290,7 +290,7 @@
             catch_up: attempt.catch_up,
             deadline: order.deadline,
         };
-        handle.lend(order).await
+        handle.check_out(order).await
     }
 }
 
--- a/crates/daisyseam-entry/src/fleet/fate.rs
+++ b/crates/daisyseam-entry/src/fleet/outcome.rs
@@ -6,7 +6,7 @@
     LinkBroker,
     LinkOrder,
     StatementAccess,
-    TransactionFate, //
+    TransactionOutcome, //
 };
 use daisyseam_coord::outcome::{
     CommitOutcome,
@@ -31,13 +31,13 @@
 
 impl FleetBroker {
     /// Asks the present primary until it knows, or the deadline passes.
-    pub(super) async fn find_fate(
+    pub(super) async fn find_outcome(
         &self,
         group: &GroupId,
         term: Term,
         xid: u64,
         deadline: Instant,
-    ) -> TransactionFate {
+    ) -> TransactionOutcome {
         let commit = LostCommit {
             term,
             xid: Some(xid),
@@ -48,20 +48,20 @@
             let answer = match asked {
                 Some(answer) => answer,
                 None if self.pause(deadline).await => continue,
-                None => return TransactionFate::Unknown,
+                None => return TransactionOutcome::Unknown,
             };
             match commit.resolve(&answer) {
-                CommitOutcome::Aborted => return TransactionFate::Aborted,
-                CommitOutcome::Unknown => return TransactionFate::Unknown,
+                CommitOutcome::Aborted => return TransactionOutcome::Aborted,
+                CommitOutcome::Unknown => return TransactionOutcome::Unknown,
                 CommitOutcome::Undecided => {}
                 CommitOutcome::Committed(at) => {
                     if self.confirm_commit(group, at, deadline).await.is_ok() {
-                        return TransactionFate::Committed(at);
+                        return TransactionOutcome::Committed(at);
                     }
                 }
             }
             if !self.pause(deadline).await {
-                return TransactionFate::Unknown;
+                return TransactionOutcome::Unknown;
             }
         }
     }
@@ -88,7 +88,7 @@
         Some(StatusAnswer {
             term: opened.term,
             status,
-            // Nobody reads it before the first write of a term, so a later primary's word that
+            // IdleObserver reads it before the first write of a term, so a later primary's word that
             // an identifier is committed may speak of another transaction.
             first_xid: None,
             position: LogPosition {
--- a/crates/daisyseam-entry/src/fleet/routes.rs
+++ b/crates/daisyseam-entry/src/fleet/routes.rs
@@ -9,10 +9,10 @@
     },
     route::{
         ReadRequest,
-        RouteBook,
         RouteCandidate,
         RoutePolicy,
         RouteStep, //
+        RouteTable,
     }, //
 };
 use daisyseam_model::{
@@ -41,14 +41,14 @@
 }
 
 struct MapState {
-    book: RouteBook,
+    book: RouteTable,
     breakers: BTreeMap<GroupId, OutlierBreaker<UpstreamId>>,
 }
 
 impl RouteMap {
     pub(super) fn new() -> Self {
         let state = MapState {
-            book: RouteBook::new(RoutePolicy::default()),
+            book: RouteTable::new(RoutePolicy::default()),
             breakers: BTreeMap::new(),
         };
         Self {
--- a/crates/daisyseam-entry/src/health.rs
+++ b/crates/daisyseam-entry/src/health.rs
@@ -1,12 +1,12 @@
 //! The databases held here as control's decisions reach them, and what control is told of them.
 
 use crate::{
-    announce::AnnouncementBook,
+    announce::AnnouncementTable,
     fleet::TransactionCounts,
     holder::{
         HolderHandle,
         HolderTable,
-        UpstreamSight, //
+        UpstreamObservation, //
     }, //
 };
 use daisyseam_member::{
@@ -43,15 +43,15 @@
 #[derive(Clone)]
 pub(crate) struct HolderObserver {
     table: HolderTable,
-    book: AnnouncementBook,
+    book: AnnouncementTable,
     counts: TransactionCounts,
-    teller: Arc<Mutex<HealthTeller>>,
+    teller: Arc<Mutex<HealthReporter>>,
 }
 
 impl HolderObserver {
     pub(crate) fn new(
         table: HolderTable,
-        book: AnnouncementBook,
+        book: AnnouncementTable,
         counts: TransactionCounts,
     ) -> Self {
         Self {
@@ -96,19 +96,19 @@
 
 /// Remembers what was told, so that only changes are told again.
 #[derive(Default)]
-struct HealthTeller {
-    told: BTreeMap<UpstreamId, (ToldHealth, Instant)>,
+struct HealthReporter {
+    told: BTreeMap<UpstreamId, (ReportedHealth, Instant)>,
     moving: BTreeMap<UpstreamId, Instant>,
 }
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-struct ToldHealth {
+struct ReportedHealth {
     reachable: bool,
     term: Term,
     primary: bool,
 }
 
-impl HealthTeller {
+impl HealthReporter {
     /// Returns the reports that are due; a database that does not answer is told of every time.
     ///
     /// `view` is the number that goes along, `held` the view in force.
@@ -127,8 +127,8 @@
         let mut reports = Vec::new();
         for handle in &handles {
             let upstream = &handle.settings().upstream;
-            let sight = handle.sight();
-            let Some(health) = health(&sight) else {
+            let observation = handle.observation();
+            let Some(health) = health(&observation) else {
                 continue;
             };
             let told = self.told.get(upstream);
@@ -137,7 +137,7 @@
                 continue;
             }
             self.told.insert(upstream.clone(), (health, now));
-            reports.push(report(upstream, &sight, health, view));
+            reports.push(report(upstream, &observation, health, view));
         }
         reports.extend(self.hand_over_reports(table, view, held));
         reports
@@ -189,13 +189,13 @@
 }
 
 /// Returns nothing while the database has not been asked yet.
-fn health(sight: &UpstreamSight) -> Option<ToldHealth> {
-    if sight.state.is_none() && sight.silent_since.is_none() {
+fn health(observation: &UpstreamObservation) -> Option<ReportedHealth> {
+    if observation.state.is_none() && observation.silent_since.is_none() {
         return None;
     }
-    let state = sight.state.as_ref();
-    Some(ToldHealth {
-        reachable: sight.silent_since.is_none(),
+    let state = observation.state.as_ref();
+    Some(ReportedHealth {
+        reachable: observation.silent_since.is_none(),
         term: state.map_or(Term(0), |state| state.end.term),
         primary: state.is_some_and(|state| state.role == UpstreamRole::Primary),
     })
@@ -203,12 +203,12 @@
 
 fn report(
     upstream: &UpstreamId,
-    sight: &UpstreamSight,
-    health: ToldHealth,
+    observation: &UpstreamObservation,
+    health: ReportedHealth,
     view: ViewNumber,
 ) -> HealthReport {
-    let silent = sight.silent_since.map(|since| since.elapsed());
-    let position = sight.state.as_ref().map(|state| state.end.position.0);
+    let silent = observation.silent_since.map(|since| since.elapsed());
+    let position = observation.state.as_ref().map(|state| state.end.position.0);
     HealthReport {
         upstream: upstream.to_string(),
         reachable: health.reachable,
--- a/crates/daisyseam-entry/src/holder.rs
+++ b/crates/daisyseam-entry/src/holder.rs
@@ -4,11 +4,11 @@
 
 mod admission;
 mod handle;
+mod observation;
 mod pool;
 mod pooled;
 mod queue;
 mod registry;
-mod sight;
 mod table;
 
 pub use self::{
@@ -21,11 +21,11 @@
         HolderSettings,
         PoolCounts, //
     },
-    pooled::PooledConnection,
-    sight::{
-        SightWatch,
-        UpstreamSight, //
+    observation::{
+        ObservationWatch,
+        UpstreamObservation, //
     },
+    pooled::PooledConnection,
     table::{
         HandOver,
         HolderTable,
--- a/crates/daisyseam-entry/src/holder/admission.rs
+++ b/crates/daisyseam-entry/src/holder/admission.rs
@@ -1,6 +1,6 @@
 //! Whether a held database may be used at this moment.
 
-use super::sight::UpstreamSight;
+use super::observation::UpstreamObservation;
 use crate::ViewCell;
 use daisyseam_model::{
     ErrorKind,
@@ -55,17 +55,17 @@
     pub(super) fn admit(
         &self,
         cell: &ViewCell,
-        sight: &UpstreamSight,
+        observation: &UpstreamObservation,
         term: Option<Term>,
     ) -> Result<LogPosition, AdmissionRefusal> {
         let view = cell
             .valid()
             .map_err(|kind| AdmissionRefusal::View(kind.into()))?;
         let group = self.check_view(&view, term)?;
-        let Some(state) = sight
+        let Some(state) = observation
             .state
             .as_ref()
-            .filter(|_| sight.silent_since.is_none())
+            .filter(|_| observation.silent_since.is_none())
         else {
             return Err(AdmissionRefusal::State(unreachable_error(
                 "it does not tell its state",
--- a/crates/daisyseam-entry/src/holder/handle.rs
+++ b/crates/daisyseam-entry/src/holder/handle.rs
@@ -5,19 +5,19 @@
         AdmissionCheck,
         AdmissionRefusal, //
     },
+    observation::{
+        ObservationWatch,
+        UpstreamObservation, //
+    }, //
     pool::{
         HolderActor,
         HolderMessage, //
     },
     queue::{
-        Lent,
+        CheckedOut,
         SlotWaiter, //
     },
     registry::ConnectionRegistry,
-    sight::{
-        SightWatch,
-        UpstreamSight, //
-    }, //
 };
 use crate::{
     ViewCell,
@@ -137,8 +137,8 @@
 pub struct PoolCounts {
     /// Connections, those that are being opened too.
     pub open: usize,
-    /// Connections that are lent out.
-    pub lent: usize,
+    /// Connections that are checked out.
+    pub checked_out: usize,
     /// Requests that wait.
     pub queued: usize,
 }
@@ -165,7 +165,11 @@
             upstream: settings.upstream.clone(),
         };
         let shared = Arc::new(HolderShared {
-            sight: SightWatch::start(probe, settings.timer.clone(), Arc::clone(&settings.news)),
+            observation: ObservationWatch::start(
+                probe,
+                settings.timer.clone(),
+                Arc::clone(&settings.news),
+            ),
             registry: Arc::default(),
             counts: SharedCounts::default(),
             check,
@@ -188,8 +192,8 @@
     }
 
     /// Returns what is known of the database.
-    pub fn sight(&self) -> UpstreamSight {
-        self.shared.sight.sight()
+    pub fn observation(&self) -> UpstreamObservation {
+        self.shared.observation.observation()
     }
 
     /// Returns what the pool has at the moment.
@@ -202,12 +206,12 @@
     /// # Errors
     ///
     /// [`HolderRefusal`] when the database may not be used, is behind, or has no slot in time.
-    pub async fn lend(&self, order: HolderOrder) -> Lent {
+    pub async fn check_out(&self, order: HolderOrder) -> CheckedOut {
         let position = self.await_fit(order.term, order.deadline).await?;
         if let Some(floor) = order.floor.filter(|floor| position < *floor) {
             self.await_floor(floor, &order).await?;
         }
-        let (reply, lent) = oneshot::channel();
+        let (reply, checked_out) = oneshot::channel();
         let waiter = SlotWaiter {
             weight: self.weight(order.organisation.as_ref()),
             flow: order.organisation,
@@ -216,13 +220,13 @@
             reply,
         };
         if self.actor.cast(HolderMessage::Lend(waiter)).is_err() {
-            return Err(HolderRefusal::Refused(let_go_error()));
+            return Err(HolderRefusal::Refused(release_error()));
         }
         let settings = &self.shared.settings;
-        let lent = self.unless_refused(order.term, lent);
-        match settings.timer.within(order.deadline, lent).await {
-            Some(Ok(lent)) => lent,
-            Some(Err(_)) => Err(HolderRefusal::Refused(let_go_error())),
+        let checked_out = self.unless_refused(order.term, checked_out);
+        match settings.timer.within(order.deadline, checked_out).await {
+            Some(Ok(checked_out)) => checked_out,
+            Some(Err(_)) => Err(HolderRefusal::Refused(release_error())),
             None => Err(HolderRefusal::Refused(ErrorKind::DeadlineBeforeSend.into())),
         }
     }
@@ -230,17 +234,17 @@
     /// Waits until the database reports a position in exactly its term; returns its state then.
     pub async fn reached(&self, at: LogPosition, deadline: Instant) -> Option<UpstreamState> {
         let fits = |state: &UpstreamState| state.end.term == at.term && state.end >= at;
-        self.shared.sight.until(at, deadline, fits).await
+        self.shared.observation.until(at, deadline, fits).await
     }
 
     /// Returns a state that was read after this call, or nothing by the deadline.
     pub async fn fresh(&self, deadline: Instant) -> Option<UpstreamState> {
-        self.shared.sight.fresh(deadline).await
+        self.shared.observation.fresh(deadline).await
     }
 
     /// Asks the database at once; used when the view of its group has changed.
     pub fn refresh(&self) {
-        self.shared.sight.refresh();
+        self.shared.observation.refresh();
     }
 
     /// Changes what the holder may use.
@@ -286,19 +290,19 @@
     async fn unless_refused(
         &self,
         term: Option<Term>,
-        mut lent: oneshot::Receiver<Lent>,
-    ) -> Result<Lent, oneshot::error::RecvError> {
+        mut checked_out: oneshot::Receiver<CheckedOut>,
+    ) -> Result<CheckedOut, oneshot::error::RecvError> {
         let mut changes = self.shared.settings.cell.subscribe();
         loop {
             tokio::select! {
                 biased;
-                lent = &mut lent => return lent,
+                checked_out = &mut checked_out => return checked_out,
                 changed = changes.changed() => {
                     if let Err(refusal) = self.shared.admit(term) {
                         return Ok(Err(HolderRefusal::Refused(refusal.into())));
                     }
                     if changed.is_err() {
-                        return lent.await;
+                        return checked_out.await;
                     }
                 }
             }
@@ -328,7 +332,7 @@
             Err(AdmissionRefusal::State(_)) => {}
         }
         let deadline = deadline.min(Instant::now() + REFRESH_WAIT);
-        shared.sight.fresh(deadline).await;
+        shared.observation.fresh(deadline).await;
         shared
             .admit(term)
             .map_err(|refusal| HolderRefusal::Refused(refusal.into()))
@@ -343,14 +347,14 @@
         let reached = |state: &UpstreamState| state.end >= floor;
         if self
             .shared
-            .sight
+            .observation
             .until(floor, deadline, reached)
             .await
             .is_some()
         {
             return Ok(());
         }
-        let state = self.shared.sight.sight().state;
+        let state = self.shared.observation.observation().state;
         Err(HolderRefusal::Behind(
             state.map(|state| state.end).unwrap_or_default(),
         ))
@@ -362,7 +366,7 @@
     pub(super) settings: HolderSettings,
     pub(super) registry: Arc<ConnectionRegistry>,
     pub(super) counts: SharedCounts,
-    sight: SightWatch,
+    observation: ObservationWatch,
     check: AdmissionCheck,
 }
 
@@ -374,8 +378,8 @@
 
     /// Returns the database's position if it may be used at this moment.
     pub(super) fn admit(&self, term: Option<Term>) -> Result<LogPosition, AdmissionRefusal> {
-        let sight = self.sight.sight();
-        self.check.admit(&self.settings.cell, &sight, term)
+        let observation = self.observation.observation();
+        self.check.admit(&self.settings.cell, &observation, term)
     }
 }
 
@@ -383,7 +387,7 @@
 #[derive(Debug, Default)]
 pub(super) struct SharedCounts {
     open: AtomicUsize,
-    lent: AtomicUsize,
+    checked_out: AtomicUsize,
     queued: AtomicUsize,
 }
 
@@ -391,19 +395,20 @@
     fn load(&self) -> PoolCounts {
         PoolCounts {
             open: self.open.load(Ordering::Relaxed),
-            lent: self.lent.load(Ordering::Relaxed),
+            checked_out: self.checked_out.load(Ordering::Relaxed),
             queued: self.queued.load(Ordering::Relaxed),
         }
     }
 
     pub(super) fn store(&self, counts: PoolCounts) {
         self.open.store(counts.open, Ordering::Relaxed);
-        self.lent.store(counts.lent, Ordering::Relaxed);
+        self.checked_out
+            .store(counts.checked_out, Ordering::Relaxed);
         self.queued.store(counts.queued, Ordering::Relaxed);
     }
 }
 
 /// Says that the database is held by another instance from now on.
-pub(super) fn let_go_error() -> RequestError {
+pub(super) fn release_error() -> RequestError {
     RequestError::new(ErrorKind::UpstreamUnreachable, "it is being handed over")
 }
--- a/crates/daisyseam-entry/src/holder/sight.rs
+++ b/crates/daisyseam-entry/src/holder/observation.rs
@@ -42,7 +42,7 @@
 
 /// What was last heard of a database.
 #[derive(Clone, Debug, Default, PartialEq)]
-pub struct UpstreamSight {
+pub struct UpstreamObservation {
     /// Its state, if it ever answered.
     pub state: Option<UpstreamState>,
     /// A moment after which the state was read.
@@ -53,7 +53,7 @@
     pub silent_since: Option<Instant>,
 }
 
-impl UpstreamSight {
+impl UpstreamObservation {
     /// Returns what others are told of at once.
     fn outline(&self) -> (bool, Option<(Term, Term, UpstreamRole)>) {
         let state = self.state.as_ref();
@@ -62,7 +62,7 @@
     }
 
     /// Takes in the answer to a question that was asked at a moment.
-    fn hear(&mut self, asked: Instant, state: UpstreamState) {
+    fn record_answer(&mut self, asked: Instant, state: UpstreamState) {
         // Answers of two questions may overtake each other; the older one must not win.
         let later = self.heard_at.is_none_or(|heard| asked >= heard);
         let further = self
@@ -78,7 +78,7 @@
     }
 
     /// Notes that a question stays without an answer.
-    fn miss(&mut self, asked: Instant) {
+    fn record_failure(&mut self, asked: Instant) {
         // An answer that came in meanwhile proves more than this failure.
         if self.heard_at.is_none_or(|heard| heard <= asked) {
             self.silent_since
@@ -87,19 +87,19 @@
     }
 }
 
-/// Keeps an [`UpstreamSight`] up to date until it is dropped.
-pub struct SightWatch {
-    shared: Arc<SightShared>,
+/// Keeps an [`UpstreamObservation`] up to date until it is dropped.
+pub struct ObservationWatch {
+    shared: Arc<ObservationShared>,
     tasks: [JoinHandle<()>; 2],
 }
 
-impl SightWatch {
+impl ObservationWatch {
     /// Starts to watch a database.
     ///
     /// `news` is notified when it falls silent, answers again, or changes its term or role.
     pub fn start<P: UpstreamProbe>(probe: P, timer: TimerService, news: Arc<Notify>) -> Self {
-        let shared = Arc::new(SightShared {
-            sight: watch::Sender::default(),
+        let shared = Arc::new(ObservationShared {
+            observation: watch::Sender::default(),
             wanted: Mutex::default(),
             wanted_changed: Notify::new(),
             refresh: watch::Sender::new(Instant::now()),
@@ -115,8 +115,8 @@
     }
 
     /// Returns what is known.
-    pub fn sight(&self) -> UpstreamSight {
-        self.shared.sight.borrow().clone()
+    pub fn observation(&self) -> UpstreamObservation {
+        self.shared.observation.borrow().clone()
     }
 
     /// Asks the database at once, without waiting for the answer.
@@ -129,11 +129,12 @@
     /// Concurrent calls share questions.
     pub async fn fresh(&self, deadline: Instant) -> Option<UpstreamState> {
         let called = Instant::now();
-        let mut receiver = self.shared.sight.subscribe();
+        let mut receiver = self.shared.observation.subscribe();
         self.shared.want_refresh(called);
-        let answered = receiver.wait_for(|sight| sight.asked_at.is_some_and(|at| at >= called));
-        let sight = self.shared.timer.within(deadline, answered).await?.ok()?;
-        sight.state.clone()
+        let answered =
+            receiver.wait_for(|observation| observation.asked_at.is_some_and(|at| at >= called));
+        let observation = self.shared.timer.within(deadline, answered).await?.ok()?;
+        observation.state.clone()
     }
 
     /// Waits until the state fits, and returns it; returns nothing by the deadline.
@@ -145,15 +146,16 @@
         deadline: Instant,
         fits: impl Fn(&UpstreamState) -> bool,
     ) -> Option<UpstreamState> {
-        let mut receiver = self.shared.sight.subscribe();
+        let mut receiver = self.shared.observation.subscribe();
         let _wanted = WantedGuard::new(&self.shared, at);
-        let reached = receiver.wait_for(|sight| sight.state.as_ref().is_some_and(&fits));
-        let sight = self.shared.timer.within(deadline, reached).await?.ok()?;
-        sight.state.clone()
+        let reached =
+            receiver.wait_for(|observation| observation.state.as_ref().is_some_and(&fits));
+        let observation = self.shared.timer.within(deadline, reached).await?.ok()?;
+        observation.state.clone()
     }
 }
 
-impl Drop for SightWatch {
+impl Drop for ObservationWatch {
     fn drop(&mut self) {
         for task in &self.tasks {
             task.abort();
@@ -161,8 +163,8 @@
     }
 }
 
-struct SightShared {
-    sight: watch::Sender<UpstreamSight>,
+struct ObservationShared {
+    observation: watch::Sender<UpstreamObservation>,
     wanted: Mutex<BTreeMap<LogPosition, usize>>,
     wanted_changed: Notify,
     refresh: watch::Sender<Instant>,
@@ -170,7 +172,7 @@
     timer: TimerService,
 }
 
-impl SightShared {
+impl ObservationShared {
     fn want_refresh(&self, at: Instant) {
         self.refresh.send_if_modified(|wanted| {
             let later = at > *wanted;
@@ -183,7 +185,12 @@
 
     /// Returns the lowest position that somebody waits for and that is not known to be reached.
     fn lowest_wanted(&self) -> Option<LogPosition> {
-        let end = self.sight.borrow().state.as_ref().map(|state| state.end);
+        let end = self
+            .observation
+            .borrow()
+            .state
+            .as_ref()
+            .map(|state| state.end);
         let wanted = self.wanted.lock();
         wanted
             .keys()
@@ -193,23 +200,23 @@
 
     fn publish(&self, asked: Instant, result: Result<UpstreamState, ProbeError>) {
         match result {
-            Ok(state) => self.change(|sight| sight.hear(asked, state)),
+            Ok(state) => self.change(|observation| observation.record_answer(asked, state)),
             Err(error) => {
                 log::debug!("a database does not tell its state: {error}");
-                self.miss(asked);
+                self.record_failure(asked);
             }
         }
     }
 
-    fn miss(&self, asked: Instant) {
-        self.change(|sight| sight.miss(asked));
+    fn record_failure(&self, asked: Instant) {
+        self.change(|observation| observation.record_failure(asked));
     }
 
-    fn change(&self, change: impl FnOnce(&mut UpstreamSight)) {
-        self.sight.send_modify(|sight| {
-            let before = sight.outline();
-            change(sight);
-            if sight.outline() != before {
+    fn change(&self, change: impl FnOnce(&mut UpstreamObservation)) {
+        self.observation.send_modify(|observation| {
+            let before = observation.outline();
+            change(observation);
+            if observation.outline() != before {
                 self.news.notify_one();
             }
         });
@@ -218,12 +225,12 @@
 
 /// Keeps a position wanted until it is dropped.
 struct WantedGuard<'a> {
-    shared: &'a SightShared,
+    shared: &'a ObservationShared,
     at: LogPosition,
 }
 
 impl<'a> WantedGuard<'a> {
-    fn new(shared: &'a SightShared, at: LogPosition) -> Self {
+    fn new(shared: &'a ObservationShared, at: LogPosition) -> Self {
         *shared.wanted.lock().entry(at).or_default() += 1;
         shared.wanted_changed.notify_one();
         Self { shared, at }
@@ -242,17 +249,17 @@
     }
 }
 
-async fn refresh_loop<P: UpstreamProbe>(shared: Arc<SightShared>, probe: P) {
+async fn refresh_loop<P: UpstreamProbe>(shared: Arc<ObservationShared>, probe: P) {
     let mut refresh = shared.refresh.subscribe();
     loop {
         let asked = Instant::now();
         let deadline = asked + PROBE_TIMEOUT;
         match shared.timer.within(deadline, probe.state()).await {
             Some(result) => shared.publish(asked, result),
-            None => shared.miss(asked),
+            None => shared.record_failure(asked),
         }
         // A failure that is answered at once must not become a busy loop.
-        let failing = shared.sight.borrow().silent_since.is_some();
+        let failing = shared.observation.borrow().silent_since.is_some();
         if failing {
             shared.timer.after(LONG_POLL_RETRY).await;
         }
@@ -263,7 +270,7 @@
     }
 }
 
-async fn long_poll_loop<P: UpstreamProbe>(shared: Arc<SightShared>, probe: P) {
+async fn long_poll_loop<P: UpstreamProbe>(shared: Arc<ObservationShared>, probe: P) {
     loop {
         let Some(at) = shared.lowest_wanted() else {
             shared.wanted_changed.notified().await;
@@ -285,7 +292,7 @@
 }
 
 /// Waits until somebody waits for a lower position, or nobody for this one.
-async fn lower_wanted(shared: &SightShared, at: LogPosition) {
+async fn lower_wanted(shared: &ObservationShared, at: LogPosition) {
     loop {
         shared.wanted_changed.notified().await;
         if shared.lowest_wanted().is_none_or(|lowest| lowest < at) {
--- a/crates/daisyseam-entry/src/holder/pool.rs
+++ b/crates/daisyseam-entry/src/holder/pool.rs
@@ -5,7 +5,7 @@
         HolderLimits,
         HolderShared,
         PoolCounts,
-        let_go_error, //
+        release_error, //
     },
     pooled::{
         HeldConnection,
@@ -59,7 +59,7 @@
     Lend(SlotWaiter),
     /// A connection came back clean.
     Returned(Box<HeldConnection>, ServiceNumber),
-    /// A connection that was lent out is being closed.
+    /// A connection that was checked out is being closed.
     Broken(ServiceNumber),
     /// A connection is closed and its slot free.
     Freed,
@@ -71,7 +71,7 @@
     Limits(HolderLimits),
     /// Idle connections are to be dropped.
     DropIdle,
-    /// Nothing more is lent; answered when no connection is left.
+    /// Nothing more is checked out; answered when no connection is left.
     LetGo(oneshot::Sender<()>),
 }
 
@@ -96,7 +96,7 @@
             idle: Vec::new(),
             open: 0,
             opening: 0,
-            lent: 0,
+            checked_out: 0,
             backoff: OPEN_BACKOFF,
             backing_off: false,
             letting_go: None,
@@ -125,7 +125,7 @@
     queue: SlotQueue,
     open: usize,
     opening: usize,
-    lent: usize,
+    checked_out: usize,
     backoff: Duration,
     backing_off: bool,
     letting_go: Option<oneshot::Sender<()>>,
@@ -149,23 +149,23 @@
             }
             HolderMessage::DropIdle => self.idle.clear(),
             HolderMessage::LetGo(reply) => {
-                self.queue.refuse_all(&let_go_error());
+                self.queue.refuse_all(&release_error());
                 self.letting_go = Some(reply);
             }
         }
         self.serve();
         self.open_ahead();
-        self.finish_letting_go();
+        self.finish_release();
         self.shared.counts.store(PoolCounts {
             open: self.open,
-            lent: self.lent,
+            checked_out: self.checked_out,
             queued: self.queue.len(),
         });
     }
 
     fn enqueue(&mut self, waiter: SlotWaiter) {
         if self.letting_go.is_some() {
-            waiter.refuse(let_go_error());
+            waiter.refuse(release_error());
             return;
         }
         self.queue.push(waiter);
@@ -179,7 +179,7 @@
                 return;
             };
             match self.shared.admit(waiter.term) {
-                Ok(position) => self.lend(held, service, waiter, position),
+                Ok(position) => self.check_out(held, service, waiter, position),
                 Err(refusal) => {
                     self.idle.push(held);
                     self.queue.finish(service);
@@ -189,17 +189,17 @@
         }
     }
 
-    fn lend(
+    fn check_out(
         &mut self,
         held: HeldConnection,
         service: ServiceNumber,
         waiter: SlotWaiter,
         position: LogPosition,
     ) {
-        self.lent += 1;
+        self.checked_out += 1;
         assert!(
-            self.lent <= self.open,
-            "more connections are lent out than are open"
+            self.checked_out <= self.open,
+            "more connections are checked out than are open"
         );
         let pooled = PooledConnection::new(held, service, waiter.term);
         // One that gave up at this very moment leaves the connection unused.
@@ -209,7 +209,7 @@
     }
 
     fn finish(&mut self, service: ServiceNumber) {
-        self.lent -= 1;
+        self.checked_out -= 1;
         self.queue.finish(service);
     }
 
@@ -233,7 +233,7 @@
         if self.letting_go.is_some() || self.backing_off || !self.shared.is_holder() {
             return;
         }
-        let wanted = self.lent + self.queue.len() + READY_AHEAD;
+        let wanted = self.checked_out + self.queue.len() + READY_AHEAD;
         let wanted = wanted.min(self.limits.slots);
         while self.open < wanted && self.opening < OPENING_MAX {
             self.open += 1;
@@ -270,7 +270,7 @@
     fn opening_failed(&mut self, error: &OpenError) {
         let upstream = &self.shared.settings.upstream;
         log::warn!("a connection to database {upstream} could not be opened: {error}");
-        if self.lent == 0 && self.idle.is_empty() && self.opening == 0 {
+        if self.checked_out == 0 && self.idle.is_empty() && self.opening == 0 {
             let detail = error.to_string();
             self.queue
                 .refuse_all(&RequestError::new(ErrorKind::UpstreamUnreachable, detail));
@@ -289,7 +289,7 @@
         });
     }
 
-    fn finish_letting_go(&mut self) {
+    fn finish_release(&mut self) {
         if self.letting_go.is_none() {
             return;
         }
@@ -297,7 +297,7 @@
         if self.open == 0
             && let Some(reply) = self.letting_go.take()
         {
-            // Nothing is lent from here on: the handle stops the actor.
+            // Nothing is checked out from here on: the handle stops the actor.
             self.limits.slots = 0;
             let _ = reply.send(());
         }
--- a/crates/daisyseam-entry/src/holder/pooled.rs
+++ b/crates/daisyseam-entry/src/holder/pooled.rs
@@ -1,4 +1,4 @@
-//! The guard of a connection that is lent out.
+//! The guard of a connection that is checked out.
 
 use super::{
     pool::HolderMessage,
@@ -50,7 +50,7 @@
     }
 }
 
-/// A connection that is lent out; dropping it closes the connection unless it was released clean.
+/// A connection that is checked out; dropping it closes the connection unless it was released clean.
 #[derive(Debug)]
 pub struct PooledConnection {
     held: Option<HeldConnection>,
@@ -61,7 +61,7 @@
 impl PooledConnection {
     /// Lends a connection out, for the primary of a term or for reads.
     pub(super) fn new(held: HeldConnection, service: ServiceNumber, term: Option<Term>) -> Self {
-        held.number.registry.lend(held.number.number, term);
+        held.number.registry.check_out(held.number.number, term);
         Self {
             held: Some(held),
             service,
@@ -88,7 +88,7 @@
         let Some(held) = self.held.take() else {
             return;
         };
-        held.number.registry.lend(held.number.number, None);
+        held.number.registry.check_out(held.number.number, None);
         let actor = held.ticket.actor.clone();
         if self.released && held.connection.is_clean() {
             let message = HolderMessage::Returned(Box::new(held), self.service);
--- a/crates/daisyseam-entry/src/holder/queue.rs
+++ b/crates/daisyseam-entry/src/holder/queue.rs
@@ -34,8 +34,8 @@
 /// Slots from which on one is kept free of any single organisation.
 const SLOTS_TO_SHARE: usize = 3;
 
-/// A connection and the position that its database had reached when it was lent out.
-pub(super) type Lent = Result<(PooledConnection, LogPosition), HolderRefusal>;
+/// A connection and the position that its database had reached when it was checked out.
+pub(super) type CheckedOut = Result<(PooledConnection, LogPosition), HolderRefusal>;
 
 /// An organisation, or none for open routes together.
 pub(super) type SlotFlow = Option<OrganisationId>;
@@ -47,7 +47,7 @@
     pub(super) weight: NonZeroU32,
     pub(super) term: Option<Term>,
     pub(super) deadline: Instant,
-    pub(super) reply: oneshot::Sender<Lent>,
+    pub(super) reply: oneshot::Sender<CheckedOut>,
 }
 
 impl SlotWaiter {
--- a/crates/daisyseam-entry/src/holder/registry.rs
+++ b/crates/daisyseam-entry/src/holder/registry.rs
@@ -27,7 +27,7 @@
 #[derive(Debug)]
 struct ConnectionEntry {
     closer: Weak<ConnectionCloser>,
-    lent_in: Option<Term>,
+    checked_out_in: Option<Term>,
 }
 
 impl ConnectionRegistry {
@@ -46,16 +46,16 @@
         let number = entries.next_number;
         let entry = ConnectionEntry {
             closer: Arc::downgrade(closer),
-            lent_in: None,
+            checked_out_in: None,
         };
         entries.connections.insert(number, entry);
         Some(number)
     }
 
-    /// Records for which primary's term a connection is lent out; none when it is idle.
-    pub(super) fn lend(&self, number: u64, term: Option<Term>) {
+    /// Records for which primary's term a connection is checked out; none when it is idle.
+    pub(super) fn check_out(&self, number: u64, term: Option<Term>) {
         if let Some(entry) = self.entries.lock().connections.get_mut(&number) {
-            entry.lent_in = term;
+            entry.checked_out_in = term;
         }
     }
 
@@ -74,13 +74,17 @@
             .for_each(ConnectionEntry::close);
     }
 
-    /// Closes connections that are lent out for a primary whose term is over.
+    /// Closes connections that are checked out for a primary whose term is over.
     pub(super) fn close_below(&self, term: Term) {
         let entries = self.entries.lock();
         entries
             .connections
             .values()
-            .filter(|entry| entry.lent_in.is_some_and(|lent| lent < term))
+            .filter(|entry| {
+                entry
+                    .checked_out_in
+                    .is_some_and(|checked_out| checked_out < term)
+            })
             .for_each(ConnectionEntry::close);
     }
 }
--- a/crates/daisyseam-entry/src/holder/table.rs
+++ b/crates/daisyseam-entry/src/holder/table.rs
@@ -178,7 +178,7 @@
             return;
         };
         handle.close_below(group.term);
-        let state = handle.sight().state;
+        let state = handle.observation().state;
         if state.is_none_or(|state| state.promised != group.term) {
             handle.refresh();
         }
--- a/crates/daisyseam-entry/src/lib.rs
+++ b/crates/daisyseam-entry/src/lib.rs
@@ -24,7 +24,7 @@
         LinkOrder,
         OpenedLink,
         StatementAccess,
-        TransactionFate, //
+        TransactionOutcome, //
     },
     daemon::{
         EntryDaemon,
--- a/crates/daisyseam-entry/src/peer/relay.rs
+++ b/crates/daisyseam-entry/src/peer/relay.rs
@@ -53,15 +53,15 @@
     let PeerConnection { sender, receiver } = peer;
     let (writer, reader) = connection.split();
     tokio::select! {
-        end = carry_up(id, receiver, writer, &order) => end,
-        end = carry_down(id, reader, sender) => end,
+        end = relay_to_database(id, receiver, writer, &order) => end,
+        end = relay_to_caller(id, reader, sender) => end,
         () = taken_off(cell, Incarnation(id.incarnation)) => {
             RelayEnd::PeerLost(StreamError::Closed)
         }
     }
 }
 
-async fn carry_up(
+async fn relay_to_database(
     id: RequestId,
     receiver: &mut MessageReceiver<PeerSocket, PeerMessage>,
     writer: &mut ConnectionWriter,
@@ -101,7 +101,7 @@
     }
 }
 
-async fn carry_down(
+async fn relay_to_caller(
     id: RequestId,
     reader: &mut ConnectionReader,
     sender: &mut MessageSender<PeerSocket, PeerMessage>,
--- a/crates/daisyseam-entry/src/peer/server.rs
+++ b/crates/daisyseam-entry/src/peer/server.rs
@@ -212,10 +212,10 @@
         let mut span = self.settings.spans.start("relay", parent);
         span.set("upstream", &request.upstream);
         let asked = Instant::now();
-        let lent = lend(&self.settings.table, &request);
-        let lent = unless_closed(&mut self.connection.receiver, lent).await?;
-        let (mut pooled, position) = match lent {
-            Ok(lent) => lent,
+        let checked_out = check_out(&self.settings.table, &request);
+        let checked_out = unless_closed(&mut self.connection.receiver, checked_out).await?;
+        let (mut pooled, position) = match checked_out {
+            Ok(checked_out) => checked_out,
             Err(refusal) => {
                 let refused = Body::Refused(write_refusal(refusal));
                 return self.connection.send(id, refused).await;
@@ -282,7 +282,7 @@
     }
 }
 
-async fn lend(
+async fn check_out(
     table: &HolderTable,
     request: &LinkRequest,
 ) -> Result<(PooledConnection, LogPosition), HolderRefusal> {
@@ -302,7 +302,7 @@
         catch_up: bounded(request.catch_up_ms),
         deadline: Instant::now() + bounded(request.queue_ms),
     };
-    handle.lend(order).await
+    handle.check_out(order).await
 }
 
 async fn reached(table: &HolderTable, request: &AwaitRequest) -> AwaitReply {
@@ -312,7 +312,7 @@
     };
     let deadline = Instant::now() + bounded(request.wait_ms);
     let state = handle.reached(at, deadline).await;
-    let known = handle.sight().state;
+    let known = handle.observation().state;
     AwaitReply {
         reached: state.is_some(),
         position: state.or(known).map(|state| state.end.into()),
--- a/crates/daisyseam-entry/tests/caller_commit.rs
+++ b/crates/daisyseam-entry/tests/caller_commit.rs
@@ -9,7 +9,7 @@
         at, //
     }, //
 };
-use daisyseam_entry::TransactionFate;
+use daisyseam_entry::TransactionOutcome;
 use daisyseam_model::ErrorKind;
 use test_case::test_case;
 use tokio_postgres::Client;
@@ -61,41 +61,41 @@
     assert_eq!(insert(&client).await, Ok(()));
 }
 
-#[test_case("COMMIT", TransactionFate::Committed(at(16)), Ok(()); "committed")]
-#[test_case("COMMIT", TransactionFate::Aborted,
+#[test_case("COMMIT", TransactionOutcome::Committed(at(16)), Ok(()); "committed")]
+#[test_case("COMMIT", TransactionOutcome::Aborted,
     refused("40001", "not run; may be sent again"); "aborted")]
-#[test_case("COMMIT", TransactionFate::Unknown,
+#[test_case("COMMIT", TransactionOutcome::Unknown,
     refused("08007", "unknown whether it ran"); "unknown")]
-#[test_case("SELECT pg_current_wal_lsn", TransactionFate::Committed(at(16)), Ok(());
+#[test_case("SELECT pg_current_wal_lsn", TransactionOutcome::Committed(at(16)), Ok(());
     "committed, position lost")]
 #[tokio::test]
 async fn a_link_lost_after_the_commit_is_answered_by_its_fate(
     text: &'static str,
-    fate: TransactionFate,
+    outcome: TransactionOutcome,
     expected: Result<(), (String, String)>,
 ) {
     let stage = Stage::start().await;
     stage.world.fail(FakeFault::LoseAfter(text));
-    stage.world.answer_fate(fate);
+    stage.world.answer_outcome(outcome);
     let client = stage.connect().await;
     assert_eq!(insert(&client).await, expected);
     let sent = stage.world.texts();
     assert_eq!(sent.iter().filter(|text| *text == INSERT).count(), 1);
 }
 
-#[test_case(TransactionFate::Committed(at(16)), Ok(()); "committed")]
-#[test_case(TransactionFate::Aborted,
+#[test_case(TransactionOutcome::Committed(at(16)), Ok(()); "committed")]
+#[test_case(TransactionOutcome::Aborted,
     refused("40001", "not run; may be sent again"); "aborted")]
-#[test_case(TransactionFate::Unknown,
+#[test_case(TransactionOutcome::Unknown,
     refused("08007", "unknown whether it ran"); "unknown")]
 #[tokio::test]
 async fn a_commit_that_no_majority_confirms_is_answered_by_its_fate(
-    fate: TransactionFate,
+    outcome: TransactionOutcome,
     expected: Result<(), (String, String)>,
 ) {
     let stage = Stage::start().await;
     stage.world.answer_confirm(Err(ErrorKind::NoPrimary));
-    stage.world.answer_fate(fate);
+    stage.world.answer_outcome(outcome);
     let client = stage.connect().await;
     assert_eq!(insert(&client).await, expected);
 }
@@ -107,7 +107,7 @@
     client.simple_query("BEGIN").await.unwrap();
     client.simple_query(INSERT).await.unwrap();
     stage.world.fail(FakeFault::LoseAfter("COMMIT"));
-    stage.world.answer_fate(TransactionFate::Unknown);
+    stage.world.answer_outcome(TransactionOutcome::Unknown);
     let error = client.simple_query("COMMIT").await.unwrap_err();
     assert_eq!(error.code().unwrap().code(), "08007");
     // The block is over, whatever became of it.
--- a/crates/daisyseam-entry/tests/caller_support/fake.rs
+++ b/crates/daisyseam-entry/tests/caller_support/fake.rs
@@ -10,7 +10,7 @@
     OpenedLink,
     RateGate,
     StatementAccess,
-    TransactionFate, //
+    TransactionOutcome, //
 };
 use daisyseam_model::{
     ErrorKind,
@@ -90,7 +90,7 @@
     accesses: Vec<StatementAccess>,
     faults: VecDeque<FakeFault>,
     confirms: VecDeque<Result<(), RequestError>>,
-    fates: VecDeque<TransactionFate>,
+    outcomes: VecDeque<TransactionOutcome>,
     /// Position of the log's end.
     end: u64,
     /// How far replicas are behind.
@@ -116,8 +116,8 @@
         self.state.lock().confirms.push_back(result);
     }
 
-    pub fn answer_fate(&self, fate: TransactionFate) {
-        self.state.lock().fates.push_back(fate);
+    pub fn answer_outcome(&self, outcome: TransactionOutcome) {
+        self.state.lock().outcomes.push_back(outcome);
     }
 
     pub fn texts(&self) -> Vec<String> {
@@ -310,17 +310,17 @@
         })
     }
 
-    async fn fate(
+    async fn outcome(
         &self,
         _group: &GroupId,
         term: Term,
         _xid: u64,
         _deadline: Instant,
-    ) -> TransactionFate {
+    ) -> TransactionOutcome {
         assert_eq!(term, TERM);
         self.world.change(|state| {
-            let fate = state.fates.pop_front();
-            fate.unwrap_or(TransactionFate::Unknown)
+            let outcome = state.outcomes.pop_front();
+            outcome.unwrap_or(TransactionOutcome::Unknown)
         })
     }
 }
--- a/crates/daisyseam-entry/tests/links_suite/commits.rs
+++ b/crates/daisyseam-entry/tests/links_suite/commits.rs
@@ -1,4 +1,4 @@
-//! Confirmation of commits, positions of primaries, and fates.
+//! Confirmation of commits, positions of primaries, and outcomes.
 
 use crate::support::{
     FakeDatabase,
@@ -16,7 +16,7 @@
     HeldView,
     LinkBroker,
     StatementAccess,
-    TransactionFate, //
+    TransactionOutcome, //
 };
 use daisyseam_model::{
     ErrorKind,
@@ -185,17 +185,20 @@
     assert_eq!(second, Ok(position(1, 77)));
 }
 
-#[test_case("committed", TransactionFate::Committed(position(1, 10)); "committed and with a majority")]
-#[test_case("aborted", TransactionFate::Aborted; "rolled back")]
-#[test_case("", TransactionFate::Unknown; "not known in its own term")]
+#[test_case("committed", TransactionOutcome::Committed(position(1, 10)); "committed and with a majority")]
+#[test_case("aborted", TransactionOutcome::Aborted; "rolled back")]
+#[test_case("", TransactionOutcome::Unknown; "not known in its own term")]
 #[tokio::test]
-async fn a_fate_is_told_as_the_primary_knows_it(status: &'static str, fate: TransactionFate) {
+async fn an_outcome_is_answered_as_the_primary_knows_it(
+    status: &'static str,
+    outcome: TransactionOutcome,
+) {
     let fleet = fleet().await;
     fleet.one.set_status(42, status);
     fleet.two.set_end(position(1, 10));
     let broker = &fleet.instance.broker;
-    let told = within(broker.fate(&group(), Term(1), 42, deadline())).await;
-    assert_eq!(told, fate);
+    let told = within(broker.outcome(&group(), Term(1), 42, deadline())).await;
+    assert_eq!(told, outcome);
 }
 
 #[tokio::test]
@@ -204,8 +207,8 @@
     fleet.one.set_status(42, "committed");
     let broker = &fleet.instance.broker;
     let soon = Instant::now() + Duration::from_millis(150);
-    let told = within(broker.fate(&group(), Term(1), 42, soon)).await;
-    assert_eq!(told, TransactionFate::Unknown);
+    let told = within(broker.outcome(&group(), Term(1), 42, soon)).await;
+    assert_eq!(told, TransactionOutcome::Unknown);
 }
 
 #[tokio::test]
@@ -216,8 +219,8 @@
     fleet.two.set_end(position(2, 6));
     fleet.instance.hold(&active.0).await;
     let broker = &fleet.instance.broker;
-    let told = within(broker.fate(&group(), Term(1), 42, deadline())).await;
-    assert_eq!(told, TransactionFate::Aborted);
+    let told = within(broker.outcome(&group(), Term(1), 42, deadline())).await;
+    assert_eq!(told, TransactionOutcome::Aborted);
 }
 
 #[tokio::test]
@@ -229,6 +232,6 @@
     fleet.two.set_status(42, "committed");
     fleet.instance.hold(&active.0).await;
     let broker = &fleet.instance.broker;
-    let told = within(broker.fate(&group(), Term(1), 42, deadline())).await;
-    assert_eq!(told, TransactionFate::Unknown);
+    let told = within(broker.outcome(&group(), Term(1), 42, deadline())).await;
+    assert_eq!(told, TransactionOutcome::Unknown);
 }
--- a/crates/daisyseam-entry/tests/links_suite/peers.rs
+++ b/crates/daisyseam-entry/tests/links_suite/peers.rs
@@ -104,7 +104,10 @@
     let process = database.connection_of("BEGIN").expect("it came in");
     drop(opened);
     let handle = holder.table.get(&upstream("one")).expect("it is held");
-    eventually("nothing is lent out", || handle.counts().lent == 0).await;
+    eventually("nothing is checked out", || {
+        handle.counts().checked_out == 0
+    })
+    .await;
     let opened = other.broker.open(order(&group, StatementAccess::Write));
     let mut opened = within(opened).await.expect("a link");
     query(&mut opened.link, "SELECT next").await.expect("it");
@@ -218,7 +221,10 @@
     view.instances.retain(|name, _| name.as_str() == "entry-1");
     holder.hold(&view).await;
     let handle = holder.table.get(&upstream("one")).expect("it is held");
-    eventually("nothing is lent out", || handle.counts().lent == 0).await;
+    eventually("nothing is checked out", || {
+        handle.counts().checked_out == 0
+    })
+    .await;
     within(query(&mut opened.link, "SELECT late"))
         .await
         .expect_err("the link was cut");
--- a/crates/daisyseam-entry/tests/links_suite/slots.rs
+++ b/crates/daisyseam-entry/tests/links_suite/slots.rs
@@ -1,4 +1,4 @@
-//! Slots of one database: never more than admitted, never leaked, never lent out dirty.
+//! Slots of one database: never more than admitted, never leaked, never checked out dirty.
 
 use crate::support::{
     self,
@@ -63,7 +63,10 @@
     within(tasks.join_all()).await;
     assert!(database.open_max() <= SLOTS, "more connections than slots");
     let handle = instance.table.get(&upstream("one")).expect("it is held");
-    eventually("nothing is lent out", || handle.counts().lent == 0).await;
+    eventually("nothing is checked out", || {
+        handle.counts().checked_out == 0
+    })
+    .await;
     assert_eq!(handle.counts().queued, 0);
 }
 
@@ -79,7 +82,7 @@
         .expect("an answer");
     opened.link.release();
     let handle = instance.table.get(&upstream("one")).expect("it is held");
-    eventually("it came back", || handle.counts().lent == 0).await;
+    eventually("it came back", || handle.counts().checked_out == 0).await;
     let mut opened = within(instance.broker.open(order(&group, StatementAccess::Write)))
         .await
         .expect("a link");
@@ -142,7 +145,10 @@
     for link in links {
         link.release();
     }
-    eventually("nothing is lent out", || handle.counts().lent == 0).await;
+    eventually("nothing is checked out", || {
+        handle.counts().checked_out == 0
+    })
+    .await;
     for _ in 0..SLOTS {
         let opened = instance.broker.open(order(&group, StatementAccess::Write));
         std::mem::forget(within(opened).await.expect("a link"));
--- a/crates/daisyseam-entry/tests/links_suite/support/control.rs
+++ b/crates/daisyseam-entry/tests/links_suite/support/control.rs
@@ -218,7 +218,7 @@
         };
         let Ok(message) = received else { return };
         let body = match message.body {
-            Some(Body::Hello(_)) => Body::Welcome(Welcome { incarnation: 1 }),
+            Some(Body::Handshake(_)) => Body::Welcome(Welcome { incarnation: 1 }),
             Some(Body::Heartbeat(heartbeat)) => {
                 let reply = reply(&heartbeat, &parts);
                 parts.heartbeats.send_replace(heartbeat);
--- a/crates/daisyseam-entry/tests/links_suite/support/database.rs
+++ b/crates/daisyseam-entry/tests/links_suite/support/database.rs
@@ -289,7 +289,7 @@
     !matches!(peek.await, None | Some(Ok(1)))
 }
 
-/// Answers with the query itself, but for the questions that fates are found by.
+/// Answers with the query itself, but for the questions that outcomes are found by.
 fn answer(shared: &FakeShared, text: &str) -> String {
     if text == "SELECT pg_current_wal_lsn()" {
         return shared.state.borrow().end.position.to_string();
--- a/crates/daisyseam-member/src/control_client/session.rs
+++ b/crates/daisyseam-member/src/control_client/session.rs
@@ -9,9 +9,9 @@
 use daisyseam_runtime::BootClock;
 use daisyseam_wire::{
     ControlMessage,
+    Handshake,
     Heartbeat,
     HeartbeatReply,
-    Hello,
     MessageReceiver,
     MessageSender,
     MessageStream,
@@ -167,7 +167,7 @@
             upstreams: report.upstreams,
             health: report.health,
             groups: report.groups,
-            // The hello on this connection named it.
+            // The handshake on this connection named it.
             instance: String::new(),
             view_digest: self.keeper.digest(),
             members: self.keeper.members_known(),
@@ -254,7 +254,7 @@
     let secured = settings.security.client(socket, PeerRole::Control).await;
     let socket = secured.map_err(|error| SessionEnd::Failed(error.to_string()))?;
     let mut stream = MessageStream::new(socket, settings.cluster.clone());
-    let hello = Hello {
+    let handshake = Handshake {
         instance: settings.instance.to_string(),
         incarnation: settings.incarnation.get().0,
         data_centre: settings.data_centre.to_string(),
@@ -262,7 +262,7 @@
         view: keeper.named().0,
     };
     let message = ControlMessage {
-        body: Some(Body::Hello(hello)),
+        body: Some(Body::Handshake(handshake)),
     };
     stream.send(&message).await?;
     match stream.receive().await?.body {
--- a/crates/daisyseam-member/src/gate.rs
+++ b/crates/daisyseam-member/src/gate.rs
@@ -4,7 +4,7 @@
 
 use self::state::{
     GateState,
-    LineGuard, //
+    QueueGuard, //
 };
 use crate::ViewCell;
 use daisyseam_coord::quota::{
@@ -225,7 +225,7 @@
         view: &FleetView,
         key: &RateKey,
         times: AdmitTimes,
-    ) -> Result<Option<(LineGuard<'a>, Instant)>, RequestError> {
+    ) -> Result<Option<(QueueGuard<'a>, Instant)>, RequestError> {
         let mut state = self.shared.state.lock();
         // Taken under the lock, so that no wait for it makes a lease seem longer.
         let now = BootClock::now();
@@ -246,10 +246,10 @@
             let retry_after = state.retry_after(now, key);
             return Err(rate_exceeded(retry_after));
         }
-        let number = state.enter_line(now, key);
+        let number = state.enter_queue(now, key);
         let line = state.line(key);
         drop(state);
-        let guard = LineGuard::new(&self.shared.state, key.clone(), number, line);
+        let guard = QueueGuard::new(&self.shared.state, key.clone(), number, line);
         Ok(Some((guard, deadline)))
     }
 
--- a/crates/daisyseam-member/src/gate/state.rs
+++ b/crates/daisyseam-member/src/gate/state.rs
@@ -8,7 +8,7 @@
         RateKey,
         ShareReply,
         ShareReport,
-        WaitingLine,
+        WaitingQueue,
         document_rates, //
     }, //
 };
@@ -82,7 +82,7 @@
 
     pub(super) fn report(&mut self, now: Instant) -> ShareReport {
         let now = self.moment(now);
-        self.tell_waiting();
+        self.report_waiting();
         self.sequence += 1;
         if self.sent.len() == SENT_MAX {
             self.sent.pop_front();
@@ -92,7 +92,7 @@
     }
 
     pub(super) fn is_report_due(&mut self, now: Instant) -> bool {
-        self.tell_waiting();
+        self.report_waiting();
         self.set.is_report_due(self.moment(now))
     }
 
@@ -148,7 +148,7 @@
         Arc::clone(&self.lines.entry(key.clone()).or_default().turn)
     }
 
-    pub(super) fn enter_line(&mut self, now: Instant, key: &RateKey) -> u64 {
+    pub(super) fn enter_queue(&mut self, now: Instant, key: &RateKey) -> u64 {
         let now = self.moment(now);
         let number = self.next_number;
         self.next_number += 1;
@@ -157,16 +157,16 @@
         number
     }
 
-    fn leave_line(&mut self, key: &RateKey, number: u64) {
+    fn leave_queue(&mut self, key: &RateKey, number: u64) {
         if let Some(line) = self.lines.get_mut(key) {
             line.waiting.remove(&number);
         }
     }
 
-    fn tell_waiting(&mut self) {
+    fn report_waiting(&mut self) {
         for (key, line) in &self.lines {
             let oldest = line.waiting.first_key_value().map(|(_, since)| *since);
-            let waiting = WaitingLine {
+            let waiting = WaitingQueue {
                 length: line.waiting.len(),
                 oldest: oldest.unwrap_or_default(),
             };
@@ -180,14 +180,14 @@
 }
 
 /// A place in a line; dropping it leaves the line.
-pub(super) struct LineGuard<'a> {
+pub(super) struct QueueGuard<'a> {
     state: &'a Mutex<GateState>,
     key: RateKey,
     number: u64,
     line: TurnLock,
 }
 
-impl<'a> LineGuard<'a> {
+impl<'a> QueueGuard<'a> {
     pub(super) fn new(
         state: &'a Mutex<GateState>,
         key: RateKey,
@@ -208,8 +208,8 @@
     }
 }
 
-impl Drop for LineGuard<'_> {
+impl Drop for QueueGuard<'_> {
     fn drop(&mut self) {
-        self.state.lock().leave_line(&self.key, self.number);
+        self.state.lock().leave_queue(&self.key, self.number);
     }
 }
--- a/crates/daisyseam-member/tests/search.rs
+++ b/crates/daisyseam-member/tests/search.rs
@@ -45,9 +45,9 @@
 };
 
 #[derive(Clone)]
-struct Nobody;
+struct IdleObserver;
 
-impl FleetObserver for Nobody {
+impl FleetObserver for IdleObserver {
     async fn apply(&self, _view: &FleetView) {}
 
     async fn news(&self) {
@@ -104,7 +104,7 @@
                 leader: leader.to_string(),
                 term: 1,
             }),
-            (Body::Hello(_), _) => Body::Welcome(Welcome { incarnation: 7 }),
+            (Body::Handshake(_), _) => Body::Welcome(Welcome { incarnation: 7 }),
             (Body::Heartbeat(beat), Part::Leader(members)) => {
                 let addresses = members.iter().map(ToString::to_string).collect();
                 let members = ControlMembers {
@@ -136,7 +136,7 @@
         heartbeat: HEARTBEAT,
         incarnation: IncarnationCell::default(),
         cell: cell.clone(),
-        observer: Nobody,
+        observer: IdleObserver,
         gate: FleetGate::new(cell, timer.clone()),
         dialer: Dialer::default(),
         security: PeerSecurity::plain(cluster()),
--- a/crates/daisyseam-model/src/view.rs
+++ b/crates/daisyseam-model/src/view.rs
@@ -79,7 +79,7 @@
 /// Who may take writes of a group.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum PrimaryState {
-    /// Nobody: the former primary is fenced and no other is chosen yet.
+    /// IdleObserver: the former primary is fenced and no other is chosen yet.
     Fenced,
     /// A planned move: running transactions finish, new ones are held.
     Draining(UpstreamId),
--- a/crates/daisyseam-wire/src/control.rs
+++ b/crates/daisyseam-wire/src/control.rs
@@ -26,7 +26,7 @@
     pub enum Body {
         /// An instance introduces itself.
         #[prost(message, tag = "1")]
-        Hello(super::Hello),
+        Handshake(super::Handshake),
         /// Its incarnation is given.
         #[prost(message, tag = "2")]
         Welcome(super::Welcome),
@@ -119,7 +119,7 @@
 
 /// An entry instance introduces itself after it has connected.
 #[derive(Clone, PartialEq, prost::Message)]
-pub struct Hello {
+pub struct Handshake {
     /// Its name.
     #[prost(string, tag = "1")]
     pub instance: String,
@@ -264,7 +264,7 @@
     /// Groups that are draining.
     #[prost(message, repeated, tag = "8")]
     pub groups: Vec<GroupReport>,
-    /// Name of the sender; empty for the one that said hello on this connection.
+    /// Name of the sender; empty for the one that opened with a handshake on this connection.
     #[prost(string, tag = "9")]
     pub instance: String,
     /// Digest of the view that the sender acts on.
--- a/crates/daisyseam-wire/src/share.rs
+++ b/crates/daisyseam-wire/src/share.rs
@@ -4,12 +4,12 @@
 use daisyseam_coord::quota::{
     DemandEntry,
     GrantEntry,
-    HandedTotal,
     HoldingId,
     RateKey,
     RateShare,
     ShareReply,
     ShareReport, //
+    TransferTotal,
 };
 
 /// A rate, a burst and the tokens that go along.
@@ -193,21 +193,21 @@
 }
 
 fn present_share(share: RateShare) -> Option<WireShare> {
-    present_total(HandedTotal { share, tokens: 0 })
+    present_total(TransferTotal { share, tokens: 0 })
 }
 
 /// Leaves out what is nothing.
-fn present_total(total: HandedTotal) -> Option<WireShare> {
-    (total != HandedTotal::default()).then_some(WireShare {
+fn present_total(total: TransferTotal) -> Option<WireShare> {
+    (total != TransferTotal::default()).then_some(WireShare {
         rate: total.share.rate,
         burst: total.share.burst,
         tokens: total.tokens,
     })
 }
 
-fn read_total(share: Option<WireShare>) -> HandedTotal {
+fn read_total(share: Option<WireShare>) -> TransferTotal {
     let share = share.unwrap_or_default();
-    HandedTotal {
+    TransferTotal {
         share: RateShare {
             rate: share.rate,
             burst: share.burst,
--- a/crates/daisyseam-wire/tests/share.rs
+++ b/crates/daisyseam-wire/tests/share.rs
@@ -3,12 +3,12 @@
 use daisyseam_coord::quota::{
     DemandEntry,
     GrantEntry,
-    HandedTotal,
     HoldingId,
     RateKey,
     RateShare,
     ShareReply,
     ShareReport, //
+    TransferTotal,
 };
 use daisyseam_wire::{
     WireShareReply,
@@ -17,8 +17,8 @@
 use proptest::prelude::*;
 use prost::Message;
 
-fn total() -> impl Strategy<Value = HandedTotal> {
-    (any::<u64>(), any::<u64>(), any::<u64>()).prop_map(|(rate, burst, tokens)| HandedTotal {
+fn total() -> impl Strategy<Value = TransferTotal> {
+    (any::<u64>(), any::<u64>(), any::<u64>()).prop_map(|(rate, burst, tokens)| TransferTotal {
         share: RateShare { rate, burst },
         tokens,
     })
