Wait for a held view in one place

Cause: the gate's wait for a valid lease and the session's wait for a current document were the same loop over the view cell with another condition; the pool wrote the filter of a held place twice. ViewCell::wait_for serves both waits, one function the filter.

--- a/crates/daisyseam-engine/src/pool/upstream.rs
+++ b/crates/daisyseam-engine/src/pool/upstream.rs
@@ -285,13 +285,17 @@
 
     /// Returns how many connections there may be at this moment.
     fn most(&self) -> usize {
-        let held = self.hold.filter(|(_, until)| Instant::now() < *until);
+        let held = self.held();
         held.map_or(self.budget, |(most, _)| most.min(self.budget))
     }
 
+    /// Returns until when the database counts as without room for more.
     fn held_until(&self) -> Option<Instant> {
-        let held = self.hold.filter(|(_, until)| Instant::now() < *until);
-        held.map(|(_, until)| until)
+        self.held().map(|(_, until)| until)
+    }
+
+    fn held(&self) -> Option<(usize, Instant)> {
+        self.hold.filter(|(_, until)| Instant::now() < *until)
     }
 
     fn make_room(&mut self) -> Room<C> {
--- a/crates/daisyseam-member/src/gate.rs
+++ b/crates/daisyseam-member/src/gate.rs
@@ -6,7 +6,10 @@
     GateState,
     QueueGuard, //
 };
-use crate::ViewCell;
+use crate::{
+    HeldView,
+    ViewCell, //
+};
 use daisyseam_coord::quota::{
     NoToken,
     RateKey, //
@@ -265,16 +268,9 @@
 
     /// Returns the view, waiting for a lease that has lapsed.
     async fn view(&self, until: Instant) -> Result<Arc<FleetView>, RequestError> {
-        let mut changes = self.shared.cell.subscribe();
-        loop {
-            match self.shared.cell.valid() {
-                Ok(view) => return Ok(view),
-                Err(kind) => {
-                    let changed = self.shared.timer.within(until, changes.changed());
-                    changed.await.ok_or(kind)?.map_err(|_| kind)?;
-                }
-            }
-        }
+        let (cell, timer) = (&self.shared.cell, &self.shared.timer);
+        let held = cell.wait_for(timer, until, HeldView::is_valid).await?;
+        Ok(Arc::clone(&held.view))
     }
 
     /// Says why a request that waited gets no token: without a lease there are no shares.
--- a/crates/daisyseam-member/src/view_cell.rs
+++ b/crates/daisyseam-member/src/view_cell.rs
@@ -86,15 +86,33 @@
     ///
     /// `NoView` when it is not by `until`.
     pub async fn current(&self, timer: &TimerService, until: Instant) -> Result<(), ErrorKind> {
+        let current = self.wait_for(timer, until, HeldView::is_current).await;
+        current.map(|_| ())
+    }
+
+    /// Waits until what is held meets a condition, and returns it.
+    ///
+    /// # Errors
+    ///
+    /// `NoView` when it does not by `until`.
+    pub(crate) async fn wait_for(
+        &self,
+        timer: &TimerService,
+        until: Instant,
+        condition: fn(&HeldView) -> bool,
+    ) -> Result<Arc<HeldView>, ErrorKind> {
         let mut changes = self.subscribe();
-        while !self.held.load().is_current() {
-            if Instant::now() >= until {
-                return Err(ErrorKind::NoView);
+        loop {
+            let held = self.held();
+            if condition(&held) {
+                return Ok(held);
             }
-            // The sender lives in the cell, so waiting cannot fail.
-            let _ = timer.within(until, changes.changed()).await;
+            // The sender lives in the cell, so only the time can end the wait.
+            let changed = timer.within(until, changes.changed()).await;
+            changed
+                .ok_or(ErrorKind::NoView)?
+                .map_err(|_| ErrorKind::NoView)?;
         }
-        Ok(())
     }
 
     /// Replaces what is held.
