Count what becomes of requests, tokens and connections at an entry

The answers do not say whether the rate, the connections or the lease was short: nothing counts it.

The engine counts answers by kind and connections by how they were had, the gate counts tokens by how they were had or refused.

--- a/crates/daisyseam-engine/src/engine.rs
+++ b/crates/daisyseam-engine/src/engine.rs
@@ -24,6 +24,7 @@
     InstanceId, //
 };
 use daisyseam_runtime::{
+    MetricClient,
     StopSignal,
     TimerService, //
 };
@@ -53,6 +54,8 @@
     pub gate: G,
     /// Timer service.
     pub timer: TimerService,
+    /// Counts what becomes of requests.
+    pub metrics: MetricClient,
     /// Opens connections to databases.
     pub connector: D,
     /// Given when the instance is leaving.
@@ -82,7 +85,11 @@
 impl<D: DatabaseConnector, G: RateGate> SessionEngine<D, G> {
     /// Makes an engine without sessions.
     pub fn new(settings: EngineSettings<D, G>) -> Self {
-        let pool = ConnectionPool::new(settings.connector.clone(), settings.timer.clone());
+        let pool = ConnectionPool::new(
+            settings.connector.clone(),
+            settings.timer.clone(),
+            settings.metrics.clone(),
+        );
         let shared = EngineShared {
             settings,
             pool,
--- a/crates/daisyseam-engine/src/lib.rs
+++ b/crates/daisyseam-engine/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod attempt;
 mod caller;
+mod counters;
 mod database;
 mod engine;
 mod health;
--- a/crates/daisyseam-engine/src/pool.rs
+++ b/crates/daisyseam-engine/src/pool.rs
@@ -22,6 +22,7 @@
     DatabaseConnector,
     DatabaseTarget,
     RefusalKind,
+    counters,
     route::present_primary,
     values::SessionValues, //
 };
@@ -31,7 +32,10 @@
     UpstreamId,
     UpstreamView, //
 };
-use daisyseam_runtime::TimerService;
+use daisyseam_runtime::{
+    MetricClient,
+    TimerService, //
+};
 use parking_lot::Mutex;
 use std::{
     collections::HashMap,
@@ -53,6 +57,7 @@
 pub(crate) struct ConnectionPool<D: DatabaseConnector> {
     connector: D,
     timer: TimerService,
+    metrics: MetricClient,
     upstreams: Mutex<HashMap<UpstreamId, Arc<UpstreamPool<D::Connection>>>>,
     shares: Mutex<ConnectionShares>,
     turns: AtomicU64,
@@ -88,10 +93,11 @@
 
 impl<D: DatabaseConnector> ConnectionPool<D> {
     /// Makes a pool without connections.
-    pub(crate) fn new(connector: D, timer: TimerService) -> Self {
+    pub(crate) fn new(connector: D, timer: TimerService, metrics: MetricClient) -> Self {
         Self {
             connector,
             timer,
+            metrics,
             upstreams: Mutex::default(),
             shares: Mutex::default(),
             turns: AtomicU64::new(0),
@@ -107,7 +113,10 @@
         let named = named.ok_or(NoConnection::Gone)?;
         let pool = self.upstream(order.view, order.upstream, named);
         match self.claim(&pool, order).await? {
-            Grant::Connection(connection) => Ok(connection.check_out()),
+            Grant::Connection(connection) => {
+                self.metrics.count(counters::CONNECTION_REUSED);
+                Ok(connection.check_out())
+            }
             Grant::Place(place) => self.open(place, order, named).await,
         }
     }
@@ -119,16 +128,24 @@
         order: ConnectionOrder<'_>,
     ) -> Result<Grant<D::Connection>, NoConnection> {
         let turn = self.turns.fetch_add(1, Ordering::Relaxed) + 1;
+        let mut waited = false;
         loop {
             let (granted, held_until) = match pool.claim(order.organisation, order.values, turn) {
                 Claim::Granted(grant) => return Ok(grant),
                 Claim::Wait(granted, held_until) => (granted, held_until),
             };
+            if !waited {
+                waited = true;
+                self.metrics.count(counters::CONNECTION_WAITED);
+            }
             let look = held_until.map_or(order.wait_until, |held| held.min(order.wait_until));
             match self.timer.within(look, granted).await {
                 Some(granted) => return granted.map_err(|_| NoConnection::Gone),
                 None if look < order.wait_until => {}
-                None => return Err(NoConnection::Full),
+                None => {
+                    self.metrics.count(counters::CONNECTION_NONE_FREE);
+                    return Err(NoConnection::Full);
+                }
             }
         }
     }
@@ -149,9 +166,14 @@
         let opened = self.timer.within(order.connect_until, opening);
         let silent = || ConnectError::Unreachable("no answer in time".to_owned());
         let opened = opened.await.unwrap_or_else(|| Err(silent()));
-        if let Err(ConnectError::Refused(RefusalKind::TooManyConnections)) = &opened {
-            place.hold(Instant::now() + NO_ROOM);
-        }
+        self.metrics.count(match &opened {
+            Ok(_) => counters::CONNECTION_OPENED,
+            Err(ConnectError::Refused(RefusalKind::TooManyConnections)) => {
+                place.hold(Instant::now() + NO_ROOM);
+                counters::CONNECTION_OVER_LIMIT
+            }
+            Err(_) => counters::CONNECTION_FAILED,
+        });
         let connection = opened.map_err(NoConnection::Connect)?;
         Ok(PooledConnection::opened(
             place,
--- a/crates/daisyseam-engine/src/session.rs
+++ b/crates/daisyseam-engine/src/session.rs
@@ -21,6 +21,7 @@
     TransactionMode,
     TransactionState,
     attempt::Statement,
+    counters,
     engine::EngineShared,
     identity::{
         CallerIdentity,
@@ -253,6 +254,11 @@
             Ok(request) => self.serve_verb(request).await,
             Err(error) => self.unclear(error),
         };
+        let metrics = &self.core.engine.settings.metrics;
+        metrics.count(match &result {
+            Ok(_) => counters::ANSWERED,
+            Err(error) => error.kind.row().label,
+        });
         answer::of(result, self.state())
     }
 
--- a/crates/daisyseam-engine/tests/support/mod.rs
+++ b/crates/daisyseam-engine/tests/support/mod.rs
@@ -44,6 +44,7 @@
     }, //
 };
 use daisyseam_runtime::{
+    MetricClient,
     StopSignal,
     TimerService, //
 };
@@ -120,6 +121,7 @@
             data_centre: "dc-1".parse().unwrap(),
             cell: cell.clone(),
             gate: gate.clone(),
+            metrics: MetricClient::local(),
             timer: TimerService::start(),
             connector: databases.clone(),
             stop: stop.clone(),
--- a/crates/daisyseam-member/src/gate.rs
+++ b/crates/daisyseam-member/src/gate.rs
@@ -1,5 +1,6 @@
 //! Rates and bursts over the whole fleet, as this instance's share of them.
 
+mod counters;
 mod state;
 
 use self::state::{
@@ -23,6 +24,7 @@
 };
 use daisyseam_runtime::{
     BootClock,
+    MetricClient,
     TimerService, //
 };
 use daisyseam_wire::{
@@ -129,6 +131,7 @@
     cell: ViewCell,
     timer: TimerService,
     state: Mutex<GateState>,
+    metrics: MetricClient,
     /// Changes when shares have changed.
     shares: watch::Sender<()>,
     /// Changes when a report may have become due.
@@ -136,12 +139,18 @@
 }
 
 impl FleetGate {
-    /// Makes a gate without shares.
+    /// Makes a gate without shares, whose counters nobody reads.
     pub fn new(cell: ViewCell, timer: TimerService) -> Self {
+        Self::with_metrics(cell, timer, MetricClient::local())
+    }
+
+    /// Makes a gate without shares.
+    pub fn with_metrics(cell: ViewCell, timer: TimerService, metrics: MetricClient) -> Self {
         let shared = GateShared {
             cell,
             timer,
             state: Mutex::new(GateState::new(BootClock::now())),
+            metrics,
             shares: watch::Sender::new(()),
             stirred: watch::Sender::new(()),
         };
@@ -200,8 +209,10 @@
     }
 
     async fn take(&self, key: RateKey, times: AdmitTimes) -> Result<(), RequestError> {
+        let metrics = &self.shared.metrics;
         let view = self.view(times.share).await?;
         let Some((guard, deadline)) = self.begin(&view, &key, times)? else {
+            metrics.count(counters::TOKEN_AT_ONCE);
             return Ok(());
         };
         self.shared.stirred.send_replace(());
@@ -212,7 +223,10 @@
         };
         loop {
             let ready = match self.take_now(&key)? {
-                None => return Ok(()),
+                None => {
+                    metrics.count(counters::TOKEN_WAITED);
+                    return Ok(());
+                }
                 Some(ready) => ready.unwrap_or(deadline).min(deadline),
             };
             if Instant::now() >= deadline {
@@ -247,6 +261,7 @@
         }
         if Instant::now() + state.least_wait(key) > deadline {
             let retry_after = state.retry_after(now, key);
+            self.shared.metrics.count(counters::TOKEN_REFUSED_AT_ONCE);
             return Err(rate_exceeded(retry_after));
         }
         let number = state.enter_queue(now, key);
@@ -275,11 +290,18 @@
 
     /// Says why a request that waited gets no token: without a lease there are no shares.
     fn refusal(&self, key: &RateKey) -> RequestError {
+        let metrics = &self.shared.metrics;
         if let Err(kind) = self.shared.cell.valid() {
+            metrics.count(counters::TOKEN_REFUSED_WITHOUT_LEASE);
             return kind.into();
         }
         let mut state = self.shared.state.lock();
-        rate_exceeded(state.retry_after(BootClock::now(), key))
+        let now = BootClock::now();
+        metrics.count(match state.has_share(now, key) {
+            true => counters::TOKEN_REFUSED_WITH_SHARE,
+            false => counters::TOKEN_REFUSED_WITHOUT_SHARE,
+        });
+        rate_exceeded(state.retry_after(now, key))
     }
 }
 
--- a/crates/daisyseam-runtime/src/lib.rs
+++ b/crates/daisyseam-runtime/src/lib.rs
@@ -26,7 +26,9 @@
         HealthState, //
     },
     logs::{
+        LOG_LEVEL_VARIABLE,
         LogsError,
+        log_level,
         start_logs, //
     },
     metrics::{
--- a/crates/daisyseam-runtime/src/logs.rs
+++ b/crates/daisyseam-runtime/src/logs.rs
@@ -28,6 +28,9 @@
     path::Path, //
 };
 
+/// Variable that holds the least level of the lines that are written; `warn` if it is not set.
+pub const LOG_LEVEL_VARIABLE: &str = "DAISYSEAM_LOG";
+
 /// Name of the one appender.
 const APPENDER: &str = "lines";
 
@@ -44,6 +47,18 @@
 
 impl Error for LogsError {}
 
+/// Reads the level of the lines that are written from the environment.
+///
+/// # Errors
+///
+/// The value, if it is no level.
+pub fn log_level() -> Result<LevelFilter, String> {
+    match std::env::var(LOG_LEVEL_VARIABLE) {
+        Ok(level) => level.parse().map_err(|_| level),
+        Err(_) => Ok(LevelFilter::Warn),
+    }
+}
+
 /// Starts logging to standard error, or to a file.
 ///
 /// # Errors
--- a/crates/daisyseam-runtime/src/metrics.rs
+++ b/crates/daisyseam-runtime/src/metrics.rs
@@ -14,6 +14,7 @@
 use std::{
     collections::BTreeMap,
     error::Error,
+    fmt::Write,
     io,
     net::{
         SocketAddr,
@@ -38,33 +39,39 @@
 impl Error for MetricsError {}
 
 /// Sends metrics and keeps the counters; cheap to clone.
-#[derive(Clone)]
+#[derive(Clone, Debug)]
 pub struct MetricClient {
     client: Arc<StatsdClient>,
     counters: Arc<Mutex<BTreeMap<&'static str, u64>>>,
 }
 
 impl MetricClient {
+    /// Keeps the counters and sends nothing.
+    pub fn local() -> Self {
+        Self {
+            client: Arc::new(StatsdClient::from_sink(PREFIX, NopMetricSink)),
+            counters: Arc::default(),
+        }
+    }
+
     /// Sends metrics to an address, or nowhere.
     ///
     /// # Errors
     ///
     /// [`MetricsError`] when no socket can be opened.
     pub fn new(target: Option<SocketAddr>) -> Result<Self, MetricsError> {
-        let client = match target {
-            None => StatsdClient::from_sink(PREFIX, NopMetricSink),
-            Some(target) => {
-                let local = if target.is_ipv4() {
-                    "0.0.0.0:0"
-                } else {
-                    "[::]:0"
-                };
-                let socket = UdpSocket::bind(local).map_err(MetricsError::Socket)?;
-                socket.set_nonblocking(true).map_err(MetricsError::Socket)?;
-                let sink = UdpMetricSink::from(target, socket).map_err(MetricsError::Address)?;
-                StatsdClient::from_sink(PREFIX, QueuingMetricSink::from(sink))
-            }
+        let Some(target) = target else {
+            return Ok(Self::local());
         };
+        let local = if target.is_ipv4() {
+            "0.0.0.0:0"
+        } else {
+            "[::]:0"
+        };
+        let socket = UdpSocket::bind(local).map_err(MetricsError::Socket)?;
+        socket.set_nonblocking(true).map_err(MetricsError::Socket)?;
+        let sink = UdpMetricSink::from(target, socket).map_err(MetricsError::Address)?;
+        let client = StatsdClient::from_sink(PREFIX, QueuingMetricSink::from(sink));
         Ok(Self {
             client: Arc::new(client),
             counters: Arc::default(),
@@ -93,6 +100,16 @@
         let _ = self.client.time(name, duration);
     }
 
+    /// Returns the counters so far as text, one a line: the name, a blank, the number.
+    pub fn render(&self) -> String {
+        let mut text = String::new();
+        for (name, value) in self.counters.lock().iter() {
+            // Writing to a string cannot fail.
+            let _ = writeln!(text, "{PREFIX}_{name} {value}");
+        }
+        text
+    }
+
     /// Returns the counters so far.
     pub fn counters(&self) -> BTreeMap<&'static str, u64> {
         self.counters.lock().clone()
