Grant the tokens of a thin rate on demand instead of splitting it

Cause: the escrow splits each rate and burst over the instances. With 62 instances a burst of 16 is a quarter of a token each, and a request every six seconds an instance leaves no demand to split by: the share is elsewhere, and moving it takes two round trips and a heartbeat, longer than a request may wait. The class of fault: a scarce whole is divided into parts smaller than one unit of use.

Ruled out: leases (503 of 52,745 refusals), connections (110), a rate that is really used up (demand is at most 0.63 of it).

Change: where the burst holds less than two tokens for each holder, or less than eight at under five a second, the tokens stay at the ledger. Reports say how many tokens waiting requests lack; the ledger grants as many as there are; what is spent or not needed goes back with the next report. Nothing is over the whole: what is granted counts as held as before, and the property test now lets refused requests wait, so that it covers grants on demand.

--- a/crates/daisyseam-coord/src/quota.rs
+++ b/crates/daisyseam-coord/src/quota.rs
@@ -6,6 +6,9 @@
 //! sum of all shares never exceeds the whole. Tokens move with burst and are never made by a
 //! move, so that all buckets together admit no more than one bucket of the whole rate and burst.
 //!
+//! A rate that is thin over the fleet is not split: its tokens accrue at the ledger, which grants
+//! them to waiting requests one by one.
+//!
 //! Grants and returns are totals since the start of a *holding*, never differences: messages may
 //! be lost, doubled or reordered.
 
@@ -171,6 +174,8 @@
     pub key: RateKey,
     /// Wanted rate, admitted or not, in thousandths of a statement a second.
     pub wanted: u64,
+    /// Tokens that waiting requests lack, in thousandths.
+    pub lacking: u64,
     /// Share that was held when the holding began, taken over from an earlier epoch.
     pub base: RateShare,
     /// Total of the grants that have been applied.
@@ -201,6 +206,8 @@
     pub granted: TransferTotal,
     /// Total that the holder is asked to have returned.
     pub asked: RateShare,
+    /// Whether tokens are granted on demand: what no waiting request needs is returned.
+    pub on_demand: bool,
 }
 
 /// The ledger's answer to a report.
--- a/crates/daisyseam-coord/src/quota/account.rs
+++ b/crates/daisyseam-coord/src/quota/account.rs
@@ -11,6 +11,7 @@
     bucket::TokenStore,
     split::{
         SplitHolder,
+        is_thin,
         scale,
         split, //
     }, //
@@ -30,6 +31,8 @@
     /// Sum of the shares of all entries; may exceed the total after that has been lowered.
     held: RateShare,
     pool: TokenStore,
+    /// Whether nothing is split and tokens are granted to waiting requests.
+    on_demand: bool,
     entries: BTreeMap<HolderId, AccountEntry>,
 }
 
@@ -40,6 +43,7 @@
             total,
             held: RateShare::default(),
             pool: TokenStore::starting_at(open_from),
+            on_demand: false,
             entries: BTreeMap::new(),
         }
     }
@@ -78,6 +82,7 @@
         });
         let before = (entry.share(), entry.returned.tokens);
         entry.wanted = told.wanted;
+        entry.lacking = told.lacking;
         entry.applied = entry.applied.latest(told.applied);
         entry.returned = entry.returned.latest(told.returned);
         let handed = before.0.saturating_sub(entry.share());
@@ -105,9 +110,47 @@
             key: key.clone(),
             granted: entry.granted,
             asked: entry.asked,
+            on_demand: self.on_demand,
         })
     }
 
+    /// Returns whether tokens are granted on demand among so many holders.
+    pub(super) fn is_on_demand(&mut self, holders: usize) -> bool {
+        self.on_demand = is_thin(self.total, holders, self.on_demand);
+        self.on_demand
+    }
+
+    /// Grants the waiting requests of the holder that is being answered the tokens that they lack.
+    ///
+    /// The whole rate accrues here; shares that are still out are asked back.
+    pub(super) fn grant_tokens(&mut self, now: Moment, answered: Option<&HolderId>) {
+        self.pool.advance(now, self.free());
+        if self.held.rate > 0 {
+            self.recall();
+        }
+        let Some(entry) = answered.and_then(|holder| self.entries.get_mut(holder)) else {
+            return;
+        };
+        let lacking = std::mem::take(&mut entry.lacking);
+        // What was granted before may not have arrived yet.
+        let needed = lacking.saturating_sub(entry.share().burst);
+        let tokens = needed.min(self.pool.whole_milli()) / MILLI * MILLI;
+        entry.granted.share.burst += tokens;
+        entry.granted.tokens += tokens;
+        self.held.burst += tokens;
+        self.pool.take_milli(tokens);
+        self.pool.clamp(self.free());
+    }
+
+    /// Asks all holders with a share of the rate to return what they have.
+    fn recall(&mut self) {
+        for entry in self.entries.values_mut() {
+            if entry.share().rate > 0 {
+                entry.asked = entry.returned.share.plus(entry.share());
+            }
+        }
+    }
+
     /// Grants what is free to the holder that is being answered, up to its target, and asks those
     /// above theirs to return.
     ///
@@ -218,6 +261,8 @@
 #[derive(Debug)]
 struct AccountEntry {
     wanted: u64,
+    /// Tokens that its waiting requests lacked at its last report.
+    lacking: u64,
     base: RateShare,
     granted: TransferTotal,
     applied: TransferTotal,
@@ -230,6 +275,7 @@
     fn new(base: RateShare) -> Self {
         Self {
             wanted: 0,
+            lacking: 0,
             base,
             granted: TransferTotal::default(),
             applied: TransferTotal::default(),
--- a/crates/daisyseam-coord/src/quota/bucket.rs
+++ b/crates/daisyseam-coord/src/quota/bucket.rs
@@ -2,6 +2,7 @@
 
 use super::{
     DemandEntry,
+    GrantEntry,
     MILLI,
     RateKey,
     RateShare,
@@ -90,11 +91,17 @@
 /// # Examples
 ///
 /// ```
-/// use daisyseam_coord::{Moment, quota::{TransferTotal, RateShare, ShareBucket}};
+/// use daisyseam_coord::{Moment, quota::{GrantEntry, RateKey, RateShare, ShareBucket, TransferTotal}};
 ///
 /// let share = RateShare { rate: 10_000, burst: 2_000 };
 /// let mut bucket = ShareBucket::new(Moment::ORIGIN);
-/// bucket.apply(Moment::ORIGIN, TransferTotal { share, tokens: 0 }, RateShare::default());
+/// let granted = GrantEntry {
+///     key: RateKey::parse("keepers").unwrap(),
+///     granted: TransferTotal { share, tokens: 0 },
+///     asked: RateShare::default(),
+///     on_demand: false,
+/// };
+/// bucket.apply(Moment::ORIGIN, &granted);
 /// assert!(!bucket.take(Moment::ORIGIN));
 /// assert!(bucket.take(Moment::from_millis(100)));
 /// ```
@@ -105,6 +112,8 @@
     returned: TransferTotal,
     /// Total of what is to be returned; handed over with the next report.
     asked: RateShare,
+    /// Whether what no waiting request needs is returned with each report.
+    on_demand: bool,
     tokens: TokenStore,
     demand: DemandMeter,
     waiting: WaitingQueue,
@@ -118,6 +127,7 @@
             granted: TransferTotal::default(),
             returned: TransferTotal::default(),
             asked: RateShare::default(),
+            on_demand: false,
             tokens: TokenStore::starting_at(now),
             demand: DemandMeter::default(),
             waiting: WaitingQueue::default(),
@@ -169,13 +179,39 @@
     }
 
     /// Applies the newest totals: what was granted, and what is to be returned.
-    pub fn apply(&mut self, now: Moment, granted: TransferTotal, asked: RateShare) {
+    pub fn apply(&mut self, now: Moment, grant: &GrantEntry) {
         self.tokens.advance(now, self.share());
-        let latest = self.granted.latest(granted);
+        let latest = self.granted.latest(grant.granted);
         self.tokens.add_milli(latest.tokens - self.granted.tokens);
         self.granted = latest;
         self.tokens.clamp(self.share());
-        self.asked = asked;
+        self.asked = grant.asked;
+        self.on_demand = grant.on_demand;
+    }
+
+    /// Returns whether tokens are granted here on demand.
+    pub(super) fn is_on_demand(&self) -> bool {
+        self.on_demand
+    }
+
+    /// Returns the tokens that waiting requests lack, in thousandths.
+    pub(super) fn lacking(&mut self, now: Moment) -> u64 {
+        self.tokens.advance(now, self.share());
+        let waiting = self.waiting.length as u64 * MILLI;
+        waiting.saturating_sub(self.tokens.whole_milli() / MILLI * MILLI)
+    }
+
+    /// Returns what no waiting request needs.
+    pub(super) fn surrender_spare(&mut self, now: Moment) {
+        self.tokens.advance(now, self.share());
+        let held = self.share();
+        let waiting = self.waiting.length as u64 * MILLI;
+        let needed = waiting.min(self.tokens.whole_milli() / MILLI * MILLI);
+        let spare = RateShare {
+            rate: held.rate,
+            burst: held.burst.saturating_sub(needed),
+        };
+        self.surrender(spare, 0);
     }
 
     /// Returns whether something is to be returned with the next report.
@@ -186,13 +222,15 @@
     /// Returns what was asked for; until then it goes on accruing tokens here.
     pub(super) fn surrender_asked(&mut self, now: Moment) {
         self.tokens.advance(now, self.share());
-        self.surrender(self.asked.saturating_sub(self.returned.share));
+        let asked = self.asked.saturating_sub(self.returned.share);
+        self.surrender(asked, self.tokens_along(asked));
     }
 
     /// Returns all that is held, with its tokens.
     pub fn surrender_all(&mut self, now: Moment) {
         self.tokens.advance(now, self.share());
-        self.surrender(self.share());
+        let all = self.share();
+        self.surrender(all, self.tokens_along(all));
     }
 
     /// Gives up all that is held, without its tokens: the lease on it has run out.
@@ -219,18 +257,26 @@
         !self.base.is_empty() || self.granted != TransferTotal::default()
     }
 
-    pub(super) fn entry(&self, key: &RateKey, now: Moment) -> DemandEntry {
+    pub(super) fn entry(&mut self, key: &RateKey, now: Moment) -> DemandEntry {
         DemandEntry {
             key: key.clone(),
             wanted: self.wanted(now),
+            lacking: self.lacking(now),
             base: self.base,
             applied: self.granted,
             returned: self.returned,
         }
     }
 
-    /// Returns a part; its tokens go along in proportion, and what no longer fits besides.
-    fn surrender(&mut self, part: RateShare) {
+    /// Returns the tokens that go along with a part in proportion.
+    fn tokens_along(&self, part: RateShare) -> u64 {
+        let held = self.share().burst;
+        let along = u128::from(self.tokens.whole_milli()) * u128::from(part.burst.min(held));
+        u64::try_from(along / u128::from(held.max(1))).unwrap_or(u64::MAX)
+    }
+
+    /// Returns a part with so many tokens, or with more if what is kept has no room for the rest.
+    fn surrender(&mut self, part: RateShare, along: u64) {
         let held = self.share();
         let part = RateShare {
             rate: part.rate.min(held.rate),
@@ -241,8 +287,6 @@
             return;
         }
         let tokens = self.tokens.whole_milli();
-        let along = u128::from(tokens) * u128::from(part.burst) / u128::from(held.burst);
-        let along = u64::try_from(along).unwrap_or(u64::MAX);
         let spilled = tokens.saturating_sub(held.burst - part.burst);
         let moved = along.max(spilled).min(part.burst);
         self.tokens.take_milli(moved);
--- a/crates/daisyseam-coord/src/quota/ledger.rs
+++ b/crates/daisyseam-coord/src/quota/ledger.rs
@@ -153,7 +153,7 @@
         known.leaving = report.leaving;
         self.prolong(now, holder);
         self.enter(now, holder, report);
-        self.split(now, Some(holder));
+        self.split(now, (!report.leaving).then_some(holder));
         Some(self.answer(holder, report.sequence))
     }
 
@@ -171,13 +171,19 @@
         if self.dirty.is_empty() {
             return;
         }
-        let seats = self.seats();
+        let staying = self.staying();
+        let mut seats = None;
         for key in std::mem::take(&mut self.dirty) {
             let Some(account) = self.accounts.get_mut(&key) else {
                 continue;
             };
-            if account.rebalance(now, &seats, answered) {
-                self.dirty.insert(key.clone());
+            if account.is_on_demand(staying) {
+                account.grant_tokens(now, answered);
+            } else {
+                let seats = seats.get_or_insert_with(|| list_seats(&self.holders));
+                if account.rebalance(now, seats, answered) {
+                    self.dirty.insert(key.clone());
+                }
             }
             if account.is_closed() {
                 self.accounts.remove(&key);
@@ -185,6 +191,14 @@
         }
     }
 
+    /// Returns the number of holders whose holding counts and that are not leaving.
+    fn staying(&self) -> usize {
+        let holders = self.holders.values();
+        holders
+            .filter(|known| known.adopted && !known.leaving)
+            .count()
+    }
+
     /// Returns the sum of what may be held of a key.
     pub fn outstanding(&self, key: &RateKey) -> RateShare {
         let account = self.accounts.get(key);
@@ -295,14 +309,14 @@
             self.dirty.insert(key.clone());
         }
     }
+}
 
-    /// Lists the holders whose holding counts, and whether each is leaving.
-    fn seats(&self) -> Vec<(HolderId, bool)> {
-        let counted = self.holders.iter().filter(|(_, known)| known.adopted);
-        counted
-            .map(|(holder, known)| (holder.clone(), known.leaving))
-            .collect()
-    }
+/// Lists the holders whose holding counts, and whether each is leaving.
+fn list_seats(holders: &BTreeMap<HolderId, Holder>) -> Vec<(HolderId, bool)> {
+    let counted = holders.iter().filter(|(_, known)| known.adopted);
+    counted
+        .map(|(holder, known)| (holder.clone(), known.leaving))
+        .collect()
 }
 
 #[derive(Debug)]
--- a/crates/daisyseam-coord/src/quota/set.rs
+++ b/crates/daisyseam-coord/src/quota/set.rs
@@ -169,7 +169,8 @@
             return false;
         }
         let mut due = false;
-        for kept in self.buckets.values() {
+        for kept in self.buckets.values_mut() {
+            due |= kept.lacks_anew(now);
             if kept.has_leapt(now) {
                 self.eager_until = now + EAGER_TIME;
             }
@@ -185,6 +186,9 @@
         let mut entries = Vec::new();
         for (key, kept) in &mut self.buckets {
             kept.bucket.surrender_asked(now);
+            if kept.bucket.is_on_demand() {
+                kept.bucket.surrender_spare(now);
+            }
             let entry = kept.bucket.entry(key, now);
             if kept.must_tell(&entry) {
                 kept.sent = Some((sequence, entry.clone()));
@@ -225,7 +229,7 @@
         }
         for grant in &reply.grants {
             if let Some(kept) = self.buckets.get_mut(&grant.key) {
-                kept.bucket.apply(now, grant.granted, grant.asked);
+                kept.bucket.apply(now, grant);
                 if self.leaving || kept.total.is_none() {
                     kept.bucket.surrender_all(now);
                 }
@@ -306,8 +310,21 @@
                 .is_some_and(|told| told.returned != self.bucket.returned())
     }
 
+    /// Returns whether waiting requests lack tokens that the ledger grants on demand, and it has
+    /// answered all that it was told of them.
+    fn lacks_anew(&mut self, now: Moment) -> bool {
+        if !self.bucket.is_on_demand() {
+            return false;
+        }
+        let asked = self.sent.as_ref().map_or(0, |(_, entry)| entry.lacking);
+        self.bucket.lacking(now) > asked
+    }
+
     /// Returns whether the demand has grown to more than twice of what was told.
     fn has_leapt(&self, now: Moment) -> bool {
+        if self.bucket.is_on_demand() {
+            return false;
+        }
         let told = self.told().map_or(0, |told| told.wanted);
         self.bucket.is_short(now) && self.bucket.wanted(now) > 2 * told + MILLI
     }
@@ -318,7 +335,11 @@
             return entry.wanted > 0 || !entry.base.is_empty() || entry.applied != entry.returned;
         };
         let step = acked.wanted / DEMAND_STEP_DIVISOR;
-        entry.wanted.abs_diff(acked.wanted) > step
+        let wants = match self.bucket.share().rate > 0 {
+            true => entry.wanted.abs_diff(acked.wanted) > step,
+            false => entry.lacking > 0,
+        };
+        wants
             || entry.base != acked.base
             || entry.applied != acked.applied
             || entry.returned != acked.returned
--- a/crates/daisyseam-coord/src/quota/split.rs
+++ b/crates/daisyseam-coord/src/quota/split.rs
@@ -10,6 +10,36 @@
 /// Time without a whole token of burst after which a holder goes before those that have one.
 const TURN_TIME: Duration = Duration::from_secs(1);
 
+/// Burst for each holder below which its share would hold no stock, in thousandths.
+const STOCK_MIN: u64 = 2 * MILLI;
+
+/// Rate for each holder below which a request would wait too long for the next token of its share,
+/// in thousandths a second.
+const RATE_MIN: u64 = 5 * MILLI;
+
+/// Burst for each holder with which its share serves requests at a lower rate than that, in
+/// thousandths.
+const SLOW_STOCK_MIN: u64 = 8 * MILLI;
+
+/// Part by which more holders are counted while tokens are granted on demand, so that a holder
+/// that comes or goes does not change the way back and forth; as a divisor.
+const MARGIN_DIVISOR: u64 = 2;
+
+/// Returns whether a rate is too thin over its holders to be of use in shares; `on_demand` says
+/// whether its tokens are granted on demand at present.
+pub(super) fn is_thin(total: RateShare, holders: usize, on_demand: bool) -> bool {
+    if holders <= 1 {
+        return false;
+    }
+    let holders = holders as u64;
+    let counted = match on_demand {
+        true => holders + holders / MARGIN_DIVISOR,
+        false => holders,
+    };
+    let slow = total.rate < RATE_MIN * counted;
+    total.burst < STOCK_MIN * counted || slow && total.burst < SLOW_STOCK_MIN * counted
+}
+
 /// What the split needs to know of one holder.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct SplitHolder {
--- a/crates/daisyseam-coord/tests/quota.rs
+++ b/crates/daisyseam-coord/tests/quota.rs
@@ -339,9 +339,14 @@
                 } else {
                     fleet.random.random_range(0..count)
                 };
-                if fleet.take(index) {
+                let admitted = fleet.take(index);
+                if admitted {
                     prop_assert!(ideal.take(now), "more was admitted than the whole allows");
                 }
+                fleet.entries[index].waiting = WaitingQueue {
+                    length: usize::from(!admitted),
+                    oldest: now,
+                };
             }
         }
     }
--- a/crates/daisyseam-member/src/gate/state.rs
+++ b/crates/daisyseam-member/src/gate/state.rs
@@ -117,10 +117,10 @@
         self.set.take(self.moment(now), key)
     }
 
-    /// Returns whether a share of a rate is held.
+    /// Returns whether tokens accrue here: otherwise only control can give some.
     pub(super) fn has_share(&mut self, now: Instant, key: &RateKey) -> bool {
         let now = self.moment(now);
-        !self.set.share(now, key).is_empty()
+        self.set.share(now, key).rate > 0
     }
 
     /// Returns the number of requests that wait for a token of a key.
--- a/crates/daisyseam-wire/src/share.rs
+++ b/crates/daisyseam-wire/src/share.rs
@@ -44,6 +44,9 @@
     /// Total of what has been given up for good.
     #[prost(message, optional, tag = "5")]
     pub returned: Option<WireShare>,
+    /// Tokens that waiting requests lack, in thousandths.
+    #[prost(uint64, tag = "6")]
+    pub lacking: u64,
 }
 
 /// What an instance says of its shares.
@@ -78,6 +81,9 @@
     /// Total that is to have been returned.
     #[prost(message, optional, tag = "3")]
     pub asked: Option<WireShare>,
+    /// Whether tokens are granted on demand.
+    #[prost(bool, tag = "4")]
+    pub on_demand: bool,
 }
 
 /// The ledger's answer to a report.
@@ -109,6 +115,7 @@
             base: present_share(entry.base),
             applied: present_total(entry.applied),
             returned: present_total(entry.returned),
+            lacking: entry.lacking,
         });
         Self {
             epoch: report.holding.epoch,
@@ -132,6 +139,7 @@
                 base: read_total(entry.base).share,
                 applied: read_total(entry.applied),
                 returned: read_total(entry.returned),
+                lacking: entry.lacking,
             })
         });
         Ok(ShareReport {
@@ -153,6 +161,7 @@
             key: grant.key.to_string(),
             granted: present_total(grant.granted),
             asked: present_share(grant.asked),
+            on_demand: grant.on_demand,
         });
         Self {
             epoch: reply.holding.epoch,
@@ -174,6 +183,7 @@
                 key: read_key(&grant.key)?,
                 granted: read_total(grant.granted),
                 asked: read_total(grant.asked).share,
+                on_demand: grant.on_demand,
             })
         });
         Ok(ShareReply {
--- a/crates/daisyseam-wire/tests/share.rs
+++ b/crates/daisyseam-wire/tests/share.rs
@@ -32,12 +32,13 @@
     #[test]
     fn a_report_survives(
         numbers in any::<(u64, u64, u64, bool)>(),
-        entries in prop::collection::vec((key(), any::<u64>(), total(), total(), total()), 0..4),
+        entries in prop::collection::vec((key(), any::<(u64, u64)>(), total(), total(), total()), 0..4),
     ) {
         let (epoch, number, sequence, leaving) = numbers;
-        let entries = entries.into_iter().map(|(key, wanted, base, applied, returned)| DemandEntry {
+        let entries = entries.into_iter().map(|(key, (wanted, lacking), base, applied, returned)| DemandEntry {
             key,
             wanted,
+            lacking,
             base: base.share,
             applied,
             returned,
@@ -51,13 +52,14 @@
     #[test]
     fn a_reply_survives(
         numbers in any::<(u64, u64, u64, bool)>(),
-        grants in prop::collection::vec((key(), total(), total()), 0..4),
+        grants in prop::collection::vec((key(), total(), total(), any::<bool>()), 0..4),
     ) {
         let (epoch, number, sequence, renewed) = numbers;
-        let grants = grants.into_iter().map(|(key, granted, asked)| GrantEntry {
+        let grants = grants.into_iter().map(|(key, granted, asked, on_demand)| GrantEntry {
             key,
             granted,
             asked: asked.share,
+            on_demand,
         });
         let holding = HoldingId { epoch, number };
         let reply = ShareReply { holding, sequence, renewed, grants: grants.collect() };
