Grow control to as many voters as the disks that may be lost at once ask for

Cause: the voters are the three seeds and stay three, whatever the deployment says it must bear. Two lost folders of three leave one voter, which is no majority, for good.

Ruled out: the vote after a start of all members (no vote can have three voters' answers), the spares' notices (they come, but no leader is left to take them in).

Change: the settings say how many folders may be lost at once; a leader takes spares in until there are twice as many voters and one, spread over regions as before. Sites that bear one loss keep three voters.

--- a/crates/daisyseam-bench/src/fleet/node.rs
+++ b/crates/daisyseam-bench/src/fleet/node.rs
@@ -276,6 +276,7 @@
             spare: false,
             seeds: Vec::new(),
             bootstrap: false,
+            tolerated_losses: 0,
             repair_after: REPAIR_AFTER,
             source: Some(self.source),
             metrics: None,
--- a/crates/daisyseam-control/src/core.rs
+++ b/crates/daisyseam-control/src/core.rs
@@ -78,6 +78,8 @@
     pub forget_after: Duration,
     /// Silence of a member before a spare replaces it.
     pub repair_after: Duration,
+    /// Least number of voters that there are to be, as far as there are instances.
+    pub voters_wanted: usize,
     /// Applied entries after which a snapshot is made.
     pub snapshot_every: u64,
     /// Bytes of applied entries after which a snapshot is made.
@@ -95,6 +97,7 @@
             promotion: PromotionSettings::default(),
             forget_after: Duration::from_millis(500),
             repair_after: Duration::from_secs(5),
+            voters_wanted: 0,
             snapshot_every: 4_096,
             snapshot_bytes: 4 << 20,
         }
--- a/crates/daisyseam-control/src/core/repair.rs
+++ b/crates/daisyseam-control/src/core/repair.rs
@@ -43,7 +43,7 @@
     fn wanted_change(&self, now: Moment) -> Option<MemberChange> {
         let members = self.log.members();
         let lost = self.lost_voter(now);
-        if members.voters.len() > members.wanted {
+        if members.voters.len() > self.wanted_voters() {
             let odd_one = lost.or_else(|| self.odd_voter());
             return odd_one.map(MemberChange::Remove);
         }
@@ -51,13 +51,19 @@
         if let Some(learner) = members.learners.keys().next() {
             return self.learner_change(now, learner, leaving.is_some());
         }
-        if leaving.is_none() && members.voters.len() == members.wanted {
+        if leaving.is_none() && members.voters.len() == self.wanted_voters() {
             return None;
         }
         let (name, address) = self.fit_spare(now, leaving.as_ref())?;
         Some(MemberChange::AddLearner(name, address))
     }
 
+    /// Returns how many voters there are to be.
+    fn wanted_voters(&self) -> usize {
+        let first = self.log.members().wanted;
+        first.max(self.settings.voters_wanted)
+    }
+
     fn learner_change(
         &self,
         now: Moment,
@@ -70,7 +76,7 @@
         if !there || self.is_replaced(now, learner) {
             return Some(MemberChange::Remove(learner.clone()));
         }
-        if !one_leaves && members.voters.len() == members.wanted {
+        if !one_leaves && members.voters.len() == self.wanted_voters() {
             // Whom it was to replace has come back.
             let known = !self.misses_places();
             return known.then(|| MemberChange::Remove(learner.clone()));
--- a/crates/daisyseam-control/src/settings.rs
+++ b/crates/daisyseam-control/src/settings.rs
@@ -65,6 +65,8 @@
     pub bootstrap: bool,
     /// Silence of a member before a spare replaces it.
     pub repair_after: Duration,
+    /// Folders that may be lost at once without loss of what was decided.
+    pub tolerated_losses: usize,
     /// Address that outgoing connections start from.
     pub source: Option<IpAddr>,
     /// Address that metrics are sent to.
@@ -115,6 +117,7 @@
             seeds,
             bootstrap,
             repair_after: SEED_REPAIR_AFTER,
+            tolerated_losses: 0,
             source: None,
             metrics: None,
             tuning: ControlTuning::wide_area(),
@@ -167,6 +170,9 @@
     /// wait to replace a lost member
     #[argh(switch)]
     pub spare: bool,
+    /// folders that may be lost at once, 0: spares become voters until there are twice as many and one
+    #[argh(option)]
+    pub tolerated_losses: Option<String>,
     /// address that outgoing connections start from
     #[argh(option)]
     pub source: Option<String>,
@@ -206,6 +212,7 @@
         let data_folder = reader.required("data-folder", self.data_folder);
         let members: Vec<MemberSetting> = reader.list("members", self.members);
         let spare = self.spare || reader.with_default("spare", None, false);
+        let tolerated_losses = reader.with_default("tolerated-losses", self.tolerated_losses, 0);
         let source = reader.optional("source", self.source);
         let metrics = reader.optional("metrics", self.metrics);
         let deadline = reader.millis("stop-deadline-ms", self.stop_deadline_ms, STOP_DEADLINE);
@@ -248,6 +255,7 @@
                 seeds: Vec::new(),
                 bootstrap: false,
                 repair_after: REPAIR_AFTER,
+                tolerated_losses,
                 source,
                 metrics,
                 tuning: ControlTuning::default(),
--- a/crates/daisyseam-control/tests/support/mod.rs
+++ b/crates/daisyseam-control/tests/support/mod.rs
@@ -121,6 +121,7 @@
         seeds: Vec::new(),
         bootstrap: false,
         repair_after: Duration::from_secs(2),
+        tolerated_losses: 0,
         source: None,
         metrics: None,
     }
--- a/crates/daisyseam-coord/src/log/members.rs
+++ b/crates/daisyseam-coord/src/log/members.rs
@@ -15,7 +15,7 @@
     pub voters: BTreeMap<InstanceId, SocketAddr>,
     /// Members that are sent the log but count only once they have caught up.
     pub learners: BTreeMap<InstanceId, SocketAddr>,
-    /// How many voters there are to be: as many as there were first.
+    /// How many voters there are to be at least: as many as there were first.
     pub wanted: usize,
 }
 
