Publish a member's new name and standing even where no status page is kept

Cause: the report that the spare's notices are made of is replaced only when leadership, leader, failure or status page changed. Without a status page (the platform's programs keep none) the new name never reached it, so each notice named the former member, and each answer said that it is out. With a status page the page hid the fault, which is why the tests did not see it. The class of fault: a comparison that leaves fields out.

Change: name and standing are compared too. The test a_member_that_was_replaced_and_serves_no_pages_can_be_taken_in_again failed before (not within 20 s) and passes now.

--- a/crates/daisyseam-control/src/node.rs
+++ b/crates/daisyseam-control/src/node.rs
@@ -126,7 +126,9 @@
 
 impl NodeReport {
     fn is_same(&self, other: &Self) -> bool {
-        self.leads == other.leads
+        self.me == other.me
+            && self.is_member == other.is_member
+            && self.leads == other.leads
             && self.leader == other.leader
             && self.failure == other.failure
             && Arc::ptr_eq(&self.status, &other.status)
--- a/crates/daisyseam-control/tests/members.rs
+++ b/crates/daisyseam-control/tests/members.rs
@@ -197,3 +197,32 @@
     }
     panic!("it still has its former name");
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_member_that_was_replaced_and_serves_no_pages_can_be_taken_in_again() {
+    let mut place = Place::start(4).await;
+    let accepted = submit(&place.addresses, "change-1", 0, DOCUMENT).await;
+    assert!(accepted.accepted);
+    let followers = place.daemons[..3].iter().flatten().enumerate();
+    let followers: Vec<usize> = followers
+        .filter(|(_, daemon)| !daemon.leads())
+        .map(|(number, _)| number)
+        .collect();
+    let (away, next) = (followers[0], followers[1]);
+    let lost = name(place.addresses[away]);
+    place.stop(away).await;
+    let replaced = |voters: &[String]| voters.len() == 3 && !voters.contains(&lost);
+    place.until("replaced", replaced).await;
+    let settings = ControlSettings {
+        http_listen: None,
+        ..place.settings(away, false)
+    };
+    let daemon = ControlDaemon::start(settings).await.expect("it starts");
+    place.daemons[away] = Some(daemon);
+    place.stop(next).await;
+    let taken_in = |voters: &[String]| {
+        let fresh = |voter: &String| voter.starts_with(&lost) && *voter != lost;
+        voters.len() == 3 && voters.iter().any(fresh)
+    };
+    place.until("taken in again", taken_in).await;
+}
