Let an instance use two connections where its share of a database is one or none

With fewer connections than entries each still had one, more in all than the database admits.

Ruled out: databases without room (no refusal for their limit was seen), slow databases.

Change: the share says what an instance keeps idle, none if the share is none; beyond it up to two may be in use, and the database decides whether it has room. One that comes back over the share is closed. Shares of two and more are as before.

The test a_transaction_does_not_keep_others_from_a_database_whose_connections_are_thin failed before (queue_full, both cases).

--- a/crates/daisyseam-engine/src/pool/upstream.rs
+++ b/crates/daisyseam-engine/src/pool/upstream.rs
@@ -1,8 +1,11 @@
 //! The connections to one database.
 
-use super::connection::{
-    DatabaseLink,
-    PooledConnection, //
+use super::{
+    connection::{
+        DatabaseLink,
+        PooledConnection, //
+    },
+    shares::ConnectionBudget, //
 };
 use crate::{
     DatabaseConnection,
@@ -45,7 +48,7 @@
     retired: bool,
     /// Whether nothing is kept idle.
     shut: bool,
-    budget: usize,
+    budget: ConnectionBudget,
     /// Most connections until a moment, after the database had no room for more.
     hold: Option<(usize, Instant)>,
     /// Places that are checked out: connections in use and those being opened.
@@ -91,7 +94,7 @@
 }
 
 impl<C: DatabaseConnection> UpstreamPool<C> {
-    pub(super) fn new(named: &UpstreamView, budget: usize) -> Self {
+    pub(super) fn new(named: &UpstreamView, budget: ConnectionBudget) -> Self {
         Self {
             address: named.address,
             born_ms: named.born_ms,
@@ -123,13 +126,13 @@
         }
     }
 
-    pub(super) fn set_budget(self: &Arc<Self>, budget: usize) {
+    pub(super) fn set_budget(self: &Arc<Self>, budget: ConnectionBudget) {
         let mut state = self.state.lock();
         if state.budget == budget {
             return;
         }
         state.budget = budget;
-        let keep = budget.saturating_sub(state.checked_out);
+        let keep = budget.kept.saturating_sub(state.checked_out);
         let surplus = state.idle.len().saturating_sub(keep);
         let surplus: Vec<_> = state.idle.drain(..surplus).collect();
         drop(state);
@@ -209,7 +212,7 @@
         link: DatabaseLink<C>,
     ) {
         let mut state = self.state.lock();
-        if state.retired || state.shut || state.used() > state.budget {
+        if state.retired || state.shut || state.used() > state.budget.kept {
             drop(state);
             // The connection is closed before its place can be given on.
             drop(link);
@@ -286,7 +289,8 @@
     /// Returns how many connections there may be at this moment.
     fn most(&self) -> usize {
         let held = self.held();
-        held.map_or(self.budget, |(most, _)| most.min(self.budget))
+        let most = self.budget.most;
+        held.map_or(most, |(others, _)| others.min(most))
     }
 
     /// Returns until when the database counts as without room for more.
--- a/crates/daisyseam-engine/tests/connections.rs
+++ b/crates/daisyseam-engine/tests/connections.rs
@@ -4,7 +4,8 @@
 
 use daisyseam_engine::{
     ConnectError,
-    RefusalKind, //
+    RefusalKind,
+    RequestVerb, //
 };
 use daisyseam_member::FleetObserver;
 use daisyseam_model::{
@@ -25,6 +26,7 @@
         read, //
     }, //
 };
+use test_case::test_case;
 use tokio::time::{
     Instant,
     sleep, //
@@ -194,3 +196,34 @@
     let answer = caller.answer().await;
     assert!(answer.outcome.is_ok(), "{answer:?}");
 }
+
+/// Starts a fleet of so many instances before databases that admit `slots` connections.
+async fn many(instances: usize, slots: usize) -> Fleet {
+    let mut fleet = Fleet::start(slots);
+    change(&mut fleet, |view| {
+        for index in 0..instances {
+            put(view, &format!("e-{index}"), 1);
+        }
+    })
+    .await;
+    fleet
+}
+
+#[test_case(62, 73, 1; "a share of one")]
+#[test_case(300, 170, 0; "fewer connections than instances")]
+#[tokio::test(start_paused = true)]
+async fn a_transaction_does_not_keep_others_from_a_database_whose_connections_are_thin(
+    instances: usize,
+    slots: usize,
+    kept: usize,
+) {
+    let fleet = many(instances, slots).await;
+    let mut resting = fleet.session("primary").await;
+    resting.ok(BEGIN).await;
+    resting.ok(read("read x")).await;
+    let mut other = fleet.session("primary").await;
+    other.ok(read("read x")).await;
+    resting.ok(RequestVerb::Commit).await;
+    // Idle connections of all instances together leave room for those in use.
+    assert_eq!(fleet.databases.at("p", |p| p.open), kept);
+}
