Pass over an update that starts from an earlier view instead of ending the connection

Cause: heartbeats are pipelined, since news, demand and each new view send one at once. Two of them name the same view; the first answer brings the next one, the second starts from the earlier view. That counted as a failure: the connection was closed, the handshake done anew and the whole view asked for, which makes the next crossing likelier. The class of fault: an expected crossing of messages is treated as an error, and the answer to it adds load.

Change: such an update is passed over together with its lease, and the next heartbeat names the view that is held. The test an_update_that_starts_from_an_earlier_view_does_not_end_the_connection failed before (connection closed).

--- a/crates/daisyseam-member/src/control_client/keeper.rs
+++ b/crates/daisyseam-member/src/control_client/keeper.rs
@@ -21,6 +21,16 @@
 use std::sync::Arc;
 use tokio::time::Instant;
 
+/// What became of an update.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum UpdateEnd {
+    /// Its view, or a newer one, is in force.
+    InForce,
+    /// It answers a heartbeat that named an earlier view than is in force by now; nothing changed,
+    /// and a lease that came with it is of no use.
+    Crossed,
+}
+
 /// Owns the view that is in force here, with the text of its document.
 pub(super) struct ViewKeeper<O> {
     cell: ViewCell,
@@ -86,10 +96,14 @@
     /// # Errors
     ///
     /// [`ConvertError`] when it does not fit; nothing is changed then.
-    pub(super) async fn apply(&mut self, update: &WireView) -> Result<(), ConvertError> {
-        if update.number <= self.view.number.0 {
+    pub(super) async fn apply(&mut self, update: &WireView) -> Result<UpdateEnd, ConvertError> {
+        let held = self.view.number.0;
+        if update.number <= held {
             self.whole_wanted = false;
-            return Ok(());
+            return Ok(UpdateEnd::InForce);
+        }
+        if update.since != 0 && update.since < held {
+            return Ok(UpdateEnd::Crossed);
         }
         let applied = update.apply(&self.view, &self.text);
         self.whole_wanted = applied.is_err();
@@ -103,7 +117,7 @@
             lease_until: self.cell.held().lease_until,
         });
         self.observer.apply(&self.view).await;
-        Ok(())
+        Ok(UpdateEnd::InForce)
     }
 
     /// Extends the lease on the view in force.
--- a/crates/daisyseam-member/src/control_client/session.rs
+++ b/crates/daisyseam-member/src/control_client/session.rs
@@ -2,7 +2,10 @@
 
 use super::{
     ClientSettings,
-    keeper::ViewKeeper, //
+    keeper::{
+        UpdateEnd,
+        ViewKeeper, //
+    },
 };
 use crate::FleetObserver;
 use daisyseam_model::Incarnation;
@@ -210,13 +213,14 @@
             self.keeper.learn_members(&self.settings.control, members);
         }
         if let Some(update) = &reply.update {
-            // Without the update the lease would be one on a view that is over.
-            self.keeper
-                .apply(update)
-                .await
-                .map_err(|error| SessionEnd::Failed(error.to_string()))?;
+            let applied = self.keeper.apply(update).await;
+            let end = applied.map_err(|error| SessionEnd::Failed(error.to_string()))?;
             // Control waits for the new number before it finishes a change.
             self.next_beat = Instant::now();
+            if end == UpdateEnd::Crossed {
+                // Without the update the lease would be one on a view that is over.
+                return Ok(());
+            }
         }
         if reply.lease_ms > 0 {
             let lease = Duration::from_millis(reply.lease_ms);
--- /dev/null
+++ b/crates/daisyseam-member/tests/updates.rs
@@ -0,0 +1,162 @@
+//! Updates of the view that cross the heartbeats of an instance.
+
+use daisyseam_member::{
+    ClientSettings,
+    ControlAddresses,
+    ControlClient,
+    FleetGate,
+    FleetObserver,
+    HEARTBEAT,
+    IncarnationCell,
+    ObserverReport,
+    ViewCell, //
+};
+use daisyseam_model::{
+    ClusterId,
+    FleetView,
+    ViewNumber, //
+};
+use daisyseam_runtime::{
+    Dialer,
+    StopSignal,
+    TimerService, //
+};
+use daisyseam_wire::{
+    ControlMessage,
+    Heartbeat,
+    HeartbeatReply,
+    MessageStream,
+    PeerSecurity,
+    Welcome,
+    WireView,
+    control_message::Body, //
+};
+use std::{
+    future::pending,
+    time::Duration, //
+};
+use tokio::{
+    net::{
+        TcpListener,
+        TcpStream, //
+    },
+    time::timeout, //
+};
+
+#[derive(Clone)]
+struct IdleObserver;
+
+impl FleetObserver for IdleObserver {
+    async fn apply(&self, _view: &FleetView) {}
+
+    async fn news(&self) {
+        pending().await
+    }
+
+    fn report(&self, _named: ViewNumber, _held: &FleetView) -> ObserverReport {
+        ObserverReport::default()
+    }
+
+    fn lease_begun(&self) {}
+
+    fn lease_ended(&self) {}
+}
+
+fn cluster() -> ClusterId {
+    ClusterId::new("shellrest").expect("a sound name")
+}
+
+fn client(control: ControlAddresses, cell: ViewCell) -> ControlClient {
+    let timer = TimerService::start();
+    ControlClient::start(ClientSettings {
+        cluster: cluster(),
+        instance: "entry-1".parse().expect("a sound name"),
+        data_centre: "khomas-1".parse().expect("a sound name"),
+        peer_address: "127.0.0.1:7400".parse().expect("an address"),
+        control,
+        heartbeat: HEARTBEAT,
+        incarnation: IncarnationCell::default(),
+        cell: cell.clone(),
+        observer: IdleObserver,
+        gate: FleetGate::new(cell, timer.clone()),
+        dialer: Dialer::default(),
+        security: PeerSecurity::plain(cluster()),
+        timer,
+        stop: StopSignal::new(),
+    })
+}
+
+/// The leader's side of one connection.
+struct LeaderStream(MessageStream<TcpStream, ControlMessage>);
+
+impl LeaderStream {
+    async fn accept(listener: &TcpListener) -> Self {
+        let (socket, _) = listener.accept().await.expect("it connects");
+        let mut stream = Self(MessageStream::new(socket, cluster()));
+        let handshake = stream.receive().await;
+        assert!(matches!(handshake, Body::Handshake(_)), "{handshake:?}");
+        stream.send(Body::Welcome(Welcome { incarnation: 7 })).await;
+        stream
+    }
+
+    async fn receive(&mut self) -> Body {
+        let message = timeout(Duration::from_secs(2), self.0.receive()).await;
+        let message = message.expect("it goes on on this connection");
+        message.expect("the connection stays").body.expect("a body")
+    }
+
+    async fn heartbeat(&mut self) -> Heartbeat {
+        match self.receive().await {
+            Body::Heartbeat(beat) => beat,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    async fn send(&mut self, body: Body) {
+        let message = ControlMessage { body: Some(body) };
+        self.0.send(&message).await.expect("the connection stays");
+    }
+
+    /// Answers a heartbeat with an update from the view that it named.
+    async fn update(&mut self, beat: &Heartbeat, number: u64) {
+        let update = WireView {
+            number,
+            since: beat.view,
+            ..WireView::default()
+        };
+        let reply = HeartbeatReply {
+            sequence: beat.sequence,
+            lease_ms: 1_000,
+            update: Some(update),
+            ..HeartbeatReply::default()
+        };
+        self.send(Body::HeartbeatReply(reply)).await;
+    }
+}
+
+#[tokio::test]
+async fn an_update_that_starts_from_an_earlier_view_does_not_end_the_connection() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let cell = ViewCell::new();
+    let _client = client(ControlAddresses::new(vec![address]), cell.clone());
+    let mut leader = LeaderStream::accept(&listener).await;
+    let first = leader.heartbeat().await;
+    assert_eq!(first.view, 0);
+    leader.update(&first, 1).await;
+    // Two heartbeats name the first view before the second one arrives.
+    let (one, other) = (leader.heartbeat().await, leader.heartbeat().await);
+    assert_eq!((one.view, other.view), (1, 1));
+    leader.update(&one, 2).await;
+    leader.update(&other, 3).await;
+    let mut beat = leader.heartbeat().await;
+    while beat.view < 2 {
+        beat = leader.heartbeat().await;
+    }
+    // It asks for what it lacks, not for the whole view.
+    assert_eq!(beat.view, 2);
+    assert_eq!(cell.held().view.number, ViewNumber(2));
+    leader.update(&beat, 3).await;
+    while leader.heartbeat().await.view != 3 {}
+    assert!(cell.valid().is_ok());
+}
