Split a rate at most every 50 ms, so that the leader's work does not grow with each report

Cause: each report made the ledger split every changed rate anew over all instances, 74 rates over 62 instances at some 1,000 reports a second, and all rates whenever an instance was new to it. The leader fell behind the answers of its own members, lost the lease about every 1.2 s, and each new leader's ledger grants nothing for one lease and is then flooded in turn. The class of fault: work a message that grows with the size of the fleet.

This is the root of the incident; tokens on demand hid it, as they need no split.

Ruled out: the network (no lost packets), the votes (each election succeeded within half a second), disks.

Change: targets are kept with the account and renewed at most every 50 ms; grants follow the last split.

--- a/crates/daisyseam-coord/src/quota/account.rs
+++ b/crates/daisyseam-coord/src/quota/account.rs
@@ -17,11 +17,17 @@
     }, //
 };
 use crate::Moment;
-use std::collections::BTreeMap;
+use std::{
+    collections::BTreeMap,
+    time::Duration, //
+};
 
 /// A share that lies nearer to its target than one part in so many is left as it is.
 const SLACK_DIVISOR: u64 = 20;
 
+/// Least time between two splits of one rate; in between, grants follow the last one.
+const SPLIT_EVERY: Duration = Duration::from_millis(50);
+
 /// The account of one rate.
 ///
 /// The free part is a bucket too: it accrues tokens, which go along when it is granted.
@@ -33,6 +39,8 @@
     pool: TokenStore,
     /// Whether nothing is split and tokens are granted to waiting requests.
     on_demand: bool,
+    /// Moment from which the rate may be split anew.
+    split_from: Moment,
     entries: BTreeMap<HolderId, AccountEntry>,
 }
 
@@ -44,6 +52,7 @@
             held: RateShare::default(),
             pool: TokenStore::starting_at(open_from),
             on_demand: false,
+            split_from: Moment::ORIGIN,
             entries: BTreeMap::new(),
         }
     }
@@ -68,6 +77,7 @@
     pub(super) fn set_total(&mut self, now: Moment, total: RateShare) {
         self.pool.advance(now, self.free());
         self.total = total;
+        self.split_from = now;
         self.pool.clamp(self.free());
     }
 
@@ -151,8 +161,19 @@
         }
     }
 
-    /// Grants what is free to the holder that is being answered, up to its target, and asks those
-    /// above theirs to return.
+    /// Returns whether the rate may be split anew.
+    pub(super) fn is_split_due(&self, now: Moment) -> bool {
+        now >= self.split_from
+    }
+
+    /// Grants what is free to the holder that is being answered, up to its part by the last split.
+    pub(super) fn grant_by_last_split(&mut self, now: Moment, answered: Option<&HolderId>) {
+        self.pool.advance(now, self.free());
+        self.grant(answered);
+    }
+
+    /// Splits the rate, grants what is free to the holder that is being answered, up to its target,
+    /// and asks those above theirs to return.
     ///
     /// What is free stays here, where it accrues tokens, until its holder can be told of it.
     /// `seats` lists all holders and whether each is leaving. Returns whether something is free
@@ -164,28 +185,14 @@
         answered: Option<&HolderId>,
     ) -> bool {
         self.pool.advance(now, self.free());
+        self.split_from = now + SPLIT_EVERY;
         self.seat(seats);
-        let holders: Vec<SplitHolder> = seats
-            .iter()
-            .filter_map(|(holder, leaving)| Some(self.entries.get(holder)?.split_view(*leaving)))
-            .collect();
-        let targets = split(self.total, &holders, now);
-        let seated = seats
-            .iter()
-            .filter(|(holder, _)| self.entries.contains_key(holder));
-        let targets: Vec<(HolderId, RateShare)> = seated
-            .map(|(holder, _)| holder.clone())
-            .zip(targets)
-            .collect();
-        let missing = self.missing(&targets);
-        let unmet = !missing.fits(self.free());
-        if let Some((holder, target)) = targets.iter().find(|(holder, _)| Some(holder) == answered)
-        {
-            self.grant(holder, *target);
-        }
-        self.ask(&targets, unmet);
+        self.set_targets(now, seats);
+        let unmet = !self.missing().fits(self.free());
+        self.grant(answered);
+        self.ask(unmet);
         let free = self.free();
-        let missing = self.missing(&targets);
+        let missing = self.missing();
         let mut waits = missing.rate.min(free.rate) > 0 || missing.burst.min(free.burst) > 0;
         for entry in self.entries.values_mut() {
             waits |= entry.note_turn(now);
@@ -193,6 +200,24 @@
         waits
     }
 
+    /// Splits the whole among the holders that have an entry.
+    fn set_targets(&mut self, now: Moment, seats: &[(HolderId, bool)]) {
+        let seated = seats.iter().filter_map(|(holder, leaving)| {
+            let entry = self.entries.get(holder)?;
+            Some((holder, entry.split_view(*leaving)))
+        });
+        let (seated, views): (Vec<&HolderId>, Vec<SplitHolder>) = seated.unzip();
+        let targets = split(self.total, &views, now);
+        for entry in self.entries.values_mut() {
+            entry.target = None;
+        }
+        for (holder, target) in seated.into_iter().zip(targets) {
+            if let Some(entry) = self.entries.get_mut(holder) {
+                entry.target = Some(target);
+            }
+        }
+    }
+
     /// Gives each holder an entry if the burst has room for a token of each.
     fn seat(&mut self, seats: &[(HolderId, bool)]) {
         let staying = seats.iter().filter(|(_, leaving)| !leaving);
@@ -207,20 +232,18 @@
     }
 
     /// Returns what all holders lack to their targets.
-    fn missing(&self, targets: &[(HolderId, RateShare)]) -> RateShare {
-        let needs = targets
-            .iter()
-            .map(|(holder, target)| self.entries[holder].need(*target));
+    fn missing(&self) -> RateShare {
+        let needs = self.entries.values().map(AccountEntry::need);
         needs.fold(RateShare::default(), |sum, need| sum.plus(need))
     }
 
     /// Hands a holder what it lacks of its target, as far as that is free.
-    fn grant(&mut self, holder: &HolderId, target: RateShare) {
+    fn grant(&mut self, holder: Option<&HolderId>) {
         let free = self.free();
-        let Some(entry) = self.entries.get_mut(holder) else {
+        let Some(entry) = holder.and_then(|holder| self.entries.get_mut(holder)) else {
             return;
         };
-        let need = entry.need(target);
+        let need = entry.need();
         let share = RateShare {
             rate: need.rate.min(free.rate),
             burst: need.burst.min(free.burst),
@@ -238,17 +261,18 @@
         );
     }
 
-    fn ask(&mut self, targets: &[(HolderId, RateShare)], unmet: bool) {
+    fn ask(&mut self, unmet: bool) {
         let over = !self.held.fits(self.total);
-        for (holder, target) in targets {
-            if let Some(entry) = self.entries.get_mut(holder) {
-                let part = match (over, unmet) {
-                    (true, _) => entry.share().saturating_sub(*target),
-                    (false, true) => entry.surplus(*target),
-                    (false, false) => RateShare::default(),
-                };
-                entry.asked = entry.returned.share.plus(part);
-            }
+        for entry in self.entries.values_mut() {
+            let Some(target) = entry.target else {
+                continue;
+            };
+            let part = match (over, unmet) {
+                (true, _) => entry.share().saturating_sub(target),
+                (false, true) => entry.surplus(target),
+                (false, false) => RateShare::default(),
+            };
+            entry.asked = entry.returned.share.plus(part);
         }
     }
 
@@ -268,6 +292,8 @@
     applied: TransferTotal,
     returned: TransferTotal,
     asked: RateShare,
+    /// Its part by the last split; none if it had none then.
+    target: Option<RateShare>,
     without_since: Option<Moment>,
 }
 
@@ -281,6 +307,7 @@
             applied: TransferTotal::default(),
             returned: TransferTotal::default(),
             asked: RateShare::default(),
+            target: None,
             without_since: None,
         }
     }
@@ -302,8 +329,9 @@
     }
 
     /// Returns what is missing to the target, if it matters.
-    fn need(&self, target: RateShare) -> RateShare {
+    fn need(&self) -> RateShare {
         let share = self.share();
+        let target = self.target.unwrap_or_default();
         let part = |have: u64, want: u64| {
             let missing = want.saturating_sub(have);
             let matters = missing > want / SLACK_DIVISOR;
--- a/crates/daisyseam-coord/src/quota/ledger.rs
+++ b/crates/daisyseam-coord/src/quota/ledger.rs
@@ -177,13 +177,18 @@
             let Some(account) = self.accounts.get_mut(&key) else {
                 continue;
             };
-            if account.is_on_demand(staying) {
+            let is_done = if account.is_on_demand(staying) {
                 account.grant_tokens(now, answered);
-            } else {
+                true
+            } else if account.is_split_due(now) {
                 let seats = seats.get_or_insert_with(|| list_seats(&self.holders));
-                if account.rebalance(now, seats, answered) {
-                    self.dirty.insert(key.clone());
-                }
+                !account.rebalance(now, seats, answered)
+            } else {
+                account.grant_by_last_split(now, answered);
+                false
+            };
+            if !is_done {
+                self.dirty.insert(key.clone());
             }
             if account.is_closed() {
                 self.accounts.remove(&key);
