--- a/crates/daisyseam-coord/src/quota/ledger.rs
+++ b/crates/daisyseam-coord/src/quota/ledger.rs
@@ -60,6 +60,7 @@
     leases: BTreeSet<(Moment, HolderId)>,
     accounts: BTreeMap<RateKey, Account>,
     dirty: BTreeSet<RateKey>,
+    splits: u64,
 }
 
 impl QuotaLedger {
@@ -76,6 +77,7 @@
             leases: BTreeSet::new(),
             accounts: BTreeMap::new(),
             dirty: BTreeSet::new(),
+            splits: 0,
         }
     }
 
@@ -181,6 +183,7 @@
                 account.grant_tokens(now, answered);
                 true
             } else if account.is_split_due(now) {
+                self.splits += 1;
                 let seats = seats.get_or_insert_with(|| list_seats(&self.holders));
                 !account.rebalance(now, seats, answered)
             } else {
@@ -210,6 +213,11 @@
         account.map(Account::held).unwrap_or_default()
     }
 
+    /// Returns how many times a rate has been split over all holders.
+    pub fn splits(&self) -> u64 {
+        self.splits
+    }
+
     /// Returns the number of holders whose lease has not run out.
     pub fn holders(&self) -> usize {
         self.holders.len()
--- a/crates/daisyseam-coord/tests/quota.rs
+++ b/crates/daisyseam-coord/tests/quota.rs
@@ -587,3 +587,27 @@
     assert!(!fleet.take(0));
     assert_eq!(fleet.rate_of(0), 0);
 }
+
+/// Each split costs work for every holder, so that their number must not follow the reports.
+#[test]
+fn the_number_of_splits_does_not_grow_with_the_number_of_reports() {
+    const SECONDS: u64 = 4;
+    let total = RateShare::from_document(2_000.0, 1_000.0);
+    let mut fleet = Fleet::new(40, total, CALM, 10);
+    fleet.run_until(millis(2_000));
+    let before = fleet.ledger.as_ref().unwrap().splits();
+    for step in 0..SECONDS * 100 {
+        fleet.run_until(millis(2_000 + step * 10));
+        for index in 0..40 {
+            fleet.entries[index].waiting = WaitingQueue {
+                length: usize::from((step + index as u64).is_multiple_of(7)) * 30,
+                oldest: fleet.now,
+            };
+            fleet.take(index);
+        }
+    }
+    let ledger = fleet.ledger.as_ref().unwrap();
+    let splits = ledger.splits() - before;
+    // Twenty a second at the most, while 40 holders report five times a second and more.
+    assert!(splits <= SECONDS * 20 + 1, "{splits}");
+}
