Let an instance keep one token of a thin rate for its next request

Cause: tokens on demand need a leader of control for each request, so that a lost leader refuses all organisations for a second and a half, where a share outlives it.

Tokens in stock count as held as all others do.

--- a/crates/daisyseam-coord/src/quota.rs
+++ b/crates/daisyseam-coord/src/quota.rs
@@ -40,6 +40,10 @@
 /// thousandths of a statement.
 pub const MILLI: u64 = 1_000;
 
+/// Unused tokens of a rate without shares that an instance may keep for its next requests, in
+/// thousandths.
+const STOCK: u64 = MILLI;
+
 /// Who a rate belongs to.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub enum RateKey {
--- a/crates/daisyseam-coord/src/quota/account.rs
+++ b/crates/daisyseam-coord/src/quota/account.rs
@@ -7,6 +7,7 @@
     MILLI,
     RateKey,
     RateShare,
+    STOCK,
     TransferTotal,
     bucket::TokenStore,
     split::{
@@ -130,7 +131,8 @@
         self.on_demand
     }
 
-    /// Grants the waiting requests of the holder that is being answered the tokens that they lack.
+    /// Grants the waiting requests of the holder that is being answered the tokens that they lack,
+    /// and one for its next request while half of the burst is left.
     ///
     /// The whole rate accrues here; shares that are still out are asked back.
     pub(super) fn grant_tokens(&mut self, now: Moment, answered: Option<&HolderId>) {
@@ -144,7 +146,12 @@
         let lacking = std::mem::take(&mut entry.lacking);
         // What was granted before may not have arrived yet.
         let needed = lacking.saturating_sub(entry.share().burst);
-        let tokens = needed.min(self.pool.whole_milli()) / MILLI * MILLI;
+        let there = self.pool.whole_milli();
+        let mut tokens = needed.min(there) / MILLI * MILLI;
+        if entry.share().burst + tokens < lacking + STOCK && there - tokens >= self.total.burst / 2
+        {
+            tokens += STOCK.min((there - tokens) / MILLI * MILLI);
+        }
         entry.granted.share.burst += tokens;
         entry.granted.tokens += tokens;
         self.held.burst += tokens;
--- a/crates/daisyseam-coord/src/quota/bucket.rs
+++ b/crates/daisyseam-coord/src/quota/bucket.rs
@@ -6,6 +6,7 @@
     MILLI,
     RateKey,
     RateShare,
+    STOCK,
     TransferTotal,
     demand::{
         DemandMeter,
@@ -201,12 +202,12 @@
         waiting.saturating_sub(self.tokens.whole_milli() / MILLI * MILLI)
     }
 
-    /// Returns what no waiting request needs.
+    /// Returns what neither a waiting request nor the next one needs.
     pub(super) fn surrender_spare(&mut self, now: Moment) {
         self.tokens.advance(now, self.share());
         let held = self.share();
         let waiting = self.waiting.length as u64 * MILLI;
-        let needed = waiting.min(self.tokens.whole_milli() / MILLI * MILLI);
+        let needed = (waiting + STOCK).min(self.tokens.whole_milli() / MILLI * MILLI);
         let spare = RateShare {
             rate: held.rate,
             burst: held.burst.saturating_sub(needed),
