--- a/crates/daisyseam-member/tests/search.rs
+++ b/crates/daisyseam-member/tests/search.rs
@@ -1,38 +1,25 @@
 //! Control is found although most addresses of the settings are dead.
 
+mod client_support;
+
+use crate::client_support::{
+    client,
+    cluster, //
+};
 use daisyseam_member::{
-    ClientSettings,
     ControlAddresses,
-    ControlClient,
-    FleetGate,
-    FleetObserver,
-    HEARTBEAT,
-    IncarnationCell,
-    ObserverReport,
     ViewCell, //
 };
-use daisyseam_model::{
-    ClusterId,
-    FleetView,
-    ViewNumber, //
-};
-use daisyseam_runtime::{
-    Dialer,
-    StopSignal,
-    TimerService, //
-};
 use daisyseam_wire::{
     ControlMembers,
     ControlMessage,
     HeartbeatReply,
     MessageStream,
     NotLeader,
-    PeerSecurity,
     Welcome,
     control_message::Body, //
 };
 use std::{
-    future::pending,
     net::SocketAddr,
     time::{
         Duration,
@@ -44,29 +31,6 @@
     TcpStream, //
 };
 
-#[derive(Clone)]
-struct IdleObserver;
-
-impl FleetObserver for IdleObserver {
-    async fn apply(&self, _view: &FleetView) {}
-
-    async fn news(&self) {
-        pending().await
-    }
-
-    fn report(&self, _named: ViewNumber, _held: &FleetView) -> ObserverReport {
-        ObserverReport::default()
-    }
-
-    fn lease_begun(&self) {}
-
-    fn lease_ended(&self) {}
-}
-
-fn cluster() -> ClusterId {
-    ClusterId::new("shellrest").expect("a sound name")
-}
-
 /// What a control instance answers.
 #[derive(Clone)]
 enum Part {
@@ -125,26 +89,6 @@
     }
 }
 
-fn client(control: ControlAddresses, cell: ViewCell) -> ControlClient {
-    let timer = TimerService::start();
-    ControlClient::start(ClientSettings {
-        cluster: cluster(),
-        instance: "entry-1".parse().expect("a sound name"),
-        data_centre: "khomas-1".parse().expect("a sound name"),
-        peer_address: "127.0.0.1:7400".parse().expect("an address"),
-        control,
-        heartbeat: HEARTBEAT,
-        incarnation: IncarnationCell::default(),
-        cell: cell.clone(),
-        observer: IdleObserver,
-        gate: FleetGate::new(cell, timer.clone()),
-        dialer: Dialer::default(),
-        security: PeerSecurity::plain(cluster()),
-        timer,
-        stop: StopSignal::new(),
-    })
-}
-
 async fn until_valid(cell: &ViewCell, limit: Duration) {
     let begun = Instant::now();
     while cell.valid().is_err() {
--- a/crates/daisyseam-member/tests/updates.rs
+++ b/crates/daisyseam-member/tests/updates.rs
@@ -1,40 +1,26 @@
 //! Updates of the view that cross the heartbeats of an instance.
 
+mod client_support;
+
+use crate::client_support::{
+    client,
+    cluster, //
+};
 use daisyseam_member::{
-    ClientSettings,
     ControlAddresses,
-    ControlClient,
-    FleetGate,
-    FleetObserver,
-    HEARTBEAT,
-    IncarnationCell,
-    ObserverReport,
     ViewCell, //
 };
-use daisyseam_model::{
-    ClusterId,
-    FleetView,
-    ViewNumber, //
-};
-use daisyseam_runtime::{
-    Dialer,
-    StopSignal,
-    TimerService, //
-};
+use daisyseam_model::ViewNumber;
 use daisyseam_wire::{
     ControlMessage,
     Heartbeat,
     HeartbeatReply,
     MessageStream,
-    PeerSecurity,
     Welcome,
     WireView,
     control_message::Body, //
 };
-use std::{
-    future::pending,
-    time::Duration, //
-};
+use std::time::Duration;
 use tokio::{
     net::{
         TcpListener,
@@ -43,49 +29,6 @@
     time::timeout, //
 };
 
-#[derive(Clone)]
-struct IdleObserver;
-
-impl FleetObserver for IdleObserver {
-    async fn apply(&self, _view: &FleetView) {}
-
-    async fn news(&self) {
-        pending().await
-    }
-
-    fn report(&self, _named: ViewNumber, _held: &FleetView) -> ObserverReport {
-        ObserverReport::default()
-    }
-
-    fn lease_begun(&self) {}
-
-    fn lease_ended(&self) {}
-}
-
-fn cluster() -> ClusterId {
-    ClusterId::new("shellrest").expect("a sound name")
-}
-
-fn client(control: ControlAddresses, cell: ViewCell) -> ControlClient {
-    let timer = TimerService::start();
-    ControlClient::start(ClientSettings {
-        cluster: cluster(),
-        instance: "entry-1".parse().expect("a sound name"),
-        data_centre: "khomas-1".parse().expect("a sound name"),
-        peer_address: "127.0.0.1:7400".parse().expect("an address"),
-        control,
-        heartbeat: HEARTBEAT,
-        incarnation: IncarnationCell::default(),
-        cell: cell.clone(),
-        observer: IdleObserver,
-        gate: FleetGate::new(cell, timer.clone()),
-        dialer: Dialer::default(),
-        security: PeerSecurity::plain(cluster()),
-        timer,
-        stop: StopSignal::new(),
-    })
-}
-
 /// The leader's side of one connection.
 struct LeaderStream(MessageStream<TcpStream, ControlMessage>);
 
