--- a/crates/daisyseam-coord/src/quota.rs
+++ b/crates/daisyseam-coord/src/quota.rs
@@ -6,8 +6,8 @@
 //! sum of all shares never exceeds the whole. Tokens move with burst and are never made by a
 //! move, so that all buckets together admit no more than one bucket of the whole rate and burst.
 //!
-//! A rate that is thin over the fleet is not split: its tokens accrue at the ledger, which grants
-//! them to waiting requests one by one.
+//! A rate that is too small for the number of instances is not split: its tokens accrue at the
+//! ledger, which grants them to waiting requests on demand.
 //!
 //! Grants and returns are totals since the start of a *holding*, never differences: messages may
 //! be lost, doubled or reordered.
@@ -42,7 +42,7 @@
 
 /// Unused tokens of a rate without shares that an instance may keep for its next requests, in
 /// thousandths.
-const STOCK: u64 = MILLI;
+const TOKEN_RESERVE: u64 = MILLI;
 
 /// Who a rate belongs to.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
--- a/crates/daisyseam-coord/src/quota/account.rs
+++ b/crates/daisyseam-coord/src/quota/account.rs
@@ -7,12 +7,12 @@
     MILLI,
     RateKey,
     RateShare,
-    STOCK,
+    TOKEN_RESERVE,
     TransferTotal,
     bucket::TokenStore,
     split::{
         SplitHolder,
-        is_thin,
+        is_too_small_to_split,
         scale,
         split, //
     }, //
@@ -127,7 +127,7 @@
 
     /// Returns whether tokens are granted on demand among so many holders.
     pub(super) fn is_on_demand(&mut self, holders: usize) -> bool {
-        self.on_demand = is_thin(self.total, holders, self.on_demand);
+        self.on_demand = is_too_small_to_split(self.total, holders, self.on_demand);
         self.on_demand
     }
 
@@ -148,9 +148,10 @@
         let needed = lacking.saturating_sub(entry.share().burst);
         let there = self.pool.whole_milli();
         let mut tokens = needed.min(there) / MILLI * MILLI;
-        if entry.share().burst + tokens < lacking + STOCK && there - tokens >= self.total.burst / 2
+        if entry.share().burst + tokens < lacking + TOKEN_RESERVE
+            && there - tokens >= self.total.burst / 2
         {
-            tokens += STOCK.min((there - tokens) / MILLI * MILLI);
+            tokens += TOKEN_RESERVE.min((there - tokens) / MILLI * MILLI);
         }
         entry.granted.share.burst += tokens;
         entry.granted.tokens += tokens;
--- a/crates/daisyseam-coord/src/quota/bucket.rs
+++ b/crates/daisyseam-coord/src/quota/bucket.rs
@@ -6,7 +6,7 @@
     MILLI,
     RateKey,
     RateShare,
-    STOCK,
+    TOKEN_RESERVE,
     TransferTotal,
     demand::{
         DemandMeter,
@@ -207,7 +207,7 @@
         self.tokens.advance(now, self.share());
         let held = self.share();
         let waiting = self.waiting.length as u64 * MILLI;
-        let needed = (waiting + STOCK).min(self.tokens.whole_milli() / MILLI * MILLI);
+        let needed = (waiting + TOKEN_RESERVE).min(self.tokens.whole_milli() / MILLI * MILLI);
         let spare = RateShare {
             rate: held.rate,
             burst: held.burst.saturating_sub(needed),
--- a/crates/daisyseam-coord/src/quota/split.rs
+++ b/crates/daisyseam-coord/src/quota/split.rs
@@ -10,24 +10,25 @@
 /// Time without a whole token of burst after which a holder goes before those that have one.
 const TURN_TIME: Duration = Duration::from_secs(1);
 
-/// Burst for each holder below which its share would hold no stock, in thousandths.
-const STOCK_MIN: u64 = 2 * MILLI;
+/// Burst for each holder below which a rate is not split, in thousandths: a share could not serve two
+/// requests in a row.
+const SHARE_BURST_MIN: u64 = 2 * MILLI;
 
 /// Rate for each holder below which a request would wait too long for the next token of its share,
 /// in thousandths a second.
-const RATE_MIN: u64 = 5 * MILLI;
+const SHARE_RATE_MIN: u64 = 5 * MILLI;
 
-/// Burst for each holder with which its share serves requests at a lower rate than that, in
+/// Burst for each holder with which a share serves requests at a lower rate than that, in
 /// thousandths.
-const SLOW_STOCK_MIN: u64 = 8 * MILLI;
+const SLOW_SHARE_BURST_MIN: u64 = 8 * MILLI;
 
 /// Part by which more holders are counted while tokens are granted on demand, so that a holder
 /// that comes or goes does not change the way back and forth; as a divisor.
 const MARGIN_DIVISOR: u64 = 2;
 
-/// Returns whether a rate is too thin over its holders to be of use in shares; `on_demand` says
+/// Returns whether a rate is too small for its holders to be of use in shares; `on_demand` says
 /// whether its tokens are granted on demand at present.
-pub(super) fn is_thin(total: RateShare, holders: usize, on_demand: bool) -> bool {
+pub(super) fn is_too_small_to_split(total: RateShare, holders: usize, on_demand: bool) -> bool {
     if holders <= 1 {
         return false;
     }
@@ -36,8 +37,8 @@
         true => holders + holders / MARGIN_DIVISOR,
         false => holders,
     };
-    let slow = total.rate < RATE_MIN * counted;
-    total.burst < STOCK_MIN * counted || slow && total.burst < SLOW_STOCK_MIN * counted
+    let slow = total.rate < SHARE_RATE_MIN * counted;
+    total.burst < SHARE_BURST_MIN * counted || slow && total.burst < SLOW_SHARE_BURST_MIN * counted
 }
 
 /// What the split needs to know of one holder.
--- a/crates/daisyseam-engine/tests/connections.rs
+++ b/crates/daisyseam-engine/tests/connections.rs
@@ -212,7 +212,7 @@
 #[test_case(62, 73, 1; "a share of one")]
 #[test_case(300, 170, 0; "fewer connections than instances")]
 #[tokio::test(start_paused = true)]
-async fn a_transaction_does_not_keep_others_from_a_database_whose_connections_are_thin(
+async fn a_transaction_does_not_keep_others_from_a_database_with_few_connections(
     instances: usize,
     slots: usize,
     kept: usize,
--- a/crates/daisyseam-member/tests/fleet_rates.rs
+++ b/crates/daisyseam-member/tests/fleet_rates.rs
@@ -157,7 +157,7 @@
 #[test_case(4.0, 3.0, 1.0; "a small organisation")]
 #[test_case(160.0, 135.0, 85.0; "a large organisation")]
 #[tokio::test(start_paused = true)]
-async fn requests_within_a_rate_that_is_thin_over_the_fleet_are_not_refused(
+async fn requests_within_a_rate_that_is_too_small_to_split_over_the_fleet_are_not_refused(
     rate: f64,
     burst: f64,
     demand: f64,
