--- a/crates/daisyseam-coord/src/quota.rs
+++ b/crates/daisyseam-coord/src/quota.rs
@@ -210,7 +210,8 @@
     pub granted: TransferTotal,
     /// Total that the holder is asked to have returned.
     pub asked: RateShare,
-    /// Whether tokens are granted on demand: what no waiting request needs is returned.
+    /// Whether tokens are granted on demand: what is spent, and all but a reserve of what no request
+    /// waits for, is returned with each report.
     pub on_demand: bool,
 }
 
--- a/crates/daisyseam-coord/src/quota/account.rs
+++ b/crates/daisyseam-coord/src/quota/account.rs
@@ -125,8 +125,8 @@
         })
     }
 
-    /// Returns whether tokens are granted on demand among so many holders.
-    pub(super) fn is_on_demand(&mut self, holders: usize) -> bool {
+    /// Decides whether tokens are granted on demand among so many holders, and returns it.
+    pub(super) fn choose_mode(&mut self, holders: usize) -> bool {
         self.on_demand = is_too_small_to_split(self.total, holders, self.on_demand);
         self.on_demand
     }
--- a/crates/daisyseam-coord/src/quota/bucket.rs
+++ b/crates/daisyseam-coord/src/quota/bucket.rs
@@ -113,7 +113,7 @@
     returned: TransferTotal,
     /// Total of what is to be returned; handed over with the next report.
     asked: RateShare,
-    /// Whether what no waiting request needs is returned with each report.
+    /// Whether tokens are granted on demand; then spare ones are returned with each report.
     on_demand: bool,
     tokens: TokenStore,
     demand: DemandMeter,
@@ -202,7 +202,7 @@
         waiting.saturating_sub(self.tokens.whole_milli() / MILLI * MILLI)
     }
 
-    /// Returns what neither a waiting request nor the next one needs.
+    /// Returns what is spent, and tokens that neither a waiting request nor the next one needs.
     pub(super) fn surrender_spare(&mut self, now: Moment) {
         self.tokens.advance(now, self.share());
         let held = self.share();
--- a/crates/daisyseam-coord/src/quota/ledger.rs
+++ b/crates/daisyseam-coord/src/quota/ledger.rs
@@ -179,7 +179,7 @@
             let Some(account) = self.accounts.get_mut(&key) else {
                 continue;
             };
-            let is_done = if account.is_on_demand(staying) {
+            let is_done = if account.choose_mode(staying) {
                 account.grant_tokens(now, answered);
                 true
             } else if account.is_split_due(now) {
--- a/crates/daisyseam-entry/src/daemon.rs
+++ b/crates/daisyseam-entry/src/daemon.rs
@@ -170,7 +170,7 @@
             timer: timer.clone(),
             metrics: metrics.clone(),
         });
-        let gate = FleetGate::new(cell.clone(), timer.clone());
+        let gate = FleetGate::with_metrics(cell.clone(), timer.clone(), metrics.clone());
         let acceptor = security.callers.as_ref().map(CallerCertificate::acceptor);
         let acceptor = acceptor.transpose().map_err(StartError::Security)?;
         let callers = CallerServer::start(
