Let the first holder of a rate have its share at once

Cause: the bound on splits of one in 50 ms also began with the split that a new ledger makes while it has no holder, so the first holder was answered by a split in which it had no part and waited for its next report.

Change: a split among no holders does not begin the time. A holder that joins others within 50 ms of a split still gets its share with its next report.

The two tests failed before and pass now; tests/quota.rs passes.

--- a/crates/daisyseam-coord/src/quota/account.rs
+++ b/crates/daisyseam-coord/src/quota/account.rs
@@ -193,7 +193,10 @@
         answered: Option<&HolderId>,
     ) -> bool {
         self.pool.advance(now, self.free());
-        self.split_from = now + SPLIT_EVERY;
+        if !seats.is_empty() {
+            // A split among nobody costs nothing, and the first holder need not wait after it.
+            self.split_from = now + SPLIT_EVERY;
+        }
         self.seat(seats);
         self.set_targets(now, seats);
         let unmet = !self.missing().fits(self.free());
