Let few instances hold the connections of a database that admits too few for all

Ruled out: processor time (entries 0.004 of a core) and control (0.007 of a core).

Change: where the even share is below three, the three first instances in a rendezvous order over the view, in the database's data centre, hold 60, 20 and 10 percent of its connections, and the others relay their calls to the first one that responds. A share rises only 4 s after its former owner has gone, so that the sum stays within the limit; a restarted instance is passed over as long. The fence of a call is checked at the caller's instance and again at the holder, immediately before the call is sent. A link that breaks after a call was sent leaves the outcome unknown. A holder that does not respond is found by a ping within 400 ms.

Tests: crates/daisyseam-engine/tests/relay.rs, pool/shares/tests.rs, crates/daisyseam-coord/tests/membership.rs.

--- a/crates/daisyseam-coord/src/membership.rs
+++ b/crates/daisyseam-coord/src/membership.rs
@@ -1,6 +1,10 @@
 //! Assignment of databases to the instances that hold their connections.
 //!
-//! Each database has one holder, in its own data centre if an instance is available there. A holder
+//! There are two ways. [`wanted_holders`] is for control, which assigns one holder to each database.
+//! [`ranked_holders`] needs no assignment: every instance derives the same order of holders from the
+//! view, and uses the next one while the first does not respond.
+//!
+//! With [`wanted_holders`] each database has one holder, in its own data centre if an instance is available there. A holder
 //! is kept as long as it is eligible. A new holder is the least loaded instance; ties are broken by
 //! rendezvous hashing of the names, so that every control member makes the same choice.
 //!
@@ -17,10 +21,62 @@
     DataCentreId,
     FleetView,
     InstanceId,
+    InstanceView,
+    RegionId,
     UpstreamId, //
 };
+use smallvec::SmallVec;
 use std::collections::BTreeMap;
 
+/// Number of instances that hold connections to one database in [`ranked_holders`].
+pub const RANKED_HOLDERS: usize = 3;
+
+/// Returns the instances that hold connections to a database, most preferred first.
+///
+/// Instances in the database's data centre come first, then others in its region; among equally
+/// near ones the order is by rendezvous hashing, so that the loss of an instance changes the order
+/// of no others. Instances that are leaving or that `is_eligible` rejects are left out.
+pub fn ranked_holders<'a>(
+    view: &'a FleetView,
+    upstream: &UpstreamId,
+    data_centre: &DataCentreId,
+    is_eligible: impl Fn(&InstanceId, &InstanceView) -> bool,
+) -> SmallVec<[&'a InstanceId; RANKED_HOLDERS]> {
+    let home = region(view, data_centre);
+    let candidates = view.instances.iter().filter_map(|(name, instance)| {
+        let is_same = instance.data_centre == *data_centre;
+        let is_near = is_same || home.is_some() && region(view, &instance.data_centre) == home;
+        let usable = is_near && !instance.leaving && is_eligible(name, instance);
+        usable.then(|| ((!is_same, mixed_rank(upstream, name)), name))
+    });
+    let mut best: SmallVec<[_; RANKED_HOLDERS + 1]> = SmallVec::new();
+    for candidate in candidates {
+        let index = best.partition_point(|(key, _)| *key < candidate.0);
+        if index < RANKED_HOLDERS {
+            best.insert(index, candidate);
+            best.truncate(RANKED_HOLDERS);
+        }
+    }
+    best.into_iter().map(|(_, name)| name).collect()
+}
+
+fn region<'a>(view: &'a FleetView, data_centre: &DataCentreId) -> Option<&'a RegionId> {
+    let document = view.document.as_ref()?;
+    let entry = document.data_centres.get(data_centre)?;
+    Some(&entry.region)
+}
+
+/// Ranks an instance for a database. The bits of the hash are mixed once more, because the low
+/// avalanche of FNV-1a would give the same order of instances for most databases.
+fn mixed_rank(upstream: &UpstreamId, instance: &InstanceId) -> u64 {
+    const MULTIPLIERS: [u64; 2] = [0xff51_afd7_ed55_8ccd, 0xc4ce_b9fe_1a85_ec53];
+    let hash = rendezvous_rank(upstream, instance);
+    let mixed = MULTIPLIERS.iter().fold(hash, |hash, multiplier| {
+        (hash ^ (hash >> 33)).wrapping_mul(*multiplier)
+    });
+    mixed ^ (mixed >> 33)
+}
+
 /// Returns the holder that each database should have.
 pub fn wanted_holders(view: &FleetView) -> BTreeMap<UpstreamId, Option<InstanceId>> {
     let mut load = LoadTable::from_view(view);
--- a/crates/daisyseam-engine/src/attempt.rs
+++ b/crates/daisyseam-engine/src/attempt.rs
@@ -9,6 +9,12 @@
     RefusalKind,
     TransactionState,
     engine::EngineShared,
+    link::{
+        DatabaseLink,
+        LinkCall,
+        LinkError,
+        LinkVerb, //
+    },
     pool::{
         AcquireError,
         CallError,
@@ -16,6 +22,7 @@
         ConnectionSetup,
         PooledConnection, //
     },
+    relay::HolderLink,
     route::{
         Route,
         current_primary,
@@ -94,29 +101,26 @@
     pub(crate) times: &'a OperationTimes,
 }
 
-/// A statement to run on a database.
+/// The context of a call on a connection of this instance.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct StatementCall<'a> {
-    /// Identifier of the caller's request.
-    pub(crate) id: &'a [u8],
-    /// The statement.
-    pub(crate) statement: &'a Statement,
-    /// Position that the database's log must have reached.
-    pub(crate) at_least: Option<LogPosition>,
-    /// Whether it runs in a transaction that is open on the connection.
-    pub(crate) in_transaction: bool,
-    /// Condition checked immediately before it is sent.
-    pub(crate) fence: Fence,
+pub(crate) struct HeldCall<'a> {
+    /// Route to the database.
+    pub(crate) route: &'a Route,
+    /// Session values that must be set on the connection.
+    pub(crate) values: &'a SessionValues,
+    /// Deadline of the call.
+    pub(crate) until: Instant,
 }
 
 impl<D: DatabaseConnector, G> EngineShared<D, G> {
-    /// Acquires a connection to the database of a route.
+    /// Acquires a link to the database of a route: a connection of this instance, or one that
+    /// another instance holds.
     pub(crate) async fn connect(
         &self,
         context: AttemptContext<'_>,
-    ) -> Result<PooledConnection<D::Connection>, AttemptError> {
+    ) -> Result<DatabaseLink<D::Connection>, AttemptError> {
         let now = Instant::now();
-        let taken = self.pool.acquire(ConnectionRequest {
+        let link = self.link(ConnectionRequest {
             view: &context.route.held.view,
             upstream: &context.route.upstream,
             organisation: context.organisation,
@@ -124,9 +128,33 @@
             wait_until: context.times.queue_until(now),
             connect_until: context.times.connect_until(now),
         });
-        taken
-            .await
-            .map_err(|error| self.record_acquire_error(context.route, &error))
+        link.await
+            .map_err(|error| self.record_link_error(context.route, now, &error))
+    }
+
+    async fn link(
+        &self,
+        request: ConnectionRequest<'_>,
+    ) -> Result<DatabaseLink<D::Connection>, LinkError> {
+        if let Some(relays) = &self.relays {
+            let upstream_view = request.view.upstreams.get(request.upstream);
+            let upstream_view =
+                upstream_view.ok_or(LinkError::Acquire(AcquireError::UnknownUpstream))?;
+            let holders = self
+                .pool
+                .holders(request.view, request.upstream, upstream_view);
+            if !holders.is_empty() {
+                let link = relays.link(request, &holders, &self.settings.instance);
+                match link.await? {
+                    HolderLink::Own => {}
+                    HolderLink::Relayed(link) => return Ok(DatabaseLink::Relayed(link)),
+                }
+            }
+        }
+        let connection = self.pool.acquire(request).await;
+        connection
+            .map(DatabaseLink::Held)
+            .map_err(LinkError::Acquire)
     }
 
     /// Probes whether a database that did not respond is reachable again.
@@ -140,7 +168,7 @@
         };
         let values = SessionValues::default();
         let now = Instant::now();
-        let taken = self.pool.acquire(ConnectionRequest {
+        let probe = self.probe_link(ConnectionRequest {
             view: &held.view,
             upstream: &upstream,
             organisation: None,
@@ -148,8 +176,8 @@
             wait_until: now,
             connect_until: now + PROBE_TIMEOUT,
         });
-        match taken.await {
-            Ok(_) => self.health.record_reply(&upstream),
+        match probe.await {
+            Ok(()) => self.health.record_reply(&upstream),
             Err(error) => {
                 let route = Route {
                     group: upstream_view.group.clone(),
@@ -157,23 +185,73 @@
                     upstream,
                     term: None,
                 };
-                self.record_acquire_error(&route, &error);
+                self.record_link_error(&route, now, &error);
             }
         }
     }
 
-    /// Runs a statement on a connection after setting the session values and preparing the
-    /// statement as needed.
-    ///
-    /// If the database no longer knows the prepared statement, it is prepared again once.
+    async fn probe_link(&self, request: ConnectionRequest<'_>) -> Result<(), LinkError> {
+        match self.link(request).await? {
+            DatabaseLink::Held(_) => Ok(()),
+            DatabaseLink::Relayed(mut link) => {
+                link.check(&self.settings.timer, request, PROBE_TIMEOUT)
+                    .await
+            }
+        }
+    }
+
+    /// Makes a call on a link, after setting the session values and preparing the statement as
+    /// needed, if the view and the lease, checked immediately before sending, allow it.
     pub(crate) async fn run(
         &self,
-        connection: &mut PooledConnection<D::Connection>,
+        link: &mut DatabaseLink<D::Connection>,
         context: AttemptContext<'_>,
-        call: StatementCall<'_>,
+        call: LinkCall<'_>,
     ) -> Result<DatabaseReply, AttemptError> {
+        let route = context.route;
+        let until = context.times.deadline();
+        let sent_at = Instant::now();
+        let reply = match link {
+            DatabaseLink::Held(connection) => {
+                let set_up = HeldCall {
+                    route,
+                    values: context.values,
+                    until,
+                };
+                self.run_held(connection, set_up, call).await
+            }
+            DatabaseLink::Relayed(_) if !self.allows(route, call.fence) => Err(LinkError::Fenced),
+            DatabaseLink::Relayed(link) => {
+                let in_flight = self.health.call_started(&route.upstream);
+                let reply = link.call(&self.settings.timer, context, call).await;
+                drop(in_flight);
+                reply
+            }
+        };
+        match reply {
+            Ok(reply) => {
+                self.record_reply(route, sent_at, &reply);
+                Ok(reply)
+            }
+            Err(error) => Err(self.record_link_error(route, sent_at, &error)),
+        }
+    }
+
+    /// Makes a call on a connection of this instance.
+    ///
+    /// If the database no longer knows a prepared statement, it is prepared again once.
+    pub(crate) async fn run_held(
+        &self,
+        connection: &mut PooledConnection<D::Connection>,
+        context: HeldCall<'_>,
+        call: LinkCall<'_>,
+    ) -> Result<DatabaseReply, LinkError> {
         let reply = self.run_once(connection, context, call).await?;
-        let Some(prepared) = call.statement.prepared() else {
+        let prepared = match call.verb {
+            LinkVerb::Run(statement) => statement.prepared(),
+            LinkVerb::Begin(_) | LinkVerb::Commit | LinkVerb::Rollback => None,
+        };
+        let Some(prepared) = prepared else {
             return Ok(reply);
         };
         let expected = match call.in_transaction {
@@ -190,74 +268,53 @@
     async fn run_once(
         &self,
         connection: &mut PooledConnection<D::Connection>,
-        context: AttemptContext<'_>,
-        call: StatementCall<'_>,
-    ) -> Result<DatabaseReply, AttemptError> {
-        let prepared = call.statement.prepared();
-        let set_up = ConnectionSetup {
-            values: context.values,
-            prepared,
-            in_transaction: call.in_transaction,
+        context: HeldCall<'_>,
+        call: LinkCall<'_>,
+    ) -> Result<DatabaseReply, LinkError> {
+        let timer = &self.settings.timer;
+        let prepared = match call.verb {
+            LinkVerb::Run(statement) => statement.prepared(),
+            LinkVerb::Begin(_) | LinkVerb::Commit | LinkVerb::Rollback => None,
         };
-        self.set_up(connection, context, set_up).await?;
+        if call.verb.needs_values() {
+            let set_up = ConnectionSetup {
+                values: context.values,
+                prepared,
+                in_transaction: call.in_transaction,
+            };
+            let started_at = Instant::now();
+            let done = connection.set_up(timer, set_up, context.until).await;
+            done.map_err(|error| match error {
+                CallError::NotSent => LinkError::NotSent,
+                CallError::TimedOut if started_at.elapsed() < NO_REPLY_FAILURE_AFTER => {
+                    LinkError::NotSent
+                }
+                CallError::TimedOut | CallError::Lost => LinkError::SetUpLost,
+            })?;
+        }
         let name = prepared.and_then(|prepared| connection.session_state().prepared_name(prepared));
-        let verb = match (call.statement, &name) {
-            (Statement::Text(text), _) => DatabaseVerb::Run(text),
-            (Statement::Prepared(_, arguments), Some(name)) => {
-                DatabaseVerb::Execute(name.as_bytes(), arguments)
-            }
-            (Statement::Prepared(..), None) => return Err(AttemptError::Unreachable),
+        let verb = match call.verb {
+            LinkVerb::Begin(mode) => DatabaseVerb::Begin(mode),
+            LinkVerb::Commit => DatabaseVerb::Commit,
+            LinkVerb::Rollback => DatabaseVerb::Rollback,
+            LinkVerb::Run(Statement::Text(text)) => DatabaseVerb::Run(text),
+            LinkVerb::Run(Statement::Prepared(_, arguments)) => match &name {
+                Some(name) => DatabaseVerb::Execute(name.as_bytes(), arguments),
+                None => return Err(LinkError::NotSent),
+            },
         };
+        if !self.allows(context.route, call.fence) {
+            return Err(LinkError::Fenced);
+        }
         let database_call = DatabaseCall {
-            id: Some(call.id),
+            id: call.id,
             at_least: call.at_least,
             verb,
         };
-        self.call(connection, context, database_call, call.fence)
-            .await
-    }
-
-    /// Sets up a connection for a session.
-    pub(crate) async fn set_up(
-        &self,
-        connection: &mut PooledConnection<D::Connection>,
-        context: AttemptContext<'_>,
-        set_up: ConnectionSetup<'_>,
-    ) -> Result<(), AttemptError> {
-        let timer = &self.settings.timer;
-        let sent_at = Instant::now();
-        let done = connection
-            .set_up(timer, set_up, context.times.deadline())
-            .await;
-        done.map_err(|error| {
-            self.record_call_error(context.route, sent_at, error);
-            AttemptError::Unreachable
-        })
-    }
-
-    /// Makes a call if the view and the lease, checked immediately before sending, allow it.
-    pub(crate) async fn call(
-        &self,
-        connection: &mut PooledConnection<D::Connection>,
-        context: AttemptContext<'_>,
-        call: DatabaseCall<'_>,
-        fence: Fence,
-    ) -> Result<DatabaseReply, AttemptError> {
-        if !self.allows(context.route, fence) {
-            return Err(AttemptError::Fenced);
-        }
-        let sent_at = Instant::now();
-        let timer = &self.settings.timer;
         let in_flight = self.health.call_started(&context.route.upstream);
-        let reply = connection.call(timer, call, context.times.deadline()).await;
+        let reply = connection.call(timer, database_call, context.until).await;
         drop(in_flight);
-        match reply {
-            Ok(reply) => {
-                self.record_reply(context.route, sent_at, &reply);
-                Ok(reply)
-            }
-            Err(error) => Err(self.record_call_error(context.route, sent_at, error)),
-        }
+        reply.map_err(LinkError::from)
     }
 
     /// Returns whether the current view and lease satisfy a fence for a route.
@@ -306,9 +363,43 @@
         }
     }
 
+    /// Records what an error says about the database, and returns the error of the attempt.
+    pub(crate) fn record_link_error(
+        &self,
+        route: &Route,
+        sent_at: Instant,
+        error: &LinkError,
+    ) -> AttemptError {
+        match error {
+            LinkError::Acquire(error) => self.record_acquire_error(route, error),
+            LinkError::NotHolder | LinkError::NotSent => AttemptError::Unreachable,
+            LinkError::SetUpLost => {
+                self.record_database_failure(route);
+                AttemptError::Unreachable
+            }
+            LinkError::Fenced => AttemptError::Fenced,
+            LinkError::Lost => {
+                self.record_database_failure(route);
+                AttemptError::Lost
+            }
+            // This says nothing about the database.
+            LinkError::HolderLost => AttemptError::Lost,
+            LinkError::TimedOut => {
+                // A timeout after a short wait is due to the request's deadline.
+                if sent_at.elapsed() >= NO_REPLY_FAILURE_AFTER {
+                    self.record_database_failure(route);
+                }
+                AttemptError::TimedOut
+            }
+        }
+    }
+
     fn record_acquire_error(&self, route: &Route, error: &AcquireError) -> AttemptError {
         match error {
-            AcquireError::PoolExhausted => return AttemptError::PoolExhausted,
+            AcquireError::PoolExhausted => {
+                self.health.record_exhausted(&route.upstream);
+                return AttemptError::PoolExhausted;
+            }
             AcquireError::UnknownUpstream => {}
             // The database responds; the pool itself handles the connection limit.
             AcquireError::Connect(ConnectError::Refused(RefusalKind::TooManyConnections)) => {
@@ -329,26 +420,13 @@
         AttemptError::Unreachable
     }
 
-    fn record_call_error(&self, route: &Route, sent_at: Instant, error: CallError) -> AttemptError {
-        // A timeout after a short wait is due to the request's deadline, not to the database.
-        let is_database_failure = match error {
-            CallError::NotSent => false,
-            CallError::Lost => true,
-            CallError::TimedOut => sent_at.elapsed() >= NO_REPLY_FAILURE_AFTER,
-        };
-        if is_database_failure {
-            self.health.record_failure(&route.upstream);
-            // The failure has most likely affected the other connections too.
-            self.pool.close_idle(&route.upstream);
-        }
-        match error {
-            CallError::NotSent => AttemptError::Unreachable,
-            CallError::Lost => AttemptError::Lost,
-            CallError::TimedOut => AttemptError::TimedOut,
-        }
+    fn record_database_failure(&self, route: &Route) {
+        self.health.record_failure(&route.upstream);
+        // The failure has most likely affected the other connections too.
+        self.pool.close_idle(&route.upstream);
     }
 
-    fn record_reply(&self, route: &Route, sent_at: Instant, reply: &DatabaseReply) {
+    pub(crate) fn record_reply(&self, route: &Route, sent_at: Instant, reply: &DatabaseReply) {
         match refusal(reply) {
             Some(RefusalKind::Lagging) => self.health.record_lag(&route.upstream),
             Some(RefusalKind::Misdirected) => {
--- a/crates/daisyseam-engine/src/counters.rs
+++ b/crates/daisyseam-engine/src/counters.rs
@@ -20,3 +20,12 @@
 
 /// Requests that got no connection from the pool in time.
 pub(crate) const CONNECTION_NONE_FREE: &str = "connection_none_free";
+
+/// Links opened to connections that other instances hold.
+pub(crate) const LINK_RELAYED: &str = "link_relayed";
+
+/// Links not opened because no holder could be reached.
+pub(crate) const LINK_NO_HOLDER: &str = "link_no_holder";
+
+/// Calls made for other instances.
+pub(crate) const CALL_RELAYED: &str = "call_relayed";
--- a/crates/daisyseam-engine/src/engine.rs
+++ b/crates/daisyseam-engine/src/engine.rs
@@ -8,6 +8,11 @@
     observer::EngineObserver,
     outages::OutageTracker,
     pool::ConnectionPool,
+    relay::{
+        self,
+        RelayClient,
+        RelaySettings, //
+    },
     route::Router,
     samples::PositionSamples,
     session,
@@ -37,10 +42,14 @@
     time::Duration, //
 };
 use tokio::{
+    net::TcpStream,
     sync::watch,
     time::Instant, //
 };
 
+/// Shortest time after the stop signal for which other instances are told to use another holder.
+const RELAY_STOP_GRACE: Duration = Duration::from_millis(500);
+
 /// Settings and dependencies of an engine.
 #[derive(Clone)]
 pub struct EngineSettings<D, G = FleetGate> {
@@ -62,6 +71,9 @@
     pub stop: StopSignal,
     /// Time that open transactions get after the stop signal.
     pub drain: Duration,
+    /// How calls are relayed between instances. Without it this instance opens all its connections
+    /// itself.
+    pub relay: Option<RelaySettings>,
 }
 
 /// Serves callers' sessions; cheap to clone.
@@ -73,12 +85,16 @@
 pub(crate) struct EngineShared<D: DatabaseConnector, G> {
     pub(crate) settings: EngineSettings<D, G>,
     pub(crate) pool: ConnectionPool<D>,
+    /// Links to the connections of other instances, if they are used.
+    pub(crate) relays: Option<RelayClient>,
     pub(crate) health: HealthTable,
     pub(crate) samples: PositionSamples,
     pub(crate) writers: WriterCounts,
     pub(crate) outages: OutageTracker,
     pub(crate) lease_loss: LeaseLoss,
     sessions: watch::Sender<usize>,
+    /// Number of links in use by other instances.
+    relayed: watch::Sender<usize>,
     stop_observed_at: OnceLock<Instant>,
 }
 
@@ -89,16 +105,23 @@
             settings.connector.clone(),
             settings.timer.clone(),
             settings.metrics.clone(),
+            settings.relay.as_ref().map(|_| settings.instance.clone()),
         );
+        let relays = settings
+            .relay
+            .clone()
+            .map(|relay| RelayClient::new(relay, settings.timer.clone(), settings.metrics.clone()));
         let shared = EngineShared {
             settings,
             pool,
+            relays,
             health: HealthTable::default(),
             samples: PositionSamples::default(),
             writers: WriterCounts::default(),
             outages: OutageTracker::default(),
             lease_loss: LeaseLoss::default(),
             sessions: watch::Sender::new(0),
+            relayed: watch::Sender::new(0),
             stop_observed_at: OnceLock::new(),
         };
         Self {
@@ -115,6 +138,12 @@
         async move { session::serve(&guard.shared, stream).await }
     }
 
+    /// Serves another instance that uses connections of this one, until it closes the connection.
+    pub fn serve_relay(&self, socket: TcpStream) -> impl Future<Output = ()> + Send + use<D, G> {
+        let shared = Arc::clone(&self.shared);
+        async move { relay::serve(&shared, socket).await }
+    }
+
     /// Returns the observer that applies views to this engine and reports the health of its
     /// databases.
     pub fn observer(&self) -> impl FleetObserver + use<D, G> {
@@ -126,13 +155,22 @@
         self.shared.open_sessions()
     }
 
-    /// Waits for the stop signal and then for all sessions to end.
+    /// Waits for the stop signal and then for all sessions and the links of other instances to end.
     pub async fn drained(&self) {
         self.shared.settings.stop.stopped().await;
-        self.shared.stop_observed_at();
+        let stopped_at = self.shared.stop_observed_at();
         let mut sessions = self.shared.sessions.subscribe();
         // `self` owns the sender, so this cannot fail.
         let _ = sessions.wait_for(|open| *open == 0).await;
+        if self.shared.relays.is_some() {
+            self.shared
+                .settings
+                .timer
+                .at(stopped_at + RELAY_STOP_GRACE)
+                .await;
+        }
+        let mut relayed = self.shared.relayed.subscribe();
+        let _ = relayed.wait_for(|open| *open == 0).await;
     }
 }
 
@@ -161,6 +199,14 @@
         *self.sessions.borrow()
     }
 
+    /// Counts a link as in use by another instance until the guard is dropped.
+    pub(crate) fn relay_started(&self) -> RelayGuard<'_> {
+        self.relayed.send_modify(|open| *open += 1);
+        RelayGuard {
+            relayed: &self.relayed,
+        }
+    }
+
     /// Waits for the stop signal and then for the end of the drain time.
     pub(crate) async fn drain_ended(&self) {
         self.settings.stop.stopped().await;
@@ -174,6 +220,17 @@
     }
 }
 
+/// Counts a link in use by another instance until it is dropped.
+pub(crate) struct RelayGuard<'a> {
+    relayed: &'a watch::Sender<usize>,
+}
+
+impl Drop for RelayGuard<'_> {
+    fn drop(&mut self) {
+        self.relayed.send_modify(|open| *open -= 1);
+    }
+}
+
 /// Counts a session until it is dropped.
 struct SessionGuard<D: DatabaseConnector, G> {
     shared: Arc<EngineShared<D, G>>,
--- a/crates/daisyseam-engine/src/health.rs
+++ b/crates/daisyseam-engine/src/health.rs
@@ -3,6 +3,7 @@
 #[cfg(test)]
 mod tests;
 
+use crate::pool::UpstreamLoad;
 use daisyseam_model::{
     UpstreamId,
     ViewNumber, //
@@ -10,6 +11,10 @@
 use parking_lot::Mutex;
 use std::{
     collections::HashMap,
+    sync::atomic::{
+        AtomicU64,
+        Ordering, //
+    },
     time::Duration, //
 };
 use tokio::{
@@ -26,6 +31,9 @@
 /// Time for which a database that lacked a position gets no reads that require one.
 const LAG_MEMORY: Duration = Duration::from_millis(100);
 
+/// Time for which a database without a free connection gets reads only if no other one is left.
+const EXHAUSTION_MEMORY: Duration = Duration::from_millis(50);
+
 /// Consecutive failures after which a database may count as unreachable.
 const UNREACHABLE_FAILURES: u32 = 2;
 
@@ -49,6 +57,7 @@
 pub(crate) struct HealthTable {
     upstreams: Mutex<HashMap<UpstreamId, UpstreamHealth>>,
     changes: watch::Sender<()>,
+    choices: AtomicU64,
 }
 
 #[derive(Debug, Default)]
@@ -58,6 +67,8 @@
     last_try: Option<Instant>,
     avoid_until: Option<Instant>,
     lagging_until: Option<Instant>,
+    exhausted_until: Option<Instant>,
+    last_choice: u64,
     misdirected: Option<ViewNumber>,
     in_flight: usize,
     no_reply_since: Option<Instant>,
@@ -106,10 +117,11 @@
 
     /// Records that a database was chosen; one that has failed is tried by one request at a time.
     pub(crate) fn record_choice(&self, upstream: &UpstreamId) {
+        let choice = self.choices.fetch_add(1, Ordering::Relaxed) + 1;
         let mut upstreams = self.upstreams.lock();
-        if let Some(health) = upstreams.get_mut(upstream)
-            && health.failures > 0
-        {
+        let health = entry(&mut upstreams, upstream);
+        health.last_choice = choice;
+        if health.failures > 0 {
             health.avoid_until = Some(Instant::now() + AVOID_INITIAL);
         }
     }
@@ -138,6 +150,27 @@
         entry(&mut upstreams, upstream).avoid_until = Some(Instant::now() + AVOID_INITIAL / 4);
     }
 
+    /// Records that there was no free connection to a database in time.
+    pub(crate) fn record_exhausted(&self, upstream: &UpstreamId) {
+        let mut upstreams = self.upstreams.lock();
+        let until = Instant::now() + EXHAUSTION_MEMORY;
+        entry(&mut upstreams, upstream).exhausted_until = Some(until);
+    }
+
+    /// Returns the load of a database whose connections other instances hold, as far as it is known
+    /// here.
+    pub(crate) fn relayed_load(&self, upstream: &UpstreamId) -> UpstreamLoad {
+        let upstreams = self.upstreams.lock();
+        let health = upstreams.get(upstream);
+        health.map_or_else(UpstreamLoad::default, |health| UpstreamLoad {
+            full: health
+                .exhausted_until
+                .is_some_and(|until| Instant::now() < until),
+            checked_out: health.in_flight,
+            last_claim: health.last_choice,
+        })
+    }
+
     /// Records that a database lacked a position.
     pub(crate) fn record_lag(&self, upstream: &UpstreamId) {
         let mut upstreams = self.upstreams.lock();
--- a/crates/daisyseam-engine/src/lib.rs
+++ b/crates/daisyseam-engine/src/lib.rs
@@ -13,9 +13,11 @@
 mod health;
 mod identity;
 mod lease;
+mod link;
 mod observer;
 mod outages;
 mod pool;
+mod relay;
 mod request;
 mod route;
 mod samples;
@@ -45,6 +47,7 @@
         EngineSettings,
         SessionEngine, //
     },
+    relay::RelaySettings,
     request::{
         CallerRequest,
         RequestVerb,
--- a/crates/daisyseam-engine/src/observer.rs
+++ b/crates/daisyseam-engine/src/observer.rs
@@ -52,6 +52,9 @@
     async fn apply(&self, view: &FleetView) {
         self.shared.pool.apply(view);
         self.shared.outages.apply(view);
+        if let Some(relays) = &self.shared.relays {
+            relays.apply(view);
+        }
         let known = |upstream: &_| view.upstreams.contains_key(upstream);
         self.shared.health.retain(known);
         let known = |group: &_| view.groups.contains_key(group);
@@ -79,6 +82,7 @@
     }
 
     fn report(&self, named: ViewNumber, held: &FleetView) -> ObserverReport {
+        self.shared.pool.update(held);
         let reports = self.shared.health.take_reports();
         for upstream in self.shared.health.take_probes() {
             let shared = Arc::clone(&self.shared);
--- a/crates/daisyseam-engine/src/pool.rs
+++ b/crates/daisyseam-engine/src/pool.rs
@@ -9,7 +9,11 @@
     ConnectionSetup,
     PooledConnection, //
 };
-use self::shares::ConnectionShares;
+pub(crate) use self::shares::HolderList;
+use self::shares::{
+    ConnectionPlan,
+    ConnectionShares, //
+};
 pub(crate) use self::upstream::UpstreamLoad;
 use self::upstream::{
     Claim,
@@ -28,6 +32,7 @@
 };
 use daisyseam_model::{
     FleetView,
+    InstanceId,
     OrganisationId,
     UpstreamId,
     UpstreamView, //
@@ -93,18 +98,45 @@
 }
 
 impl<D: DatabaseConnector> ConnectionPool<D> {
-    /// Creates an empty pool.
-    pub(crate) fn new(connector: D, timer: TimerService, metrics: MetricClient) -> Self {
+    /// Creates an empty pool; `own` is this instance if it can use connections that other instances
+    /// hold.
+    pub(crate) fn new(
+        connector: D,
+        timer: TimerService,
+        metrics: MetricClient,
+        own: Option<InstanceId>,
+    ) -> Self {
         Self {
             connector,
             timer,
             metrics,
             upstreams: Mutex::default(),
-            shares: Mutex::default(),
+            shares: Mutex::new(ConnectionShares::new(own)),
             claim_count: AtomicU64::new(0),
         }
     }
 
+    /// Returns the instances that hold connections to a database, most preferred first; empty if
+    /// every instance opens its own.
+    pub(crate) fn holders(
+        &self,
+        view: &FleetView,
+        upstream: &UpstreamId,
+        upstream_view: &UpstreamView,
+    ) -> HolderList {
+        self.plan(view, upstream, upstream_view).holders
+    }
+
+    fn plan(
+        &self,
+        view: &FleetView,
+        upstream: &UpstreamId,
+        upstream_view: &UpstreamView,
+    ) -> ConnectionPlan {
+        let mut shares = self.shares.lock();
+        shares.plan(view, upstream, upstream_view, Instant::now())
+    }
+
     /// Acquires an idle connection, or opens one within the budget.
     pub(crate) async fn acquire(
         &self,
@@ -203,8 +235,12 @@
     /// Applies a view: closes idle connections to databases that accept no new work, and
     /// recomputes this instance's connection budgets.
     pub(crate) fn apply(&self, view: &FleetView) {
-        let now = Instant::now();
-        self.shares.lock().apply(view, now);
+        self.shares.lock().apply(view, Instant::now());
+        self.update(view);
+    }
+
+    /// Recomputes the connection budgets, which also change some time after a change of the view.
+    pub(crate) fn update(&self, view: &FleetView) {
         let mut upstreams = self.upstreams.lock();
         let mut closed = Vec::new();
         upstreams.retain(|name, pool| {
@@ -214,7 +250,7 @@
                 closed.push((Arc::clone(pool), true));
                 return false;
             };
-            pool.set_budget(self.shares.lock().budget(view, upstream_view, now));
+            pool.set_budget(self.plan(view, name, upstream_view).budget);
             let no_work = accepts_no_work(view, name, upstream_view);
             pool.set_close_on_release(no_work);
             if no_work {
@@ -237,10 +273,7 @@
         name: &UpstreamId,
         upstream_view: &UpstreamView,
     ) -> Arc<UpstreamPool<D::Connection>> {
-        let budget = self
-            .shares
-            .lock()
-            .budget(view, upstream_view, Instant::now());
+        let budget = self.plan(view, name, upstream_view).budget;
         let mut upstreams = self.upstreams.lock();
         let known = upstreams.get(name).filter(|pool| pool.is_of(upstream_view));
         if let Some(pool) = known.cloned() {
--- a/crates/daisyseam-engine/src/pool/connection.rs
+++ b/crates/daisyseam-engine/src/pool/connection.rs
@@ -86,6 +86,12 @@
         self.reusable = true;
     }
 
+    /// Returns the connection to the pool after the end of a transaction.
+    pub(crate) fn release_after_transaction(mut self, committed: bool) {
+        self.session_state().transaction_ended(committed);
+        self.release();
+    }
+
     /// Returns the session state set on the connection.
     pub(crate) fn session_state(&mut self) -> &mut ConnectionSessionState {
         &mut self.tracked().session_state
--- a/crates/daisyseam-engine/src/route.rs
+++ b/crates/daisyseam-engine/src/route.rs
@@ -46,6 +46,13 @@
     pub(crate) term: Option<Term>,
 }
 
+impl Route {
+    /// Returns the view's entry of the database.
+    pub(crate) fn upstream_view(&self) -> Option<&UpstreamView> {
+        self.held.view.upstreams.get(&self.upstream)
+    }
+}
+
 /// What the primary is used for.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum PrimaryUse {
@@ -210,7 +217,10 @@
         name: &UpstreamId,
         upstream_view: &UpstreamView,
     ) -> (bool, RouteDistance, UpstreamLoad) {
-        let load = self.pool.load(name);
+        let load = match self.pool.holders(view, name, upstream_view).is_empty() {
+            true => self.pool.load(name),
+            false => self.health.relayed_load(name),
+        };
         (
             load.full,
             self.distance(view, &upstream_view.data_centre),
--- a/crates/daisyseam-engine/src/session/single.rs
+++ b/crates/daisyseam-engine/src/session/single.rs
@@ -18,11 +18,14 @@
         AttemptContext,
         AttemptError,
         Fence,
-        Statement,
-        StatementCall, //
+        Statement, //
     },
     identity::CallerRights,
-    pool::PooledConnection,
+    link::{
+        DatabaseLink,
+        LinkCall,
+        LinkVerb, //
+    },
     route::{
         PrimaryUse,
         ReadFloor,
@@ -60,12 +63,12 @@
         times: &OperationTimes,
     ) -> RunResult {
         let floor = self.read_floor(rights, times);
-        let call = StatementCall {
-            id,
-            statement,
+        let call = LinkCall {
+            id: Some(id),
             at_least: None,
             in_transaction: false,
             fence: Fence::NewReads,
+            verb: LinkVerb::Run(statement),
         };
         let mut tried = TriedUpstreams::new();
         let mut last_error: Option<RequestError> = None;
@@ -75,7 +78,7 @@
                 Ok(route) => route,
                 Err(kind) => return Err(last_error.unwrap_or_else(|| kind.into())),
             };
-            let call = StatementCall {
+            let call = LinkCall {
                 at_least: self.at_least(&route, floor),
                 ..call
             };
@@ -104,12 +107,12 @@
         rights: &CallerRights,
         times: &OperationTimes,
     ) -> RunResult {
-        let call = StatementCall {
-            id,
-            statement,
+        let call = LinkCall {
+            id: Some(id),
             at_least: None,
             in_transaction: false,
             fence: Fence::NewWrites,
+            verb: LinkVerb::Run(statement),
         };
         let group = &rights.service.group;
         let mut tried = TriedUpstreams::new();
@@ -212,7 +215,7 @@
     async fn try_once(
         &self,
         route: &Route,
-        call: StatementCall<'_>,
+        call: LinkCall<'_>,
         times: &OperationTimes,
     ) -> Result<DatabaseReply, AttemptError> {
         let context = AttemptContext {
@@ -221,9 +224,9 @@
             values: &self.values,
             times,
         };
-        let mut connection = self.engine.connect(context).await?;
-        let reply = self.engine.run(&mut connection, context, call).await?;
-        release_if_idle(connection, &reply);
+        let mut link = self.engine.connect(context).await?;
+        let reply = self.engine.run(&mut link, context, call).await?;
+        release_if_idle(link, &reply);
         Ok(reply)
     }
 
@@ -244,9 +247,9 @@
     }
 }
 
-/// Returns a connection to the pool if no transaction is open on it.
-fn release_if_idle<C: DatabaseConnection>(connection: PooledConnection<C>, reply: &DatabaseReply) {
+/// Gives a connection back if no transaction is open on it.
+fn release_if_idle<C: DatabaseConnection>(link: DatabaseLink<C>, reply: &DatabaseReply) {
     if reply.state == TransactionState::Idle {
-        connection.release();
+        link.release();
     }
 }
--- a/crates/daisyseam-engine/src/session/transaction.rs
+++ b/crates/daisyseam-engine/src/session/transaction.rs
@@ -12,11 +12,9 @@
     single::MAX_ATTEMPTS, //
 };
 use crate::{
-    DatabaseCall,
     DatabaseConnection,
     DatabaseConnector,
     DatabaseReply,
-    DatabaseVerb,
     RefusalKind,
     StatementKind,
     TransactionMode,
@@ -25,13 +23,13 @@
         AttemptContext,
         AttemptError,
         Fence,
-        Statement,
-        StatementCall, //
+        Statement, //
     },
     identity::CallerRights,
-    pool::{
-        ConnectionSetup,
-        PooledConnection, //
+    link::{
+        DatabaseLink,
+        LinkCall,
+        LinkVerb, //
     },
     route::{
         PrimaryUse,
@@ -81,7 +79,7 @@
 
 /// A transaction that is open on a database.
 struct RunningTransaction<C: DatabaseConnection> {
-    connection: PooledConnection<C>,
+    link: DatabaseLink<C>,
     route: Route,
     wrote: bool,
     /// Counts the transaction until the connection is closed or returned to the pool.
@@ -112,9 +110,8 @@
 
 impl<C: DatabaseConnection> RunningTransaction<C> {
     /// Returns the connection to the pool after the end of the transaction.
-    fn release(mut self, committed: bool) {
-        self.connection.session_state().transaction_ended(committed);
-        self.connection.release();
+    fn release(self, committed: bool) {
+        self.link.release_after_transaction(committed);
         drop(self.writer_guard);
     }
 }
@@ -273,7 +270,7 @@
         let term = route.term.filter(|_| mode == TransactionMode::ReadWrite);
         let writer_guard = term.map(|term| self.engine.writers.start(&route.group, term));
         let begun = self.send_begin(&route, mode, at_least, times).await;
-        let (connection, reply) = begun.map_err(TryOutcome::NoReply)?;
+        let (link, reply) = begun.map_err(TryOutcome::NoReply)?;
         let state = reply.state;
         match TryOutcome::of(Ok(reply), StatementKind::Read) {
             TryOutcome::Done(..) if state == TransactionState::Open => {
@@ -281,7 +278,7 @@
                 // primary does not affect it.
                 route.term = term;
                 Ok(RunningTransaction {
-                    connection,
+                    link,
                     route,
                     wrote: false,
                     writer_guard,
@@ -290,7 +287,7 @@
             TryOutcome::Done(..) => Err(TryOutcome::NoReply(AttemptError::Unreachable)),
             outcome => {
                 if state == TransactionState::Idle {
-                    connection.release();
+                    link.release();
                 }
                 Err(outcome)
             }
@@ -303,29 +300,21 @@
         mode: TransactionMode,
         at_least: Option<LogPosition>,
         times: &OperationTimes,
-    ) -> Result<(PooledConnection<D::Connection>, DatabaseReply), AttemptError> {
+    ) -> Result<(DatabaseLink<D::Connection>, DatabaseReply), AttemptError> {
         let context = self.attempt_context(route, times);
-        let mut connection = self.engine.connect(context).await?;
-        let set_up = ConnectionSetup {
-            values: &self.values,
-            prepared: None,
-            in_transaction: false,
-        };
-        self.engine.set_up(&mut connection, context, set_up).await?;
-        let call = DatabaseCall {
+        let mut link = self.engine.connect(context).await?;
+        let call = LinkCall {
             id: None,
             at_least,
-            verb: DatabaseVerb::Begin(mode),
-        };
-        let fence = match mode {
-            TransactionMode::ReadOnly => Fence::NewReads,
-            TransactionMode::ReadWrite => Fence::NewWrites,
+            in_transaction: false,
+            fence: match mode {
+                TransactionMode::ReadOnly => Fence::NewReads,
+                TransactionMode::ReadWrite => Fence::NewWrites,
+            },
+            verb: LinkVerb::Begin(mode),
         };
-        let reply = self
-            .engine
-            .call(&mut connection, context, call, fence)
-            .await?;
-        Ok((connection, reply))
+        let reply = self.engine.run(&mut link, context, call).await?;
+        Ok((link, reply))
     }
 
     /// Runs a statement in an open transaction; returns the transaction's next stage.
@@ -338,19 +327,16 @@
         times: &OperationTimes,
     ) -> (Stage<D::Connection>, RunResult) {
         running.wrote |= kind == StatementKind::Write;
-        let call = StatementCall {
-            id,
-            statement,
+        let call = LinkCall {
+            id: Some(id),
             at_least: None,
             in_transaction: true,
             fence: Fence::Leads,
+            verb: LinkVerb::Run(statement),
         };
         for attempt in 1..=MAX_ATTEMPTS {
             let context = self.attempt_context(&running.route, times);
-            let reply = self
-                .engine
-                .run(&mut running.connection, context, call)
-                .await;
+            let reply = self.engine.run(&mut running.link, context, call).await;
             let Ok(reply) = reply else {
                 break;
             };
@@ -418,19 +404,18 @@
         {
             return Err(AttemptError::Fenced);
         }
-        let call = DatabaseCall {
+        let call = LinkCall {
             id: Some(id),
             at_least: None,
-            verb: DatabaseVerb::Commit,
-        };
-        let fence = match wrote {
-            true => Fence::Leased,
-            false => Fence::Nothing,
+            in_transaction: true,
+            fence: match wrote {
+                true => Fence::Leased,
+                false => Fence::Nothing,
+            },
+            verb: LinkVerb::Commit,
         };
         let context = self.attempt_context(&running.route, times);
-        engine
-            .call(&mut running.connection, context, call, fence)
-            .await
+        engine.run(&mut running.link, context, call).await
     }
 
     /// Acknowledges a commit if no other database can have been primary when it ran.
@@ -471,14 +456,10 @@
         if self.is_evacuation_grace_over(&running) {
             return RunAnswer::default();
         }
-        let call = DatabaseCall {
-            id: id.map(|id| &id[..]),
-            at_least: None,
-            verb: DatabaseVerb::Rollback,
-        };
-        let timer = &self.engine.settings.timer;
         let until = Instant::now() + ROLL_BACK_TIMEOUT;
-        let reply = running.connection.call(timer, call, until).await;
+        let id = id.map(|id| &id[..]);
+        let timer = &self.engine.settings.timer;
+        let reply = running.link.roll_back(timer, id, until).await;
         let outcome = reply.map(|reply| (reply.state, reply.outcome, reply.position));
         match outcome {
             Ok((TransactionState::Idle, Ok(receipt), position)) => {
--- a/crates/daisyseam-engine/src/values.rs
+++ b/crates/daisyseam-engine/src/values.rs
@@ -17,6 +17,11 @@
         }
     }
 
+    /// Returns the names and values.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &(Bytes, Bytes)> {
+        self.0.iter()
+    }
+
     /// Removes all values.
     pub(crate) fn clear(&mut self) {
         self.0.clear();
--- a/crates/daisyseam-engine/tests/support/mod.rs
+++ b/crates/daisyseam-engine/tests/support/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod caller;
 pub mod database;
+pub mod relay;
 
 use self::{
     caller::FakeCaller,
@@ -12,6 +13,7 @@
 };
 use daisyseam_engine::{
     EngineSettings,
+    RelaySettings,
     SessionEngine, //
 };
 use daisyseam_member::{
@@ -72,6 +74,7 @@
     pub cell: ViewCell,
     pub gate: FakeGate,
     pub stop: StopSignal,
+    pub metrics: MetricClient,
     view: FleetView,
 }
 
@@ -110,22 +113,34 @@
 
     /// Starts another instance with the given databases.
     pub fn with_databases(databases: FakeDatabases, slots: usize) -> Self {
+        Self::instance("e-1", databases, slots, None)
+    }
+
+    /// Starts an instance of a name.
+    fn instance(
+        name: &str,
+        databases: FakeDatabases,
+        slots: usize,
+        relay: Option<RelaySettings>,
+    ) -> Self {
         let view = view(&databases, slots);
         let cell = ViewCell::new();
         let gate = FakeGate {
             tokens: Arc::new(AtomicUsize::new(10_000)),
         };
         let stop = StopSignal::new();
+        let metrics = MetricClient::local();
         let engine = SessionEngine::new(EngineSettings {
-            instance: "e-1".parse().unwrap(),
+            instance: name.parse().unwrap(),
             data_centre: "dc-1".parse().unwrap(),
             cell: cell.clone(),
             gate: gate.clone(),
-            metrics: MetricClient::local(),
+            metrics: metrics.clone(),
             timer: TimerService::start(),
             connector: databases.clone(),
             stop: stop.clone(),
             drain: Duration::from_secs(5),
+            relay,
         });
         let mut fleet = Self {
             engine,
@@ -133,6 +148,7 @@
             cell,
             gate,
             stop,
+            metrics,
             view,
         };
         fleet.change_view(|_| {});
--- a/crates/daisyseam-wire/src/lib.rs
+++ b/crates/daisyseam-wire/src/lib.rs
@@ -9,6 +9,7 @@
 mod envelope;
 mod order;
 mod peer;
+mod relay;
 mod security;
 mod share;
 mod stream;
@@ -78,6 +79,20 @@
         WirePosition,
         peer_message, //
     },
+    relay::{
+        RelayCall,
+        RelayFailure,
+        RelayFailureKind,
+        RelayFence,
+        RelayMessage,
+        RelayPing,
+        RelayPong,
+        RelayRefusal,
+        RelayReply,
+        RelayValue,
+        RelayVerb,
+        relay_message, //
+    },
     security::{
         PeerRole,
         PeerSecurity,
