Give a held database only what it is seen to carry, in turn by organisation

Change: a holder limits the statements that run at once. The limit falls by a quarter when the database refuses work for overload, once in 100 ms, and rises slowly while work waits. Statements of open transactions go first, then organisations in turn, those with an idle connection preferred up to four times. A request whose expected wait is longer than it may wait is refused at once. A transaction that is idle takes no part of the limit.

Tests: pool/run_limit/tests.rs (a database that carries nine), pool/wait_queue/tests.rs (a busy organisation).

--- a/crates/daisyseam-engine/src/attempt.rs
+++ b/crates/daisyseam-engine/src/attempt.rs
@@ -8,6 +8,7 @@
     DatabaseVerb,
     RefusalKind,
     TransactionState,
+    counters,
     engine::EngineShared,
     link::{
         DatabaseLink,
@@ -237,10 +238,32 @@
         }
     }
 
-    /// Makes a call on a connection of this instance.
+    /// Makes a call on a connection of this instance, as soon as the database is expected to carry
+    /// it.
+    pub(crate) async fn run_held(
+        &self,
+        connection: &mut PooledConnection<D::Connection>,
+        context: HeldCall<'_>,
+        call: LinkCall<'_>,
+    ) -> Result<DatabaseReply, LinkError> {
+        if !connection.resume(&self.settings.timer, context.until).await {
+            return Err(LinkError::NotSent);
+        }
+        let reply = self.run_resumed(connection, context, call).await?;
+        if refusal(&reply) == Some(RefusalKind::Busy) {
+            connection.record_overload();
+            self.settings.metrics.count(counters::DATABASE_BUSY);
+        }
+        if reply.state != TransactionState::Idle {
+            connection.pause();
+        }
+        Ok(reply)
+    }
+
+    /// Makes a call that may run now.
     ///
     /// If the database no longer knows a prepared statement, it is prepared again once.
-    pub(crate) async fn run_held(
+    async fn run_resumed(
         &self,
         connection: &mut PooledConnection<D::Connection>,
         context: HeldCall<'_>,
--- a/crates/daisyseam-engine/src/counters.rs
+++ b/crates/daisyseam-engine/src/counters.rs
@@ -29,3 +29,9 @@
 
 /// Calls made for other instances.
 pub(crate) const CALL_RELAYED: &str = "call_relayed";
+
+/// Requests rejected because they would not get a connection from the pool in time.
+pub(crate) const CONNECTION_REJECTED: &str = "connection_rejected";
+
+/// Statements refused by a database because it is overloaded.
+pub(crate) const DATABASE_BUSY: &str = "database_busy";
--- a/crates/daisyseam-engine/src/pool.rs
+++ b/crates/daisyseam-engine/src/pool.rs
@@ -1,8 +1,10 @@
 //! Pool of database connections, shared by the sessions of this instance.
 
 mod connection;
+mod run_limit;
 mod shares;
 mod upstream;
+mod wait_queue;
 
 pub(crate) use self::connection::{
     CallError,
@@ -17,6 +19,7 @@
 pub(crate) use self::upstream::UpstreamLoad;
 use self::upstream::{
     Claim,
+    ClaimRequest,
     ConnectionPermit,
     Grant,
     UpstreamPool, //
@@ -163,11 +166,19 @@
         let claim_number = self.claim_count.fetch_add(1, Ordering::Relaxed) + 1;
         let mut waited = false;
         loop {
-            let (granted, limit_expiry) =
-                match pool.claim(request.organisation, request.values, claim_number) {
-                    Claim::Granted(grant) => return Ok(grant),
-                    Claim::Wait(granted, limit_expiry) => (granted, limit_expiry),
-                };
+            let (granted, limit_expiry) = match pool.claim(ClaimRequest {
+                organisation: request.organisation,
+                values: request.values,
+                number: claim_number,
+                deadline: request.wait_until,
+            }) {
+                Claim::Granted(grant) => return Ok(grant),
+                Claim::Wait(granted, limit_expiry) => (granted, limit_expiry),
+                Claim::Rejected => {
+                    self.metrics.count(counters::CONNECTION_REJECTED);
+                    return Err(AcquireError::PoolExhausted);
+                }
+            };
             if !waited {
                 waited = true;
                 self.metrics.count(counters::CONNECTION_WAITED);
@@ -203,6 +214,10 @@
         let opened = opened.await.unwrap_or_else(|| Err(timed_out()));
         self.metrics.count(match &opened {
             Ok(_) => counters::CONNECTION_OPENED,
+            Err(ConnectError::Refused(RefusalKind::Busy)) => {
+                permit.record_overload();
+                counters::CONNECTION_FAILED
+            }
             Err(ConnectError::Refused(RefusalKind::TooManyConnections)) => {
                 permit.limit_until(Instant::now() + CONNECTION_LIMIT_BACKOFF);
                 counters::CONNECTION_OVER_LIMIT
--- a/crates/daisyseam-engine/src/pool/connection.rs
+++ b/crates/daisyseam-engine/src/pool/connection.rs
@@ -86,6 +86,29 @@
         self.reusable = true;
     }
 
+    /// Waits until a statement may run, unless one already may; returns whether this happened by
+    /// `until`.
+    pub(crate) async fn resume(&mut self, timer: &TimerService, until: Instant) -> bool {
+        match &mut self.permit {
+            Some(permit) => timer.within(until, permit.resume()).await.unwrap_or(false),
+            None => false,
+        }
+    }
+
+    /// Lets others run statements while the connection is idle in a transaction.
+    pub(crate) fn pause(&mut self) {
+        if let Some(permit) = &mut self.permit {
+            permit.pause();
+        }
+    }
+
+    /// Records that the database refused work because it is overloaded.
+    pub(crate) fn record_overload(&self) {
+        if let Some(permit) = &self.permit {
+            permit.record_overload();
+        }
+    }
+
     /// Returns the connection to the pool after the end of a transaction.
     pub(crate) fn release_after_transaction(mut self, committed: bool) {
         self.session_state().transaction_ended(committed);
--- a/crates/daisyseam-engine/src/pool/shares.rs
+++ b/crates/daisyseam-engine/src/pool/shares.rs
@@ -51,6 +51,8 @@
     pub(super) share: usize,
     /// Maximum number of connections. Above the share, the database decides whether it admits them.
     pub(super) max_open: usize,
+    /// Whether this instance holds the connections for others too.
+    pub(super) is_held: bool,
 }
 
 /// The instances that hold connections to a database, most preferred first.
@@ -159,6 +161,7 @@
                     budget: ConnectionBudget {
                         share: held.share,
                         max_open: held.share.max(MIN_OPEN_WITHOUT_SHARE),
+                        is_held: true,
                     },
                     holders: held.holders.clone(),
                 };
@@ -168,6 +171,7 @@
             budget: ConnectionBudget {
                 share: even,
                 max_open: even.max(MIN_OPEN.min(slots)).max(1),
+                is_held: false,
             },
             holders: HolderList::new(),
         }
--- a/crates/daisyseam-engine/src/pool/upstream.rs
+++ b/crates/daisyseam-engine/src/pool/upstream.rs
@@ -5,7 +5,9 @@
         PooledConnection,
         TrackedConnection, //
     },
-    shares::ConnectionBudget, //
+    run_limit::RunLimit,
+    shares::ConnectionBudget,
+    wait_queue::WaitQueue, //
 };
 use crate::{
     DatabaseConnection,
@@ -19,7 +21,8 @@
 use std::{
     collections::VecDeque,
     net::SocketAddr,
-    sync::Arc, //
+    sync::Arc,
+    time::Duration, //
 };
 use tokio::{
     sync::oneshot,
@@ -53,9 +56,15 @@
     temporary_limit: Option<(usize, Instant)>,
     /// Number of connections in use or being opened.
     checked_out: usize,
+    /// Number of connections in use by a statement or being opened; the others in use are idle in a
+    /// transaction.
+    running: usize,
+    run_limit: RunLimit,
     /// Least recently used first.
     idle: Vec<IdleConnection<C>>,
-    waiting: VecDeque<Waiter<C>>,
+    /// Statements of open transactions that wait until they may run.
+    resuming: VecDeque<oneshot::Sender<RunToken<C>>>,
+    waiting: WaitQueue<oneshot::Sender<Grant<C>>>,
     /// Sequence number of the last claim.
     last_claim: u64,
 }
@@ -65,11 +74,6 @@
     tracked: TrackedConnection<C>,
 }
 
-struct Waiter<C: DatabaseConnection> {
-    organisation: Option<OrganisationId>,
-    granted: oneshot::Sender<Grant<C>>,
-}
-
 /// What a claim is granted.
 pub(super) enum Grant<C: DatabaseConnection> {
     /// A connection.
@@ -85,12 +89,38 @@
     /// Granted later, when another session releases a connection. If an instant is given, the claim
     /// may be repeated then.
     Wait(oneshot::Receiver<Grant<C>>, Option<Instant>),
+    /// Not granted: others would take all of the time until the deadline.
+    Rejected,
+}
+
+/// What a connection is claimed for.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ClaimRequest<'a> {
+    pub(super) organisation: Option<&'a OrganisationId>,
+    /// A connection that already has these values set is preferred.
+    pub(super) values: &'a SessionValues,
+    pub(super) number: u64,
+    pub(super) deadline: Instant,
 }
 
 /// Permission for one connection within the budget; released on drop.
 pub(super) struct ConnectionPermit<C: DatabaseConnection> {
     pool: Arc<UpstreamPool<C>>,
     release_on_drop: bool,
+    /// The permission to run a statement; `None` while idle in a transaction.
+    run: Option<RunToken<C>>,
+}
+
+/// Permission to run a statement; released on drop.
+pub(super) struct RunToken<C: DatabaseConnection> {
+    pool: Arc<UpstreamPool<C>>,
+    started_at: Instant,
+}
+
+impl<C: DatabaseConnection> Drop for RunToken<C> {
+    fn drop(&mut self) {
+        self.pool.end_run(self.started_at.elapsed());
+    }
 }
 
 impl<C: DatabaseConnection> UpstreamPool<C> {
@@ -104,8 +134,11 @@
                 budget,
                 temporary_limit: None,
                 checked_out: 0,
+                running: 0,
+                run_limit: RunLimit::new(),
                 idle: Vec::new(),
-                waiting: VecDeque::new(),
+                resuming: VecDeque::new(),
+                waiting: WaitQueue::default(),
                 last_claim: 0,
             }),
         }
@@ -120,7 +153,7 @@
     pub(super) fn load(&self) -> UpstreamLoad {
         let state = self.state.lock();
         UpstreamLoad {
-            full: state.checked_out >= state.max_open(),
+            full: state.checked_out >= state.max_open() || state.running >= state.max_running(),
             checked_out: state.checked_out,
             last_claim: state.last_claim,
         }
@@ -137,9 +170,7 @@
         let surplus: Vec<_> = state.idle.drain(..surplus).collect();
         drop(state);
         drop(surplus);
-        while let Some(waiter) = self.reserve_permit() {
-            self.grant_permit(waiter);
-        }
+        self.serve_waiting();
     }
 
     /// Sets whether released connections are closed instead of kept idle.
@@ -153,8 +184,9 @@
         state.retired = true;
         let idle = std::mem::take(&mut state.idle);
         let waiting = std::mem::take(&mut state.waiting);
+        let resuming = std::mem::take(&mut state.resuming);
         drop(state);
-        drop((idle, waiting));
+        drop((idle, waiting, resuming));
     }
 
     /// Closes the idle connections.
@@ -163,49 +195,48 @@
         drop(idle);
     }
 
-    /// Claims a connection for an organisation, preferably one that already has the values set.
-    pub(super) fn claim(
-        self: &Arc<Self>,
-        organisation: Option<&OrganisationId>,
-        values: &SessionValues,
-        claim_number: u64,
-    ) -> Claim<C> {
-        loop {
+    /// Claims a connection and the permission to run a statement on it.
+    pub(super) fn claim(self: &Arc<Self>, request: ClaimRequest<'_>) -> Claim<C> {
+        let mut state = self.state.lock();
+        state.last_claim = request.number;
+        if state.running < state.max_running()
+            && let Some(source) = state.take_source(request.organisation, Some(request.values))
+        {
+            drop(state);
+            return Claim::Granted(self.grant(request.organisation, source));
+        }
+        // Requests that gave up do not count.
+        state.waiting.retain(|waiter| !waiter.is_closed());
+        if Instant::now() + state.expected_wait() > request.deadline {
+            return Claim::Rejected;
+        }
+        let (granted, receiver) = oneshot::channel();
+        state.waiting.push(request.organisation, granted);
+        Claim::Wait(receiver, state.limit_expiry())
+    }
+
+    /// Waits until a statement of an open transaction may run; `None` if the pool is retired.
+    async fn resume(self: &Arc<Self>) -> Option<RunToken<C>> {
+        let receiver = {
             let mut state = self.state.lock();
-            state.last_claim = claim_number;
-            if let Some(mut tracked) = state.take_idle(organisation, values) {
-                state.checked_out += 1;
+            if state.running < state.max_running() || state.retired {
+                state.running += 1;
                 drop(state);
-                let permit = ConnectionPermit::of(self);
-                if tracked.connection.is_stale() {
-                    drop(tracked);
-                    drop(permit);
-                    continue;
-                }
-                let connection =
-                    PooledConnection::checked_out(permit, organisation.cloned(), tracked);
-                return Claim::Granted(Grant::Connection(connection));
+                return Some(RunToken::of(self));
             }
-            let evicted = match state.make_room() {
-                Room::Free => None,
-                Room::Evicted(tracked) => Some(tracked),
-                Room::None => {
-                    let (granted, receiver) = oneshot::channel();
-                    state.waiting.push_back(Waiter {
-                        organisation: organisation.cloned(),
-                        granted,
-                    });
-                    return Claim::Wait(receiver, state.limit_expiry());
-                }
-            };
-            state.checked_out += 1;
-            drop(state);
-            drop(evicted);
-            return Claim::Granted(Grant::Permit(ConnectionPermit::of(self)));
-        }
+            let (granted, receiver) = oneshot::channel();
+            state.resuming.push_back(granted);
+            receiver
+        };
+        receiver.await.ok()
     }
 
-    /// Takes back a connection that can be reused, and passes it to a waiter if there is one.
+    /// Records that the database refused work because it is overloaded.
+    pub(super) fn record_overload(&self) {
+        self.state.lock().run_limit.record_refusal(Instant::now());
+    }
+
+    /// Takes back a connection that can be reused.
     fn return_connection(
         self: &Arc<Self>,
         mut permit: ConnectionPermit<C>,
@@ -220,78 +251,171 @@
             drop(permit);
             return;
         }
-        let Some(waiter) = state.next_waiter() else {
-            state.checked_out -= 1;
-            permit.release_on_drop = false;
-            state.idle.push(IdleConnection {
-                organisation,
-                tracked,
-            });
-            return;
-        };
+        state.checked_out -= 1;
+        permit.release_on_drop = false;
+        state.idle.push(IdleConnection {
+            organisation,
+            tracked,
+        });
         drop(state);
-        let grant = if waiter.organisation == organisation {
-            Grant::Connection(PooledConnection::checked_out(permit, organisation, tracked))
-        } else {
-            drop(tracked);
-            Grant::Permit(permit)
-        };
-        // If the waiter has gone, the grant is dropped, which gives it back.
-        let _ = waiter.granted.send(grant);
+        // Ends the run, which serves those that wait.
+        drop(permit);
     }
 
-    /// Reserves a permit for the next waiter, if there is one and the budget allows it.
-    fn reserve_permit(&self) -> Option<Waiter<C>> {
+    /// Ends the run of a statement, and lets the next one run.
+    fn end_run(self: &Arc<Self>, took: Duration) {
         let mut state = self.state.lock();
-        if state.retired || state.used() >= state.max_open() {
-            return None;
+        state.running -= 1;
+        let waiting = state.waiting.len() + state.resuming.len() > 0;
+        state.run_limit.record_run(took, waiting);
+        drop(state);
+        self.serve_waiting();
+    }
+
+    fn release_permit(self: &Arc<Self>) {
+        self.state.lock().checked_out -= 1;
+        self.serve_waiting();
+    }
+
+    /// Lets statements run, those of open transactions first, as far as the limits allow it.
+    pub(super) fn serve_waiting(self: &Arc<Self>) {
+        while let Some(next) = self.next_waiting() {
+            // If the waiter has gone, the grant is dropped, which gives it back.
+            match next {
+                Next::Resume(waiter) => drop(waiter.send(RunToken::of(self))),
+                Next::Claim(waiter, organisation, source) => {
+                    let grant = self.grant(organisation.as_ref(), source);
+                    drop(waiter.send(grant));
+                }
+            }
         }
-        let waiter = state.next_waiter()?;
-        state.checked_out += 1;
-        Some(waiter)
     }
 
-    fn grant_permit(self: &Arc<Self>, waiter: Waiter<C>) {
-        let _ = waiter
-            .granted
-            .send(Grant::Permit(ConnectionPermit::of(self)));
+    fn next_waiting(&self) -> Option<Next<C>> {
+        let mut state = self.state.lock();
+        if state.retired || state.running >= state.max_running() {
+            return None;
+        }
+        state.resuming.retain(|waiter| !waiter.is_closed());
+        if let Some(waiter) = state.resuming.pop_front() {
+            state.running += 1;
+            return Some(Next::Resume(waiter));
+        }
+        state.waiting.retain(|waiter| !waiter.is_closed());
+        let may_open = state.may_open();
+        let PoolState { idle, waiting, .. } = &mut *state;
+        let has_idle = |organisation: Option<&OrganisationId>| {
+            idle.iter()
+                .any(|idle| idle.organisation.as_ref() == organisation)
+        };
+        let (organisation, waiter) = waiting.pop(has_idle, may_open)?;
+        let source = state.take_source(organisation.as_ref(), None)?;
+        Some(Next::Claim(waiter, organisation, source))
     }
 
-    fn release_permit(self: &Arc<Self>) {
-        self.state.lock().checked_out -= 1;
-        if let Some(waiter) = self.reserve_permit() {
-            self.grant_permit(waiter);
+    /// Creates the grant for a connection or permission that has been counted.
+    fn grant(
+        self: &Arc<Self>,
+        organisation: Option<&OrganisationId>,
+        source: ConnectionSource<C>,
+    ) -> Grant<C> {
+        let permit = ConnectionPermit {
+            pool: Arc::clone(self),
+            release_on_drop: true,
+            run: Some(RunToken::of(self)),
+        };
+        match source {
+            ConnectionSource::Idle(mut tracked) => {
+                if tracked.connection.is_stale() {
+                    drop(tracked);
+                    return Grant::Permit(permit);
+                }
+                let organisation = organisation.cloned();
+                Grant::Connection(PooledConnection::checked_out(permit, organisation, tracked))
+            }
+            ConnectionSource::New(evicted) => {
+                drop(evicted);
+                Grant::Permit(permit)
+            }
         }
     }
 }
 
+/// Who is served next.
+enum Next<C: DatabaseConnection> {
+    Resume(oneshot::Sender<RunToken<C>>),
+    Claim(
+        oneshot::Sender<Grant<C>>,
+        Option<OrganisationId>,
+        ConnectionSource<C>,
+    ),
+}
+
+/// Where a connection for a claim comes from.
+enum ConnectionSource<C> {
+    /// An idle connection.
+    Idle(TrackedConnection<C>),
+    /// A new one, in place of an idle one of another organisation if there is no room.
+    New(Option<TrackedConnection<C>>),
+}
+
 impl<C: DatabaseConnection> PoolState<C> {
     fn used(&self) -> usize {
         self.checked_out + self.idle.len()
     }
 
+    /// Takes an idle connection of an organisation or room for a new one, and counts it as in use
+    /// and running.
+    fn take_source(
+        &mut self,
+        organisation: Option<&OrganisationId>,
+        values: Option<&SessionValues>,
+    ) -> Option<ConnectionSource<C>> {
+        let source = match self.take_idle(organisation, values) {
+            Some(tracked) => ConnectionSource::Idle(tracked),
+            None => match self.make_room() {
+                Room::Free => ConnectionSource::New(None),
+                Room::Evicted(tracked) => ConnectionSource::New(Some(tracked)),
+                Room::None => return None,
+            },
+        };
+        self.checked_out += 1;
+        self.running += 1;
+        Some(source)
+    }
+
     fn take_idle(
         &mut self,
         organisation: Option<&OrganisationId>,
-        values: &SessionValues,
+        values: Option<&SessionValues>,
     ) -> Option<TrackedConnection<C>> {
         let same_organisation =
             |idle: &IdleConnection<C>| idle.organisation.as_ref() == organisation;
         let same_values = |idle: &IdleConnection<C>| {
-            same_organisation(idle) && idle.tracked.session_state.matches(values)
+            let matches = values.is_some_and(|values| idle.tracked.session_state.matches(values));
+            same_organisation(idle) && matches
         };
         let index = self.idle.iter().rposition(same_values);
         let index = index.or_else(|| self.idle.iter().rposition(same_organisation))?;
         Some(self.idle.remove(index).tracked)
     }
 
-    /// Returns the first waiter that has not given up.
-    fn next_waiter(&mut self) -> Option<Waiter<C>> {
-        loop {
-            let waiter = self.waiting.pop_front()?;
-            if !waiter.granted.is_closed() {
-                return Some(waiter);
+    /// Returns how many statements may run at once.
+    fn max_running(&self) -> usize {
+        match self.budget.is_held {
+            true => self.run_limit.limit(),
+            false => usize::MAX,
+        }
+    }
+
+    /// Returns how long a claim that is made now is expected to wait.
+    fn expected_wait(&self) -> Duration {
+        match self.budget.is_held {
+            true => {
+                let ahead = self.waiting.len() + self.resuming.len();
+                self.run_limit.expected_wait(ahead)
             }
+            false => Duration::ZERO,
         }
     }
 
@@ -312,6 +436,12 @@
             .filter(|(_, until)| Instant::now() < *until)
     }
 
+    /// Returns whether there is room for a new connection, possibly in place of an idle one.
+    fn may_open(&self) -> bool {
+        let max_open = self.max_open();
+        self.used() < max_open || !self.idle.is_empty() && self.checked_out < max_open
+    }
+
     fn make_room(&mut self) -> Room<C> {
         let max_open = self.max_open();
         if self.used() < max_open {
@@ -331,12 +461,33 @@
     None,
 }
 
-impl<C: DatabaseConnection> ConnectionPermit<C> {
+impl<C: DatabaseConnection> RunToken<C> {
+    /// Creates the token for a run that has been counted.
     fn of(pool: &Arc<UpstreamPool<C>>) -> Self {
         Self {
             pool: Arc::clone(pool),
-            release_on_drop: true,
+            started_at: Instant::now(),
+        }
+    }
+}
+
+impl<C: DatabaseConnection> ConnectionPermit<C> {
+    /// Lets others run statements while the connection is idle in a transaction.
+    pub(super) fn pause(&mut self) {
+        self.run = None;
+    }
+
+    /// Waits until a statement may run; returns whether it may.
+    pub(super) async fn resume(&mut self) -> bool {
+        if self.run.is_none() {
+            self.run = self.pool.resume().await;
         }
+        self.run.is_some()
+    }
+
+    /// Records that the database refused work because it is overloaded.
+    pub(super) fn record_overload(&self) {
+        self.pool.record_overload();
     }
 
     /// Limits the pool, until an instant, to the connections other than this one, which the
@@ -363,5 +514,6 @@
         if self.release_on_drop {
             self.pool.release_permit();
         }
+        // The run ends with its token, after the connection has been given back.
     }
 }
