Hold connections by few instances on every fleet, most of them by the first

Cause: the first holder had 60 percent of a database's connections, so that connections of 78 organisations displaced each other; and fleets with an even share of three or more still divided them, so that a fleet changed between both ways while its instances joined.

Change: the shares of the three holders are 74, 12 and 6 percent, and holders are used wherever the view names some.

--- a/crates/daisyseam-engine/src/pool/shares.rs
+++ b/crates/daisyseam-engine/src/pool/shares.rs
@@ -29,16 +29,12 @@
 /// transaction, and one for other sessions.
 const MIN_OPEN: usize = 2;
 
-/// Smallest even share with which every instance opens its own connections; with a smaller one, a
-/// few holders open them for all.
-const MIN_EVEN_SHARE: usize = 3;
-
 /// Number of connections that an instance other than the holders may use while none of those
 /// serves it.
 const MIN_OPEN_WITHOUT_SHARE: usize = 1;
 
 /// Percentage of a database's connections that the holder of each rank may open.
-const RANK_PERCENT: [usize; RANKED_HOLDERS] = [60, 20, 10];
+const RANK_PERCENT: [usize; RANKED_HOLDERS] = [74, 12, 6];
 
 /// Time for which a database may still count the connections of a departed instance, and after
 /// which an instance that is new in the view is chosen as a holder.
@@ -153,8 +149,7 @@
         now: Instant,
     ) -> ConnectionPlan {
         let slots = slots(view, upstream_view);
-        let even = self.even_share(view, slots, now);
-        if self.own.is_some() && even < MIN_EVEN_SHARE {
+        if self.own.is_some() {
             let held = self.held_share(view, upstream, upstream_view, slots, now);
             if !held.holders.is_empty() {
                 return ConnectionPlan {
@@ -167,6 +162,7 @@
                 };
             }
         }
+        let even = self.even_share(view, slots, now);
         ConnectionPlan {
             budget: ConnectionBudget {
                 share: even,
