Continue after a full disk instead of ending the process

Report of an operator: disks of counted machines were full for some seconds each, one after another; changes were refused long after. Here a member of control whose disk is full stopped for good and its process ended.

Cause: after a failed write the store must be read again, and only a start of the process did that.

Change: on a full disk the member drops its role and its connections, reads its durable state again every 250 ms, writes it to a new segment, and continues from it as after a restart. Other failures of the folder still end the process. A process that starts with a full disk waits for room.

Tests, the first two fail without it: node/tests.rs a_member_continues_once_its_disk_has_room_again, store/tests/recovery.rs.

--- a/crates/daisyseam-control/src/core/spares.rs
+++ b/crates/daisyseam-control/src/core/spares.rs
@@ -39,12 +39,26 @@
     /// Creates a core with the same settings, but with another name and an empty log.
     pub fn recreate_as(&self, name: InstanceId, now: Moment, random: ChaCha8Rng) -> Self {
         let settings = CoreSettings {
-            instance: name.clone(),
+            instance: name,
             ..self.settings.clone()
         };
-        let durable = DurableLog::default();
+        self.recreate(settings, DurableLog::default(), now, random)
+    }
+
+    /// Creates a core with the same settings and name from a durable log, as after a restart.
+    pub fn recreate_from(&self, durable: DurableLog, now: Moment, random: ChaCha8Rng) -> Self {
+        self.recreate(self.settings.clone(), durable, now, random)
+    }
+
+    fn recreate(
+        &self,
+        settings: CoreSettings,
+        durable: DurableLog,
+        now: Moment,
+        random: ChaCha8Rng,
+    ) -> Self {
         let times = self.log.settings().clone();
-        let log = ReplicatedLog::recover(name, times, durable, now, random);
+        let log = ReplicatedLog::recover(settings.instance.clone(), times, durable, now, random);
         Self::new(settings, log)
     }
 
--- a/crates/daisyseam-control/src/daemon.rs
+++ b/crates/daisyseam-control/src/daemon.rs
@@ -87,6 +87,8 @@
 const LOCK_TIMEOUT: Duration = Duration::from_secs(2);
 /// Delay between attempts to lock the data folder.
 const LOCK_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// Delay between attempts to open a data folder whose disk is full.
+const FULL_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Interval between checks for a failure of the node.
 const FAILURE_POLL_INTERVAL: Duration = Duration::from_millis(250);
 /// Interval at which certificates are reloaded.
@@ -216,8 +218,10 @@
             timer: link_timer.clone(),
             node,
         };
+        let voters = identity.voters.iter().cloned();
         let arguments = NodeArguments {
             core,
+            initial_members: MemberTable::from_voters(voters),
             instance: identity.owner.instance,
             naming_address: (!settings.seeds.is_empty()).then_some(own),
             store,
@@ -311,12 +315,15 @@
         self.report.load().status.as_ref().clone()
     }
 
-    /// Waits until the daemon fails, and returns the failure.
+    /// Waits until the daemon fails for good, and returns the failure. A full disk is no such
+    /// failure: the daemon continues once there is room.
     pub async fn failed(&self) -> DaemonFailure {
         loop {
-            if let Some(failure) = self.report.load().failure.clone() {
-                return DaemonFailure::DataFolder(failure);
+            let report = self.report.load();
+            if let (Some(failure), true) = (&report.failure, report.is_final) {
+                return DaemonFailure::DataFolder(failure.clone());
             }
+            drop(report);
             if self.node_end.is_finished() {
                 return DaemonFailure::Invariant;
             }
@@ -414,6 +421,10 @@
             Err(StoreError::Locked { .. }) if timer.now() < until => {
                 timer.after(LOCK_RETRY_DELAY).await
             }
+            Err(error) if error.is_full() => {
+                log::error!("waiting until the disk has room: {error}");
+                timer.after(FULL_RETRY_DELAY).await;
+            }
             opened => return opened.map_err(StartError::Store),
         }
     }
--- a/crates/daisyseam-control/src/node.rs
+++ b/crates/daisyseam-control/src/node.rs
@@ -3,6 +3,7 @@
 use crate::{
     admin::UpstreamAdmin,
     convert::{
+        durable_log,
         entry_to_record,
         from_wire,
         snapshot_to_record,
@@ -27,7 +28,8 @@
     log::{
         LogMessage,
         LogSnapshot,
-        LogWrite, //
+        LogWrite,
+        MemberTable, //
     },
     promotion::{
         CallKind, //
@@ -75,6 +77,9 @@
     time::Instant, //
 };
 
+/// Interval between attempts to use a store whose disk is full.
+const STORE_RETRY_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Interval between updates of the status page.
 const STATUS_INTERVAL: Duration = Duration::from_millis(1_000);
 
@@ -118,8 +123,10 @@
     pub(crate) is_leader: bool,
     /// Address of the leader, if one is known.
     pub(crate) leader: Option<SocketAddr>,
-    /// The failure that stopped the node, if any.
+    /// The failure because of which the node makes no decisions, if any.
     pub(crate) failure: Option<String>,
+    /// Whether the node cannot recover from the failure.
+    pub(crate) is_final: bool,
     /// The most recent status page.
     pub(crate) status: Arc<Value>,
 }
@@ -131,6 +138,7 @@
             && self.is_leader == other.is_leader
             && self.leader == other.leader
             && self.failure == other.failure
+            && self.is_final == other.is_final
             && Arc::ptr_eq(&self.status, &other.status)
     }
 }
@@ -151,6 +159,8 @@
     /// Address from which a new name is derived; `None` if the name is configured.
     pub(crate) naming_address: Option<SocketAddr>,
     pub(crate) store: S,
+    /// Members of the log before its first snapshot.
+    pub(crate) initial_members: MemberTable,
     pub(crate) admin: A,
     /// Origin of the core's time, by [`BootClock`].
     pub(crate) origin: Instant,
@@ -168,6 +178,7 @@
     instance: InstanceId,
     naming_address: Option<SocketAddr>,
     store: Option<S>,
+    initial_members: MemberTable,
     admin: A,
     origin: Instant,
     wake: watch::Sender<Instant>,
@@ -183,6 +194,8 @@
     last_request: RequestId,
     flush_pending: bool,
     failure: Option<String>,
+    /// When to try to use the store again after a failure; `None` if that is not possible.
+    retry_at: Option<Moment>,
 }
 
 impl<S: LogStorage, A: UpstreamAdmin> Actor for NodeActor<S, A> {
@@ -202,6 +215,7 @@
             instance: arguments.instance,
             naming_address: arguments.naming_address,
             store: Some(arguments.store),
+            initial_members: arguments.initial_members,
             admin: arguments.admin,
             origin: arguments.origin,
             wake: arguments.wake,
@@ -217,6 +231,7 @@
             last_request: RequestId(0),
             flush_pending: true,
             failure: None,
+            retry_at: None,
         })
     }
 
@@ -227,7 +242,12 @@
         state: &mut Self::State,
     ) -> Result<(), ActorProcessingErr> {
         if state.failure.is_some() {
-            return Ok(());
+            if matches!(message, NodeMessage::Tick) {
+                state.retry_store().await;
+            }
+            if state.failure.is_some() {
+                return Ok(());
+            }
         }
         if matches!(message, NodeMessage::Flush) {
             state.flush_pending = false;
@@ -326,8 +346,9 @@
         self.links.clear();
         self.routes.clear();
         self.requests.clear();
-        self.write(move |store| store.reset(&identity)).await?;
+        self.use_store(move |store| store.reset(&identity)).await?;
         let random = ChaCha8Rng::from_os_rng();
+        self.initial_members = MemberTable::default();
         self.core = self.core.recreate_as(name.clone(), self.now(), random);
         self.instance = name;
         Ok(())
@@ -343,7 +364,8 @@
             self.send_all(output.before_sync);
             if !output.writes.is_empty() {
                 let writes = output.writes;
-                self.write(move |store| write_all(store, writes)).await?;
+                self.use_store(move |store| write_all(store, writes))
+                    .await?;
             }
             let now = self.now();
             self.core.synced(now);
@@ -352,7 +374,7 @@
         }
         if let Some(snapshot) = self.core.take_snapshot() {
             let record = snapshot_to_record(&snapshot);
-            self.write(move |store| store.save_snapshot(record, false))
+            self.use_store(move |store| store.save_snapshot(record, false))
                 .await?;
         }
         self.update_links();
@@ -367,16 +389,16 @@
         Ok(())
     }
 
-    /// Runs a write on a thread that may block.
-    async fn write(
+    /// Runs an action on the store on a thread that may block.
+    async fn use_store<T: Send + 'static>(
         &mut self,
-        write: impl FnOnce(&mut S) -> Result<(), StoreError> + Send + 'static,
-    ) -> Result<(), StoreError> {
+        action: impl FnOnce(&mut S) -> Result<T, StoreError> + Send + 'static,
+    ) -> Result<T, StoreError> {
         let Some(mut store) = self.store.take() else {
             return Err(StoreError::Poisoned);
         };
         let task = tokio::task::spawn_blocking(move || {
-            let result = write(&mut store);
+            let result = action(&mut store);
             (store, result)
         });
         let (store, result) = task.await.map_err(|_| StoreError::Poisoned)?;
@@ -487,6 +509,7 @@
             is_leader: self.failure.is_none() && log.has_lease(now),
             leader: leader.and_then(|leader| log.members().address(leader)),
             failure: self.failure.clone(),
+            is_final: self.failure.is_some() && self.retry_at.is_none(),
             status: Arc::clone(&self.status),
         };
         if !report.is_same(&self.report.load()) {
@@ -494,13 +517,56 @@
         }
     }
 
-    /// Stops the node, since it must not acknowledge anything that is not durable.
+    /// Stops making decisions, since nothing may be acknowledged that is not durable.
+    ///
+    /// If the disk is full, the node starts again from its durable state once there is room.
     fn fail(&mut self, error: &StoreError) {
-        log::error!("the data folder failed; this instance makes no further decisions: {error}");
+        let now = self.now();
+        if error.is_full() {
+            log::error!("no decisions are made until the disk has room: {error}");
+            self.schedule_retry(now);
+        } else {
+            log::error!("the data folder failed; no further decisions are made: {error}");
+            self.retry_at = None;
+        }
         self.failure = Some(error.to_string());
         self.links.clear();
         self.routes.clear();
         self.requests.clear();
+        self.publish(now);
+    }
+
+    fn schedule_retry(&mut self, now: Moment) {
+        let retry_at = now + STORE_RETRY_INTERVAL;
+        self.retry_at = Some(retry_at);
+        let wake = BootClock::to_monotonic(self.origin + retry_at.since_origin());
+        self.wake.send_replace(wake);
+    }
+
+    /// Starts again from the durable state if the disk has room and a retry is due.
+    async fn retry_store(&mut self) {
+        let now = self.now();
+        if self.retry_at.is_none_or(|retry_at| now < retry_at) {
+            return;
+        }
+        let recovered = match self.use_store(LogStorage::reopen).await {
+            Ok(recovered) => recovered,
+            Err(error) if error.is_full() => {
+                self.schedule_retry(now);
+                return;
+            }
+            Err(error) => return self.fail(&error),
+        };
+        let Some(durable) = durable_log(recovered, self.initial_members.clone()) else {
+            log::error!("the data folder holds records that cannot be read");
+            self.retry_at = None;
+            return self.publish(now);
+        };
+        log::warn!("the disk has room again; continuing from the durable state");
+        let random = ChaCha8Rng::from_os_rng();
+        self.core = self.core.recreate_from(durable, self.now(), random);
+        self.failure = None;
+        self.retry_at = None;
         self.publish(self.now());
     }
 }
--- a/crates/daisyseam-control/src/node/tests.rs
+++ b/crates/daisyseam-control/src/node/tests.rs
@@ -41,7 +41,10 @@
     SubmitRequest,
     control_message::Body, //
 };
-use ractor::Actor;
+use ractor::{
+    Actor,
+    ActorRef, //
+};
 use rand_chacha::{
     ChaCha8Rng,
     rand_core::SeedableRng, //
@@ -55,7 +58,10 @@
         mpsc,
         watch, //
     },
-    time::Instant, //
+    time::{
+        Instant,
+        sleep, //
+    }, //
 };
 
 const DOCUMENT: &str = r#"number = 1
@@ -81,15 +87,14 @@
     }
 }
 
-#[tokio::test(start_paused = true)]
-async fn a_full_disk_acknowledges_nothing_and_loses_nothing() {
-    let disk = MemoryDisk::default();
+/// Starts the only member of a cluster and waits until it leads.
+async fn start(disk: &MemoryDisk) -> (ActorRef<NodeMessage>, Arc<ArcSwap<NodeReport>>) {
     let (store, recovered) = disk.open();
     let instance = InstanceId::new("control-1").expect("a sound name");
     let cluster = ClusterId::new("shellrest").expect("a sound name");
     let address = "127.0.0.1:7000".parse().expect("an address");
     let members = MemberTable::from_voters([(instance.clone(), address)]);
-    let durable = durable_log(recovered, members).expect("an empty disk");
+    let durable = durable_log(recovered, members.clone()).expect("an empty disk");
     let random = ChaCha8Rng::seed_from_u64(1);
     let settings = LogSettings::default();
     let log = ReplicatedLog::recover(instance.clone(), settings, durable, Moment::ORIGIN, random);
@@ -104,6 +109,7 @@
         instance,
         naming_address: None,
         store,
+        initial_members: members,
         admin: NoDatabases,
         origin,
         wake,
@@ -121,12 +127,21 @@
     let (node, _end) = Actor::spawn(None, NodeActor::new(), arguments)
         .await
         .expect("it starts");
+    lead(&node, &report).await;
+    (node, report)
+}
+
+async fn lead(node: &ActorRef<NodeMessage>, report: &ArcSwap<NodeReport>) {
+    let until = Instant::now() + Duration::from_secs(10);
     while !report.load().is_leader {
-        timer.after(Duration::from_millis(10)).await;
+        assert!(Instant::now() < until, "it does not lead");
+        sleep(Duration::from_millis(10)).await;
         node.cast(NodeMessage::Tick).expect("it runs");
     }
-    let entries = disk.open().1.entries.len();
-    disk.set_full(true);
+}
+
+/// Submits the document; returns the answer, or `None` if the request was dropped.
+async fn submit(node: &ActorRef<NodeMessage>) -> Option<Body> {
     let (replies, mut replied) = mpsc::channel(1);
     let body = Body::Submit(SubmitRequest {
         id: "change-1".to_owned(),
@@ -136,9 +151,41 @@
     });
     node.cast(NodeMessage::Request { body, replies })
         .expect("it runs");
-    assert_eq!(replied.recv().await, None, "nothing is answered");
+    replied.recv().await
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_full_disk_acknowledges_nothing_and_loses_nothing() {
+    let disk = MemoryDisk::default();
+    let (node, report) = start(&disk).await;
+    let entries = disk.open().1.entries.len();
+    disk.set_full(true);
+    assert_eq!(submit(&node).await, None, "nothing is answered");
     assert!(!report.load().is_leader);
     let failure = report.load().failure.clone().expect("it failed");
     assert!(failure.contains("the disk is full"), "{failure}");
     assert_eq!(disk.open().1.entries.len(), entries);
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_member_continues_once_its_disk_has_room_again() {
+    let disk = MemoryDisk::default();
+    let (node, report) = start(&disk).await;
+    let entries = disk.open().1.entries;
+    disk.set_full(true);
+    assert_eq!(submit(&node).await, None);
+    for _ in 0..100 {
+        sleep(Duration::from_millis(50)).await;
+        node.cast(NodeMessage::Tick).expect("it runs");
+    }
+    let failed = report.load_full();
+    assert!(failed.failure.is_some() && !failed.is_final, "{failed:?}");
+    assert_eq!(disk.open().1.entries, entries);
+    disk.set_full(false);
+    lead(&node, &report).await;
+    assert_eq!(report.load().failure, None);
+    assert!(matches!(submit(&node).await, Some(Body::Submitted(_))));
+    // Nothing of before is lost.
+    let kept = disk.open().1.entries;
+    assert_eq!(kept[..entries.len()], entries);
+}
--- a/crates/daisyseam-store/src/error.rs
+++ b/crates/daisyseam-store/src/error.rs
@@ -66,6 +66,11 @@
 impl Error for StoreError {}
 
 impl StoreError {
+    /// Returns whether the store can be used again once the disk has room.
+    pub fn is_full(&self) -> bool {
+        matches!(self, Self::Full { .. })
+    }
+
     /// Wraps an I/O error for a path.
     pub(crate) fn io(path: &Path, error: io::Error) -> Self {
         let path = path.to_owned();
--- a/crates/daisyseam-store/src/folder.rs
+++ b/crates/daisyseam-store/src/folder.rs
@@ -236,6 +236,25 @@
         replaced
     }
 
+    fn reopen(&mut self) -> Result<RecoveredState, StoreError> {
+        self.poisoned = true;
+        self.pending.clear();
+        let mut state = RecoveredState {
+            snapshot: read_snapshot(&self.folder)?,
+            ..RecoveredState::default()
+        };
+        let (segment, _) = recover_segments(&self.folder, &mut state)?;
+        let recovered = state.clone();
+        let entries = std::mem::take(&mut state.entries);
+        self.segment = segment;
+        self.state = with_vote_only(state);
+        self.poisoned = false;
+        // After a failed sync, what is read may be in memory only, so all of it is written anew.
+        let rewritten = self.rewrite_segments(entries);
+        self.poisoned = rewritten.is_err();
+        rewritten.map(|()| recovered)
+    }
+
     fn reset(&mut self, identity: &FolderIdentity) -> Result<(), StoreError> {
         // If this is interrupted, the mark in the identity file makes the next open remove the log
         // files.
--- a/crates/daisyseam-store/src/memory.rs
+++ b/crates/daisyseam-store/src/memory.rs
@@ -109,6 +109,12 @@
         Ok(())
     }
 
+    fn reopen(&mut self) -> Result<RecoveredState, StoreError> {
+        self.pending.clear();
+        self.sync()?;
+        Ok(self.disk.lock().durable.clone())
+    }
+
     fn reset(&mut self, _identity: &FolderIdentity) -> Result<(), StoreError> {
         self.pending.clear();
         self.disk.lock().durable = RecoveredState::default();
--- a/crates/daisyseam-store/src/storage.rs
+++ b/crates/daisyseam-store/src/storage.rs
@@ -22,7 +22,7 @@
 /// Durable storage of one log.
 ///
 /// After an error, nothing written since the last [`LogStorage::sync`] may be acknowledged, and the
-/// storage must be reopened.
+/// storage must be [reopened](LogStorage::reopen).
 pub trait LogStorage: Send + 'static {
     /// Replaces the term and the vote; durable after the next sync.
     fn save_vote(&mut self, vote: VoteRecord);
@@ -50,6 +50,14 @@
         clear_log: bool,
     ) -> Result<(), StoreError>;
 
+    /// Discards what is not durable and returns the durable state, as after a restart.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError`] if the durable state cannot be read or nothing can be written; it may be tried
+    /// again.
+    fn reopen(&mut self) -> Result<RecoveredState, StoreError>;
+
     /// Removes the vote, the snapshot and all entries and takes a new identity; durable on return.
     ///
     /// # Errors
--- a/crates/daisyseam-store/tests/recovery.rs
+++ b/crates/daisyseam-store/tests/recovery.rs
@@ -21,6 +21,7 @@
         self,
         OpenOptions, //
     },
+    io::Write,
     path::{
         Path,
         PathBuf, //
@@ -286,6 +287,53 @@
     assert_eq!(recovered.entries, vec![entry(1, 1)]);
 }
 
+#[test]
+fn a_store_continues_from_its_durable_state_after_a_failed_write() {
+    let folder = tempfile::tempdir().expect("a temporary folder");
+    let (mut store, _) = open(folder.path()).expect("the folder opens");
+    store.save_vote(vote(3));
+    store.append(vec![entry(1, 3), entry(2, 3)]);
+    store.sync().expect("the sync succeeds");
+    // The write ended in the middle of a frame, and nothing after the sync was acknowledged.
+    let segment = folder.path().join(format!("wal-{:016}", 1));
+    let mut file = OpenOptions::new()
+        .append(true)
+        .open(&segment)
+        .expect("it opens");
+    file.write_all(&[7; 5]).expect("it is written");
+    store.append(vec![entry(3, 3)]);
+    let state = store.reopen().expect("it is reopened");
+    assert_eq!(state.vote, vote(3));
+    assert_eq!(state.entries, vec![entry(1, 3), entry(2, 3)]);
+    store.append(vec![entry(3, 4)]);
+    store.sync().expect("the sync succeeds");
+    let again = store.reopen().expect("it is reopened again");
+    drop(store);
+    let (_, recovered) = open(folder.path()).expect("the folder opens");
+    assert_eq!(recovered, again);
+    assert_eq!(
+        recovered.entries,
+        vec![entry(1, 3), entry(2, 3), entry(3, 4)]
+    );
+}
+
+#[test]
+fn a_store_that_cannot_be_written_is_reopened_once_it_can() {
+    let folder = tempfile::tempdir().expect("a temporary folder");
+    let (mut store, _) = open(folder.path()).expect("the folder opens");
+    store.append(vec![entry(1, 1)]);
+    store.sync().expect("the sync succeeds");
+    // A folder in the place of the next segment makes the first attempt fail.
+    let obstacle = folder.path().join(format!("wal-{:016}", 2));
+    fs::create_dir(&obstacle).expect("it is created");
+    assert!(store.reopen().is_err());
+    store.append(vec![entry(2, 1)]);
+    assert!(matches!(store.sync(), Err(StoreError::Poisoned)));
+    fs::remove_dir(&obstacle).expect("it is removed");
+    let state = store.reopen().expect("it is reopened");
+    assert_eq!(state.entries, vec![entry(1, 1)]);
+}
+
 #[test]
 fn a_hundred_thousand_entries_are_recovered() {
     let folder = tempfile::tempdir().expect("a temporary folder");
