Reject announcements whose numbers hide all later ones

Report of an operator: another writer left one odd entry among those of the databases, and the machines that read the list ended or stopped following it.

But a sequence or start time near the largest integer was taken, and hid every later announcement of the real database; port 0 was taken as an address.

--- a/crates/daisyseam-control/src/core/leader.rs
+++ b/crates/daisyseam-control/src/core/leader.rs
@@ -34,7 +34,8 @@
     Position,
     Term,
     UpstreamId,
-    ViewNumber, //
+    ViewNumber,
+    announce::is_plausible, //
 };
 use daisyseam_wire::{
     GroupReport,
@@ -282,11 +283,15 @@
     now: Moment,
     report: &UpstreamReport,
 ) -> Option<AnnouncedUpstream> {
+    let address = report.address.parse().ok()?;
+    if !is_plausible(address, report.sequence, report.born_ms) {
+        return None;
+    }
     let command = UpstreamCommand {
         upstream: report.upstream.parse().ok()?,
         group: report.group.parse().ok()?,
         data_centre: report.data_centre.parse().ok()?,
-        address: report.address.parse().ok()?,
+        address,
         admin_address: report.admin_address.parse().ok()?,
         leaving: report.leaving,
         born_ms: report.born_ms,
--- a/crates/daisyseam-control/tests/orders.rs
+++ b/crates/daisyseam-control/tests/orders.rs
@@ -25,8 +25,10 @@
     SourceRequest,
     SubmitNewestReply,
     SubmitNewestRequest,
+    UpstreamReport,
     control_message::Body, //
 };
+use test_case::test_case;
 
 /// A document under which databases acknowledge commits by themselves.
 fn direct_document(number: u64) -> String {
@@ -305,6 +307,23 @@
     assert_eq!(before, after, "a repeat is not written");
 }
 
+#[test_case(|report| report.sequence = u64::MAX; "sequence")]
+#[test_case(|report| report.born_ms = u64::MAX; "start time")]
+#[test_case(|report| report.address = "127.0.0.1:0".to_owned(); "port zero")]
+#[test_case(|report| report.address = "127.0.0.1:70000".to_owned(); "port out of range")]
+fn an_announcement_out_of_range_does_not_hide_later_ones(odd: fn(&mut UpstreamReport)) {
+    let mut sim = direct_sim();
+    sim.advance_until("the primary is known", |sim| active(sim).is_some());
+    let address = upstream(&sim, "bookings-1").expect("known").address;
+    announce(&mut sim, 1, odd);
+    let known = upstream(&sim, "bookings-1").expect("still known");
+    assert_eq!((known.address, known.born_ms), (address, 1_000));
+    announce(&mut sim, 1, |report| {
+        (report.sequence, report.leaving) = (5, true)
+    });
+    assert!(upstream(&sim, "bookings-1").expect("known").leaving);
+}
+
 #[test]
 fn a_resend_is_answered_no_sooner_than_what_it_repeats() {
     let mut sim = direct_sim();
--- a/crates/daisyseam-model/src/announce.rs
+++ b/crates/daisyseam-model/src/announce.rs
@@ -18,6 +18,15 @@
 };
 use std::net::SocketAddr;
 
+/// Largest integer that every JSON writer can represent exactly.
+const EXACT_INTEGER_MAX: u64 = 1 << 53;
+
+/// Returns whether a database can have announced these values. An announcement with a higher
+/// sequence or start time would hide all later ones of the real database.
+pub fn is_plausible(address: SocketAddr, sequence: u64, born_ms: u64) -> bool {
+    address.port() != 0 && sequence <= EXACT_INTEGER_MAX && born_ms <= EXACT_INTEGER_MAX
+}
+
 /// What a database posts to `/announce`.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/daisyseam-model/tests/document.rs
+++ b/crates/daisyseam-model/tests/document.rs
@@ -103,6 +103,21 @@
     assert_eq!(errors(&text).len(), 1);
 }
 
+#[test_case("[", "]"; "arrays")]
+#[test_case("{a=", "}"; "tables")]
+fn a_deeply_nested_document_is_refused(open: &str, close: &str) {
+    const DEPTH: usize = 20_000;
+    let nested = format!("odd = {}1{}\n", open.repeat(DEPTH), close.repeat(DEPTH));
+    assert!(!errors(&format!("{nested}{SOUND}")).is_empty());
+}
+
+#[test]
+fn a_number_beyond_all_integers_is_an_error() {
+    let text = SOUND.replace("slots = 5", "slots = 99999999999999999999999");
+    assert_ne!(text, SOUND);
+    assert!(!errors(&text).is_empty());
+}
+
 proptest! {
     #[test]
     fn arbitrary_text_never_panics(text in ".{0,400}") {
