Count errors between a holder and a database against that path only

Calls through it had no reply until their deadline and held all places of the limit on statements; every caller's instance then counted the database as failed and stopped asking the other holders too. Their run times also made the expected wait long, so that requests were refused after the cut was over.

Change: an instance keeps the health of a database for each holder, and asks the next one while the first does not reach it; only if no holder that responds reaches the database does that count as its failure. A holder refuses calls at once for a database that does not respond to it. Only runs that got a reply count for the expected wait.

Test that failed before: another_holder_serves_when_the_first_one_is_cut_off_from_the_database.

--- a/crates/daisyseam-engine/src/attempt.rs
+++ b/crates/daisyseam-engine/src/attempt.rs
@@ -50,7 +50,7 @@
 use tokio::time::Instant;
 
 /// Time without a reply after which a timed-out call counts as a failure of the database.
-const NO_REPLY_FAILURE_AFTER: Duration = Duration::from_millis(300);
+pub(crate) const NO_REPLY_FAILURE_AFTER: Duration = Duration::from_millis(300);
 
 /// Longest time that a reachability probe of a database may take.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
@@ -223,9 +223,14 @@
             }
             DatabaseLink::Relayed(_) if !self.allows(route, call.fence) => Err(LinkError::Fenced),
             DatabaseLink::Relayed(link) => {
-                let in_flight = self.health.call_started(&route.upstream);
+                let in_flight = self.health.relayed_call_started(&route.upstream);
                 let reply = link.call(&self.settings.timer, context, call).await;
                 drop(in_flight);
+                if let Err(error) = &reply
+                    && let Some(error) = holder_failure(error)
+                {
+                    return Err(error);
+                }
                 reply
             }
         };
@@ -501,6 +506,22 @@
     })
 }
 
+/// Returns the error of an attempt that failed between a holder and the database. It says nothing
+/// about the database, which other holders may reach.
+fn holder_failure(error: &LinkError) -> Option<AttemptError> {
+    match error {
+        LinkError::Acquire(AcquireError::Connect(ConnectError::Unreachable(_)))
+        | LinkError::SetUpLost => Some(AttemptError::Unreachable),
+        LinkError::Lost => Some(AttemptError::Lost),
+        LinkError::TimedOut => Some(AttemptError::TimedOut),
+        LinkError::Acquire(_)
+        | LinkError::NotHolder
+        | LinkError::NotSent
+        | LinkError::Fenced
+        | LinkError::HolderLost => None,
+    }
+}
+
 /// Returns the kind of refusal if the reply is one.
 pub(crate) fn refusal(reply: &DatabaseReply) -> Option<RefusalKind> {
     reply.outcome.as_ref().err().map(|refusal| refusal.kind)
--- a/crates/daisyseam-engine/src/health.rs
+++ b/crates/daisyseam-engine/src/health.rs
@@ -71,6 +71,8 @@
     last_choice: u64,
     misdirected: Option<ViewNumber>,
     in_flight: usize,
+    /// Number of calls in flight over other instances, which observe the database for themselves.
+    relayed: usize,
     no_reply_since: Option<Instant>,
     reported_unreachable: bool,
 }
@@ -98,6 +100,18 @@
         CallGuard {
             table: self,
             upstream,
+            is_relayed: false,
+        }
+    }
+
+    /// Records a call over another instance as in flight until the guard is dropped.
+    pub(crate) fn relayed_call_started<'a>(&'a self, upstream: &'a UpstreamId) -> CallGuard<'a> {
+        let mut upstreams = self.upstreams.lock();
+        entry(&mut upstreams, upstream).relayed += 1;
+        CallGuard {
+            table: self,
+            upstream,
+            is_relayed: true,
         }
     }
 
@@ -166,7 +180,7 @@
             full: health
                 .exhausted_until
                 .is_some_and(|until| Instant::now() < until),
-            checked_out: health.in_flight,
+            checked_out: health.in_flight + health.relayed,
             last_claim: health.last_choice,
         })
     }
@@ -312,13 +326,18 @@
 pub(crate) struct CallGuard<'a> {
     table: &'a HealthTable,
     upstream: &'a UpstreamId,
+    is_relayed: bool,
 }
 
 impl Drop for CallGuard<'_> {
     fn drop(&mut self) {
         let mut upstreams = self.table.upstreams.lock();
         if let Some(health) = upstreams.get_mut(self.upstream) {
-            health.in_flight = health.in_flight.saturating_sub(1);
+            let count = match self.is_relayed {
+                true => &mut health.relayed,
+                false => &mut health.in_flight,
+            };
+            *count = count.saturating_sub(1);
         }
     }
 }
--- a/crates/daisyseam-engine/src/pool/connection.rs
+++ b/crates/daisyseam-engine/src/pool/connection.rs
@@ -139,6 +139,9 @@
             connection.receive().await.map_err(|_| CallError::Lost)
         };
         let result = timer.within(until, exchange).await;
+        if let (Some(Ok(_)), Some(permit)) = (&result, &mut self.permit) {
+            permit.record_reply();
+        }
         // The call may have been sent even if the deadline interrupted the send.
         result.unwrap_or(Err(CallError::TimedOut))
     }
--- a/crates/daisyseam-engine/src/pool/upstream.rs
+++ b/crates/daisyseam-engine/src/pool/upstream.rs
@@ -115,11 +115,14 @@
 pub(super) struct RunToken<C: DatabaseConnection> {
     pool: Arc<UpstreamPool<C>>,
     started_at: Instant,
+    /// Whether the database has replied.
+    replied: bool,
 }
 
 impl<C: DatabaseConnection> Drop for RunToken<C> {
     fn drop(&mut self) {
-        self.pool.end_run(self.started_at.elapsed());
+        let took = self.replied.then(|| self.started_at.elapsed());
+        self.pool.end_run(took);
     }
 }
 
@@ -262,12 +265,15 @@
         drop(permit);
     }
 
-    /// Ends the run of a statement, and lets the next one run.
-    fn end_run(self: &Arc<Self>, took: Duration) {
+    /// Ends the run of a statement, and lets the next one run. `took` is `None` if the database has
+    /// not replied, which says nothing about its service time.
+    fn end_run(self: &Arc<Self>, took: Option<Duration>) {
         let mut state = self.state.lock();
         state.running -= 1;
         let waiting = state.waiting.len() + state.resuming.len() > 0;
-        state.run_limit.record_run(took, waiting);
+        if let Some(took) = took {
+            state.run_limit.record_run(took, waiting);
+        }
         drop(state);
         self.serve_waiting();
     }
@@ -467,11 +473,19 @@
         Self {
             pool: Arc::clone(pool),
             started_at: Instant::now(),
+            replied: false,
         }
     }
 }
 
 impl<C: DatabaseConnection> ConnectionPermit<C> {
+    /// Records that the database has replied to the statement.
+    pub(super) fn record_reply(&mut self) {
+        if let Some(run) = &mut self.run {
+            run.replied = true;
+        }
+    }
+
     /// Lets others run statements while the connection is idle in a transaction.
     pub(super) fn pause(&mut self) {
         self.run = None;
--- a/crates/daisyseam-engine/src/relay/client.rs
+++ b/crates/daisyseam-engine/src/relay/client.rs
@@ -9,9 +9,11 @@
     }, //
 };
 use crate::{
+    ConnectError,
     counters,
     link::LinkError,
     pool::{
+        AcquireError,
         ConnectionRequest,
         HolderList, //
     }, //
@@ -67,6 +69,9 @@
         let addresses: BTreeSet<_> = instances.map(|instance| instance.peer_address).collect();
         let mut peers = self.peers.lock();
         peers.retain(|address, _| addresses.contains(address));
+        for peer in peers.values() {
+            peer.retain(|upstream| view.upstreams.contains_key(upstream));
+        }
     }
 
     /// Opens a link to the first holder that responds.
@@ -75,7 +80,7 @@
     ///
     /// # Errors
     ///
-    /// If a holder has just reported that it cannot reach the database.
+    /// If no holder that responds can reach the database.
     pub(crate) async fn link(
         &self,
         request: ConnectionRequest<'_>,
@@ -83,6 +88,7 @@
         own: &InstanceId,
     ) -> Result<HolderLink, LinkError> {
         let now = Instant::now();
+        let view = request.view.number;
         let mut is_reachable = true;
         for holder in holders {
             if holder == own {
@@ -91,7 +97,7 @@
             let Some(peer) = self.peer(request.view, holder) else {
                 continue;
             };
-            match peer.availability(request.upstream, now) {
+            match peer.availability(request.upstream, view, now) {
                 PeerAvailability::Usable => {
                     if let Some(link) = self.open(&peer, request).await {
                         return Ok(HolderLink::Relayed(link));
@@ -102,7 +108,9 @@
             }
         }
         if !is_reachable {
-            return Err(LinkError::NotHolder);
+            let why = "no holder reaches it".to_owned();
+            let error = AcquireError::Connect(ConnectError::Unreachable(why));
+            return Err(LinkError::Acquire(error));
         }
         self.metrics.count(counters::LINK_NO_HOLDER);
         Ok(HolderLink::Own)
--- a/crates/daisyseam-engine/src/relay/peer.rs
+++ b/crates/daisyseam-engine/src/relay/peer.rs
@@ -17,8 +17,10 @@
     TransactionState,
     attempt::{
         AttemptContext,
-        Fence, //
+        Fence,
+        NO_REPLY_FAILURE_AFTER, //
     },
+    health::HealthTable,
     link::{
         LinkCall,
         LinkError,
@@ -30,7 +32,10 @@
     }, //
 };
 use bytes::Bytes;
-use daisyseam_model::UpstreamId;
+use daisyseam_model::{
+    UpstreamId,
+    ViewNumber, //
+};
 use daisyseam_runtime::TimerService;
 use daisyseam_wire::{
     MessageStream,
@@ -65,7 +70,7 @@
 /// Number of doublings of the time for which a failed instance is avoided.
 const MAX_AVOID_DOUBLINGS: u32 = 3;
 
-/// Time for which an instance that cannot serve a database is not asked for it.
+/// Time for which an instance that does not hold a database is not asked for it.
 const REJECTION_MEMORY: Duration = Duration::from_millis(250);
 
 /// Largest number of idle connections kept per instance.
@@ -76,6 +81,8 @@
     address: SocketAddr,
     settings: RelaySettings,
     state: Mutex<PeerState>,
+    /// Health of the databases as seen through this instance.
+    databases: HealthTable,
 }
 
 #[derive(Default)]
@@ -85,8 +92,8 @@
     failed_at: Option<Instant>,
     avoid_until: Option<Instant>,
     last_heard: Option<Instant>,
-    /// Databases that it could not serve, and until when they are not requested from it.
-    rejected: HashMap<UpstreamId, (Instant, PeerAvailability)>,
+    /// Databases that it does not hold, and until when they are not requested from it.
+    rejected: HashMap<UpstreamId, Instant>,
 }
 
 /// Whether another instance can be asked for a database.
@@ -106,26 +113,53 @@
             address,
             settings,
             state: Mutex::default(),
+            databases: HealthTable::default(),
         }
     }
 
-    /// Returns whether the instance can be asked for a database.
-    pub(super) fn availability(&self, upstream: &UpstreamId, now: Instant) -> PeerAvailability {
+    /// Returns whether the instance can be asked for a database; `view` is the view that lists it.
+    pub(super) fn availability(
+        &self,
+        upstream: &UpstreamId,
+        view: ViewNumber,
+        now: Instant,
+    ) -> PeerAvailability {
         let state = self.state.lock();
-        if state.avoid_until.is_some_and(|until| now < until) {
+        let rejected = state.rejected.get(upstream);
+        if state.avoid_until.is_some_and(|until| now < until)
+            || rejected.is_some_and(|until| now < *until)
+        {
             return PeerAvailability::NoHolder;
         }
-        match state.rejected.get(upstream) {
-            Some((until, availability)) if now < *until => *availability,
-            _ => PeerAvailability::Usable,
+        match self.databases.is_avoided(upstream, view) {
+            true => PeerAvailability::NoDatabase,
+            false => PeerAvailability::Usable,
         }
     }
 
-    fn record_rejection(&self, upstream: &UpstreamId, availability: PeerAvailability) {
-        let until = Instant::now() + REJECTION_MEMORY;
-        let mut state = self.state.lock();
-        let rejected = (until, availability);
-        state.rejected.insert(upstream.clone(), rejected);
+    /// Records what an error of a call that took `took` says about this instance as a holder.
+    fn record_error(&self, upstream: &UpstreamId, error: &LinkError, took: Duration) {
+        match error {
+            LinkError::NotHolder | LinkError::Acquire(AcquireError::UnknownUpstream) => {
+                let until = Instant::now() + REJECTION_MEMORY;
+                let mut state = self.state.lock();
+                state.rejected.insert(upstream.clone(), until);
+            }
+            LinkError::SetUpLost
+            | LinkError::Lost
+            | LinkError::Acquire(AcquireError::Connect(ConnectError::Unreachable(_))) => {
+                self.databases.record_failure(upstream);
+            }
+            // A timeout after a short wait is due to the request's deadline.
+            LinkError::TimedOut if took >= NO_REPLY_FAILURE_AFTER => {
+                self.databases.record_failure(upstream);
+            }
+            LinkError::Acquire(AcquireError::PoolExhausted | AcquireError::Connect(_))
+            | LinkError::NotSent
+            | LinkError::Fenced
+            | LinkError::TimedOut
+            | LinkError::HolderLost => {}
+        }
     }
 
     fn record_failure(&self) {
@@ -222,6 +256,13 @@
         })
     }
 
+    /// Forgets the databases that are no longer in the view.
+    pub(super) fn retain(&self, is_known: impl Fn(&UpstreamId) -> bool) {
+        self.databases.retain(&is_known);
+        let mut state = self.state.lock();
+        state.rejected.retain(|upstream, _| is_known(upstream));
+    }
+
     /// Returns once the instance is found not to respond although a call has been sent to it.
     async fn stopped_responding(&self, timer: &TimerService, sent_at: Instant) {
         let mut check_at = sent_at + SILENCE_LIMIT;
@@ -389,6 +430,25 @@
         timer: &TimerService,
         call: RelayCall,
         until: Instant,
+    ) -> Result<DatabaseReply, LinkError> {
+        let peer = Arc::clone(&self.peer);
+        let upstream = self.upstream.clone();
+        let in_flight = peer.databases.call_started(&upstream);
+        let started_at = Instant::now();
+        let reply = self.send_and_receive(timer, call, until).await;
+        drop(in_flight);
+        match &reply {
+            Ok(_) => peer.databases.record_reply(&upstream),
+            Err(error) => peer.record_error(&upstream, error, started_at.elapsed()),
+        }
+        reply
+    }
+
+    async fn send_and_receive(
+        &mut self,
+        timer: &TimerService,
+        call: RelayCall,
+        until: Instant,
     ) -> Result<DatabaseReply, LinkError> {
         if self.state == LinkState::Closed {
             return Err(LinkError::NotSent);
@@ -442,12 +502,7 @@
             Some(Body::Failure(failure)) => {
                 self.state = LinkState::Closed;
                 self.stream = Some(stream);
-                let error = decode_failure(failure);
-                let availability = availability_after(&error);
-                if availability != PeerAvailability::Usable {
-                    self.peer.record_rejection(&self.upstream, availability);
-                }
-                Err(error)
+                Err(decode_failure(failure))
             }
             _ => {
                 log::warn!("instance {} sent an unexpected answer", self.peer.address);
@@ -467,25 +522,6 @@
     }
 }
 
-/// Returns whether an instance that reported an error can be asked for the database again.
-fn availability_after(error: &LinkError) -> PeerAvailability {
-    match error {
-        LinkError::NotHolder | LinkError::Acquire(AcquireError::UnknownUpstream) => {
-            PeerAvailability::NoHolder
-        }
-        LinkError::SetUpLost
-        | LinkError::Acquire(AcquireError::Connect(ConnectError::Unreachable(_))) => {
-            PeerAvailability::NoDatabase
-        }
-        LinkError::Acquire(AcquireError::PoolExhausted | AcquireError::Connect(_))
-        | LinkError::NotSent
-        | LinkError::Fenced
-        | LinkError::Lost
-        | LinkError::HolderLost
-        | LinkError::TimedOut => PeerAvailability::Usable,
-    }
-}
-
 fn millis(duration: Duration) -> u32 {
     u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
 }
--- a/crates/daisyseam-engine/src/relay/server.rs
+++ b/crates/daisyseam-engine/src/relay/server.rs
@@ -11,7 +11,7 @@
     }, //
 };
 use crate::{
-    DatabaseConnector, DatabaseReply, TransactionState,
+    ConnectError, DatabaseConnector, DatabaseReply, TransactionState,
     attempt::HeldCall,
     counters,
     engine::{
@@ -24,6 +24,7 @@
         LinkVerb, //
     },
     pool::{
+        AcquireError,
         ConnectionRequest,
         PooledConnection, //
     },
@@ -225,6 +226,12 @@
         if !holders.contains(&engine.settings.instance) {
             return Err(LinkError::NotHolder);
         }
+        // Calls that another holder may be able to make must not wait here for an unresponsive
+        // database.
+        if engine.health.is_avoided(&upstream, held.view.number) {
+            let why = ConnectError::Unreachable("it does not respond".to_owned());
+            return Err(LinkError::Acquire(AcquireError::Connect(why)));
+        }
         let organisation: Option<OrganisationId> = match call.organisation.as_str() {
             "" => None,
             name => Some(name.parse().map_err(|_| LinkError::NotSent)?),
--- a/crates/daisyseam-engine/tests/relay.rs
+++ b/crates/daisyseam-engine/tests/relay.rs
@@ -221,6 +221,38 @@
     );
 }
 
+#[tokio::test]
+async fn another_holder_serves_when_the_first_one_is_cut_off_from_the_database() {
+    let fleet = start().await;
+    let mut callers = Vec::new();
+    for _ in 0..20 {
+        let mut caller = fleet.session("primary").await;
+        caller.ok(read("read x")).await;
+        callers.push(caller);
+    }
+    let first = fleet.holders("p")[0];
+    fleet.instances[first].fleet.databases.cut_off("p");
+    for caller in &mut callers {
+        caller.send(read("read y"));
+    }
+    // Those that were sent get no reply before their timeout; the others need not wait for them.
+    sleep(Duration::from_millis(700)).await;
+    let mut late = fleet.session("primary").await;
+    let start = Instant::now();
+    late.ok(read("read z")).await;
+    assert!(
+        start.elapsed() < Duration::from_millis(300),
+        "{:?}",
+        start.elapsed()
+    );
+    for caller in &mut callers {
+        caller.answer().await;
+    }
+    for caller in &mut callers {
+        caller.ok(read("read z")).await;
+    }
+}
+
 #[tokio::test]
 async fn a_stopping_holder_ends_its_transactions_and_cuts_no_call() {
     let fleet = start().await;
--- a/crates/daisyseam-engine/tests/support/database.rs
+++ b/crates/daisyseam-engine/tests/support/database.rs
@@ -26,6 +26,7 @@
 use std::{
     collections::{
         BTreeMap,
+        BTreeSet,
         VecDeque, //
     },
     future,
@@ -38,6 +39,8 @@
 #[derive(Clone)]
 pub struct FakeDatabases {
     all: Arc<Mutex<BTreeMap<UpstreamId, FakeDatabase>>>,
+    /// Databases that cannot be reached over this handle: neither calls nor replies arrive.
+    cut: Arc<Mutex<BTreeSet<UpstreamId>>>,
 }
 
 /// One database.
@@ -104,6 +107,27 @@
         });
         Self {
             all: Arc::new(Mutex::new(all.collect())),
+            cut: Arc::default(),
+        }
+    }
+
+    /// Returns a handle to the same databases that can be cut off on its own.
+    pub fn other_handle(&self) -> Self {
+        Self {
+            all: Arc::clone(&self.all),
+            cut: Arc::default(),
+        }
+    }
+
+    /// Cuts this handle off from a database.
+    pub fn cut_off(&self, name: &str) {
+        self.cut.lock().insert(name.parse().unwrap());
+    }
+
+    async fn pass(&self, upstream: &UpstreamId) {
+        let is_cut = self.cut.lock().contains(upstream);
+        if is_cut {
+            future::pending().await
         }
     }
 
@@ -142,6 +166,7 @@
     type Connection = FakeConnection;
 
     async fn connect(&self, target: &DatabaseTarget) -> Result<FakeConnection, ConnectError> {
+        self.pass(&target.upstream).await;
         let number = self.with(target.upstream.as_str(), |database| {
             database.open += 1;
             database.connects += 1;
@@ -178,6 +203,9 @@
         if self.lost {
             return Err(ConnectionLost("closed".to_owned()));
         }
+        if self.databases.cut.lock().contains(&self.upstream) {
+            return Ok(());
+        }
         let description = describe(&call);
         let (fault, held) = self.databases.with(self.upstream.as_str(), |database| {
             database
@@ -207,6 +235,7 @@
     }
 
     async fn receive(&mut self) -> Result<DatabaseReply, ConnectionLost> {
+        self.databases.pass(&self.upstream).await;
         let delay = self
             .databases
             .with(self.upstream.as_str(), |found| found.delay);
--- a/crates/daisyseam-engine/tests/support/relay.rs
+++ b/crates/daisyseam-engine/tests/support/relay.rs
@@ -121,7 +121,7 @@
             dialer: Dialer::default(),
             security: PeerSecurity::plain("c".parse().unwrap()),
         };
-        let fleet = Fleet::instance(&name, databases.clone(), slots, Some(relay));
+        let fleet = Fleet::instance(&name, databases.other_handle(), slots, Some(relay));
         let engine = fleet.engine.clone();
         let server = tokio::spawn(async move {
             let mut sessions = tokio::task::JoinSet::new();
