Give retries after overload a budget, and send reads that would wait too long to another replica

Cause: each attempt that a database refused as busy was repeated up to three times at each instance, whatever the load: 1,000 requests to databases that refuse everything made 4,000 calls (test below on the code before).

Change: retries after a refusal for overload are at most a tenth of the requests of an instance, with 20 saved up. A read that waited in vain in front of one replica is tried on another one that is left, within the same budget; before, it failed. Retries for other causes (a lost link, a replica that lags, a new primary) are as before.

Test that failed before (4,000 calls): retries_are_a_small_part_of_the_load_while_all_databases_refuse.

--- a/crates/daisyseam-engine/src/engine.rs
+++ b/crates/daisyseam-engine/src/engine.rs
@@ -18,6 +18,7 @@
     session,
     writers::WriterCounts, //
 };
+use daisyseam_coord::retry::RetryBudget;
 use daisyseam_member::{
     FleetGate,
     FleetObserver,
@@ -33,6 +34,7 @@
     StopSignal,
     TimerService, //
 };
+use parking_lot::Mutex;
 use std::{
     future::Future,
     sync::{
@@ -50,6 +52,10 @@
 /// Shortest time after the stop signal for which other instances are told to use another holder.
 const RELAY_STOP_GRACE: Duration = Duration::from_millis(500);
 
+/// Retries after overload per thousand requests, and number of retries that may be saved up.
+const RETRY_PERMILLE: u32 = 100;
+const MAX_SAVED_RETRIES: u32 = 20;
+
 /// Settings and dependencies of an engine.
 #[derive(Clone)]
 pub struct EngineSettings<D, G = FleetGate> {
@@ -92,6 +98,8 @@
     pub(crate) writers: WriterCounts,
     pub(crate) outages: OutageTracker,
     pub(crate) lease_loss: LeaseLoss,
+    /// Bounds the retries of requests that failed because of overload.
+    pub(crate) retries: Mutex<RetryBudget>,
     sessions: watch::Sender<usize>,
     /// Number of links in use by other instances.
     relayed: watch::Sender<usize>,
@@ -120,6 +128,7 @@
             writers: WriterCounts::default(),
             outages: OutageTracker::default(),
             lease_loss: LeaseLoss::default(),
+            retries: Mutex::new(RetryBudget::new(RETRY_PERMILLE, MAX_SAVED_RETRIES)),
             sessions: watch::Sender::new(0),
             relayed: watch::Sender::new(0),
             stop_observed_at: OnceLock::new(),
--- a/crates/daisyseam-engine/src/route.rs
+++ b/crates/daisyseam-engine/src/route.rs
@@ -188,7 +188,34 @@
         tried: &[UpstreamId],
     ) -> Option<Route> {
         let held = self.cell.held();
-        let view = &held.view;
+        let upstream = self.find_reader(&held.view, group, floor, tried)?;
+        self.health.record_choice(&upstream);
+        Some(Route {
+            upstream,
+            group: group.clone(),
+            term: None,
+            held,
+        })
+    }
+
+    /// Returns whether there is a database left that may have reached a position.
+    pub(crate) fn has_reader(
+        &self,
+        group: &GroupId,
+        floor: Option<LogPosition>,
+        tried: &[UpstreamId],
+    ) -> bool {
+        let held = self.cell.held();
+        self.find_reader(&held.view, group, floor, tried).is_some()
+    }
+
+    fn find_reader(
+        &self,
+        view: &FleetView,
+        group: &GroupId,
+        floor: Option<LogPosition>,
+        tried: &[UpstreamId],
+    ) -> Option<UpstreamId> {
         let candidates = view.members(group).filter(|(name, upstream_view)| {
             !tried.contains(name)
                 && !upstream_view.leaving
@@ -201,14 +228,7 @@
         });
         let best =
             usable.min_by_key(|(name, upstream_view)| self.rank(view, name, upstream_view))?;
-        let upstream = best.0.clone();
-        self.health.record_choice(&upstream);
-        Some(Route {
-            upstream,
-            group: group.clone(),
-            term: None,
-            held,
-        })
+        Some(best.0.clone())
     }
 
     fn rank(
--- a/crates/daisyseam-engine/src/session/answer.rs
+++ b/crates/daisyseam-engine/src/session/answer.rs
@@ -72,6 +72,15 @@
     }
 }
 
+/// Where an attempt failed because of overload.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum OverloadKind {
+    /// The database refused it.
+    Refused,
+    /// It would have had to wait too long in front of the database.
+    Queue,
+}
+
 /// The outcome of one attempt.
 #[derive(Clone, Debug, PartialEq)]
 pub(super) enum TryOutcome {
@@ -102,12 +111,23 @@
 }
 
 impl TryOutcome {
+    /// Returns the kind of overload if there is no reply because of one; a retry adds to the load.
+    pub(super) fn overload(&self) -> Option<OverloadKind> {
+        match self {
+            Self::Refused(RefusalKind::Busy | RefusalKind::TooManyConnections, _) => {
+                Some(OverloadKind::Refused)
+            }
+            Self::NoReply(AttemptError::PoolExhausted) => Some(OverloadKind::Queue),
+            Self::Done(..) | Self::Refused(..) | Self::NoReply(_) => None,
+        }
+    }
+
     /// Returns the error of a read that may be retried.
     ///
     /// # Errors
     ///
-    /// Returns the error to report without a retry: no connection or no time is left, or every
-    /// database would reject the statement as malformed.
+    /// Returns the error to report without a retry: no time is left, or every database would reject
+    /// the statement as malformed.
     pub(super) fn retry_read(self) -> RetryResult {
         match self {
             Self::Done(..) => Err(ErrorKind::Internal.into()),
@@ -116,10 +136,11 @@
             Self::NoReply(cause) => {
                 let error = attempt_error_kind(cause, StatementKind::Read).into();
                 match cause {
-                    AttemptError::PoolExhausted | AttemptError::TimedOut => Err(error),
-                    AttemptError::Unreachable | AttemptError::Fenced | AttemptError::Lost => {
-                        Ok(error)
-                    }
+                    AttemptError::TimedOut => Err(error),
+                    AttemptError::PoolExhausted
+                    | AttemptError::Unreachable
+                    | AttemptError::Fenced
+                    | AttemptError::Lost => Ok(error),
                 }
             }
         }
--- a/crates/daisyseam-engine/src/session/single.rs
+++ b/crates/daisyseam-engine/src/session/single.rs
@@ -4,6 +4,7 @@
     SessionCore,
     answer::{
         self,
+        OverloadKind,
         RunResult,
         TryOutcome, //
     }, //
@@ -62,6 +63,7 @@
         rights: &CallerRights,
         times: &OperationTimes,
     ) -> RunResult {
+        self.engine.retries.lock().count_request();
         let floor = self.read_floor(rights, times);
         let call = LinkCall {
             id: Some(id),
@@ -89,12 +91,15 @@
                 }
                 outcome => outcome,
             };
+            let overload = outcome.overload();
             let error = outcome.retry_read()?;
-            if Instant::now() >= times.deadline() {
+            tried.push(route.upstream);
+            if Instant::now() >= times.deadline()
+                || !self.may_retry_read(overload, group, floor, &tried)
+            {
                 return Err(error);
             }
             last_error = Some(error);
-            tried.push(route.upstream);
         }
         Err(last_error.unwrap_or_else(|| ErrorKind::UpstreamUnreachable.into()))
     }
@@ -107,6 +112,7 @@
         rights: &CallerRights,
         times: &OperationTimes,
     ) -> RunResult {
+        self.engine.retries.lock().count_request();
         let call = LinkCall {
             id: Some(id),
             at_least: None,
@@ -134,7 +140,12 @@
                 outcome => outcome,
             };
             drop(writer_guard);
-            last_error = Some(outcome.retry_write()?);
+            let overload = outcome.overload();
+            let error = outcome.retry_write()?;
+            if overload.is_some() && !self.engine.retries.lock().take() {
+                return Err(error);
+            }
+            last_error = Some(error);
             tried.push(route.upstream);
         }
         Err(last_error.unwrap_or_else(|| ErrorKind::UpstreamUnreachable.into()))
@@ -178,6 +189,28 @@
             .await
     }
 
+    /// Returns whether a read may be retried after an attempt that failed, possibly because of
+    /// overload: within the retry budget, and after waiting in vain only on another replica.
+    pub(super) fn may_retry_read(
+        &self,
+        overload: Option<OverloadKind>,
+        group: &GroupId,
+        floor: ReadFloor,
+        tried: &[UpstreamId],
+    ) -> bool {
+        let has_target = match overload {
+            None => return true,
+            Some(OverloadKind::Refused) => true,
+            Some(OverloadKind::Queue) => match floor.target {
+                ReadTarget::CaughtUp(position) => {
+                    self.engine.router().has_reader(group, position, tried)
+                }
+                ReadTarget::Primary => false,
+            },
+        };
+        has_target && self.engine.retries.lock().take()
+    }
+
     /// Waits for the primary, with a delay if it has been tried already.
     pub(super) async fn primary_route(
         &self,
--- a/crates/daisyseam-engine/src/session/transaction.rs
+++ b/crates/daisyseam-engine/src/session/transaction.rs
@@ -224,6 +224,7 @@
         rights: &CallerRights,
         times: &OperationTimes,
     ) -> Result<RunningTransaction<D::Connection>, RequestError> {
+        self.engine.retries.lock().count_request();
         let floor = match mode {
             TransactionMode::ReadWrite => ReadFloor::default(),
             TransactionMode::ReadOnly => self.read_floor(rights, times),
@@ -249,8 +250,11 @@
                 Ok(running) => return Ok(running),
                 Err(outcome) => outcome,
             };
+            let overload = outcome.overload();
             let error = outcome.retry_read()?;
-            if Instant::now() >= times.deadline() {
+            if Instant::now() >= times.deadline()
+                || !self.may_retry_read(overload, group, floor, &tried)
+            {
                 return Err(error);
             }
             last_error = Some(error);
--- a/crates/daisyseam-engine/tests/connections.rs
+++ b/crates/daisyseam-engine/tests/connections.rs
@@ -24,7 +24,8 @@
         BEGIN,
         FakeCaller,
         read, //
-    }, //
+    },
+    database::Fault, //
 };
 use test_case::test_case;
 use tokio::time::{
@@ -198,6 +199,46 @@
     assert!(answer.outcome.is_ok(), "{answer:?}");
 }
 
+/// Makes every database refuse all statements as busy.
+fn make_busy(fleet: &Fleet, refusals: usize) {
+    for name in ["p", "a", "b"] {
+        for _ in 0..refusals {
+            let busy = Fault::Refuse(RefusalKind::Busy);
+            fleet.databases.fault(name, "read", busy);
+        }
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn retries_are_a_small_part_of_the_load_while_all_databases_refuse() {
+    const REQUESTS: usize = 1_000;
+    let fleet = Fleet::start(SLOTS);
+    let mut caller = fleet.session("session").await;
+    make_busy(&fleet, 4 * REQUESTS);
+    for _ in 0..REQUESTS {
+        assert_eq!(caller.fail(read("read x")).await, ErrorKind::QueueFull);
+    }
+    let calls = ["p", "a", "b"].map(|name| fleet.databases.calls(name));
+    let calls = calls.iter().flatten();
+    let attempts = calls.filter(|call| call.contains("read x")).count();
+    // A tenth of the requests, and what was saved up before.
+    assert!(attempts <= REQUESTS * 11 / 10 + 20, "{attempts}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_read_is_tried_elsewhere_if_one_database_is_busy() {
+    let fleet = Fleet::start(SLOTS);
+    let mut caller = fleet.session("session").await;
+    for _ in 0..10 {
+        fleet
+            .databases
+            .fault("a", "read", Fault::Refuse(RefusalKind::Busy));
+    }
+    for _ in 0..10 {
+        caller.ok(read("read x")).await;
+    }
+}
+
 /// Starts a fleet of `instances` instances whose databases admit `slots` connections.
 async fn many_instances(instances: usize, slots: usize) -> Fleet {
     let mut fleet = Fleet::start(slots);
