Answer a read of the manifest once the leader has applied what is committed

Change: such a read waits until the entries are applied, which the same flush does; it is refused if the lead is lost.

Test that failed before: a_leader_answers_once_it_has_applied_what_is_committed.

--- a/crates/daisyseam-control/src/core.rs
+++ b/crates/daisyseam-control/src/core.rs
@@ -143,6 +143,8 @@
     applied: LogIndex,
     leader: Option<LeaderState>,
     waiters: BTreeMap<LogIndex, Vec<RequestWaiter>>,
+    /// Requests for the document that wait until all committed entries are applied.
+    source_waiters: Vec<RequestId>,
     output: CoreOutput,
     since_snapshot: u64,
     bytes_since_snapshot: usize,
@@ -178,6 +180,7 @@
             applied: LogIndex(0),
             leader: None,
             waiters: BTreeMap::new(),
+            source_waiters: Vec::new(),
             output: CoreOutput::default(),
             since_snapshot: 0,
             bytes_since_snapshot: 0,
@@ -259,6 +262,9 @@
             self.apply_entry(now, &entry);
         }
         self.update_leadership(now);
+        for request in std::mem::take(&mut self.source_waiters) {
+            self.source(now, request);
+        }
     }
 
     /// Takes the replies and calls that were produced since the last call.
--- a/crates/daisyseam-control/src/core/orders.rs
+++ b/crates/daisyseam-control/src/core/orders.rs
@@ -96,9 +96,14 @@
     }
 
     pub(super) fn source(&mut self, now: Moment, request: RequestId) {
-        if !self.is_acting_leader(now) || self.is_stale(now) {
+        if !self.is_acting_leader(now) {
             return self.reply_not_leader(request);
         }
+        match self.log.read_index(now) {
+            Ok(index) if self.applied < index => return self.source_waiters.push(request),
+            Ok(_) => {}
+            Err(_) => return self.reply_not_leader(request),
+        }
         let current = self.fleet.documents().current();
         let reply = SourceReply {
             number: current.map_or(0, |current| current.number.0),
--- a/crates/daisyseam-control/src/core/requests.rs
+++ b/crates/daisyseam-control/src/core/requests.rs
@@ -339,6 +339,9 @@
         for waiter in std::mem::take(&mut self.waiters).into_values().flatten() {
             self.answer_undecided(waiter);
         }
+        for request in std::mem::take(&mut self.source_waiters) {
+            self.reply_not_leader(request);
+        }
     }
 
     fn show(&mut self, now: Moment, request: RequestId, show: &ShowRequest) {
--- a/crates/daisyseam-control/tests/core_support/mod.rs
+++ b/crates/daisyseam-control/tests/core_support/mod.rs
@@ -260,6 +260,32 @@
         answer
     }
 
+    /// Sends a change to the only member, and a question once the change is committed and before it
+    /// is applied. Returns the answers to the question before and after the change is applied.
+    pub(crate) fn ask_before_a_change_is_applied(
+        &mut self,
+        change: Body,
+        question: Body,
+    ) -> (Option<Body>, Option<Body>) {
+        const CHANGE: RequestId = RequestId(u64::MAX - 1);
+        const QUESTION: RequestId = RequestId(u64::MAX);
+        let (now, unix_ms) = (self.moment(), self.now);
+        let core = self.members[0].core.as_mut().expect("it runs");
+        core.request(now, unix_ms, CHANGE, change);
+        drop(core.take_log_output());
+        core.synced(now);
+        core.request(now, unix_ms, QUESTION, question);
+        let answer = |core: &mut ControlCore| {
+            let mut replies = core.take_output().replies.into_iter();
+            let (_, body) = replies.find(|(request, _)| *request == QUESTION)?;
+            Some(body)
+        };
+        let before = answer(core);
+        let output = core.take_log_output();
+        core.apply(now, output.restore, output.apply);
+        (before, answer(core))
+    }
+
     pub(crate) fn runs(&self, number: usize) -> bool {
         self.members[number].core.is_some()
     }
--- a/crates/daisyseam-control/tests/orders.rs
+++ b/crates/daisyseam-control/tests/orders.rs
@@ -206,6 +206,20 @@
     assert!(matches!(answer, Body::NotLeader(_)), "{answer:?}");
 }
 
+#[test]
+fn a_leader_answers_once_it_has_applied_what_is_committed() {
+    let mut sim = Simulation::new(1, 0, 1);
+    assert!(submit(&mut sim, 1, &document(1)).acknowledged);
+    let asked = Body::Source(SourceRequest {});
+    let change = newest(2, &document(2));
+    let (before, after) = sim.ask_before_a_change_is_applied(change, asked);
+    assert_eq!(before, None, "it waits");
+    match after {
+        Some(Body::SourceShown(reply)) => assert_eq!(reply.source, "source of 2"),
+        other => panic!("{other:?}"),
+    }
+}
+
 #[test]
 fn a_storm_of_large_documents_does_not_pile_up() {
     let mut sim = Simulation::new(1, 0, 1);
