--- a/crates/daisyseam-wire/src/relay.rs
+++ b/crates/daisyseam-wire/src/relay.rs
@@ -40,7 +40,7 @@
     }
 }
 
-/// A call to a database. The fields up to `connect_ms` are set only if no link is open.
+/// A call to a database. The fields up to `connect_ms` count only if no link is open.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct RelayCall {
     /// Database.
