Close a holder's connection whose transaction the database ended with a refusal

When a statement or commit of a relayed transaction was refused and the database ended the transaction, the holder took the connection back as if nothing had happened. Values set in that transaction may have been reverted with it, so a later session could run without the values that it had set.

Ruled out: the instance's own connections; they are closed in that case.

Change: the holder reuses the connection after a transaction only if commit or rollback succeeded. Two names and a comment besides.

Test that failed before, two cases: a_connection_whose_transaction_the_database_ended_is_not_reused.

--- a/crates/daisyseam-engine/src/attempt.rs
+++ b/crates/daisyseam-engine/src/attempt.rs
@@ -214,12 +214,12 @@
         let sent_at = Instant::now();
         let reply = match link {
             DatabaseLink::Held(connection) => {
-                let set_up = HeldCall {
+                let held_call = HeldCall {
                     route,
                     values: context.values,
                     until,
                 };
-                self.run_held(connection, set_up, call).await
+                self.run_held(connection, held_call, call).await
             }
             DatabaseLink::Relayed(_) if !self.allows(route, call.fence) => Err(LinkError::Fenced),
             DatabaseLink::Relayed(link) => {
--- a/crates/daisyseam-engine/src/pool/upstream.rs
+++ b/crates/daisyseam-engine/src/pool/upstream.rs
@@ -39,7 +39,7 @@
 /// The load of the connections to a database; lower values are preferred.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
 pub(crate) struct UpstreamLoad {
-    /// Whether the connection limit is reached.
+    /// Whether the limit on connections or on running statements is reached.
     pub(crate) full: bool,
     /// Number of connections in use or being opened.
     pub(crate) checked_out: usize,
--- a/crates/daisyseam-engine/src/relay/server.rs
+++ b/crates/daisyseam-engine/src/relay/server.rs
@@ -197,7 +197,7 @@
         match reply {
             Ok(reply) => {
                 self.engine.record_reply(&route, sent_at, &reply);
-                self.keep_or_release(link, verb, reply.state);
+                self.keep_or_release(link, link_call, &reply);
                 Ok(reply)
             }
             Err(error) => {
@@ -269,27 +269,26 @@
         })
     }
 
-    /// Keeps the link while a transaction is open on it.
+    /// Keeps the link while a transaction is open on it, and otherwise gives the connection back.
+    ///
+    /// If the database ended a transaction with a refusal, the connection is closed, since values
+    /// that were set in the transaction may have been reverted.
     fn keep_or_release(
         &mut self,
         mut link: OpenLink<'a, D>,
-        verb: LinkVerb<'_>,
-        state: TransactionState,
+        call: LinkCall<'_>,
+        reply: &DatabaseReply,
     ) {
-        match (state, verb) {
-            (TransactionState::Open | TransactionState::Failed, _) => {
-                link.idle_until = Instant::now() + self.idle_limit();
-                self.link = Some(link);
-            }
-            (TransactionState::Idle, LinkVerb::Commit) => {
-                link.connection.release_after_transaction(true);
-            }
-            (TransactionState::Idle, LinkVerb::Rollback) => {
-                link.connection.release_after_transaction(false);
-            }
-            (TransactionState::Idle, LinkVerb::Begin(_) | LinkVerb::Run(_)) => {
-                link.connection.release();
-            }
+        if reply.state != TransactionState::Idle {
+            link.idle_until = Instant::now() + self.idle_limit();
+            self.link = Some(link);
+            return;
+        }
+        match (call.verb, reply.outcome.is_ok()) {
+            _ if !call.in_transaction => link.connection.release(),
+            (LinkVerb::Commit, true) => link.connection.release_after_transaction(true),
+            (LinkVerb::Rollback, true) => link.connection.release_after_transaction(false),
+            _ => drop(link),
         }
     }
 
--- a/crates/daisyseam-engine/tests/relay.rs
+++ b/crates/daisyseam-engine/tests/relay.rs
@@ -4,6 +4,7 @@
 
 use daisyseam_engine::{
     ConnectError,
+    RefusalKind,
     RequestVerb,
     TransactionState, //
 };
@@ -24,6 +25,7 @@
     database::Fault,
     relay::RelayFleet, //
 };
+use test_case::test_case;
 use tokio::time::{
     Instant,
     sleep, //
@@ -110,6 +112,27 @@
     assert!(fleet.databases.with("p", |p| p.committed.is_empty()));
 }
 
+#[test_case("write 2", write("write 2"); "a statement")]
+#[test_case("commit", RequestVerb::Commit; "a commit")]
+#[tokio::test]
+async fn a_connection_whose_transaction_the_database_ended_is_not_reused(
+    refused: &'static str,
+    verb: RequestVerb,
+) {
+    let fleet = start().await;
+    let mut caller = fleet.session("primary").await;
+    caller.ok(BEGIN).await;
+    caller.ok(set("zone", "n")).await;
+    let first = caller.ok(write("write 1")).await;
+    // A value that was set in the transaction may have been reverted with it.
+    let ended = Fault::EndTransaction(RefusalKind::ReadOnly);
+    fleet.databases.fault("p", refused, ended);
+    assert_eq!(caller.fail(verb).await, ErrorKind::TransactionLost);
+    let mut other = fleet.session("primary").await;
+    other.ok(set("zone", "n")).await;
+    assert_ne!(other.ok(read("read x")).await, first);
+}
+
 #[tokio::test]
 async fn prepared_statements_work_over_the_relay() {
     let fleet = start().await;
--- a/crates/daisyseam-engine/tests/support/database.rs
+++ b/crates/daisyseam-engine/tests/support/database.rs
@@ -66,6 +66,8 @@
 /// A fault of a call.
 pub enum Fault {
     Refuse(RefusalKind),
+    /// Refuses the call and ends the open transaction.
+    EndTransaction(RefusalKind),
     /// Runs the call and breaks the connection before the reply.
     LoseReply,
     /// Never replies.
@@ -217,6 +219,11 @@
         let reply = match fault {
             Some(Fault::NoReply) => None,
             Some(Fault::Refuse(kind)) => Some(self.refuse(kind)),
+            Some(Fault::EndTransaction(kind)) => {
+                self.state = TransactionState::Idle;
+                self.pending.clear();
+                Some(self.refuse(kind))
+            }
             Some(Fault::LoseReply) => {
                 self.run(&call);
                 self.lost = true;
