--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -1,160 +1,124 @@
-//! A session's route is moved to another service and back while one replica receives nothing.
+//! A ping of another writer names a service that is not in the manifest and the address of a replica.
 
 use standin::{
-    Consumer, Deployment, Reply, Route, Service, ZONES, finish, manifest, serve_provider, sleep_ms,
-    with_trouble,
+    Consumer, Deployment, Reply, Route, Service, ZONES, finish, http, manifest, serve_provider,
+    sleep_ms, unix_ms, with_trouble,
 };
 use std::{
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
-    thread,
+    sync::{Arc, atomic::AtomicBool},
     time::{Duration, Instant},
 };
 
-/// `max_staleness_ms` of the route.
-const BOUND_MS: u64 = 2_500;
-const KEYS: &[(&str, &[&str])] = &[("boarding", &["key-b"])];
-const SERVICES: &[(&str, u64)] = &[("north", 1), ("south", 1)];
-
 fn main() {
     let mut deployment = Deployment::new();
     let record = deployment.record.clone();
-    let north = Service::new("north", 1, &record);
-    let south = Service::new("south", 1, &record);
-    // The primaries are in the second zone, so the entry in the first prefers the first replica.
-    for (service, base) in [(&north, 0), (&south, 10)] {
-        for number in [2, 1, 3] {
-            let id = format!("i-{}{number}", service.name);
-            let address = deployment.database(base + number);
-            service.add(&id, ZONES[usize::from(number) - 1], address);
-        }
+    let service = Service::new("ledger", 1, &record);
+    for (number, zone) in (1..=3).zip(ZONES) {
+        service.add(&format!("i-db{number}"), zone, deployment.database(number));
     }
-    serve_provider(deployment.provider(), vec![north.clone(), south.clone()], &record);
-    deployment.start(1);
+    serve_provider(deployment.provider(), vec![service.clone()], &record);
+    deployment.start(2);
     let pings = Arc::new(AtomicBool::new(true));
-    for service in [&north, &south] {
-        for number in 1..=3 {
-            let id = format!("i-{}{number}", service.name);
-            service.ping(&id, deployment.control(), Arc::clone(&pings));
-        }
+    for number in 1..=3 {
+        service.ping(&format!("i-db{number}"), deployment.control(), Arc::clone(&pings));
     }
-    let config = |version: u64, target: &str| {
-        let weighin = Route {
-            host: "weighin",
-            kind: "read_your_writes",
-            service: target,
-            max_staleness_ms: Some(BOUND_MS),
-        };
-        let deposits = Route {
-            host: "deposits",
-            kind: "primary",
-            service: "north",
-            max_staleness_ms: None,
-        };
-        manifest(version, &[weighin, deposits], SERVICES, KEYS)
+    let deposits = Route {
+        host: "deposits",
+        kind: "primary",
+        service: "ledger",
+        max_staleness_ms: None,
     };
+    let config = manifest(3, &[deposits], &[("ledger", 1)], &[("boarding", &["key-b"])]);
     let limit = Duration::from_secs(20);
-    if deployment.order("PUT", "/config", &config(3, "north"), limit) != Some(200)
-        || !deployment.wait_ready(1, limit)
-        || !wait_for_work(&deployment)
+    if deployment.order("PUT", "/config", &config, limit) != Some(200)
+        || !deployment.wait_ready(2, limit)
     {
         finish(deployment, 2, "the deployment did not start");
     }
-    // Another consumer reads on the primary of the service all the time, as traffic does.
-    let going = Arc::new(AtomicBool::new(true));
-    let (frontend, others_record, others_going) =
-        (deployment.frontend(1), record.clone(), Arc::clone(&going));
-    let others = thread::spawn(move || {
-        let Ok(mut other) = Consumer::open("other", frontend, "deposits", "key-b", &others_record)
-        else {
-            return;
-        };
-        while others_going.load(Ordering::SeqCst) {
-            other.request("FETCH fridge-9");
-            sleep_ms(60);
-        }
-    });
-    sleep_ms(3_000);
-    let Ok(mut keeper) = Consumer::open("keeper", frontend, "weighin", "key-b", &record) else {
-        finish(deployment, 2, "the keeper's session did not open");
+    let Some(mut owner) = open_working(&deployment) else {
+        finish(deployment, 2, "the first session did not work");
     };
-    keeper.request("FETCH fridge-1");
+    // Time for all three to be found caught up.
+    sleep_ms(4_000);
     if with_trouble() {
-        north.change("i-north1", |database| database.deaf = true);
-        record.line("database i-north1 receives nothing for a while");
+        let replica = service.get("i-db2");
+        let stray = format!(
+            "{{\"service\":\"elsewhere\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\
+             \"capacity\":5,\"state\":\"ready\",\"warmup_left_ms\":0,\"db_role\":\"replica\",\
+             \"sequence\":1,\"born\":{}}}",
+            replica.address,
+            replica.zone,
+            unix_ms()
+        );
+        let member = deployment.control()[0];
+        let answer = http("PUT", member, "/instances/i-stray", &stray, Duration::from_secs(1));
+        record.line(&format!("stray ping {stray} answered {answer:?}"));
     }
-    let began = Instant::now();
-    let (written, reply) = keeper.request("STORE fridge-1 first");
-    if !succeeded(&reply) {
-        finish(deployment, 2, "the first write failed");
+    let until = Instant::now() + Duration::from_secs(66);
+    let mut writes = 0;
+    while Instant::now() < until {
+        sleep_ms(2_000);
+        writes += 1;
+        owner.request(&format!("STORE deposit-{writes} before"));
     }
-    deployment.order("PUT", "/config", &config(5, "south"), limit);
-    let moved = request_until_run_by(&mut keeper, &south, "STORE fridge-2 second");
-    deployment.order("PUT", "/config", &config(8, "north"), limit);
-    let back = wait_until_route_is_back(&deployment, &north);
-    let (read, reply) = keeper.request("FETCH fridge-1");
-    let waited = began.elapsed();
-    going.store(false, Ordering::SeqCst);
-    let _ = others.join();
-    let ran = north.ran();
-    let at = ran.iter().find(|run| run.id == read).map(|run| run.database.clone());
-    record.line(&format!("the read came {} ms after the write", waited.as_millis()));
-    let (Some(reply), Some(at), true, true) = (reply, at, moved, back) else {
-        finish(deployment, 2, "a step of the case did not run");
+    // The named disturbance: a replica receives nothing for a while, and the primary crashes.
+    service.change("i-db3", |database| database.deaf = true);
+    record.line("database i-db3 receives nothing for a while");
+    let mut acknowledged = Vec::new();
+    for number in 0..5 {
+        let (id, reply) = owner.request(&format!("STORE payment-{number} paid"));
+        if reply.is_some_and(|reply| reply.outcome.is_ok()) {
+            acknowledged.push(id);
+        }
+    }
+    if acknowledged.is_empty() {
+        finish(deployment, 2, "no write was acknowledged while one replica received nothing");
+    }
+    service.crash("i-db1");
+    let until = Instant::now() + Duration::from_secs(14);
+    while Instant::now() < until && service.promoted().is_empty() {
+        sleep_ms(100);
+    }
+    let Some(promoted) = service.promoted().first().cloned() else {
+        finish(deployment, 0, "no database was promoted, so nothing acknowledged is missing");
     };
-    let has = north.get(&at).log.iter().any(|entry| entry.id == written);
-    let rows = reply.rows.clone();
-    if reply.outcome.is_ok() && rows != ["first"] && !has {
-        let verdict = format!("STALE: the session's own commit {written} is not in the log of {at}, where its read {read} ran; it got {rows:?}");
-        finish(deployment, 1, &verdict);
+    let log = service.get(&promoted).log;
+    let lost: Vec<&String> = acknowledged
+        .iter()
+        .filter(|id| !log.iter().any(|entry| entry.id == **id))
+        .collect();
+    record.line(&format!("acknowledged with sync_replicas 1: {acknowledged:?}"));
+    record.line(&format!("promoted: {promoted}, whose log has {} entries", log.len()));
+    if let Ok(mut later) = Consumer::open("later", deployment.frontend(2), "deposits", "key-b", &record) {
+        for _ in 0..20 {
+            if succeeded(&later.request("FETCH payment-0").1) {
+                break;
+            }
+            sleep_ms(250);
+        }
     }
-    finish(deployment, 0, &format!("the read ran at {at} and got {rows:?}"));
+    if lost.is_empty() {
+        finish(deployment, 0, &format!("{promoted} was promoted and has each acknowledged commit"));
+    }
+    let verdict = format!("LOST: {} of {} acknowledged commits are not in the log of {promoted}, which was promoted", lost.len(), acknowledged.len());
+    finish(deployment, 1, &verdict);
 }
 
 fn succeeded(reply: &Option<Reply>) -> bool {
     reply.as_ref().is_some_and(|reply| reply.outcome.is_ok())
 }
 
-/// Waits until reads work on both routes, since databases register one after the other.
-fn wait_for_work(deployment: &Deployment) -> bool {
-    for attempt in 0..60 {
-        let works = ["weighin", "deposits"].iter().all(|host| {
-            let name = format!("w{attempt:02}");
-            let opened = Consumer::open(&name, deployment.frontend(1), host, "key-b", &deployment.record);
-            opened.is_ok_and(|mut consumer| succeeded(&consumer.request("FETCH fridge-1").1))
-        });
-        if works {
-            return true;
+/// Opens a session and writes until a write succeeds, since databases register one after the other.
+fn open_working(deployment: &Deployment) -> Option<Consumer> {
+    for attempt in 0..40 {
+        let name = format!("a{attempt:02}");
+        let frontend = deployment.frontend(1);
+        if let Ok(mut consumer) = Consumer::open(&name, frontend, "deposits", "key-b", &deployment.record)
+            && succeeded(&consumer.request("STORE deposit-0 first").1)
+        {
+            return Some(consumer);
         }
         sleep_ms(250);
     }
-    false
-}
-
-/// Sends a write until it is run by a service; returns whether that happened.
-fn request_until_run_by(keeper: &mut Consumer, service: &Service, text: &str) -> bool {
-    for _ in 0..20 {
-        let (id, reply) = keeper.request(text);
-        if succeeded(&reply) && service.ran().iter().any(|run| run.id == id) {
-            return true;
-        }
-        sleep_ms(50);
-    }
-    false
-}
-
-/// Waits until the route leads to a service again, as other sessions see it.
-fn wait_until_route_is_back(deployment: &Deployment, service: &Service) -> bool {
-    let opened = Consumer::open("probe", deployment.frontend(1), "weighin", "key-b", &deployment.record);
-    let Ok(mut probe) = opened else { return false };
-    for _ in 0..20 {
-        let (id, reply) = probe.request("FETCH fridge-7");
-        if succeeded(&reply) && service.ran().iter().any(|run| run.id == id) {
-            return true;
-        }
-        sleep_ms(30);
-    }
-    false
+    None
 }
