Let an announcement of an unlisted group change nothing about known databases

An announcement whose group no document lists, but which names the address of a running replica and a later start time, made control record that replica as departed. Its own announcements were then dropped as outdated, it left the view, was forgotten after a minute, and the election counted two databases in place of three.

Cause: handle_announcement took over addresses and replaced records before it was known whether the group is listed; only changes of the view were limited to listed groups. Ruled out: the check of start times (the announcement is newer by its own word) and the adapter (it cannot know the groups).

Such announcements are now kept apart until a document lists their group, also those that entries forward, and those that name a known database in another group. So the address and the record of a known database stay its own.

--- a/crates/daisyseam-control/src/core.rs
+++ b/crates/daisyseam-control/src/core.rs
@@ -13,6 +13,7 @@
 mod spares;
 mod status;
 mod survey;
+mod unlisted;
 mod vacancies;
 
 use self::leader::LeaderState;
@@ -400,6 +401,7 @@
             leader.shares.tick(now, self.fleet.view());
             leader.prune_records(now, self.fleet.view());
         }
+        self.admit_listed(now);
         self.step_groups(now);
         let applied = self.applied;
         if self
--- a/crates/daisyseam-control/src/core/announcements.rs
+++ b/crates/daisyseam-control/src/core/announcements.rs
@@ -37,7 +37,7 @@
 const DEPARTED_RETENTION: Duration = Duration::from_secs(120);
 /// Maximum number of records of departed databases. Above as many announcements, those of databases
 /// outside the view are dropped.
-const RECORDS_MAX: usize = 4_096;
+pub(super) const RECORDS_MAX: usize = 4_096;
 
 impl ControlCore {
     pub(super) fn announce(&mut self, now: Moment, request: RequestId, announce: &AnnounceRequest) {
@@ -76,11 +76,17 @@
     }
 
     /// Records an announcement, and returns the commands for its changes.
-    fn handle_announcement(&mut self, mut announced: AnnouncedUpstream) -> Vec<FleetCommand> {
+    pub(super) fn handle_announcement(
+        &mut self,
+        announced: AnnouncedUpstream,
+    ) -> Vec<FleetCommand> {
         let view = Arc::clone(self.fleet.view());
         let Some(leader) = &mut self.leader else {
             return Vec::new();
         };
+        let Some(mut announced) = leader.defer_unlisted(&view, announced) else {
+            return Vec::new();
+        };
         if leader.is_outdated(&view, &announced) {
             return Vec::new();
         }
@@ -219,6 +225,7 @@
         });
         self.holder_released
             .retain(|upstream, _| view.upstreams.contains_key(upstream));
+        self.prune_unlisted(now);
         if self.announced.len() > RECORDS_MAX {
             self.announced
                 .retain(|name, _| view.upstreams.contains_key(name));
--- a/crates/daisyseam-control/src/core/leader.rs
+++ b/crates/daisyseam-control/src/core/leader.rs
@@ -69,6 +69,8 @@
     /// View for which the holders were last checked.
     pub(super) holders_checked_view: Option<ViewNumber>,
     pub(super) announced: BTreeMap<UpstreamId, AnnouncedUpstream>,
+    /// Last announcements that name no group of the document, in case a later document lists it.
+    pub(super) unlisted: BTreeMap<UpstreamId, AnnouncedUpstream>,
     /// Log position that the other members must reach before a silent, leaving database is dropped.
     pub(super) drop_positions: BTreeMap<UpstreamId, LogPosition>,
     /// Databases that are gone: start time of the last process, and when it was found to be gone.
@@ -145,6 +147,7 @@
             holder_released: BTreeMap::new(),
             holders_checked_view: None,
             announced: BTreeMap::new(),
+            unlisted: BTreeMap::new(),
             drop_positions: BTreeMap::new(),
             departed: BTreeMap::new(),
             health: BTreeMap::new(),
@@ -201,11 +204,19 @@
     }
 
     /// Records an announcement. An invalid one is dropped.
-    pub(super) fn record_announcement(&mut self, now: Moment, report: &UpstreamReport) {
+    pub(super) fn record_announcement(
+        &mut self,
+        now: Moment,
+        view: &FleetView,
+        report: &UpstreamReport,
+    ) {
         let Some(announced) = parse_announcement(now, report) else {
             log::warn!("invalid announcement of database `{}`", report.upstream);
             return;
         };
+        let Some(announced) = self.defer_unlisted(view, announced) else {
+            return;
+        };
         let name = announced.command.upstream.clone();
         let newer = self
             .announced
--- a/crates/daisyseam-control/src/core/requests.rs
+++ b/crates/daisyseam-control/src/core/requests.rs
@@ -159,7 +159,7 @@
             return self.reply_not_leader(request);
         }
         for report in &heartbeat.upstreams {
-            leader.record_announcement(now, report);
+            leader.record_announcement(now, self.fleet.view(), report);
         }
         for report in &heartbeat.health {
             leader.record_health(now, &instance, report);
--- a/crates/daisyseam-control/tests/direct.rs
+++ b/crates/daisyseam-control/tests/direct.rs
@@ -17,8 +17,10 @@
     document, //
 };
 use daisyseam_wire::{
+    AnnounceRequest,
     EvacuateRequest,
     SubmitNewestRequest,
+    UpstreamReport,
     control_message::Body, //
 };
 use rand::Rng;
@@ -26,6 +28,7 @@
     ChaCha8Rng,
     rand_core::SeedableRng, //
 };
+use test_case::test_case;
 
 /// Starts a fleet with a primary and replicas that have all caught up, and entries that write.
 fn start_fleet(copies: usize, raises: bool) -> Simulation {
@@ -71,9 +74,7 @@
 /// Waits until entries write to a primary other than `former`. Returns the time that it took.
 fn wait_for_new_primary(sim: &mut Simulation, former: &str) -> u64 {
     let begun = sim.now;
-    sim.advance_until("another is primary", |sim| {
-        sim.primary(1).is_some_and(|primary| primary != former)
-    });
+    wait_for_new_primary_without_writes(sim, former);
     let took = sim.now - begun;
     let before = group(sim).acknowledged.len();
     sim.advance(300);
@@ -81,6 +82,13 @@
     took
 }
 
+/// Waits until entries consider a database other than `former` the primary.
+fn wait_for_new_primary_without_writes(sim: &mut Simulation, former: &str) {
+    sim.advance_until("another is primary", |sim| {
+        sim.primary(1).is_some_and(|primary| primary != former)
+    });
+}
+
 fn active(sim: &Simulation) -> String {
     sim.active().expect("a primary")
 }
@@ -337,6 +345,62 @@
     });
 }
 
+/// Guards against the loss of acknowledged commits after an announcement of an unlisted group has
+/// taken a running replica out of elections, by its address or by its name.
+#[test_case("stray"; "at the address of a replica")]
+#[test_case("copy-1"; "under the name of a replica")]
+fn an_announcement_of_an_unlisted_group_removes_no_database(name: &str) {
+    let mut sim = start_fleet(3, false);
+    sim.order(Body::Announce(AnnounceRequest {
+        report: Some(UpstreamReport {
+            upstream: name.to_owned(),
+            group: "elsewhere".to_owned(),
+            data_centre: "khomas-1".to_owned(),
+            address: "127.0.0.1:6001".to_owned(),
+            admin_address: "127.0.0.1:6001".to_owned(),
+            born_ms: sim.now,
+            sequence: 1_000_000,
+            ..UpstreamReport::default()
+        }),
+        gone: false,
+    }));
+    sim.advance(66_000);
+    assert_eq!(settled(&sim), 3, "all three announce themselves");
+    copy(&mut sim, "copy-2").isolated = true;
+    let before = group(&sim).acknowledged.len();
+    sim.advance(500);
+    assert!(group(&sim).acknowledged.len() > before, "it takes writes");
+    let former = active(&sim);
+    let now = sim.now;
+    sim.direct.as_mut().expect("a group").crash(now, 0, 900_000);
+    wait_for_new_primary_without_writes(&mut sim, &former);
+    assert_eq!(active(&sim), "copy-1");
+}
+
+#[test]
+fn a_group_that_a_later_document_lists_gets_the_databases_that_announced_themselves_before() {
+    let mut sim = Simulation::new(3, 0, 2);
+    sim.direct = Some(DirectGroup::new(3, false));
+    let text = document(1).replace("databases = 3", "acknowledging_replicas = 1");
+    let submit = |number: u64, text: String| {
+        Body::SubmitNewest(SubmitNewestRequest {
+            number,
+            text,
+            source: String::new(),
+            operator: "amalia".to_owned(),
+        })
+    };
+    let other = text.replace("bookings-db", "other-db");
+    sim.order(submit(1, other));
+    sim.advance(3_000);
+    let leader = sim.leader().expect("a leader");
+    assert!(sim.core(leader).fleet().view().upstreams.is_empty());
+    sim.order(submit(2, text.replace("number = 1", "number = 2")));
+    sim.advance(300);
+    let leader = sim.leader().expect("a leader");
+    assert_eq!(sim.core(leader).fleet().view().upstreams.len(), 3);
+}
+
 #[test]
 fn a_primary_that_only_entries_miss_is_moved() {
     let mut sim = start_fleet(3, false);
