Keep a session's position in each group that it has written in

Cause: the session kept the position of its last commit for one group; a write in the second group replaced it. Ruled out: the samples of the group's positions, which allow the stated age and are right to do so, and the choice of the replica, which obeys the floor that it gets.

The floors are now kept by group (GroupFloors in daisyseam-coord). PostgreSQL's sessions dropped their floor whenever the group changed; without a stated age the barrier covered that, with one the read could miss the session's own write. They use the same type, and a position is recorded for the group of the request that observed it.

--- a/crates/daisyseam-coord/src/floor.rs
+++ b/crates/daisyseam-coord/src/floor.rs
@@ -13,6 +13,7 @@
     Digest,
     Sha256, //
 };
+use smallvec::SmallVec;
 use std::error::Error;
 
 /// Version prefix of tokens.
@@ -84,6 +85,33 @@
     }
 }
 
+/// The floors of a session in all groups that it has used.
+///
+/// A session uses another group when its service moves, and may return to an earlier one.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct GroupFloors {
+    floors: SmallVec<[(GroupId, SessionFloor); 1]>,
+}
+
+impl GroupFloors {
+    /// Returns the floor in a group, which has no position until the session has observed one.
+    pub fn floor(&self, group: &GroupId) -> SessionFloor {
+        let mut floors = self.floors.iter();
+        let known = floors.find(|(of, _)| of == group);
+        known.map_or_else(SessionFloor::default, |(_, floor)| *floor)
+    }
+
+    /// Returns the floor in a group for a change.
+    pub fn floor_mut(&mut self, group: &GroupId) -> &mut SessionFloor {
+        let known = self.floors.iter().position(|(of, _)| of == group);
+        let index = known.unwrap_or_else(|| {
+            self.floors.push((group.clone(), SessionFloor::default()));
+            self.floors.len() - 1
+        });
+        &mut self.floors[index].1
+    }
+}
+
 fn encode(at: LogPosition, scope: TokenScope<'_>) -> String {
     let checksum = checksum(at, scope);
     format!(
--- a/crates/daisyseam-engine/src/session/floor.rs
+++ b/crates/daisyseam-engine/src/session/floor.rs
@@ -8,38 +8,33 @@
     },
     samples::PositionSamples, //
 };
-use daisyseam_coord::floor::SessionFloor;
+use daisyseam_coord::floor::GroupFloors;
 use daisyseam_model::{
     GroupId,
     LogPosition,
     document::ReadConsistency, //
 };
+use smallvec::SmallVec;
 use tokio::time::Instant;
 
-/// The position of a session's last commit and the group that it was made in.
+/// The positions of a session's last commits, in each group that it has written in.
 #[derive(Clone, Debug, Default)]
 pub(super) struct CommitFloor {
-    group: Option<GroupId>,
-    floor: SessionFloor,
-    position_unknown: bool,
+    floors: GroupFloors,
+    /// Groups in which the database did not report the position of the last commit.
+    unknown_in: SmallVec<[GroupId; 1]>,
 }
 
 impl CommitFloor {
     /// Records an acknowledged write of the session. If the database did not report a position,
-    /// the session's reads stay on the primary.
+    /// the session's reads in the group stay on the primary.
     pub(super) fn committed(&mut self, group: &GroupId, position: Option<LogPosition>) {
-        if self.group.as_ref() != Some(group) {
-            *self = Self {
-                group: Some(group.clone()),
-                ..Self::default()
-            };
-        }
+        self.unknown_in.retain(|other| other != group);
         match position {
             Some(position) => {
-                self.floor.raise(position);
-                self.position_unknown = false;
+                self.floors.floor_mut(group).raise(position);
             }
-            None => self.position_unknown = true,
+            None => self.unknown_in.push(group.clone()),
         }
     }
 
@@ -51,17 +46,17 @@
         began: Instant,
     ) -> ReadFloor {
         let service = &rights.service;
-        let same_group = self.group.as_ref() == Some(&service.group);
         let own = match service.consistency {
             ReadConsistency::Primary => return ReadFloor::default(),
             ReadConsistency::Bounded => None,
-            ReadConsistency::Session => self.floor.position().filter(|_| same_group),
+            ReadConsistency::Session => self.floors.floor(&service.group).position(),
         };
         let at_primary = ReadFloor {
             own,
             target: ReadTarget::Primary,
         };
-        if service.consistency == ReadConsistency::Session && same_group && self.position_unknown {
+        let is_unknown = self.unknown_in.contains(&service.group);
+        if service.consistency == ReadConsistency::Session && is_unknown {
             return at_primary;
         }
         let Some(bound) = service.max_staleness else {
--- a/crates/daisyseam-engine/tests/consistency.rs
+++ b/crates/daisyseam-engine/tests/consistency.rs
@@ -4,7 +4,8 @@
 
 use daisyseam_model::{
     LogPosition,
-    PrimaryState, //
+    PrimaryState,
+    document::ServiceEntry, //
 };
 use parking_lot::Mutex;
 use rand::{
@@ -23,6 +24,7 @@
         read,
         write, //
     },
+    database::FakeDatabases,
     position, //
 };
 use test_case::test_case;
@@ -173,6 +175,46 @@
     }
 }
 
+/// Adds a group with one database and a service of its own, and returns the service.
+fn add_other_group(fleet: &mut Fleet) -> ServiceEntry {
+    let mut service = fleet.service("session");
+    service.group = "h".parse().unwrap();
+    fleet.change_view(|view| {
+        let mut group = view.groups["g"].clone();
+        group.primary = PrimaryState::Active("q".parse().unwrap());
+        view.groups.insert("h".parse().unwrap(), group);
+        let upstream = view.upstreams.get_mut("q").unwrap();
+        upstream.group = "h".parse().unwrap();
+    });
+    fleet.change_document(|document| {
+        let group = document.groups["g"].clone();
+        document.groups.insert("h".parse().unwrap(), group);
+    });
+    service
+}
+
+/// Guards against a read that misses its session's own commit after the service was moved to
+/// another group and back.
+#[tokio::test(start_paused = true)]
+async fn a_session_reads_its_own_writes_after_its_service_was_moved_away_and_back() {
+    let databases = FakeDatabases::new(&["p", "a", "b", "q"]);
+    let mut fleet = Fleet::with_databases(databases, 30);
+    let moved = add_other_group(&mut fleet);
+    let former = fleet.service("session");
+    let mut caller = fleet.session("session").await;
+    let committed = caller.ask(write("write 1")).await.position;
+    fleet.change_document(|document| {
+        document.services.insert("session".parse().unwrap(), moved);
+    });
+    caller.ok(write("write 2")).await;
+    fleet.change_document(|document| {
+        document.services.insert("session".parse().unwrap(), former);
+    });
+    let read = caller.ask(read("read 1")).await;
+    assert!(committed.is_some());
+    assert!(read.position >= committed, "{read:?} misses {committed:?}");
+}
+
 #[test_case(1)]
 #[test_case(2)]
 #[test_case(3)]
--- a/crates/daisyseam-entry/src/caller/session.rs
+++ b/crates/daisyseam-entry/src/caller/session.rs
@@ -36,6 +36,7 @@
     RateGate, //
 };
 use daisyseam_coord::floor::{
+    GroupFloors,
     SessionFloor,
     TokenScope, //
 };
@@ -81,7 +82,7 @@
     view_changes: watch::Receiver<ViewNumber>,
     /// Group that serves the service, according to the view checked last.
     group: Option<GroupId>,
-    floor: SessionFloor,
+    floors: GroupFloors,
     /// Position of the floor in the session token reported last.
     reported_position: Option<LogPosition>,
     /// Whether a token supplied by the caller has raised the floor.
@@ -170,7 +171,7 @@
             cancel_registration,
             identity,
             group: None,
-            floor: SessionFloor::default(),
+            floors: GroupFloors::default(),
             reported_position: None,
             floor_from_token: false,
             replayed_settings: SmallVec::new(),
@@ -292,20 +293,27 @@
     }
 
     async fn report_session_token(&mut self) -> Result<(), RequestFailure> {
-        if self.floor.position() == self.reported_position {
+        let floor = self.floor();
+        if floor.position() == self.reported_position {
             return Ok(());
         }
-        let Some(token) = self.token_scope().and_then(|scope| self.floor.token(scope)) else {
+        let Some(token) = self.token_scope().and_then(|scope| floor.token(scope)) else {
             return Ok(());
         };
         let status = ParameterStatus::new(SESSION_TOKEN_PARAMETER.to_owned(), token);
         self.stream
             .feed(PgWireBackendMessage::ParameterStatus(status))
             .await?;
-        self.reported_position = self.floor.position();
+        self.reported_position = floor.position();
         Ok(())
     }
 
+    /// Returns the floor in the group that serves the service.
+    fn floor(&self) -> SessionFloor {
+        let group = self.group.as_ref();
+        group.map_or_else(SessionFloor::default, |group| self.floors.floor(group))
+    }
+
     fn token_scope(&self) -> Option<TokenScope<'_>> {
         Some(TokenScope {
             cluster: &self.shared.context.cluster,
@@ -335,15 +343,18 @@
     }
 
     fn accept_token(&mut self, token: &str) -> Result<(), RequestError> {
-        let mut floor = self.floor;
+        let known = self.floor();
+        let mut floor = known;
         let accepted = match self.token_scope() {
             Some(scope) => floor.accept(token, scope),
             None => return Err(ErrorKind::UnknownService.into()),
         };
         accepted.map_err(|error| RequestError::new(ErrorKind::InvalidToken, error.to_string()))?;
         self.check_token_term(floor)?;
-        self.floor_from_token |= floor != self.floor;
-        self.floor = floor;
+        self.floor_from_token |= floor != known;
+        if let Some(group) = &self.group {
+            *self.floors.floor_mut(group) = floor;
+        }
         Ok(())
     }
 
--- a/crates/daisyseam-entry/src/caller/session/autocommit.rs
+++ b/crates/daisyseam-entry/src/caller/session/autocommit.rs
@@ -25,6 +25,8 @@
 };
 use daisyseam_model::{
     ErrorKind,
+    GroupId,
+    LogPosition,
     RequestError, //
 };
 use pgwire::messages::response::TransactionStatus;
@@ -76,7 +78,7 @@
             match read {
                 Ok(()) => {
                     self.progress = SendProgress::RolledBack;
-                    return Ok(self.finish_read(&exchange, link));
+                    return Ok(self.finish_read(request, &exchange, link));
                 }
                 Err(ExchangeFault::Link(error)) => {
                     drop(link);
@@ -115,7 +117,12 @@
         exchange.drain(&mut self.port(link, deadline)).await
     }
 
-    fn finish_read(&mut self, exchange: &Exchange, link: CheckedOutLink<B::Link>) -> UnitOutcome {
+    fn finish_read(
+        &mut self,
+        request: &RequestContext,
+        exchange: &Exchange,
+        link: CheckedOutLink<B::Link>,
+    ) -> UnitOutcome {
         let seen = link.position;
         if exchange.status == TransactionStatus::Idle {
             link.release();
@@ -126,7 +133,7 @@
         if exchange.failed {
             return UnitOutcome::Failed;
         }
-        self.raise_floor(seen);
+        self.raise_floor(&request.group, seen);
         UnitOutcome::Completed
     }
 
@@ -266,8 +273,8 @@
     }
 
     /// Raises the session floor to a position that the caller has observed.
-    pub(super) fn raise_floor(&mut self, seen: daisyseam_model::LogPosition) {
-        self.floor.raise(seen);
+    pub(super) fn raise_floor(&mut self, group: &GroupId, seen: LogPosition) {
+        self.floors.floor_mut(group).raise(seen);
     }
 }
 
--- a/crates/daisyseam-entry/src/caller/session/commit.rs
+++ b/crates/daisyseam-entry/src/caller/session/commit.rs
@@ -99,7 +99,7 @@
             Some(position) => position,
             None => self.find_outcome(request, term, id).await?,
         };
-        self.raise_floor(position);
+        self.raise_floor(&request.group, position);
         if let Some(complete) = completion {
             let message = PgWireBackendMessage::CommandComplete(complete);
             self.stream.feed(message).await?;
--- a/crates/daisyseam-entry/src/caller/session/local.rs
+++ b/crates/daisyseam-entry/src/caller/session/local.rs
@@ -224,7 +224,7 @@
         if exchange.failed {
             return Ok(UnitOutcome::Failed);
         }
-        self.raise_floor(seen);
+        self.raise_floor(&request.group, seen);
         if let Some(complete) = completion {
             let message = PgWireBackendMessage::CommandComplete(complete);
             self.stream.feed(message).await?;
@@ -261,7 +261,9 @@
         described: bool,
     ) -> Result<(), RequestFailure> {
         let value = match name {
-            "daisyseam.session" => self.token_scope().and_then(|scope| self.floor.token(scope)),
+            "daisyseam.session" => self
+                .token_scope()
+                .and_then(|scope| self.floor().token(scope)),
             _ => self.max_age.map(|age| format!("{}ms", age.as_millis())),
         };
         let value = value.unwrap_or_default();
--- a/crates/daisyseam-entry/src/caller/session/request.rs
+++ b/crates/daisyseam-entry/src/caller/session/request.rs
@@ -126,10 +126,9 @@
             checked => checked?,
         };
         if self.group.as_ref() != Some(&group) {
-            // Log positions are not comparable across groups.
             self.group = Some(group.clone());
-            self.floor = daisyseam_coord::floor::SessionFloor::default();
             self.reported_position = None;
+            self.floor_from_token = false;
         }
         Ok((view, group))
     }
@@ -222,13 +221,11 @@
         request: &RequestContext,
         max_age: Option<Duration>,
     ) -> Result<StatementAccess, RequestFailure> {
+        let floor = self.floors.floor(&request.group).position();
         if let Some(age) = max_age.or(self.max_age) {
-            return Ok(StatementAccess::ReadWithin {
-                age,
-                floor: self.floor.position(),
-            });
+            return Ok(StatementAccess::ReadWithin { age, floor });
         }
-        if let Some(position) = self.floor.position() {
+        if let Some(position) = floor {
             return Ok(StatementAccess::ReadAtLeast(position));
         }
         let deadline = Instant::now() + request.limits.queue_timeout;
@@ -236,7 +233,7 @@
         let answer = context.broker.barrier(&request.group, deadline);
         let barrier = context.timer.within(deadline, answer).await;
         let barrier = barrier.ok_or(ErrorKind::DeadlineBeforeSend)??;
-        self.floor.raise(barrier);
+        self.floors.floor_mut(&request.group).raise(barrier);
         Ok(StatementAccess::ReadAtLeast(barrier))
     }
 
@@ -283,7 +280,8 @@
         request: &RequestContext,
         error: RequestError,
     ) -> RequestError {
-        let Some(claimed) = self.floor.position().filter(|_| self.floor_from_token) else {
+        let floor = self.floors.floor(&request.group);
+        let Some(claimed) = floor.position().filter(|_| self.floor_from_token) else {
             return error;
         };
         let deadline = Instant::now() + request.limits.queue_timeout;
--- a/crates/daisyseam-entry/tests/caller_sessions.rs
+++ b/crates/daisyseam-entry/tests/caller_sessions.rs
@@ -6,6 +6,7 @@
     CallerFixture,
     KEY,
     VETS_KEY,
+    document,
     fake::at,
     raw::{
         RawCaller,
@@ -161,6 +162,39 @@
     assert_eq!(fixture.database.barrier_count(), 0);
 }
 
+/// Guards against a read that misses the session's own write after the service was moved to another
+/// group and back.
+#[tokio::test]
+async fn a_session_keeps_its_floor_while_its_service_is_moved_away_and_back() {
+    let fixture = CallerFixture::start().await;
+    let before = document("");
+    let group = "[[group]]\nname = \"other-db\"\ndatabases = 3\nslots = 5\n\n[[service]]";
+    let moved = before
+        .replace("group = \"bookings-db\"", "group = \"other-db\"")
+        .replacen("[[service]]", group, 1);
+    let client = fixture.connect().await;
+    client
+        .simple_query("SET daisyseam.max_age = '2s'")
+        .await
+        .unwrap();
+    client
+        .simple_query("INSERT INTO t VALUES (1)")
+        .await
+        .unwrap();
+    fixture.publish(2, &moved);
+    client
+        .simple_query("INSERT INTO t VALUES (2)")
+        .await
+        .unwrap();
+    fixture.publish(3, &before);
+    client.simple_query("SELECT 1").await.unwrap();
+    let expected = StatementAccess::ReadWithin {
+        age: Duration::from_secs(2),
+        floor: Some(at(16)),
+    };
+    assert_eq!(fixture.database.accesses().pop(), Some(expected));
+}
+
 #[test_case("-1"; "negative")]
 #[test_case("9999999999999999999s"; "too large")]
 #[test_case("3 fortnights"; "no unit")]
