Check the caller's key for each request of an open transaction

Cause: statements and commits of an open transaction used the rights stored by begin, which hold the service, rightly kept until the next transaction, and the key. Ruled out: the view (a new session with the key is refused) and the rates.

Each statement and commit now checks the key against a current document, waiting for it like a single statement. If the key is gone, the transaction is rolled back, the caller refused and the session ended; a rollback is still carried out. An instance without a lease cannot know the keys, so a transaction of a caller with a key does not go on there either.

--- a/crates/daisyseam-engine/src/identity.rs
+++ b/crates/daisyseam-engine/src/identity.rs
@@ -110,6 +110,21 @@
         }
         Ok(CallerRights { held, service })
     }
+
+    /// Checks that the caller's key is still valid according to the current view, whatever became
+    /// of the service. A caller without a key always passes.
+    ///
+    /// # Errors
+    ///
+    /// Returns the kind of error to refuse the request with.
+    pub(crate) fn check_key(&self, cell: &ViewCell) -> Result<(), ErrorKind> {
+        let Some(keyed) = &self.keyed else {
+            return Ok(());
+        };
+        let held = cell.held();
+        let document = held.view.document.as_ref().ok_or(ErrorKind::NoView)?;
+        keyed.check(document, &self.service)
+    }
 }
 
 impl KeyedIdentity {
--- a/crates/daisyseam-engine/src/session.rs
+++ b/crates/daisyseam-engine/src/session.rs
@@ -362,6 +362,20 @@
         Ok((rights, times))
     }
 
+    /// Checks the caller's key against a current document, for a request of an open transaction.
+    /// The service stays as it was at begin.
+    async fn check_key(&self, times: &OperationTimes) -> Result<(), RequestError> {
+        let settings = &self.engine.settings;
+        if self.identity.organisation().is_some() {
+            let until = times.admit().token;
+            settings
+                .cell
+                .wait_until_current(&settings.timer, until)
+                .await?;
+        }
+        Ok(self.identity.check_key(&settings.cell)?)
+    }
+
     /// Takes a token from the caller's rate limit.
     async fn admit(
         &self,
--- a/crates/daisyseam-engine/src/session/transaction.rs
+++ b/crates/daisyseam-engine/src/session/transaction.rs
@@ -62,7 +62,8 @@
 /// The open transaction of a session.
 pub(super) struct OpenTransaction<C: DatabaseConnection> {
     mode: TransactionMode,
-    /// Rights at the time of begin; changes to the service apply from the next transaction on.
+    /// Rights at the time of begin; changes to the service apply from the next transaction on, but
+    /// a withdrawn key counts at once.
     rights: CallerRights,
     stage: Stage<C>,
 }
@@ -153,6 +154,13 @@
         };
         let times = OperationTimes::start(&transaction.rights);
         let stage = std::mem::replace(&mut transaction.stage, Stage::Failed(None));
+        if !matches!(stage, Stage::Failed(_))
+            && let Err(error) = self.core.check_key(&times).await
+        {
+            self.core.abandon(stage).await;
+            self.transaction = Some(transaction);
+            return Err(error);
+        }
         let running = match stage {
             Stage::Pending => {
                 let OpenTransaction { mode, rights, .. } = &transaction;
@@ -186,15 +194,19 @@
     /// Commits the open transaction.
     pub(super) async fn commit(&mut self, id: &Bytes) -> RunResult {
         let transaction = self.transaction.take().ok_or_else(no_transaction)?;
+        let times = OperationTimes::start(&transaction.rights);
+        if !matches!(transaction.stage, Stage::Failed(_))
+            && let Err(error) = self.core.check_key(&times).await
+        {
+            self.core.abandon(transaction.stage).await;
+            return Err(error);
+        }
         match transaction.stage {
             Stage::Pending => answer::without_database(),
             Stage::Running(running) if self.core.is_evacuation_grace_over(&running) => {
                 Err(ErrorKind::TransactionLost.into())
             }
-            Stage::Running(running) => {
-                let times = OperationTimes::start(&transaction.rights);
-                self.core.commit_at(running, id, &times).await
-            }
+            Stage::Running(running) => self.core.commit_at(running, id, &times).await,
             Stage::Failed(running) => {
                 if let Some(running) = running {
                     self.core.roll_back_at(running, None).await;
--- a/crates/daisyseam-engine/tests/faults.rs
+++ b/crates/daisyseam-engine/tests/faults.rs
@@ -517,6 +517,44 @@
     assert_eq!(count(&fleet.databases.calls("p"), "read 2"), 0);
 }
 
+/// Guards against a withdrawn key that goes on in the transaction that it has open.
+#[test_case(read("read 2"); "read")]
+#[test_case(write("write 2"); "write")]
+#[test_case(RequestVerb::Commit; "commit")]
+#[tokio::test(start_paused = true)]
+async fn a_withdrawn_key_ends_an_open_transaction(verb: RequestVerb) {
+    let mut fleet = Fleet::start(30);
+    let mut caller = fleet.session("primary").await;
+    caller.ok(BEGIN).await;
+    caller.ok(write("write 1")).await;
+    fleet.change_document(|document| {
+        let organisation = document.organisations.get_mut("one").unwrap();
+        organisation.keys.clear();
+    });
+    assert_eq!(caller.fail(verb).await, ErrorKind::KeyWithdrawn);
+    assert!(matches!(caller.event().await, CallerEvent::Closed));
+    sleep(Duration::from_secs(1)).await;
+    let calls = fleet.databases.calls("p");
+    for text in ["read 2", "write 2", "commit"] {
+        assert_eq!(count(&calls, text), 0, "{calls:?}");
+    }
+    let committed = fleet.databases.with("p", |p| p.committed.clone());
+    assert!(committed.is_empty(), "{committed:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_withdrawn_key_may_still_roll_back() {
+    let mut fleet = Fleet::start(30);
+    let mut caller = fleet.session("primary").await;
+    caller.ok(BEGIN).await;
+    caller.ok(write("write 1")).await;
+    fleet.change_document(|document| {
+        document.organisations.remove("one");
+    });
+    caller.ok(RequestVerb::Rollback).await;
+    assert_eq!(caller.fail(BEGIN).await, ErrorKind::KeyWithdrawn);
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_changed_service_applies_from_the_next_transaction() {
     let mut fleet = Fleet::start(30);
--- a/crates/daisyseam-engine/tests/leases.rs
+++ b/crates/daisyseam-engine/tests/leases.rs
@@ -107,6 +107,29 @@
     assert!(began.elapsed() <= Duration::from_millis(100));
 }
 
+/// Guards against a key that was withdrawn while the instance had no lease, and that goes on in an
+/// open transaction because the instance does not know.
+#[tokio::test(start_paused = true)]
+async fn a_transaction_waits_for_the_lease_and_obeys_the_document_that_came_with_it() {
+    let mut fleet = Fleet::start(30);
+    let mut caller = fleet.session("session").await;
+    caller.ok(BEGIN).await;
+    caller.ok(read("read 0")).await;
+    expire_document(&fleet).await;
+    caller.send(read("read 1"));
+    sleep(RENEWAL_DELAY).await;
+    fleet.change_document(|document| {
+        document.organisations.remove("one");
+    });
+    let kind = caller.answer().await.outcome.unwrap_err().kind;
+    assert_eq!(kind, ErrorKind::KeyWithdrawn);
+    let calls = fleet.databases.calls("p");
+    assert!(
+        !calls.iter().any(|call| call.contains("read 1")),
+        "{calls:?}"
+    );
+}
+
 #[tokio::test(start_paused = true)]
 async fn reads_go_on_for_a_moment_after_the_lease() {
     let fleet = Fleet::start(30);
