Discard a call of control that was given up, and end it with the lease of its leader

Cause: a promotion that was given up after 400 ms closed its connection in the ordinary way, and the system goes on sending what the other side has not received. The HTTP client kept connections open, so the request was in the send queue while the platform could not be reached, and was delivered when the partition healed.

--- a/crates/daisyseam-control/src/admin.rs
+++ b/crates/daisyseam-control/src/admin.rs
@@ -1,6 +1,9 @@
 //! Calls to the HTTP interface of databases.
 
-use crate::core::DatabaseCall;
+use crate::{
+    call_lease::CallLease,
+    core::DatabaseCall, //
+};
 use daisyseam_coord::promotion::CallOutcome;
 use daisyseam_model::{
     LogPosition,
@@ -53,7 +56,14 @@
 /// Client for calls to databases.
 pub trait UpstreamAdmin: Clone + Send + Sync + 'static {
     /// Makes a call, which must finish within a time limit of its own.
-    fn call(&self, call: DatabaseCall) -> impl Future<Output = CallOutcome> + Send;
+    ///
+    /// The future is dropped when the lease ends. Nothing of a call that changes a database may be
+    /// delivered after that, unless the database rejects calls of a lower term.
+    fn call(
+        &self,
+        call: DatabaseCall,
+        lease: CallLease,
+    ) -> impl Future<Output = CallOutcome> + Send;
 }
 
 /// Client for calls to databases over HTTP with JSON.
@@ -93,7 +103,8 @@
 }
 
 impl UpstreamAdmin for HttpAdmin {
-    async fn call(&self, call: DatabaseCall) -> CallOutcome {
+    /// The lease is not needed, since a database rejects a call of a lower term than it knows.
+    async fn call(&self, call: DatabaseCall, _lease: CallLease) -> CallOutcome {
         let address = call.address;
         match call.call {
             AdminCall::State => {
--- a/crates/daisyseam-control/src/daemon.rs
+++ b/crates/daisyseam-control/src/daemon.rs
@@ -207,6 +207,7 @@
         let (wake, woken) = watch::channel(timer.now());
         let dialer = Dialer {
             source: settings.source,
+            ..Dialer::default()
         };
         let link_timer = timer.clone();
         let cluster = settings.cluster.clone();
--- a/crates/daisyseam-control/src/lib.rs
+++ b/crates/daisyseam-control/src/lib.rs
@@ -4,6 +4,7 @@
 //! store. Sessions, links to other members and calls to databases perform the network I/O.
 
 mod admin;
+mod call_lease;
 mod convert;
 mod core;
 mod daemon;
@@ -22,6 +23,7 @@
         HttpAdmin,
         UpstreamAdmin, //
     },
+    call_lease::CallLease,
     core::{
         ControlCore,
         CoreOutput,
--- a/crates/daisyseam-control/src/node.rs
+++ b/crates/daisyseam-control/src/node.rs
@@ -2,6 +2,10 @@
 
 use crate::{
     admin::UpstreamAdmin,
+    call_lease::{
+        CallLease,
+        TermLease, //
+    },
     convert::{
         durable_log,
         entry_to_record,
@@ -180,6 +184,8 @@
     store: Option<S>,
     initial_members: MemberTable,
     admin: A,
+    /// The lease while this instance leads, for the calls in progress.
+    lease: watch::Sender<Option<TermLease>>,
     origin: Instant,
     wake: watch::Sender<Instant>,
     report: Arc<ArcSwap<NodeReport>>,
@@ -217,6 +223,7 @@
             store: Some(arguments.store),
             initial_members: arguments.initial_members,
             admin: arguments.admin,
+            lease: watch::channel(None).0,
             origin: arguments.origin,
             wake: arguments.wake,
             report: arguments.report,
@@ -382,6 +389,7 @@
         for (request, body) in output.replies {
             self.send_reply(request, body);
         }
+        self.publish_lease();
         for call in output.calls {
             self.start_call(call);
         }
@@ -457,18 +465,42 @@
         }
     }
 
+    fn publish_lease(&self) {
+        let log = self.core.log();
+        let until = log.lease_until(self.now());
+        let lease = until.map(|until| TermLease {
+            term: log.term().0,
+            until: self.origin + until.since_origin(),
+        });
+        self.lease.send_replace(lease);
+    }
+
     fn start_call(&mut self, call: DatabaseCall) {
         let admin = self.admin.clone();
         let node = self.context.node.clone();
+        let lease = CallLease::new(
+            call.fence,
+            self.lease.subscribe(),
+            self.context.timer.clone(),
+        );
         tokio::spawn(async move {
             let (group, upstream) = (call.group.clone(), call.upstream.clone());
             let (kind, term) = (call.kind, call.term);
+            let mut watched = lease.clone();
+            let answer = tokio::select! {
+                biased;
+                answer = admin.call(call, lease) => answer,
+                () = watched.ended() => {
+                    log::info!("gave up a {kind:?} call to {upstream}: the leader's lease ended");
+                    CallOutcome::Lost
+                }
+            };
             let message = NodeMessage::CallFinished {
                 group,
                 upstream,
                 kind,
                 term,
-                answer: admin.call(call).await,
+                answer,
             };
             if node.cast(message).is_err() {
                 log::debug!("a call to a database finished after the node had stopped");
--- a/crates/daisyseam-control/src/node/tests.rs
+++ b/crates/daisyseam-control/src/node/tests.rs
@@ -8,6 +8,7 @@
 };
 use crate::{
     admin::UpstreamAdmin,
+    call_lease::CallLease,
     convert::durable_log,
     core::{
         ControlCore,
@@ -82,7 +83,7 @@
 struct NoDatabases;
 
 impl UpstreamAdmin for NoDatabases {
-    async fn call(&self, _call: DatabaseCall) -> CallOutcome {
+    async fn call(&self, _call: DatabaseCall, _lease: CallLease) -> CallOutcome {
         CallOutcome::Lost
     }
 }
--- a/crates/daisyseam-coord/src/log/leader.rs
+++ b/crates/daisyseam-coord/src/log/leader.rs
@@ -192,14 +192,20 @@
     /// A leader that is not in its own member table, or whose table is not on a majority yet, may be
     /// unknown to voters that all vote for another member.
     pub fn has_lease(&self, now: Moment) -> bool {
+        self.lease_until(now).is_some_and(|until| now < until)
+    }
+
+    /// Returns when the lease ends or has ended, unless a majority responds again before; `None`
+    /// without a lease. See [`Self::has_lease`].
+    pub fn lease_until(&self, now: Moment) -> Option<Moment> {
         let MemberRole::Leader(state) = &self.role else {
-            return false;
+            return None;
         };
-        if !self.is_voter() || !self.has_committed_in_term() {
-            return false;
+        if !self.is_voter() || !self.has_committed_in_term() || state.transfer.is_some() {
+            return None;
         }
-        let lease = self.lease_start(state, now);
-        state.transfer.is_none() && lease.is_some_and(|start| now < start + self.settings.lease)
+        let start = self.lease_start(state, now)?;
+        Some(start + self.settings.lease)
     }
 
     /// Returns the index that a linearizable read must wait for.
--- a/crates/daisyseam-entry/src/daemon.rs
+++ b/crates/daisyseam-entry/src/daemon.rs
@@ -129,6 +129,7 @@
         let spans = open_spans(&settings)?;
         let dialer = Dialer {
             source: settings.source,
+            ..Dialer::default()
         };
         let incarnation = IncarnationCell::default();
         let table = HolderTable::new(TableSettings {
--- a/crates/daisyseam-runtime/src/dialer.rs
+++ b/crates/daisyseam-runtime/src/dialer.rs
@@ -1,12 +1,16 @@
 //! Outgoing connections.
 
-use crate::tune_socket;
+use crate::{
+    tune_discarding_socket,
+    tune_socket, //
+};
 use std::{
     io,
     net::{
         IpAddr,
         SocketAddr, //
     }, //
+    time::Duration,
 };
 use tokio::net::{
     TcpSocket,
@@ -18,6 +22,9 @@
 pub struct Dialer {
     /// Source address of connections; the system chooses one if it is not set.
     pub source: Option<IpAddr>,
+    /// Time after which bytes that the peer has not received are discarded with the connection, as
+    /// they are when it is dropped. If it is not set, the system sends them even after a drop.
+    pub discard_after: Option<Duration>,
 }
 
 impl Dialer {
@@ -35,7 +42,10 @@
         if let Some(source) = self.source {
             socket.bind(SocketAddr::new(source, 0))?;
         }
-        tune_socket(&socket)?;
+        match self.discard_after {
+            Some(timeout) => tune_discarding_socket(&socket, timeout)?,
+            None => tune_socket(&socket)?,
+        }
         socket.connect(target).await
     }
 }
--- a/crates/daisyseam-runtime/src/lib.rs
+++ b/crates/daisyseam-runtime/src/lib.rs
@@ -50,6 +50,7 @@
     },
     socket::{
         tune_caller_socket,
+        tune_discarding_socket,
         tune_socket, //
     },
     span::{
--- a/crates/daisyseam-runtime/src/socket.rs
+++ b/crates/daisyseam-runtime/src/socket.rs
@@ -41,6 +41,18 @@
     tune(socket, CALLER_TIMEOUT)
 }
 
+/// Like [`tune_socket`], but bytes that are not delivered within `timeout`, or before the socket is
+/// closed, are discarded with the connection. The system otherwise goes on sending them.
+///
+/// # Errors
+///
+/// When the system rejects one of the options.
+pub fn tune_discarding_socket(socket: &impl AsFd, timeout: Duration) -> io::Result<()> {
+    tune(socket, timeout)?;
+    // Closing the socket then resets the connection.
+    SockRef::from(socket).set_linger(Some(Duration::ZERO))
+}
+
 fn tune(socket: &impl AsFd, timeout: Duration) -> io::Result<()> {
     let socket = SockRef::from(socket);
     socket.set_tcp_nodelay(true)?;
--- a/crates/daisyseam-runtime/tests/socket.rs
+++ b/crates/daisyseam-runtime/tests/socket.rs
@@ -6,8 +6,17 @@
     tune_socket, //
 };
 use socket2::SockRef;
-use std::time::Duration;
-use tokio::net::TcpListener;
+use std::{
+    io::ErrorKind,
+    time::Duration, //
+};
+use tokio::{
+    io::{
+        AsyncReadExt,
+        AsyncWriteExt, //
+    },
+    net::TcpListener, //
+};
 
 #[tokio::test]
 async fn connections_have_options_that_detect_a_lost_peer() {
@@ -46,3 +55,25 @@
         Some(Duration::from_secs(30))
     );
 }
+
+/// Guards against bytes of a request that was given up and that are still delivered later.
+#[tokio::test]
+async fn a_dropped_connection_that_discards_is_reset() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let timeout = Duration::from_millis(400);
+    let dialer = Dialer {
+        source: None,
+        discard_after: Some(timeout),
+    };
+    let mut connected = dialer.connect(address).await.expect("it is accepted");
+    let (mut accepted, _) = listener.accept().await.expect("a connection");
+    let options = SockRef::from(&connected);
+    let user_timeout = options.tcp_user_timeout();
+    assert_eq!(user_timeout.expect("the option is readable"), Some(timeout));
+    connected.write_all(b"promote").await.expect("it is sent");
+    drop(connected);
+    let mut bytes = Vec::new();
+    let error = accepted.read_to_end(&mut bytes).await.unwrap_err();
+    assert_eq!(error.kind(), ErrorKind::ConnectionReset);
+}
