Believe a departure only until the database is heard again, and ask it in an election

Cause: a departure names a database, not a process, and was taken for that of the process that runs. All that this process announced later was dropped as older, so it left the view and, a minute later, the count of the election. Ruled out: the check of start times alone cannot help, as the running process is the newest known one when the departure arrives.

A departure now keeps the sequence number that the process had reached, and a later announcement of the same process undoes it. A random run over late departures, stray announcements, restarts and cuts then lost commits in a second way: a late departure of the running primary made the election leave it out unasked. An election now asks a database that announced its departure, and leaves it out after two calls without a response.

That a dropped database is forgotten by time alone is left open.

--- a/crates/daisyseam-control/src/core/announcements.rs
+++ b/crates/daisyseam-control/src/core/announcements.rs
@@ -6,6 +6,7 @@
     WaiterKind,
     leader::{
         AnnouncedUpstream,
+        DepartureRecord,
         LeaderState,
         parse_announcement, //
     }, //
@@ -134,7 +135,7 @@
             return true;
         }
         let gone = self.departed.get(name);
-        if gone.is_some_and(|(born_ms, _)| command.born_ms <= *born_ms) {
+        if gone.is_some_and(|gone| !gone.is_contradicted_by(announced)) {
             return true;
         }
         let known = self.announced.get(name);
@@ -153,10 +154,13 @@
 
     /// Returns whether an announcement provably follows the recorded one of the same process.
     fn follows_recorded(&self, announced: &AnnouncedUpstream) -> bool {
-        let known = self.announced.get(&announced.command.upstream);
-        known.is_some_and(|known| {
-            known.command.born_ms == announced.command.born_ms
-                && announced.sequence > known.sequence
+        let name = &announced.command.upstream;
+        let known = self.announced.get(name);
+        let known = known.map(|known| (known.command.born_ms, known.sequence));
+        let gone = self.departed.get(name);
+        let gone = gone.and_then(|gone| Some((gone.born_ms, gone.sequence?)));
+        known.or(gone).is_some_and(|(born_ms, sequence)| {
+            born_ms == announced.command.born_ms && announced.sequence > sequence
         })
     }
 
@@ -191,16 +195,20 @@
         view: &FleetView,
         name: &UpstreamId,
     ) -> Vec<FleetCommand> {
-        let announced = self
-            .announced
-            .remove(name)
-            .map(|known| known.command.born_ms);
+        let announced = self.announced.remove(name);
+        let announced_born = announced.as_ref().map(|known| known.command.born_ms);
         let listed = view.upstreams.get(name);
-        let born_ms = listed.map(|known| known.born_ms).max(announced);
+        let born_ms = listed.map(|known| known.born_ms).max(announced_born);
         if let Some(born_ms) = born_ms
             && self.departed.len() < RECORDS_MAX
         {
-            self.departed.entry(name.clone()).or_insert((born_ms, now));
+            let known = announced.filter(|known| known.command.born_ms == born_ms);
+            let record = DepartureRecord {
+                born_ms,
+                sequence: known.map(|known| known.sequence),
+                at: now,
+            };
+            self.departed.entry(name.clone()).or_insert(record);
         }
         self.schedule_now();
         let Some(listed) = listed else {
@@ -216,8 +224,8 @@
 
     /// Drops records that are no longer needed.
     pub(super) fn prune_records(&mut self, now: Moment, view: &FleetView) {
-        self.departed.retain(|name, (_, at)| {
-            view.upstreams.contains_key(name) || now.since(*at) < DEPARTED_RETENTION
+        self.departed.retain(|name, gone| {
+            view.upstreams.contains_key(name) || now.since(gone.at) < DEPARTED_RETENTION
         });
         self.health.retain(|upstream, notes| {
             notes.retain(|instance, _| view.instances.contains_key(instance));
--- a/crates/daisyseam-control/src/core/groups.rs
+++ b/crates/daisyseam-control/src/core/groups.rs
@@ -258,7 +258,7 @@
     /// Returns whether the current process of a database has announced that it is gone.
     pub(super) fn is_gone(&self, name: &UpstreamId, born_ms: u64) -> bool {
         let departed = self.departed.get(name);
-        departed.is_some_and(|(born, _)| born_ms <= *born)
+        departed.is_some_and(|gone| born_ms <= gone.born_ms)
     }
 
     /// Returns the health of a database by its holder's report, if the holder itself is heard.
--- a/crates/daisyseam-control/src/core/leader.rs
+++ b/crates/daisyseam-control/src/core/leader.rs
@@ -73,8 +73,8 @@
     pub(super) unlisted: BTreeMap<UpstreamId, AnnouncedUpstream>,
     /// Log position that the other members must reach before a silent, leaving database is dropped.
     pub(super) drop_positions: BTreeMap<UpstreamId, LogPosition>,
-    /// Databases that are gone: start time of the last process, and when it was found to be gone.
-    pub(super) departed: BTreeMap<UpstreamId, (u64, Moment)>,
+    /// Databases whose last known process is gone.
+    pub(super) departed: BTreeMap<UpstreamId, DepartureRecord>,
     /// Last health report of each instance on each database.
     pub(super) health: BTreeMap<UpstreamId, BTreeMap<InstanceId, HealthRecord>>,
     pub(super) surveys: BTreeMap<GroupId, GroupSurvey>,
@@ -103,6 +103,30 @@
     pub(super) sequence: u64,
 }
 
+/// The departure of a database, as announced or concluded from a successor at its address.
+///
+/// A departure names the database and not its process, and may arrive late, when the next process of
+/// the database already runs.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct DepartureRecord {
+    /// Start time of the last process that was known when the departure arrived.
+    pub(super) born_ms: u64,
+    /// Sequence number of that process's last announcement by then, if one was received.
+    pub(super) sequence: Option<u64>,
+    /// When the departure arrived.
+    pub(super) at: Moment,
+}
+
+impl DepartureRecord {
+    /// Returns whether an announcement shows that the database runs: it is of a later process, or
+    /// a later one of the same process.
+    pub(super) fn is_contradicted_by(&self, announced: &AnnouncedUpstream) -> bool {
+        let born_ms = announced.command.born_ms;
+        let is_later = announced.sequence > self.sequence.unwrap_or(0);
+        born_ms > self.born_ms || born_ms == self.born_ms && is_later
+    }
+}
+
 /// The last health report of an instance on a database.
 #[derive(Clone, Debug)]
 pub(super) struct HealthRecord {
--- a/crates/daisyseam-control/tests/direct.rs
+++ b/crates/daisyseam-control/tests/direct.rs
@@ -377,6 +377,35 @@
     assert_eq!(active(&sim), "copy-1");
 }
 
+/// Guards against the loss of acknowledged commits after a departure that arrived late has taken the
+/// next process of the database out of elections.
+#[test]
+fn a_late_departure_removes_no_running_database() {
+    let mut sim = start_fleet(3, false);
+    sim.advance(2_000);
+    sim.order(Body::Announce(AnnounceRequest {
+        report: Some(UpstreamReport {
+            upstream: "copy-1".to_owned(),
+            ..UpstreamReport::default()
+        }),
+        gone: true,
+    }));
+    sim.advance(66_000);
+    assert_eq!(settled(&sim), 3, "all three announce themselves");
+    let leader = sim.leader().expect("a leader");
+    let view = sim.core(leader).fleet().view();
+    assert!(view.upstreams.values().all(|upstream| !upstream.leaving));
+    copy(&mut sim, "copy-2").isolated = true;
+    let before = group(&sim).acknowledged.len();
+    sim.advance(500);
+    assert!(group(&sim).acknowledged.len() > before, "it takes writes");
+    let former = active(&sim);
+    let now = sim.now;
+    sim.direct.as_mut().expect("a group").crash(now, 0, 900_000);
+    wait_for_new_primary_without_writes(&mut sim, &former);
+    assert_eq!(active(&sim), "copy-1");
+}
+
 #[test]
 fn a_group_that_a_later_document_lists_gets_the_databases_that_announced_themselves_before() {
     let mut sim = Simulation::new(3, 0, 2);
@@ -532,6 +561,62 @@
     }
 }
 
+/// Sends a late or stray message about one of the databases, or lets time pass.
+fn inject_stray_message(sim: &mut Simulation, random: &mut ChaCha8Rng, copies: usize) {
+    let number = random.random_range(0..copies);
+    let kind = random.random_range(0..6);
+    let report = match kind {
+        0 => UpstreamReport {
+            upstream: format!("copy-{number}"),
+            ..UpstreamReport::default()
+        },
+        1 | 2 => UpstreamReport {
+            upstream: match kind {
+                1 => format!("stray-{number}"),
+                _ => format!("copy-{number}"),
+            },
+            group: "elsewhere".to_owned(),
+            data_centre: "khomas-1".to_owned(),
+            address: format!("127.0.0.1:{}", 6_000 + number),
+            admin_address: format!("127.0.0.1:{}", 6_000 + number),
+            born_ms: sim.now,
+            sequence: random.random_range(1..1_000_000),
+            ..UpstreamReport::default()
+        },
+        3 => {
+            sim.writes = false;
+            sim.advance(random.random_range(10_000..40_000));
+            sim.writes = true;
+            return;
+        }
+        _ => return inject_fault(sim, random, copies),
+    };
+    let announce = AnnounceRequest {
+        report: Some(report),
+        gone: kind == 0,
+    };
+    for member in 0..3 {
+        sim.request(member, Body::Announce(announce.clone()), 1);
+    }
+}
+
+/// The databases that an election counts include each that may have received an acknowledged
+/// commit, whatever arrives about them; the simulation asserts it at each promotion.
+#[test]
+fn no_acknowledged_commit_is_lost_to_late_and_stray_messages() {
+    for seed in first_seed()..first_seed() + 3 {
+        println!("seed {seed}");
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut sim = start_fleet_in(Simulation::new(3, 0, 2), 3, random.random());
+        for _ in 0..steps() / 4 {
+            inject_stray_message(&mut sim, &mut random, 3);
+            let millis = random.random_range(1..3_000);
+            sim.advance(millis);
+        }
+        heal(&mut sim);
+    }
+}
+
 fn start(sim: &mut Simulation, member: usize) {
     if !sim.runs(member) {
         sim.start(member);
--- a/crates/daisyseam-coord/src/promotion/synchronous/election.rs
+++ b/crates/daisyseam-coord/src/promotion/synchronous/election.rs
@@ -33,8 +33,9 @@
     time::Duration, //
 };
 
-/// Failed calls after which the former primary counts as unreachable.
-const FORMER_PRIMARY_FAILURES: u32 = 2;
+/// Failed calls after which the former primary, or a database that announced its departure, counts as
+/// unreachable.
+const UNREACHABLE_FAILURES: u32 = 2;
 /// Interval between two promotion calls to the same database.
 const PROMOTE_RETRY: Duration = Duration::from_millis(700);
 
@@ -200,6 +201,12 @@
         report.filter(|report| report.born_ms == member.born_ms)
     }
 
+    /// Returns whether a database has announced its departure and does not respond any more. The
+    /// announcement alone may be a late one, of a process before the one that runs.
+    fn is_gone(&self, member: &MemberFacts) -> bool {
+        member.gone && self.failures.get(&member.upstream) >= Some(&UNREACHABLE_FAILURES)
+    }
+
     fn has_answered(&self, member: &MemberFacts, calls: u32) -> bool {
         self.failures.get(&member.upstream) >= Some(&calls)
             || self.refused.contains(&member.upstream)
@@ -259,7 +266,8 @@
         let counts =
             |member: &&MemberFacts| member.caught_up && self.is_log_complete(member, highest);
         let counted = stopped.clone().filter(counts).count();
-        let present = facts.members.iter().filter(|member| !member.gone).count();
+        let present = facts.members.iter();
+        let present = present.filter(|member| !self.is_gone(member)).count();
         // If all databases are stopped, no other one can have more commits.
         let present = present + facts.dropped;
         let all = stopped.clone().count() >= present.max(facts.expected).max(1);
@@ -309,7 +317,7 @@
 
     /// Returns whether the chosen database became unreachable before it was asked to become primary.
     fn is_unreachable(&self) -> bool {
-        !self.verified && self.failures >= FORMER_PRIMARY_FAILURES
+        !self.verified && self.failures >= UNREACHABLE_FAILURES
     }
 }
 
@@ -375,10 +383,9 @@
             return now.since(at) >= self.settings.reach_timeout;
         }
         let former = self.former_primary.as_ref();
-        let mut asked = facts.members.iter().filter(|member| !member.gone);
-        let answered = asked.all(|member| {
-            let patience = if former == Some(&member.upstream) {
-                FORMER_PRIMARY_FAILURES
+        let answered = facts.members.iter().all(|member| {
+            let patience = if former == Some(&member.upstream) || member.gone {
+                UNREACHABLE_FAILURES
             } else {
                 1
             };
@@ -402,11 +409,14 @@
 
     /// Queries or stops each database that has not been found stopped.
     fn query_all(&mut self, now: Moment, facts: GroupFacts<'_>, term: Term) {
-        for member in facts.members.iter().filter(|member| !member.gone) {
+        for member in facts.members {
             let former = self.former_primary.as_ref() == Some(&member.upstream);
             let SyncStage::Electing(round) = &mut self.stage else {
                 return;
             };
+            if round.is_gone(member) {
+                continue;
+            }
             let report = round.report(member);
             let stopped = report.is_some_and(|report| report.stopped);
             let former_stopped = round
