Handle messages of members of control before the requests of entries

Cause: the actor of a member handled what it received in the order of arrival. At a change of leader all entries send a handshake and a full report at once, and the answers that renew the new leader's lease waited behind them until it was lost; the entries then repeated all of it. Ruled out: the limit of processor time (0.16 of 0.3 of a core at most) and cuts.

Requests now wait in a backlog of their own and are handled in slices after the messages of members; those whose sender has given up are dropped.

--- a/crates/daisyseam-control/src/node.rs
+++ b/crates/daisyseam-control/src/node.rs
@@ -84,6 +84,8 @@
 /// Interval between attempts to use a store whose disk is full.
 const STORE_RETRY_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Maximum number of requests that are handled before messages of other members are looked at again.
+const REQUESTS_PER_FLUSH: usize = 16;
 /// Interval between updates of the status page.
 const STATUS_INTERVAL: Duration = Duration::from_millis(1_000);
 
@@ -197,6 +199,8 @@
     links: BTreeMap<InstanceId, MemberLink>,
     routes: BTreeMap<InstanceId, ReplySender>,
     requests: BTreeMap<RequestId, ReplySender>,
+    /// Requests that have not been handled yet.
+    backlog: RequestBacklog,
     last_request: RequestId,
     flush_pending: bool,
     failure: Option<String>,
@@ -235,6 +239,7 @@
             links: BTreeMap::new(),
             routes: BTreeMap::new(),
             requests: BTreeMap::new(),
+            backlog: RequestBacklog::default(),
             last_request: RequestId(0),
             flush_pending: true,
             failure: None,
@@ -258,9 +263,15 @@
         }
         if matches!(message, NodeMessage::Flush) {
             state.flush_pending = false;
+            state.handle_backlog();
             if let Err(error) = state.flush().await {
                 state.fail(&error);
             }
+            if !state.backlog.is_empty() {
+                // Messages of other members that are already in the mailbox come first.
+                state.flush_pending = true;
+                myself.cast(NodeMessage::Flush)?;
+            }
             return Ok(());
         }
         if let NodeMessage::RemovedFromMembers(former) = message {
@@ -288,7 +299,9 @@
         let now = self.now();
         match message {
             NodeMessage::Peer { body, route } => self.handle_peer(now, body, route),
-            NodeMessage::Request { body, replies } => self.handle_request(now, body, replies),
+            NodeMessage::Request { body, replies } => {
+                self.backlog.push(WaitingRequest { body, replies });
+            }
             NodeMessage::CallFinished {
                 group,
                 upstream,
@@ -334,6 +347,16 @@
         self.core.receive(now, &from, envelope.message);
     }
 
+    fn handle_backlog(&mut self) {
+        let now = self.now();
+        for _ in 0..REQUESTS_PER_FLUSH {
+            let Some(request) = self.backlog.pop() else {
+                return;
+            };
+            self.handle_request(now, request.body, request.replies);
+        }
+    }
+
     fn handle_request(&mut self, now: Moment, body: Body, replies: ReplySender) {
         self.last_request = RequestId(self.last_request.0 + 1);
         let request = self.last_request;
@@ -352,6 +375,7 @@
         log::warn!("{former} is no longer a member of control; restarting as spare {name}");
         self.links.clear();
         self.routes.clear();
+        self.backlog.clear();
         self.requests.clear();
         self.use_store(move |store| store.reset(&identity)).await?;
         let random = ChaCha8Rng::from_os_rng();
@@ -633,5 +657,11 @@
     })
 }
 
+mod backlog;
 #[cfg(test)]
 mod tests;
+
+use self::backlog::{
+    RequestBacklog,
+    WaitingRequest, //
+};
--- a/crates/daisyseam-control/src/node/tests.rs
+++ b/crates/daisyseam-control/src/node/tests.rs
@@ -4,7 +4,12 @@
     NodeActor,
     NodeArguments,
     NodeMessage,
-    NodeReport, //
+    NodeReport,
+    REQUESTS_PER_FLUSH,
+    backlog::{
+        RequestBacklog,
+        WaitingRequest, //
+    }, //
 };
 use crate::{
     admin::UpstreamAdmin,
@@ -38,7 +43,10 @@
 };
 use daisyseam_store::MemoryDisk;
 use daisyseam_wire::{
+    AnnounceRequest,
+    AppendRequest,
     PeerSecurity,
+    StatusRequest,
     SubmitRequest,
     control_message::Body, //
 };
@@ -190,3 +198,54 @@
     let kept = disk.open().1.entries;
     assert_eq!(kept[..entries.len()], entries);
 }
+
+/// Guards against a leader that loses its lease because the messages of other members wait behind the
+/// requests that all entries of a large fleet send at once.
+#[tokio::test(start_paused = true)]
+async fn a_message_of_a_member_is_handled_before_requests_that_wait() {
+    const REQUESTS: usize = 1_000;
+    let disk = MemoryDisk::default();
+    let (node, _report) = start(&disk).await;
+    let (replies, mut replied) = mpsc::channel(REQUESTS);
+    for _ in 0..REQUESTS {
+        let body = Body::Announce(AnnounceRequest::default());
+        let replies = replies.clone();
+        node.cast(NodeMessage::Request { body, replies })
+            .expect("it runs");
+    }
+    let append = Body::Append(AppendRequest {
+        from: "control-2".to_owned(),
+        to: "control-1".to_owned(),
+        term: 1_000,
+        ..AppendRequest::default()
+    });
+    let message = NodeMessage::Peer {
+        body: append,
+        route: None,
+    };
+    node.cast(message).expect("it runs");
+    let mut as_leader = 0;
+    for _ in 0..REQUESTS {
+        let reply = replied.recv().await;
+        as_leader += usize::from(matches!(reply, Some(Body::Announced(_))));
+    }
+    assert!(
+        as_leader <= REQUESTS_PER_FLUSH,
+        "{as_leader} requests were handled before the message of a later leader"
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_request_whose_sender_has_gone_is_not_handled() {
+    let mut backlog = RequestBacklog::default();
+    let (gone, receiver) = mpsc::channel(1);
+    let (replies, _receiver) = mpsc::channel(1);
+    drop(receiver);
+    for replies in [gone, replies] {
+        let body = Body::Status(StatusRequest {});
+        backlog.push(WaitingRequest { body, replies });
+    }
+    let request = backlog.pop().expect("a request");
+    assert!(!request.replies.is_closed());
+    assert!(backlog.pop().is_none());
+}
