--- a/crates/daisyseam-control/src/node.rs
+++ b/crates/daisyseam-control/src/node.rs
@@ -1,5 +1,13 @@
 //! The actor that owns the control core and its store.
 
+mod backlog;
+#[cfg(test)]
+mod tests;
+
+use self::backlog::{
+    RequestBacklog,
+    WaitingRequest, //
+};
 use crate::{
     admin::UpstreamAdmin,
     call_lease::{
@@ -656,12 +664,3 @@
         u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
     })
 }
-
-mod backlog;
-#[cfg(test)]
-mod tests;
-
-use self::backlog::{
-    RequestBacklog,
-    WaitingRequest, //
-};
