Give a database work again only after two announcements that follow its departure

A single one may have been sent before the departure, so the test is right.

Such an announcement now only makes elections count the database again; it gets work after the next one, which follows a recorded one of the same process. The random run is split by seed, so that its seeds run side by side.

--- a/crates/daisyseam-control/src/core/announcements.rs
+++ b/crates/daisyseam-control/src/core/announcements.rs
@@ -154,13 +154,10 @@
 
     /// Returns whether an announcement provably follows the recorded one of the same process.
     fn follows_recorded(&self, announced: &AnnouncedUpstream) -> bool {
-        let name = &announced.command.upstream;
-        let known = self.announced.get(name);
-        let known = known.map(|known| (known.command.born_ms, known.sequence));
-        let gone = self.departed.get(name);
-        let gone = gone.and_then(|gone| Some((gone.born_ms, gone.sequence?)));
-        known.or(gone).is_some_and(|(born_ms, sequence)| {
-            born_ms == announced.command.born_ms && announced.sequence > sequence
+        let known = self.announced.get(&announced.command.upstream);
+        known.is_some_and(|known| {
+            known.command.born_ms == announced.command.born_ms
+                && announced.sequence > known.sequence
         })
     }
 
--- a/crates/daisyseam-control/tests/direct.rs
+++ b/crates/daisyseam-control/tests/direct.rs
@@ -602,19 +602,20 @@
 
 /// The databases that an election counts include each that may have received an acknowledged
 /// commit, whatever arrives about them; the simulation asserts it at each promotion.
-#[test]
-fn no_acknowledged_commit_is_lost_to_late_and_stray_messages() {
-    for seed in first_seed()..first_seed() + 3 {
-        println!("seed {seed}");
-        let mut random = ChaCha8Rng::seed_from_u64(seed);
-        let mut sim = start_fleet_in(Simulation::new(3, 0, 2), 3, random.random());
-        for _ in 0..steps() / 4 {
-            inject_stray_message(&mut sim, &mut random, 3);
-            let millis = random.random_range(1..3_000);
-            sim.advance(millis);
-        }
-        heal(&mut sim);
+#[test_case(0)]
+#[test_case(1)]
+#[test_case(2; "2, where a late departure of the primary lost commits")]
+fn no_acknowledged_commit_is_lost_to_late_and_stray_messages(offset: u64) {
+    let seed = first_seed() + offset;
+    println!("seed {seed}");
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut sim = start_fleet_in(Simulation::new(3, 0, 2), 3, random.random());
+    for _ in 0..steps() / 4 {
+        inject_stray_message(&mut sim, &mut random, 3);
+        let millis = random.random_range(1..3_000);
+        sim.advance(millis);
     }
+    heal(&mut sim);
 }
 
 fn start(sim: &mut Simulation, member: usize) {
