--- a/crates/daisyseam-control/tests/direct.rs
+++ b/crates/daisyseam-control/tests/direct.rs
@@ -345,6 +345,20 @@
     });
 }
 
+/// Lets only the primary and `copy-1` have the last commits, crashes the primary, and expects that
+/// `copy-1` takes over.
+fn fail_over_to_the_only_copy_with_all(sim: &mut Simulation) {
+    copy(sim, "copy-2").isolated = true;
+    let before = group(sim).acknowledged.len();
+    sim.advance(500);
+    assert!(group(sim).acknowledged.len() > before, "it takes writes");
+    let former = active(sim);
+    let now = sim.now;
+    sim.direct.as_mut().expect("a group").crash(now, 0, 900_000);
+    wait_for_new_primary_without_writes(sim, &former);
+    assert_eq!(active(sim), "copy-1");
+}
+
 /// Guards against the loss of acknowledged commits after an announcement of an unlisted group has
 /// taken a running replica out of elections, by its address or by its name.
 #[test_case("stray"; "at the address of a replica")]
@@ -366,15 +380,7 @@
     }));
     sim.advance(66_000);
     assert_eq!(settled(&sim), 3, "all three announce themselves");
-    copy(&mut sim, "copy-2").isolated = true;
-    let before = group(&sim).acknowledged.len();
-    sim.advance(500);
-    assert!(group(&sim).acknowledged.len() > before, "it takes writes");
-    let former = active(&sim);
-    let now = sim.now;
-    sim.direct.as_mut().expect("a group").crash(now, 0, 900_000);
-    wait_for_new_primary_without_writes(&mut sim, &former);
-    assert_eq!(active(&sim), "copy-1");
+    fail_over_to_the_only_copy_with_all(&mut sim);
 }
 
 /// Guards against the loss of acknowledged commits after a departure that arrived late has taken the
@@ -395,15 +401,7 @@
     let leader = sim.leader().expect("a leader");
     let view = sim.core(leader).fleet().view();
     assert!(view.upstreams.values().all(|upstream| !upstream.leaving));
-    copy(&mut sim, "copy-2").isolated = true;
-    let before = group(&sim).acknowledged.len();
-    sim.advance(500);
-    assert!(group(&sim).acknowledged.len() > before, "it takes writes");
-    let former = active(&sim);
-    let now = sim.now;
-    sim.direct.as_mut().expect("a group").crash(now, 0, 900_000);
-    wait_for_new_primary_without_writes(&mut sim, &former);
-    assert_eq!(active(&sim), "copy-1");
+    fail_over_to_the_only_copy_with_all(&mut sim);
 }
 
 #[test]
