--- a/crates/daisyseam-control/src/core/leader.rs
+++ b/crates/daisyseam-control/src/core/leader.rs
@@ -119,7 +119,8 @@
 
 impl DepartureRecord {
     /// Returns whether an announcement shows that the database runs: it is of a later process, or
-    /// a later one of the same process.
+    /// a later one of the same process. A process that does not count its announcements never shows
+    /// the latter.
     pub(super) fn is_contradicted_by(&self, announced: &AnnouncedUpstream) -> bool {
         let born_ms = announced.command.born_ms;
         let is_later = announced.sequence > self.sequence.unwrap_or(0);
--- a/crates/daisyseam-coord/src/floor.rs
+++ b/crates/daisyseam-coord/src/floor.rs
@@ -87,7 +87,8 @@
 
 /// The floors of a session in all groups that it has used.
 ///
-/// A session uses another group when its service moves, and may return to an earlier one.
+/// A session uses another group when its service moves, and may return to an earlier one. Positions
+/// of different groups are not comparable.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct GroupFloors {
     floors: SmallVec<[(GroupId, SessionFloor); 1]>,
