Show how many requests a member of control handles and how long they wait

On the large site the leader of control loses its lease although nothing is stopped or cut off. Neither logs nor metrics told whether it handles many requests or long ones, so the hypotheses of the incident could not be told apart. A member now counts requests and the time spent on them, and warns at most once a second while a request waited for 250 ms, a quarter of the lease of an entry. The platform's control process serves its counters.

--- a/crates/daisyseam-control/src/daemon.rs
+++ b/crates/daisyseam-control/src/daemon.rs
@@ -147,6 +147,7 @@
     address: SocketAddr,
     health: Option<HealthServer>,
     addresses: ControlAddresses,
+    metrics: MetricClient,
     tasks: Vec<AbortHandle>,
 }
 
@@ -230,7 +231,7 @@
             origin,
             wake,
             report: Arc::clone(&report),
-            metrics,
+            metrics: metrics.clone(),
             updates_status: settings.http_listen.is_some(),
             context: Box::new(context),
         };
@@ -281,6 +282,7 @@
             address,
             health,
             addresses,
+            metrics,
             tasks,
         })
     }
@@ -306,6 +308,11 @@
         &self.addresses
     }
 
+    /// Returns the counters of this instance.
+    pub fn metrics(&self) -> &MetricClient {
+        &self.metrics
+    }
+
     /// Returns whether this instance was the leader at the last update.
     pub fn is_leader(&self) -> bool {
         self.report.load().is_leader
--- a/crates/daisyseam-control/src/node.rs
+++ b/crates/daisyseam-control/src/node.rs
@@ -1,12 +1,16 @@
 //! The actor that owns the control core and its store.
 
 mod backlog;
+mod load;
 #[cfg(test)]
 mod tests;
 
-use self::backlog::{
-    RequestBacklog,
-    WaitingRequest, //
+use self::{
+    backlog::{
+        RequestBacklog,
+        WaitingRequest, //
+    },
+    load::RequestLoad, //
 };
 use crate::{
     admin::UpstreamAdmin,
@@ -209,6 +213,7 @@
     requests: BTreeMap<RequestId, ReplySender>,
     /// Requests that have not been handled yet.
     backlog: RequestBacklog,
+    load: RequestLoad,
     last_request: RequestId,
     flush_pending: bool,
     failure: Option<String>,
@@ -248,6 +253,7 @@
             routes: BTreeMap::new(),
             requests: BTreeMap::new(),
             backlog: RequestBacklog::default(),
+            load: RequestLoad::default(),
             last_request: RequestId(0),
             flush_pending: true,
             failure: None,
@@ -308,7 +314,11 @@
         match message {
             NodeMessage::Peer { body, route } => self.handle_peer(now, body, route),
             NodeMessage::Request { body, replies } => {
-                self.backlog.push(WaitingRequest { body, replies });
+                self.backlog.push(WaitingRequest {
+                    body,
+                    replies,
+                    received_at: now,
+                });
             }
             NodeMessage::CallFinished {
                 group,
@@ -359,10 +369,12 @@
         let now = self.now();
         for _ in 0..REQUESTS_PER_FLUSH {
             let Some(request) = self.backlog.pop() else {
-                return;
+                break;
             };
+            self.load.record_wait(now.since(request.received_at));
             self.handle_request(now, request.body, request.replies);
         }
+        self.load.record_busy(self.now().since(now));
     }
 
     fn handle_request(&mut self, now: Moment, body: Body, replies: ReplySender) {
@@ -553,9 +565,32 @@
             }
             self.record_metrics();
         }
+        self.report_load(now);
         self.publish(now);
     }
 
+    /// Exports the load of the last interval, and logs it if requests waited for long.
+    fn report_load(&mut self, now: Moment) {
+        let Some(sums) = self.load.take_due(now, self.backlog.len()) else {
+            return;
+        };
+        self.metrics.add("control_requests", sums.handled);
+        let busy_us = u64::try_from(sums.busy.as_micros()).unwrap_or(u64::MAX);
+        self.metrics.add("control_requests_busy_us", busy_us);
+        self.metrics.time("control.request_wait", sums.longest_wait);
+        if sums.is_overloaded() {
+            self.metrics.count("control_overloaded_seconds");
+            log::warn!(
+                "requests wait too long: {} handled in {} ms of the last second, the longest wait was \
+                 {} ms, {} still wait",
+                sums.handled,
+                sums.busy.as_millis(),
+                sums.longest_wait.as_millis(),
+                sums.waiting
+            );
+        }
+    }
+
     fn record_metrics(&self) {
         let log = self.core.log();
         self.metrics.gauge("control.term", log.term().0);
--- a/crates/daisyseam-control/src/node/backlog.rs
+++ b/crates/daisyseam-control/src/node/backlog.rs
@@ -4,6 +4,7 @@
 //! they would delay the answers of the other members until the new leader's lease has run out too.
 
 use crate::session::ReplySender;
+use daisyseam_coord::Moment;
 use daisyseam_wire::control_message::Body;
 use std::collections::VecDeque;
 
@@ -14,6 +15,7 @@
 pub(super) struct WaitingRequest {
     pub(super) body: Body,
     pub(super) replies: ReplySender,
+    pub(super) received_at: Moment,
 }
 
 /// Requests in the order of their arrival.
@@ -40,6 +42,10 @@
         }
     }
 
+    pub(super) fn len(&self) -> usize {
+        self.requests.len()
+    }
+
     pub(super) fn is_empty(&self) -> bool {
         self.requests.is_empty()
     }
--- a/crates/daisyseam-control/src/node/tests.rs
+++ b/crates/daisyseam-control/src/node/tests.rs
@@ -9,6 +9,10 @@
     backlog::{
         RequestBacklog,
         WaitingRequest, //
+    },
+    load::{
+        LoadSums,
+        RequestLoad, //
     }, //
 };
 use crate::{
@@ -243,9 +247,34 @@
     drop(receiver);
     for replies in [gone, replies] {
         let body = Body::Status(StatusRequest {});
-        backlog.push(WaitingRequest { body, replies });
+        backlog.push(WaitingRequest {
+            body,
+            replies,
+            received_at: Moment::ORIGIN,
+        });
     }
     let request = backlog.pop().expect("a request");
     assert!(!request.replies.is_closed());
     assert!(backlog.pop().is_none());
 }
+
+#[test]
+fn the_load_of_an_interval_shows_how_many_requests_waited_and_how_long() {
+    let mut load = RequestLoad::default();
+    for wait in [20, 300, 10] {
+        load.record_wait(Duration::from_millis(wait));
+    }
+    load.record_busy(Duration::from_millis(7));
+    assert_eq!(load.take_due(Moment::from_millis(999), 0), None);
+    let sums = load.take_due(Moment::from_millis(1_000), 2);
+    let expected = LoadSums {
+        handled: 3,
+        longest_wait: Duration::from_millis(300),
+        busy: Duration::from_millis(7),
+        waiting: 2,
+    };
+    assert_eq!(sums, Some(expected));
+    assert!(expected.is_overloaded());
+    let idle = load.take_due(Moment::from_millis(2_000), 0);
+    assert_eq!(idle, Some(LoadSums::default()), "a report starts anew");
+}
