Check a document in time that grows with its size

Cause: each organisation collected the names of all services and the capacity of all databases again, and each problem counted the lines before it from the start of the text. At the large site 12% of control's processor time went into checking documents while eleven of them arrived. Names and capacity are now collected once, and the starts of lines are found once.

--- a/crates/daisyseam-model/src/document/parse/references.rs
+++ b/crates/daisyseam-model/src/document/parse/references.rs
@@ -31,8 +31,14 @@
             check_reference(reader, table, key, &known);
         }
     }
+    let services = stated_names(reader, root, "service");
+    let capacity: Option<f64> = document
+        .groups
+        .values()
+        .map(|group| Some(group.capacity? * group.databases as f64))
+        .sum();
     for (table, _) in reader.tables(root, "organisation") {
-        check_organisation(reader, document, table, root);
+        check_organisation(reader, table, &services, capacity);
     }
     check_keys_unique(reader, root);
     check_in_service(reader, root);
@@ -66,26 +72,21 @@
     }
 }
 
+/// Checks the services of an organisation, and its rate against the capacity of all databases.
 fn check_organisation(
     reader: &mut ValueReader<'_>,
-    document: &Document,
     table: &dyn TableLike,
-    root: &dyn TableLike,
+    services: &BTreeSet<String>,
+    capacity: Option<f64>,
 ) {
-    let known = stated_names(reader, root, "service");
     for (service, span) in reader.names::<String>(table, "services") {
-        if !known.contains(&service) {
+        if !services.contains(&service) {
             reader.error(
                 span,
                 format!("the service `{service}` is not in the document"),
             );
         }
     }
-    let capacity: Option<f64> = document
-        .groups
-        .values()
-        .map(|group| Some(group.capacity? * group.databases as f64))
-        .sum();
     let Some(rate) = table.get("rate") else {
         return;
     };
--- a/crates/daisyseam-model/src/document/read.rs
+++ b/crates/daisyseam-model/src/document/read.rs
@@ -21,6 +21,8 @@
 /// Reads values from the tree and collects problems.
 pub(super) struct ValueReader<'a> {
     text: &'a str,
+    /// Offsets of the starts of all lines; empty until a problem is located.
+    line_starts: Vec<usize>,
     problems: Vec<(usize, Problem)>,
 }
 
@@ -28,6 +30,7 @@
     pub(super) fn new(text: &'a str) -> Self {
         Self {
             text,
+            line_starts: Vec::new(),
             problems: Vec::new(),
         }
     }
@@ -277,7 +280,7 @@
 
     fn record(&mut self, severity: Severity, span: TextSpan, message: String) {
         let offset = span.map_or(0, |span| span.start);
-        let (line, column) = locate(self.text, offset);
+        let (line, column) = self.locate(offset);
         let problem = Problem {
             severity,
             line,
@@ -286,16 +289,21 @@
         };
         self.problems.push((offset, problem));
     }
-}
 
-/// Returns line and column of a byte offset, both counted from 1.
-fn locate(text: &str, offset: usize) -> (usize, usize) {
-    let mut end = offset.min(text.len());
-    while !text.is_char_boundary(end) {
-        end -= 1;
+    /// Returns line and column of a byte offset, both counted from 1.
+    fn locate(&mut self, offset: usize) -> (usize, usize) {
+        let mut end = offset.min(self.text.len());
+        while !self.text.is_char_boundary(end) {
+            end -= 1;
+        }
+        if self.line_starts.is_empty() {
+            let newlines = self.text.match_indices('\n');
+            self.line_starts.push(0);
+            self.line_starts
+                .extend(newlines.map(|(index, _)| index + 1));
+        }
+        let line = self.line_starts.partition_point(|start| *start <= end);
+        let start = self.line_starts[line - 1];
+        (line, self.text[start..end].chars().count() + 1)
     }
-    let before = &text[..end];
-    let line = before.matches('\n').count() + 1;
-    let start = before.rfind('\n').map_or(0, |newline| newline + 1);
-    (line, before[start..].chars().count() + 1)
 }
--- a/crates/daisyseam-model/tests/document.rs
+++ b/crates/daisyseam-model/tests/document.rs
@@ -8,6 +8,10 @@
     Severity, //
 };
 use proptest::prelude::*;
+use std::time::{
+    Duration,
+    Instant, //
+};
 use test_case::test_case;
 
 const SOUND: &str = r#"number = 1
@@ -136,3 +140,33 @@
         prop_assert_eq!(document.is_none(), refused);
     }
 }
+
+/// Returns the shortest of several times to check a document with this many services and organisations.
+fn check_time(count: usize) -> Duration {
+    let mut text = SOUND.to_owned();
+    for number in 0..count {
+        text.push_str(&format!(
+            "\n[[service]]\nname = \"service-{number}\"\ngroup = \"bookings-db\"\n\
+             \n[[organisation]]\nname = \"organisation-{number}\"\nrate = 5\nburst = 5\n"
+        ));
+    }
+    let times = (0..5).map(|_| {
+        let begin = Instant::now();
+        assert!(Document::parse(&text).is_ok());
+        begin.elapsed()
+    });
+    times.min().unwrap_or_default()
+}
+
+/// Guards against a control leader that spends its processor time on checking documents, since that grew
+/// with organisations times services.
+#[test]
+fn the_time_to_check_a_document_grows_with_its_size() {
+    const FACTOR: usize = 16;
+    let (small, large) = (check_time(50), check_time(50 * FACTOR));
+    let growth = large.as_secs_f64() / small.as_secs_f64();
+    assert!(
+        growth < 3.0 * FACTOR as f64,
+        "{FACTOR} times the size takes {growth:.0} times as long"
+    );
+}
