Compute and encode an update of the view once for all entries that need it

Cause: each of 294 entries that held the same view got its own comparison of two document texts byte by byte and its own encoding. The leader now keeps the encoded updates to the newest view by the view that they start from, and the patches to the document in force.

The reply carries the update as encoded bytes under the same tag, so the wire format is unchanged.

--- a/crates/daisyseam-control/src/convert.rs
+++ b/crates/daisyseam-control/src/convert.rs
@@ -2,10 +2,6 @@
 
 use bytes::Bytes;
 use daisyseam_coord::{
-    fleet::{
-        FleetState,
-        ViewChanges, //
-    },
     log::{
         AppendRequest,
         AppendResponse,
@@ -24,13 +20,7 @@
         VoteResponse, //
     }, //
 };
-use daisyseam_model::{
-    DocumentNumber,
-    GroupId,
-    InstanceId,
-    UpstreamId,
-    ViewNumber, //
-};
+use daisyseam_model::InstanceId;
 use daisyseam_store::{
     EntryRecord,
     RecoveredState,
@@ -39,11 +29,6 @@
 };
 use daisyseam_wire::{
     self as wire,
-    DocumentPatch,
-    WireGroup,
-    WireInstance,
-    WireUpstream,
-    WireView,
     control_message::Body, //
 };
 
@@ -310,72 +295,3 @@
             .collect::<Option<_>>()?,
     })
 }
-
-/// Returns the update for an instance that has a given view; `None` if it has the newest view.
-pub(crate) fn view_update(state: &FleetState, held: ViewNumber) -> Option<WireView> {
-    if held == state.view().number {
-        return None;
-    }
-    let changes = match held {
-        ViewNumber(0) => None,
-        held => state.changes_since(held),
-    };
-    let delta = changes.and_then(|changes| view_delta(state, held, &changes));
-    Some(delta.unwrap_or_else(|| {
-        let current = state.documents().current();
-        WireView::whole(state.view(), current.map(|current| &*current.text))
-    }))
-}
-
-fn view_delta(state: &FleetState, held: ViewNumber, changes: &ViewChanges) -> Option<WireView> {
-    let view = state.view();
-    let document = match changes.document {
-        None => None,
-        Some(change) => Some(document_patch(state, change.from)?),
-    };
-    let group = |name: &GroupId| match view.groups.get(name) {
-        Some(group) => WireGroup::present(name.as_str(), group),
-        None => WireGroup {
-            name: name.to_string(),
-            removed: true,
-            ..WireGroup::default()
-        },
-    };
-    let upstream = |name: &UpstreamId| match view.upstreams.get(name) {
-        Some(upstream) => WireUpstream::present(name.as_str(), upstream),
-        None => WireUpstream {
-            name: name.to_string(),
-            removed: true,
-            ..WireUpstream::default()
-        },
-    };
-    let instance = |name: &InstanceId| match view.instances.get(name) {
-        Some(instance) => WireInstance::present(name.as_str(), instance),
-        None => WireInstance {
-            name: name.to_string(),
-            removed: true,
-            ..WireInstance::default()
-        },
-    };
-    Some(WireView {
-        number: view.number.0,
-        since: held.0,
-        document_number: view.document_number.0,
-        document,
-        groups: changes.groups.iter().map(group).collect(),
-        upstreams: changes.upstreams.iter().map(upstream).collect(),
-        instances: changes.instances.iter().map(instance).collect(),
-        digest: 0,
-        evacuated: view.evacuated.iter().map(ToString::to_string).collect(),
-    })
-}
-
-fn document_patch(state: &FleetState, from: DocumentNumber) -> Option<DocumentPatch> {
-    let documents = state.documents();
-    let new = &documents.current()?.text;
-    if from.0 == 0 {
-        return Some(DocumentPatch::whole(new));
-    }
-    let old = &documents.get(from)?.text;
-    Some(DocumentPatch::between(from, old, new))
-}
--- a/crates/daisyseam-control/src/core.rs
+++ b/crates/daisyseam-control/src/core.rs
@@ -14,9 +14,13 @@
 mod status;
 mod survey;
 mod unlisted;
+mod updates;
 mod vacancies;
 
-use self::leader::LeaderState;
+use self::{
+    leader::LeaderState,
+    updates::ViewUpdates, //
+};
 use crate::admin::AdminCall;
 use bytes::Bytes;
 use daisyseam_coord::{
@@ -143,6 +147,7 @@
     /// Last entry applied to `fleet`. The log counts an entry as soon as it has handed it out.
     applied: LogIndex,
     leader: Option<LeaderState>,
+    updates: ViewUpdates,
     waiters: BTreeMap<LogIndex, Vec<RequestWaiter>>,
     /// Requests for the document that wait until all committed entries are applied.
     source_waiters: Vec<RequestId>,
@@ -180,6 +185,7 @@
             fleet: FleetState::default(),
             applied: LogIndex(0),
             leader: None,
+            updates: ViewUpdates::default(),
             waiters: BTreeMap::new(),
             source_waiters: Vec::new(),
             output: CoreOutput::default(),
--- a/crates/daisyseam-control/src/core/requests.rs
+++ b/crates/daisyseam-control/src/core/requests.rs
@@ -6,7 +6,6 @@
     RequestWaiter,
     WaiterKind, //
 };
-use crate::convert::view_update;
 use daisyseam_coord::{
     Moment,
     fleet::{
@@ -194,7 +193,7 @@
         let body = Body::HeartbeatReply(HeartbeatReply {
             sequence: heartbeat.sequence,
             lease_ms: u64::try_from(lease.as_millis()).unwrap_or(0),
-            update: view_update(&self.fleet, held),
+            update: self.updates.get(&self.fleet, held),
             shares,
             members: self.members_update(heartbeat.members),
         });
--- a/crates/daisyseam-control/tests/core_support/mod.rs
+++ b/crates/daisyseam-control/tests/core_support/mod.rs
@@ -45,6 +45,7 @@
     SubmitReply,
     SubmitRequest,
     UpstreamReport,
+    WireView,
     control_message::Body, //
 };
 use rand_chacha::{
@@ -658,6 +659,7 @@
             }
             Body::HeartbeatReply(reply) => {
                 if let Some(update) = &reply.update {
+                    let update = WireView::from_encoded(update).expect("an update");
                     let applied = update.apply(&entry.view, &entry.text);
                     let (view, text) = applied.expect("the update fits");
                     assert!(
--- a/crates/daisyseam-entry/tests/links_suite/support/control.rs
+++ b/crates/daisyseam-entry/tests/links_suite/support/control.rs
@@ -235,7 +235,8 @@
 
 fn reply(heartbeat: &Heartbeat, parts: &ControlParts) -> HeartbeatReply {
     let view = parts.view.borrow();
-    let update = (heartbeat.view < view.number.0).then(|| WireView::whole(&view, Some(DOCUMENT)));
+    let update =
+        (heartbeat.view < view.number.0).then(|| WireView::whole(&view, Some(DOCUMENT)).encoded());
     HeartbeatReply {
         sequence: heartbeat.sequence,
         lease_ms: *parts.lease_ms.borrow(),
--- a/crates/daisyseam-member/src/control_client/session.rs
+++ b/crates/daisyseam-member/src/control_client/session.rs
@@ -22,6 +22,7 @@
     PeerRole,
     PeerSocket,
     StreamError,
+    WireView,
     control_message::Body, //
 };
 use std::{
@@ -216,7 +217,10 @@
             self.keeper.update_members(&self.settings.control, members);
         }
         if let Some(update) = &reply.update {
-            let applied = self.keeper.apply(update).await;
+            let applied = match WireView::from_encoded(update) {
+                Ok(update) => self.keeper.apply(&update).await,
+                Err(error) => Err(error),
+            };
             let end = applied.map_err(|error| SessionEnd::Failed(error.to_string()))?;
             // Control waits for the new view number before it completes a change.
             self.next_heartbeat = Instant::now();
--- a/crates/daisyseam-member/tests/updates.rs
+++ b/crates/daisyseam-member/tests/updates.rs
@@ -70,7 +70,7 @@
         let reply = HeartbeatReply {
             sequence: beat.sequence,
             lease_ms: 1_000,
-            update: Some(update),
+            update: Some(update.encoded()),
             ..HeartbeatReply::default()
         };
         self.send(Body::HeartbeatReply(reply)).await;
--- a/crates/daisyseam-wire/src/control.rs
+++ b/crates/daisyseam-wire/src/control.rs
@@ -1,11 +1,8 @@
 //! Messages to and between control instances.
 
-use crate::{
-    share::{
-        WireShareReply,
-        WireShareReport, //
-    },
-    view::WireView, //
+use crate::share::{
+    WireShareReply,
+    WireShareReport, //
 };
 
 /// Any message to or between control instances.
@@ -286,8 +283,10 @@
     #[prost(uint64, tag = "2")]
     pub lease_ms: u64,
     /// Changes from the sender's view to the newest, or the whole view.
-    #[prost(message, optional, tag = "3")]
-    pub update: Option<WireView>,
+    ///
+    /// An encoded [`WireView`](crate::WireView), so that all receivers can share one.
+    #[prost(bytes = "bytes", optional, tag = "3")]
+    pub update: Option<bytes::Bytes>,
     /// Shares of rates that the receiver gets and is to return.
     #[prost(message, optional, tag = "4")]
     pub shares: Option<WireShareReply>,
--- a/crates/daisyseam-wire/src/convert.rs
+++ b/crates/daisyseam-wire/src/convert.rs
@@ -8,6 +8,7 @@
     WireUpstream,
     WireView, //
 };
+use bytes::Bytes;
 use daisyseam_model::{
     DocumentNumber,
     FleetView,
@@ -23,6 +24,7 @@
     document::Document, //
 };
 use displaydoc::Display;
+use prost::Message;
 use std::{
     error::Error,
     net::SocketAddr,
@@ -53,6 +55,8 @@
     Document(String),
     /// the digest of the resulting view differs
     Digest,
+    /// the message cannot be decoded
+    Encoding,
 }
 
 impl Error for ConvertError {}
@@ -124,6 +128,20 @@
 }
 
 impl WireView {
+    /// Encodes the update for a [`HeartbeatReply`](crate::HeartbeatReply).
+    pub fn encoded(&self) -> Bytes {
+        Bytes::from(self.encode_to_vec())
+    }
+
+    /// Decodes the update of a [`HeartbeatReply`](crate::HeartbeatReply).
+    ///
+    /// # Errors
+    ///
+    /// [`ConvertError::Encoding`] if the bytes are no update.
+    pub fn from_encoded(bytes: &Bytes) -> Result<Self, ConvertError> {
+        Self::decode(bytes.clone()).map_err(|_| ConvertError::Encoding)
+    }
+
     /// Describes a whole view; the text is the document in force.
     pub fn whole(view: &FleetView, text: Option<&str>) -> Self {
         Self {
