Look up the live instances once a round, not once a database

Each heartbeat of the takeover period asked for every instance of the view whether it had reported. The live instances are now listed once a round, and two counts rule out most heartbeats of the takeover. Found by reading; the suites of control and coord stay as they are.

--- a/crates/daisyseam-control/src/core/groups.rs
+++ b/crates/daisyseam-control/src/core/groups.rs
@@ -26,6 +26,7 @@
     FleetView,
     GroupId,
     GroupView,
+    InstanceId,
     InstanceView,
     PrimaryState,
     Term,
@@ -37,7 +38,10 @@
     }, //
 };
 use std::{
-    collections::BTreeMap,
+    collections::{
+        BTreeMap,
+        HashSet, //
+    },
     sync::Arc,
     time::Duration, //
 };
@@ -73,8 +77,9 @@
             return;
         };
         let mut members: BTreeMap<&GroupId, Vec<MemberFacts>> = BTreeMap::new();
+        let live = leader.live_instances(now, &view);
         for (name, upstream) in &view.upstreams {
-            let facts = leader.member_facts(now, &self.fleet, name, upstream);
+            let facts = leader.member_facts(now, &self.fleet, &live, name, upstream);
             members.entry(&upstream.group).or_default().push(facts);
         }
         for group in document.groups.keys() {
@@ -88,9 +93,10 @@
         let Some(leader) = &self.leader else {
             return;
         };
+        let live = leader.live_instances(now, &view);
         let members: Vec<MemberFacts> = view
             .members(group)
-            .map(|(name, upstream)| leader.member_facts(now, &self.fleet, name, upstream))
+            .map(|(name, upstream)| leader.member_facts(now, &self.fleet, &live, name, upstream))
             .collect();
         self.step_promotion(now, &view, group, &members);
     }
@@ -211,6 +217,9 @@
     }
 }
 
+/// Instances that were heard recently; looked up once a round for all databases.
+type LiveInstances<'a> = HashSet<&'a InstanceId>;
+
 impl LeaderState {
     /// Returns whether the state can only change through reports, so that nothing has to be polled.
     fn is_idle(&self) -> bool {
@@ -222,6 +231,7 @@
         &self,
         now: Moment,
         fleet: &FleetState,
+        live: &LiveInstances<'_>,
         name: &UpstreamId,
         upstream: &UpstreamView,
     ) -> MemberFacts {
@@ -233,7 +243,7 @@
         let born_ms = announced.map_or(0, |known| known.command.born_ms);
         let born_ms = born_ms.max(upstream.born_ms);
         let reports = match is_reached_directly(view, upstream) {
-            true => self.instance_reports(now, view, name),
+            true => self.instance_reports(now, live, name),
             false => self.holder_report(now, view, name, upstream),
         };
         MemberFacts {
@@ -291,17 +301,28 @@
         }
     }
 
-    /// Returns the health of a database by the reports of all instances that hold a lease.
-    fn instance_reports(&self, now: Moment, view: &FleetView, name: &UpstreamId) -> ReportedHealth {
+    /// Returns the instances that were heard within the duration of a lease.
+    fn live_instances<'a>(&self, now: Moment, view: &'a FleetView) -> LiveInstances<'a> {
         let lease = self.leases.max_duration();
         let is_live =
             |instance: &InstanceView| self.leases.silence(now, instance.incarnation) < lease;
-        let live = view.instances.values().filter(|instance| is_live(instance));
-        let live = live.count();
-        let reports = self.reports_on(name).filter(|(instance, _)| {
-            let instance = view.instances.get(*instance);
-            instance.is_some_and(is_live)
-        });
+        let instances = view.instances.iter();
+        instances
+            .filter(|(_, instance)| is_live(instance))
+            .map(|(name, _)| name)
+            .collect()
+    }
+
+    /// Returns the health of a database by the reports of all live instances.
+    fn instance_reports(
+        &self,
+        now: Moment,
+        live: &LiveInstances<'_>,
+        name: &UpstreamId,
+    ) -> ReportedHealth {
+        let reports = self.reports_on(name);
+        let reports = reports.filter(|(instance, _)| live.contains(instance));
+        let live = live.len();
         let unreachable = reports.clone().filter(|(_, note)| !note.reachable).count();
         let reachable = reports.clone().count() - unreachable;
         let recent =
--- a/crates/daisyseam-control/src/core/leader.rs
+++ b/crates/daisyseam-control/src/core/leader.rs
@@ -201,8 +201,12 @@
         if self.takeover_ended {
             return;
         }
+        // The counts rule out most heartbeats without looking at each instance.
+        let expected = view.instances.len();
         let mut instances = view.instances.values();
-        if instances.all(|instance| self.leases.knows(instance.incarnation)) {
+        if self.leases.len() >= expected
+            && instances.all(|instance| self.leases.knows(instance.incarnation))
+        {
             self.leases.end_takeover(now);
         }
         self.shares.open_if_all_reported(now, view);
--- a/crates/daisyseam-control/src/core/shares.rs
+++ b/crates/daisyseam-control/src/core/shares.rs
@@ -40,6 +40,9 @@
 
     /// Opens the ledger once every instance of the view has reported to it.
     pub(super) fn open_if_all_reported(&mut self, now: Moment, view: &FleetView) {
+        if self.ledger.confirmed_holders() < view.instances.len() {
+            return;
+        }
         let reported = view.instances.iter().all(|(name, instance)| {
             self.ledger.is_confirmed(&HolderId {
                 instance: name.clone(),
--- a/crates/daisyseam-coord/src/quota/ledger.rs
+++ b/crates/daisyseam-coord/src/quota/ledger.rs
@@ -61,7 +61,9 @@
     next_registration: u64,
     numbers: BTreeMap<HolderId, HolderNumber>,
     holders: BTreeMap<HolderNumber, Holder>,
-    /// Number of holders that have confirmed their registration and are not leaving.
+    /// Number of holders that have confirmed their registration.
+    confirmed: usize,
+    /// Number of those that are not leaving.
     staying: usize,
     /// Holders to split rates among, and whether each is leaving; `None` once one has changed.
     split_holders: Option<Vec<(HolderNumber, bool)>>,
@@ -85,6 +87,7 @@
             next_registration: 1,
             numbers: BTreeMap::new(),
             holders: BTreeMap::new(),
+            confirmed: 0,
             staying: 0,
             split_holders: None,
             leases: BTreeSet::new(),
@@ -131,6 +134,11 @@
         self.tick(now);
     }
 
+    /// Returns the number of holders that have confirmed their registrations with a report.
+    pub fn confirmed_holders(&self) -> usize {
+        self.confirmed
+    }
+
     /// Returns whether a holder has confirmed its registration with a report.
     pub fn is_confirmed(&self, holder: &HolderId) -> bool {
         let number = self.numbers.get(holder);
@@ -273,6 +281,7 @@
             return;
         }
         let was_staying = known.is_staying();
+        self.confirmed += usize::from(!known.confirmed);
         known.confirmed = true;
         known.leaving = leaving;
         self.staying = self.staying - usize::from(was_staying) + usize::from(known.is_staying());
@@ -352,6 +361,7 @@
         };
         self.numbers.remove(&known.id);
         self.leases.remove(&(known.lease_end, number));
+        self.confirmed -= usize::from(known.confirmed);
         self.staying -= usize::from(known.is_staying());
         self.split_holders = None;
         for (key, account) in &mut self.accounts {
--- a/crates/daisyseam-coord/src/view_lease.rs
+++ b/crates/daisyseam-coord/src/view_lease.rs
@@ -187,6 +187,16 @@
         self.takeover_until = self.takeover_until.min(now);
     }
 
+    /// Returns the number of incarnations that have sent a heartbeat or were assigned by this leader.
+    pub fn len(&self) -> usize {
+        self.rows.len()
+    }
+
+    /// Returns whether no incarnation has sent a heartbeat or was assigned by this leader.
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+
     /// Returns whether an incarnation has sent a heartbeat or was assigned by this leader.
     pub fn knows(&self, incarnation: Incarnation) -> bool {
         self.rows.contains_key(&incarnation)
