Hold the tokens of small rates at one instance of each data centre

Cause: a rate too small to be split over all entries is granted token by token, and each entry asks for itself. So the leader's messages grew with the requests of callers.

Each data centre now has a home for each such rate, chosen by rendezvous hashing over the view, so no message is needed to agree on it. Entries ask the home over one connection for any number of requests; the home asks control. Tokens stay accounted for wherever they are held, so no choice of home can exceed a rate. An instance also keeps tokens for half a second of its demand in place of one, within half of the burst as before.

Ruled out: tokens kept longer at each entry (half of a burst of 20 is 10 tokens for 294 entries), shares over the six homes alone (a share of 3 requests a second still has no stock).

--- a/crates/daisyseam-coord/src/membership.rs
+++ b/crates/daisyseam-coord/src/membership.rs
@@ -17,6 +17,7 @@
 //! assert!(wanted_holders(&FleetView::default()).is_empty());
 //! ```
 
+use crate::quota::RateKey;
 use daisyseam_model::{
     DataCentreId,
     FleetView,
@@ -31,6 +32,9 @@
 /// Number of instances that hold connections to one database in [`ranked_holders`].
 pub const RANKED_HOLDERS: usize = 3;
 
+/// Number of instances of a data centre that may hold the tokens of one rate in [`rate_homes`].
+pub const RATE_HOMES: usize = 2;
+
 /// Returns the instances that hold connections to a database, most preferred first.
 ///
 /// Instances in the database's data centre come first, then others in its region; among equally
@@ -47,17 +51,42 @@
         let is_same = instance.data_centre == *data_centre;
         let is_near = is_same || home.is_some() && region(view, &instance.data_centre) == home;
         let usable = is_near && !instance.leaving && is_eligible(name, instance);
-        usable.then(|| ((!is_same, mixed_rank(upstream, name)), name))
+        usable.then(|| ((!is_same, mixed_rank(upstream.as_str(), name)), name))
+    });
+    first_ranked(candidates, RANKED_HOLDERS).collect()
+}
+
+/// Returns the instances of a data centre that hold the tokens of a rate for all of them, most
+/// preferred first.
+///
+/// The order is by rendezvous hashing, as for [`ranked_holders`].
+pub fn rate_homes<'a>(
+    view: &'a FleetView,
+    rate: &RateKey,
+    data_centre: &DataCentreId,
+) -> SmallVec<[&'a InstanceId; RATE_HOMES]> {
+    let rate = rate.to_string();
+    let candidates = view.instances.iter().filter_map(|(name, instance)| {
+        let usable = instance.data_centre == *data_centre && !instance.leaving;
+        usable.then(|| (mixed_rank(&rate, name), name))
     });
-    let mut best: SmallVec<[_; RANKED_HOLDERS + 1]> = SmallVec::new();
+    first_ranked(candidates, RATE_HOMES).collect()
+}
+
+/// Returns the first names in the order of their keys.
+fn first_ranked<'a, K: Ord>(
+    candidates: impl Iterator<Item = (K, &'a InstanceId)>,
+    limit: usize,
+) -> impl Iterator<Item = &'a InstanceId> {
+    let mut best: Vec<(K, &InstanceId)> = Vec::with_capacity(limit + 1);
     for candidate in candidates {
         let index = best.partition_point(|(key, _)| *key < candidate.0);
-        if index < RANKED_HOLDERS {
+        if index < limit {
             best.insert(index, candidate);
-            best.truncate(RANKED_HOLDERS);
+            best.truncate(limit);
         }
     }
-    best.into_iter().map(|(_, name)| name).collect()
+    best.into_iter().map(|(_, name)| name)
 }
 
 fn region<'a>(view: &'a FleetView, data_centre: &DataCentreId) -> Option<&'a RegionId> {
@@ -66,11 +95,11 @@
     Some(&entry.region)
 }
 
-/// Ranks an instance for a database. The bits of the hash are mixed once more, because the low
-/// avalanche of FNV-1a would give the same order of instances for most databases.
-fn mixed_rank(upstream: &UpstreamId, instance: &InstanceId) -> u64 {
+/// Ranks an instance for a database or a rate. The bits of the hash are mixed once more, because the low
+/// avalanche of FNV-1a would give the same order of instances for most subjects.
+fn mixed_rank(subject: &str, instance: &InstanceId) -> u64 {
     const MULTIPLIERS: [u64; 2] = [0xff51_afd7_ed55_8ccd, 0xc4ce_b9fe_1a85_ec53];
-    let hash = rendezvous_rank(upstream, instance);
+    let hash = rendezvous_rank(subject, instance);
     let mixed = MULTIPLIERS.iter().fold(hash, |hash, multiplier| {
         (hash ^ (hash >> 33)).wrapping_mul(*multiplier)
     });
@@ -164,7 +193,7 @@
     }
 
     fn choose(&self, upstream: &UpstreamId, centre: &DataCentreId) -> Option<InstanceId> {
-        let rank = |name: &InstanceId| rendezvous_rank(upstream, name);
+        let rank = |name: &InstanceId| rendezvous_rank(upstream.as_str(), name);
         let key = |name: &&'a InstanceId| (self.held[*name], rank(name));
         let near = self.available_in(centre).min_by_key(key);
         let any = || self.held.keys().copied().min_by_key(key);
@@ -178,16 +207,12 @@
     }
 }
 
-/// Ranks an instance for a database by FNV-1a hash; must not change between releases, so that all
+/// Ranks an instance for a database or a rate by FNV-1a hash; must not change between releases, so that all
 /// control members agree.
-fn rendezvous_rank(upstream: &UpstreamId, instance: &InstanceId) -> u64 {
+fn rendezvous_rank(subject: &str, instance: &InstanceId) -> u64 {
     const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
     const PRIME: u64 = 0x0100_0000_01b3;
-    let bytes = upstream
-        .as_str()
-        .bytes()
-        .chain([0])
-        .chain(instance.as_str().bytes());
+    let bytes = subject.bytes().chain([0]).chain(instance.as_str().bytes());
     bytes.fold(OFFSET, |hash, byte| {
         (hash ^ u64::from(byte)).wrapping_mul(PRIME)
     })
--- a/crates/daisyseam-coord/src/quota.rs
+++ b/crates/daisyseam-coord/src/quota.rs
@@ -20,6 +20,7 @@
 mod set;
 mod split;
 
+use self::split::is_too_small_to_split;
 pub use self::{
     bucket::ShareBucket,
     demand::WaitingQueue,
@@ -41,9 +42,15 @@
 /// thousandths of a statement.
 pub const MILLI: u64 = 1_000;
 
-/// Unused tokens that an instance may keep for its next request when tokens are granted on demand,
-/// in thousandths.
-const TOKEN_RESERVE: u64 = MILLI;
+/// Demand for which an instance may keep unused tokens when tokens are granted on demand.
+const RESERVE_TIME_MS: u64 = 500;
+
+/// Returns the unused tokens, in thousandths, that an instance may keep for its next requests when
+/// tokens are granted on demand: at least one, and more with a higher demand.
+fn token_reserve(demand_rate: u64) -> u64 {
+    let expected = demand_rate.saturating_mul(RESERVE_TIME_MS) / 1_000;
+    (expected / MILLI * MILLI).max(MILLI)
+}
 
 /// Owner of a rate limit.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -76,6 +83,28 @@
     }
 }
 
+/// Returns whether a rate is too small to be split among this many instances.
+///
+/// Each data centre then has homes that hold its tokens, see
+/// [`rate_homes`](crate::membership::rate_homes).
+pub fn needs_homes(total: RateShare, instances: usize) -> bool {
+    is_too_small_to_split(total, instances, false)
+}
+
+/// Returns the total of a rate limit in a document.
+pub fn document_rate(document: &Document, key: &RateKey) -> Option<RateShare> {
+    match key {
+        RateKey::Organisation(name) => {
+            let entry = document.organisations.get(name)?;
+            Some(RateShare::from_document(entry.rate, entry.burst))
+        }
+        RateKey::Open(service) => {
+            let route = document.open_routes.get(service)?;
+            Some(RateShare::from_document(route.rate, route.burst))
+        }
+    }
+}
+
 /// Lists the rate limits in a document, of organisations and of open routes.
 pub fn document_rates(document: &Document) -> impl Iterator<Item = (RateKey, RateShare)> {
     let organisations = document.organisations.iter().map(|(name, entry)| {
--- a/crates/daisyseam-coord/src/quota/account.rs
+++ b/crates/daisyseam-coord/src/quota/account.rs
@@ -6,7 +6,6 @@
     MILLI,
     RateKey,
     RateShare,
-    TOKEN_RESERVE,
     TransferTotal,
     bucket::TokenStore,
     split::{
@@ -14,7 +13,8 @@
         is_too_small_to_split,
         scale,
         split, //
-    }, //
+    },
+    token_reserve, //
 };
 use crate::Moment;
 use std::{
@@ -148,8 +148,8 @@
         self.on_demand
     }
 
-    /// Grants the answered holder the tokens that its waiting requests need, and one for its next
-    /// request while at least half of the burst remains.
+    /// Grants the answered holder the tokens that its waiting requests need, and a reserve for its next
+    /// requests while at least half of the burst remains.
     ///
     /// The whole rate accrues in the ledger; shares that are still held are recalled. Returns whether
     /// none is left to recall.
@@ -171,10 +171,13 @@
         let needed = token_shortfall.saturating_sub(entry.share().burst);
         let available = self.free_tokens.available_milli();
         let mut tokens = needed.min(available) / MILLI * MILLI;
-        if entry.share().burst + tokens < token_shortfall + TOKEN_RESERVE
-            && available - tokens >= self.total.burst / 2
-        {
-            tokens += TOKEN_RESERVE.min((available - tokens) / MILLI * MILLI);
+        let left = available - tokens;
+        let kept = self.total.burst / 2;
+        if left >= kept {
+            let wanted = token_shortfall + token_reserve(entry.demand_rate);
+            let lacking = wanted.saturating_sub(entry.share().burst + tokens);
+            let reserve = lacking.min((left - kept).max(MILLI)).min(left);
+            tokens += reserve / MILLI * MILLI;
         }
         entry.granted.share.burst += tokens;
         entry.granted.tokens += tokens;
--- a/crates/daisyseam-coord/src/quota/bucket.rs
+++ b/crates/daisyseam-coord/src/quota/bucket.rs
@@ -6,12 +6,12 @@
     MILLI,
     RateKey,
     RateShare,
-    TOKEN_RESERVE,
     TransferTotal,
     demand::{
         DemandMeter,
         WaitingQueue, //
-    }, //
+    },
+    token_reserve, //
 };
 use crate::Moment;
 use std::time::Duration;
@@ -214,7 +214,8 @@
         self.tokens.advance(now, self.share());
         let held = self.share();
         let waiting = self.waiting.length as u64 * MILLI;
-        let needed = (waiting + TOKEN_RESERVE).min(self.tokens.available_milli() / MILLI * MILLI);
+        let reserve = token_reserve(self.demand_rate(now));
+        let needed = (waiting + reserve).min(self.tokens.available_milli() / MILLI * MILLI);
         let spare = RateShare {
             rate: held.rate,
             burst: held.burst.saturating_sub(needed),
--- a/crates/daisyseam-coord/tests/membership.rs
+++ b/crates/daisyseam-coord/tests/membership.rs
@@ -1,8 +1,12 @@
-//! Tests of the order of the instances that hold connections to a database.
+//! Tests of the order of the instances that hold connections to a database or tokens of a rate.
 
-use daisyseam_coord::membership::{
-    RANKED_HOLDERS,
-    ranked_holders, //
+use daisyseam_coord::{
+    membership::{
+        RANKED_HOLDERS,
+        ranked_holders,
+        rate_homes, //
+    },
+    quota::RateKey, //
 };
 use daisyseam_model::{
     DataCentreId,
@@ -145,3 +149,40 @@
         "{held:?}"
     );
 }
+
+fn homes(view: &FleetView, rate: &str, data_centre: &str) -> Vec<InstanceId> {
+    let rate = RateKey::parse(rate).unwrap();
+    let homes = rate_homes(view, &rate, &data_centre.parse().unwrap());
+    homes.into_iter().cloned().collect()
+}
+
+#[test]
+fn the_homes_of_a_rate_are_in_each_data_centre_of_their_own() {
+    let mut view = view(&[("north-a", 12), ("north-b", 12), ("south-a", 1)]);
+    for (data_centre, count) in [("north-a", 2), ("north-b", 2), ("south-a", 1)] {
+        let homes = homes(&view, "keepers", data_centre);
+        assert_eq!(homes.len(), count);
+        for home in &homes {
+            assert_eq!(view.instances[home].data_centre.as_str(), data_centre);
+        }
+    }
+    let before = homes(&view, "keepers", "north-a");
+    view.instances.get_mut(&before[0]).unwrap().leaving = true;
+    assert_eq!(homes(&view, "keepers", "north-a")[0], before[1]);
+}
+
+#[test]
+fn rates_are_spread_over_the_instances_of_a_data_centre() {
+    let view = view(&[("north-a", 12), ("north-b", 12)]);
+    let mut held: BTreeMap<InstanceId, usize> = BTreeMap::new();
+    for index in 0..240 {
+        let homes = homes(&view, &format!("organisation-{index}"), "north-a");
+        *held.entry(homes[0].clone()).or_default() += 1;
+    }
+    // An even spread gives 20 to each.
+    assert_eq!(held.len(), 12);
+    assert!(
+        held.values().all(|count| (8..=40).contains(count)),
+        "{held:?}"
+    );
+}
--- a/crates/daisyseam-engine/src/counters.rs
+++ b/crates/daisyseam-engine/src/counters.rs
@@ -30,6 +30,12 @@
 /// Calls made for other instances.
 pub(crate) const CALL_RELAYED: &str = "call_relayed";
 
+/// Requests that asked another instance for a token.
+pub(crate) const TOKEN_RELAYED: &str = "token_relayed";
+
+/// Requests whose home of the rate did not answer, so that control was asked instead.
+pub(crate) const TOKEN_NO_HOME: &str = "token_no_home";
+
 /// Requests rejected because they would not get a connection from the pool in time.
 pub(crate) const CONNECTION_REJECTED: &str = "connection_rejected";
 
--- a/crates/daisyseam-engine/src/engine.rs
+++ b/crates/daisyseam-engine/src/engine.rs
@@ -10,6 +10,7 @@
     pool::ConnectionPool,
     relay::{
         self,
+        AdmissionClient,
         RelayClient,
         RelaySettings, //
     },
@@ -93,6 +94,8 @@
     pub(crate) pool: ConnectionPool<D>,
     /// Links to the connections of other instances, if they are used.
     pub(crate) relays: Option<RelayClient>,
+    /// Connections to the homes of small rates, if they are used.
+    pub(crate) admissions: Option<AdmissionClient>,
     pub(crate) health: HealthTable,
     pub(crate) samples: PositionSamples,
     pub(crate) writers: WriterCounts,
@@ -119,10 +122,15 @@
             .relay
             .clone()
             .map(|relay| RelayClient::new(relay, settings.timer.clone(), settings.metrics.clone()));
+        let admissions = settings
+            .relay
+            .clone()
+            .map(|relay| AdmissionClient::new(relay, settings.timer.clone()));
         let shared = EngineShared {
             settings,
             pool,
             relays,
+            admissions,
             health: HealthTable::default(),
             samples: PositionSamples::default(),
             writers: WriterCounts::default(),
--- a/crates/daisyseam-engine/src/observer.rs
+++ b/crates/daisyseam-engine/src/observer.rs
@@ -55,6 +55,9 @@
         if let Some(relays) = &self.shared.relays {
             relays.apply(view);
         }
+        if let Some(admissions) = &self.shared.admissions {
+            admissions.apply(view);
+        }
         let known = |upstream: &_| view.upstreams.contains_key(upstream);
         self.shared.health.retain(known);
         let known = |group: &_| view.groups.contains_key(group);
--- a/crates/daisyseam-engine/src/relay.rs
+++ b/crates/daisyseam-engine/src/relay.rs
@@ -4,12 +4,14 @@
 //! centre hold them, and the others send their calls to one of those. A link that breaks after a
 //! call was sent leaves the outcome of the call unknown, like a broken connection to the database.
 
+mod admission;
 mod client;
 mod convert;
 mod peer;
 mod server;
 
 pub(crate) use self::{
+    admission::AdmissionClient,
     client::{
         HolderLink,
         RelayClient, //
--- a/crates/daisyseam-engine/src/relay/server.rs
+++ b/crates/daisyseam-engine/src/relay/server.rs
@@ -2,6 +2,7 @@
 
 use super::{
     RelayStream,
+    admission::serve_admissions,
     convert::{
         RelayedVerb,
         decode_fence,
@@ -90,12 +91,22 @@
         }
         None => return,
     };
-    let mut session = RelaySession {
-        engine,
-        stream: Box::new(MessageStream::new(socket, relay.cluster.clone())),
-        link: None,
+    let mut stream: RelayStream = Box::new(MessageStream::new(socket, relay.cluster.clone()));
+    let served = match stream.receive().await {
+        Ok(first) if matches!(first.body, Some(Body::Admit(_))) => {
+            serve_admissions(engine, *stream, first).await
+        }
+        Ok(first) => {
+            let mut session = RelaySession {
+                engine,
+                stream,
+                link: None,
+            };
+            session.run(first).await
+        }
+        Err(error) => Err(error),
     };
-    match session.run().await {
+    match served {
         Ok(()) | Err(StreamError::Closed) => {}
         Err(error) => log::debug!("a connection of an instance ended: {error}"),
     }
@@ -118,8 +129,9 @@
 }
 
 impl<'a, D: DatabaseConnector, G: RateGate> RelaySession<'a, D, G> {
-    async fn run(&mut self) -> Result<(), StreamError> {
-        while let Some(message) = self.next_message().await? {
+    async fn run(&mut self, first: RelayMessage) -> Result<(), StreamError> {
+        let mut next = Some(first);
+        while let Some(message) = next {
             let body = match message.body {
                 Some(Body::Ping(_)) => Body::Pong(RelayPong {}),
                 Some(Body::Call(call)) => {
@@ -140,6 +152,7 @@
                 body: Some(body),
             };
             self.stream.send(&answer).await?;
+            next = self.next_message().await?;
         }
         Ok(())
     }
--- a/crates/daisyseam-engine/src/session.rs
+++ b/crates/daisyseam-engine/src/session.rs
@@ -35,6 +35,7 @@
     }, //
 };
 use bytes::Bytes;
+use daisyseam_coord::quota::RateKey;
 use daisyseam_member::RateGate;
 use daisyseam_model::{
     ErrorKind,
@@ -382,17 +383,17 @@
         rights: &CallerRights,
         times: &OperationTimes,
     ) -> Result<(), RequestError> {
-        let gate = &self.engine.settings.gate;
         if let Some(organisation) = self.identity.organisation() {
-            return gate.admit_within(organisation, times.admit()).await;
+            let key = RateKey::Organisation(organisation.clone());
+            return self.engine.admit(key, times.admit()).await;
         }
         let document = rights.document();
         let limited = document
             .is_some_and(|document| document.open_routes.contains_key(&self.identity.service));
         match limited {
             true => {
-                let service = &self.identity.service;
-                gate.admit_open_within(service, times.admit()).await
+                let key = RateKey::Open(self.identity.service.clone());
+                self.engine.admit(key, times.admit()).await
             }
             false => Ok(()),
         }
--- a/crates/daisyseam-wire/src/lib.rs
+++ b/crates/daisyseam-wire/src/lib.rs
@@ -80,6 +80,9 @@
         peer_message, //
     },
     relay::{
+        AdmitOutcome,
+        RelayAdmit,
+        RelayAdmitted,
         RelayCall,
         RelayFailure,
         RelayFailureKind,
--- a/crates/daisyseam-wire/src/relay.rs
+++ b/crates/daisyseam-wire/src/relay.rs
@@ -1,7 +1,8 @@
 //! Messages between an instance and the holder of a database's connections, independent of the
 //! protocol that the database speaks.
 //!
-//! One connection carries one link at a time. A link is opened by the first call and stays open
+//! One connection carries either one link at a time or, once its first message asks for a token, any
+//! number of such requests. A link is opened by the first call and stays open
 //! while a transaction is open on the database; closing the connection ends it.
 
 use crate::WirePosition;
@@ -13,7 +14,7 @@
     #[prost(uint64, tag = "1")]
     pub number: u64,
     /// The message proper.
-    #[prost(oneof = "relay_message::Body", tags = "2, 3, 4, 5, 6")]
+    #[prost(oneof = "relay_message::Body", tags = "2, 3, 4, 5, 6, 7, 8")]
     pub body: Option<relay_message::Body>,
 }
 
@@ -37,6 +38,12 @@
         /// The holder responds.
         #[prost(message, tag = "6")]
         Pong(super::RelayPong),
+        /// Asks for a token of a rate limit.
+        #[prost(message, tag = "7")]
+        Admit(super::RelayAdmit),
+        /// Whether the request may run.
+        #[prost(message, tag = "8")]
+        Admitted(super::RelayAdmitted),
     }
 }
 
@@ -209,3 +216,40 @@
 /// The holder responds.
 #[derive(Clone, Copy, PartialEq, prost::Message)]
 pub struct RelayPong {}
+
+/// Asks a home of a rate limit for a token.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct RelayAdmit {
+    /// Owner of the rate.
+    #[prost(string, tag = "1")]
+    pub rate: String,
+    /// Longest wait for a token, in milliseconds.
+    #[prost(uint32, tag = "2")]
+    pub token_ms: u32,
+    /// Longest wait for a lease or a share that the home lacks, in milliseconds.
+    #[prost(uint32, tag = "3")]
+    pub share_ms: u32,
+}
+
+/// Answers a [`RelayAdmit`].
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct RelayAdmitted {
+    /// The outcome.
+    #[prost(enumeration = "AdmitOutcome", tag = "1")]
+    pub outcome: i32,
+    /// Time after which a refused request may be repeated, in milliseconds.
+    #[prost(uint32, tag = "2")]
+    pub retry_after_ms: u32,
+}
+
+/// Outcome of a [`RelayAdmit`].
+#[derive(Clone, Copy, Debug, Eq, PartialEq, prost::Enumeration)]
+#[repr(i32)]
+pub enum AdmitOutcome {
+    /// The home cannot tell: it is stopping, or lacks the rate or a lease.
+    Unknown = 0,
+    /// The request has a token.
+    Granted = 1,
+    /// The rate is exceeded.
+    Exceeded = 2,
+}
