Confirm views that follow each other closely together

Cause: an instance answers each update of the view with a heartbeat at once, and the reply carries the next update. A view is now confirmed at once if the last such confirmation is 100 ms old, and otherwise then, so a single change is confirmed as soon as before.

--- a/crates/daisyseam-member/src/control_client/session.rs
+++ b/crates/daisyseam-member/src/control_client/session.rs
@@ -41,6 +41,9 @@
 /// Time limit for connecting and completing the handshake.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Minimum time between two heartbeats that confirm a view at once; later views are confirmed together.
+const CONFIRM_INTERVAL_MIN: Duration = Duration::from_millis(100);
+
 /// Why a session ended.
 pub(super) enum SessionEnd {
     /// The control instance is not the leader.
@@ -87,6 +90,10 @@
     pending: VecDeque<PendingHeartbeat>,
     last_reply_at: Instant,
     next_heartbeat: Instant,
+    /// Whether a view was applied since the last heartbeat.
+    confirms: bool,
+    /// Moment from which the next view may be confirmed at once.
+    next_confirmation: Instant,
 }
 
 impl<'a, O: FleetObserver> ControlSession<'a, O> {
@@ -110,6 +117,8 @@
             pending: VecDeque::new(),
             last_reply_at: now,
             next_heartbeat: now,
+            confirms: false,
+            next_confirmation: now,
         })
     }
 
@@ -186,6 +195,9 @@
             lease_start,
         });
         self.next_heartbeat = now + settings.heartbeat_interval;
+        if std::mem::take(&mut self.confirms) {
+            self.next_confirmation = now + CONFIRM_INTERVAL_MIN;
+        }
         let message = ControlMessage {
             body: Some(Body::Heartbeat(heartbeat)),
         };
@@ -222,8 +234,11 @@
                 Err(error) => Err(error),
             };
             let end = applied.map_err(|error| SessionEnd::Failed(error.to_string()))?;
-            // Control waits for the new view number before it completes a change.
-            self.next_heartbeat = Instant::now();
+            // Control waits for the new view number before it completes a change. While a fleet
+            // restarts, views follow each other faster than round trips.
+            self.confirms = true;
+            let confirm_at = self.next_confirmation.max(Instant::now());
+            self.next_heartbeat = self.next_heartbeat.min(confirm_at);
             if end == UpdateOutcome::Outdated {
                 // Without the update, the lease would apply to a view that is no longer in force.
                 return Ok(());
--- a/crates/daisyseam-member/tests/updates.rs
+++ b/crates/daisyseam-member/tests/updates.rs
@@ -20,7 +20,10 @@
     WireView,
     control_message::Body, //
 };
-use std::time::Duration;
+use std::time::{
+    Duration,
+    Instant, //
+};
 use tokio::{
     net::{
         TcpListener,
@@ -103,3 +106,26 @@
     while leader.heartbeat().await.view != 3 {}
     assert!(cell.valid().is_ok());
 }
+
+/// Guards against a leader that every entry of a large fleet answers once a round trip while instances
+/// join, since each of them changes the view.
+#[tokio::test]
+async fn views_that_follow_each_other_closely_are_confirmed_together() {
+    const TIME: Duration = Duration::from_millis(1_000);
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let cell = ViewCell::new();
+    let _client = client(ControlAddresses::new(vec![address]), cell.clone());
+    let mut leader = LeaderStream::accept(&listener).await;
+    let begin = Instant::now();
+    let (mut heartbeats, mut number) = (0, 0);
+    while begin.elapsed() < TIME {
+        let beat = leader.heartbeat().await;
+        heartbeats += 1;
+        number += 1;
+        leader.update(&beat, number).await;
+    }
+    // One confirmation in 100 ms and a heartbeat in 200 ms.
+    assert!(heartbeats <= 17, "{heartbeats} heartbeats in {TIME:?}");
+    assert!(heartbeats >= 5, "{heartbeats} heartbeats in {TIME:?}");
+}
