Transfer a view that takes longer than a reply timeout over a narrow link

Cause: an entry without a view asks for the whole one with each heartbeat, every 200 ms, and the leader sends a copy for each. If one takes longer than 500 ms over the entry's link, the entry gives the connection up as unanswered, connects again and asks anew. The larger the fleet and its document, the more entries never get a view; after a restart of the whole fleet their copies also fill the links that callers need.

An entry now sends no further heartbeat while it waits for the whole view or a reply has arrived in part, and a reply counts as unanswered 500 ms after its last bytes. Ruled out: a longer timeout, which would delay the move away from a leader that has frozen.

The new test sends a view over a link of 160 KB a second, which takes more than a second.

--- a/crates/daisyseam-member/src/control_client.rs
+++ b/crates/daisyseam-member/src/control_client.rs
@@ -1,6 +1,7 @@
 //! Maintains the view and the lease of this instance over a connection to the control leader.
 
 mod keeper;
+mod progress;
 mod search;
 mod session;
 
--- a/crates/daisyseam-member/src/control_client/session.rs
+++ b/crates/daisyseam-member/src/control_client/session.rs
@@ -6,9 +6,16 @@
         UpdateOutcome,
         ViewKeeper, //
     },
+    progress::{
+        ProgressSocket,
+        ReadProgress, //
+    }, //
 };
 use crate::FleetObserver;
-use daisyseam_model::Incarnation;
+use daisyseam_model::{
+    Incarnation,
+    ViewNumber, //
+};
 use daisyseam_runtime::BootClock;
 use daisyseam_wire::{
     ControlMessage,
@@ -32,7 +39,8 @@
 };
 use tokio::time::Instant;
 
-/// Time without a reply to a heartbeat after which another control instance is tried.
+/// Time without a reply to a heartbeat, or without more of one, after which another control instance
+/// is tried.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Time limit for connecting.
@@ -81,12 +89,15 @@
     lease_start: Instant,
 }
 
+type ControlSocket = ProgressSocket<PeerSocket>;
+
 /// A connection on which the handshake is complete.
 pub(super) struct ControlSession<'a, O> {
     settings: &'a ClientSettings<O>,
     keeper: &'a mut ViewKeeper<O>,
-    sender: MessageSender<PeerSocket, ControlMessage>,
-    receiver: MessageReceiver<PeerSocket, ControlMessage>,
+    sender: MessageSender<ControlSocket, ControlMessage>,
+    receiver: MessageReceiver<ControlSocket, ControlMessage>,
+    progress: ReadProgress,
     pending: VecDeque<PendingHeartbeat>,
     last_reply_at: Instant,
     next_heartbeat: Instant,
@@ -106,7 +117,8 @@
         let deadline = settings.timer.now() + HANDSHAKE_TIMEOUT;
         let opened = connect(settings, keeper, target);
         let opened = settings.timer.within(deadline, opened).await;
-        let stream = opened.ok_or(SessionEnd::Failed("the handshake timed out".to_owned()))??;
+        let (stream, progress) =
+            opened.ok_or(SessionEnd::Failed("the handshake timed out".to_owned()))??;
         let (sender, receiver) = stream.split();
         let now = Instant::now();
         Ok(Self {
@@ -114,6 +126,7 @@
             keeper,
             sender,
             receiver,
+            progress,
             pending: VecDeque::new(),
             last_reply_at: now,
             next_heartbeat: now,
@@ -128,12 +141,13 @@
         loop {
             let timer = &self.settings.timer;
             let reply_deadline = self.reply_deadline();
+            let may_send = !self.is_receiving();
             let result = tokio::select! {
                 message = self.receiver.receive() => match message {
                     Ok(message) => self.handle(message.body).await,
                     Err(error) => Err(error.into()),
                 },
-                () = self.settings.observer.report_due() => {
+                () = self.settings.observer.report_due(), if may_send => {
                     self.next_heartbeat = Instant::now();
                     Ok(())
                 }
@@ -142,14 +156,12 @@
                     self.next_heartbeat = Instant::now();
                     Ok(())
                 }
-                () = self.settings.gate.report_due() => {
+                () = self.settings.gate.report_due(), if may_send => {
                     self.next_heartbeat = Instant::now();
                     Ok(())
                 }
-                () = timer.at(self.next_heartbeat) => self.send_heartbeat().await,
-                () = timer.at(reply_deadline) => {
-                    Err(SessionEnd::Failed("no reply to a heartbeat in time".to_owned()))
-                }
+                () = timer.at(self.next_heartbeat), if may_send => self.send_heartbeat().await,
+                () = timer.at(reply_deadline) => self.check_reply(),
             };
             if let Err(end) = result {
                 return end;
@@ -162,10 +174,28 @@
         let oldest_pending = self.pending.front().map(|sent| sent.sent_at);
         oldest_pending
             .unwrap_or(self.next_heartbeat)
-            .max(self.last_reply_at)
+            .max(self.progress.last_read_at())
             + REPLY_TIMEOUT
     }
 
+    /// Ends the session if neither a reply nor a part of one has arrived in time.
+    fn check_reply(&self) -> Result<(), SessionEnd> {
+        match Instant::now() < self.reply_deadline() {
+            true => Ok(()),
+            false => Err(SessionEnd::Failed(
+                "no reply to a heartbeat in time".to_owned(),
+            )),
+        }
+    }
+
+    /// Returns whether a large reply is on its way. Another heartbeat would request its contents again,
+    /// and over a narrow link the copies would delay each other without end.
+    fn is_receiving(&self) -> bool {
+        let is_partial = self.progress.last_read_at() > self.last_reply_at;
+        let is_whole = self.keeper.reported_number() == ViewNumber::default();
+        !self.pending.is_empty() && (is_partial || is_whole)
+    }
+
     async fn send_heartbeat(&mut self) -> Result<(), SessionEnd> {
         // Read first, so that a suspension from here on shortens the lease.
         let lease_start = BootClock::now();
@@ -269,7 +299,7 @@
     settings: &ClientSettings<O>,
     keeper: &ViewKeeper<O>,
     target: SocketAddr,
-) -> Result<MessageStream<PeerSocket, ControlMessage>, SessionEnd> {
+) -> Result<(MessageStream<ControlSocket, ControlMessage>, ReadProgress), SessionEnd> {
     let until = settings.timer.now() + CONNECT_TIMEOUT;
     let socket = settings
         .timer
@@ -279,6 +309,8 @@
     let socket = socket.map_err(|error| SessionEnd::Failed(error.to_string()))?;
     let secured = settings.security.client(socket, PeerRole::Control).await;
     let socket = secured.map_err(|error| SessionEnd::Failed(error.to_string()))?;
+    let socket = ProgressSocket::new(socket);
+    let progress = socket.progress();
     let mut stream = MessageStream::new(socket, settings.cluster.clone());
     let handshake = Handshake {
         instance: settings.instance.to_string(),
@@ -294,7 +326,7 @@
     match stream.receive().await?.body {
         Some(Body::Welcome(welcome)) => {
             settings.incarnation.set(Incarnation(welcome.incarnation));
-            Ok(stream)
+            Ok((stream, progress))
         }
         Some(Body::NotLeader(message)) => Err(message.into()),
         _ => Err(SessionEnd::Failed(
--- a/crates/daisyseam-member/tests/updates.rs
+++ b/crates/daisyseam-member/tests/updates.rs
@@ -17,6 +17,7 @@
     HeartbeatReply,
     MessageStream,
     Welcome,
+    WireGroup,
     WireView,
     control_message::Body, //
 };
@@ -25,19 +26,35 @@
     Instant, //
 };
 use tokio::{
+    io::{
+        AsyncRead,
+        AsyncReadExt,
+        AsyncWrite,
+        AsyncWriteExt,
+        DuplexStream, //
+    },
     net::{
         TcpListener,
         TcpStream, //
     },
-    time::timeout, //
+    time::{
+        sleep,
+        timeout, //
+    }, //
 };
 
 /// The leader's side of a connection.
-struct LeaderStream(MessageStream<TcpStream, ControlMessage>);
+struct LeaderStream<T = TcpStream>(MessageStream<T, ControlMessage>);
 
 impl LeaderStream {
     async fn accept(listener: &TcpListener) -> Self {
         let (socket, _) = listener.accept().await.expect("it connects");
+        Self::welcome(socket).await
+    }
+}
+
+impl<T: AsyncRead + AsyncWrite + Unpin> LeaderStream<T> {
+    async fn welcome(socket: T) -> Self {
         let mut stream = Self(MessageStream::new(socket, cluster()));
         let handshake = stream.receive().await;
         assert!(matches!(handshake, Body::Handshake(_)), "{handshake:?}");
@@ -129,3 +146,64 @@
     assert!(heartbeats <= 17, "{heartbeats} heartbeats in {TIME:?}");
     assert!(heartbeats >= 5, "{heartbeats} heartbeats in {TIME:?}");
 }
+
+/// Bytes that a narrow link carries in one interval, and the interval.
+const LINK_CHUNK: usize = 4_096;
+const LINK_INTERVAL: Duration = Duration::from_millis(25);
+
+/// Returns the leader's end of a link that carries 160 KB a second to the client.
+fn narrow_link(socket: TcpStream) -> DuplexStream {
+    let (near, far) = tokio::io::duplex(LINK_CHUNK);
+    let (mut from_client, mut to_client) = socket.into_split();
+    let (mut from_leader, mut to_leader) = tokio::io::split(far);
+    tokio::spawn(async move { tokio::io::copy(&mut from_client, &mut to_leader).await });
+    tokio::spawn(async move {
+        let mut chunk = [0; LINK_CHUNK];
+        while let Ok(length @ 1..) = from_leader.read(&mut chunk).await {
+            if to_client.write_all(&chunk[..length]).await.is_err() {
+                return;
+            }
+            sleep(LINK_INTERVAL).await;
+        }
+    });
+    near
+}
+
+/// Guards against an instance that requests the whole view again and again, since the view takes longer
+/// than the timeout of a reply over its link.
+#[tokio::test]
+async fn a_view_that_takes_longer_than_a_reply_timeout_arrives_over_a_narrow_link() {
+    const GROUPS: usize = 4_000;
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let cell = ViewCell::new();
+    let _client = client(ControlAddresses::new(vec![address]), cell.clone());
+    let (socket, _) = listener.accept().await.expect("it connects");
+    let mut leader = LeaderStream::welcome(narrow_link(socket)).await;
+    let beat = leader.heartbeat().await;
+    let groups = (0..GROUPS).map(|number| WireGroup {
+        name: format!("a-group-with-a-long-name-so-that-the-view-is-large-{number}"),
+        term: 1,
+        ..WireGroup::default()
+    });
+    let view = WireView {
+        number: 7,
+        groups: groups.collect(),
+        ..WireView::default()
+    };
+    let reply = HeartbeatReply {
+        sequence: beat.sequence,
+        lease_ms: 10_000,
+        update: Some(view.encoded()),
+        ..HeartbeatReply::default()
+    };
+    let begin = Instant::now();
+    leader.send(Body::HeartbeatReply(reply)).await;
+    let beat = leader.heartbeat().await;
+    assert!(
+        begin.elapsed() > Duration::from_millis(1_000),
+        "the link is narrow"
+    );
+    assert_eq!(beat.view, 7, "no copy was requested meanwhile");
+    assert!(cell.valid().is_ok());
+}
