--- a/crates/daisyseam-coord/src/membership.rs
+++ b/crates/daisyseam-coord/src/membership.rs
@@ -95,8 +95,8 @@
     Some(&entry.region)
 }
 
-/// Ranks an instance for a database or a rate. The bits of the hash are mixed once more, because the low
-/// avalanche of FNV-1a would give the same order of instances for most subjects.
+/// Ranks an instance for a database or a rate. The bits of the hash are mixed once more, because the
+/// low avalanche of FNV-1a would give the same order of instances for most subjects.
 fn mixed_rank(subject: &str, instance: &InstanceId) -> u64 {
     const MULTIPLIERS: [u64; 2] = [0xff51_afd7_ed55_8ccd, 0xc4ce_b9fe_1a85_ec53];
     let hash = rendezvous_rank(subject, instance);
@@ -207,8 +207,8 @@
     }
 }
 
-/// Ranks an instance for a database or a rate by FNV-1a hash; must not change between releases, so that all
-/// control members agree.
+/// Ranks an instance for a database or a rate by FNV-1a hash; must not change between releases, so
+/// that all instances agree.
 fn rendezvous_rank(subject: &str, instance: &InstanceId) -> u64 {
     const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
     const PRIME: u64 = 0x0100_0000_01b3;
--- a/crates/daisyseam-coord/src/quota/account.rs
+++ b/crates/daisyseam-coord/src/quota/account.rs
@@ -151,8 +151,8 @@
     /// Grants the answered holder the tokens that its waiting requests need, and a reserve for its next
     /// requests while at least half of the burst remains.
     ///
-    /// The whole rate accrues in the ledger; shares that are still held are recalled. Returns whether
-    /// none is left to recall.
+    /// The whole rate accrues in the ledger; shares that are still held are recalled. Returns `false`
+    /// if the recall has to wait because the last one is too recent.
     pub(super) fn grant_on_demand(&mut self, now: Moment, answered: Option<HolderNumber>) -> bool {
         self.free_tokens.advance(now, self.free());
         let mut is_done = true;
--- a/crates/daisyseam-engine/src/relay/admission.rs
+++ b/crates/daisyseam-engine/src/relay/admission.rs
@@ -1,8 +1,8 @@
 //! Tokens of small rates, which one instance of each data centre holds for all instances there.
 //!
 //! A rate that is too small to be split among all instances would cost each request a round trip to
-//! control. Its homes keep tokens for the whole data centre. Without a home that responds, an instance
-//! asks control itself; since tokens are accounted for wherever they are held, both may happen at once.
+//! control. Its homes keep tokens for the whole data centre. A request whose home does not respond takes
+//! its token from this instance's own gate, which asks control; since tokens are accounted for wherever they are held, both may happen at once.
 
 use super::RelaySettings;
 use crate::{
