Refuse requests that need no database from a withdrawn key

Callers whose key was withdrawn still got successes for SET, PREPARE and DEALLOCATE, as these are answered without a database and did not look at the document. They check the key against the document held here now.

a_withdrawn_key_ends_the_session_without_a_database: three cases fail before the change and pass after it.

--- a/crates/daisyseam-engine/src/session.rs
+++ b/crates/daisyseam-engine/src/session.rs
@@ -286,16 +286,21 @@
                 self.statement(&id, prepared.kind, statement).await
             }
             RequestVerb::Set { name, value } => {
+                self.core.check_known_key()?;
                 self.core.values.set(name, value);
                 answer::without_database()
             }
             RequestVerb::Prepare { name, kind, text } => {
+                self.core.check_known_key()?;
                 self.core
                     .prepared
                     .insert(name, PreparedStatement { kind, text });
                 answer::without_database()
             }
-            RequestVerb::Deallocate { name } => self.core.deallocate(&name),
+            RequestVerb::Deallocate { name } => {
+                self.core.check_known_key()?;
+                self.core.deallocate(&name)
+            }
         }
     }
 
@@ -377,6 +382,12 @@
         Ok(self.identity.check_key(&settings.cell)?)
     }
 
+    /// Checks the caller's key against the document held here, current or not, for a request that no
+    /// database is needed for.
+    fn check_known_key(&self) -> Result<(), RequestError> {
+        Ok(self.identity.check_key(&self.engine.settings.cell)?)
+    }
+
     /// Takes a token from the caller's rate limit.
     async fn admit(
         &self,
--- a/crates/daisyseam-engine/tests/faults.rs
+++ b/crates/daisyseam-engine/tests/faults.rs
@@ -34,6 +34,7 @@
         execute,
         prepare,
         read,
+        set,
         write, //
     },
     database::Fault, //
@@ -542,6 +543,23 @@
     assert!(committed.is_empty(), "{committed:?}");
 }
 
+/// Guards against a withdrawn key whose requests are still answered because no database is needed.
+#[test_case(set("zone", "b"); "set")]
+#[test_case(prepare("s", "shape"); "prepare")]
+#[test_case(RequestVerb::Deallocate { name: "s".into() }; "deallocate")]
+#[tokio::test(start_paused = true)]
+async fn a_withdrawn_key_ends_the_session_without_a_database(verb: RequestVerb) {
+    let mut fleet = Fleet::start(30);
+    let mut caller = fleet.session("primary").await;
+    caller.ok(prepare("s", "shape")).await;
+    fleet.change_document(|document| {
+        let organisation = document.organisations.get_mut("one").unwrap();
+        organisation.keys.clear();
+    });
+    assert_eq!(caller.fail(verb).await, ErrorKind::KeyWithdrawn);
+    assert!(matches!(caller.event().await, CallerEvent::Closed));
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_withdrawn_key_may_still_roll_back() {
     let mut fleet = Fleet::start(30);
