Let requests wait for a database by urgency

Cause: the priority of a service was parsed and not used. While a primary was contended, requests of the most urgent service waited behind those of others, waited a quarter of their target whatever the queue held, and were then refused.

The priority goes with each claim and relayed call (RelayCall.priority and target_ms). Where the services of a document differ in priority, the holder serves the most urgent class first and gives every tenth turn to a less urgent one, the one that has waited longest. Within a class organisations take turns as before, and the requests of one are served by deadline. A new request is admitted by what is served before it; if that makes any request late, the least urgent one of the organisation that used most recently is refused, with the time after which a retry can succeed (RelayFailure.retry_after_ms). A request may wait until its target less one service time. Requests that have waited for a quarter of it are not refused in favour of others.

Considered: a weight for each class in place of strict order (an urgent class would still be delayed by the sum of the others), and refusing a more urgent request of a busy organisation for a less urgent one (reverses the order). Statements of open transactions still go first: they hold connections and locks that urgent requests wait for.

Where all services have one priority, order, waits and refusals are the same as before.

--- a/crates/daisyseam-engine/src/attempt.rs
+++ b/crates/daisyseam-engine/src/attempt.rs
@@ -30,6 +30,10 @@
         leads, //
     },
     times::OperationTimes,
+    urgency::{
+        QueueRule,
+        Urgency, //
+    },
     values::{
         PreparedStatement,
         SessionValues, //
@@ -58,8 +62,8 @@
 /// Why an attempt got no reply from the database.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum AttemptError {
-    /// No connection became free in time; not run.
-    PoolExhausted,
+    /// No connection became free in time; not run. A retry may succeed after the given time.
+    PoolExhausted(Option<Duration>),
     /// No connection could be opened, or it broke before the call was sent; not run.
     Unreachable,
     /// The view or the lease no longer allows the call; not run.
@@ -121,13 +125,17 @@
         context: AttemptContext<'_>,
     ) -> Result<DatabaseLink<D::Connection>, AttemptError> {
         let now = Instant::now();
+        let rule = self.pool.queue_rule();
         let link = self.link(ConnectionRequest {
             view: &context.route.held.view,
             upstream: &context.route.upstream,
             organisation: context.organisation,
             values: context.values,
-            wait_until: context.times.queue_until(now),
+            wait_until: context.times.queue_until(now, rule),
             connect_until: context.times.connect_until(now),
+            urgency: context.times.urgency(),
+            rule,
+            target: context.times.target(),
         });
         link.await
             .map_err(|error| self.record_link_error(context.route, now, &error))
@@ -176,6 +184,9 @@
             values: &values,
             wait_until: now,
             connect_until: now + PROBE_TIMEOUT,
+            urgency: Urgency::HIGHEST,
+            rule: QueueRule::Turns,
+            target: now + PROBE_TIMEOUT,
         });
         match probe.await {
             Ok(()) => self.health.record_reply(&upstream),
@@ -424,9 +435,9 @@
 
     fn record_acquire_error(&self, route: &Route, error: &AcquireError) -> AttemptError {
         match error {
-            AcquireError::PoolExhausted => {
+            AcquireError::PoolExhausted(retry_after) => {
                 self.health.record_exhausted(&route.upstream);
-                return AttemptError::PoolExhausted;
+                return AttemptError::PoolExhausted(*retry_after);
             }
             AcquireError::UnknownUpstream => {}
             // The database responds; the pool itself handles the connection limit.
--- a/crates/daisyseam-engine/src/counters.rs
+++ b/crates/daisyseam-engine/src/counters.rs
@@ -39,5 +39,9 @@
 /// Requests rejected because they would not get a connection from the pool in time.
 pub(crate) const CONNECTION_REJECTED: &str = "connection_rejected";
 
+/// Requests that waited and were refused in favour of more urgent ones or of organisations that use
+/// less.
+pub(crate) const CONNECTION_SHED: &str = "connection_shed";
+
 /// Statements refused by a database because it is overloaded.
 pub(crate) const DATABASE_BUSY: &str = "database_busy";
--- a/crates/daisyseam-engine/src/lib.rs
+++ b/crates/daisyseam-engine/src/lib.rs
@@ -23,6 +23,7 @@
 mod samples;
 mod session;
 mod times;
+mod urgency;
 mod values;
 mod writers;
 
--- a/crates/daisyseam-engine/src/pool.rs
+++ b/crates/daisyseam-engine/src/pool.rs
@@ -4,6 +4,7 @@
 mod run_limit;
 mod shares;
 mod upstream;
+mod usage;
 mod wait_queue;
 
 pub(crate) use self::connection::{
@@ -31,6 +32,10 @@
     RefusalKind,
     counters,
     route::current_primary,
+    urgency::{
+        QueueRule,
+        Urgency, //
+    },
     values::SessionValues, //
 };
 use daisyseam_model::{
@@ -70,6 +75,7 @@
     upstreams: Mutex<HashMap<UpstreamId, Arc<UpstreamPool<D::Connection>>>>,
     shares: Mutex<ConnectionShares>,
     claim_count: AtomicU64,
+    queue_rule: Mutex<QueueRule>,
 }
 
 /// Describes the connection to acquire.
@@ -87,6 +93,12 @@
     pub(crate) wait_until: Instant,
     /// Deadline for opening a new connection.
     pub(crate) connect_until: Instant,
+    /// Urgency.
+    pub(crate) urgency: Urgency,
+    /// Rule by which it waits.
+    pub(crate) rule: QueueRule,
+    /// When the answer is due according to the target latency.
+    pub(crate) target: Instant,
 }
 
 /// Why no connection could be acquired.
@@ -94,8 +106,8 @@
 pub(crate) enum AcquireError {
     /// The database is not in the view.
     UnknownUpstream,
-    /// No connection became free in time.
-    PoolExhausted,
+    /// No connection became free in time; a retry may succeed after the given time.
+    PoolExhausted(Option<Duration>),
     /// A new connection could not be opened.
     Connect(ConnectError),
 }
@@ -116,6 +128,7 @@
             upstreams: Mutex::default(),
             shares: Mutex::new(ConnectionShares::new(own)),
             claim_count: AtomicU64::new(0),
+            queue_rule: Mutex::default(),
         }
     }
 
@@ -166,31 +179,42 @@
         let claim_number = self.claim_count.fetch_add(1, Ordering::Relaxed) + 1;
         let mut waited = false;
         loop {
-            let (granted, limit_expiry) = match pool.claim(ClaimRequest {
+            let (granted, wait_until, limit_expiry) = match pool.claim(ClaimRequest {
                 organisation: request.organisation,
                 values: request.values,
                 number: claim_number,
                 deadline: request.wait_until,
+                target: request.target,
+                urgency: request.urgency,
+                rule: request.rule,
             }) {
                 Claim::Granted(grant) => return Ok(grant),
-                Claim::Wait(granted, limit_expiry) => (granted, limit_expiry),
-                Claim::Rejected => {
+                Claim::Wait {
+                    granted,
+                    until,
+                    limit_expiry,
+                } => (granted, until, limit_expiry),
+                Claim::Rejected(refusal) => {
                     self.metrics.count(counters::CONNECTION_REJECTED);
-                    return Err(AcquireError::PoolExhausted);
+                    return Err(AcquireError::PoolExhausted(refusal.retry_after));
                 }
             };
             if !waited {
                 waited = true;
                 self.metrics.count(counters::CONNECTION_WAITED);
             }
-            let wake_at =
-                limit_expiry.map_or(request.wait_until, |expiry| expiry.min(request.wait_until));
+            let wake_at = limit_expiry.map_or(wait_until, |expiry| expiry.min(wait_until));
             match self.timer.within(wake_at, granted).await {
-                Some(granted) => return granted.map_err(|_| AcquireError::UnknownUpstream),
-                None if wake_at < request.wait_until => {}
+                Some(Ok(Ok(grant))) => return Ok(grant),
+                Some(Ok(Err(refusal))) => {
+                    self.metrics.count(counters::CONNECTION_SHED);
+                    return Err(AcquireError::PoolExhausted(refusal.retry_after));
+                }
+                Some(Err(_)) => return Err(AcquireError::UnknownUpstream),
+                None if wake_at < wait_until => {}
                 None => {
                     self.metrics.count(counters::CONNECTION_NONE_FREE);
-                    return Err(AcquireError::PoolExhausted);
+                    return Err(AcquireError::PoolExhausted(None));
                 }
             }
         }
@@ -239,6 +263,11 @@
         pool.map_or_else(UpstreamLoad::default, |pool| pool.load())
     }
 
+    /// Returns the rule by which requests wait, which depends on the document.
+    pub(crate) fn queue_rule(&self) -> QueueRule {
+        *self.queue_rule.lock()
+    }
+
     /// Closes the idle connections to a database.
     pub(crate) fn close_idle(&self, upstream: &UpstreamId) {
         let pool = self.upstreams.lock().get(upstream).cloned();
@@ -250,6 +279,8 @@
     /// Applies a view: closes idle connections to databases that accept no new work, and
     /// recomputes this instance's connection budgets.
     pub(crate) fn apply(&self, view: &FleetView) {
+        let document = view.document.as_deref();
+        *self.queue_rule.lock() = document.map_or(QueueRule::Turns, QueueRule::of);
         self.shares.lock().apply(view, Instant::now());
         self.update(view);
     }
--- a/crates/daisyseam-engine/src/pool/upstream.rs
+++ b/crates/daisyseam-engine/src/pool/upstream.rs
@@ -7,10 +7,19 @@
     },
     run_limit::RunLimit,
     shares::ConnectionBudget,
-    wait_queue::WaitQueue, //
+    usage::RecentUsage,
+    wait_queue::{
+        ShedItem,
+        WaitEntry,
+        WaitQueue, //
+    }, //
 };
 use crate::{
     DatabaseConnection,
+    urgency::{
+        QueueRule,
+        Urgency, //
+    },
     values::SessionValues, //
 };
 use daisyseam_model::{
@@ -29,6 +38,14 @@
     time::Instant, //
 };
 
+/// Divisor of the time left to the target that gives the time after which a waiting request is not
+/// refused in favour of others.
+const KEEP_DIVISOR: u32 = 4;
+
+/// Shortest time after which a refused request should be repeated: shorter times add load without
+/// a change in the queue.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(20);
+
 /// The connections to one database process, within this instance's budget.
 pub(super) struct UpstreamPool<C: DatabaseConnection> {
     address: SocketAddr,
@@ -64,7 +81,8 @@
     idle: Vec<IdleConnection<C>>,
     /// Statements of open transactions that wait until they may run.
     resuming: VecDeque<oneshot::Sender<RunToken<C>>>,
-    waiting: WaitQueue<oneshot::Sender<Grant<C>>>,
+    waiting: WaitQueue<oneshot::Sender<GrantResult<C>>>,
+    usage: RecentUsage,
     /// Sequence number of the last claim.
     last_claim: u64,
 }
@@ -82,15 +100,30 @@
     Permit(ConnectionPermit<C>),
 }
 
+/// What a claim that waited gets: a grant, or the refusal in favour of other requests.
+pub(super) type GrantResult<C> = Result<Grant<C>, ClaimRefusal>;
+
+/// The refusal of a claim because the queue is too long.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(super) struct ClaimRefusal {
+    /// Time after which a retry is expected to succeed, if known.
+    pub(super) retry_after: Option<Duration>,
+}
+
 /// The result of a claim.
 pub(super) enum Claim<C: DatabaseConnection> {
     /// Granted immediately.
     Granted(Grant<C>),
-    /// Granted later, when another session releases a connection. If an instant is given, the claim
-    /// may be repeated then.
-    Wait(oneshot::Receiver<Grant<C>>, Option<Instant>),
+    /// Granted later, when another session releases a connection.
+    Wait {
+        granted: oneshot::Receiver<GrantResult<C>>,
+        /// End of the wait.
+        until: Instant,
+        /// When the claim may be repeated, if there is a temporary limit.
+        limit_expiry: Option<Instant>,
+    },
     /// Not granted: others would take all of the time until the deadline.
-    Rejected,
+    Rejected(ClaimRefusal),
 }
 
 /// What a connection is claimed for.
@@ -100,7 +133,34 @@
     /// A connection that already has these values set is preferred.
     pub(super) values: &'a SessionValues,
     pub(super) number: u64,
+    /// Latest end of the wait.
     pub(super) deadline: Instant,
+    /// When the answer is due.
+    pub(super) target: Instant,
+    pub(super) urgency: Urgency,
+    pub(super) rule: QueueRule,
+}
+
+impl<'a> ClaimRequest<'a> {
+    /// Returns what the request waits with if a statement takes `service_time`.
+    fn wait_entry(&self, now: Instant, service_time: Duration) -> WaitEntry<'a> {
+        let left = self.target.saturating_duration_since(now);
+        let (start_by, keep_from) = match self.rule {
+            QueueRule::Urgency if !left.is_zero() => {
+                let start_by = now + left.saturating_sub(service_time);
+                (start_by.min(self.deadline), now + left / KEEP_DIVISOR)
+            }
+            QueueRule::Turns | QueueRule::Urgency => (self.deadline, self.deadline),
+        };
+        WaitEntry {
+            organisation: self.organisation,
+            urgency: self.urgency,
+            rule: self.rule,
+            number: self.number,
+            start_by,
+            keep_from,
+        }
+    }
 }
 
 /// Permission for one connection within the budget; released on drop.
@@ -142,6 +202,7 @@
                 idle: Vec::new(),
                 resuming: VecDeque::new(),
                 waiting: WaitQueue::default(),
+                usage: RecentUsage::default(),
                 last_claim: 0,
             }),
         }
@@ -210,12 +271,40 @@
         }
         // Requests that gave up do not count.
         state.waiting.retain(|waiter| !waiter.is_closed());
-        if Instant::now() + state.expected_wait() > request.deadline {
-            return Claim::Rejected;
+        let now = Instant::now();
+        let by_urgency = request.rule == QueueRule::Urgency && state.budget.is_held;
+        if !by_urgency && now + state.expected_wait() > request.deadline {
+            return Claim::Rejected(ClaimRefusal::default());
         }
         let (granted, receiver) = oneshot::channel();
-        state.waiting.push(request.organisation, granted);
-        Claim::Wait(receiver, state.limit_expiry())
+        let entry = request.wait_entry(now, state.run_limit.service_time());
+        state.waiting.push(entry, granted);
+        let limit_expiry = state.limit_expiry();
+        let wait = Claim::Wait {
+            granted: receiver,
+            until: entry.start_by,
+            limit_expiry,
+        };
+        if !by_urgency {
+            return wait;
+        }
+        let shed = state.shed();
+        drop(state);
+        let mut own_refusal = None;
+        for item in shed {
+            let refusal = ClaimRefusal {
+                retry_after: Some(item.excess.max(MIN_RETRY_AFTER)),
+            };
+            match item.number == request.number {
+                true => own_refusal = Some(refusal),
+                // The waiter may have gone.
+                false => drop(item.item.send(Err(refusal))),
+            }
+        }
+        match own_refusal {
+            Some(refusal) => Claim::Rejected(refusal),
+            None => wait,
+        }
     }
 
     /// Waits until a statement of an open transaction may run; `None` if the pool is retired.
@@ -291,7 +380,7 @@
                 Next::Resume(waiter) => drop(waiter.send(RunToken::of(self))),
                 Next::Claim(waiter, organisation, source) => {
                     let grant = self.grant(organisation.as_ref(), source);
-                    drop(waiter.send(grant));
+                    drop(waiter.send(Ok(grant)));
                 }
             }
         }
@@ -351,7 +440,7 @@
 enum Next<C: DatabaseConnection> {
     Resume(oneshot::Sender<RunToken<C>>),
     Claim(
-        oneshot::Sender<Grant<C>>,
+        oneshot::Sender<GrantResult<C>>,
         Option<OrganisationId>,
         ConnectionSource<C>,
     ),
@@ -387,6 +476,7 @@
         };
         self.checked_out += 1;
         self.running += 1;
+        self.usage.record(organisation, Instant::now());
         Some(source)
     }
 
@@ -425,6 +515,22 @@
         }
     }
 
+    /// Removes the requests to refuse, so that the others are expected to be served in time.
+    fn shed(&mut self) -> Vec<ShedItem<oneshot::Sender<GrantResult<C>>>> {
+        let now = Instant::now();
+        let resuming = self.resuming.len();
+        let parallel = self.max_open().min(self.max_running());
+        let Self {
+            run_limit,
+            usage,
+            waiting,
+            ..
+        } = self;
+        let start_at = |ahead| now + run_limit.expected_start(ahead + resuming, parallel);
+        let used = |organisation: Option<&OrganisationId>| usage.of(&organisation.cloned(), now);
+        waiting.shed(now, start_at, used)
+    }
+
     /// Returns the current limit on connections.
     fn max_open(&self) -> usize {
         let limit = self.active_limit();
--- a/crates/daisyseam-engine/src/relay/client.rs
+++ b/crates/daisyseam-engine/src/relay/client.rs
@@ -121,9 +121,7 @@
         peer: &Arc<RelayPeer>,
         request: ConnectionRequest<'_>,
     ) -> Option<RelayedLink> {
-        let link = peer
-            .link(&self.timer, request.upstream, request.connect_until)
-            .await;
+        let link = peer.link(&self.timer, request).await;
         if link.is_some() {
             self.metrics.count(counters::LINK_RELAYED);
         }
--- a/crates/daisyseam-engine/src/relay/convert.rs
+++ b/crates/daisyseam-engine/src/relay/convert.rs
@@ -34,6 +34,7 @@
     RelayValue,
     RelayVerb, //
 };
+use std::time::Duration;
 
 /// Numbers of the kinds of refusal in messages; new kinds are added at the end.
 const REFUSALS: [RefusalKind; 11] = [
@@ -202,11 +203,15 @@
 
 pub(super) fn encode_failure(error: &LinkError) -> RelayFailure {
     let mut refusal = RefusalKind::Unknown;
+    let mut retry_after = None;
     let kind = match error {
         LinkError::Acquire(AcquireError::UnknownUpstream) | LinkError::NotHolder => {
             RelayFailureKind::NotHolder
         }
-        LinkError::Acquire(AcquireError::PoolExhausted) => RelayFailureKind::Exhausted,
+        LinkError::Acquire(AcquireError::PoolExhausted(delay)) => {
+            retry_after = *delay;
+            RelayFailureKind::Exhausted
+        }
         LinkError::Acquire(AcquireError::Connect(ConnectError::Refused(kind))) => {
             refusal = *kind;
             RelayFailureKind::ConnectionRefused
@@ -221,6 +226,7 @@
     RelayFailure {
         kind: kind.into(),
         refusal: number_of(&REFUSALS, refusal),
+        retry_after_ms: retry_after.map_or(0, millis),
     }
 }
 
@@ -229,7 +235,11 @@
     match RelayFailureKind::try_from(failure.kind) {
         Ok(RelayFailureKind::Malformed | RelayFailureKind::NotSent) => LinkError::NotSent,
         Ok(RelayFailureKind::NotHolder) => LinkError::NotHolder,
-        Ok(RelayFailureKind::Exhausted) => LinkError::Acquire(AcquireError::PoolExhausted),
+        Ok(RelayFailureKind::Exhausted) => {
+            let delay = Duration::from_millis(failure.retry_after_ms.into());
+            let delay = (!delay.is_zero()).then_some(delay);
+            LinkError::Acquire(AcquireError::PoolExhausted(delay))
+        }
         Ok(RelayFailureKind::Unreachable) => {
             LinkError::Acquire(AcquireError::Connect(unreachable()))
         }
@@ -244,6 +254,10 @@
     }
 }
 
+fn millis(duration: Duration) -> u32 {
+    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
+}
+
 fn number_of<T: PartialEq>(all: &[T], value: T) -> u32 {
     let index = all.iter().position(|known| *known == value);
     index
--- a/crates/daisyseam-engine/src/relay/peer.rs
+++ b/crates/daisyseam-engine/src/relay/peer.rs
@@ -29,7 +29,8 @@
     pool::{
         AcquireError,
         ConnectionRequest, //
-    }, //
+    },
+    urgency::QueueRule, //
 };
 use bytes::Bytes;
 use daisyseam_model::{
@@ -154,7 +155,7 @@
             LinkError::TimedOut if took >= NO_REPLY_FAILURE_AFTER => {
                 self.databases.record_failure(upstream);
             }
-            LinkError::Acquire(AcquireError::PoolExhausted | AcquireError::Connect(_))
+            LinkError::Acquire(AcquireError::PoolExhausted(_) | AcquireError::Connect(_))
             | LinkError::NotSent
             | LinkError::Fenced
             | LinkError::TimedOut
@@ -243,14 +244,14 @@
     pub(super) async fn link(
         self: &Arc<Self>,
         timer: &TimerService,
-        upstream: &UpstreamId,
-        until: Instant,
+        request: ConnectionRequest<'_>,
     ) -> Option<RelayedLink> {
-        let stream = self.stream(timer, until).await?;
+        let stream = self.stream(timer, request.connect_until).await?;
         Some(RelayedLink {
             peer: Arc::clone(self),
             stream: Some(stream),
-            upstream: upstream.clone(),
+            upstream: request.upstream.clone(),
+            rule: request.rule,
             state: LinkState::New,
             last_number: 0,
         })
@@ -328,6 +329,8 @@
     /// `None` once the connection is broken or an answer is still owed on it.
     stream: Option<RelayStream>,
     upstream: UpstreamId,
+    /// Rule by which its first call waits.
+    rule: QueueRule,
     state: LinkState,
     last_number: u64,
 }
@@ -355,7 +358,9 @@
         let now = Instant::now();
         let route = context.route;
         message.term = route.term.map_or(0, |term| term.0);
-        message.wait_ms = millis(context.times.queue_until(now) - now);
+        message.wait_ms = millis(context.times.queue_until(now, self.rule) - now);
+        message.priority = context.times.urgency().to_wire();
+        message.target_ms = millis(context.times.target().saturating_duration_since(now));
         message.connect_ms = millis(context.times.connect_until(now) - now);
         if call.verb.needs_values() {
             message.values = encode_values(context.values);
--- a/crates/daisyseam-engine/src/relay/server.rs
+++ b/crates/daisyseam-engine/src/relay/server.rs
@@ -30,6 +30,7 @@
         PooledConnection, //
     },
     route::Route,
+    urgency::Urgency,
 };
 use bytes::Bytes;
 use daisyseam_member::RateGate;
@@ -258,6 +259,9 @@
             values: &values,
             wait_until: now + requested(call.wait_ms),
             connect_until: now + requested(call.connect_ms),
+            urgency: Urgency::from_wire(call.priority),
+            rule: engine.pool.queue_rule(),
+            target: now + requested(call.target_ms),
         });
         let connection = match acquired.await {
             Ok(connection) => connection,
--- a/crates/daisyseam-engine/src/session/answer.rs
+++ b/crates/daisyseam-engine/src/session/answer.rs
@@ -117,7 +117,7 @@
             Self::Refused(RefusalKind::Busy | RefusalKind::TooManyConnections, _) => {
                 Some(OverloadKind::Refused)
             }
-            Self::NoReply(AttemptError::PoolExhausted) => Some(OverloadKind::Queue),
+            Self::NoReply(AttemptError::PoolExhausted(_)) => Some(OverloadKind::Queue),
             Self::Done(..) | Self::Refused(..) | Self::NoReply(_) => None,
         }
     }
@@ -134,10 +134,10 @@
             Self::Refused(RefusalKind::Malformed, error) => Err(error),
             Self::Refused(_, error) => Ok(error),
             Self::NoReply(cause) => {
-                let error = attempt_error_kind(cause, StatementKind::Read).into();
+                let error = attempt_error(cause, StatementKind::Read);
                 match cause {
                     AttemptError::TimedOut => Err(error),
-                    AttemptError::PoolExhausted
+                    AttemptError::PoolExhausted(_)
                     | AttemptError::Unreachable
                     | AttemptError::Fenced
                     | AttemptError::Lost => Ok(error),
@@ -158,12 +158,12 @@
             Self::Refused(refusal, error) if is_retryable_write(refusal) => Ok(error),
             Self::Refused(_, error) => Err(error),
             Self::NoReply(cause) => {
-                let error = attempt_error_kind(cause, StatementKind::Write).into();
+                let error = attempt_error(cause, StatementKind::Write);
                 match cause {
                     AttemptError::Unreachable | AttemptError::Fenced => Ok(error),
-                    AttemptError::PoolExhausted | AttemptError::Lost | AttemptError::TimedOut => {
-                        Err(error)
-                    }
+                    AttemptError::PoolExhausted(_)
+                    | AttemptError::Lost
+                    | AttemptError::TimedOut => Err(error),
                 }
             }
         }
@@ -207,10 +207,23 @@
     }
 }
 
+/// Returns the error for a statement outside a transaction that got no reply.
+fn attempt_error(cause: AttemptError, kind: StatementKind) -> RequestError {
+    let error = RequestError::from(attempt_error_kind(cause, kind));
+    match cause {
+        AttemptError::PoolExhausted(Some(delay)) => error.with_retry_after(delay),
+        AttemptError::PoolExhausted(None)
+        | AttemptError::Unreachable
+        | AttemptError::Fenced
+        | AttemptError::Lost
+        | AttemptError::TimedOut => error,
+    }
+}
+
 /// Returns the error kind for a statement outside a transaction that got no reply.
 pub(super) fn attempt_error_kind(cause: AttemptError, kind: StatementKind) -> ErrorKind {
     match (cause, kind) {
-        (AttemptError::PoolExhausted, _) => ErrorKind::QueueFull,
+        (AttemptError::PoolExhausted(_), _) => ErrorKind::QueueFull,
         (AttemptError::Unreachable, _) => ErrorKind::UpstreamUnreachable,
         (AttemptError::Fenced, _) => ErrorKind::NoPrimary,
         (AttemptError::Lost, StatementKind::Read) => ErrorKind::UpstreamUnreachable,
--- a/crates/daisyseam-engine/src/session/transaction.rs
+++ b/crates/daisyseam-engine/src/session/transaction.rs
@@ -532,7 +532,7 @@
         TryOutcome::Refused(refusal, _) => is_certainly_not_committed(*refusal),
         TryOutcome::NoReply(AttemptError::Lost | AttemptError::TimedOut) => false,
         TryOutcome::NoReply(
-            AttemptError::PoolExhausted | AttemptError::Unreachable | AttemptError::Fenced,
+            AttemptError::PoolExhausted(_) | AttemptError::Unreachable | AttemptError::Fenced,
         ) => true,
     };
     match certain || !wrote {
--- a/crates/daisyseam-engine/src/times.rs
+++ b/crates/daisyseam-engine/src/times.rs
@@ -1,6 +1,12 @@
 //! Time limits of an operation.
 
-use crate::identity::CallerRights;
+use crate::{
+    identity::CallerRights,
+    urgency::{
+        QueueRule,
+        Urgency, //
+    }, //
+};
 use daisyseam_member::AdmissionDeadlines;
 use daisyseam_model::document::RequestLimits;
 use std::time::Duration;
@@ -34,6 +40,7 @@
     received_at: Instant,
     timeout: Duration,
     target_latency: Duration,
+    urgency: Urgency,
 }
 
 impl OperationTimes {
@@ -53,6 +60,7 @@
                 .service
                 .target_latency
                 .unwrap_or(DEFAULT_TARGET_LATENCY),
+            urgency: Urgency::of_priority(rights.service.priority),
         }
     }
 
@@ -77,9 +85,25 @@
         }
     }
 
+    /// Returns the urgency of the request.
+    pub(crate) fn urgency(&self) -> Urgency {
+        self.urgency
+    }
+
+    /// Returns when the answer is due according to the target latency.
+    pub(crate) fn target(&self) -> Instant {
+        self.received_at + self.target_latency.min(self.timeout)
+    }
+
     /// Returns the deadline of a wait for a connection that starts at `now`.
-    pub(crate) fn queue_until(&self, now: Instant) -> Instant {
-        (now + self.target_latency / QUEUE_WAIT_DIVISOR).min(self.deadline())
+    pub(crate) fn queue_until(&self, now: Instant, rule: QueueRule) -> Instant {
+        let fixed = (now + self.target_latency / QUEUE_WAIT_DIVISOR).min(self.deadline());
+        match rule {
+            QueueRule::Turns => fixed,
+            // If the target has passed already, the answer is late, but still wanted.
+            QueueRule::Urgency if self.target() <= now => fixed,
+            QueueRule::Urgency => self.target(),
+        }
     }
 
     /// Returns the deadline for opening a connection that starts at `now`.
--- a/crates/daisyseam-wire/src/relay.rs
+++ b/crates/daisyseam-wire/src/relay.rs
@@ -92,6 +92,14 @@
     /// Arguments of the `ExecutePrepared` verbs.
     #[prost(bytes = "bytes", tag = "14")]
     pub arguments: bytes::Bytes,
+    /// Priority of the service, plus 1; 0 from an instance that does not send it, which counts as
+    /// the most urgent. Counts only if no link is open.
+    #[prost(uint32, tag = "15")]
+    pub priority: u32,
+    /// Time until the target latency of the request, in milliseconds. Counts only if no link is
+    /// open.
+    #[prost(uint32, tag = "16")]
+    pub target_ms: u32,
 }
 
 /// A session value.
@@ -183,6 +191,10 @@
     /// Kind of refusal with `ConnectionRefused`, as numbered by the engine.
     #[prost(uint32, tag = "2")]
     pub refusal: u32,
+    /// Time after which a retry is expected to succeed, with `Exhausted`, in milliseconds; 0 if
+    /// unknown.
+    #[prost(uint32, tag = "3")]
+    pub retry_after_ms: u32,
 }
 
 /// Reasons of a [`RelayFailure`].
