Refuse requests of the busiest organisation first at a contended database

Cause: a model of one primary (5 slots, 45/40 of the load it carries, one organisation at 6.5 times its usual rate) shows that the order by urgency alone moves the loss from the most urgent requests to the least urgent ones of the organisations that share the primary.

The estimate takes into account that more urgent requests arrive while a less urgent one waits, by what was served in the last second or so.

--- a/crates/daisyseam-engine/src/pool.rs
+++ b/crates/daisyseam-engine/src/pool.rs
@@ -1,6 +1,7 @@
 //! Pool of database connections, shared by the sessions of this instance.
 
 mod connection;
+mod estimate;
 mod run_limit;
 mod shares;
 mod upstream;
--- a/crates/daisyseam-engine/src/pool/run_limit.rs
+++ b/crates/daisyseam-engine/src/pool/run_limit.rs
@@ -74,14 +74,11 @@
         }
     }
 
-    /// Returns when a request is expected to begin, from now on, if `ahead` others are served
-    /// before it and `parallel` run at the same time: the requests before it and one of those that
-    /// run must end.
-    pub(super) fn expected_start(&self, ahead: usize, parallel: usize) -> Duration {
-        let rounds = u32::try_from(ahead.saturating_add(1)).unwrap_or(u32::MAX);
+    /// Returns the mean time between the ends of two statements if `parallel` run at the same time;
+    /// zero if unknown.
+    pub(super) fn interval(&self, parallel: usize) -> Duration {
         let parallel = u32::try_from(parallel.max(1)).unwrap_or(u32::MAX);
-        let service_time = self.service_time.unwrap_or_default();
-        service_time.saturating_mul(rounds) / parallel
+        self.service_time() / parallel
     }
 
     /// Returns the average service time, zero if unknown.
--- a/crates/daisyseam-engine/src/pool/upstream.rs
+++ b/crates/daisyseam-engine/src/pool/upstream.rs
@@ -1,10 +1,14 @@
 //! The connections to one database.
 
+#[cfg(test)]
+mod tests;
+
 use super::{
     connection::{
         PooledConnection,
         TrackedConnection, //
     },
+    estimate::QueueEstimate,
     run_limit::RunLimit,
     shares::ConnectionBudget,
     usage::RecentUsage,
@@ -81,12 +85,18 @@
     idle: Vec<IdleConnection<C>>,
     /// Statements of open transactions that wait until they may run.
     resuming: VecDeque<oneshot::Sender<RunToken<C>>>,
-    waiting: WaitQueue<oneshot::Sender<GrantResult<C>>>,
+    waiting: WaitQueue<WaitingClaim<C>>,
+    /// What organisations have used recently.
     usage: RecentUsage,
     /// Sequence number of the last claim.
     last_claim: u64,
 }
 
+struct WaitingClaim<C: DatabaseConnection> {
+    granted: oneshot::Sender<GrantResult<C>>,
+    urgency: Urgency,
+}
+
 struct IdleConnection<C> {
     organisation: Option<OrganisationId>,
     tracked: TrackedConnection<C>,
@@ -266,11 +276,12 @@
         if state.running < state.max_running()
             && let Some(source) = state.take_source(request.organisation, Some(request.values))
         {
+            state.record_served(request.organisation, request.urgency);
             drop(state);
             return Claim::Granted(self.grant(request.organisation, source));
         }
         // Requests that gave up do not count.
-        state.waiting.retain(|waiter| !waiter.is_closed());
+        state.waiting.retain(|waiter| !waiter.granted.is_closed());
         let now = Instant::now();
         let by_urgency = request.rule == QueueRule::Urgency && state.budget.is_held;
         if !by_urgency && now + state.expected_wait() > request.deadline {
@@ -278,7 +289,11 @@
         }
         let (granted, receiver) = oneshot::channel();
         let entry = request.wait_entry(now, state.run_limit.service_time());
-        state.waiting.push(entry, granted);
+        let waiter = WaitingClaim {
+            granted,
+            urgency: request.urgency,
+        };
+        state.waiting.push(entry, waiter);
         let limit_expiry = state.limit_expiry();
         let wait = Claim::Wait {
             granted: receiver,
@@ -298,7 +313,7 @@
             match item.number == request.number {
                 true => own_refusal = Some(refusal),
                 // The waiter may have gone.
-                false => drop(item.item.send(Err(refusal))),
+                false => drop(item.item.granted.send(Err(refusal))),
             }
         }
         match own_refusal {
@@ -396,7 +411,7 @@
             state.running += 1;
             return Some(Next::Resume(waiter));
         }
-        state.waiting.retain(|waiter| !waiter.is_closed());
+        state.waiting.retain(|waiter| !waiter.granted.is_closed());
         let may_open = state.may_open();
         let PoolState { idle, waiting, .. } = &mut *state;
         let has_idle = |organisation: Option<&OrganisationId>| {
@@ -405,7 +420,8 @@
         };
         let (organisation, waiter) = waiting.pop(has_idle, may_open)?;
         let source = state.take_source(organisation.as_ref(), None)?;
-        Some(Next::Claim(waiter, organisation, source))
+        state.record_served(organisation.as_ref(), waiter.urgency);
+        Some(Next::Claim(waiter.granted, organisation, source))
     }
 
     /// Creates the grant for a connection or permission that has been counted.
@@ -476,10 +492,14 @@
         };
         self.checked_out += 1;
         self.running += 1;
-        self.usage.record(organisation, Instant::now());
         Some(source)
     }
 
+    fn record_served(&mut self, organisation: Option<&OrganisationId>, urgency: Urgency) {
+        let now = Instant::now();
+        self.usage.record(organisation, urgency, now);
+    }
+
     fn take_idle(
         &mut self,
         organisation: Option<&OrganisationId>,
@@ -516,19 +536,20 @@
     }
 
     /// Removes the requests to refuse, so that the others are expected to be served in time.
-    fn shed(&mut self) -> Vec<ShedItem<oneshot::Sender<GrantResult<C>>>> {
+    fn shed(&mut self) -> Vec<ShedItem<WaitingClaim<C>>> {
         let now = Instant::now();
-        let resuming = self.resuming.len();
         let parallel = self.max_open().min(self.max_running());
-        let Self {
-            run_limit,
-            usage,
-            waiting,
-            ..
-        } = self;
-        let start_at = |ahead| now + run_limit.expected_start(ahead + resuming, parallel);
-        let used = |organisation: Option<&OrganisationId>| usage.of(&organisation.cloned(), now);
-        waiting.shed(now, start_at, used)
+        let interval = self.run_limit.interval(parallel);
+        let waiting: Vec<_> = self
+            .waiting
+            .waiting()
+            .map(|(organisation, count)| (organisation.cloned(), count))
+            .collect();
+        let waiting = waiting.iter().map(|(name, count)| (name.as_ref(), *count));
+        let parts = self.usage.parts(now);
+        // Statements of open transactions are served first.
+        let estimate = QueueEstimate::new(now, interval, parts, waiting).after(self.resuming.len());
+        self.waiting.shed(&estimate)
     }
 
     /// Returns the current limit on connections.
--- a/crates/daisyseam-engine/src/pool/wait_queue.rs
+++ b/crates/daisyseam-engine/src/pool/wait_queue.rs
@@ -101,6 +101,13 @@
         self.len
     }
 
+    /// Returns the number of waiting requests of each organisation; an organisation may occur
+    /// several times.
+    pub(super) fn waiting(&self) -> impl Iterator<Item = (Option<&OrganisationId>, usize)> {
+        let flows = self.classes.values().flat_map(|class| &class.flows);
+        flows.map(|flow| (flow.organisation.as_ref(), flow.items.len()))
+    }
+
     /// Adds a request.
     pub(super) fn push(&mut self, entry: WaitEntry<'_>, item: T) {
         self.len += 1;
--- a/crates/daisyseam-engine/src/pool/wait_queue/order.rs
+++ b/crates/daisyseam-engine/src/pool/wait_queue/order.rs
@@ -6,7 +6,10 @@
     UrgencyClass,
     WaitQueue, //
 };
-use crate::urgency::Urgency;
+use crate::{
+    pool::estimate::QueueEstimate,
+    urgency::Urgency, //
+};
 use daisyseam_model::OrganisationId;
 use std::{
     collections::VecDeque,
@@ -37,31 +40,31 @@
     /// Removes and returns the requests to refuse, so that the others are expected to be served in
     /// time.
     ///
-    /// `start_at` returns when a request is expected to be served if so many others are served
-    /// before it, and `usage` how much an organisation has used. A request that is late is helped
-    /// by refusing one that is served before it and is not more urgent: the least urgent request
-    /// of the organisation that uses most. Requests that have waited for long are kept, since a
-    /// refusal after a long wait is worse for a caller than an immediate one.
-    pub(in crate::pool) fn shed(
-        &mut self,
-        now: Instant,
-        start_at: impl Fn(usize) -> Instant,
-        usage: impl Fn(Option<&OrganisationId>) -> f64,
-    ) -> Vec<ShedItem<T>> {
+    /// A request that is late is helped by refusing one that is served before it: the least urgent
+    /// request of the organisation that uses most. One that is more urgent than the late request
+    /// is refused only if its organisation uses too much and that of the late one does not, and
+    /// only if refusing all less urgent ones of such organisations does not suffice. The late one
+    /// itself waits as long as it is in time without the requests of such organisations.
+    /// Requests that have waited for long are kept, since a refusal after a long wait is worse for
+    /// a caller than an immediate one.
+    pub(in crate::pool) fn shed(&mut self, estimate: &QueueEstimate<'_>) -> Vec<ShedItem<T>> {
         let mut shed = Vec::new();
         let mut order = self.service_order();
         let mut index = 0;
         while let Some(place) = order.get(index).copied() {
-            let Some((start_by, keep_from)) = self.times(place) else {
+            let Some((start_by, _)) = self.times(place) else {
                 break;
             };
-            let start_at = start_at(index);
-            if start_at <= start_by || keep_from <= now {
+            let start_at = estimate.start_at(place.urgency, index);
+            let victim = match start_at > start_by {
+                true => self.victim(&order[..=index], estimate),
+                false => None,
+            };
+            let Some(victim) = victim else {
                 index += 1;
                 continue;
-            }
-            let victim = self.victim(&order[..=index], now, &usage);
-            let Some(removed) = self.remove(victim.unwrap_or(place)) else {
+            };
+            let Some(removed) = self.remove(victim) else {
                 break;
             };
             shed.push(ShedItem {
@@ -112,21 +115,28 @@
     }
 
     /// Returns the request to refuse so that the last of `places` is served earlier.
-    fn victim(
-        &self,
-        places: &[ItemPlace],
-        now: Instant,
-        usage: impl Fn(Option<&OrganisationId>) -> f64,
-    ) -> Option<ItemPlace> {
+    fn victim(&self, places: &[ItemPlace], estimate: &QueueEstimate<'_>) -> Option<ItemPlace> {
         let late = places.last()?;
+        let ahead = places.len() - 1;
+        let (start_by, keep_from) = self.times(*late)?;
+        let organisation = self.organisation(*late);
+        // Others are not refused for one that has waited for long.
+        let is_late = estimate.earliest_start(organisation, late.urgency, ahead) > start_by
+            && keep_from > estimate.now();
+        let is_moderate = !estimate.is_excessive(organisation);
+        let is_late_at = |limit| estimate.start_at_limit(late.urgency, ahead, limit) > start_by;
         let is_candidate = |place: &&ItemPlace| {
-            let may_refuse = self.times(**place).is_some_and(|(_, keep)| keep > now);
-            place.urgency >= late.urgency && may_refuse
+            let times = self.times(**place);
+            let may_refuse = times.is_some_and(|(_, keep_from)| keep_from > estimate.now());
+            let is_more_urgent = place.urgency < late.urgency;
+            let is_excessive = || estimate.is_excessive(self.organisation(**place));
+            let yields = || is_moderate && is_excessive() && is_late_at(place.urgency);
+            may_refuse && (is_late && !is_more_urgent || yields())
         };
         let mut heaviest: Option<(f64, &ItemPlace)> = None;
         for place in places.iter().filter(is_candidate) {
             let organisation = self.organisation(*place);
-            let used = usage(organisation);
+            let used = estimate.used(organisation);
             let is_heavier = match heaviest {
                 None => true,
                 Some((most, other)) if self.organisation(*other) == organisation => {
--- a/crates/daisyseam-engine/src/urgency.rs
+++ b/crates/daisyseam-engine/src/urgency.rs
@@ -6,7 +6,7 @@
 use daisyseam_model::document::Document;
 
 /// Urgency of a request: the priority of its service, 0 being the most urgent.
-#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub(crate) struct Urgency(u32);
 
 /// Rule by which requests wait for a database.
