Count and log requests that wait for a database by urgency

Cause: an operator could not see which services a contended database served and refused. Counters by priority (0, 1, 2 and all others, so that their number is bounded) of requests served and refused, and one line each 5 s for a contended database, are kept where requests wait by urgency.

--- a/crates/daisyseam-engine/src/counters.rs
+++ b/crates/daisyseam-engine/src/counters.rs
@@ -43,5 +43,22 @@
 /// less.
 pub(crate) const CONNECTION_SHED: &str = "connection_shed";
 
+/// Requests that got a connection, by the priority of their service; the last stands for all less
+/// urgent ones. Counted where requests wait by urgency.
+pub(crate) const QUEUE_SERVED: [&str; 4] = [
+    "queue_served_0",
+    "queue_served_1",
+    "queue_served_2",
+    "queue_served_rest",
+];
+
+/// Requests that got no connection in time, by the priority of their service.
+pub(crate) const QUEUE_REFUSED: [&str; 4] = [
+    "queue_refused_0",
+    "queue_refused_1",
+    "queue_refused_2",
+    "queue_refused_rest",
+];
+
 /// Statements refused by a database because it is overloaded.
 pub(crate) const DATABASE_BUSY: &str = "database_busy";
--- a/crates/daisyseam-engine/src/pool.rs
+++ b/crates/daisyseam-engine/src/pool.rs
@@ -1,18 +1,26 @@
 //! Pool of database connections, shared by the sessions of this instance.
 
+mod claim;
 mod connection;
 mod estimate;
+mod refusal_log;
 mod run_limit;
 mod shares;
 mod upstream;
 mod usage;
 mod wait_queue;
 
+use self::claim::{
+    Claim,
+    ClaimRequest,
+    Grant, //
+};
 pub(crate) use self::connection::{
     CallError,
     ConnectionSetup,
     PooledConnection, //
 };
+use self::refusal_log::RefusalLog;
 pub(crate) use self::shares::HolderList;
 use self::shares::{
     ConnectionPlan,
@@ -20,10 +28,7 @@
 };
 pub(crate) use self::upstream::UpstreamLoad;
 use self::upstream::{
-    Claim,
-    ClaimRequest,
     ConnectionPermit,
-    Grant,
     UpstreamPool, //
 };
 use crate::{
@@ -77,6 +82,7 @@
     shares: Mutex<ConnectionShares>,
     claim_count: AtomicU64,
     queue_rule: Mutex<QueueRule>,
+    refusals: Mutex<RefusalLog>,
 }
 
 /// Describes the connection to acquire.
@@ -130,6 +136,7 @@
             shares: Mutex::new(ConnectionShares::new(own)),
             claim_count: AtomicU64::new(0),
             queue_rule: Mutex::default(),
+            refusals: Mutex::default(),
         }
     }
 
@@ -162,7 +169,11 @@
         let upstream_view = request.view.upstreams.get(request.upstream);
         let upstream_view = upstream_view.ok_or(AcquireError::UnknownUpstream)?;
         let pool = self.upstream(request.view, request.upstream, upstream_view);
-        match self.claim(&pool, request).await? {
+        let claimed = self.claim(&pool, request).await;
+        if request.rule == QueueRule::Urgency {
+            self.record_claim(request, claimed.as_ref().err());
+        }
+        match claimed? {
             Grant::Connection(connection) => {
                 self.metrics.count(counters::CONNECTION_REUSED);
                 Ok(connection.mark_in_use())
@@ -171,6 +182,28 @@
         }
     }
 
+    /// Counts the result of a claim, and logs refusals from time to time.
+    fn record_claim(&self, request: ConnectionRequest<'_>, error: Option<&AcquireError>) {
+        let urgency = request.urgency;
+        if error.is_none() {
+            self.metrics.count(urgency.counter(counters::QUEUE_SERVED));
+            return;
+        }
+        self.metrics.count(urgency.counter(counters::QUEUE_REFUSED));
+        let is_most_urgent = urgency == Urgency::HIGHEST;
+        let mut refusals = self.refusals.lock();
+        let due = refusals.record(request.upstream, is_most_urgent, Instant::now());
+        drop(refusals);
+        if let Some(sum) = due {
+            log::warn!(
+                "{} is contended: refused {} requests, {} of them of the most urgent services",
+                request.upstream,
+                sum.refused,
+                sum.most_urgent
+            );
+        }
+    }
+
     /// Waits for a connection or for the permission to open one.
     async fn claim(
         &self,
@@ -282,6 +315,8 @@
     pub(crate) fn apply(&self, view: &FleetView) {
         let document = view.document.as_deref();
         *self.queue_rule.lock() = document.map_or(QueueRule::Turns, QueueRule::of);
+        let is_known = |upstream: &UpstreamId| view.upstreams.contains_key(upstream);
+        self.refusals.lock().retain(is_known);
         self.shares.lock().apply(view, Instant::now());
         self.update(view);
     }
--- a/crates/daisyseam-engine/src/pool/upstream.rs
+++ b/crates/daisyseam-engine/src/pool/upstream.rs
@@ -4,6 +4,13 @@
 mod tests;
 
 use super::{
+    claim::{
+        Claim,
+        ClaimRefusal,
+        ClaimRequest,
+        Grant,
+        GrantResult, //
+    },
     connection::{
         PooledConnection,
         TrackedConnection, //
@@ -14,7 +21,6 @@
     usage::RecentUsage,
     wait_queue::{
         ShedItem,
-        WaitEntry,
         WaitQueue, //
     }, //
 };
@@ -42,10 +48,6 @@
     time::Instant, //
 };
 
-/// Divisor of the time left to the target that gives the time after which a waiting request is not
-/// refused in favour of others.
-const KEEP_DIVISOR: u32 = 4;
-
 /// Shortest time after which a refused request should be repeated: shorter times add load without
 /// a change in the queue.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(20);
@@ -102,77 +104,6 @@
     tracked: TrackedConnection<C>,
 }
 
-/// What a claim is granted.
-pub(super) enum Grant<C: DatabaseConnection> {
-    /// A connection.
-    Connection(PooledConnection<C>),
-    /// The permission to open one.
-    Permit(ConnectionPermit<C>),
-}
-
-/// What a claim that waited gets: a grant, or the refusal in favour of other requests.
-pub(super) type GrantResult<C> = Result<Grant<C>, ClaimRefusal>;
-
-/// The refusal of a claim because the queue is too long.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub(super) struct ClaimRefusal {
-    /// Time after which a retry is expected to succeed, if known.
-    pub(super) retry_after: Option<Duration>,
-}
-
-/// The result of a claim.
-pub(super) enum Claim<C: DatabaseConnection> {
-    /// Granted immediately.
-    Granted(Grant<C>),
-    /// Granted later, when another session releases a connection.
-    Wait {
-        granted: oneshot::Receiver<GrantResult<C>>,
-        /// End of the wait.
-        until: Instant,
-        /// When the claim may be repeated, if there is a temporary limit.
-        limit_expiry: Option<Instant>,
-    },
-    /// Not granted: others would take all of the time until the deadline.
-    Rejected(ClaimRefusal),
-}
-
-/// What a connection is claimed for.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct ClaimRequest<'a> {
-    pub(super) organisation: Option<&'a OrganisationId>,
-    /// A connection that already has these values set is preferred.
-    pub(super) values: &'a SessionValues,
-    pub(super) number: u64,
-    /// Latest end of the wait.
-    pub(super) deadline: Instant,
-    /// When the answer is due.
-    pub(super) target: Instant,
-    pub(super) urgency: Urgency,
-    pub(super) rule: QueueRule,
-}
-
-impl<'a> ClaimRequest<'a> {
-    /// Returns what the request waits with if a statement takes `service_time`.
-    fn wait_entry(&self, now: Instant, service_time: Duration) -> WaitEntry<'a> {
-        let left = self.target.saturating_duration_since(now);
-        let (start_by, keep_from) = match self.rule {
-            QueueRule::Urgency if !left.is_zero() => {
-                let start_by = now + left.saturating_sub(service_time);
-                (start_by.min(self.deadline), now + left / KEEP_DIVISOR)
-            }
-            QueueRule::Turns | QueueRule::Urgency => (self.deadline, self.deadline),
-        };
-        WaitEntry {
-            organisation: self.organisation,
-            urgency: self.urgency,
-            rule: self.rule,
-            number: self.number,
-            start_by,
-            keep_from,
-        }
-    }
-}
-
 /// Permission for one connection within the budget; released on drop.
 pub(super) struct ConnectionPermit<C: DatabaseConnection> {
     pool: Arc<UpstreamPool<C>>,
--- a/crates/daisyseam-engine/src/pool/upstream/tests.rs
+++ b/crates/daisyseam-engine/src/pool/upstream/tests.rs
@@ -3,18 +3,20 @@
 //! what it carries. The shares of the kinds of requests on the primary are assumed: half of them
 //! are of the most urgent kind.
 
-use super::{
-    Claim,
-    ClaimRequest,
-    Grant,
-    UpstreamPool, //
-};
+use super::UpstreamPool;
 use crate::{
     ConnectionLost,
     DatabaseCall,
     DatabaseConnection,
     DatabaseReply,
-    pool::shares::ConnectionBudget,
+    pool::{
+        claim::{
+            Claim,
+            ClaimRequest,
+            Grant, //
+        },
+        shares::ConnectionBudget, //
+    },
     urgency::{
         QueueRule,
         Urgency, //
--- a/crates/daisyseam-engine/src/urgency.rs
+++ b/crates/daisyseam-engine/src/urgency.rs
@@ -30,6 +30,13 @@
         Self(priority)
     }
 
+    /// Returns the name for this urgency of a counter with a name for each priority, the last for
+    /// all further ones.
+    pub(crate) fn counter<const N: usize>(self, names: [&'static str; N]) -> &'static str {
+        let index = usize::try_from(self.0).unwrap_or(usize::MAX);
+        names[index.min(N - 1)]
+    }
+
     /// Returns the number that stands for this urgency in messages; 0 stands for none.
     pub(crate) fn to_wire(self) -> u32 {
         self.0.saturating_add(1)
--- a/crates/daisyseam-engine/src/urgency/tests.rs
+++ b/crates/daisyseam-engine/src/urgency/tests.rs
@@ -24,3 +24,10 @@
         assert_eq!(Urgency::from_wire(urgency.to_wire()), urgency);
     }
 }
+
+/// A document with many priorities must not make many counters.
+#[test]
+fn counters_are_bounded() {
+    let name = |priority| Urgency::of_priority(priority).counter(["0", "1", "rest"]);
+    assert_eq!([0, 1, 2, 1_000].map(name), ["0", "1", "rest", "rest"]);
+}
