--- a/crates/daisyseam-engine/src/pool.rs
+++ b/crates/daisyseam-engine/src/pool.rs
@@ -1,16 +1,26 @@
 //! Pool of database connections, shared by the sessions of this instance.
 
+mod claim;
 mod connection;
+mod estimate;
+mod refusal_log;
 mod run_limit;
 mod shares;
 mod upstream;
+mod usage;
 mod wait_queue;
 
+use self::claim::{
+    Claim,
+    ClaimRequest,
+    Grant, //
+};
 pub(crate) use self::connection::{
     CallError,
     ConnectionSetup,
     PooledConnection, //
 };
+use self::refusal_log::RefusalLog;
 pub(crate) use self::shares::HolderList;
 use self::shares::{
     ConnectionPlan,
@@ -18,10 +28,7 @@
 };
 pub(crate) use self::upstream::UpstreamLoad;
 use self::upstream::{
-    Claim,
-    ClaimRequest,
     ConnectionPermit,
-    Grant,
     UpstreamPool, //
 };
 use crate::{
@@ -31,6 +38,10 @@
     RefusalKind,
     counters,
     route::current_primary,
+    urgency::{
+        QueueRule,
+        Urgency, //
+    },
     values::SessionValues, //
 };
 use daisyseam_model::{
@@ -70,6 +81,8 @@
     upstreams: Mutex<HashMap<UpstreamId, Arc<UpstreamPool<D::Connection>>>>,
     shares: Mutex<ConnectionShares>,
     claim_count: AtomicU64,
+    queue_rule: Mutex<QueueRule>,
+    refusals: Mutex<RefusalLog>,
 }
 
 /// Describes the connection to acquire.
@@ -87,6 +100,12 @@
     pub(crate) wait_until: Instant,
     /// Deadline for opening a new connection.
     pub(crate) connect_until: Instant,
+    /// Urgency.
+    pub(crate) urgency: Urgency,
+    /// Rule by which it waits.
+    pub(crate) rule: QueueRule,
+    /// When the answer is due according to the target latency.
+    pub(crate) target: Instant,
 }
 
 /// Why no connection could be acquired.
@@ -94,8 +113,8 @@
 pub(crate) enum AcquireError {
     /// The database is not in the view.
     UnknownUpstream,
-    /// No connection became free in time.
-    PoolExhausted,
+    /// No connection became free in time; a retry may succeed after the given time.
+    PoolExhausted(Option<Duration>),
     /// A new connection could not be opened.
     Connect(ConnectError),
 }
@@ -116,6 +135,8 @@
             upstreams: Mutex::default(),
             shares: Mutex::new(ConnectionShares::new(own)),
             claim_count: AtomicU64::new(0),
+            queue_rule: Mutex::default(),
+            refusals: Mutex::default(),
         }
     }
 
@@ -148,7 +169,11 @@
         let upstream_view = request.view.upstreams.get(request.upstream);
         let upstream_view = upstream_view.ok_or(AcquireError::UnknownUpstream)?;
         let pool = self.upstream(request.view, request.upstream, upstream_view);
-        match self.claim(&pool, request).await? {
+        let claimed = self.claim(&pool, request).await;
+        if request.rule == QueueRule::Urgency {
+            self.record_claim(request, claimed.as_ref().err());
+        }
+        match claimed? {
             Grant::Connection(connection) => {
                 self.metrics.count(counters::CONNECTION_REUSED);
                 Ok(connection.mark_in_use())
@@ -157,6 +182,28 @@
         }
     }
 
+    /// Counts the result of a claim, and logs refusals from time to time.
+    fn record_claim(&self, request: ConnectionRequest<'_>, error: Option<&AcquireError>) {
+        let urgency = request.urgency;
+        if error.is_none() {
+            self.metrics.count(urgency.counter(counters::QUEUE_SERVED));
+            return;
+        }
+        self.metrics.count(urgency.counter(counters::QUEUE_REFUSED));
+        let is_most_urgent = urgency == Urgency::HIGHEST;
+        let mut refusals = self.refusals.lock();
+        let due = refusals.record(request.upstream, is_most_urgent, Instant::now());
+        drop(refusals);
+        if let Some(sum) = due {
+            log::warn!(
+                "{} is contended: refused {} requests, {} of them of the most urgent services",
+                request.upstream,
+                sum.refused,
+                sum.most_urgent
+            );
+        }
+    }
+
     /// Waits for a connection or for the permission to open one.
     async fn claim(
         &self,
@@ -166,31 +213,42 @@
         let claim_number = self.claim_count.fetch_add(1, Ordering::Relaxed) + 1;
         let mut waited = false;
         loop {
-            let (granted, limit_expiry) = match pool.claim(ClaimRequest {
+            let (granted, wait_until, limit_expiry) = match pool.claim(ClaimRequest {
                 organisation: request.organisation,
                 values: request.values,
                 number: claim_number,
                 deadline: request.wait_until,
+                target: request.target,
+                urgency: request.urgency,
+                rule: request.rule,
             }) {
                 Claim::Granted(grant) => return Ok(grant),
-                Claim::Wait(granted, limit_expiry) => (granted, limit_expiry),
-                Claim::Rejected => {
+                Claim::Wait {
+                    granted,
+                    until,
+                    limit_expiry,
+                } => (granted, until, limit_expiry),
+                Claim::Rejected(refusal) => {
                     self.metrics.count(counters::CONNECTION_REJECTED);
-                    return Err(AcquireError::PoolExhausted);
+                    return Err(AcquireError::PoolExhausted(refusal.retry_after));
                 }
             };
             if !waited {
                 waited = true;
                 self.metrics.count(counters::CONNECTION_WAITED);
             }
-            let wake_at =
-                limit_expiry.map_or(request.wait_until, |expiry| expiry.min(request.wait_until));
+            let wake_at = limit_expiry.map_or(wait_until, |expiry| expiry.min(wait_until));
             match self.timer.within(wake_at, granted).await {
-                Some(granted) => return granted.map_err(|_| AcquireError::UnknownUpstream),
-                None if wake_at < request.wait_until => {}
+                Some(Ok(Ok(grant))) => return Ok(grant),
+                Some(Ok(Err(refusal))) => {
+                    self.metrics.count(counters::CONNECTION_SHED);
+                    return Err(AcquireError::PoolExhausted(refusal.retry_after));
+                }
+                Some(Err(_)) => return Err(AcquireError::UnknownUpstream),
+                None if wake_at < wait_until => {}
                 None => {
                     self.metrics.count(counters::CONNECTION_NONE_FREE);
-                    return Err(AcquireError::PoolExhausted);
+                    return Err(AcquireError::PoolExhausted(None));
                 }
             }
         }
@@ -239,6 +297,11 @@
         pool.map_or_else(UpstreamLoad::default, |pool| pool.load())
     }
 
+    /// Returns the rule by which requests wait, which depends on the document.
+    pub(crate) fn queue_rule(&self) -> QueueRule {
+        *self.queue_rule.lock()
+    }
+
     /// Closes the idle connections to a database.
     pub(crate) fn close_idle(&self, upstream: &UpstreamId) {
         let pool = self.upstreams.lock().get(upstream).cloned();
@@ -250,6 +313,10 @@
     /// Applies a view: closes idle connections to databases that accept no new work, and
     /// recomputes this instance's connection budgets.
     pub(crate) fn apply(&self, view: &FleetView) {
+        let document = view.document.as_deref();
+        *self.queue_rule.lock() = document.map_or(QueueRule::Turns, QueueRule::of);
+        let is_known = |upstream: &UpstreamId| view.upstreams.contains_key(upstream);
+        self.refusals.lock().retain(is_known);
         self.shares.lock().apply(view, Instant::now());
         self.update(view);
     }
--- a/crates/daisyseam-engine/src/pool/run_limit.rs
+++ b/crates/daisyseam-engine/src/pool/run_limit.rs
@@ -74,6 +74,18 @@
         }
     }
 
+    /// Returns the mean time between the ends of two statements if `parallel` run at the same time;
+    /// zero if unknown.
+    pub(super) fn interval(&self, parallel: usize) -> Duration {
+        let parallel = u32::try_from(parallel.max(1)).unwrap_or(u32::MAX);
+        self.service_time() / parallel
+    }
+
+    /// Returns the average service time, zero if unknown.
+    pub(super) fn service_time(&self) -> Duration {
+        self.service_time.unwrap_or_default()
+    }
+
     /// Returns how long a request waits if `ahead` others are served before it.
     pub(super) fn expected_wait(&self, ahead: usize) -> Duration {
         let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
--- a/crates/daisyseam-engine/src/pool/upstream.rs
+++ b/crates/daisyseam-engine/src/pool/upstream.rs
@@ -1,16 +1,35 @@
 //! The connections to one database.
 
+#[cfg(test)]
+mod tests;
+
 use super::{
+    claim::{
+        Claim,
+        ClaimRefusal,
+        ClaimRequest,
+        Grant,
+        GrantResult, //
+    },
     connection::{
         PooledConnection,
         TrackedConnection, //
     },
+    estimate::QueueEstimate,
     run_limit::RunLimit,
     shares::ConnectionBudget,
-    wait_queue::WaitQueue, //
+    usage::RecentUsage,
+    wait_queue::{
+        ShedItem,
+        WaitQueue, //
+    }, //
 };
 use crate::{
     DatabaseConnection,
+    urgency::{
+        QueueRule,
+        Urgency, //
+    },
     values::SessionValues, //
 };
 use daisyseam_model::{
@@ -29,6 +48,10 @@
     time::Instant, //
 };
 
+/// Shortest time after which a refused request should be repeated: shorter times add load without
+/// a change in the queue.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(20);
+
 /// The connections to one database process, within this instance's budget.
 pub(super) struct UpstreamPool<C: DatabaseConnection> {
     address: SocketAddr,
@@ -64,45 +87,23 @@
     idle: Vec<IdleConnection<C>>,
     /// Statements of open transactions that wait until they may run.
     resuming: VecDeque<oneshot::Sender<RunToken<C>>>,
-    waiting: WaitQueue<oneshot::Sender<Grant<C>>>,
+    waiting: WaitQueue<WaitingClaim<C>>,
+    /// What organisations have used recently.
+    usage: RecentUsage,
     /// Sequence number of the last claim.
     last_claim: u64,
 }
 
+struct WaitingClaim<C: DatabaseConnection> {
+    granted: oneshot::Sender<GrantResult<C>>,
+    urgency: Urgency,
+}
+
 struct IdleConnection<C> {
     organisation: Option<OrganisationId>,
     tracked: TrackedConnection<C>,
 }
 
-/// What a claim is granted.
-pub(super) enum Grant<C: DatabaseConnection> {
-    /// A connection.
-    Connection(PooledConnection<C>),
-    /// The permission to open one.
-    Permit(ConnectionPermit<C>),
-}
-
-/// The result of a claim.
-pub(super) enum Claim<C: DatabaseConnection> {
-    /// Granted immediately.
-    Granted(Grant<C>),
-    /// Granted later, when another session releases a connection. If an instant is given, the claim
-    /// may be repeated then.
-    Wait(oneshot::Receiver<Grant<C>>, Option<Instant>),
-    /// Not granted: others would take all of the time until the deadline.
-    Rejected,
-}
-
-/// What a connection is claimed for.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct ClaimRequest<'a> {
-    pub(super) organisation: Option<&'a OrganisationId>,
-    /// A connection that already has these values set is preferred.
-    pub(super) values: &'a SessionValues,
-    pub(super) number: u64,
-    pub(super) deadline: Instant,
-}
-
 /// Permission for one connection within the budget; released on drop.
 pub(super) struct ConnectionPermit<C: DatabaseConnection> {
     pool: Arc<UpstreamPool<C>>,
@@ -142,6 +143,7 @@
                 idle: Vec::new(),
                 resuming: VecDeque::new(),
                 waiting: WaitQueue::default(),
+                usage: RecentUsage::default(),
                 last_claim: 0,
             }),
         }
@@ -205,17 +207,50 @@
         if state.running < state.max_running()
             && let Some(source) = state.take_source(request.organisation, Some(request.values))
         {
+            state.record_served(request.organisation, request.urgency);
             drop(state);
             return Claim::Granted(self.grant(request.organisation, source));
         }
         // Requests that gave up do not count.
-        state.waiting.retain(|waiter| !waiter.is_closed());
-        if Instant::now() + state.expected_wait() > request.deadline {
-            return Claim::Rejected;
+        state.waiting.retain(|waiter| !waiter.granted.is_closed());
+        let now = Instant::now();
+        let by_urgency = request.rule == QueueRule::Urgency && state.budget.is_held;
+        if !by_urgency && now + state.expected_wait() > request.deadline {
+            return Claim::Rejected(ClaimRefusal::default());
         }
         let (granted, receiver) = oneshot::channel();
-        state.waiting.push(request.organisation, granted);
-        Claim::Wait(receiver, state.limit_expiry())
+        let entry = request.wait_entry(now, state.run_limit.service_time());
+        let waiter = WaitingClaim {
+            granted,
+            urgency: request.urgency,
+        };
+        state.waiting.push(entry, waiter);
+        let limit_expiry = state.limit_expiry();
+        let wait = Claim::Wait {
+            granted: receiver,
+            until: entry.start_by,
+            limit_expiry,
+        };
+        if !by_urgency {
+            return wait;
+        }
+        let shed = state.shed();
+        drop(state);
+        let mut own_refusal = None;
+        for item in shed {
+            let refusal = ClaimRefusal {
+                retry_after: Some(item.excess.max(MIN_RETRY_AFTER)),
+            };
+            match item.number == request.number {
+                true => own_refusal = Some(refusal),
+                // The waiter may have gone.
+                false => drop(item.item.granted.send(Err(refusal))),
+            }
+        }
+        match own_refusal {
+            Some(refusal) => Claim::Rejected(refusal),
+            None => wait,
+        }
     }
 
     /// Waits until a statement of an open transaction may run; `None` if the pool is retired.
@@ -291,7 +326,7 @@
                 Next::Resume(waiter) => drop(waiter.send(RunToken::of(self))),
                 Next::Claim(waiter, organisation, source) => {
                     let grant = self.grant(organisation.as_ref(), source);
-                    drop(waiter.send(grant));
+                    drop(waiter.send(Ok(grant)));
                 }
             }
         }
@@ -307,7 +342,7 @@
             state.running += 1;
             return Some(Next::Resume(waiter));
         }
-        state.waiting.retain(|waiter| !waiter.is_closed());
+        state.waiting.retain(|waiter| !waiter.granted.is_closed());
         let may_open = state.may_open();
         let PoolState { idle, waiting, .. } = &mut *state;
         let has_idle = |organisation: Option<&OrganisationId>| {
@@ -316,7 +351,8 @@
         };
         let (organisation, waiter) = waiting.pop(has_idle, may_open)?;
         let source = state.take_source(organisation.as_ref(), None)?;
-        Some(Next::Claim(waiter, organisation, source))
+        state.record_served(organisation.as_ref(), waiter.urgency);
+        Some(Next::Claim(waiter.granted, organisation, source))
     }
 
     /// Creates the grant for a connection or permission that has been counted.
@@ -351,7 +387,7 @@
 enum Next<C: DatabaseConnection> {
     Resume(oneshot::Sender<RunToken<C>>),
     Claim(
-        oneshot::Sender<Grant<C>>,
+        oneshot::Sender<GrantResult<C>>,
         Option<OrganisationId>,
         ConnectionSource<C>,
     ),
@@ -390,6 +426,11 @@
         Some(source)
     }
 
+    fn record_served(&mut self, organisation: Option<&OrganisationId>, urgency: Urgency) {
+        let now = Instant::now();
+        self.usage.record(organisation, urgency, now);
+    }
+
     fn take_idle(
         &mut self,
         organisation: Option<&OrganisationId>,
@@ -425,6 +466,23 @@
         }
     }
 
+    /// Removes the requests to refuse, so that the others are expected to be served in time.
+    fn shed(&mut self) -> Vec<ShedItem<WaitingClaim<C>>> {
+        let now = Instant::now();
+        let parallel = self.max_open().min(self.max_running());
+        let interval = self.run_limit.interval(parallel);
+        let waiting: Vec<_> = self
+            .waiting
+            .waiting()
+            .map(|(organisation, count)| (organisation.cloned(), count))
+            .collect();
+        let waiting = waiting.iter().map(|(name, count)| (name.as_ref(), *count));
+        let parts = self.usage.parts(now);
+        // Statements of open transactions are served first.
+        let estimate = QueueEstimate::new(now, interval, parts, waiting).after(self.resuming.len());
+        self.waiting.shed(&estimate)
+    }
+
     /// Returns the current limit on connections.
     fn max_open(&self) -> usize {
         let limit = self.active_limit();
