Report the release of a database that is over before the next heartbeat

Control was never told that an entry had released a database when its connections closed before the next heartbeat: the reporter learned of a release only if it was still going on when a report was built. Control then waits for other evidence before it names the next holder.

Cause: HealthReporter looked at the releases in progress only.

--- a/crates/daisyseam-entry/src/health.rs
+++ b/crates/daisyseam-entry/src/health.rs
@@ -69,6 +69,7 @@
     async fn apply(&self, view: &FleetView) {
         let hand_over = self.table.apply(view).await;
         if !hand_over.is_empty() {
+            self.reporter.lock().start_release(hand_over.upstreams());
             tokio::spawn(hand_over.finish());
         }
     }
@@ -109,6 +110,13 @@
 }
 
 impl HealthReporter {
+    /// Records that databases are being released, which may be over before the next report.
+    fn start_release<'a>(&mut self, upstreams: impl Iterator<Item = &'a UpstreamId>) {
+        let now = Instant::now();
+        self.releasing
+            .extend(upstreams.map(|upstream| (upstream.clone(), now)));
+    }
+
     /// Returns the due reports; an unreachable database is reported every time.
     ///
     /// `view_number` is sent with the reports, `view` is the view in force.
--- a/crates/daisyseam-entry/src/holder/table.rs
+++ b/crates/daisyseam-entry/src/holder/table.rs
@@ -254,6 +254,11 @@
         self.moved.is_empty()
     }
 
+    /// Returns the databases that are released.
+    pub fn upstreams(&self) -> impl Iterator<Item = &UpstreamId> {
+        self.moved.iter().map(|handle| &handle.settings().upstream)
+    }
+
     /// Waits until every connection of the holders is closed; running transactions may finish
     /// within a time limit.
     pub async fn finish(self) {
