Refuse a waiting request after a quarter of its target while nothing is served

After a quarter of the target, a request now goes on waiting only if a waiting request has been served since it was queued. Without holders an instance cannot estimate the wait and keeps to the quarter. The estimate also counts the time for which transactions hold connections.

Considered: refusing as soon as a statement takes several times the mean (statements differ by more than that).

--- a/crates/daisyseam-engine/src/pool.rs
+++ b/crates/daisyseam-engine/src/pool.rs
@@ -211,9 +211,10 @@
         request: ConnectionRequest<'_>,
     ) -> Result<Grant<D::Connection>, AcquireError> {
         let claim_number = self.claim_count.fetch_add(1, Ordering::Relaxed) + 1;
+        let queued_at = Instant::now();
         let mut waited = false;
         loop {
-            let (granted, wait_until, limit_expiry) = match pool.claim(ClaimRequest {
+            let (mut granted, wait_until, check_at, limit_expiry) = match pool.claim(ClaimRequest {
                 organisation: request.organisation,
                 values: request.values,
                 number: claim_number,
@@ -226,8 +227,9 @@
                 Claim::Wait {
                     granted,
                     until,
+                    check_at,
                     limit_expiry,
-                } => (granted, until, limit_expiry),
+                } => (granted, until, check_at, limit_expiry),
                 Claim::Rejected(refusal) => {
                     self.metrics.count(counters::CONNECTION_REJECTED);
                     return Err(AcquireError::PoolExhausted(refusal.retry_after));
@@ -238,7 +240,17 @@
                 self.metrics.count(counters::CONNECTION_WAITED);
             }
             let wake_at = limit_expiry.map_or(wait_until, |expiry| expiry.min(wait_until));
-            match self.timer.within(wake_at, granted).await {
+            let check_at = check_at.filter(|check_at| *check_at < wake_at);
+            let first_end = check_at.unwrap_or(wake_at);
+            let mut result = self.timer.within(first_end, &mut granted).await;
+            if result.is_none() && check_at.is_some() {
+                if !pool.has_served_since(queued_at) {
+                    self.metrics.count(counters::CONNECTION_NONE_FREE);
+                    return Err(AcquireError::PoolExhausted(None));
+                }
+                result = self.timer.within(wake_at, granted).await;
+            }
+            match result {
                 Some(Ok(Ok(grant))) => return Ok(grant),
                 Some(Ok(Err(refusal))) => {
                     self.metrics.count(counters::CONNECTION_SHED);
--- a/crates/daisyseam-engine/src/pool/claim.rs
+++ b/crates/daisyseam-engine/src/pool/claim.rs
@@ -54,6 +54,8 @@
         granted: oneshot::Receiver<GrantResult<C>>,
         /// End of the wait.
         until: Instant,
+        /// When to stop waiting if no waiting request has been served by then.
+        check_at: Option<Instant>,
         /// When the claim may be repeated, if there is a temporary limit.
         limit_expiry: Option<Instant>,
     },
@@ -77,13 +79,17 @@
 }
 
 impl<'a> ClaimRequest<'a> {
-    /// Returns what the request waits with if a statement takes `service_time`.
-    pub(super) fn wait_entry(&self, now: Instant, service_time: Duration) -> WaitEntry<'a> {
+    /// Returns what the request waits with if a statement takes `service_time`; `None` for it if
+    /// the wait cannot be estimated.
+    pub(super) fn wait_entry(&self, now: Instant, service_time: Option<Duration>) -> WaitEntry<'a> {
         let left = self.target.saturating_duration_since(now);
         let (start_by, keep_from) = match self.rule {
             QueueRule::Urgency if !left.is_zero() => {
-                let start_by = now + left.saturating_sub(service_time);
-                (start_by.min(self.deadline), now + left / KEEP_DIVISOR)
+                let keep_from = now + left / KEEP_DIVISOR;
+                let start_by = service_time.map_or(keep_from, |service_time| {
+                    now + left.saturating_sub(service_time)
+                });
+                (start_by.min(self.deadline), keep_from)
             }
             QueueRule::Turns | QueueRule::Urgency => (self.deadline, self.deadline),
         };
--- a/crates/daisyseam-engine/src/pool/run_limit.rs
+++ b/crates/daisyseam-engine/src/pool/run_limit.rs
@@ -29,6 +29,8 @@
     completed: usize,
     reduced_at: Option<Instant>,
     service_time: Option<Duration>,
+    /// Average time for which a connection is used, which includes idle times in transactions.
+    use_time: Option<Duration>,
 }
 
 impl RunLimit {
@@ -38,6 +40,7 @@
             completed: 0,
             reduced_at: None,
             service_time: None,
+            use_time: None,
         }
     }
 
@@ -60,10 +63,7 @@
 
     /// Records the end of a run, the time that it took, and whether others waited.
     pub(super) fn record_run(&mut self, took: Duration, waiting: bool) {
-        self.service_time = Some(match self.service_time {
-            Some(average) => average - average / SERVICE_WEIGHT + took / SERVICE_WEIGHT,
-            None => took,
-        });
+        self.service_time = Some(averaged(self.service_time, took));
         if !waiting {
             return;
         }
@@ -74,11 +74,18 @@
         }
     }
 
-    /// Returns the mean time between the ends of two statements if `parallel` run at the same time;
-    /// zero if unknown.
-    pub(super) fn interval(&self, parallel: usize) -> Duration {
-        let parallel = u32::try_from(parallel.max(1)).unwrap_or(u32::MAX);
-        self.service_time() / parallel
+    /// Records the time for which a connection was used.
+    pub(super) fn record_use(&mut self, took: Duration) {
+        self.use_time = Some(averaged(self.use_time, took));
+    }
+
+    /// Returns the mean time between two requests that get a connection if there are
+    /// `connections`; zero if unknown.
+    pub(super) fn interval(&self, connections: usize) -> Duration {
+        let divisor = |count: usize| u32::try_from(count.max(1)).unwrap_or(u32::MAX);
+        let between_statements = self.service_time() / divisor(self.limit.min(connections));
+        let between_uses = self.use_time.unwrap_or_default() / divisor(connections);
+        between_statements.max(between_uses)
     }
 
     /// Returns the average service time, zero if unknown.
@@ -94,3 +101,9 @@
         service_time.saturating_mul(ahead) / limit
     }
 }
+
+fn averaged(average: Option<Duration>, took: Duration) -> Duration {
+    average.map_or(took, |average| {
+        average - average / SERVICE_WEIGHT + took / SERVICE_WEIGHT
+    })
+}
--- a/crates/daisyseam-engine/src/pool/run_limit/tests.rs
+++ b/crates/daisyseam-engine/src/pool/run_limit/tests.rs
@@ -72,3 +72,18 @@
     assert!(lowest >= 6, "{lowest}");
     assert!(refused < 2_000 * CARRIED / 20, "{refused}");
 }
+
+/// Requests were admitted by the time of statements while transactions held all connections.
+#[test]
+fn connections_in_transactions_count_for_the_interval() {
+    const STATEMENT: Duration = Duration::from_millis(16);
+    const TRANSACTION: Duration = Duration::from_millis(200);
+    let mut limit = RunLimit::new();
+    assert_eq!(limit.interval(4), Duration::ZERO);
+    limit.record_run(STATEMENT, false);
+    assert_eq!(limit.interval(4), STATEMENT / 4);
+    assert_eq!(limit.interval(100), STATEMENT / 8);
+    limit.record_use(TRANSACTION);
+    assert_eq!(limit.interval(4), TRANSACTION / 4);
+    assert_eq!(limit.interval(1_000), STATEMENT / 8);
+}
--- a/crates/daisyseam-engine/src/pool/upstream.rs
+++ b/crates/daisyseam-engine/src/pool/upstream.rs
@@ -90,6 +90,8 @@
     waiting: WaitQueue<WaitingClaim<C>>,
     /// What organisations have used recently.
     usage: RecentUsage,
+    /// When the last waiting request was served.
+    last_served: Option<Instant>,
     /// Sequence number of the last claim.
     last_claim: u64,
 }
@@ -108,6 +110,7 @@
 pub(super) struct ConnectionPermit<C: DatabaseConnection> {
     pool: Arc<UpstreamPool<C>>,
     release_on_drop: bool,
+    granted_at: Instant,
     /// The permission to run a statement; `None` while idle in a transaction.
     run: Option<RunToken<C>>,
 }
@@ -144,6 +147,7 @@
                 resuming: VecDeque::new(),
                 waiting: WaitQueue::default(),
                 usage: RecentUsage::default(),
+                last_served: None,
                 last_claim: 0,
             }),
         }
@@ -219,7 +223,8 @@
             return Claim::Rejected(ClaimRefusal::default());
         }
         let (granted, receiver) = oneshot::channel();
-        let entry = request.wait_entry(now, state.run_limit.service_time());
+        let service_time = by_urgency.then(|| state.run_limit.service_time());
+        let entry = request.wait_entry(now, service_time);
         let waiter = WaitingClaim {
             granted,
             urgency: request.urgency,
@@ -229,6 +234,7 @@
         let wait = Claim::Wait {
             granted: receiver,
             until: entry.start_by,
+            check_at: by_urgency.then_some(entry.keep_from),
             limit_expiry,
         };
         if !by_urgency {
@@ -253,6 +259,12 @@
         }
     }
 
+    /// Returns whether a waiting request has been served since an instant.
+    pub(super) fn has_served_since(&self, since: Instant) -> bool {
+        let last_served = self.state.lock().last_served;
+        last_served.is_some_and(|served_at| served_at >= since)
+    }
+
     /// Waits until a statement of an open transaction may run; `None` if the pool is retired.
     async fn resume(self: &Arc<Self>) -> Option<RunToken<C>> {
         let receiver = {
@@ -290,6 +302,7 @@
             return;
         }
         state.checked_out -= 1;
+        state.run_limit.record_use(permit.granted_at.elapsed());
         permit.release_on_drop = false;
         state.idle.push(IdleConnection {
             organisation,
@@ -352,6 +365,7 @@
         let (organisation, waiter) = waiting.pop(has_idle, may_open)?;
         let source = state.take_source(organisation.as_ref(), None)?;
         state.record_served(organisation.as_ref(), waiter.urgency);
+        state.last_served = Some(Instant::now());
         Some(Next::Claim(waiter.granted, organisation, source))
     }
 
@@ -364,6 +378,7 @@
         let permit = ConnectionPermit {
             pool: Arc::clone(self),
             release_on_drop: true,
+            granted_at: Instant::now(),
             run: Some(RunToken::of(self)),
         };
         match source {
@@ -469,8 +484,7 @@
     /// Removes the requests to refuse, so that the others are expected to be served in time.
     fn shed(&mut self) -> Vec<ShedItem<WaitingClaim<C>>> {
         let now = Instant::now();
-        let parallel = self.max_open().min(self.max_running());
-        let interval = self.run_limit.interval(parallel);
+        let interval = self.run_limit.interval(self.max_open());
         let waiting: Vec<_> = self
             .waiting
             .waiting()
