Send large updates of the view compressed

A document of 1,728 services takes a link of 2 Mbit/s for more than a second on its way to each entry, and the leases behind it run out. Updates of 2 KiB or more now travel in the field update_deflated (tag 7), in gzip members with a checksum each. Raw deflate has no checksum; one stream for the whole view would make the leader compress the document again for each instance that joins. The document is therefore a member of its own, encoded once as long as it is in force. Decompression stops at 8 MiB, the size of the largest frame. A corrupt or larger update ends the session with control.

The tests of the control core decode the update from either field; each one checks what it checked.

--- a/crates/daisyseam-control/src/core/requests.rs
+++ b/crates/daisyseam-control/src/core/requests.rs
@@ -190,14 +190,15 @@
         let view = self.fleet.view();
         let shares = report.and_then(|report| leader.shares.answer(now, view, &holder, report));
         leader.check_takeover(now, view);
-        let body = Body::HeartbeatReply(HeartbeatReply {
+        let mut reply = HeartbeatReply {
             sequence: heartbeat.sequence,
             lease_ms: u64::try_from(lease.as_millis()).unwrap_or(0),
-            update: self.updates.get(&self.fleet, held),
             shares,
             members: self.members_update(heartbeat.members),
-        });
-        self.reply(request, body);
+            ..HeartbeatReply::default()
+        };
+        reply.set_update(self.updates.get(&self.fleet, held));
+        self.reply(request, Body::HeartbeatReply(reply));
     }
 
     fn submit(&mut self, now: Moment, unix_ms: u64, request: RequestId, submit: SubmitRequest) {
--- a/crates/daisyseam-control/src/core/updates.rs
+++ b/crates/daisyseam-control/src/core/updates.rs
@@ -3,7 +3,6 @@
 #[cfg(test)]
 mod tests;
 
-use bytes::Bytes;
 use daisyseam_coord::fleet::{
     FleetState,
     ViewChanges, //
@@ -17,6 +16,8 @@
 };
 use daisyseam_wire::{
     DocumentPatch,
+    EncodedDocument,
+    EncodedUpdate,
     WireGroup,
     WireInstance,
     WireUpstream,
@@ -30,17 +31,17 @@
     /// The newest view when the updates were computed.
     number: ViewNumber,
     /// Encoded updates by the view that they start from; number 0 is the whole view.
-    encoded: BTreeMap<ViewNumber, Bytes>,
+    encoded: BTreeMap<ViewNumber, EncodedUpdate>,
     /// The document that the patches lead to.
     document: DocumentNumber,
-    /// Patches by the document that they start from.
-    patches: BTreeMap<DocumentNumber, DocumentPatch>,
+    /// Encoded patches by the document that they start from; number 0 is the whole text.
+    patches: BTreeMap<DocumentNumber, EncodedDocument>,
 }
 
 impl ViewUpdates {
     /// Returns the encoded update for an instance that has a given view; `None` if it has the newest
     /// one.
-    pub(super) fn get(&mut self, state: &FleetState, held: ViewNumber) -> Option<Bytes> {
+    pub(super) fn get(&mut self, state: &FleetState, held: ViewNumber) -> Option<EncodedUpdate> {
         let newest = state.view().number;
         if held == newest {
             return None;
@@ -58,10 +59,10 @@
         };
         let delta = changes.and_then(|changes| self.delta(state, held, &changes));
         let encoded = match delta {
-            Some(delta) => delta.encoded(),
+            Some(delta) => delta,
             None if held.0 == 0 => {
-                let current = state.documents().current();
-                WireView::whole(state.view(), current.map(|current| &*current.text)).encoded()
+                let document = self.patch(state, DocumentNumber(0));
+                EncodedUpdate::new(document.as_ref(), &WireView::whole(state.view(), None))
             }
             None => self.get(state, ViewNumber(0))?,
         };
@@ -74,7 +75,7 @@
         state: &FleetState,
         held: ViewNumber,
         changes: &ViewChanges,
-    ) -> Option<WireView> {
+    ) -> Option<EncodedUpdate> {
         let view = state.view();
         let document = match changes.document {
             None => None,
@@ -104,21 +105,23 @@
                 ..WireInstance::default()
             },
         };
-        Some(WireView {
+        let others = WireView {
             number: view.number.0,
             since: held.0,
             document_number: view.document_number.0,
-            document,
+            document: None,
             groups: changes.groups.iter().map(group).collect(),
             upstreams: changes.upstreams.iter().map(upstream).collect(),
             instances: changes.instances.iter().map(instance).collect(),
             digest: 0,
             evacuated: view.evacuated.iter().map(ToString::to_string).collect(),
-        })
+        };
+        Some(EncodedUpdate::new(document.as_ref(), &others))
     }
 
-    /// Returns the patch from a document to the one in force, if the former's text is still kept.
-    fn patch(&mut self, state: &FleetState, from: DocumentNumber) -> Option<DocumentPatch> {
+    /// Returns the encoded patch from a document to the one in force, if the former's text is still
+    /// kept.
+    fn patch(&mut self, state: &FleetState, from: DocumentNumber) -> Option<EncodedDocument> {
         let documents = state.documents();
         let current = documents.current()?;
         if self.document != current.number {
@@ -132,7 +135,8 @@
             0 => DocumentPatch::whole(&current.text),
             _ => DocumentPatch::between(from, &documents.get(from)?.text, &current.text),
         };
-        self.patches.insert(from, patch.clone());
-        Some(patch)
+        let encoded = EncodedDocument::new(patch);
+        self.patches.insert(from, encoded.clone());
+        Some(encoded)
     }
 }
--- a/crates/daisyseam-control/src/core/updates/tests.rs
+++ b/crates/daisyseam-control/src/core/updates/tests.rs
@@ -13,7 +13,6 @@
     FleetView,
     ViewNumber, //
 };
-use daisyseam_wire::WireView;
 
 /// A state with a document and this many entries.
 fn fleet(entries: usize) -> FleetState {
@@ -57,7 +56,11 @@
     for held in [held, ViewNumber(0)] {
         let first = updates.get(&state, held).unwrap();
         let second = updates.get(&state, held).unwrap();
-        assert_eq!(first.as_ptr(), second.as_ptr(), "from view {held:?}");
+        assert_eq!(
+            first.bytes().as_ptr(),
+            second.bytes().as_ptr(),
+            "from view {held:?}"
+        );
     }
     assert!(updates.get(&state, state.view().number).is_none());
 }
@@ -88,7 +91,7 @@
         let mut reached = Vec::new();
         for (view, text) in held.iter().filter(|(view, _)| view.number != newest.number) {
             let update = updates.get(&state, view.number).unwrap();
-            let update = WireView::from_encoded(&update).unwrap();
+            let update = update.decoded().unwrap();
             let (next, text) = update.apply(view, text).unwrap();
             assert_eq!(next, **newest, "from view {:?}", view.number);
             reached.push((next, text));
--- a/crates/daisyseam-control/tests/core_support/mod.rs
+++ b/crates/daisyseam-control/tests/core_support/mod.rs
@@ -45,7 +45,6 @@
     SubmitReply,
     SubmitRequest,
     UpstreamReport,
-    WireView,
     control_message::Body, //
 };
 use rand_chacha::{
@@ -658,8 +657,8 @@
                 entry.joined = true;
             }
             Body::HeartbeatReply(reply) => {
-                if let Some(update) = &reply.update {
-                    let update = WireView::from_encoded(update).expect("an update");
+                if let Some(update) = reply.encoded_update() {
+                    let update = update.decoded().expect("an update");
                     let applied = update.apply(&entry.view, &entry.text);
                     let (view, text) = applied.expect("the update fits");
                     assert!(
--- a/crates/daisyseam-control/tests/support/mod.rs
+++ b/crates/daisyseam-control/tests/support/mod.rs
@@ -37,7 +37,6 @@
     SubmitReply,
     SubmitRequest,
     UpstreamReport,
-    WireView,
     control_message::Body, //
 };
 use std::{
@@ -258,8 +257,8 @@
 
     fn apply(&mut self, reply: &HeartbeatReply) {
         self.lease_ms = reply.lease_ms;
-        if let Some(update) = &reply.update {
-            let update = WireView::from_encoded(update).expect("an update");
+        if let Some(update) = reply.encoded_update() {
+            let update = update.decoded().expect("an update");
             let applied = update.apply(&self.view, &self.text);
             let (view, text) = applied.expect("the update fits");
             assert!(view.number > self.view.number, "the view number decreased");
--- a/crates/daisyseam-member/src/control_client/session.rs
+++ b/crates/daisyseam-member/src/control_client/session.rs
@@ -29,7 +29,6 @@
     PeerRole,
     PeerSocket,
     StreamError,
-    WireView,
     control_message::Body, //
 };
 use std::{
@@ -258,8 +257,8 @@
         if let Some(members) = &reply.members {
             self.keeper.update_members(&self.settings.control, members);
         }
-        if let Some(update) = &reply.update {
-            let applied = match WireView::from_encoded(update) {
+        if let Some(update) = reply.encoded_update() {
+            let applied = match update.decoded() {
                 Ok(update) => self.keeper.apply(&update).await,
                 Err(error) => Err(error),
             };
--- a/crates/daisyseam-wire/src/control.rs
+++ b/crates/daisyseam-wire/src/control.rs
@@ -293,6 +293,11 @@
     /// The members of control, if the sender knows others.
     #[prost(message, optional, tag = "5")]
     pub members: Option<ControlMembers>,
+    /// The same as `update`, compressed; used in its place above a size.
+    ///
+    /// One or more gzip members, see [`EncodedUpdate`](crate::EncodedUpdate).
+    #[prost(bytes = "bytes", optional, tag = "7")]
+    pub update_deflated: Option<bytes::Bytes>,
 }
 
 /// The members of control.
--- a/crates/daisyseam-wire/src/convert.rs
+++ b/crates/daisyseam-wire/src/convert.rs
@@ -57,6 +57,10 @@
     Digest,
     /// the message cannot be decoded
     Encoding,
+    /// the compressed update is corrupt
+    Compression,
+    /// the update exceeds the maximum size of {0} bytes
+    Oversized(usize),
 }
 
 impl Error for ConvertError {}
--- a/crates/daisyseam-wire/src/lib.rs
+++ b/crates/daisyseam-wire/src/lib.rs
@@ -13,6 +13,7 @@
 mod security;
 mod share;
 mod stream;
+mod update;
 mod view;
 
 pub use crate::{
@@ -117,6 +118,11 @@
         MessageStream,
         StreamError, //
     },
+    update::{
+        EncodedDocument,
+        EncodedUpdate,
+        UPDATE_BYTES_MAX, //
+    },
     view::{
         DocumentPatch,
         WireGroup,
