Refuse requests without a wait while control is silent

Behind a network partition, 42 of 66 entries could reach no control instance for 7 s. Requests waited there for a lease that could not come, up to 45% of the statement timeout, and were then refused. Never waiting without a lease would refuse during every election, and a shorter wait does not tell an election from a partition. The state machine ControlContact tells them apart: control is silent if nothing was received for 500 ms and three different instances failed in a row. While it is silent and no lease is valid, waits for a lease, document, token or primary end at once with NoView (nothing was run), a commit is not sent, and idle sessions close. A valid lease is used to its end. The confirmation after a write or commit has run still waits, because it decides only whether the outcome can be acknowledged.

watch_lease reported the end of a lease again at each other change of the view cell; it now waits for another lease.

The effect on a whole fleet was not measured.

--- a/crates/daisyseam-engine/src/lease.rs
+++ b/crates/daisyseam-engine/src/lease.rs
@@ -1,5 +1,6 @@
 //! Tracks how long this instance has been without a lease on the view.
 
+use daisyseam_member::ViewCell;
 use daisyseam_runtime::TimerService;
 use std::time::Duration;
 use tokio::{
@@ -31,15 +32,16 @@
         });
     }
 
-    /// Returns whether the lease has been missing for so long that callers should use another
-    /// instance.
-    pub(crate) fn is_grace_over(&self) -> bool {
+    /// Returns whether callers should use another instance: the lease has been missing for some time,
+    /// or control is silent, so that no lease can be expected.
+    pub(crate) fn is_grace_over(&self, cell: &ViewCell) -> bool {
         let since = *self.since.borrow();
-        since.is_some_and(|since| since.elapsed() >= LEASE_LOSS_GRACE)
+        let is_over = since.is_some_and(|since| since.elapsed() >= LEASE_LOSS_GRACE);
+        is_over || cell.is_cut_off()
     }
 
-    /// Waits until the lease has been missing for so long that callers should use another instance.
-    pub(crate) async fn grace_over(&self, timer: &TimerService) {
+    /// Waits until callers should use another instance.
+    pub(crate) async fn grace_over(&self, cell: &ViewCell, timer: &TimerService) {
         let mut lost = self.since.subscribe();
         loop {
             let since = lost.wait_for(Option::is_some).await;
@@ -48,12 +50,16 @@
                 return std::future::pending().await;
             };
             let restored = lost.wait_for(Option::is_none);
-            if timer
-                .within(since + LEASE_LOSS_GRACE, restored)
-                .await
-                .is_none()
-            {
-                return;
+            // The cell is only followed without a lease, because each reply of control changes it and
+            // would wake all idle sessions.
+            tokio::select! {
+                biased;
+                restored = timer.within(since + LEASE_LOSS_GRACE, restored) => {
+                    if restored.is_none() {
+                        return;
+                    }
+                }
+                () = cell.cut_off(timer) => return,
             }
         }
     }
--- a/crates/daisyseam-engine/src/route.rs
+++ b/crates/daisyseam-engine/src/route.rs
@@ -109,7 +109,8 @@
     ///
     /// # Errors
     ///
-    /// Returns `NoPrimary`, `NoView` or `UpstreamUnreachable` if there is none by `until`.
+    /// Returns `NoPrimary`, `NoView` or `UpstreamUnreachable` if there is none by `until`, or if there
+    /// is no lease and control is silent.
     pub(crate) async fn wait_for_primary(
         &self,
         group: &GroupId,
@@ -144,11 +145,15 @@
                 (Ok(_), None) => return route,
                 (_, held) => held.unwrap_or(until).min(until),
             };
-            if Instant::now() >= until {
+            if Instant::now() >= until || self.cell.is_cut_off() {
                 return Err(route.err().unwrap_or(ErrorKind::UpstreamUnreachable));
             }
             // The cell owns the sender, so this cannot fail.
-            let _ = self.timer.within(wake_at, changes.changed()).await;
+            tokio::select! {
+                biased;
+                _ = self.timer.within(wake_at, changes.changed()) => {}
+                () = self.cell.cut_off(self.timer) => {}
+            }
         }
     }
 
--- a/crates/daisyseam-engine/src/session.rs
+++ b/crates/daisyseam-engine/src/session.rs
@@ -147,7 +147,7 @@
     if engine.settings.stop.is_stopping() {
         return Err(ErrorKind::Stopping);
     }
-    if engine.lease_loss.is_grace_over() {
+    if engine.lease_loss.is_grace_over(&engine.settings.cell) {
         return Err(ErrorKind::NoView);
     }
     let held = engine.settings.cell.held();
@@ -237,7 +237,7 @@
                 Err(_) => SessionEvent::End,
             },
             () = settings.stop.stopped(), if !in_transaction => SessionEvent::Stopping,
-            () = engine.lease_loss.grace_over(&settings.timer), if !in_transaction => {
+            () = engine.lease_loss.grace_over(&settings.cell, &settings.timer), if !in_transaction => {
                 SessionEvent::LeaseLost
             }
             () = engine.drain_ended(), if in_transaction => SessionEvent::Stopping,
--- a/crates/daisyseam-engine/src/session/transaction.rs
+++ b/crates/daisyseam-engine/src/session/transaction.rs
@@ -413,12 +413,17 @@
         times: &OperationTimes,
     ) -> Result<DatabaseReply, AttemptError> {
         let (engine, wrote) = (self.engine, running.wrote);
-        if wrote
-            && !engine
-                .confirm_primary(&running.route, times.primary_until())
-                .await
-        {
-            return Err(AttemptError::Fenced);
+        if wrote {
+            let until = times.primary_until();
+            // Nothing has been committed yet, so the wait can end early.
+            let confirmed = tokio::select! {
+                biased;
+                confirmed = engine.confirm_primary(&running.route, until) => confirmed,
+                () = engine.settings.cell.cut_off(&engine.settings.timer) => false,
+            };
+            if !confirmed {
+                return Err(AttemptError::Fenced);
+            }
         }
         let call = LinkCall {
             id: Some(id),
--- a/crates/daisyseam-member/src/control_client.rs
+++ b/crates/daisyseam-member/src/control_client.rs
@@ -131,10 +131,15 @@
         };
         match end {
             SessionEnd::NotLeader { leader, term } => {
+                keeper.record_not_leader();
                 search.record_redirect(target, leader, term, Instant::now());
             }
             SessionEnd::Failed(reason) => {
                 log::info!("control instance {target}: {reason}");
+                let known = settings.control.list().len();
+                if keeper.record_no_answer(target, known) {
+                    settings.gate.count_control_silence();
+                }
                 search.record_failure(target, Instant::now());
             }
         }
@@ -161,8 +166,11 @@
                     log::warn!("the lease on the view has run out");
                     observer.lease_ended();
                 }
-                if changes.changed().await.is_err() {
-                    return;
+                // Other changes of the cell do not end the lease once more.
+                while cell.held().lease_until == until {
+                    if changes.changed().await.is_err() {
+                        return;
+                    }
                 }
             }
         }
--- a/crates/daisyseam-member/src/control_client/keeper.rs
+++ b/crates/daisyseam-member/src/control_client/keeper.rs
@@ -1,6 +1,8 @@
 //! Applies view updates and extends the lease on the view.
 
 use crate::{
+    ContactState,
+    ControlContact,
     FleetObserver,
     HeldView,
     ViewCell, //
@@ -18,7 +20,11 @@
     ConvertError,
     WireView, //
 };
-use std::sync::Arc;
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration, //
+};
 use tokio::time::Instant;
 
 /// Outcome of applying an update.
@@ -36,6 +42,7 @@
 pub(super) struct ViewKeeper<O> {
     cell: ViewCell,
     observer: O,
+    contact: ControlContact,
     view: Arc<FleetView>,
     document_text: String,
     digest: u64,
@@ -49,6 +56,7 @@
         Self {
             cell,
             observer,
+            contact: ControlContact::new(Instant::now()),
             view: Arc::default(),
             document_text: String::new(),
             digest: 0,
@@ -58,6 +66,51 @@
         }
     }
 
+    /// Records that the leader answered, or a part of its answer arrived.
+    pub(super) fn record_leader(&mut self, at: Instant) {
+        let before = self.contact.state();
+        let gap = self.contact.time_without_answer(Instant::now());
+        self.contact.record_leader(at);
+        self.publish_contact(before, gap);
+    }
+
+    /// Records that a control instance answered that it does not lead.
+    pub(super) fn record_not_leader(&mut self) {
+        let before = self.contact.state();
+        let now = Instant::now();
+        let gap = self.contact.time_without_answer(now);
+        self.contact.record_not_leader(now);
+        self.publish_contact(before, gap);
+    }
+
+    /// Records that a control instance did not answer, out of `known` instances; returns whether
+    /// control has become silent.
+    pub(super) fn record_no_answer(&mut self, target: SocketAddr, known: usize) -> bool {
+        let before = self.contact.state();
+        let now = Instant::now();
+        self.contact.record_failure(now, target, known);
+        self.publish_contact(before, self.contact.time_without_answer(now));
+        self.contact.state() == ContactState::Silent && before != ContactState::Silent
+    }
+
+    fn publish_contact(&self, before: ContactState, gap: Duration) {
+        let state = self.contact.state();
+        if state == before {
+            return;
+        }
+        let gap = gap.as_millis();
+        match (before, state) {
+            (_, ContactState::Silent) => {
+                log::warn!("no control instance has answered for {gap} ms: control is silent");
+            }
+            (ContactState::Silent, _) => {
+                log::warn!("control answers again after {gap} ms");
+            }
+            _ => {}
+        }
+        self.cell.set_contact(state);
+    }
+
     /// Returns the view number to report: that of the view in force, or zero to request a full view.
     pub(super) fn reported_number(&self) -> ViewNumber {
         if self.needs_full_view {
--- a/crates/daisyseam-member/src/control_client/session.rs
+++ b/crates/daisyseam-member/src/control_client/session.rs
@@ -120,6 +120,7 @@
             opened.ok_or(SessionEnd::Failed("the handshake timed out".to_owned()))??;
         let (sender, receiver) = stream.split();
         let now = Instant::now();
+        keeper.record_leader(now);
         Ok(Self {
             settings,
             keeper,
@@ -163,6 +164,8 @@
                 () = timer.at(reply_deadline) => self.check_reply(),
             };
             if let Err(end) = result {
+                // A part of a reply shows as well that the leader answers.
+                self.keeper.record_leader(self.progress.last_read_at());
                 return end;
             }
         }
@@ -249,6 +252,7 @@
 
     async fn handle_reply(&mut self, reply: HeartbeatReply) -> Result<(), SessionEnd> {
         self.last_reply_at = Instant::now();
+        self.keeper.record_leader(self.last_reply_at);
         let Some(lease_start) = self.take_lease_start(reply.sequence) else {
             return Err(SessionEnd::Failed(
                 "reply to an unknown heartbeat".to_owned(),
@@ -260,7 +264,10 @@
         if let Some(update) = reply.encoded_update() {
             let applied = match update.decoded() {
                 Ok(update) => self.keeper.apply(&update).await,
-                Err(error) => Err(error),
+                Err(error) => {
+                    log::warn!("cannot decode an update of the view: {error}");
+                    Err(error)
+                }
             };
             let end = applied.map_err(|error| SessionEnd::Failed(error.to_string()))?;
             // Control waits for the new view number before it completes a change. While a fleet
--- a/crates/daisyseam-member/src/gate.rs
+++ b/crates/daisyseam-member/src/gate.rs
@@ -226,7 +226,8 @@
         self.shared.report_wakeup.send_replace(());
         let mut shares = self.shared.shares.subscribe();
         let timer = &self.shared.timer;
-        let Some(_turn) = timer.within(deadline, guard.turn_lock().lock()).await else {
+        let turn = timer.within(deadline, guard.turn_lock().lock());
+        let Some(_turn) = self.unless_cut_off(turn).await? else {
             return Err(self.refusal_error(&key));
         };
         loop {
@@ -240,7 +241,9 @@
             if Instant::now() >= deadline {
                 return Err(self.refusal_error(&key));
             }
-            let _ = timer.within(ready, shares.changed()).await;
+            let _ = self
+                .unless_cut_off(timer.within(ready, shares.changed()))
+                .await?;
         }
     }
 
@@ -295,8 +298,33 @@
     /// Returns the view, after waiting for a valid lease if necessary.
     async fn leased_view(&self, until: Instant) -> Result<Arc<FleetView>, RequestError> {
         let (cell, timer) = (&self.shared.cell, &self.shared.timer);
-        let held = cell.wait_for(timer, until, HeldView::is_valid).await?;
-        Ok(Arc::clone(&held.view))
+        match cell.wait_for(timer, until, HeldView::is_valid).await {
+            Ok(held) => Ok(Arc::clone(&held.view)),
+            Err(_) if cell.is_cut_off() => Err(self.cut_off_error()),
+            Err(kind) => Err(kind.into()),
+        }
+    }
+
+    /// Waits for a future, but fails once there is no valid lease and control is silent.
+    async fn unless_cut_off<T>(&self, future: impl Future<Output = T>) -> Result<T, RequestError> {
+        let (cell, timer) = (&self.shared.cell, &self.shared.timer);
+        tokio::select! {
+            biased;
+            output = future => Ok(output),
+            () = cell.cut_off(timer) => Err(self.cut_off_error()),
+        }
+    }
+
+    fn cut_off_error(&self) -> RequestError {
+        self.shared
+            .metrics
+            .count(counters::TOKEN_REFUSED_CONTROL_SILENT);
+        ErrorKind::NoView.into()
+    }
+
+    /// Counts that control has become silent.
+    pub(crate) fn count_control_silence(&self) {
+        self.shared.metrics.count(counters::CONTROL_SILENT);
     }
 
     /// Returns the error of a request that waited in vain: `NoView` without a lease, because there are
--- a/crates/daisyseam-member/src/lib.rs
+++ b/crates/daisyseam-member/src/lib.rs
@@ -4,6 +4,7 @@
 //! parts of the instance, and [`FleetGate`] admits requests within the instance's shares of the
 //! rates. [`FleetObserver`] abstracts what the instance does with databases.
 
+mod contact;
 mod control_client;
 mod gate;
 mod incarnation;
@@ -11,6 +12,10 @@
 mod view_cell;
 
 pub use crate::{
+    contact::{
+        ContactState,
+        ControlContact, //
+    },
     control_client::{
         ClientSettings,
         ControlClient,
--- a/crates/daisyseam-member/src/view_cell.rs
+++ b/crates/daisyseam-member/src/view_cell.rs
@@ -1,5 +1,6 @@
 //! The view that this instance acts on and the lease on it.
 
+use crate::ContactState;
 use arc_swap::ArcSwap;
 use daisyseam_model::{
     ErrorKind,
@@ -51,6 +52,7 @@
 #[derive(Clone)]
 pub struct ViewCell {
     held: Arc<ArcSwap<HeldView>>,
+    contact: Arc<ArcSwap<ContactState>>,
     changes: watch::Sender<()>,
 }
 
@@ -59,6 +61,7 @@
     pub fn new() -> Self {
         Self {
             held: Arc::default(),
+            contact: Arc::default(),
             changes: watch::Sender::new(()),
         }
     }
@@ -82,11 +85,48 @@
         }
     }
 
+    /// Returns whether control instances answer this instance.
+    pub fn contact(&self) -> ContactState {
+        **self.contact.load()
+    }
+
+    /// Sets whether control instances answer this instance, and notifies the subscribers.
+    pub fn set_contact(&self, contact: ContactState) {
+        self.contact.store(Arc::new(contact));
+        self.changes.send_replace(());
+    }
+
+    /// Returns whether there is no valid lease, and none can be expected because control is silent.
+    ///
+    /// Requests that need a lease are then refused without a wait, so that callers try an instance
+    /// that has one.
+    pub fn is_cut_off(&self) -> bool {
+        self.contact() == ContactState::Silent && !self.held.load().is_valid()
+    }
+
+    /// Waits until there is no valid lease and control is silent.
+    pub async fn cut_off(&self, timer: &TimerService) {
+        let mut changes = self.subscribe();
+        while !self.is_cut_off() {
+            let until = self.held.load().lease_until;
+            // The cell owns the sender, so the waits cannot fail.
+            match until.filter(|_| self.contact() == ContactState::Silent) {
+                Some(until) => {
+                    let until = BootClock::to_monotonic(until);
+                    let _ = timer.within(until, changes.changed()).await;
+                }
+                None => {
+                    let _ = changes.changed().await;
+                }
+            }
+        }
+    }
+
     /// Waits until the document of the view is current.
     ///
     /// # Errors
     ///
-    /// `NoView` if it is still not current at `until`.
+    /// `NoView` if it is still not current at `until`, or if control is silent.
     pub async fn wait_until_current(
         &self,
         timer: &TimerService,
@@ -100,7 +140,8 @@
     ///
     /// # Errors
     ///
-    /// `NoView` if the condition is still not met at `until`.
+    /// `NoView` if the condition is still not met at `until`, or if there is no valid lease and control
+    /// is silent.
     pub(crate) async fn wait_for(
         &self,
         timer: &TimerService,
@@ -113,6 +154,9 @@
             if condition(&held) {
                 return Ok(held);
             }
+            if self.is_cut_off() {
+                return Err(ErrorKind::NoView);
+            }
             // The cell owns the sender, so the wait can fail only by timing out.
             let changed = timer.within(until, changes.changed()).await;
             changed
--- a/crates/daisyseam-member/tests/gate.rs
+++ b/crates/daisyseam-member/tests/gate.rs
@@ -10,6 +10,7 @@
 };
 use daisyseam_member::{
     AdmissionDeadlines,
+    ContactState,
     FleetGate,
     HeldView,
     RateGate,
@@ -147,3 +148,39 @@
     assert!(refused >= 1);
     assert!(started.elapsed() <= TOKEN_WAIT + Duration::from_millis(10));
 }
+
+/// Guards against requests that wait for a lease that no instance of control can grant.
+#[tokio::test(start_paused = true)]
+async fn no_request_waits_for_a_lease_while_control_is_silent() {
+    let cell = ViewCell::new();
+    let gate = FleetGate::new(cell.clone(), TimerService::start());
+    let waiting = tokio::spawn({
+        let gate = gate.clone();
+        async move { admit(&gate).await }
+    });
+    sleep(TOKEN_WAIT).await;
+    let started = Instant::now();
+    cell.set_contact(ContactState::Silent);
+    let waited = waiting.await.unwrap().unwrap_err().kind;
+    let refused = admit(&gate).await.unwrap_err().kind;
+    assert_eq!((waited, refused), (ErrorKind::NoView, ErrorKind::NoView));
+    assert!(started.elapsed() < TOKEN_WAIT / 10);
+    // A valid lease is used although control is silent.
+    renew_lease(&cell);
+    grant_share(&gate);
+    admit(&gate).await.unwrap();
+}
+
+/// Guards against requests that wait for a token under a lease, and go on waiting after its end.
+#[tokio::test(start_paused = true)]
+async fn a_request_that_waits_for_a_share_is_refused_at_the_end_of_the_last_lease() {
+    let cell = ViewCell::new();
+    let gate = FleetGate::new(cell.clone(), TimerService::start());
+    renew_lease(&cell);
+    sleep(LEASE - TOKEN_WAIT).await;
+    cell.set_contact(ContactState::Silent);
+    let started = Instant::now();
+    assert_eq!(admit(&gate).await.unwrap_err().kind, ErrorKind::NoView);
+    assert!(started.elapsed() >= TOKEN_WAIT);
+    assert!(started.elapsed() < TOKEN_WAIT * 11 / 10);
+}
--- a/crates/daisyseam-member/tests/search.rs
+++ b/crates/daisyseam-member/tests/search.rs
@@ -7,6 +7,7 @@
     cluster, //
 };
 use daisyseam_member::{
+    ContactState,
     ControlAddresses,
     ViewCell, //
 };
@@ -169,3 +170,37 @@
     });
     wait_for_lease(&cell, Duration::from_secs(5)).await;
 }
+
+/// Guards against an instance that cannot tell a partition from an election, and against one that takes
+/// a single answer for a leader.
+#[tokio::test]
+async fn control_is_silent_only_while_no_instance_answers() {
+    const OBSERVED: Duration = Duration::from_millis(1_500);
+    let mut seeds = Vec::new();
+    for _ in 0..3 {
+        // The port is free again once the listener is dropped, and refuses connections.
+        seeds.push(listen().await.1);
+    }
+    let cell = ViewCell::new();
+    let control = ControlAddresses::new(seeds.clone());
+    let _client = client(control.clone(), cell.clone());
+    let started = Instant::now();
+    while cell.contact() != ContactState::Silent {
+        assert!(started.elapsed() < Duration::from_secs(5), "never silent");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    assert!(cell.is_cut_off());
+    let (follower, address) = listen().await;
+    serve(follower, Behaviour::Follower(seeds[0]));
+    control.set_seeds([&seeds[..2], &[address]].concat());
+    let started = Instant::now();
+    while cell.contact() != ContactState::Leaderless {
+        assert!(started.elapsed() < Duration::from_secs(5), "still silent");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let started = Instant::now();
+    while started.elapsed() < OBSERVED {
+        assert_eq!(cell.contact(), ContactState::Leaderless);
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
