--- a/crates/daisyseam-member/tests/updates.rs
+++ b/crates/daisyseam-member/tests/updates.rs
@@ -13,6 +13,9 @@
 use daisyseam_model::ViewNumber;
 use daisyseam_wire::{
     ControlMessage,
+    DocumentPatch,
+    EncodedDocument,
+    EncodedUpdate,
     Heartbeat,
     HeartbeatReply,
     MessageStream,
@@ -207,3 +210,69 @@
     assert_eq!(beat.view, 7, "no copy was requested meanwhile");
     assert!(cell.valid().is_ok());
 }
+
+/// Returns a document of this many services.
+fn document(services: usize) -> String {
+    let head = r#"number = 1
+cluster = "shellrest"
+region = [{ name = "khomas" }]
+data_centre = [{ name = "khomas-1", region = "khomas" }]
+group = [{ name = "bookings-db", databases = 3, slots = 5 }]
+"#;
+    let service = |number| {
+        format!(
+            r#"
+[[service]]
+name = "bookings-{number}"
+group = "bookings-db"
+consistency = "bounded"
+max_staleness_ms = {}
+statement_timeout_ms = 3000
+target_latency_ms = 1200
+"#,
+            1_000 + number
+        )
+    };
+    head.to_owned() + &(0..services).map(service).collect::<String>()
+}
+
+/// Guards against leases that run out behind an update of a large document on a narrow link.
+#[tokio::test]
+async fn a_lease_does_not_run_out_while_a_large_document_arrives() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let cell = ViewCell::new();
+    let _client = client(ControlAddresses::new(vec![address]), cell.clone());
+    let (socket, _) = listener.accept().await.expect("it connects");
+    let mut leader = LeaderStream::welcome(narrow_link(socket)).await;
+    let first = leader.heartbeat().await;
+    leader.update(&first, 1).await;
+    let beat = leader.heartbeat().await;
+    let document = EncodedDocument::new(DocumentPatch::whole(&document(1_728)));
+    let others = WireView {
+        number: 2,
+        since: beat.view,
+        document_number: 1,
+        ..WireView::default()
+    };
+    let mut reply = HeartbeatReply {
+        sequence: beat.sequence,
+        lease_ms: 1_000,
+        ..HeartbeatReply::default()
+    };
+    reply.set_update(Some(EncodedUpdate::new(Some(&document), &others)));
+    let arrives = async {
+        leader.send(Body::HeartbeatReply(reply)).await;
+        while leader.heartbeat().await.view != 2 {}
+    };
+    tokio::pin!(arrives);
+    loop {
+        tokio::select! {
+            () = &mut arrives => break,
+            () = sleep(Duration::from_millis(5)) => {
+                assert!(cell.valid().is_ok(), "the lease has run out");
+            }
+        }
+    }
+    assert!(cell.held().view.document.is_some());
+}
