Route reads by expected finish time and send a bounded share away

Reads went to the nearest database until this instance found it full, so a data centre asked for 1.29 times its capacity refused reads while the others had capacity. Holders now send the expected wait in their queue with each answer (RelayReply tag 6, RelayFailure tag 4), and daisyseam-coord decides per read: round trip, wait and a penalty for leaving the data centre, the region and for the primary. The share that leaves follows the gain with a proportional and an integral part. Considered: the cheapest database for each read (all instances move at once) and an integral part alone (oscillates with answers 100 ms old).

--- a/crates/daisyseam-coord/src/lib.rs
+++ b/crates/daisyseam-coord/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod promotion;
 pub mod quorum;
 pub mod quota;
+pub mod read_route;
 pub mod retry;
 pub mod route;
 pub mod view_lease;
--- a/crates/daisyseam-engine/src/attempt.rs
+++ b/crates/daisyseam-engine/src/attempt.rs
@@ -226,6 +226,9 @@
                 let in_flight = self.health.relayed_call_started(&route.upstream);
                 let reply = link.call(&self.settings.timer, context, call).await;
                 drop(in_flight);
+                if let Some(wait) = link.expected_wait() {
+                    self.health.record_wait(&route.upstream, wait);
+                }
                 if let Err(error) = &reply
                     && let Some(error) = holder_failure(error)
                 {
--- a/crates/daisyseam-engine/src/engine.rs
+++ b/crates/daisyseam-engine/src/engine.rs
@@ -14,7 +14,10 @@
         RelayClient,
         RelaySettings, //
     },
-    route::Router,
+    route::{
+        ReadRouting,
+        Router, //
+    },
     samples::PositionSamples,
     session,
     writers::WriterCounts, //
@@ -97,6 +100,7 @@
     /// Connections to the homes of small rates, if they are used.
     pub(crate) admissions: Option<AdmissionClient>,
     pub(crate) health: HealthTable,
+    pub(crate) reads: ReadRouting,
     pub(crate) samples: PositionSamples,
     pub(crate) writers: WriterCounts,
     pub(crate) outages: OutageTracker,
@@ -132,6 +136,7 @@
             relays,
             admissions,
             health: HealthTable::default(),
+            reads: ReadRouting::new(),
             samples: PositionSamples::default(),
             writers: WriterCounts::default(),
             outages: OutageTracker::default(),
@@ -208,6 +213,7 @@
             health: &self.health,
             pool: &self.pool,
             data_centre: &self.settings.data_centre,
+            reads: &self.reads,
         }
     }
 
--- a/crates/daisyseam-engine/src/health.rs
+++ b/crates/daisyseam-engine/src/health.rs
@@ -34,6 +34,9 @@
 /// Time for which a database without a free connection gets reads only if no other one is left.
 const EXHAUSTION_MEMORY: Duration = Duration::from_millis(50);
 
+/// Time in which an expected wait that a holder reported counts half.
+const WAIT_HALF_LIFE: Duration = Duration::from_millis(500);
+
 /// Consecutive failures after which a database may count as unreachable.
 const UNREACHABLE_FAILURES: u32 = 2;
 
@@ -69,6 +72,8 @@
     lagging_until: Option<Instant>,
     exhausted_until: Option<Instant>,
     last_choice: u64,
+    /// Expected wait at the holder, and when it was reported.
+    wait: Option<(Duration, Instant)>,
     misdirected: Option<ViewNumber>,
     in_flight: usize,
     /// Number of calls in flight over other instances, which observe the database for themselves.
@@ -185,6 +190,21 @@
         })
     }
 
+    /// Records the expected wait that a holder of a database has reported.
+    pub(crate) fn record_wait(&self, upstream: &UpstreamId, wait: Duration) {
+        let mut upstreams = self.upstreams.lock();
+        entry(&mut upstreams, upstream).wait = Some((wait, Instant::now()));
+    }
+
+    /// Returns the expected wait for a database that other instances hold; `None` if none of them
+    /// has reported one.
+    pub(crate) fn expected_wait(&self, upstream: &UpstreamId) -> Option<Duration> {
+        let upstreams = self.upstreams.lock();
+        let (wait, reported_at) = upstreams.get(upstream)?.wait?;
+        let halvings = reported_at.elapsed().as_secs_f64() / WAIT_HALF_LIFE.as_secs_f64();
+        Some(wait.mul_f64(0.5_f64.powf(halvings)))
+    }
+
     /// Records that a database lacked a position.
     pub(crate) fn record_lag(&self, upstream: &UpstreamId) {
         let mut upstreams = self.upstreams.lock();
--- a/crates/daisyseam-engine/src/observer.rs
+++ b/crates/daisyseam-engine/src/observer.rs
@@ -62,6 +62,7 @@
         self.shared.health.retain(known);
         let known = |group: &_| view.groups.contains_key(group);
         self.shared.samples.retain(known);
+        self.shared.reads.retain(known);
         let draining = draining_groups(view).next().is_some();
         self.shared.writers.set_draining(draining);
     }
--- a/crates/daisyseam-engine/src/pool.rs
+++ b/crates/daisyseam-engine/src/pool.rs
@@ -239,6 +239,12 @@
         pool.map_or_else(UpstreamLoad::default, |pool| pool.load())
     }
 
+    /// Returns the expected wait for a connection to a database; `None` without a pool for it.
+    pub(crate) fn expected_wait(&self, upstream: &UpstreamId) -> Option<Duration> {
+        let upstreams = self.upstreams.lock();
+        upstreams.get(upstream).map(|pool| pool.expected_wait())
+    }
+
     /// Closes the idle connections to a database.
     pub(crate) fn close_idle(&self, upstream: &UpstreamId) {
         let pool = self.upstreams.lock().get(upstream).cloned();
--- a/crates/daisyseam-engine/src/pool/upstream.rs
+++ b/crates/daisyseam-engine/src/pool/upstream.rs
@@ -162,6 +162,11 @@
         }
     }
 
+    /// Returns how long a claim that is made now is expected to wait.
+    pub(super) fn expected_wait(&self) -> Duration {
+        self.state.lock().expected_wait()
+    }
+
     pub(super) fn set_budget(self: &Arc<Self>, budget: ConnectionBudget) {
         let mut state = self.state.lock();
         if state.budget == budget {
--- a/crates/daisyseam-engine/src/relay/convert.rs
+++ b/crates/daisyseam-engine/src/relay/convert.rs
@@ -34,6 +34,7 @@
     RelayValue,
     RelayVerb, //
 };
+use std::time::Duration;
 
 /// Numbers of the kinds of refusal in messages; new kinds are added at the end.
 const REFUSALS: [RefusalKind; 11] = [
@@ -163,7 +164,7 @@
     decoded
 }
 
-pub(super) fn encode_reply(reply: DatabaseReply) -> RelayReply {
+pub(super) fn encode_reply(reply: DatabaseReply, wait: Option<Duration>) -> RelayReply {
     let (receipt, refusal) = match reply.outcome {
         Ok(receipt) => (receipt, None),
         Err(refusal) => {
@@ -180,6 +181,7 @@
         refusal,
         state: number_of(&STATES, reply.state),
         position: reply.position.map(Into::into),
+        wait_ms: encode_wait(wait),
     }
 }
 
@@ -200,7 +202,7 @@
     })
 }
 
-pub(super) fn encode_failure(error: &LinkError) -> RelayFailure {
+pub(super) fn encode_failure(error: &LinkError, wait: Option<Duration>) -> RelayFailure {
     let mut refusal = RefusalKind::Unknown;
     let kind = match error {
         LinkError::Acquire(AcquireError::UnknownUpstream) | LinkError::NotHolder => {
@@ -221,9 +223,24 @@
     RelayFailure {
         kind: kind.into(),
         refusal: number_of(&REFUSALS, refusal),
+        wait_ms: encode_wait(wait),
     }
 }
 
+/// Returns the number for an expected wait; 0 stands for an unknown one.
+fn encode_wait(wait: Option<Duration>) -> u32 {
+    wait.map_or(0, |wait| {
+        let millis = u32::try_from(wait.as_millis()).unwrap_or(u32::MAX);
+        millis.saturating_add(1)
+    })
+}
+
+/// Returns the expected wait of an answer, if the holder knows it.
+pub(super) fn decode_wait(wait_ms: u32) -> Option<Duration> {
+    let millis = wait_ms.checked_sub(1)?;
+    Some(Duration::from_millis(millis.into()))
+}
+
 pub(super) fn decode_failure(failure: RelayFailure) -> LinkError {
     let unreachable = || ConnectError::Unreachable("reported by the holder".to_owned());
     match RelayFailureKind::try_from(failure.kind) {
--- a/crates/daisyseam-engine/src/relay/peer.rs
+++ b/crates/daisyseam-engine/src/relay/peer.rs
@@ -6,6 +6,7 @@
     convert::{
         decode_failure,
         decode_reply,
+        decode_wait,
         encode_fence,
         encode_values,
         encode_verb, //
@@ -253,6 +254,7 @@
             upstream: upstream.clone(),
             state: LinkState::New,
             last_number: 0,
+            expected_wait: None,
         })
     }
 
@@ -330,6 +332,8 @@
     upstream: UpstreamId,
     state: LinkState,
     last_number: u64,
+    /// Expected wait of a new call, from the holder's last answer.
+    expected_wait: Option<Duration>,
 }
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -343,6 +347,11 @@
 }
 
 impl RelayedLink {
+    /// Returns the expected wait of a new call, from the holder's last answer.
+    pub(crate) fn expected_wait(&self) -> Option<Duration> {
+        self.expected_wait
+    }
+
     /// Makes a call of an operation.
     pub(crate) async fn call(
         &mut self,
@@ -457,6 +466,7 @@
         let mut stream = self.stream.take().ok_or(LinkError::NotSent)?;
         self.last_number += 1;
         let number = self.last_number;
+        self.expected_wait = None;
         let sent_at = Instant::now();
         let sent = timer
             .within(until, stream.send(&message(number, Body::Call(call))))
@@ -491,6 +501,7 @@
         self.peer.record_message();
         match answer {
             Some(Body::Reply(reply)) => {
+                self.expected_wait = decode_wait(reply.wait_ms);
                 let reply = decode_reply(reply).ok_or(LinkError::HolderLost)?;
                 self.state = match reply.state {
                     TransactionState::Idle => LinkState::Closed,
@@ -500,6 +511,7 @@
                 Ok(reply)
             }
             Some(Body::Failure(failure)) => {
+                self.expected_wait = decode_wait(failure.wait_ms);
                 self.state = LinkState::Closed;
                 self.stream = Some(stream);
                 Err(decode_failure(failure))
--- a/crates/daisyseam-engine/src/relay/server.rs
+++ b/crates/daisyseam-engine/src/relay/server.rs
@@ -136,12 +136,15 @@
                 Some(Body::Ping(_)) => Body::Pong(RelayPong {}),
                 Some(Body::Call(call)) => {
                     self.engine.settings.metrics.count(counters::CALL_RELAYED);
-                    match self.call(&call).await {
-                        Ok(reply) => Body::Reply(encode_reply(reply)),
+                    let upstream = self.upstream_of(&call);
+                    let result = self.call(&call).await;
+                    let wait = upstream.and_then(|name| self.engine.pool.expected_wait(&name));
+                    match result {
+                        Ok(reply) => Body::Reply(encode_reply(reply, wait)),
                         Err(error) => {
                             // Closes the connection, which rolls back.
                             self.link = None;
-                            Body::Failure(encode_failure(&error))
+                            Body::Failure(encode_failure(&error, wait))
                         }
                     }
                 }
@@ -157,6 +160,14 @@
         Ok(())
     }
 
+    /// Returns the database that a call is for.
+    fn upstream_of(&self, call: &RelayCall) -> Option<UpstreamId> {
+        match &self.link {
+            Some(link) => Some(link.upstream.clone()),
+            None => call.upstream.parse().ok(),
+        }
+    }
+
     /// Receives the next message; `None` if the open transaction must end.
     async fn next_message(&mut self) -> Result<Option<RelayMessage>, StreamError> {
         let Some(idle_until) = self.link.as_ref().map(|link| link.idle_until) else {
--- a/crates/daisyseam-engine/src/route.rs
+++ b/crates/daisyseam-engine/src/route.rs
@@ -3,12 +3,17 @@
 use crate::{
     DatabaseConnector, //
     health::HealthTable,
-    pool::{
-        ConnectionPool,
-        UpstreamLoad, //
+    pool::ConnectionPool, //
+};
+use daisyseam_coord::{
+    Moment,
+    read_route::{
+        ReadCandidate,
+        ReadPolicy,
+        ReadShares, //
     },
+    route::RouteDistance, //
 };
-use daisyseam_coord::route::RouteDistance;
 use daisyseam_member::{
     HeldView,
     ViewCell, //
@@ -26,8 +31,12 @@
     UpstreamView, //
 };
 use daisyseam_runtime::TimerService;
+use parking_lot::Mutex;
 use smallvec::SmallVec;
-use std::sync::Arc;
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
 use tokio::time::Instant;
 
 /// The databases that an operation has already been tried on.
@@ -102,6 +111,39 @@
     pub(crate) health: &'a HealthTable,
     pub(crate) pool: &'a ConnectionPool<D>,
     pub(crate) data_centre: &'a DataCentreId,
+    pub(crate) reads: &'a ReadRouting,
+}
+
+/// The shares of reads that leave the nearest database.
+#[derive(Debug)]
+pub(crate) struct ReadRouting {
+    started_at: Instant,
+    shares: Mutex<ReadShares>,
+}
+
+impl ReadRouting {
+    /// Creates the state of an instance that starts now.
+    pub(crate) fn new() -> Self {
+        Self {
+            started_at: Instant::now(),
+            shares: Mutex::default(),
+        }
+    }
+
+    /// Removes the groups that are no longer in the view.
+    pub(crate) fn retain(&self, keep: impl Fn(&GroupId) -> bool) {
+        self.shares.lock().retain(keep);
+    }
+
+    fn choose(
+        &self,
+        policy: &ReadPolicy,
+        group: &GroupId,
+        candidates: &[ReadCandidate<'_>],
+    ) -> Option<usize> {
+        let now = Moment::after_origin(self.started_at.elapsed());
+        self.shares.lock().choose(now, policy, group, candidates)
+    }
 }
 
 impl<D: DatabaseConnector> Router<'_, D> {
@@ -180,7 +222,8 @@
 
     /// Chooses a database that may have reached a position; returns `None` if all have been tried.
     ///
-    /// Prefers the nearest database, and among equally near ones the least loaded by this instance.
+    /// Prefers the nearest database while none has a queue, and among equally near ones the least
+    /// loaded by this instance.
     pub(crate) fn choose_reader(
         &self,
         group: &GroupId,
@@ -188,7 +231,15 @@
         tried: &[UpstreamId],
     ) -> Option<Route> {
         let held = self.cell.held();
-        let upstream = self.find_reader(&held.view, group, floor, tried)?;
+        let candidates = self.read_candidates(&held.view, group, floor, tried);
+        let policy = ReadPolicy::default();
+        // A retry is sent where it is expected to finish first.
+        let index = match tried.is_empty() {
+            true => self.reads.choose(&policy, group, &candidates),
+            false => policy.cheapest(&candidates),
+        };
+        let upstream = candidates[index?].upstream.clone();
+        drop(candidates);
         self.health.record_choice(&upstream);
         Some(Route {
             upstream,
@@ -206,46 +257,52 @@
         tried: &[UpstreamId],
     ) -> bool {
         let held = self.cell.held();
-        self.find_reader(&held.view, group, floor, tried).is_some()
+        !self
+            .read_candidates(&held.view, group, floor, tried)
+            .is_empty()
     }
 
-    fn find_reader(
+    /// Returns the databases that may have reached a position.
+    fn read_candidates<'v>(
         &self,
-        view: &FleetView,
-        group: &GroupId,
+        view: &'v FleetView,
+        group: &'v GroupId,
         floor: Option<LogPosition>,
         tried: &[UpstreamId],
-    ) -> Option<UpstreamId> {
-        let candidates = view.members(group).filter(|(name, upstream_view)| {
+    ) -> SmallVec<[ReadCandidate<'v>; 4]> {
+        let members = view.members(group).filter(|(name, upstream_view)| {
             !tried.contains(name)
                 && !upstream_view.leaving
                 && view.in_service(&upstream_view.data_centre)
         });
-        let usable = candidates.filter(|(name, _)| {
+        let usable = members.filter(|(name, _)| {
             let avoided = self.health.is_avoided(name, view.number);
             let lagging = floor.is_some() && self.health.is_lagging(name);
             !avoided && !lagging
         });
-        let best =
-            usable.min_by_key(|(name, upstream_view)| self.rank(view, name, upstream_view))?;
-        Some(best.0.clone())
+        let primary = current_primary(view, group);
+        let candidates = usable.map(|(name, upstream_view)| {
+            let (load, wait) = match self.pool.holders(view, name, upstream_view).is_empty() {
+                true => (self.pool.load(name), None),
+                false => (self.health.relayed_load(name), self.expected_wait(name)),
+            };
+            ReadCandidate {
+                upstream: name,
+                primary: primary == Some(name),
+                distance: self.distance(view, &upstream_view.data_centre),
+                full: load.full,
+                wait: wait.unwrap_or_default(),
+                load: (load.checked_out, load.last_claim),
+            }
+        });
+        candidates.collect()
     }
 
-    fn rank(
-        &self,
-        view: &FleetView,
-        name: &UpstreamId,
-        upstream_view: &UpstreamView,
-    ) -> (bool, RouteDistance, UpstreamLoad) {
-        let load = match self.pool.holders(view, name, upstream_view).is_empty() {
-            true => self.pool.load(name),
-            false => self.health.relayed_load(name),
-        };
-        (
-            load.full,
-            self.distance(view, &upstream_view.data_centre),
-            load,
-        )
+    /// Returns the expected wait for a database that holders serve, as this instance or another
+    /// one knows it.
+    fn expected_wait(&self, upstream: &UpstreamId) -> Option<Duration> {
+        let own = self.pool.expected_wait(upstream);
+        own.max(self.health.expected_wait(upstream))
     }
 
     fn distance(&self, view: &FleetView, other: &DataCentreId) -> RouteDistance {
--- a/crates/daisyseam-wire/src/relay.rs
+++ b/crates/daisyseam-wire/src/relay.rs
@@ -161,6 +161,9 @@
     /// Position of the database's log, if it reported one.
     #[prost(message, optional, tag = "5")]
     pub position: Option<WirePosition>,
+    /// Expected wait of a new call at the holder, in milliseconds, as sent + 1; 0 is unknown.
+    #[prost(uint32, tag = "6")]
+    pub wait_ms: u32,
 }
 
 /// An error reported by a database.
@@ -183,6 +186,9 @@
     /// Kind of refusal with `ConnectionRefused`, as numbered by the engine.
     #[prost(uint32, tag = "2")]
     pub refusal: u32,
+    /// Expected wait of a new call at the holder, in milliseconds, as sent + 1; 0 is unknown.
+    #[prost(uint32, tag = "4")]
+    pub wait_ms: u32,
 }
 
 /// Reasons of a [`RelayFailure`].
