Let a document set what a read must gain to be sent further

The penalties of read routing were constants. The section [limits] now has region_round_trip_ms, far_round_trip_ms, read_leave_data_centre_ms, read_leave_region_ms and read_use_primary_ms; the defaults keep reads at the nearest replica while its queue is empty. Counters tell how many attempts of reads stay in the data centre, in the region, or leave it. A section of its own was considered; it would add a field to every place that builds a document for few numbers.

--- a/crates/daisyseam-coord/src/read_route.rs
+++ b/crates/daisyseam-coord/src/read_route.rs
@@ -11,7 +11,8 @@
 };
 use daisyseam_model::{
     GroupId,
-    UpstreamId, //
+    UpstreamId,
+    document::ReadCosts, //
 };
 use smallvec::SmallVec;
 use std::{
@@ -38,33 +39,6 @@
 /// database.
 const PRIMARY_WAIT_FACTOR: u32 = 4;
 
-/// Costs of the databases, as time that a read must gain to be sent there.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct ReadPolicy {
-    /// Round trip time to another data centre of the same region.
-    pub region_round_trip: Duration,
-    /// Round trip time to another region.
-    pub far_round_trip: Duration,
-    /// Gain required for leaving the data centre.
-    pub leave_data_centre: Duration,
-    /// Gain required for leaving the region, in addition.
-    pub leave_region: Duration,
-    /// Gain required for using the primary, which writes need.
-    pub use_primary: Duration,
-}
-
-impl Default for ReadPolicy {
-    fn default() -> Self {
-        Self {
-            region_round_trip: Duration::from_millis(2),
-            far_round_trip: Duration::from_millis(40),
-            leave_data_centre: Duration::from_millis(2),
-            leave_region: Duration::from_millis(20),
-            use_primary: Duration::from_millis(5),
-        }
-    }
-}
-
 /// A database that may serve a read.
 #[derive(Clone, Copy, Debug)]
 pub struct ReadCandidate<'a> {
@@ -91,45 +65,43 @@
     }
 }
 
-impl ReadPolicy {
-    /// Returns the cost of a database without a queue.
-    fn idle_cost(&self, candidate: &ReadCandidate<'_>) -> Duration {
-        let way = match candidate.distance {
-            RouteDistance::SameDataCentre => Duration::ZERO,
-            RouteDistance::SameRegion => self.region_round_trip + self.leave_data_centre,
-            RouteDistance::OtherRegion => {
-                self.far_round_trip + self.leave_data_centre + self.leave_region
-            }
-        };
-        match candidate.primary {
-            true => way + self.use_primary,
-            false => way,
+/// Returns the cost of a database without a queue.
+fn idle_cost(costs: &ReadCosts, candidate: &ReadCandidate<'_>) -> Duration {
+    let way = match candidate.distance {
+        RouteDistance::SameDataCentre => Duration::ZERO,
+        RouteDistance::SameRegion => costs.region_round_trip + costs.leave_data_centre,
+        RouteDistance::OtherRegion => {
+            costs.far_round_trip + costs.leave_data_centre + costs.leave_region
         }
+    };
+    match candidate.primary {
+        true => way + costs.use_primary,
+        false => way,
     }
+}
 
-    /// Returns the cost of a database: the expected finish time and what a read must gain. The
-    /// service time is taken to be the same everywhere.
-    fn cost(&self, candidate: &ReadCandidate<'_>) -> Duration {
-        self.idle_cost(candidate) + candidate.wait.saturating_mul(candidate.wait_factor())
-    }
+/// Returns the cost of a database: the expected finish time and what a read must gain. The
+/// service time is taken to be the same everywhere.
+fn cost(costs: &ReadCosts, candidate: &ReadCandidate<'_>) -> Duration {
+    idle_cost(costs, candidate) + candidate.wait.saturating_mul(candidate.wait_factor())
+}
 
-    /// Returns the index of the database with the lowest cost.
-    pub fn cheapest(&self, candidates: &[ReadCandidate<'_>]) -> Option<usize> {
-        let indices = 0..candidates.len();
-        indices.min_by_key(|index| {
-            let candidate = &candidates[*index];
-            (candidate.full, self.cost(candidate), candidate.load)
-        })
-    }
+/// Returns the index of the database with the lowest cost.
+pub fn cheapest(costs: &ReadCosts, candidates: &[ReadCandidate<'_>]) -> Option<usize> {
+    let indices = 0..candidates.len();
+    indices.min_by_key(|index| {
+        let candidate = &candidates[*index];
+        (candidate.full, cost(costs, candidate), candidate.load)
+    })
+}
 
-    /// Returns the index of the database that is preferred while none has a queue.
-    fn nearest(&self, candidates: &[ReadCandidate<'_>]) -> Option<usize> {
-        let indices = 0..candidates.len();
-        indices.min_by_key(|index| {
-            let candidate = &candidates[*index];
-            (self.idle_cost(candidate), candidate.load)
-        })
-    }
+/// Returns the index of the database that is preferred while none has a queue.
+fn nearest(costs: &ReadCosts, candidates: &[ReadCandidate<'_>]) -> Option<usize> {
+    let indices = 0..candidates.len();
+    indices.min_by_key(|index| {
+        let candidate = &candidates[*index];
+        (idle_cost(costs, candidate), candidate.load)
+    })
 }
 
 /// The shares of reads that leave the nearest database, by group.
@@ -137,9 +109,9 @@
 /// # Examples
 ///
 /// ```
-/// use daisyseam_coord::{Moment, read_route::{ReadCandidate, ReadPolicy, ReadShares}};
+/// use daisyseam_coord::{Moment, read_route::{ReadCandidate, ReadShares}};
 /// use daisyseam_coord::route::RouteDistance;
-/// use daisyseam_model::{GroupId, UpstreamId};
+/// use daisyseam_model::{GroupId, UpstreamId, document::ReadCosts};
 /// use std::time::Duration;
 ///
 /// let group = GroupId::new("bookings").unwrap();
@@ -152,8 +124,8 @@
 ///     candidate(&near, RouteDistance::SameDataCentre),
 /// ];
 /// let mut shares = ReadShares::default();
-/// let policy = ReadPolicy::default();
-/// assert_eq!(shares.choose(Moment::ORIGIN, &policy, &group, &candidates), Some(1));
+/// let costs = ReadCosts::default();
+/// assert_eq!(shares.choose(Moment::ORIGIN, &costs, &group, &candidates), Some(1));
 /// ```
 #[derive(Debug, Default)]
 pub struct ReadShares {
@@ -175,11 +147,11 @@
     pub fn choose(
         &mut self,
         now: Moment,
-        policy: &ReadPolicy,
+        costs: &ReadCosts,
         group: &GroupId,
         candidates: &[ReadCandidate<'_>],
     ) -> Option<usize> {
-        let nearest = policy.nearest(candidates)?;
+        let nearest = nearest(costs, candidates)?;
         if candidates.len() == 1 {
             return Some(nearest);
         }
@@ -187,7 +159,7 @@
             self.groups.insert(group.clone(), GroupShare::default());
         }
         let share = self.groups.get_mut(group)?;
-        Some(share.choose(now, policy, candidates, nearest))
+        Some(share.choose(now, costs, candidates, nearest))
     }
 
     /// Returns the share of a group's reads that leave the nearest database for lasting gain.
@@ -205,16 +177,16 @@
     fn choose(
         &mut self,
         now: Moment,
-        policy: &ReadPolicy,
+        costs: &ReadCosts,
         candidates: &[ReadCandidate<'_>],
         nearest: usize,
     ) -> usize {
-        let near_cost = policy.cost(&candidates[nearest]).as_secs_f64();
+        let near_cost = cost(costs, &candidates[nearest]).as_secs_f64();
         // A change of the share changes the cost of the nearest one by a multiple of its wait.
         let factor = f64::from(candidates[nearest].wait_factor());
         let gains: SmallVec<[f64; 4]> = candidates
             .iter()
-            .map(|candidate| (near_cost - policy.cost(candidate).as_secs_f64()) / factor)
+            .map(|candidate| (near_cost - cost(costs, candidate).as_secs_f64()) / factor)
             .collect();
         let others =
             || (0..candidates.len()).filter(|index| *index != nearest && !candidates[*index].full);
@@ -223,7 +195,7 @@
         };
         if candidates[nearest].full {
             self.update(now, gain.max(SHARE_GAIN.as_secs_f64()));
-            return policy.cheapest(candidates).unwrap_or(nearest);
+            return cheapest(costs, candidates).unwrap_or(nearest);
         }
         let share = self.update(now, gain);
         if share <= 0.0 {
--- a/crates/daisyseam-coord/tests/read_route.rs
+++ b/crates/daisyseam-coord/tests/read_route.rs
@@ -6,14 +6,15 @@
     Moment,
     read_route::{
         ReadCandidate,
-        ReadPolicy,
-        ReadShares, //
+        ReadShares,
+        cheapest, //
     },
     route::RouteDistance, //
 };
 use daisyseam_model::{
     GroupId,
-    UpstreamId, //
+    UpstreamId,
+    document::ReadCosts, //
 };
 use read_support::{
     INTERVAL_MS,
@@ -52,7 +53,7 @@
         demand: |data_centre, at_ms| varying(100.0 / 120.0, data_centre, at_ms),
         fixed: |_, _| 0.0,
         primary: None,
-        policy: Some(ReadPolicy::default()),
+        costs: Some(ReadCosts::default()),
         target_ms: 300,
         length_ms: PERIOD_MS * PERIODS as u64,
     }
@@ -65,7 +66,7 @@
 #[test_case(3; "seed 3")]
 fn fewer_reads_are_late_than_with_nearest_first(seed: u64) {
     let nearest_settings = ModelSettings {
-        policy: None,
+        costs: None,
         ..varying_settings()
     };
     let nearest = run(&nearest_settings, DATA_CENTRES, seed);
@@ -142,7 +143,7 @@
         ..varying_settings()
     };
     let nearest_settings = ModelSettings {
-        policy: None,
+        costs: None,
         ..settings.clone()
     };
     let late = |settings| {
@@ -178,10 +179,10 @@
 }
 
 /// Returns which candidate gets each of the reads that come one a millisecond.
-fn choices(policy: &ReadPolicy, candidates: &[ReadCandidate<'_>], reads: u64) -> Vec<usize> {
+fn choices(costs: &ReadCosts, candidates: &[ReadCandidate<'_>], reads: u64) -> Vec<usize> {
     let mut shares = ReadShares::default();
     let moments = (0..reads).map(Moment::from_millis);
-    let chosen = moments.map(|now| shares.choose(now, policy, &group(), candidates));
+    let chosen = moments.map(|now| shares.choose(now, costs, &group(), candidates));
     chosen.map(|chosen| chosen.expect("a candidate")).collect()
 }
 
@@ -197,7 +198,7 @@
         },
         candidate(&free, RouteDistance::SameDataCentre),
     ];
-    let chosen = choices(&ReadPolicy::default(), &candidates, 100);
+    let chosen = choices(&ReadCosts::default(), &candidates, 100);
     assert!(chosen.iter().all(|index| *index == 2));
 }
 
@@ -214,7 +215,7 @@
         },
         candidate(&replica, distance),
     ];
-    let chosen = choices(&ReadPolicy::default(), &candidates, 100);
+    let chosen = choices(&ReadCosts::default(), &candidates, 100);
     assert!(chosen.iter().all(|index| *index == expected));
 }
 
@@ -230,7 +231,7 @@
         candidate(&names[1], RouteDistance::OtherRegion),
         candidate(&names[2], RouteDistance::OtherRegion),
     ];
-    let chosen = choices(&ReadPolicy::default(), &candidates, 100);
+    let chosen = choices(&ReadCosts::default(), &candidates, 100);
     let count = |index| chosen.iter().filter(|chosen| **chosen == index).count();
     assert!(count(1).abs_diff(count(2)) <= 1);
     assert!(count(0) == 0);
@@ -245,16 +246,12 @@
         ..candidate(&near, RouteDistance::SameDataCentre)
     };
     let other = candidate(&far, RouteDistance::OtherRegion);
-    let policy = ReadPolicy::default();
+    let costs = ReadCosts::default();
     assert!(
-        choices(&policy, &[full, other], 10)
+        choices(&costs, &[full, other], 10)
             .iter()
             .all(|index| *index == 1)
     );
-    assert!(
-        choices(&policy, &[full], 10)
-            .iter()
-            .all(|index| *index == 0)
-    );
-    assert_eq!(policy.cheapest(&[full, other]), Some(1));
+    assert!(choices(&costs, &[full], 10).iter().all(|index| *index == 0));
+    assert_eq!(cheapest(&costs, &[full, other]), Some(1));
 }
--- a/crates/daisyseam-coord/tests/read_support/mod.rs
+++ b/crates/daisyseam-coord/tests/read_support/mod.rs
@@ -5,14 +5,14 @@
     Moment,
     read_route::{
         ReadCandidate,
-        ReadPolicy,
         ReadShares, //
     },
     route::RouteDistance, //
 };
 use daisyseam_model::{
     GroupId,
-    UpstreamId, //
+    UpstreamId,
+    document::ReadCosts, //
 };
 use rand::{
     Rng,
@@ -52,7 +52,7 @@
     /// Database that is the primary.
     pub(crate) primary: Option<usize>,
     /// Decision parameters; `None` routes every read to its own data centre.
-    pub(crate) policy: Option<ReadPolicy>,
+    pub(crate) costs: Option<ReadCosts>,
     /// Time that a read may take, in milliseconds.
     pub(crate) target_ms: u64,
     /// Length of the run, in milliseconds.
@@ -144,9 +144,9 @@
             for _ in 0..arrivals {
                 let index = random.random_range(0..settings.instances);
                 let instance = &mut instances[home][index];
-                let target = match &settings.policy {
+                let target = match &settings.costs {
                     None => home,
-                    Some(policy) => instance.choose(now, policy, settings, &group, &names, home),
+                    Some(costs) => instance.choose(now, costs, settings, &group, &names, home),
                 };
                 instance.in_flight[target] += 1;
                 instance.choices[target] = now;
@@ -239,7 +239,7 @@
     fn choose(
         &mut self,
         now: u64,
-        policy: &ReadPolicy,
+        costs: &ReadCosts,
         settings: &ModelSettings,
         group: &GroupId,
         names: &[UpstreamId],
@@ -266,7 +266,7 @@
             .collect();
         let chosen = self
             .shares
-            .choose(Moment::from_millis(now), policy, group, &candidates);
+            .choose(Moment::from_millis(now), costs, group, &candidates);
         chosen.expect("there are candidates")
     }
 }
--- a/crates/daisyseam-engine/src/counters.rs
+++ b/crates/daisyseam-engine/src/counters.rs
@@ -41,3 +41,12 @@
 
 /// Statements refused by a database because it is overloaded.
 pub(crate) const DATABASE_BUSY: &str = "database_busy";
+
+/// Attempts of reads that replicas may serve, sent to a database of the same data centre.
+pub(crate) const READ_SAME_DATA_CENTRE: &str = "read_same_data_centre";
+
+/// Those sent to another data centre of the same region.
+pub(crate) const READ_SAME_REGION: &str = "read_same_region";
+
+/// Those sent to another region.
+pub(crate) const READ_OTHER_REGION: &str = "read_other_region";
--- a/crates/daisyseam-engine/src/engine.rs
+++ b/crates/daisyseam-engine/src/engine.rs
@@ -214,6 +214,7 @@
             pool: &self.pool,
             data_centre: &self.settings.data_centre,
             reads: &self.reads,
+            metrics: &self.settings.metrics,
         }
     }
 
--- a/crates/daisyseam-engine/src/route.rs
+++ b/crates/daisyseam-engine/src/route.rs
@@ -1,7 +1,8 @@
 //! Selection of the database that a call is sent to.
 
 use crate::{
-    DatabaseConnector, //
+    DatabaseConnector,
+    counters,
     health::HealthTable,
     pool::ConnectionPool, //
 };
@@ -9,8 +10,8 @@
     Moment,
     read_route::{
         ReadCandidate,
-        ReadPolicy,
-        ReadShares, //
+        ReadShares,
+        cheapest, //
     },
     route::RouteDistance, //
 };
@@ -28,9 +29,13 @@
     RegionId,
     Term,
     UpstreamId,
-    UpstreamView, //
+    UpstreamView,
+    document::ReadCosts, //
+};
+use daisyseam_runtime::{
+    MetricClient,
+    TimerService, //
 };
-use daisyseam_runtime::TimerService;
 use parking_lot::Mutex;
 use smallvec::SmallVec;
 use std::{
@@ -112,6 +117,7 @@
     pub(crate) pool: &'a ConnectionPool<D>,
     pub(crate) data_centre: &'a DataCentreId,
     pub(crate) reads: &'a ReadRouting,
+    pub(crate) metrics: &'a MetricClient,
 }
 
 /// The shares of reads that leave the nearest database.
@@ -137,12 +143,12 @@
 
     fn choose(
         &self,
-        policy: &ReadPolicy,
+        costs: &ReadCosts,
         group: &GroupId,
         candidates: &[ReadCandidate<'_>],
     ) -> Option<usize> {
         let now = Moment::after_origin(self.started_at.elapsed());
-        self.shares.lock().choose(now, policy, group, candidates)
+        self.shares.lock().choose(now, costs, group, candidates)
     }
 }
 
@@ -232,13 +238,20 @@
     ) -> Option<Route> {
         let held = self.cell.held();
         let candidates = self.read_candidates(&held.view, group, floor, tried);
-        let policy = ReadPolicy::default();
+        let document = held.view.document.as_ref();
+        let costs = document.map_or_else(ReadCosts::default, |document| document.limits.reads);
         // A retry is sent where it is expected to finish first.
         let index = match tried.is_empty() {
-            true => self.reads.choose(&policy, group, &candidates),
-            false => policy.cheapest(&candidates),
+            true => self.reads.choose(&costs, group, &candidates),
+            false => cheapest(&costs, &candidates),
         };
-        let upstream = candidates[index?].upstream.clone();
+        let chosen = &candidates[index?];
+        let upstream = chosen.upstream.clone();
+        self.metrics.count(match chosen.distance {
+            RouteDistance::SameDataCentre => counters::READ_SAME_DATA_CENTRE,
+            RouteDistance::SameRegion => counters::READ_SAME_REGION,
+            RouteDistance::OtherRegion => counters::READ_OTHER_REGION,
+        });
         drop(candidates);
         self.health.record_choice(&upstream);
         Some(Route {
--- a/crates/daisyseam-model/src/document.rs
+++ b/crates/daisyseam-model/src/document.rs
@@ -74,6 +74,8 @@
     pub idle_in_transaction_timeout: Duration,
     /// Most statements that wait for one database.
     pub queue_length: usize,
+    /// What a read must gain to be sent further than to the nearest replica.
+    pub reads: ReadCosts,
 }
 
 impl Default for RequestLimits {
@@ -85,6 +87,36 @@
             queue_timeout: Duration::from_secs(5),
             idle_in_transaction_timeout: Duration::from_secs(30),
             queue_length: 1_024,
+            reads: ReadCosts::default(),
+        }
+    }
+}
+
+/// Costs of the databases that may serve a read, as time that the read must gain.
+///
+/// The defaults keep reads at the nearest replica while its queue is empty.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ReadCosts {
+    /// Round trip time to another data centre of the same region.
+    pub region_round_trip: Duration,
+    /// Round trip time to another region.
+    pub far_round_trip: Duration,
+    /// Gain required for leaving the data centre.
+    pub leave_data_centre: Duration,
+    /// Gain required for leaving the region, in addition.
+    pub leave_region: Duration,
+    /// Gain required for using the primary, which writes need.
+    pub use_primary: Duration,
+}
+
+impl Default for ReadCosts {
+    fn default() -> Self {
+        Self {
+            region_round_trip: Duration::from_millis(2),
+            far_round_trip: Duration::from_millis(40),
+            leave_data_centre: Duration::from_millis(2),
+            leave_region: Duration::from_millis(20),
+            use_primary: Duration::from_millis(5),
         }
     }
 }
--- a/crates/daisyseam-model/src/document/parse/sections.rs
+++ b/crates/daisyseam-model/src/document/parse/sections.rs
@@ -15,6 +15,7 @@
     DataCentreState,
     GroupEntry,
     ReadConsistency,
+    ReadCosts,
     RequestLimits,
     ServiceEntry,
     read::ValueReader, //
@@ -41,6 +42,11 @@
             "queue_timeout_ms",
             "idle_in_transaction_timeout_ms",
             "queue_length",
+            "region_round_trip_ms",
+            "far_round_trip_ms",
+            "read_leave_data_centre_ms",
+            "read_leave_region_ms",
+            "read_use_primary_ms",
         ],
     );
     RequestLimits {
@@ -68,6 +74,19 @@
         ),
         queue_length: size(reader, table, "queue_length", 1..1_000_001)
             .unwrap_or(default.queue_length),
+        reads: read_costs(reader, table),
+    }
+}
+
+fn read_costs(reader: &mut ValueReader<'_>, table: &dyn TableLike) -> ReadCosts {
+    let default = ReadCosts::default();
+    let mut millis = |key, default| reader.millis(table, key, 0..60_001, default);
+    ReadCosts {
+        region_round_trip: millis("region_round_trip_ms", default.region_round_trip),
+        far_round_trip: millis("far_round_trip_ms", default.far_round_trip),
+        leave_data_centre: millis("read_leave_data_centre_ms", default.leave_data_centre),
+        leave_region: millis("read_leave_region_ms", default.leave_region),
+        use_primary: millis("read_use_primary_ms", default.use_primary),
     }
 }
 
--- a/crates/daisyseam-model/src/document/schema.rs
+++ b/crates/daisyseam-model/src/document/schema.rs
@@ -59,6 +59,21 @@
     idle_in_transaction_timeout_ms: Option<u64>,
     /// Most statements that wait for one database.
     queue_length: Option<u64>,
+    /// Round trip time to another data centre of the same region, in milliseconds.
+    #[schemars(range(min = 0, max = 60_000))]
+    region_round_trip_ms: Option<u64>,
+    /// Round trip time to another region, in milliseconds.
+    #[schemars(range(min = 0, max = 60_000))]
+    far_round_trip_ms: Option<u64>,
+    /// Time that a read must gain to leave the data centre, in milliseconds.
+    #[schemars(range(min = 0, max = 60_000))]
+    read_leave_data_centre_ms: Option<u64>,
+    /// Time that a read must gain to leave the region, in addition, in milliseconds.
+    #[schemars(range(min = 0, max = 60_000))]
+    read_leave_region_ms: Option<u64>,
+    /// Time that a read must gain to use the primary, in milliseconds.
+    #[schemars(range(min = 0, max = 60_000))]
+    read_use_primary_ms: Option<u64>,
 }
 
 #[derive(JsonSchema, Serialize)]
--- a/crates/daisyseam-model/tests/document.rs
+++ b/crates/daisyseam-model/tests/document.rs
@@ -5,6 +5,7 @@
     DOCUMENT_BYTES_MAX,
     Document,
     Problem,
+    ReadCosts,
     Severity, //
 };
 use proptest::prelude::*;
@@ -55,6 +56,27 @@
     assert_eq!(document.groups["bookings-db"].slots, 5);
 }
 
+/// A penalty that is read under another name or unit would send reads out of their data centre.
+#[test]
+fn costs_of_reads_are_read_from_the_limits() {
+    let (document, _) = Document::check(SOUND);
+    let costs = document.expect("there is a document").limits.reads;
+    assert_eq!(costs, ReadCosts::default());
+    let limits = "[limits]\nregion_round_trip_ms = 1\nfar_round_trip_ms = 2\n\
+        read_leave_data_centre_ms = 3\nread_leave_region_ms = 4\nread_use_primary_ms = 5\n";
+    let document = Document::parse(&format!("{SOUND}{limits}")).expect("a sound document");
+    let expected = ReadCosts {
+        region_round_trip: Duration::from_millis(1),
+        far_round_trip: Duration::from_millis(2),
+        leave_data_centre: Duration::from_millis(3),
+        leave_region: Duration::from_millis(4),
+        use_primary: Duration::from_millis(5),
+    };
+    assert_eq!(document.limits.reads, expected);
+    let limits = "[limits]\nread_use_primary_ms = 60001\n";
+    assert_eq!(errors(&format!("{SOUND}{limits}")).len(), 1);
+}
+
 #[test]
 fn every_problem_is_listed_with_its_place() {
     let text = SOUND
