Report the delay inside a database with the wait of its holder

A holder lets more statements run than a database has slots, until the database refuses some. Its own queue is then empty while statements wait in the database, and reads were routed there as if it were idle. The reported wait now includes by how much statements take longer than those that ran alone, less half of that time, since the mix of statements varies. Tests: the delay, the wire numbers, the decay of a reported wait, and reads that leave a primary whose holder reports a queue.

--- a/crates/daisyseam-engine/src/pool.rs
+++ b/crates/daisyseam-engine/src/pool.rs
@@ -2,6 +2,7 @@
 
 mod connection;
 mod run_limit;
+mod service_times;
 mod shares;
 mod upstream;
 mod wait_queue;
--- a/crates/daisyseam-engine/src/pool/upstream.rs
+++ b/crates/daisyseam-engine/src/pool/upstream.rs
@@ -6,6 +6,7 @@
         TrackedConnection, //
     },
     run_limit::RunLimit,
+    service_times::ServiceTimes,
     shares::ConnectionBudget,
     wait_queue::WaitQueue, //
 };
@@ -60,6 +61,7 @@
     /// transaction.
     running: usize,
     run_limit: RunLimit,
+    service_times: ServiceTimes,
     /// Least recently used first.
     idle: Vec<IdleConnection<C>>,
     /// Statements of open transactions that wait until they may run.
@@ -139,6 +141,7 @@
                 checked_out: 0,
                 running: 0,
                 run_limit: RunLimit::new(),
+                service_times: ServiceTimes::default(),
                 idle: Vec::new(),
                 resuming: VecDeque::new(),
                 waiting: WaitQueue::default(),
@@ -162,9 +165,10 @@
         }
     }
 
-    /// Returns how long a claim that is made now is expected to wait.
+    /// Returns how long a claim that is made now is expected to wait, here and in the database.
     pub(super) fn expected_wait(&self) -> Duration {
-        self.state.lock().expected_wait()
+        let state = self.state.lock();
+        state.expected_wait() + state.service_times.delay(state.running)
     }
 
     pub(super) fn set_budget(self: &Arc<Self>, budget: ConnectionBudget) {
@@ -277,6 +281,8 @@
         state.running -= 1;
         let waiting = state.waiting.len() + state.resuming.len() > 0;
         if let Some(took) = took {
+            let running = state.running + 1;
+            state.service_times.record(took, running);
             state.run_limit.record_run(took, waiting);
         }
         drop(state);
--- a/crates/daisyseam-engine/src/relay/convert.rs
+++ b/crates/daisyseam-engine/src/relay/convert.rs
@@ -1,5 +1,8 @@
 //! Conversions between relay messages and the engine's types.
 
+#[cfg(test)]
+mod tests;
+
 use crate::{
     ConnectError,
     DatabaseRefusal,
--- a/crates/daisyseam-engine/tests/relay.rs
+++ b/crates/daisyseam-engine/tests/relay.rs
@@ -22,6 +22,7 @@
         set,
         write, //
     },
+    data_centre,
     database::Fault,
     relay::RelayFleet, //
 };
@@ -361,6 +362,53 @@
     assert!(connects <= 6, "{connects}");
 }
 
+/// An instance that knows only its own calls would send every read to the nearest database, however
+/// long the queue at its holder is.
+#[tokio::test]
+async fn reads_leave_a_primary_whose_holder_reports_a_queue() {
+    let mut fleet = start().await;
+    fleet
+        .change_view(|view| {
+            view.upstreams.remove("a");
+            let replica = view.upstreams.get_mut("b").unwrap();
+            replica.data_centre = data_centre("dc-2");
+        })
+        .await;
+    let mut reader = fleet.session("session").await;
+    for _ in 0..10 {
+        reader.ok(read("read x")).await;
+    }
+    assert_eq!(reads(&fleet, "b"), 0);
+    fleet
+        .databases
+        .with("p", |p| p.delay = Duration::from_millis(50));
+    // More than the holder's connections, and few enough that none waits for a quarter of its
+    // target.
+    let mut busy = Vec::new();
+    for _ in 0..24 {
+        let mut caller = fleet.session("primary").await;
+        busy.push(tokio::spawn(async move {
+            loop {
+                caller.ok(read("read y")).await;
+            }
+        }));
+    }
+    let until = Instant::now() + Duration::from_secs(10);
+    while reads(&fleet, "b") == 0 && Instant::now() < until {
+        reader.ok(read("read x")).await;
+    }
+    for caller in &busy {
+        caller.abort();
+    }
+    assert!(reads(&fleet, "b") > 0, "no read left the primary");
+}
+
+/// Returns how many reads of the test `read x` a database has received.
+fn reads(fleet: &RelayFleet, upstream: &str) -> usize {
+    let calls = fleet.databases.calls(upstream);
+    calls.iter().filter(|call| call.contains("read x")).count()
+}
+
 #[tokio::test]
 async fn an_instance_opens_a_connection_itself_if_no_holder_responds() {
     let mut fleet = start().await;
