--- a/crates/daisyseam-coord/src/read_route.rs
+++ b/crates/daisyseam-coord/src/read_route.rs
@@ -33,7 +33,7 @@
 const SHARE_GAIN: Duration = Duration::from_millis(100);
 
 /// Shortest time in which the lasting share changes from none to all.
-const SHARE_TIME: Duration = Duration::from_secs(3);
+const SHARE_TIME: Duration = Duration::from_secs(2);
 
 /// Longest time between two reads of a group that counts for the lasting share: no information
 /// about a database is expected in a longer pause.
@@ -43,6 +43,10 @@
 /// database.
 const PRIMARY_WAIT_FACTOR: u32 = 4;
 
+/// Divisor of the gain of leaving the primary. Without it the factor of its wait makes the share
+/// oscillate; with the whole factor a burst of 6 s is over before most reads have left.
+const PRIMARY_SLOPE: f64 = 2.0;
+
 /// A database that may serve a read.
 #[derive(Clone, Copy, Debug)]
 pub struct ReadCandidate<'a> {
@@ -186,11 +190,13 @@
         nearest: usize,
     ) -> usize {
         let near_cost = cost(costs, &candidates[nearest]).as_secs_f64();
-        // A change of the share changes the cost of the nearest one by a multiple of its wait.
-        let factor = f64::from(candidates[nearest].wait_factor());
+        let slope = match candidates[nearest].primary {
+            true => PRIMARY_SLOPE,
+            false => 1.0,
+        };
         let gains: SmallVec<[f64; 4]> = candidates
             .iter()
-            .map(|candidate| (near_cost - cost(costs, candidate).as_secs_f64()) / factor)
+            .map(|candidate| (near_cost - cost(costs, candidate).as_secs_f64()) / slope)
             .collect();
         let others =
             || (0..candidates.len()).filter(|index| *index != nearest && !candidates[*index].full);
--- a/crates/daisyseam-coord/tests/read_route.rs
+++ b/crates/daisyseam-coord/tests/read_route.rs
@@ -116,7 +116,7 @@
 }
 
 /// Reads that stay away after the load has fallen would be slower than necessary. The share falls
-/// from all to none in at most 5 s, as the gain is then 62 of 100 ms and the time 3 s.
+/// from all to none in at most 5 s, as the gain is then 62 of 100 ms and the time 2 s.
 #[test]
 fn reads_return_when_the_load_falls() {
     let settings = ModelSettings {
