--- a/crates/daisyseam-coord/src/read_route.rs
+++ b/crates/daisyseam-coord/src/read_route.rs
@@ -43,8 +43,8 @@
 /// database.
 const PRIMARY_WAIT_FACTOR: u32 = 4;
 
-/// Divisor of the gain of leaving the primary. Without it the factor of its wait makes the share
-/// oscillate; with the whole factor a burst of 6 s is over before most reads have left.
+/// Divisor of the gain of leaving the primary, which its wait changes by a multiple. With the whole
+/// factor as divisor, up to a fifth of the primary's other work was late in a burst of 6 s.
 const PRIMARY_SLOPE: f64 = 2.0;
 
 /// A database that may serve a read.
