Count pauses of up to half a second for the share of reads

An instance that sends few reads of a group adapted its share only for 100 ms of each pause, so it followed the gain at a fraction of the intended pace. A reported wait counts half after 500 ms, so that is the new limit. The tests of oscillation still fail with a share that is 10 times as steep (7 to 9 swings) and with a lasting one that follows 30 ms within 1 s (9 to 11).

--- a/crates/daisyseam-coord/src/read_route.rs
+++ b/crates/daisyseam-coord/src/read_route.rs
@@ -37,7 +37,7 @@
 
 /// Longest time between two reads of a group that counts for the lasting share: no information
 /// about a database is expected in a longer pause.
-const MAX_STEP: Duration = Duration::from_millis(100);
+const MAX_STEP: Duration = Duration::from_millis(500);
 
 /// Factor by which a wait at the primary counts, since it also delays writes, which have no other
 /// database.
