--- a/crates/daisyseam-engine/src/pool.rs
+++ b/crates/daisyseam-engine/src/pool.rs
@@ -5,6 +5,7 @@
 mod estimate;
 mod refusal_log;
 mod run_limit;
+mod service_times;
 mod shares;
 mod upstream;
 mod usage;
@@ -322,6 +323,12 @@
         *self.most_urgent.lock()
     }
 
+    /// Returns the expected wait for a connection to a database; `None` without a pool for it.
+    pub(crate) fn expected_wait(&self, upstream: &UpstreamId) -> Option<Duration> {
+        let upstreams = self.upstreams.lock();
+        upstreams.get(upstream).map(|pool| pool.expected_wait())
+    }
+
     /// Closes the idle connections to a database.
     pub(crate) fn close_idle(&self, upstream: &UpstreamId) {
         let pool = self.upstreams.lock().get(upstream).cloned();
--- a/crates/daisyseam-engine/src/pool/upstream.rs
+++ b/crates/daisyseam-engine/src/pool/upstream.rs
@@ -17,6 +17,7 @@
     },
     estimate::QueueEstimate,
     run_limit::RunLimit,
+    service_times::ServiceTimes,
     shares::ConnectionBudget,
     usage::RecentUsage,
     wait_queue::{
@@ -83,6 +84,7 @@
     /// transaction.
     running: usize,
     run_limit: RunLimit,
+    service_times: ServiceTimes,
     /// Least recently used first.
     idle: Vec<IdleConnection<C>>,
     /// Statements of open transactions that wait until they may run.
@@ -143,6 +145,7 @@
                 checked_out: 0,
                 running: 0,
                 run_limit: RunLimit::new(),
+                service_times: ServiceTimes::default(),
                 idle: Vec::new(),
                 resuming: VecDeque::new(),
                 waiting: WaitQueue::default(),
@@ -168,6 +171,12 @@
         }
     }
 
+    /// Returns how long a claim that is made now is expected to wait, here and in the database.
+    pub(super) fn expected_wait(&self) -> Duration {
+        let state = self.state.lock();
+        state.expected_wait() + state.service_times.delay(state.running)
+    }
+
     pub(super) fn set_budget(self: &Arc<Self>, budget: ConnectionBudget) {
         let mut state = self.state.lock();
         if state.budget == budget {
@@ -320,6 +329,8 @@
         state.running -= 1;
         let waiting = state.waiting.len() + state.resuming.len() > 0;
         if let Some(took) = took {
+            let running = state.running + 1;
+            state.service_times.record(took, running);
             state.run_limit.record_run(took, waiting);
         }
         drop(state);
--- a/crates/daisyseam-engine/src/relay/convert.rs
+++ b/crates/daisyseam-engine/src/relay/convert.rs
@@ -1,5 +1,8 @@
 //! Conversions between relay messages and the engine's types.
 
+#[cfg(test)]
+mod tests;
+
 use crate::{
     ConnectError,
     DatabaseRefusal,
@@ -164,7 +167,7 @@
     decoded
 }
 
-pub(super) fn encode_reply(reply: DatabaseReply) -> RelayReply {
+pub(super) fn encode_reply(reply: DatabaseReply, wait: Option<Duration>) -> RelayReply {
     let (receipt, refusal) = match reply.outcome {
         Ok(receipt) => (receipt, None),
         Err(refusal) => {
@@ -181,6 +184,7 @@
         refusal,
         state: number_of(&STATES, reply.state),
         position: reply.position.map(Into::into),
+        wait_ms: encode_wait(wait),
     }
 }
 
@@ -201,7 +205,7 @@
     })
 }
 
-pub(super) fn encode_failure(error: &LinkError) -> RelayFailure {
+pub(super) fn encode_failure(error: &LinkError, wait: Option<Duration>) -> RelayFailure {
     let mut refusal = RefusalKind::Unknown;
     let mut retry_after = None;
     let kind = match error {
@@ -227,9 +231,24 @@
         kind: kind.into(),
         refusal: number_of(&REFUSALS, refusal),
         retry_after_ms: retry_after.map_or(0, millis),
+        wait_ms: encode_wait(wait),
     }
 }
 
+/// Returns the number for an expected wait; 0 stands for an unknown one.
+fn encode_wait(wait: Option<Duration>) -> u32 {
+    wait.map_or(0, |wait| {
+        let millis = u32::try_from(wait.as_millis()).unwrap_or(u32::MAX);
+        millis.saturating_add(1)
+    })
+}
+
+/// Returns the expected wait of an answer, if the holder knows it.
+pub(super) fn decode_wait(wait_ms: u32) -> Option<Duration> {
+    let millis = wait_ms.checked_sub(1)?;
+    Some(Duration::from_millis(millis.into()))
+}
+
 pub(super) fn decode_failure(failure: RelayFailure) -> LinkError {
     let unreachable = || ConnectError::Unreachable("reported by the holder".to_owned());
     match RelayFailureKind::try_from(failure.kind) {
