Report the requests of each organisation once a window

A deployment may have a second duty besides promotion: to report how many requests of each organisation began to run at databases in each window of the wall clock. Nothing counted them before.

Holders count statements and commits with a caller's identifier where they send them to the database, and report cumulative counts with heartbeats. The leader estimates true time as the median of the entries' clocks, decides the counts of a window through the log once all entries have sent final counts or after a bounded wait, and only then sends them, under its lease and with the term as the fencing token. Without the duty in the settings, nothing is counted, sent or stored.

--- a/crates/daisyseam-bench/src/fleet/node.rs
+++ b/crates/daisyseam-bench/src/fleet/node.rs
@@ -280,6 +280,7 @@
             repair_delay: REPAIR_DELAY,
             source: Some(self.source),
             metrics: None,
+            usage: None,
         };
         let running =
             RunningDaemon::start(CONTROL_THREAD, 1, ControlDaemon::start(settings)).await?;
--- a/crates/daisyseam-control/src/admin.rs
+++ b/crates/daisyseam-control/src/admin.rs
@@ -4,7 +4,11 @@
     call_lease::CallLease,
     core::DatabaseCall, //
 };
-use daisyseam_coord::promotion::CallOutcome;
+use daisyseam_coord::{
+    fleet::UsageCounts,
+    promotion::CallOutcome,
+    usage::ReportOutcome, //
+};
 use daisyseam_model::{
     LogPosition,
     Term,
@@ -28,6 +32,7 @@
         IpAddr,
         SocketAddr, //
     },
+    sync::Arc,
     time::Duration, //
 };
 
@@ -66,6 +71,21 @@
     ) -> impl Future<Output = CallOutcome> + Send;
 }
 
+/// Client for reports of request counts.
+pub trait UsageReporter: Clone + Send + Sync + 'static {
+    /// Reports the counts of a window, within a time limit of its own. `fence` is the term of the
+    /// log, which no earlier report exceeds.
+    ///
+    /// The future is dropped when the lease ends. Nothing of the report may be delivered after that.
+    fn report(
+        &self,
+        window: u64,
+        counts: Arc<UsageCounts>,
+        fence: u64,
+        lease: CallLease,
+    ) -> impl Future<Output = ReportOutcome> + Send;
+}
+
 /// Client for calls to databases over HTTP with JSON.
 #[derive(Clone)]
 pub struct HttpAdmin {
@@ -136,6 +156,19 @@
     }
 }
 
+impl UsageReporter for HttpAdmin {
+    /// There is no HTTP interface for reports, so none is acknowledged.
+    async fn report(
+        &self,
+        _window: u64,
+        _counts: Arc<UsageCounts>,
+        _fence: u64,
+        _lease: CallLease,
+    ) -> ReportOutcome {
+        ReportOutcome::Failed
+    }
+}
+
 async fn exchange(request: RequestBuilder) -> CallOutcome {
     let Ok(response) = request.send().await else {
         return CallOutcome::Lost;
--- a/crates/daisyseam-control/src/core.rs
+++ b/crates/daisyseam-control/src/core.rs
@@ -15,8 +15,14 @@
 mod survey;
 mod unlisted;
 mod updates;
+mod usage;
 mod vacancies;
 
+pub use self::usage::{
+    UsageCall,
+    UsageTotals, //
+};
+
 use self::{
     leader::LeaderState,
     updates::ViewUpdates, //
@@ -45,6 +51,7 @@
         CallOutcome,
         PromotionSettings, //
     },
+    usage::UsageSettings,
     view_lease::LeaseSettings, //
 };
 use daisyseam_model::{
@@ -79,6 +86,8 @@
     pub lease: LeaseSettings,
     /// Settings of failovers and planned primary changes.
     pub promotion: PromotionSettings,
+    /// Settings of usage reports; `None` if requests are not counted.
+    pub usage: Option<UsageSettings>,
     /// Time after the end of its lease after which a silent instance is removed from the view.
     pub removal_grace: Duration,
     /// Time without an answer after which a spare replaces a member.
@@ -100,6 +109,7 @@
             data_centre: None,
             lease: LeaseSettings::default(),
             promotion: PromotionSettings::default(),
+            usage: None,
             removal_grace: Duration::from_millis(500),
             repair_delay: Duration::from_secs(5),
             min_voters: 0,
@@ -136,6 +146,8 @@
     pub replies: Vec<(RequestId, Body)>,
     /// Calls to make to databases.
     pub calls: Vec<DatabaseCall>,
+    /// Usage reports to send.
+    pub reports: Vec<UsageCall>,
 }
 
 /// State machine of a control instance.
@@ -158,6 +170,7 @@
     leader_hint: Option<SocketAddr>,
     /// Data centres of the other members, as they reported them.
     member_data_centres: BTreeMap<InstanceId, DataCentreId>,
+    usage_totals: UsageTotals,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -193,6 +206,7 @@
             bytes_since_snapshot: 0,
             leader_hint: None,
             member_data_centres: BTreeMap::new(),
+            usage_totals: UsageTotals::default(),
         }
     }
 
@@ -329,6 +343,7 @@
         }
         if let Some(command) = &command {
             self.handle_applied(now, command, &answer);
+            self.usage_applied(now, command, &answer);
         }
         for waiter in self.waiters.remove(&entry.index).unwrap_or_default() {
             self.answer_waiter(waiter, entry.term, &answer);
@@ -409,6 +424,7 @@
         }
         self.admit_listed(now);
         self.step_groups(now);
+        self.step_usage(now);
         let applied = self.applied;
         if self
             .leader
--- a/crates/daisyseam-control/src/core/leader.rs
+++ b/crates/daisyseam-control/src/core/leader.rs
@@ -23,6 +23,7 @@
         GroupPromotion, //
     },
     quota::QuotaLedger,
+    usage::UsageLedger,
     view_lease::LeaseTable, //
 };
 use daisyseam_model::{
@@ -91,6 +92,8 @@
     pub(super) reconcile_index: LogIndex,
     /// Index of the last command proposed for an announcement.
     pub(super) announced_index: LogIndex,
+    /// Request counts, if requests are counted.
+    pub(super) usage: Option<UsageLedger>,
 }
 
 /// The last announcement of a database.
@@ -184,6 +187,7 @@
             reconcile_at: now,
             reconcile_index: LogIndex(0),
             announced_index: LogIndex(0),
+            usage: settings.usage.map(|usage| UsageLedger::new(usage, now)),
         }
     }
 
--- a/crates/daisyseam-control/src/core/requests.rs
+++ b/crates/daisyseam-control/src/core/requests.rs
@@ -169,6 +169,7 @@
         if heartbeat.leaving {
             leader.leaving.insert(incarnation);
         }
+        let usage = leader.record_usage(now, self.fleet.usage(), &instance, heartbeat);
         let claim = LeaseClaim {
             instance: &instance,
             incarnation,
@@ -196,6 +197,7 @@
             update: self.updates.get(&self.fleet, held),
             shares,
             members: self.members_update(heartbeat.members),
+            usage,
         });
         self.reply(request, body);
     }
--- a/crates/daisyseam-control/src/daemon.rs
+++ b/crates/daisyseam-control/src/daemon.rs
@@ -3,7 +3,8 @@
 use crate::{
     admin::{
         HttpAdmin,
-        UpstreamAdmin, //
+        UpstreamAdmin,
+        UsageReporter, //
     },
     convert::durable_log,
     core::{
@@ -181,7 +182,7 @@
     /// # Errors
     ///
     /// [`StartError`] if the data folder, an address or the metrics cannot be used.
-    pub async fn start_with<A: UpstreamAdmin>(
+    pub async fn start_with<A: UpstreamAdmin + UsageReporter>(
         settings: ControlSettings,
         security: PeerSecurity,
         admin: A,
@@ -189,7 +190,7 @@
         Self::start_on(TimerService::start(), settings, security, admin).await
     }
 
-    async fn start_on<A: UpstreamAdmin>(
+    async fn start_on<A: UpstreamAdmin + UsageReporter>(
         timer: TimerService,
         settings: ControlSettings,
         security: PeerSecurity,
@@ -480,6 +481,7 @@
     let mut core = CoreSettings::new(instance, settings.cluster.clone());
     core.lease = tuning.lease;
     core.promotion = tuning.promotion;
+    core.usage = settings.usage;
     core.snapshot_bytes = tuning.snapshot_bytes.unwrap_or(core.snapshot_bytes);
     core.repair_delay = settings.repair_delay;
     core.min_voters = 2 * settings.tolerated_losses + 1;
--- a/crates/daisyseam-control/src/lib.rs
+++ b/crates/daisyseam-control/src/lib.rs
@@ -21,7 +21,8 @@
     admin::{
         AdminCall,
         HttpAdmin,
-        UpstreamAdmin, //
+        UpstreamAdmin,
+        UsageReporter, //
     },
     call_lease::CallLease,
     core::{
@@ -29,7 +30,9 @@
         CoreOutput,
         CoreSettings,
         DatabaseCall,
-        RequestId, //
+        RequestId,
+        UsageCall,
+        UsageTotals, //
     },
     daemon::{
         ControlDaemon,
--- a/crates/daisyseam-control/src/node.rs
+++ b/crates/daisyseam-control/src/node.rs
@@ -13,7 +13,10 @@
     load::RequestLoad, //
 };
 use crate::{
-    admin::UpstreamAdmin,
+    admin::{
+        UpstreamAdmin,
+        UsageReporter, //
+    },
     call_lease::{
         CallLease,
         TermLease, //
@@ -29,7 +32,8 @@
     core::{
         ControlCore,
         DatabaseCall,
-        RequestId, //
+        RequestId,
+        UsageCall, //
     },
     identity::fresh_identity,
     link::{
@@ -50,7 +54,8 @@
     promotion::{
         CallKind, //
         CallOutcome,
-    }, //
+    },
+    usage::ReportOutcome, //
 };
 use daisyseam_model::{
     GroupId,
@@ -118,6 +123,12 @@
         term: Term,
         answer: CallOutcome,
     },
+    /// Outcome of the report of a window that was decided in a term of the log.
+    ReportFinished {
+        window: u64,
+        term: u64,
+        outcome: ReportOutcome,
+    },
     /// The leader as reported by another instance, for an instance that is not a member.
     LeaderHint(Option<SocketAddr>),
     /// This instance has been permanently removed from the members under the given name.
@@ -221,7 +232,7 @@
     retry_at: Option<Moment>,
 }
 
-impl<S: LogStorage, A: UpstreamAdmin> Actor for NodeActor<S, A> {
+impl<S: LogStorage, A: UpstreamAdmin + UsageReporter> Actor for NodeActor<S, A> {
     type Msg = NodeMessage;
     type State = NodeState<S, A>;
     type Arguments = NodeArguments<S, A>;
@@ -304,7 +315,7 @@
     }
 }
 
-impl<S: LogStorage, A: UpstreamAdmin> NodeState<S, A> {
+impl<S: LogStorage, A: UpstreamAdmin + UsageReporter> NodeState<S, A> {
     fn now(&self) -> Moment {
         Moment::after_origin(BootClock::now() - self.origin)
     }
@@ -330,6 +341,11 @@
                 let core = &mut self.core;
                 core.handle_call_answer(now, &group, &upstream, (kind, term), &answer);
             }
+            NodeMessage::ReportFinished {
+                window,
+                term,
+                outcome,
+            } => self.core.handle_report_outcome(now, window, term, outcome),
             NodeMessage::Tick => self.core.tick(now),
             NodeMessage::LeaderHint(leader) => self.core.set_leader_hint(leader),
             NodeMessage::TransferLeadership(reply) => {
@@ -437,6 +453,9 @@
         for call in output.calls {
             self.start_call(call);
         }
+        for report in output.reports {
+            self.start_report(report);
+        }
         self.finish_flush();
         Ok(())
     }
@@ -552,6 +571,32 @@
         });
     }
 
+    fn start_report(&mut self, call: UsageCall) {
+        let admin = self.admin.clone();
+        let node = self.context.node.clone();
+        let lease = CallLease::new(
+            call.fence,
+            self.lease.subscribe(),
+            self.context.timer.clone(),
+        );
+        tokio::spawn(async move {
+            let mut watched = lease.clone();
+            let outcome = tokio::select! {
+                biased;
+                outcome = admin.report(call.window, call.counts, call.fence, lease) => outcome,
+                () = watched.ended() => ReportOutcome::Failed,
+            };
+            let message = NodeMessage::ReportFinished {
+                window: call.window,
+                term: call.fence,
+                outcome,
+            };
+            if node.cast(message).is_err() {
+                log::debug!("a usage report finished after the node had stopped");
+            }
+        });
+    }
+
     fn finish_flush(&mut self) {
         let now = self.now();
         let wake = BootClock::to_monotonic(self.origin + self.core.next_tick().since_origin());
@@ -597,6 +642,18 @@
         self.metrics.gauge("control.commit", log.commit().0);
         self.metrics
             .gauge("control.leads", u64::from(log.is_leader()));
+        if self.core.counts_usage() {
+            let totals = self.core.usage_totals();
+            let gauges = [
+                ("control.usage_reported", totals.reported),
+                ("control.usage_late", totals.late),
+                ("control.usage_incomplete", totals.incomplete),
+                ("control.usage_failed_calls", totals.failed),
+            ];
+            for (name, value) in gauges {
+                self.metrics.gauge(name, value);
+            }
+        }
     }
 
     fn publish(&self, now: Moment) {
--- a/crates/daisyseam-control/src/node/tests.rs
+++ b/crates/daisyseam-control/src/node/tests.rs
@@ -16,7 +16,10 @@
     }, //
 };
 use crate::{
-    admin::UpstreamAdmin,
+    admin::{
+        UpstreamAdmin,
+        UsageReporter, //
+    },
     call_lease::CallLease,
     convert::durable_log,
     core::{
@@ -29,12 +32,14 @@
 use arc_swap::ArcSwap;
 use daisyseam_coord::{
     Moment,
+    fleet::UsageCounts,
     log::{
         LogSettings,
         MemberTable,
         ReplicatedLog, //
     },
-    promotion::CallOutcome, //
+    promotion::CallOutcome,
+    usage::ReportOutcome, //
 };
 use daisyseam_model::{
     ClusterId,
@@ -100,6 +105,18 @@
     }
 }
 
+impl UsageReporter for NoDatabases {
+    async fn report(
+        &self,
+        _window: u64,
+        _counts: Arc<UsageCounts>,
+        _fence: u64,
+        _lease: CallLease,
+    ) -> ReportOutcome {
+        ReportOutcome::Failed
+    }
+}
+
 /// Starts the only member of a cluster and waits until it leads.
 async fn start(disk: &MemoryDisk) -> (ActorRef<NodeMessage>, Arc<ArcSwap<NodeReport>>) {
     let (store, recovered) = disk.open();
--- a/crates/daisyseam-control/src/settings.rs
+++ b/crates/daisyseam-control/src/settings.rs
@@ -5,6 +5,7 @@
 use daisyseam_coord::{
     log::LogSettings,
     promotion::PromotionSettings,
+    usage::UsageSettings,
     view_lease::LeaseSettings, //
 };
 use daisyseam_model::{
@@ -73,6 +74,8 @@
     pub source: Option<IpAddr>,
     /// Address that metrics are sent to.
     pub metrics: Option<SocketAddr>,
+    /// Settings of usage reports; `None` if requests are not counted.
+    pub usage: Option<UsageSettings>,
     /// Timing and sizes.
     pub tuning: ControlTuning,
 }
@@ -122,6 +125,7 @@
             tolerated_losses: 0,
             source: None,
             metrics: None,
+            usage: None,
             tuning: ControlTuning::wide_area(),
         }
     }
@@ -264,6 +268,7 @@
                 tolerated_losses,
                 source,
                 metrics,
+                usage: None,
                 tuning: ControlTuning::default(),
             })
         };
--- a/crates/daisyseam-control/tests/support/mod.rs
+++ b/crates/daisyseam-control/tests/support/mod.rs
@@ -125,6 +125,7 @@
         tolerated_losses: 0,
         source: None,
         metrics: None,
+        usage: None,
     }
 }
 
--- a/crates/daisyseam-coord/src/fleet.rs
+++ b/crates/daisyseam-coord/src/fleet.rs
@@ -31,6 +31,8 @@
 mod documents;
 mod record;
 mod state;
+mod usage;
+mod usage_record;
 
 pub use self::{
     changes::{
@@ -39,6 +41,7 @@
     },
     command::{
         CaughtUpCommand,
+        CloseUsageCommand,
         CommandOutcome,
         EvacuateCommand,
         FleetCommand,
@@ -58,5 +61,12 @@
         HISTORY_BYTES,
         HISTORY_LENGTH, //
     },
-    state::FleetState, //
+    state::FleetState,
+    usage::{
+        PENDING_WINDOWS_MAX,
+        RECENT_WINDOWS_MAX,
+        ReportedWindow,
+        UsageCounts,
+        UsageHistory, //
+    }, //
 };
--- a/crates/daisyseam-coord/src/fleet/command.rs
+++ b/crates/daisyseam-coord/src/fleet/command.rs
@@ -1,5 +1,6 @@
 //! Commands of the replicated log and their results.
 
+use super::UsageCounts;
 use daisyseam_model::{
     DataCentreId,
     DocumentNumber,
@@ -39,6 +40,10 @@
     Evacuate(EvacuateCommand),
     /// Records that a database has caught up with its primary since it started.
     CaughtUp(CaughtUpCommand),
+    /// Decides the request counts of a window.
+    CloseUsage(CloseUsageCommand),
+    /// Records that the report of a window was acknowledged.
+    AcknowledgeUsage(u64),
 }
 
 /// Submits a document that replaces the one with a given number.
@@ -89,6 +94,15 @@
     pub born_ms: u64,
 }
 
+/// Decides the request counts of a window; they do not change afterwards.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CloseUsageCommand {
+    /// Number of the window; later than any that is decided.
+    pub window: u64,
+    /// Number of requests of each organisation that began to run at a database.
+    pub counts: UsageCounts,
+}
+
 /// Adds an instance.
 #[derive(Clone, Debug, PartialEq)]
 pub struct JoinCommand {
--- a/crates/daisyseam-coord/src/fleet/record.rs
+++ b/crates/daisyseam-coord/src/fleet/record.rs
@@ -3,6 +3,7 @@
 use super::{
     AcceptedDocument,
     CaughtUpCommand,
+    CloseUsageCommand,
     EvacuateCommand,
     FleetCommand,
     FleetState,
@@ -13,7 +14,12 @@
     SubmitCommand,
     SubmitNewestCommand,
     UpstreamCommand,
-    state::DroppedUpstream, //
+    UsageHistory,
+    state::DroppedUpstream,
+    usage_record::{
+        UsageRecord,
+        WindowRecord, //
+    }, //
 };
 use bytes::Bytes;
 use daisyseam_model::{
@@ -99,6 +105,10 @@
                 upstream: command.upstream.to_string(),
                 born_ms: command.born_ms,
             }),
+            Self::CloseUsage(command) => {
+                Body::CloseUsage(WindowRecord::of(command.window, &command.counts))
+            }
+            Self::AcknowledgeUsage(window) => Body::AcknowledgeUsage(*window),
         };
         Bytes::from(CommandRecord { body: Some(body) }.encode_to_vec())
     }
@@ -166,6 +176,11 @@
                 upstream: read(&record.upstream)?,
                 born_ms: record.born_ms,
             }),
+            Body::CloseUsage(record) => Self::CloseUsage(CloseUsageCommand {
+                window: record.window,
+                counts: record.to_counts()?,
+            }),
+            Body::AcknowledgeUsage(window) => Self::AcknowledgeUsage(window),
         })
     }
 }
@@ -219,6 +234,7 @@
                     address: dropped.address.to_string(),
                 })
                 .collect(),
+            usage: (self.usage != UsageHistory::default()).then(|| UsageRecord::of(&self.usage)),
         };
         Bytes::from(record.encode_to_vec())
     }
@@ -270,6 +286,9 @@
             };
             state.dropped.insert(read(&record.upstream)?, dropped);
         }
+        if let Some(usage) = &record.usage {
+            state.usage = usage.to_history()?;
+        }
         state.view = Arc::new(view);
         Some(state)
     }
@@ -277,7 +296,7 @@
 
 #[derive(Clone, PartialEq, prost::Message)]
 struct CommandRecord {
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
     body: Option<Body>,
 }
 
@@ -305,6 +324,10 @@
     CaughtUp(CaughtUpRecord),
     #[prost(string, tag = "11")]
     ForgetUpstream(String),
+    #[prost(message, tag = "12")]
+    CloseUsage(WindowRecord),
+    #[prost(uint64, tag = "13")]
+    AcknowledgeUsage(u64),
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -409,6 +432,8 @@
     caught_up: Vec<CaughtUpRecord>,
     #[prost(message, repeated, tag = "9")]
     dropped: Vec<DroppedRecord>,
+    #[prost(message, optional, tag = "10")]
+    usage: Option<UsageRecord>,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
--- a/crates/daisyseam-coord/src/fleet/state.rs
+++ b/crates/daisyseam-coord/src/fleet/state.rs
@@ -14,6 +14,7 @@
     SubmitCommand,
     SubmitNewestCommand,
     UpstreamCommand,
+    UsageHistory,
     ViewChanges,
     changes::ChangeHistory, //
 };
@@ -51,6 +52,7 @@
     /// Databases that were removed from the view and may still run.
     pub(super) dropped: BTreeMap<UpstreamId, DroppedUpstream>,
     pub(super) change_history: ChangeHistory,
+    pub(super) usage: UsageHistory,
 }
 
 /// A database that was removed from the view and may still run.
@@ -71,6 +73,11 @@
         &self.documents
     }
 
+    /// Returns the decided windows of request counts.
+    pub fn usage(&self) -> &UsageHistory {
+        &self.usage
+    }
+
     /// Returns whether the current process of a database has caught up since it started.
     pub fn has_caught_up(&self, upstream: &UpstreamId) -> bool {
         let known = self.view.upstreams.get(upstream);
@@ -104,6 +111,8 @@
             FleetCommand::Holder(holder) => self.update_holder(holder),
             FleetCommand::Evacuate(order) => self.evacuate(order),
             FleetCommand::CaughtUp(command) => self.record_caught_up(command),
+            FleetCommand::CloseUsage(command) => self.usage.close(command),
+            FleetCommand::AcknowledgeUsage(window) => self.usage.acknowledge(*window),
         }
     }
 
--- a/crates/daisyseam-coord/src/lib.rs
+++ b/crates/daisyseam-coord/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod quota;
 pub mod retry;
 pub mod route;
+pub mod usage;
 pub mod view_lease;
 
 pub use crate::moment::Moment;
--- a/crates/daisyseam-engine/src/attempt.rs
+++ b/crates/daisyseam-engine/src/attempt.rs
@@ -107,6 +107,8 @@
 pub(crate) struct HeldCall<'a> {
     /// Route to the database.
     pub(crate) route: &'a Route,
+    /// Organisation that the call is made for.
+    pub(crate) organisation: Option<&'a OrganisationId>,
     /// Session values that must be set on the connection.
     pub(crate) values: &'a SessionValues,
     /// Deadline of the call.
@@ -216,6 +218,7 @@
             DatabaseLink::Held(connection) => {
                 let held_call = HeldCall {
                     route,
+                    organisation: context.organisation,
                     values: context.values,
                     until,
                 };
@@ -339,10 +342,17 @@
             at_least: call.at_least,
             verb,
         };
+        let metered = self
+            .usage
+            .start(Instant::now(), context.organisation, &call);
         let in_flight = self.health.call_started(&context.route.upstream);
         let reply = connection.call(timer, database_call, context.until).await;
         drop(in_flight);
-        reply.map_err(LinkError::from)
+        let reply = reply.map_err(LinkError::from);
+        if let Some(metered) = metered {
+            metered.finish(&reply);
+        }
+        reply
     }
 
     /// Returns whether the current view and lease satisfy a fence for a route.
--- a/crates/daisyseam-engine/src/engine.rs
+++ b/crates/daisyseam-engine/src/engine.rs
@@ -17,6 +17,7 @@
     route::Router,
     samples::PositionSamples,
     session,
+    usage::UsageMeter,
     writers::WriterCounts, //
 };
 use daisyseam_coord::retry::RetryBudget;
@@ -99,6 +100,7 @@
     pub(crate) health: HealthTable,
     pub(crate) samples: PositionSamples,
     pub(crate) writers: WriterCounts,
+    pub(crate) usage: UsageMeter,
     pub(crate) outages: OutageTracker,
     pub(crate) lease_loss: LeaseLoss,
     /// Bounds the retries of requests that failed because of overload.
@@ -134,6 +136,7 @@
             health: HealthTable::default(),
             samples: PositionSamples::default(),
             writers: WriterCounts::default(),
+            usage: UsageMeter::default(),
             outages: OutageTracker::default(),
             lease_loss: LeaseLoss::default(),
             retries: Mutex::new(RetryBudget::new(RETRY_PERMILLE, MAX_SAVED_RETRIES)),
--- a/crates/daisyseam-engine/src/lib.rs
+++ b/crates/daisyseam-engine/src/lib.rs
@@ -23,6 +23,7 @@
 mod samples;
 mod session;
 mod times;
+mod usage;
 mod values;
 mod writers;
 
--- a/crates/daisyseam-engine/src/observer.rs
+++ b/crates/daisyseam-engine/src/observer.rs
@@ -19,7 +19,9 @@
 };
 use daisyseam_wire::{
     GroupReport,
-    HealthReport, //
+    HealthReport,
+    UsageReport,
+    UsageWindow, //
 };
 use std::{
     sync::Arc,
@@ -106,6 +108,15 @@
         }
     }
 
+    fn usage(&self, sequence: u64) -> Option<Vec<UsageReport>> {
+        self.shared.usage.report(Instant::now(), sequence)
+    }
+
+    fn handle_usage(&self, sequence: u64, sent_at: Instant, window: Option<&UsageWindow>) {
+        let times = (sent_at, Instant::now());
+        self.shared.usage.handle_reply(sequence, times, window);
+    }
+
     fn lease_begun(&self) {
         self.shared.lease_loss.lease_begun();
     }
--- a/crates/daisyseam-engine/src/relay/server.rs
+++ b/crates/daisyseam-engine/src/relay/server.rs
@@ -124,6 +124,7 @@
     connection: PooledConnection<D::Connection>,
     group: GroupId,
     upstream: UpstreamId,
+    organisation: Option<OrganisationId>,
     idle_until: Instant,
     _guard: RelayGuard<'a>,
 }
@@ -200,6 +201,7 @@
         let sent_at = Instant::now();
         let context = HeldCall {
             route: &route,
+            organisation: link.organisation.as_ref(),
             values: &values,
             until: sent_at + requested(call.deadline_ms),
         };
@@ -277,6 +279,7 @@
             connection,
             group: upstream_view.group.clone(),
             upstream,
+            organisation,
             idle_until: now,
             _guard: guard,
         })
--- /dev/null
+++ b/crates/daisyseam-engine/src/usage/tests.rs
@@ -0,0 +1,1 @@
+//! Counting of requests.
--- a/crates/daisyseam-entry/tests/links_suite/support/control.rs
+++ b/crates/daisyseam-entry/tests/links_suite/support/control.rs
@@ -243,5 +243,6 @@
         update,
         shares: None,
         members: None,
+        usage: None,
     }
 }
--- a/crates/daisyseam-member/src/control_client/session.rs
+++ b/crates/daisyseam-member/src/control_client/session.rs
@@ -35,7 +35,10 @@
 use std::{
     collections::VecDeque,
     net::SocketAddr,
-    time::Duration, //
+    time::{
+        Duration,
+        SystemTime, //
+    }, //
 };
 use tokio::time::Instant;
 
@@ -204,6 +207,8 @@
         let view = self.keeper.reported_number();
         let held = settings.cell.held();
         let report = settings.observer.report(view, &held.view);
+        let usage = settings.observer.usage(sequence);
+        let unix_ms = usage.as_ref().map_or(0, |_| unix_millis());
         let heartbeat = Heartbeat {
             sequence,
             incarnation: settings.incarnation.get().0,
@@ -217,6 +222,8 @@
             instance: String::new(),
             view_digest: self.keeper.view_digest(),
             members: self.keeper.members_index(),
+            usage: usage.unwrap_or_default(),
+            unix_ms,
         };
         let now = Instant::now();
         self.pending.push_back(PendingHeartbeat {
@@ -250,11 +257,14 @@
 
     async fn handle_reply(&mut self, reply: HeartbeatReply) -> Result<(), SessionEnd> {
         self.last_reply_at = Instant::now();
-        let Some(lease_start) = self.take_lease_start(reply.sequence) else {
+        let Some(heartbeat) = self.take_heartbeat(reply.sequence) else {
             return Err(SessionEnd::Failed(
                 "reply to an unknown heartbeat".to_owned(),
             ));
         };
+        let lease_start = heartbeat.lease_start;
+        let observer = &self.settings.observer;
+        observer.handle_usage(reply.sequence, heartbeat.sent_at, reply.usage.as_ref());
         if let Some(members) = &reply.members {
             self.keeper.update_members(&self.settings.control, members);
         }
@@ -284,17 +294,25 @@
         Ok(())
     }
 
-    /// Returns when the lease of a heartbeat starts, and removes it and all earlier heartbeats.
-    fn take_lease_start(&mut self, sequence: u64) -> Option<Instant> {
+    /// Returns a pending heartbeat, and removes it and all earlier heartbeats.
+    fn take_heartbeat(&mut self, sequence: u64) -> Option<PendingHeartbeat> {
         while let Some(sent) = self.pending.pop_front() {
             if sent.sequence == sequence {
-                return Some(sent.lease_start);
+                return Some(sent);
             }
         }
         None
     }
 }
 
+/// Returns the wall clock in milliseconds since 1970.
+fn unix_millis() -> u64 {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    since.map_or(0, |since| {
+        u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+    })
+}
+
 async fn connect<O: FleetObserver>(
     settings: &ClientSettings<O>,
     keeper: &ViewKeeper<O>,
--- a/crates/daisyseam-member/src/observer.rs
+++ b/crates/daisyseam-member/src/observer.rs
@@ -7,9 +7,12 @@
 use daisyseam_wire::{
     GroupReport,
     HealthReport,
-    UpstreamReport, //
+    UpstreamReport,
+    UsageReport,
+    UsageWindow, //
 };
 use std::future::Future;
+use tokio::time::Instant;
 
 /// Report on databases that an instance sends to control with a heartbeat.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -37,6 +40,16 @@
     /// `reported` is the view number in the same heartbeat and `current` the view in force.
     fn report(&self, reported: ViewNumber, current: &FleetView) -> ObserverReport;
 
+    /// Returns the usage to report with the heartbeat of a sequence number; `None` while no usage is
+    /// counted.
+    fn usage(&self, _sequence: u64) -> Option<Vec<UsageReport>> {
+        None
+    }
+
+    /// Handles the window in the reply to the heartbeat of a sequence number, which was sent at
+    /// `sent_at`; `None` means that usage is not counted.
+    fn handle_usage(&self, _sequence: u64, _sent_at: Instant, _window: Option<&UsageWindow>) {}
+
     /// Called when a lease becomes valid after there was none.
     fn lease_begun(&self);
 
--- a/crates/daisyseam-wire/src/control.rs
+++ b/crates/daisyseam-wire/src/control.rs
@@ -271,6 +271,64 @@
     /// One more than the index of the control members that the sender knows; 0 for none.
     #[prost(uint64, tag = "11")]
     pub members: u64,
+    /// Cumulative request counts of windows that are not decided yet.
+    #[prost(message, repeated, tag = "12")]
+    pub usage: Vec<UsageReport>,
+    /// Wall clock of the sender in milliseconds since 1970, while usage is reported; else 0.
+    #[prost(uint64, tag = "13")]
+    pub unix_ms: u64,
+}
+
+/// Requests of one window that began to run at databases.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct UsageReport {
+    /// Number of the window.
+    #[prost(uint64, tag = "1")]
+    pub window: u64,
+    /// Whether the window has ended and the counts no longer change.
+    #[prost(bool, tag = "2")]
+    pub is_final: bool,
+    /// Cumulative counts of the organisations whose count changed since the last report.
+    #[prost(message, repeated, tag = "3")]
+    pub counts: Vec<UsageCount>,
+    /// When the process that counts started, by its own clock, in milliseconds since 1970. It keeps
+    /// its counts when it joins again under another incarnation.
+    #[prost(uint64, tag = "4")]
+    pub born_ms: u64,
+    /// Control term whose leader has the earlier reports of this process.
+    #[prost(uint64, tag = "5")]
+    pub term: u64,
+}
+
+/// Requests of one organisation in a window.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct UsageCount {
+    /// Organisation.
+    #[prost(string, tag = "1")]
+    pub organisation: String,
+    /// Number of its requests.
+    #[prost(uint64, tag = "2")]
+    pub count: u64,
+}
+
+/// The window in which requests are counted; its presence enables counting.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct UsageWindow {
+    /// Number of the current window; 0 while the leader does not know the time yet.
+    #[prost(uint64, tag = "1")]
+    pub window: u64,
+    /// Time to its end, in milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub left_ms: u64,
+    /// Length of a window in milliseconds.
+    #[prost(uint64, tag = "3")]
+    pub window_ms: u64,
+    /// Highest window whose counts are decided; it and earlier ones need no more reports.
+    #[prost(uint64, tag = "4")]
+    pub decided: u64,
+    /// Control term of the sender. A leader of a new term has no earlier reports.
+    #[prost(uint64, tag = "5")]
+    pub term: u64,
 }
 
 /// The lease, and what has changed.
@@ -293,6 +351,9 @@
     /// The members of control, if the sender knows others.
     #[prost(message, optional, tag = "5")]
     pub members: Option<ControlMembers>,
+    /// The current window, if usage is counted.
+    #[prost(message, optional, tag = "6")]
+    pub usage: Option<UsageWindow>,
 }
 
 /// The members of control.
