--- a/crates/daisyseam-control/src/core/status.rs
+++ b/crates/daisyseam-control/src/core/status.rs
@@ -60,6 +60,38 @@
             "groups": self.groups_json(now),
             "instances": self.instances_json(now),
             "upstreams": self.upstreams_json(now),
+            "usage": self.usage_json(),
+        })
+    }
+
+    /// Returns the last windows of request counts; null if requests are not counted.
+    fn usage_json(&self) -> Value {
+        let history = self.fleet.usage();
+        if !self.counts_usage() {
+            return Value::Null;
+        }
+        let pending = history.pending().iter().map(|(window, counts)| {
+            json!({
+                "window": window,
+                "requests": counts.values().sum::<u64>(),
+                "state": "waiting",
+            })
+        });
+        let recent = history.recent().map(|reported| {
+            json!({
+                "window": reported.window,
+                "requests": reported.requests,
+                "state": match reported.acknowledged {
+                    true => "acknowledged",
+                    false => "dropped",
+                },
+            })
+        });
+        let windows: Vec<Value> = recent.chain(pending).collect();
+        json!({
+            "decided": history.decided(),
+            "waiting": history.pending().len(),
+            "windows": windows,
         })
     }
 
--- a/crates/daisyseam-control/src/core/usage.rs
+++ b/crates/daisyseam-control/src/core/usage.rs
@@ -123,7 +123,12 @@
 
     fn close_usage(&mut self, now: Moment, command: CloseUsageCommand, missing: usize) {
         self.usage_totals.incomplete += u64::from(missing > 0);
-        log::info!(
+        let level = match missing {
+            0 => log::Level::Info,
+            _ => log::Level::Warn,
+        };
+        log::log!(
+            level,
             "usage window {}: {} requests of {} organisations, {missing} instances without a final \
              count",
             command.window,
--- a/crates/daisyseam-control/src/node.rs
+++ b/crates/daisyseam-control/src/node.rs
@@ -33,7 +33,8 @@
         ControlCore,
         DatabaseCall,
         RequestId,
-        UsageCall, //
+        UsageCall,
+        UsageTotals, //
     },
     identity::fresh_identity,
     link::{
@@ -218,6 +219,8 @@
     status: Arc<Value>,
     metrics: MetricClient,
     updates_status: bool,
+    /// Numbers of usage windows that were exported.
+    usage_totals: UsageTotals,
     context: LinkContext,
     links: BTreeMap<InstanceId, MemberLink>,
     routes: BTreeMap<InstanceId, ReplySender>,
@@ -259,6 +262,7 @@
             status: Arc::default(),
             metrics: arguments.metrics,
             updates_status: arguments.updates_status,
+            usage_totals: UsageTotals::default(),
             context,
             links: BTreeMap::new(),
             routes: BTreeMap::new(),
@@ -609,6 +613,7 @@
                 self.status = Arc::new(self.core.status_json(now));
             }
             self.record_metrics();
+            self.record_usage();
         }
         self.report_load(now);
         self.publish(now);
@@ -636,24 +641,31 @@
         }
     }
 
+    /// Exports the numbers of usage windows since the last call.
+    fn record_usage(&mut self) {
+        let totals = self.core.usage_totals();
+        let former = std::mem::replace(&mut self.usage_totals, totals);
+        let counters = [
+            ("usage_reported", totals.reported, former.reported),
+            ("usage_late", totals.late, former.late),
+            ("usage_incomplete", totals.incomplete, former.incomplete),
+            ("usage_failed_calls", totals.failed, former.failed),
+        ];
+        for (name, total, former) in counters {
+            // A core that starts again counts from 0.
+            let added = total.checked_sub(former).unwrap_or(total);
+            if added > 0 {
+                self.metrics.add(name, added);
+            }
+        }
+    }
+
     fn record_metrics(&self) {
         let log = self.core.log();
         self.metrics.gauge("control.term", log.term().0);
         self.metrics.gauge("control.commit", log.commit().0);
         self.metrics
             .gauge("control.leads", u64::from(log.is_leader()));
-        if self.core.counts_usage() {
-            let totals = self.core.usage_totals();
-            let gauges = [
-                ("control.usage_reported", totals.reported),
-                ("control.usage_late", totals.late),
-                ("control.usage_incomplete", totals.incomplete),
-                ("control.usage_failed_calls", totals.failed),
-            ];
-            for (name, value) in gauges {
-                self.metrics.gauge(name, value);
-            }
-        }
     }
 
     fn publish(&self, now: Moment) {
--- a/crates/daisyseam-coord/src/usage/ledger.rs
+++ b/crates/daisyseam-coord/src/usage/ledger.rs
@@ -241,9 +241,9 @@
         if window >= current || is_proposed {
             return None;
         }
-        let missing = live.difference(&self.finals(window)).count();
+        let expected = live.difference(&self.finals(window)).count();
         let ended_at = self.clock.ends_at(window)?.max(self.started_at);
-        if missing > 0 && now < ended_at + self.settings.final_wait() {
+        if expected > 0 && now < ended_at + self.settings.final_wait() {
             return None;
         }
         self.proposed = Some((window, now));
@@ -252,7 +252,7 @@
                 window,
                 counts: self.sum(window),
             },
-            missing,
+            missing: expected + self.lost(window, live),
         })
     }
 
@@ -279,6 +279,14 @@
         finals.map(|process| process.incarnation).collect()
     }
 
+    /// Returns how many instances have gone that reported the window without a final count.
+    fn lost(&self, window: u64, live: &BTreeSet<Incarnation>) -> usize {
+        let gone = self.processes.values();
+        let gone = gone.filter(|process| !live.contains(&process.incarnation));
+        let windows = gone.filter_map(|process| process.windows.get(&window));
+        windows.filter(|window| !window.is_final).count()
+    }
+
     /// Sums the counts of all instances, also of those that have gone.
     fn sum(&self, window: u64) -> UsageCounts {
         let mut sums = UsageCounts::new();
--- a/crates/daisyseam-engine/src/observer.rs
+++ b/crates/daisyseam-engine/src/observer.rs
@@ -109,6 +109,9 @@
     }
 
     fn usage(&self, sequence: u64) -> Option<Vec<UsageReport>> {
+        if self.shared.settings.stop.is_stopping() {
+            self.shared.usage.hasten();
+        }
         self.shared.usage.report(Instant::now(), sequence)
     }
 
--- a/crates/daisyseam-engine/src/usage.rs
+++ b/crates/daisyseam-engine/src/usage.rs
@@ -163,6 +163,13 @@
         Some(reports)
     }
 
+    /// Makes the next report due at once, before the process stops.
+    pub(crate) fn hasten(&self) {
+        if let Some(state) = self.state.lock().as_mut() {
+            state.reported_at = None;
+        }
+    }
+
     /// Handles the window in the reply to the heartbeat of a sequence number; `None` stops counting.
     pub(crate) fn handle_reply(
         &self,
