Test that a usage window is decided once

Without the check in the state that refuses a second decision, the property test still passed: the model committed all proposed commands at once, so that the second content replaced the first before it was sent. The model now commits a few at a time, and fails without the check, as does a new direct test. Another test covers the bound on windows that wait for the receiver.

--- a/crates/daisyseam-coord/src/usage/tests.rs
+++ b/crates/daisyseam-coord/src/usage/tests.rs
@@ -12,8 +12,12 @@
 use crate::{
     Moment,
     fleet::{
+        CloseUsageCommand,
+        CommandOutcome,
         FleetCommand,
         FleetState,
+        PENDING_WINDOWS_MAX,
+        RefusalReason,
         UsageCounts, //
     }, //
 };
@@ -134,8 +138,8 @@
     Count(usize, u64),
     /// An instance reports all its windows; those that have ended as final if the flag is set.
     Report(usize, bool),
-    /// The proposed commands are committed.
-    Commit,
+    /// The first of the proposed commands are committed, up to a number.
+    Commit(usize),
     /// The report in progress ends.
     Answer(ReportOutcome),
     /// Another member leads; the proposed commands are committed if the flag is set.
@@ -154,7 +158,7 @@
         6 => (1..3_000_u64).prop_map(Event::Wait),
         4 => (0..2_usize, 1..50_u64).prop_map(|(from, count)| Event::Count(from, count)),
         6 => (0..2_usize, any::<bool>()).prop_map(|(from, last)| Event::Report(from, last)),
-        4 => Just(Event::Commit),
+        4 => (1..4_usize).prop_map(Event::Commit),
         4 => outcome.prop_map(Event::Answer),
         2 => (0..3_usize, any::<bool>()).prop_map(|(leader, kept)| Event::Lead(leader, kept)),
         1 => Just(Event::Restore),
@@ -189,7 +193,7 @@
                 *self.counted[*from].entry(self.window()).or_default() += count;
             }
             Event::Report(from, last) => self.report(*from, *last),
-            Event::Commit => self.commit(),
+            Event::Commit(count) => self.commit(*count),
             Event::Answer(outcome) => {
                 if let Some(window) = self.sending.take()
                     && self
@@ -201,7 +205,7 @@
             }
             Event::Lead(leader, kept) => {
                 if *kept {
-                    self.commit();
+                    self.commit(usize::MAX);
                 }
                 self.proposed.clear();
                 self.sending = None;
@@ -241,8 +245,9 @@
             .record(self.state.usage(), process, from, reports);
     }
 
-    fn commit(&mut self) {
-        for command in self.proposed.drain(..) {
+    fn commit(&mut self, count: usize) {
+        let count = count.min(self.proposed.len());
+        for command in self.proposed.drain(..count) {
             let command = FleetCommand::decode(&command.encode()).expect("a command");
             self.state.apply(&command);
         }
@@ -321,7 +326,7 @@
             Event::Count(1, 3),
             Event::Report(0, true),
             Event::Report(1, true),
-            Event::Commit,
+            Event::Commit(usize::MAX),
             Event::Answer(ReportOutcome::Accepted),
             Event::Wait(100),
         ];
@@ -338,3 +343,42 @@
         assert_eq!(counts, [100, 150]);
     }
 }
+
+fn close(window: u64, count: u64) -> FleetCommand {
+    FleetCommand::CloseUsage(CloseUsageCommand {
+        window,
+        counts: UsageCounts::from([("org-1".parse().expect("a name"), count)]),
+    })
+}
+
+/// Guards against a second decision on a window, for example of a command that was proposed again.
+#[test]
+fn a_window_is_decided_once() {
+    let mut state = FleetState::default();
+    assert_eq!(state.apply(&close(7, 1)), CommandOutcome::Done);
+    let decided = state.usage().clone();
+    let refused = CommandOutcome::Refused(RefusalReason::Superseded);
+    assert_eq!(state.apply(&close(7, 2)), refused);
+    assert_eq!(state.apply(&close(6, 2)), refused);
+    assert_eq!(*state.usage(), decided);
+    assert_eq!(
+        state.apply(&FleetCommand::AcknowledgeUsage(7)),
+        CommandOutcome::Done
+    );
+    assert_eq!(state.apply(&close(7, 2)), refused);
+    assert!(state.usage().pending().is_empty());
+}
+
+/// Guards against a state that grows while the receiver is down.
+#[test]
+fn windows_that_wait_for_long_are_dropped() {
+    let mut state = FleetState::default();
+    let windows = PENDING_WINDOWS_MAX as u64 + 5;
+    for window in 1..=windows {
+        state.apply(&close(window, 1));
+    }
+    let waiting: Vec<u64> = state.usage().pending().keys().copied().collect();
+    assert_eq!(waiting, (6..=windows).collect::<Vec<_>>());
+    let dropped = state.usage().recent().filter(|window| !window.acknowledged);
+    assert_eq!(dropped.count(), 5);
+}
