Simulate usage reports across lost leaders of control

The property test of the decisions uses a model of the log. This simulation uses the replicated log itself: leaders are stopped, restarted and cut off for up to 4 s, one of three clocks is an hour ahead, and answers to reports are lost. It checks that a window has one content, that tokens never decrease, that a holder does not come back within the wait, and that the sender of each report holds the leader lease.

--- a/crates/daisyseam-control/tests/core.rs
+++ b/crates/daisyseam-control/tests/core.rs
@@ -72,6 +72,58 @@
     assert!(times[49] < 1_000, "{times:?}");
 }
 
+/// Guards against two contents of a window, decreasing tokens and a holder that comes back early
+/// when leaders are lost, restarted, or cut off until their lease has ended, and when answers are
+/// lost.
+#[test]
+fn usage_windows_are_reported_once_across_lost_leaders() {
+    let mut sim = Simulation::new(3, 0, 3);
+    sim.enable_usage();
+    sim.submit("change-1", 0, 0);
+    for round in 0..60_u64 {
+        sim.advance(1_000 + 977 * (round % 6));
+        let Some(leader) = sim.leader() else {
+            continue;
+        };
+        if round % 3 == 0 {
+            sim.disconnected_members.insert(leader);
+            sim.advance(100 + 500 * (round % 5));
+            sim.disconnected_members.clear();
+        } else {
+            sim.stop(leader);
+            sim.advance(100 + 700 * (round % 4));
+            sim.start(leader);
+        }
+    }
+    sim.advance(6_000);
+    let windows = sim.usage.as_ref().expect("it is enabled").check();
+    // Windows last 300 ms. A run without reports would show nothing.
+    let passed = usize::try_from(sim.now / 300).expect("a small number");
+    println!("{windows} of {passed} windows were reported");
+    assert!(windows >= passed / 4, "{windows} of {passed}");
+}
+
+/// Guards against a leader that is cut off and repeats its reports after its lease has ended.
+#[test]
+fn a_leader_that_is_cut_off_sends_no_usage_reports() {
+    let mut sim = Simulation::new(3, 0, 3);
+    sim.enable_usage();
+    sim.submit("change-1", 0, 0);
+    for _ in 0..10 {
+        sim.usage.as_mut().expect("it is enabled").is_down = true;
+        sim.advance(4_000);
+        let leader = sim.leader().expect("a leader");
+        sim.disconnected_members.insert(leader);
+        // The simulation checks that the sender of each report holds the lease.
+        sim.advance(4_000);
+        sim.disconnected_members.clear();
+        sim.usage.as_mut().expect("it is enabled").is_down = false;
+        sim.advance(10_000);
+    }
+    let windows = sim.usage.as_ref().expect("it is enabled").check();
+    assert!(windows > 100, "{windows}");
+}
+
 #[test]
 fn a_member_that_is_cut_off_answers_as_stale_and_hands_nothing_out() {
     let mut sim = start_fleet(3, 0, 1);
--- a/crates/daisyseam-control/tests/core_support/mod.rs
+++ b/crates/daisyseam-control/tests/core_support/mod.rs
@@ -1,15 +1,20 @@
 //! Simulates control members, entries, databases and operators in one thread with virtual time.
 
 pub(crate) mod direct;
+pub(crate) mod usage;
 
-use self::direct::DirectGroup;
+use self::{
+    direct::DirectGroup,
+    usage::UsageSimulation, //
+};
 use daisyseam_control::{
     AdminCall,
     ControlCore,
     ControlTuning,
     CoreSettings,
     DatabaseCall,
-    RequestId, //
+    RequestId,
+    UsageCall, //
 };
 use daisyseam_coord::{
     Moment,
@@ -20,7 +25,8 @@
         MemberTable,
         ReplicatedLog, //
     },
-    promotion::CallOutcome, //
+    promotion::CallOutcome,
+    usage::ReportOutcome, //
 };
 use daisyseam_model::{
     FleetView,
@@ -135,6 +141,7 @@
     in_flight: Vec<(u64, usize, usize, LogMessage)>,
     calls: Vec<(u64, usize, DatabaseCall)>,
     replies: Vec<(u64, RequestOrigin, usize, Body)>,
+    report_answers: Vec<(u64, usize, UsageCall, ReportOutcome)>,
     requesters: BTreeMap<(usize, RequestId), RequestOrigin>,
     last_request: u64,
     pub(crate) entries: Vec<Entry>,
@@ -154,6 +161,8 @@
     /// One-way network delay, in milliseconds.
     pub(crate) one_way_ms: u64,
     pub(crate) tuning: ControlTuning,
+    /// Usage reports, if they are enabled.
+    pub(crate) usage: Option<UsageSimulation>,
     seed: u64,
 }
 
@@ -198,6 +207,7 @@
             in_flight: Vec::new(),
             calls: Vec::new(),
             replies: Vec::new(),
+            report_answers: Vec::new(),
             requesters: BTreeMap::new(),
             last_request: 0,
             entries: (0..entries).map(entry).collect(),
@@ -211,6 +221,7 @@
             drops_fences: false,
             one_way_ms: 1,
             tuning: ControlTuning::default(),
+            usage: None,
             seed: 0,
         };
         for number in 0..sim.members.len() {
@@ -219,6 +230,15 @@
         sim
     }
 
+    /// Enables usage reports, and restarts all members.
+    pub(crate) fn enable_usage(&mut self) {
+        self.usage = Some(UsageSimulation::default());
+        for number in 0..self.members.len() {
+            self.stop(number);
+            self.start(number);
+        }
+    }
+
     /// Starts or restarts a member from its disk.
     pub(crate) fn start(&mut self, number: usize) {
         self.seed += 1;
@@ -233,6 +253,7 @@
             repair_delay: Duration::from_secs(2),
             lease: self.tuning.lease,
             promotion: self.tuning.promotion,
+            usage: self.usage.as_ref().map(|_| UsageSimulation::settings()),
             ..CoreSettings::new(name, crate::support::cluster())
         };
         member.core = Some(ControlCore::new(settings, log));
@@ -486,6 +507,8 @@
             member.disk.snapshot = snapshot;
         }
         let output = core.take_output();
+        let may_report = output.reports.is_empty() || core.log().has_lease(now);
+        assert!(may_report, "a usage report without the leader lease");
         for (request, body) in output.replies {
             if let Some(requester) = self.requesters.remove(&(number, request)) {
                 self.replies
@@ -496,6 +519,12 @@
             self.calls
                 .push((self.now + 2 * self.one_way_ms, number, call));
         }
+        for call in output.reports {
+            let usage = self.usage.as_mut().expect("reports are enabled");
+            let outcome = usage.receive(self.now, number, &call);
+            let due = self.now + 2 * self.one_way_ms;
+            self.report_answers.push((due, number, call, outcome));
+        }
     }
 
     fn deliver(&mut self) {
@@ -529,6 +558,18 @@
             }
             self.flush(member);
         }
+        let answers = std::mem::take(&mut self.report_answers);
+        for (due, member, call, outcome) in answers {
+            if due > now {
+                self.report_answers.push((due, member, call, outcome));
+                continue;
+            }
+            let moment = self.moment();
+            if let Some(core) = &mut self.members[member].core {
+                core.handle_report_outcome(moment, call.window, call.fence, outcome);
+            }
+            self.flush(member);
+        }
         let replies = std::mem::take(&mut self.replies);
         for (due, requester, member, body) in replies {
             if due > now {
@@ -658,6 +699,9 @@
                 entry.joined = true;
             }
             Body::HeartbeatReply(reply) => {
+                if let (Some(usage), Some(window)) = (&mut self.usage, &reply.usage) {
+                    usage.handle_window(number, window);
+                }
                 if let Some(update) = &reply.update {
                     let update = WireView::from_encoded(update).expect("an update");
                     let applied = update.apply(&entry.view, &entry.text);
@@ -714,6 +758,9 @@
         }
         let body = if entry.joined {
             entry.sequence += 1;
+            let usage = self.usage.as_ref();
+            let usage = usage.map(|usage| usage.report(number, now, entry.process));
+            let (unix_ms, usage) = usage.unwrap_or_default();
             Body::Heartbeat(Heartbeat {
                 sequence: entry.sequence,
                 incarnation: entry.incarnation,
@@ -723,6 +770,8 @@
                 groups: group_reports(&entry.view),
                 health: health.unwrap_or_default(),
                 instance: entry.name.clone(),
+                usage,
+                unix_ms,
                 ..Heartbeat::default()
             })
         } else {
