--- a/crates/daisyseam-control/src/core/requests.rs
+++ b/crates/daisyseam-control/src/core/requests.rs
@@ -169,6 +169,7 @@
         if heartbeat.leaving {
             leader.leaving.insert(incarnation);
         }
+        let usage = leader.record_usage(now, self.fleet.usage(), &instance, heartbeat);
         let claim = LeaseClaim {
             instance: &instance,
             incarnation,
@@ -195,6 +196,7 @@
             lease_ms: u64::try_from(lease.as_millis()).unwrap_or(0),
             shares,
             members: self.members_update(heartbeat.members),
+            usage,
             ..HeartbeatReply::default()
         };
         reply.set_update(self.updates.get(&self.fleet, held));
--- a/crates/daisyseam-control/src/node.rs
+++ b/crates/daisyseam-control/src/node.rs
@@ -13,7 +13,10 @@
     load::RequestLoad, //
 };
 use crate::{
-    admin::UpstreamAdmin,
+    admin::{
+        UpstreamAdmin,
+        UsageReporter, //
+    },
     call_lease::{
         CallLease,
         TermLease, //
@@ -29,7 +32,9 @@
     core::{
         ControlCore,
         DatabaseCall,
-        RequestId, //
+        RequestId,
+        UsageCall,
+        UsageTotals, //
     },
     identity::fresh_identity,
     link::{
@@ -50,7 +55,8 @@
     promotion::{
         CallKind, //
         CallOutcome,
-    }, //
+    },
+    usage::ReportOutcome, //
 };
 use daisyseam_model::{
     GroupId,
@@ -118,6 +124,12 @@
         term: Term,
         answer: CallOutcome,
     },
+    /// Outcome of the report of a window that was decided in a term of the log.
+    ReportFinished {
+        window: u64,
+        term: u64,
+        outcome: ReportOutcome,
+    },
     /// The leader as reported by another instance, for an instance that is not a member.
     LeaderHint(Option<SocketAddr>),
     /// This instance has been permanently removed from the members under the given name.
@@ -207,6 +219,8 @@
     status: Arc<Value>,
     metrics: MetricClient,
     updates_status: bool,
+    /// Numbers of usage windows that were exported.
+    usage_totals: UsageTotals,
     context: LinkContext,
     links: BTreeMap<InstanceId, MemberLink>,
     routes: BTreeMap<InstanceId, ReplySender>,
@@ -221,7 +235,7 @@
     retry_at: Option<Moment>,
 }
 
-impl<S: LogStorage, A: UpstreamAdmin> Actor for NodeActor<S, A> {
+impl<S: LogStorage, A: UpstreamAdmin + UsageReporter> Actor for NodeActor<S, A> {
     type Msg = NodeMessage;
     type State = NodeState<S, A>;
     type Arguments = NodeArguments<S, A>;
@@ -248,6 +262,7 @@
             status: Arc::default(),
             metrics: arguments.metrics,
             updates_status: arguments.updates_status,
+            usage_totals: UsageTotals::default(),
             context,
             links: BTreeMap::new(),
             routes: BTreeMap::new(),
@@ -304,7 +319,7 @@
     }
 }
 
-impl<S: LogStorage, A: UpstreamAdmin> NodeState<S, A> {
+impl<S: LogStorage, A: UpstreamAdmin + UsageReporter> NodeState<S, A> {
     fn now(&self) -> Moment {
         Moment::after_origin(BootClock::now() - self.origin)
     }
@@ -330,6 +345,11 @@
                 let core = &mut self.core;
                 core.handle_call_answer(now, &group, &upstream, (kind, term), &answer);
             }
+            NodeMessage::ReportFinished {
+                window,
+                term,
+                outcome,
+            } => self.core.handle_report_outcome(now, window, term, outcome),
             NodeMessage::Tick => self.core.tick(now),
             NodeMessage::LeaderHint(leader) => self.core.set_leader_hint(leader),
             NodeMessage::TransferLeadership(reply) => {
@@ -437,6 +457,9 @@
         for call in output.calls {
             self.start_call(call);
         }
+        for report in output.reports {
+            self.start_report(report);
+        }
         self.finish_flush();
         Ok(())
     }
@@ -552,6 +575,32 @@
         });
     }
 
+    fn start_report(&mut self, call: UsageCall) {
+        let admin = self.admin.clone();
+        let node = self.context.node.clone();
+        let lease = CallLease::new(
+            call.fence,
+            self.lease.subscribe(),
+            self.context.timer.clone(),
+        );
+        tokio::spawn(async move {
+            let mut watched = lease.clone();
+            let outcome = tokio::select! {
+                biased;
+                outcome = admin.report(call.window, call.counts, call.fence, lease) => outcome,
+                () = watched.ended() => ReportOutcome::Failed,
+            };
+            let message = NodeMessage::ReportFinished {
+                window: call.window,
+                term: call.fence,
+                outcome,
+            };
+            if node.cast(message).is_err() {
+                log::debug!("a usage report finished after the node had stopped");
+            }
+        });
+    }
+
     fn finish_flush(&mut self) {
         let now = self.now();
         let wake = BootClock::to_monotonic(self.origin + self.core.next_tick().since_origin());
@@ -564,6 +613,7 @@
                 self.status = Arc::new(self.core.status_json(now));
             }
             self.record_metrics();
+            self.record_usage();
         }
         self.report_load(now);
         self.publish(now);
@@ -591,6 +641,25 @@
         }
     }
 
+    /// Exports the numbers of usage windows since the last call.
+    fn record_usage(&mut self) {
+        let totals = self.core.usage_totals();
+        let former = std::mem::replace(&mut self.usage_totals, totals);
+        let counters = [
+            ("usage_reported", totals.reported, former.reported),
+            ("usage_late", totals.late, former.late),
+            ("usage_incomplete", totals.incomplete, former.incomplete),
+            ("usage_failed_calls", totals.failed, former.failed),
+        ];
+        for (name, total, former) in counters {
+            // A core that starts again counts from 0.
+            let added = total.checked_sub(former).unwrap_or(total);
+            if added > 0 {
+                self.metrics.add(name, added);
+            }
+        }
+    }
+
     fn record_metrics(&self) {
         let log = self.core.log();
         self.metrics.gauge("control.term", log.term().0);
--- a/crates/daisyseam-control/tests/support/mod.rs
+++ b/crates/daisyseam-control/tests/support/mod.rs
@@ -124,6 +124,7 @@
         tolerated_losses: 0,
         source: None,
         metrics: None,
+        usage: None,
     }
 }
 
--- a/crates/daisyseam-coord/src/lib.rs
+++ b/crates/daisyseam-coord/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod read_route;
 pub mod retry;
 pub mod route;
+pub mod usage;
 pub mod view_lease;
 
 pub use crate::moment::Moment;
--- a/crates/daisyseam-engine/src/engine.rs
+++ b/crates/daisyseam-engine/src/engine.rs
@@ -20,6 +20,7 @@
     },
     samples::PositionSamples,
     session,
+    usage::UsageMeter,
     writers::WriterCounts, //
 };
 use daisyseam_coord::retry::RetryBudget;
@@ -103,6 +104,7 @@
     pub(crate) reads: ReadRouting,
     pub(crate) samples: PositionSamples,
     pub(crate) writers: WriterCounts,
+    pub(crate) usage: UsageMeter,
     pub(crate) outages: OutageTracker,
     pub(crate) lease_loss: LeaseLoss,
     /// Bounds the retries of requests that failed because of overload.
@@ -139,6 +141,7 @@
             reads: ReadRouting::new(),
             samples: PositionSamples::default(),
             writers: WriterCounts::default(),
+            usage: UsageMeter::default(),
             outages: OutageTracker::default(),
             lease_loss: LeaseLoss::default(),
             retries: Mutex::new(RetryBudget::new(RETRY_PERMILLE, MAX_SAVED_RETRIES)),
--- a/crates/daisyseam-engine/src/lib.rs
+++ b/crates/daisyseam-engine/src/lib.rs
@@ -24,6 +24,7 @@
 mod session;
 mod times;
 mod urgency;
+mod usage;
 mod values;
 mod writers;
 
--- a/crates/daisyseam-entry/tests/links_suite/support/control.rs
+++ b/crates/daisyseam-entry/tests/links_suite/support/control.rs
@@ -244,5 +244,6 @@
         shares: None,
         members: None,
         update_deflated: None,
+        usage: None,
     }
 }
