Bound what clients can make a process hold

Cause: a process holds whatever its clients send: up to 1 MiB a connection, and a descriptor for each connection. Considered: a smaller message limit (the documented limit is 1 MiB), an even share of the memory a connection (too small for any large message). Chosen: one budget of bytes for the process from which messages up to 4 KiB are exempt, a limit of connections, progress timeouts, and fixed sizes of the kernel's buffers. Nothing uses it yet; the tests check the parts.

--- a/crates/daisyseam-runtime/src/lib.rs
+++ b/crates/daisyseam-runtime/src/lib.rs
@@ -7,6 +7,7 @@
 mod clock;
 mod dialer;
 mod health;
+pub mod intake;
 mod logs;
 mod metrics;
 mod operator;
