Count what a session keeps between requests

A connection to a database also kept up to 64 of these texts after the sessions had ended. Now the stream is told how many bytes the session keeps and may end it, and a connection's state is discarded at 256 KiB of statements.

--- a/crates/daisyseam-engine/src/caller.rs
+++ b/crates/daisyseam-engine/src/caller.rs
@@ -41,6 +41,12 @@
         answer: &SessionAnswer,
     ) -> impl Future<Output = Result<(), CallerDisconnect>> + Send;
 
+    /// Counts the bytes that the session keeps until it ends; returns false if that is too much, and
+    /// the session must end.
+    fn retain(&mut self, _bytes: usize) -> bool {
+        true
+    }
+
     /// Refuses the session, or ends it with an error while no request is open.
     fn refuse(&mut self, error: &RequestError) -> impl Future<Output = ()> + Send;
 
--- a/crates/daisyseam-engine/src/connection_state.rs
+++ b/crates/daisyseam-engine/src/connection_state.rs
@@ -12,6 +12,10 @@
 /// Number of prepared statements at which a connection's state is discarded.
 const MAX_PREPARED_STATEMENTS: usize = 64;
 
+/// Bytes of prepared statements at which a connection's state is discarded. Statements may be large,
+/// and they are kept after the sessions that prepared them have ended.
+const MAX_PREPARED_BYTES: usize = 256 << 10;
+
 /// Session values and prepared statements on a connection.
 #[derive(Debug, Default)]
 pub(crate) struct ConnectionSessionState {
@@ -19,6 +23,7 @@
     unknown: bool,
     set_in_transaction: bool,
     prepared: HashMap<PreparedStatement, u32>,
+    prepared_bytes: usize,
     last_name: u32,
 }
 
@@ -38,6 +43,7 @@
     pub(crate) fn needs_discard(&self, values: &SessionValues) -> bool {
         self.unknown
             || self.prepared.len() >= MAX_PREPARED_STATEMENTS
+            || self.prepared_bytes >= MAX_PREPARED_BYTES
             || self.values.exceeds(values)
     }
 
@@ -45,6 +51,7 @@
     pub(crate) fn discard(&mut self) {
         self.values.clear();
         self.prepared.clear();
+        self.prepared_bytes = 0;
         self.unknown = false;
     }
 
@@ -78,6 +85,7 @@
 
     /// Records that a statement is prepared under a name.
     pub(crate) fn insert_prepared(&mut self, prepared: &PreparedStatement, name: &StatementName) {
+        self.prepared_bytes += prepared.text.len();
         self.prepared.insert(prepared.clone(), name.number);
     }
 
--- a/crates/daisyseam-engine/src/session.rs
+++ b/crates/daisyseam-engine/src/session.rs
@@ -213,6 +213,10 @@
             // Boxed so that an idle session does not hold memory for this future; most sessions are
             // idle most of the time.
             let answer = Box::pin(self.serve(request)).await;
+            if !stream.retain(self.core.retained_bytes()) {
+                stream.refuse(&ErrorKind::QueueFull.into()).await;
+                return;
+            }
             if stream.answer(&answer).await.is_err() {
                 return;
             }
@@ -399,6 +403,11 @@
         }
     }
 
+    /// Returns the bytes that the session keeps between requests at the caller's wish.
+    fn retained_bytes(&self) -> usize {
+        self.values.bytes() + self.prepared.bytes()
+    }
+
     fn prepared_statement(&self, name: &[u8]) -> Result<PreparedStatement, RequestError> {
         let prepared = self.prepared.get(name).cloned();
         prepared.ok_or_else(|| ErrorKind::StatementUnknown.into())
--- a/crates/daisyseam-engine/src/values.rs
+++ b/crates/daisyseam-engine/src/values.rs
@@ -4,6 +4,9 @@
 use bytes::Bytes;
 use std::collections::BTreeMap;
 
+/// Memory of an entry beside its bytes.
+const ENTRY_BYTES: usize = 128;
+
 /// Session values, sorted by name.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub(crate) struct SessionValues(Vec<(Bytes, Bytes)>);
@@ -22,6 +25,12 @@
         self.0.iter()
     }
 
+    /// Returns the bytes of all names and values.
+    pub(crate) fn bytes(&self) -> usize {
+        let sizes = self.0.iter().map(|(name, value)| entry_bytes(name, value));
+        sizes.sum()
+    }
+
     /// Removes all values.
     pub(crate) fn clear(&mut self) {
         self.0.clear();
@@ -59,21 +68,42 @@
 
 /// The prepared statements of a session, by the caller's names.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct PreparedStatements(BTreeMap<Bytes, PreparedStatement>);
+pub(crate) struct PreparedStatements {
+    statements: BTreeMap<Bytes, PreparedStatement>,
+    bytes: usize,
+}
 
 impl PreparedStatements {
     /// Adds a statement, replacing any previous one of that name.
     pub(crate) fn insert(&mut self, name: Bytes, prepared: PreparedStatement) {
-        self.0.insert(name, prepared);
+        self.remove(&name);
+        self.bytes += entry_bytes(&name, &prepared.text);
+        self.statements.insert(name, prepared);
     }
 
     /// Removes a statement; returns whether there was one.
     pub(crate) fn remove(&mut self, name: &[u8]) -> bool {
-        self.0.remove(name).is_some()
+        match self.statements.remove(name) {
+            Some(removed) => {
+                self.bytes -= entry_bytes(name, &removed.text);
+                true
+            }
+            None => false,
+        }
+    }
+
+    /// Returns the bytes of all names and statements.
+    pub(crate) fn bytes(&self) -> usize {
+        self.bytes
     }
 
     /// Returns the statement with a name.
     pub(crate) fn get(&self, name: &[u8]) -> Option<&PreparedStatement> {
-        self.0.get(name)
+        self.statements.get(name)
     }
 }
+
+/// Returns the memory of an entry.
+fn entry_bytes(name: &[u8], value: &[u8]) -> usize {
+    name.len() + value.len() + ENTRY_BYTES
+}
