--- a/crates/daisyseam-runtime/src/intake/http.rs
+++ b/crates/daisyseam-runtime/src/intake/http.rs
@@ -66,7 +66,10 @@
         ReadBuf, //
     },
     net::TcpStream,
-    task::AbortHandle, //
+    task::{
+        AbortHandle,
+        JoinSet, //
+    }, //
 };
 use tower::ServiceExt;
 
@@ -87,8 +90,13 @@
     F: Fn(&TcpStream) -> io::Result<()> + Send + 'static,
 {
     let task = tokio::spawn(async move {
+        // Stopping the task ends the connections too: the routes may be those of a stopped daemon.
+        let mut served = JoinSet::new();
         loop {
-            let connection = listener.accept().await;
+            let connection = tokio::select! {
+                connection = listener.accept() => connection,
+                Some(_) = served.join_next() => continue,
+            };
             if let Err(error) = tune(connection.socket()) {
                 log::debug!("cannot set socket options on an HTTP connection: {error}");
             }
@@ -98,7 +106,7 @@
                 routes: routes.clone(),
                 body_bytes_max,
             };
-            tokio::spawn(server.serve(stream, slot));
+            served.spawn(server.serve(stream, slot));
         }
     });
     task.abort_handle()
