Count a transaction as one request in usage reports

The receiver counts requests as rates do, a transaction once. A transaction counts at its begin now.

The test of what counts states the new rule: it is as strict, with the cases inside transactions added.

--- a/crates/daisyseam-engine/src/usage.rs
+++ b/crates/daisyseam-engine/src/usage.rs
@@ -388,14 +388,14 @@
     }
 }
 
-/// Returns whether a call counts as a request: a statement or a commit with the identifier of a
-/// caller's request. Each statement of a transaction counts, and so does its commit.
+/// Returns whether a call counts as a request. A statement with the identifier of a caller's request
+/// counts, and a transaction counts once, at its begin.
 fn is_counted(call: &LinkCall<'_>) -> bool {
-    let is_counted = match call.verb {
-        LinkVerb::Run(_) | LinkVerb::Commit => true,
-        LinkVerb::Begin(_) | LinkVerb::Rollback => false,
-    };
-    is_counted && call.id.is_some()
+    match call.verb {
+        LinkVerb::Run(_) => call.id.is_some() && !call.in_transaction,
+        LinkVerb::Begin(_) => true,
+        LinkVerb::Commit | LinkVerb::Rollback => false,
+    }
 }
 
 /// Returns whether a call began to run, as far as is known: it did unless a reply says otherwise.
--- a/crates/daisyseam-engine/src/usage/tests.rs
+++ b/crates/daisyseam-engine/src/usage/tests.rs
@@ -154,23 +154,27 @@
 }
 
 /// Guards against counting of statements that the system issues itself, and of a transaction as
-/// more than its statements and its commit.
+/// more than one request.
 #[test]
-fn only_statements_and_commits_with_an_identifier_count() {
+fn statements_with_an_identifier_and_transactions_count_once() {
     let (meter, now) = meter();
     let statement = Statement::Text(Bytes::from_static(b"FETCH a"));
     let mode = crate::TransactionMode::ReadWrite;
     let run = LinkVerb::Run(&statement);
     let cases = [
-        (Some(&b"q1"[..]), run, true),
-        (None, run, false),
-        (Some(b"q2"), LinkVerb::Commit, true),
-        (None, LinkVerb::Commit, false),
-        (Some(b"q3"), LinkVerb::Rollback, false),
-        (Some(b"q4"), LinkVerb::Begin(mode), false),
+        (Some(&b"q1"[..]), run, false, true),
+        (None, run, false, false),
+        (None, LinkVerb::Begin(mode), false, true),
+        (Some(b"q2"), run, true, false),
+        (Some(b"q3"), LinkVerb::Commit, true, false),
+        (Some(b"q4"), LinkVerb::Rollback, true, false),
     ];
-    for (id, verb, counts) in cases {
-        let started = meter.start(now, Some(&organisation()), &call(id, verb));
+    for (id, verb, in_transaction, counts) in cases {
+        let call = LinkCall {
+            in_transaction,
+            ..call(id, verb)
+        };
+        let started = meter.start(now, Some(&organisation()), &call);
         assert_eq!(started.is_some(), counts, "{id:?} {verb:?}");
     }
     assert!(meter.start(now, None, &call(Some(b"q1"), run)).is_none());
