--- a/crates/daisyseam-engine/src/pool.rs
+++ b/crates/daisyseam-engine/src/pool.rs
@@ -194,7 +194,7 @@
             return;
         }
         self.metrics.count(urgency.counter(counters::QUEUE_REFUSED));
-        let is_most_urgent = urgency == Urgency::HIGHEST;
+        let is_most_urgent = urgency <= self.most_urgent();
         let mut refusals = self.refusals.lock();
         let due = refusals.record(request.upstream, is_most_urgent, Instant::now());
         drop(refusals);
--- a/crates/daisyseam-member/src/gate.rs
+++ b/crates/daisyseam-member/src/gate.rs
@@ -232,15 +232,13 @@
         let timer = &self.shared.timer;
         loop {
             let turn = self.try_turn(&key, &guard)?;
-            if let TurnOutcome::Taken = turn {
-                metrics.count(counters::TOKEN_WAITED);
-                return Ok(());
-            }
-            if Instant::now() >= deadline {
-                return Err(self.refusal_error(&key));
-            }
+            let is_late = Instant::now() >= deadline;
             match turn {
-                TurnOutcome::Taken => return Ok(()),
+                TurnOutcome::Taken => {
+                    metrics.count(counters::TOKEN_WAITED);
+                    return Ok(());
+                }
+                _ if is_late => return Err(self.refusal_error(&key)),
                 TurnOutcome::Early(ready) => {
                     let ready = ready.unwrap_or(deadline).min(deadline);
                     let changed = timer.within(ready, shares.changed());
