Log what an election counted, listed databases and promotion calls

The line of a promotion named neither the databases that were counted nor the ends of their logs, nothing said when a database was first listed, and nothing said how a promotion call ended. No logic changes.

--- a/crates/daisyseam-control/src/core.rs
+++ b/crates/daisyseam-control/src/core.rs
@@ -327,6 +327,11 @@
         }
         let before = self.fleet.view().number;
         let command = FleetCommand::decode(&entry.payload);
+        if self.leader.is_some()
+            && let Some(command) = &command
+        {
+            self.log_listing(command);
+        }
         let answer = match &command {
             Some(command) => self.fleet.apply(command),
             None => {
@@ -350,6 +355,30 @@
         }
     }
 
+    /// Logs a change of the databases that elections count, before it is applied.
+    fn log_listing(&self, command: &FleetCommand) {
+        let view = self.fleet.view();
+        match command {
+            FleetCommand::Upstream(upstream) => {
+                let known = view.upstreams.get(&upstream.upstream);
+                if known.is_none_or(|known| known.born_ms < upstream.born_ms) {
+                    log::warn!(
+                        "group {}: listing database {}, started at {} ms",
+                        upstream.group,
+                        upstream.upstream,
+                        upstream.born_ms
+                    );
+                }
+            }
+            FleetCommand::DropUpstream(name) => {
+                if let Some(known) = view.upstreams.get(name) {
+                    log::warn!("group {}: dropping database {name}", known.group);
+                }
+            }
+            _ => {}
+        }
+    }
+
     fn handle_applied(&mut self, now: Moment, command: &FleetCommand, answer: &CommandOutcome) {
         let Some(leader) = &mut self.leader else {
             return;
--- a/crates/daisyseam-control/src/core/groups.rs
+++ b/crates/daisyseam-control/src/core/groups.rs
@@ -167,7 +167,18 @@
                 (upstream, CallKind::Fence, AdminCall::Fence(term))
             }
             PromotionAction::Promote(upstream, term, end) => {
-                log::warn!("group {group}: promoting {upstream} to primary in term {term}");
+                let promotion = self
+                    .leader
+                    .as_ref()
+                    .and_then(|leader| leader.groups.get(group));
+                match promotion.and_then(GroupPromotion::basis) {
+                    Some(basis) => log::warn!(
+                        "group {group}: promoting {upstream} to primary in term {term}: {basis}"
+                    ),
+                    None => {
+                        log::warn!("group {group}: promoting {upstream} to primary in term {term}");
+                    }
+                }
                 let call = AdminCall::Promote(PromoteCall { term, end });
                 (upstream, CallKind::Promote, call)
             }
--- a/crates/daisyseam-control/src/core/leader.rs
+++ b/crates/daisyseam-control/src/core/leader.rs
@@ -231,6 +231,14 @@
             }
             return;
         }
+        if kind == CallKind::Promote {
+            let result = match answer {
+                CallOutcome::State(state) => format!("it is {:?}", state.role),
+                CallOutcome::Refused => "refused".to_owned(),
+                CallOutcome::Lost => "no answer".to_owned(),
+            };
+            log::warn!("group {group}: the call to promote {upstream} in term {term}: {result}");
+        }
         if let Some(promotion) = self.groups.get_mut(group) {
             promotion.handle_outcome(now, upstream, kind, term, answer);
         }
--- a/crates/daisyseam-coord/src/promotion.rs
+++ b/crates/daisyseam-coord/src/promotion.rs
@@ -23,13 +23,16 @@
 mod stage;
 mod synchronous;
 
-pub use self::group::{
-    AnnouncedState,
-    CallKind,
-    CallOutcome,
-    GroupFacts,
-    GroupPromotion,
-    MemberFacts,
-    PromotionAction,
-    PromotionSettings, //
+pub use self::{
+    group::{
+        AnnouncedState,
+        CallKind,
+        CallOutcome,
+        GroupFacts,
+        GroupPromotion,
+        MemberFacts,
+        PromotionAction,
+        PromotionSettings, //
+    },
+    synchronous::ElectionBasis, //
 };
--- a/crates/daisyseam-coord/src/promotion/group.rs
+++ b/crates/daisyseam-coord/src/promotion/group.rs
@@ -2,7 +2,10 @@
 
 use super::{
     stage::PromotionStage, //
-    synchronous::SyncPromotion,
+    synchronous::{
+        ElectionBasis,
+        SyncPromotion, //
+    },
 };
 use crate::{
     Moment,
@@ -257,6 +260,12 @@
         }
     }
 
+    /// Returns what the choice of the database that is being promoted was based on, where databases
+    /// acknowledge commits themselves.
+    pub fn basis(&self) -> Option<&ElectionBasis> {
+        self.synchronous.basis()
+    }
+
     /// Returns whether nothing is pending, so that steps can be less frequent.
     pub fn is_idle(&self) -> bool {
         self.is_synchronous && self.synchronous.is_idle()
--- a/crates/daisyseam-coord/src/promotion/synchronous.rs
+++ b/crates/daisyseam-coord/src/promotion/synchronous.rs
@@ -18,6 +18,7 @@
 mod election;
 mod watch;
 
+pub use self::election::ElectionBasis;
 use self::{
     discovery::DiscoveryRound,
     election::{
@@ -129,6 +130,14 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// Returns what the choice of the database that is being promoted was based on.
+    pub(super) fn basis(&self) -> Option<&ElectionBasis> {
+        match &self.stage {
+            SyncStage::Promoting(attempt) => Some(attempt.basis()),
+            _ => None,
+        }
+    }
+
     /// Returns whether the primary has responded as expected and nothing is pending.
     pub(super) fn is_idle(&self) -> bool {
         matches!(&self.stage, SyncStage::Watching(probes) if probes.is_idle())
--- a/crates/daisyseam-coord/src/promotion/synchronous/election.rs
+++ b/crates/daisyseam-coord/src/promotion/synchronous/election.rs
@@ -1,5 +1,8 @@
 //! Election of a primary among databases with synchronous replication.
 
+#[cfg(test)]
+mod tests;
+
 use super::{
     SyncPromotion,
     SyncStage,
@@ -30,6 +33,7 @@
         BTreeMap,
         BTreeSet, //
     },
+    fmt,
     time::Duration, //
 };
 
@@ -74,12 +78,46 @@
     stepped_down: bool,
 }
 
+/// The databases that a primary was chosen among, to explain the choice afterwards.
+#[derive(Clone, Debug)]
+pub struct ElectionBasis {
+    /// End of the former primary's log, if that was stopped.
+    former_end: Option<LogPosition>,
+    /// The last reported end of each log.
+    ends: Vec<(UpstreamId, EndReport)>,
+    /// Number of stopped databases needed when the former primary is not one of them.
+    quorum: usize,
+    /// Number of databases in the view.
+    listed: usize,
+    /// Number of databases that were removed from the view and may still run.
+    dropped: usize,
+}
+
+impl fmt::Display for ElectionBasis {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.former_end {
+            Some(end) => write!(out, "the former primary was stopped at {end}")?,
+            None => write!(out, "{} stopped databases were needed", self.quorum)?,
+        }
+        write!(out, "; {} listed, {} dropped", self.listed, self.dropped)?;
+        for (name, report) in &self.ends {
+            let state = match report.stopped {
+                true => "stopped",
+                false => "running",
+            };
+            write!(out, "; {name} {state} at {}", report.end)?;
+        }
+        Ok(())
+    }
+}
+
 /// Promotion of one database, which may take several calls.
 #[derive(Debug)]
 pub(super) struct SyncPromotionAttempt {
     pub(super) term: Term,
     since: Moment,
     chosen: UpstreamId,
+    basis: ElectionBasis,
     /// End of the log for which it was chosen.
     end: LogPosition,
     /// Whether it confirmed after the choice that its log still reaches `end`; it may have restarted.
@@ -195,6 +233,20 @@
         report.stepped_down.then_some((report.end, report.at))
     }
 
+    fn basis(&self, facts: GroupFacts<'_>, former: Option<&UpstreamId>) -> ElectionBasis {
+        let ends = facts.members.iter().filter_map(|member| {
+            let report = self.report(member)?;
+            Some((member.upstream.clone(), report))
+        });
+        ElectionBasis {
+            former_end: self.stopped_end(facts, former).map(|(end, _)| end),
+            ends: ends.collect(),
+            quorum: stop_quorum(facts),
+            listed: facts.members.len(),
+            dropped: facts.dropped,
+        }
+    }
+
     /// Returns the report of the current process of a database.
     fn report(&self, member: &MemberFacts) -> Option<EndReport> {
         let report = self.ends.get(&member.upstream).copied();
@@ -290,6 +342,11 @@
 }
 
 impl SyncPromotionAttempt {
+    /// Returns what the choice of the database was based on.
+    pub(super) fn basis(&self) -> &ElectionBasis {
+        &self.basis
+    }
+
     pub(super) fn record_outcome(
         &mut self,
         base: Term,
@@ -455,6 +512,7 @@
             term: view.term,
             since: now,
             chosen,
+            basis: round.basis(facts, self.former_primary.as_ref()),
             end: report.end,
             verified: false,
             failures: 0,
