--- a/crates/daisyseam-engine/src/counters.rs
+++ b/crates/daisyseam-engine/src/counters.rs
@@ -21,6 +21,15 @@
 /// Requests that got no connection from the pool in time.
 pub(crate) const CONNECTION_NONE_FREE: &str = "connection_none_free";
 
+/// Commits that a primary acknowledged and that enough listed replicas were found to have.
+pub(crate) const COMMIT_CONFIRMED: &str = "commit_confirmed";
+
+/// Commits that a primary acknowledged and whose outcome was reported as unknown.
+pub(crate) const COMMIT_UNCONFIRMED: &str = "commit_unconfirmed";
+
+/// Queries for the end of a database's log.
+pub(crate) const LOG_END_QUERIED: &str = "log_end_queried";
+
 /// Links opened to connections that other instances hold.
 pub(crate) const LINK_RELAYED: &str = "link_relayed";
 
--- a/crates/daisyseam-engine/src/database.rs
+++ b/crates/daisyseam-engine/src/database.rs
@@ -63,6 +63,8 @@
     Execute(&'a [u8], &'a [u8]),
     /// Drops all session values and prepared statements.
     Discard,
+    /// Reports the end of the log, including what has been received but not applied.
+    Status,
 }
 
 /// The reply of a database to a call.
--- a/crates/daisyseam-engine/src/lib.rs
+++ b/crates/daisyseam-engine/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod attempt;
 mod caller;
+mod confirmation;
 mod connection_state;
 mod counters;
 mod database;
@@ -14,6 +15,7 @@
 mod identity;
 mod lease;
 mod link;
+mod log_ends;
 mod observer;
 mod outages;
 mod pool;
--- a/crates/daisyseam-engine/src/observer.rs
+++ b/crates/daisyseam-engine/src/observer.rs
@@ -62,9 +62,11 @@
         }
         let known = |upstream: &_| view.upstreams.contains_key(upstream);
         self.shared.health.retain(known);
+        self.shared.log_ends.retain(known);
         let known = |group: &_| view.groups.contains_key(group);
         self.shared.samples.retain(known);
         self.shared.reads.retain(known);
+        self.shared.unconfirmed.retain(known);
         let draining = draining_groups(view).next().is_some();
         self.shared.writers.set_draining(draining);
     }
--- a/crates/daisyseam-engine/src/relay/convert.rs
+++ b/crates/daisyseam-engine/src/relay/convert.rs
@@ -72,7 +72,7 @@
 }
 
 impl RelayedVerb {
-    /// Returns the operation of a call; `None` if it is malformed.
+    /// Returns the operation of a call; `None` if it is malformed or makes no call to the database.
     pub(super) fn of(call: &RelayCall) -> Option<Self> {
         let prepared = |kind| {
             let text = call.text.clone();
@@ -83,6 +83,7 @@
         };
         Some(match RelayVerb::try_from(call.verb).ok()? {
             RelayVerb::Check => Self::Check,
+            RelayVerb::AwaitEnd => return None,
             RelayVerb::BeginReadWrite => Self::Begin(TransactionMode::ReadWrite),
             RelayVerb::BeginReadOnly => Self::Begin(TransactionMode::ReadOnly),
             RelayVerb::Commit => Self::Commit,
--- a/crates/daisyseam-engine/src/relay/peer.rs
+++ b/crates/daisyseam-engine/src/relay/peer.rs
@@ -35,6 +35,7 @@
 };
 use bytes::Bytes;
 use daisyseam_model::{
+    LogPosition,
     UpstreamId,
     ViewNumber, //
 };
@@ -75,6 +76,9 @@
 /// Time for which an instance that does not hold a database is not asked for it.
 const REJECTION_MEMORY: Duration = Duration::from_millis(250);
 
+/// Time beyond its deadline after which the answer to a wait for the end of a log counts as lost.
+const AWAIT_GRACE: Duration = Duration::from_millis(150);
+
 /// Largest number of idle connections kept per instance.
 const MAX_IDLE: usize = 32;
 
@@ -422,6 +426,32 @@
         self.exchange(timer, message, until).await.map(|_| ())
     }
 
+    /// Waits until the holder has found a position in the database's log; returns the last end that
+    /// it knows.
+    pub(crate) async fn await_end(
+        &mut self,
+        timer: &TimerService,
+        born_ms: u64,
+        position: LogPosition,
+        until: Instant,
+    ) -> Result<Option<LogPosition>, LinkError> {
+        let mut message = RelayCall {
+            deadline_ms: millis(until.saturating_duration_since(Instant::now())),
+            at_least: Some(position.into()),
+            verb: RelayVerb::AwaitEnd.into(),
+            ..RelayCall::default()
+        };
+        self.set_target(&mut message, born_ms);
+        let until = until + AWAIT_GRACE;
+        // A wait without a result says nothing about the health of the database.
+        let reply = self.send_and_receive(timer, message, until).await;
+        if let Err(error @ LinkError::NotHolder) = &reply {
+            let peer = Arc::clone(&self.peer);
+            peer.record_error(&self.upstream, error, Duration::ZERO);
+        }
+        Ok(reply?.position)
+    }
+
     fn set_target(&self, message: &mut RelayCall, born_ms: u64) {
         message.upstream = self.upstream.as_str().to_owned();
         message.born_ms = born_ms;
--- a/crates/daisyseam-engine/src/relay/server.rs
+++ b/crates/daisyseam-engine/src/relay/server.rs
@@ -33,12 +33,16 @@
     urgency::Urgency,
 };
 use bytes::Bytes;
-use daisyseam_member::RateGate;
+use daisyseam_member::{
+    HeldView,
+    RateGate, //
+};
 use daisyseam_model::{
     GroupId,
     OrganisationId,
     Term,
     UpstreamId,
+    UpstreamView,
     document::RequestLimits, //
 };
 use daisyseam_runtime::tune_socket;
@@ -48,6 +52,7 @@
     RelayCall,
     RelayMessage,
     RelayPong,
+    RelayVerb,
     StreamError,
     relay_message::Body, //
 };
@@ -185,6 +190,9 @@
     }
 
     async fn call(&mut self, call: &RelayCall) -> Result<DatabaseReply, LinkError> {
+        if call.verb == i32::from(RelayVerb::AwaitEnd) {
+            return self.await_end(call).await;
+        }
         let verb = RelayedVerb::of(call).ok_or(LinkError::NotSent)?;
         let fence = decode_fence(call.fence).ok_or(LinkError::NotSent)?;
         let in_transaction = self.link.is_some();
@@ -234,25 +242,32 @@
         }
     }
 
+    /// Waits until a database has reached a position, and replies with the last known end of its log.
+    async fn await_end(&mut self, call: &RelayCall) -> Result<DatabaseReply, LinkError> {
+        let Some(position) = call.at_least.filter(|_| self.link.is_none()) else {
+            return Err(LinkError::NotSent);
+        };
+        let engine = self.engine;
+        let held = engine.settings.cell.held();
+        let (upstream, upstream_view) = held_database(engine, &held, call)?;
+        let until = Instant::now() + requested(call.deadline_ms);
+        let database = (&upstream, upstream_view);
+        let reached = engine.await_end(&held.view, database, position.into(), until);
+        reached.await;
+        Ok(DatabaseReply {
+            position: engine.log_ends.last(&upstream, upstream_view.born_ms),
+            ..empty_reply()
+        })
+    }
+
     /// Acquires a connection for the first call of a link.
     async fn open(
         engine: &'a EngineShared<D, G>,
         call: &RelayCall,
     ) -> Result<OpenLink<'a, D>, LinkError> {
         let guard = engine.relay_started();
-        if engine.settings.stop.is_stopping() {
-            return Err(LinkError::NotHolder);
-        }
         let held = engine.settings.cell.held();
-        let upstream: UpstreamId = call.upstream.parse().map_err(|_| LinkError::NotSent)?;
-        let upstream_view = held.view.upstreams.get(&upstream);
-        let upstream_view = upstream_view
-            .filter(|upstream_view| upstream_view.born_ms == call.born_ms)
-            .ok_or(LinkError::NotHolder)?;
-        let holders = engine.pool.holders(&held.view, &upstream, upstream_view);
-        if !holders.contains(&engine.settings.instance) {
-            return Err(LinkError::NotHolder);
-        }
+        let (upstream, upstream_view) = held_database(engine, &held, call)?;
         // Calls that another holder may be able to make must not wait here for an unresponsive
         // database.
         if engine.health.is_avoided(&upstream, held.view.number) {
@@ -332,6 +347,27 @@
     }
 }
 
+/// Returns the database of a call, if this instance is one of its holders.
+fn held_database<'v, D: DatabaseConnector, G>(
+    engine: &EngineShared<D, G>,
+    held: &'v HeldView,
+    call: &RelayCall,
+) -> Result<(UpstreamId, &'v UpstreamView), LinkError> {
+    if engine.settings.stop.is_stopping() {
+        return Err(LinkError::NotHolder);
+    }
+    let upstream: UpstreamId = call.upstream.parse().map_err(|_| LinkError::NotSent)?;
+    let upstream_view = held.view.upstreams.get(&upstream);
+    let upstream_view = upstream_view
+        .filter(|upstream_view| upstream_view.born_ms == call.born_ms)
+        .ok_or(LinkError::NotHolder)?;
+    let holders = engine.pool.holders(&held.view, &upstream, upstream_view);
+    match holders.contains(&engine.settings.instance) {
+        true => Ok((upstream, upstream_view)),
+        false => Err(LinkError::NotHolder),
+    }
+}
+
 fn empty_reply() -> DatabaseReply {
     DatabaseReply {
         rows: Vec::new(),
--- a/crates/daisyseam-engine/src/route.rs
+++ b/crates/daisyseam-engine/src/route.rs
@@ -323,7 +323,8 @@
         own.max(self.health.expected_wait(upstream))
     }
 
-    fn distance(&self, view: &FleetView, other: &DataCentreId) -> RouteDistance {
+    /// Returns how far a data centre is from this instance.
+    pub(crate) fn distance(&self, view: &FleetView, other: &DataCentreId) -> RouteDistance {
         if other == self.data_centre {
             return RouteDistance::SameDataCentre;
         }
--- a/crates/daisyseam-engine/src/session/single.rs
+++ b/crates/daisyseam-engine/src/session/single.rs
@@ -263,7 +263,7 @@
         Ok(reply)
     }
 
-    /// Acknowledges a write if no other database can have been primary when it ran.
+    /// Acknowledges a write if it cannot be lost by a change of primary.
     async fn acknowledge(
         &mut self,
         route: &Route,
@@ -271,15 +271,22 @@
         receipt: Bytes,
         times: &OperationTimes,
     ) -> RunResult {
-        let until = times.primary_until().max(Instant::now());
-        if !self.engine.confirm_primary(route, until).await {
-            return Err(ErrorKind::OutcomeUnknown.into());
+        let until = times.confirm_until(Instant::now());
+        let confirmed = self.engine.confirm_commit(route, reply.position, until);
+        if !confirmed.await {
+            return Err(unconfirmed());
         }
         self.floor.committed(&route.group, reply.position);
         answer::from_database(reply.rows, receipt, reply.position)
     }
 }
 
+/// Returns the error for a commit that the primary acknowledged and that may still be lost.
+pub(super) fn unconfirmed() -> RequestError {
+    let why = "the primary committed it, but this was not confirmed in time";
+    RequestError::new(ErrorKind::OutcomeUnknown, why)
+}
+
 /// Gives a connection back if no transaction is open on it.
 fn release_if_idle<C: DatabaseConnection>(link: DatabaseLink<C>, reply: &DatabaseReply) {
     if reply.state == TransactionState::Idle {
--- a/crates/daisyseam-engine/src/session/transaction.rs
+++ b/crates/daisyseam-engine/src/session/transaction.rs
@@ -9,7 +9,10 @@
         RunResult,
         TryOutcome, //
     },
-    single::MAX_ATTEMPTS, //
+    single::{
+        MAX_ATTEMPTS,
+        unconfirmed, //
+    }, //
 };
 use crate::{
     DatabaseConnection,
@@ -439,7 +442,7 @@
         engine.run(&mut running.link, context, call).await
     }
 
-    /// Acknowledges a commit if no other database can have been primary when it ran.
+    /// Acknowledges a commit if it cannot be lost by a change of primary.
     async fn committed(
         &mut self,
         running: RunningTransaction<D::Connection>,
@@ -447,16 +450,24 @@
         receipt: Bytes,
         times: &OperationTimes,
     ) -> RunResult {
-        let until = times.primary_until();
-        if running.wrote && !self.engine.confirm_primary(&running.route, until).await {
-            return Err(ErrorKind::OutcomeUnknown.into());
-        }
-        if running.wrote {
-            self.floor.committed(&running.route.group, reply.position);
-        }
+        let RunningTransaction {
+            link,
+            route,
+            wrote,
+            writer_guard,
+        } = running;
         if reply.state == TransactionState::Idle {
-            running.release(true);
+            link.release_after_transaction(true);
+        }
+        if wrote {
+            let until = times.confirm_until(Instant::now());
+            let confirmed = self.engine.confirm_commit(&route, reply.position, until);
+            if !confirmed.await {
+                return Err(unconfirmed());
+            }
+            self.floor.committed(&route.group, reply.position);
         }
+        drop(writer_guard);
         answer::from_database(reply.rows, receipt, reply.position)
     }
 
--- a/crates/daisyseam-engine/src/times.rs
+++ b/crates/daisyseam-engine/src/times.rs
@@ -38,6 +38,9 @@
 const MIN_CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 const MAX_CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Least time for confirming a commit, where the deadline of the request leaves it.
+const MIN_CONFIRM_TIME: Duration = Duration::from_millis(300);
+
 /// The time limits of one request.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct OperationTimes {
@@ -125,6 +128,12 @@
         (now + limit).min(self.deadline())
     }
 
+    /// Returns the deadline for confirming a commit that its primary has acknowledged at `now`.
+    pub(crate) fn confirm_until(&self, now: Instant) -> Instant {
+        let at_least = (now + MIN_CONFIRM_TIME).min(self.deadline());
+        self.primary_until().max(at_least).max(now)
+    }
+
     /// Returns the deadline of the wait for a primary.
     pub(crate) fn primary_until(&self) -> Instant {
         let wait = self.target_latency / PRIMARY_WAIT_DIVISOR;
--- a/crates/daisyseam-engine/tests/confirmation.rs
+++ b/crates/daisyseam-engine/tests/confirmation.rs
@@ -17,12 +17,17 @@
     caller::{
         BEGIN,
         FakeCaller,
+        read,
         write, //
     },
-    database::FakeDatabases, //
+    database::FakeDatabases,
+    relay::RelayFleet, //
 };
 use test_case::test_case;
-use tokio::time::Instant;
+use tokio::time::{
+    Instant,
+    sleep, //
+};
 
 /// Target latency of the services, after which a caller is told that the outcome is unknown.
 const TARGET_LATENCY: Duration = Duration::from_millis(400);
@@ -64,6 +69,12 @@
     answer.outcome.map(|_| ()).map_err(|error| error.kind)
 }
 
+/// Returns the number of queries for the end of a database's log.
+fn queries(fleet: &Fleet, name: &str) -> usize {
+    let calls = fleet.databases.calls(name);
+    calls.iter().filter(|call| call.contains("status")).count()
+}
+
 /// Guards against the loss of an acknowledged commit that only the primary and a replica unknown to
 /// control had.
 #[test_case(false; "of a single write")]
@@ -79,6 +90,16 @@
     assert_eq!(fleet.databases.with("p", |p| p.committed.len()), 1);
 }
 
+/// Guards against the loss of an acknowledged commit with a replica that leaves.
+#[tokio::test(start_paused = true)]
+async fn a_commit_that_only_a_leaving_replica_has_is_not_acknowledged() {
+    let mut fleet = start("a");
+    fleet.change_view(|view| view.upstreams.get_mut("a").unwrap().leaving = true);
+    let mut caller = fleet.session("primary").await;
+    let result = try_write(&mut caller, false).await;
+    assert_eq!(result, Err(ErrorKind::OutcomeUnknown));
+}
+
 #[test_case(false; "of a single write")]
 #[test_case(true; "of a transaction")]
 #[tokio::test(start_paused = true)]
@@ -91,3 +112,117 @@
         assert!(started_at.elapsed() < TARGET_LATENCY);
     }
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_commit_is_acknowledged_once_the_replica_that_has_it_is_listed() {
+    let mut fleet = start("n");
+    let listed = fleet.cell.held().view.upstreams["a"].clone();
+    let mut caller = fleet.session("primary").await;
+    caller.send(write("write 1"));
+    sleep(Duration::from_millis(100)).await;
+    let addresses = fleet.databases.addresses();
+    let (name, address) = addresses
+        .into_iter()
+        .find(|(name, _)| name.as_str() == "n")
+        .unwrap();
+    fleet.change_view(|view| {
+        let mut joined = listed;
+        (joined.address, joined.admin_address) = (address, address);
+        view.upstreams.insert(name, joined);
+    });
+    let answer = caller.answer().await;
+    assert!(answer.outcome.is_ok(), "{answer:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_commit_waits_for_as_many_replicas_as_the_document_asks_for() {
+    let mut fleet = start("a");
+    fleet.change_view(|view| require_replicas(view, 2));
+    let mut caller = fleet.session("primary").await;
+    caller.send(write("write 1"));
+    sleep(Duration::from_millis(200)).await;
+    let end = fleet.databases.with("a", |a| a.position);
+    fleet.databases.with("b", |b| b.position = end);
+    let answer = caller.answer().await;
+    assert!(answer.outcome.is_ok(), "{answer:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_restarted_replica_counts_only_with_what_its_process_reported() {
+    let mut fleet = start("a");
+    let mut caller = fleet.session("session").await;
+    assert_eq!(try_write(&mut caller, false).await, Ok(()));
+    fleet.databases.with("p", |p| {
+        p.sync_replicas = ["n".parse().unwrap()].into();
+    });
+    fleet
+        .databases
+        .with("a", |a| a.position = support::position(1, 0));
+    fleet.change_view(|view| view.upstreams.get_mut("a").unwrap().born_ms = 7);
+    let result = try_write(&mut caller, false).await;
+    assert_eq!(result, Err(ErrorKind::OutcomeUnknown));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_primary_that_was_replaced_meanwhile_gives_an_unknown_outcome_at_once() {
+    let mut fleet = start("n");
+    let mut caller = fleet.session("primary").await;
+    caller.send(write("write 1"));
+    sleep(Duration::from_millis(50)).await;
+    fleet.promote("a");
+    let changed_at = Instant::now();
+    let answer = caller.answer().await;
+    assert_eq!(answer.outcome.unwrap_err().kind, ErrorKind::OutcomeUnknown);
+    assert!(changed_at.elapsed() < Duration::from_millis(5));
+}
+
+#[tokio::test(start_paused = true)]
+async fn replies_to_reads_confirm_commits_without_a_query() {
+    let fleet = start("a");
+    let mut reader = fleet.session("session").await;
+    let reads = tokio::spawn(async move {
+        loop {
+            reader.ok(read("read 1")).await;
+        }
+    });
+    // The first read of a session goes to the primary until a position is known.
+    sleep(Duration::from_millis(50)).await;
+    let mut caller = fleet.session("primary").await;
+    for _ in 0..10 {
+        assert_eq!(try_write(&mut caller, false).await, Ok(()));
+    }
+    reads.abort();
+    assert_eq!(queries(&fleet, "a") + queries(&fleet, "b"), 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn commits_that_wait_together_share_the_queries_of_a_replica() {
+    let fleet = start("n");
+    let mut callers = Vec::new();
+    for _ in 0..20 {
+        let mut caller = fleet.session("primary").await;
+        caller.send(write("write 1"));
+        callers.push(caller);
+    }
+    for caller in &mut callers {
+        let answer = caller.answer().await;
+        assert_eq!(answer.outcome.unwrap_err().kind, ErrorKind::OutcomeUnknown);
+    }
+    let asked = queries(&fleet, "a");
+    assert!((1..40).contains(&asked), "{asked} queries");
+}
+
+#[tokio::test]
+async fn the_holder_of_a_replica_confirms_commits_for_other_instances() {
+    let mut fleet = RelayFleet::start(12, 10).await;
+    fleet.change_view(|view| require_replicas(view, 1)).await;
+    fleet.databases.with("p", |p| {
+        p.sync_replicas = ["a".parse().unwrap()].into();
+    });
+    let mut caller = fleet.session("primary").await;
+    for _ in 0..5 {
+        caller.ok(write("write 1")).await;
+    }
+    let connects = fleet.databases.with("a", |a| a.connects);
+    assert!(connects <= 2, "{connects} connections were opened");
+}
--- a/crates/daisyseam-engine/tests/support/database.rs
+++ b/crates/daisyseam-engine/tests/support/database.rs
@@ -307,6 +307,7 @@
                 self.prepared.clear();
                 None
             }
+            DatabaseVerb::Status => None,
             DatabaseVerb::Run(text) => {
                 if text.starts_with(b"write") {
                     self.write(text_of(text));
@@ -394,6 +395,7 @@
             format!("execute {} {}", text_of(name), text_of(arguments))
         }
         DatabaseVerb::Discard => "discard".to_owned(),
+        DatabaseVerb::Status => "status".to_owned(),
     };
     match call.at_least {
         Some(floor) => format!("{description} @{}", floor.position.0),
--- a/crates/daisyseam-wire/src/relay.rs
+++ b/crates/daisyseam-wire/src/relay.rs
@@ -133,6 +133,9 @@
     ExecutePreparedRead = 6,
     /// Prepares a writing statement unless it is prepared already, and runs it.
     ExecutePreparedWrite = 7,
+    /// Waits until the log of the database has reached `at_least`, or until the deadline, and
+    /// returns the last known end of the log.
+    AwaitEnd = 8,
 }
 
 /// Condition checked immediately before a call is sent to the database.
