Ask for the end of a log in a task that outlives the commit

And an instance of an earlier version rejects the call; its answer was ignored, so that all commits were unknown while such instances held the replicas' connections during an upgrade.

Now one task for each replica asks for the highest position that any commit waits for, until none does, and queries the database itself where the holder does not know the call. The connections of the 50 commits stay below 25 in the test.

--- a/crates/daisyseam-engine/src/attempt.rs
+++ b/crates/daisyseam-engine/src/attempt.rs
@@ -489,6 +489,7 @@
         }
         if let Some(position) = reply.position {
             self.record_position(route, sent_at, position);
+            // What a primary reports says nothing about its replicas.
             if let (None, Some(upstream_view)) = (route.term, route.upstream_view()) {
                 let born_ms = upstream_view.born_ms;
                 self.log_ends.record(&route.upstream, born_ms, position);
--- a/crates/daisyseam-engine/src/confirmation.rs
+++ b/crates/daisyseam-engine/src/confirmation.rs
@@ -2,15 +2,24 @@
 //!
 //! A primary with synchronous replication acknowledges a commit once any replicas have received it,
 //! including replicas that control has not heard of. An election counts only the databases that the
-//! view lists. So a commit is acknowledged to its caller only once enough replicas that the view
-//! lists have reported its position; each election then finds it on one of the databases it stops.
+//! view lists. So a commit is acknowledged to its caller only once as many replicas that the view
+//! lists as the document asks for have reported its position; each election then finds it on one of
+//! the databases it stops.
 
+mod awaited;
+mod unconfirmed_log;
+
+pub(crate) use self::{
+    awaited::AwaitedEnds,
+    unconfirmed_log::UnconfirmedLog, //
+};
 use crate::{
     DatabaseCall,
     DatabaseConnector,
     DatabaseVerb,
     counters,
     engine::EngineShared,
+    link::LinkError,
     pool::ConnectionRequest,
     relay::HolderLink,
     route::{
@@ -23,7 +32,7 @@
     },
     values::SessionValues, //
 };
-use daisyseam_member::HeldView;
+use daisyseam_member::RateGate;
 use daisyseam_model::{
     FleetView,
     GroupId,
@@ -32,94 +41,56 @@
     UpstreamView,
     document::CommitPolicy, //
 };
-use futures_util::{
-    StreamExt,
-    stream::FuturesUnordered, //
-};
-use parking_lot::Mutex;
 use smallvec::SmallVec;
 use std::{
-    collections::HashMap,
+    sync::Arc,
     time::Duration, //
 };
 use tokio::time::Instant;
 
 /// Time for which replies to other calls may report the end of a log before the database is queried
-/// for it.
+/// for it, and between two requests that ask for it in vain.
 const QUIET_TIME: Duration = Duration::from_millis(25);
 
 /// Time after which the next replica is asked as well.
 const HEDGE_DELAY: Duration = Duration::from_millis(60);
 
-/// Longest time for which one replica is asked before the replicas are chosen anew.
+/// Longest time that one request may wait for the end of a log.
 const ASK_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Longest time for which a database is queried for the end of its log.
 const QUERY_TIMEOUT: Duration = Duration::from_millis(200);
 
-/// Time for which commits that were not confirmed are counted before they are logged.
-const LOG_INTERVAL: Duration = Duration::from_secs(5);
-
-/// Limits the log lines about commits that were not confirmed.
-#[derive(Debug, Default)]
-pub(crate) struct UnconfirmedLog {
-    /// Commits that have not been logged, and since when they are counted.
-    counts: Mutex<HashMap<GroupId, (u64, Instant)>>,
-}
-
-impl UnconfirmedLog {
-    /// Counts a commit; returns the number to log if a line is due. The first one after a quiet time
-    /// is logged at once.
-    fn record(&self, group: &GroupId, now: Instant) -> Option<u64> {
-        let mut counts = self.counts.lock();
-        let Some((count, since)) = counts.get_mut(group) else {
-            counts.insert(group.clone(), (0, now));
-            return Some(1);
-        };
-        *count += 1;
-        if now < *since + LOG_INTERVAL {
-            return None;
-        }
-        let due = std::mem::take(count);
-        *since = now;
-        Some(due)
-    }
-
-    /// Forgets the groups that are no longer in the view.
-    pub(crate) fn retain(&self, is_known: impl Fn(&GroupId) -> bool) {
-        self.counts.lock().retain(|group, _| is_known(group));
-    }
-}
-
 /// The commit of a write that a primary has acknowledged.
 #[derive(Clone, Copy, Debug)]
 struct CommitMark<'a> {
-    group: &'a GroupId,
-    primary: &'a UpstreamId,
+    /// The route to the primary.
+    route: &'a Route,
     position: LogPosition,
 }
 
-impl<D: DatabaseConnector, G> EngineShared<D, G> {
+impl<D: DatabaseConnector, G: RateGate> EngineShared<D, G> {
     /// Waits until a commit may be acknowledged; returns whether it may by `until`.
     ///
-    /// Enough replicas must have it, and no other database can have been primary when it ran.
+    /// As many replicas as the document asks for must have it, and no other database can have been
+    /// primary when it ran.
     pub(crate) async fn confirm_commit(
         &self,
         route: &Route,
         position: Option<LogPosition>,
         until: Instant,
     ) -> bool {
-        let confirmed = tokio::select! {
+        let is_copied = tokio::select! {
             biased;
-            confirmed = self.confirm_copies(route, position, until) => confirmed,
+            is_copied = self.confirm_copies(route, position, until) => is_copied,
             () = self.superseded(route) => false,
         };
-        let confirmed = confirmed && self.confirm_primary(route, until).await;
-        self.settings.metrics.count(match confirmed {
+        let is_confirmed = is_copied && self.confirm_primary(route, until).await;
+        self.settings.metrics.count(match is_confirmed {
             true => counters::COMMIT_CONFIRMED,
             false => counters::COMMIT_UNCONFIRMED,
         });
-        confirmed
+        is_confirmed
     }
 
     /// Waits until enough replicas that the view lists have a commit.
@@ -129,32 +100,27 @@
         position: Option<LogPosition>,
         until: Instant,
     ) -> bool {
-        if needed_replicas(&self.settings.cell.held().view, &route.group) == 0 {
+        if self.needed_replicas(&self.settings.cell.held().view, route) == Some(0) {
             return true;
         }
         let Some(position) = position else {
             return false;
         };
-        let mark = CommitMark {
-            group: &route.group,
-            primary: &route.upstream,
-            position,
-        };
-        let timer = &self.settings.timer;
+        let mark = CommitMark { route, position };
         let copied = async {
             tokio::select! {
                 biased;
                 () = self.copied(mark) => {}
-                () = self.ask_repeatedly(mark) => {}
+                () = self.request_ends(mark, until) => {}
             }
         };
-        if timer.within(until, copied).await.is_some() {
+        if self.settings.timer.within(until, copied).await.is_some() {
             return true;
         }
         if let Some(count) = self.unconfirmed.record(&route.group, Instant::now()) {
             log::warn!(
-                "group {}: {count} commits of {} were not found on enough listed replicas, the last \
-                 at {position}",
+                "group {}: commits of {} that were not found on enough listed replicas: {count}, \
+                 the last at {position}",
                 route.group,
                 route.upstream
             );
@@ -162,6 +128,11 @@
         false
     }
 
+    /// Returns how many replicas must have a commit before it is acknowledged.
+    fn needed_replicas(&self, view: &FleetView, route: &Route) -> Option<usize> {
+        Some(policy_replicas(view, &route.group).unwrap_or(0))
+    }
+
     /// Returns once enough replicas that the view lists are known to have a commit.
     async fn copied(&self, mark: CommitMark<'_>) {
         let mut ends = self.log_ends.subscribe();
@@ -180,43 +151,81 @@
             self.log_ends.reaches(name, upstream_view, mark.position)
         };
         let copies = replicas(view, mark).filter(has_commit).count();
-        copies >= needed_replicas(view, mark.group)
+        let needed = self.needed_replicas(view, mark.route);
+        needed.is_some_and(|needed| copies >= needed)
     }
 
-    /// Asks the replicas for the ends of their logs, again and again.
-    async fn ask_repeatedly(&self, mark: CommitMark<'_>) {
+    /// Requests the ends of the replicas' logs, of the nearest one first and of the others after a
+    /// delay, and of those that are listed later.
+    async fn request_ends(&self, mark: CommitMark<'_>, until: Instant) {
+        let mut views = self.settings.cell.subscribe();
+        let mut requested: SmallVec<[UpstreamId; 4]> = SmallVec::new();
         loop {
             let held = self.settings.cell.held();
-            let now = Instant::now();
-            self.ask_replicas(&held, mark, now + ASK_TIMEOUT).await;
-            // Asking may have failed at once.
-            self.settings.timer.at(now + QUIET_TIME).await;
+            let Some(name) = self.next_replica(&held.view, mark, &requested) else {
+                // The cell owns the sender.
+                let _ = views.changed().await;
+                continue;
+            };
+            let born_ms = held.view.upstreams[name].born_ms;
+            self.request_end(name, born_ms, mark.position, until);
+            requested.push(name.clone());
+            self.settings.timer.at(Instant::now() + HEDGE_DELAY).await;
         }
     }
 
-    /// Asks the replicas, the nearest one first and the others after a delay.
-    async fn ask_replicas(&self, held: &HeldView, mark: CommitMark<'_>, until: Instant) {
-        let view = &held.view;
-        let replicas = replicas(view, mark);
-        let mut replicas: SmallVec<[_; 4]> = replicas
-            .filter(|(_, upstream_view)| view.in_service(&upstream_view.data_centre))
-            .collect();
+    /// Returns the nearest replica that has not been asked yet. Nothing is sent to databases of an
+    /// evacuated data centre.
+    fn next_replica<'v>(
+        &self,
+        view: &'v FleetView,
+        mark: CommitMark<'v>,
+        requested: &[UpstreamId],
+    ) -> Option<&'v UpstreamId> {
         let router = self.router();
-        replicas.sort_by_key(|(name, upstream_view)| {
-            let avoided = self.health.is_avoided(name, view.number);
-            (avoided, router.distance(view, &upstream_view.data_centre))
+        let candidates = replicas(view, mark).filter(|(name, upstream_view)| {
+            !requested.contains(name) && view.in_service(&upstream_view.data_centre)
         });
-        let mut ask_at = Instant::now();
-        let mut asks = FuturesUnordered::new();
-        for replica in replicas {
-            let start_at = ask_at;
-            asks.push(async move {
-                self.settings.timer.at(start_at).await;
-                self.ask_replica(view, replica, mark.position, until).await;
-            });
-            ask_at += HEDGE_DELAY;
+        let nearest = candidates.min_by_key(|(name, upstream_view)| {
+            let is_avoided = self.health.is_avoided(name, view.number);
+            (
+                is_avoided,
+                router.distance(view, &upstream_view.data_centre),
+            )
+        });
+        nearest.map(|(name, _)| name)
+    }
+
+    /// Has the end of a replica's log asked for, by a task that serves all commits that wait for it.
+    fn request_end(
+        &self,
+        upstream: &UpstreamId,
+        born_ms: u64,
+        position: LogPosition,
+        until: Instant,
+    ) {
+        let is_first = self.awaited.request(upstream, born_ms, position, until);
+        if let (true, Some(engine)) = (is_first, self.own.upgrade()) {
+            let upstream = upstream.clone();
+            tokio::spawn(async move { engine.ask_while_awaited(&upstream).await });
+        }
+    }
+
+    async fn ask_while_awaited(self: Arc<Self>, upstream: &UpstreamId) {
+        while let Some((born_ms, position)) = self.awaited.next(upstream, &self.log_ends) {
+            let now = Instant::now();
+            let held = self.settings.cell.held();
+            let listed = held.view.upstreams.get(upstream);
+            if let Some(listed) = listed.filter(|listed| listed.born_ms == born_ms) {
+                let until = now + ASK_TIMEOUT;
+                self.ask_replica(&held.view, (upstream, listed), position, until)
+                    .await;
+                if self.log_ends.reaches(upstream, listed, position) {
+                    continue;
+                }
+            }
+            self.settings.timer.at(now + QUIET_TIME).await;
         }
-        while asks.next().await.is_some() {}
     }
 
     /// Asks for the end of a replica's log where its connections are held.
@@ -231,19 +240,24 @@
         let values = SessionValues::default();
         let link = match &self.relays {
             Some(relays) if !holders.is_empty() => {
-                let request = self.query_request(view, name, &values, until);
+                let request = query_request(view, name, &values, until);
                 let own = &self.settings.instance;
                 relays.link(request, &holders, own).await
             }
             Some(_) | None => Ok(HolderLink::Own),
         };
+        let born_ms = upstream_view.born_ms;
         match link {
             Ok(HolderLink::Relayed(mut link)) => {
                 let timer = &self.settings.timer;
-                let born_ms = upstream_view.born_ms;
-                // A wait without a result is repeated.
-                if let Ok(Some(end)) = link.await_end(timer, born_ms, position, until).await {
-                    self.log_ends.record(name, born_ms, end);
+                match link.await_end(timer, born_ms, position, until).await {
+                    Ok(Some(end)) => self.log_ends.record(name, born_ms, end),
+                    // A holder of an earlier version of the program does not know the request.
+                    Err(LinkError::NotSent) => {
+                        let database = (name, upstream_view);
+                        self.await_end(view, database, position, until).await;
+                    }
+                    Ok(None) | Err(_) => {}
                 }
             }
             Ok(HolderLink::Own) => {
@@ -271,12 +285,13 @@
                 return;
             }
             if let Some(guard) = self.log_ends.start_query(name, upstream_view.born_ms) {
-                self.query_end(view, (name, upstream_view), until).await;
+                self.query_end(view, (name, upstream_view)).await;
                 drop(guard);
             }
         }
     }
 
+    /// Returns once a database is known to have reached a position.
     async fn reported(
         &self,
         name: &UpstreamId,
@@ -295,11 +310,10 @@
         &self,
         view: &FleetView,
         (name, upstream_view): (&UpstreamId, &UpstreamView),
-        until: Instant,
     ) {
-        let until = until.min(Instant::now() + QUERY_TIMEOUT);
+        let until = Instant::now() + QUERY_TIMEOUT;
         let values = SessionValues::default();
-        let request = self.query_request(view, name, &values, until);
+        let request = query_request(view, name, &values, until);
         let Ok(mut connection) = self.pool.acquire(request).await else {
             return;
         };
@@ -318,26 +332,6 @@
         }
     }
 
-    fn query_request<'a>(
-        &self,
-        view: &'a FleetView,
-        upstream: &'a UpstreamId,
-        values: &'a SessionValues,
-        until: Instant,
-    ) -> ConnectionRequest<'a> {
-        ConnectionRequest {
-            view,
-            upstream,
-            organisation: None,
-            values,
-            wait_until: until,
-            connect_until: until,
-            urgency: Urgency::HIGHEST,
-            rule: QueueRule::Turns,
-            target: until,
-        }
-    }
-
     /// Returns once the primary of a route no longer leads its term.
     async fn superseded(&self, route: &Route) {
         let mut views = self.settings.cell.subscribe();
@@ -355,22 +349,43 @@
     }
 }
 
-/// Returns how many replicas must have a commit before it is acknowledged.
-fn needed_replicas(view: &FleetView, group: &GroupId) -> usize {
-    let document = view.document.as_ref();
-    let entry = document.and_then(|document| document.groups.get(group));
-    match entry.map(|entry| entry.commit) {
-        Some(CommitPolicy::Replicas(replicas)) => replicas,
-        Some(CommitPolicy::Majority) | None => 0,
+fn query_request<'a>(
+    view: &'a FleetView,
+    upstream: &'a UpstreamId,
+    values: &'a SessionValues,
+    until: Instant,
+) -> ConnectionRequest<'a> {
+    ConnectionRequest {
+        view,
+        upstream,
+        organisation: None,
+        values,
+        wait_until: until,
+        connect_until: until,
+        urgency: Urgency::HIGHEST,
+        rule: QueueRule::Turns,
+        target: until,
     }
 }
 
+/// Returns how many replicas a document asks for; `None` if it does not list the group.
+fn policy_replicas(view: &FleetView, group: &GroupId) -> Option<usize> {
+    let entry = view.document.as_ref()?.groups.get(group)?;
+    Some(match entry.commit {
+        CommitPolicy::Replicas(replicas) => replicas,
+        // Such databases do not acknowledge commits by themselves.
+        CommitPolicy::Majority => 0,
+    })
+}
+
 /// Iterates over the replicas whose copies of a commit count. The log of one that leaves goes with
 /// it.
 fn replicas<'a>(
     view: &'a FleetView,
     mark: CommitMark<'a>,
 ) -> impl Iterator<Item = (&'a UpstreamId, &'a UpstreamView)> {
-    let members = view.members(mark.group);
-    members.filter(move |(name, upstream_view)| *name != mark.primary && !upstream_view.leaving)
+    let members = view.members(&mark.route.group);
+    members.filter(move |(name, upstream_view)| {
+        **name != mark.route.upstream && !upstream_view.leaving
+    })
 }
--- a/crates/daisyseam-engine/src/engine.rs
+++ b/crates/daisyseam-engine/src/engine.rs
@@ -3,7 +3,10 @@
 use crate::{
     CallerStream,
     DatabaseConnector,
-    confirmation::UnconfirmedLog,
+    confirmation::{
+        AwaitedEnds,
+        UnconfirmedLog, //
+    },
     health::HealthTable,
     lease::LeaseLoss,
     log_ends::LogEnds,
@@ -46,7 +49,8 @@
     future::Future,
     sync::{
         Arc,
-        OnceLock, //
+        OnceLock,
+        Weak, //
     },
     time::Duration, //
 };
@@ -96,6 +100,8 @@
 
 /// State shared by all sessions.
 pub(crate) struct EngineShared<D: DatabaseConnector, G> {
+    /// Handle to itself for tasks that outlive a request.
+    pub(crate) own: Weak<Self>,
     pub(crate) settings: EngineSettings<D, G>,
     pub(crate) pool: ConnectionPool<D>,
     /// Links to the connections of other instances, if they are used.
@@ -106,6 +112,7 @@
     pub(crate) reads: ReadRouting,
     pub(crate) samples: PositionSamples,
     pub(crate) log_ends: LogEnds,
+    pub(crate) awaited: AwaitedEnds,
     pub(crate) unconfirmed: UnconfirmedLog,
     pub(crate) writers: WriterCounts,
     pub(crate) usage: UsageMeter,
@@ -136,7 +143,8 @@
             .relay
             .clone()
             .map(|relay| AdmissionClient::new(relay, settings.timer.clone()));
-        let shared = EngineShared {
+        let shared = Arc::new_cyclic(|own| EngineShared {
+            own: Weak::clone(own),
             settings,
             pool,
             relays,
@@ -145,6 +153,7 @@
             reads: ReadRouting::new(),
             samples: PositionSamples::default(),
             log_ends: LogEnds::default(),
+            awaited: AwaitedEnds::default(),
             unconfirmed: UnconfirmedLog::default(),
             writers: WriterCounts::default(),
             usage: UsageMeter::default(),
@@ -154,10 +163,8 @@
             sessions: watch::Sender::new(0),
             relayed: watch::Sender::new(0),
             stop_observed_at: OnceLock::new(),
-        };
-        Self {
-            shared: Arc::new(shared),
-        }
+        });
+        Self { shared }
     }
 
     /// Serves a caller's connection until it ends.
--- a/crates/daisyseam-engine/src/log_ends.rs
+++ b/crates/daisyseam-engine/src/log_ends.rs
@@ -94,8 +94,8 @@
         })
     }
 
-    /// Returns the last end that a process of a database has reported.
-    pub(crate) fn last(&self, upstream: &UpstreamId, born_ms: u64) -> Option<LogPosition> {
+    /// Returns the highest end that a process of a database has reported.
+    pub(crate) fn highest(&self, upstream: &UpstreamId, born_ms: u64) -> Option<LogPosition> {
         let ends = self.ends.lock();
         let known = ends.get(upstream)?;
         (known.born_ms == born_ms).then_some(known.end)
--- a/crates/daisyseam-engine/src/relay/peer.rs
+++ b/crates/daisyseam-engine/src/relay/peer.rs
@@ -77,7 +77,7 @@
 const REJECTION_MEMORY: Duration = Duration::from_millis(250);
 
 /// Time beyond its deadline after which the answer to a wait for the end of a log counts as lost.
-const AWAIT_GRACE: Duration = Duration::from_millis(150);
+const AWAIT_GRACE: Duration = Duration::from_millis(250);
 
 /// Largest number of idle connections kept per instance.
 const MAX_IDLE: usize = 32;
--- a/crates/daisyseam-engine/src/relay/server.rs
+++ b/crates/daisyseam-engine/src/relay/server.rs
@@ -255,7 +255,7 @@
         let reached = engine.await_end(&held.view, database, position.into(), until);
         reached.await;
         Ok(DatabaseReply {
-            position: engine.log_ends.last(&upstream, upstream_view.born_ms),
+            position: engine.log_ends.highest(&upstream, upstream_view.born_ms),
             ..empty_reply()
         })
     }
--- a/crates/daisyseam-engine/src/session/transaction.rs
+++ b/crates/daisyseam-engine/src/session/transaction.rs
@@ -113,9 +113,9 @@
 }
 
 impl<C: DatabaseConnection> RunningTransaction<C> {
-    /// Returns the connection to the pool after the end of the transaction.
-    fn release(self, committed: bool) {
-        self.link.release_after_transaction(committed);
+    /// Returns the connection to the pool after the transaction was rolled back.
+    fn release_rolled_back(self) {
+        self.link.release_after_transaction(false);
         drop(self.writer_guard);
     }
 }
@@ -467,6 +467,7 @@
             }
             self.floor.committed(&route.group, reply.position);
         }
+        // A planned move waits until the commit has been confirmed.
         drop(writer_guard);
         answer::from_database(reply.rows, receipt, reply.position)
     }
@@ -495,7 +496,7 @@
         let outcome = reply.map(|reply| (reply.state, reply.outcome, reply.position));
         match outcome {
             Ok((TransactionState::Idle, Ok(receipt), position)) => {
-                running.release(false);
+                running.release_rolled_back();
                 RunAnswer::of(Vec::new(), receipt, position)
             }
             Ok(_) | Err(_) => RunAnswer::default(),
--- a/crates/daisyseam-engine/tests/confirmation.rs
+++ b/crates/daisyseam-engine/tests/confirmation.rs
@@ -9,7 +9,10 @@
     document::CommitPolicy, //
 };
 use std::{
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::Ordering, //
+    },
     time::Duration, //
 };
 use support::{
@@ -226,3 +229,74 @@
     let connects = fleet.databases.with("a", |a| a.connects);
     assert!(connects <= 2, "{connects} connections were opened");
 }
+
+#[tokio::test(start_paused = true)]
+async fn databases_of_an_evacuated_data_centre_are_not_queried() {
+    let mut fleet = start("b");
+    fleet.change_view(|view| {
+        view.evacuated.insert(support::data_centre("dc-2"));
+    });
+    let mut caller = fleet.session("primary").await;
+    let result = try_write(&mut caller, false).await;
+    assert_eq!(result, Err(ErrorKind::OutcomeUnknown));
+    assert_eq!(queries(&fleet, "b"), 0);
+    assert!(queries(&fleet, "a") > 0);
+}
+
+#[tokio::test]
+async fn a_commit_that_is_confirmed_early_closes_no_connection() {
+    let mut fleet = RelayFleet::start(12, 10).await;
+    fleet.change_view(|view| require_replicas(view, 1)).await;
+    fleet.databases.with("p", |p| {
+        p.sync_replicas = ["a".parse().unwrap()].into();
+    });
+    let entry = &fleet.other("p").fleet;
+    let mut readers = Vec::new();
+    for _ in 0..4 {
+        let mut reader = entry.session("session").await;
+        readers.push(tokio::spawn(async move {
+            loop {
+                reader.ok(read("read 1")).await;
+            }
+        }));
+    }
+    let mut caller = entry.session("primary").await;
+    for _ in 0..50 {
+        caller.ok(write("write 1")).await;
+    }
+    for reader in readers {
+        reader.abort();
+    }
+    let instances = fleet.instances.iter();
+    let accepted: usize = instances
+        .map(|instance| instance.accepted.load(Ordering::Relaxed))
+        .sum();
+    assert!(accepted < 25, "{accepted} connections between instances");
+}
+
+/// Guards against unknown outcomes of all commits while the holders run an earlier version.
+#[tokio::test]
+async fn a_commit_is_confirmed_although_a_holder_does_not_know_the_request() {
+    let mut fleet = RelayFleet::start(24, 10).await;
+    let of_primary = fleet.holders("p");
+    let first_holder = |name: &&str| fleet.holders(name)[0];
+    let mut replicas = ["a", "b"].into_iter();
+    let replica = replicas.find(|name| !of_primary.contains(&first_holder(name)));
+    let replica = replica.expect("a replica whose first holder does not hold the primary");
+    let holder = first_holder(&replica);
+    fleet
+        .change_view(|view| {
+            require_replicas(view, 1);
+            view.upstreams
+                .retain(|name, _| ["p", replica].contains(&name.as_str()));
+        })
+        .await;
+    fleet.databases.with("p", |p| {
+        p.sync_replicas = [replica.parse().unwrap()].into();
+    });
+    fleet.instances[holder].forget_calls().await;
+    let mut caller = fleet.session("primary").await;
+    for _ in 0..5 {
+        caller.ok(write("write 1")).await;
+    }
+}
--- a/crates/daisyseam-engine/tests/support/relay.rs
+++ b/crates/daisyseam-engine/tests/support/relay.rs
@@ -15,10 +15,24 @@
     InstanceView, //
 };
 use daisyseam_runtime::Dialer;
-use daisyseam_wire::PeerSecurity;
+use daisyseam_wire::{
+    MessageStream,
+    PeerRole,
+    PeerSecurity,
+    RelayFailure,
+    RelayFailureKind,
+    RelayMessage,
+    relay_message::Body, //
+};
 use std::{
     net::SocketAddr,
-    sync::Arc, //
+    sync::{
+        Arc,
+        atomic::{
+            AtomicUsize,
+            Ordering, //
+        }, //
+    }, //
 };
 use tokio::{
     net::{
@@ -41,6 +55,8 @@
     pub fleet: Fleet,
     address: SocketAddr,
     server: JoinHandle<()>,
+    /// Number of connections that other instances have opened to it.
+    pub accepted: Arc<AtomicUsize>,
 }
 
 impl RelayFleet {
@@ -123,9 +139,12 @@
         };
         let fleet = Fleet::instance(&name, databases.other_handle(), slots, Some(relay));
         let engine = fleet.engine.clone();
+        let accepted = Arc::new(AtomicUsize::new(0));
+        let count = Arc::clone(&accepted);
         let server = tokio::spawn(async move {
             let mut sessions = tokio::task::JoinSet::new();
             while let Ok((socket, _)) = listener.accept().await {
+                count.fetch_add(1, Ordering::Relaxed);
                 sessions.spawn(engine.serve_relay(socket));
             }
         });
@@ -134,6 +153,7 @@
             fleet,
             address,
             server,
+            accepted,
         }
     }
 
@@ -143,6 +163,29 @@
         let _ = (&mut self.server).await;
     }
 
+    /// Replaces the instance's part for others by one that does not know any of their calls.
+    pub async fn forget_calls(&mut self) {
+        self.kill().await;
+        let listener = TcpListener::bind(self.address).await.unwrap();
+        self.server = tokio::spawn(async move {
+            while let Ok((socket, _)) = listener.accept().await {
+                let security = PeerSecurity::plain("c".parse().unwrap());
+                let socket = security.server(socket, &[PeerRole::Entry]).await.unwrap();
+                let mut stream = MessageStream::new(socket, "c".parse().unwrap());
+                tokio::spawn(async move {
+                    while let Ok(RelayMessage { number, .. }) = stream.receive().await {
+                        let failure = RelayFailure {
+                            kind: RelayFailureKind::NotSent.into(),
+                            ..RelayFailure::default()
+                        };
+                        let body = Some(Body::Failure(failure));
+                        stream.send(&RelayMessage { number, body }).await.unwrap();
+                    }
+                });
+            }
+        });
+    }
+
     /// Replaces the instance's part for others by one that accepts connections and never answers.
     pub async fn freeze(&mut self) -> mpsc::Receiver<TcpStream> {
         self.kill().await;
