Confirm no commit across a change of its document or primary process

A commit that waited for a replica was told to have succeeded once a new document no longer listed its group, as then no replica was needed. And a primary that restarts under its name with an empty log, in the same term, writes positions below those that replicas reported before; a commit of such a process was confirmed by a position of the former one.

A commit now needs as many replicas as the document asks for with which it began, and no fewer than the present one; without the group it is unknown. The process of the primary must still be the listed one.

a_commit_is_not_acknowledged_because_the_document_drops_its_group and a_commit_of_a_primary_that_restarted_is_not_acknowledged failed before, with a success.

--- a/crates/daisyseam-engine/src/confirmation.rs
+++ b/crates/daisyseam-engine/src/confirmation.rs
@@ -85,7 +85,8 @@
             is_copied = self.confirm_copies(route, position, until) => is_copied,
             () = self.superseded(route) => false,
         };
-        let is_confirmed = is_copied && self.confirm_primary(route, until).await;
+        let is_confirmed =
+            is_copied && self.confirm_primary(route, until).await && self.is_same_process(route);
         self.settings.metrics.count(match is_confirmed {
             true => counters::COMMIT_CONFIRMED,
             false => counters::COMMIT_UNCONFIRMED,
@@ -128,9 +129,14 @@
         false
     }
 
-    /// Returns how many replicas must have a commit before it is acknowledged.
+    /// Returns how many replicas must have a commit before it is acknowledged; `None` if the
+    /// document does not say so any more.
+    ///
+    /// A commit that began under an earlier document needs no fewer than that one asks for.
     fn needed_replicas(&self, view: &FleetView, route: &Route) -> Option<usize> {
-        Some(policy_replicas(view, &route.group).unwrap_or(0))
+        let began_with = policy_replicas(&route.held.view, &route.group)?;
+        let needed = policy_replicas(view, &route.group)?;
+        Some(needed.max(began_with))
     }
 
     /// Returns once enough replicas that the view lists are known to have a commit.
@@ -347,6 +353,15 @@
             let _ = views.changed().await;
         }
     }
+
+    /// Returns whether the view still lists the process that a route was chosen for. Positions of
+    /// the next process, which may have lost its log, do not compare with what replicas reported.
+    fn is_same_process(&self, route: &Route) -> bool {
+        let held = self.settings.cell.held();
+        let listed = held.view.upstreams.get(&route.upstream);
+        let born_ms = route.upstream_view().map(|listed| listed.born_ms);
+        listed.map(|listed| listed.born_ms) == born_ms
+    }
 }
 
 fn query_request<'a>(
--- a/crates/daisyseam-engine/tests/confirmation.rs
+++ b/crates/daisyseam-engine/tests/confirmation.rs
@@ -230,6 +230,33 @@
     assert!(connects <= 2, "{connects} connections were opened");
 }
 
+/// Guards against the loss of an acknowledged commit whose group the document drops meanwhile.
+#[tokio::test(start_paused = true)]
+async fn a_commit_is_not_acknowledged_because_the_document_drops_its_group() {
+    let mut fleet = start("n");
+    let mut caller = fleet.session("primary").await;
+    caller.send(write("write 1"));
+    sleep(Duration::from_millis(50)).await;
+    fleet.change_document(|document| document.groups.clear());
+    let answer = caller.answer().await;
+    assert_eq!(answer.outcome.unwrap_err().kind, ErrorKind::OutcomeUnknown);
+}
+
+/// Guards against the loss of an acknowledged commit of a primary that restarted with an empty log.
+#[tokio::test(start_paused = true)]
+async fn a_commit_of_a_primary_that_restarted_is_not_acknowledged() {
+    let mut fleet = start("n");
+    let mut caller = fleet.session("primary").await;
+    caller.send(write("write 1"));
+    sleep(Duration::from_millis(50)).await;
+    fleet
+        .databases
+        .with("a", |a| a.position = support::position(1, 150));
+    fleet.change_view(|view| view.upstreams.get_mut("p").unwrap().born_ms = 7);
+    let answer = caller.answer().await;
+    assert_eq!(answer.outcome.unwrap_err().kind, ErrorKind::OutcomeUnknown);
+}
+
 #[tokio::test(start_paused = true)]
 async fn databases_of_an_evacuated_data_centre_are_not_queried() {
     let mut fleet = start("b");
