Simulate databases that control never heard of, and what entries tell their clients

The simulation of databases that acknowledge by themselves took their acknowledgement for a promise, and every database was known to control.

Databases may now join, on one side of a cut, unheard by control, leave with or without a successor at their address, and be cut off with entries. With a `ClientLedger`, what must not be lost is what entries told clients: acknowledged by the primary, reported in the same term by as many listed replicas as the policy asks for, which do not leave and are the listed process, under a valid lease on a view with that primary and term. Without one the tests of direct.rs assert on the acknowledgement as before.

The end of a run now starts as many databases as are missing.

--- /dev/null
+++ b/crates/daisyseam-control/tests/unlisted.rs
@@ -0,0 +1,351 @@
+//! Tests that no commit is lost of which a client was told, although databases that control has not
+//! heard of receive commits and make the primary acknowledge them.
+
+#[expect(dead_code, reason = "the other test files use the rest")]
+mod support;
+
+#[expect(dead_code, reason = "the other test files use the rest")]
+mod core_support;
+
+use crate::core_support::{
+    Simulation,
+    clients::ClientLedger,
+    direct::{
+        DatabaseCopy,
+        DirectGroup, //
+    },
+    document, //
+};
+use daisyseam_wire::{
+    SubmitNewestRequest,
+    control_message::Body, //
+};
+use rand::Rng;
+use rand_chacha::{
+    ChaCha8Rng,
+    rand_core::SeedableRng, //
+};
+use test_case::test_case;
+
+/// Starts a fleet of databases that have all caught up, with entries that tell their clients of
+/// commits.
+fn start_fleet(copies: usize, replicas: usize, trusts_databases: bool) -> Simulation {
+    let mut sim = Simulation::new(3, 0, 2);
+    let mut databases = DirectGroup::new(copies, false);
+    databases.clients = Some(ClientLedger::new(replicas, trusts_databases));
+    databases.replicas = replicas;
+    sim.direct = Some(databases);
+    let policy = format!("acknowledging_replicas = {replicas}");
+    let text = document(1).replace("databases = 3", &policy);
+    sim.order(Body::SubmitNewest(SubmitNewestRequest {
+        number: 1,
+        text,
+        source: String::new(),
+        operator: "amalia".to_owned(),
+    }));
+    sim.writes = true;
+    sim.advance_until("the fleet is up", |sim| {
+        sim.primary(0).is_some() && sim.primary(1).is_some() && settled(sim) == copies
+    });
+    sim
+}
+
+fn group(sim: &mut Simulation) -> &mut DirectGroup {
+    sim.direct.as_mut().expect("a group")
+}
+
+fn told(sim: &Simulation) -> usize {
+    let group = sim.direct.as_ref().expect("a group");
+    group.clients.as_ref().expect("clients").told.len()
+}
+
+fn missing(sim: &Simulation) -> usize {
+    let group = sim.direct.as_ref().expect("a group");
+    group.clients.as_ref().expect("clients").missing
+}
+
+fn promotions(sim: &Simulation) -> usize {
+    sim.direct.as_ref().expect("a group").promotions
+}
+
+fn settled(sim: &Simulation) -> usize {
+    let Some(leader) = sim.leader() else {
+        return 0;
+    };
+    let fleet = sim.core(leader).fleet();
+    let names = fleet.view().upstreams.keys();
+    names.filter(|name| fleet.has_caught_up(name)).count()
+}
+
+/// Cuts databases and entries off from everything else.
+fn cut(sim: &mut Simulation, entries: &[usize], is_cut: impl Fn(&DatabaseCopy) -> bool) {
+    let now = sim.now;
+    group(sim).cut(now, 1, is_cut);
+    for entry in entries {
+        (sim.entries[*entry].side, sim.entries[*entry].disconnected) = (1, true);
+    }
+}
+
+/// Plays the day of the incident: a cut of the primary, a new database beside it, and an election.
+fn play_join_behind_a_cut(trusts_databases: bool) -> Simulation {
+    let mut sim = start_fleet(3, 1, trusts_databases);
+    sim.advance(500);
+    assert!(told(&sim) > 50, "clients are told of commits");
+    cut(&mut sim, &[0], |copy| copy.name == "copy-0");
+    sim.advance(300);
+    let now = sim.now;
+    group(&mut sim).join(now, 1, false);
+    sim.advance_until("another is primary", |sim| {
+        sim.primary(1).is_some_and(|primary| primary != "copy-0")
+    });
+    heal(&mut sim);
+    sim
+}
+
+/// Ends all faults, and expects that clients are told of commits again and that none is missing.
+fn heal(sim: &mut Simulation) {
+    sim.disconnected_members.clear();
+    for member in 0..3 {
+        if !sim.runs(member) {
+            sim.start(member);
+        }
+    }
+    for entry in &mut sim.entries {
+        (entry.side, entry.disconnected) = (0, false);
+    }
+    let now = sim.now;
+    let databases = group(sim);
+    databases.heal();
+    let remaining = databases.copies.iter().filter(|copy| !copy.gone).count();
+    for _ in remaining..databases.replicas + 1 {
+        databases.join(now, 0, false);
+    }
+    sim.advance(2_000);
+    let before = told(sim);
+    sim.advance_until("clients of a healed group are told of commits", |sim| {
+        told(sim) > before && sim.active().is_some()
+    });
+    group(sim).check_all_told();
+}
+
+#[test]
+#[should_panic(expected = "commits from")]
+fn a_databases_acknowledgement_alone_promises_nothing() {
+    drop(play_join_behind_a_cut(true));
+}
+
+#[test]
+fn a_copy_that_joined_behind_a_cut_makes_no_client_hear_of_a_commit() {
+    let sim = play_join_behind_a_cut(false);
+    assert!(
+        missing(&sim) > 0,
+        "the databases acknowledged commits that are missing"
+    );
+}
+
+/// Number of random runs, which `DAISYSEAM_UNLISTED_RUNS` overrides.
+fn runs() -> u64 {
+    let given = std::env::var("DAISYSEAM_UNLISTED_RUNS").ok();
+    given.and_then(|given| given.parse().ok()).unwrap_or(12)
+}
+
+/// Seed of the first random run, which `DAISYSEAM_UNLISTED_SEED` overrides.
+fn first_seed() -> u64 {
+    let given = std::env::var("DAISYSEAM_UNLISTED_SEED").ok();
+    given
+        .and_then(|given| given.parse().ok())
+        .unwrap_or(20_261_206)
+}
+
+/// What ends a database that leaves.
+#[derive(Clone, Copy, Debug)]
+enum Departure {
+    WithoutSuccessor,
+    WithSuccessor,
+}
+
+/// A random run, with the databases that are about to leave.
+struct RandomRun {
+    sim: Simulation,
+    random: ChaCha8Rng,
+    leaving: Vec<(u64, usize, Departure)>,
+}
+
+impl RandomRun {
+    fn new(seed: u64) -> Self {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let copies = random.random_range(3..=4);
+        let replicas = if random.random_bool(0.8) { 1 } else { 2 };
+        Self {
+            sim: start_fleet(copies, replicas, false),
+            random,
+            leaving: Vec::new(),
+        }
+    }
+
+    fn play(mut self, faults: usize) {
+        for _ in 0..faults {
+            self.inject_fault();
+            let until = self.sim.now + self.random.random_range(1..700);
+            while self.sim.now < until {
+                self.sim.advance(1);
+                self.end_leaving();
+            }
+        }
+        while !self.leaving.is_empty() {
+            self.sim.advance(1);
+            self.end_leaving();
+        }
+        heal(&mut self.sim);
+    }
+
+    fn end_leaving(&mut self) {
+        let now = self.sim.now;
+        let databases = self.sim.direct.as_mut().expect("a group");
+        self.leaving.retain(|(at, number, departure)| {
+            let due = now >= *at;
+            if due && databases.copies[*number].up {
+                match departure {
+                    Departure::WithoutSuccessor => drop(databases.depart(now, *number)),
+                    Departure::WithSuccessor => drop(databases.succeed(now, *number)),
+                }
+            }
+            !due
+        });
+    }
+
+    fn leave(&mut self, number: usize, departure: Departure) {
+        let listed = self.leaving.iter().any(|(_, other, _)| *other == number);
+        let copy = &mut group(&mut self.sim).copies[number];
+        if listed || !copy.up {
+            return;
+        }
+        copy.leaving = true;
+        copy.announce_now();
+        let at = self.sim.now + self.random.random_range(1_500..4_000);
+        self.leaving.push((at, number, departure));
+    }
+
+    /// Cuts the primary off, or a random database, with some of the others and of the entries.
+    fn cut_some(&mut self) {
+        let leads = self.random.random_bool(0.7);
+        let chosen: u32 = self.random.random();
+        let share: u32 = self.random.random();
+        let with = chosen & share;
+        let mut index = 0;
+        let now = self.sim.now;
+        group(&mut self.sim).cut(now, 1, |copy| {
+            index += 1;
+            leads && copy.leads || with >> index & 1 == 1
+        });
+        for number in 0..2 {
+            let entry = &mut self.sim.entries[number];
+            if self.random.random_bool(0.5) {
+                (entry.side, entry.disconnected) = (1, true);
+            }
+        }
+    }
+
+    fn inject_fault(&mut self) {
+        let now = self.sim.now;
+        let count = group(&mut self.sim).copies.len();
+        let number = self.random.random_range(0..count);
+        let millis = self.random.random_range(100..4_000);
+        let member = self.random.random_range(0..3);
+        let databases = self.sim.direct.as_mut().expect("a group");
+        match self.random.random_range(0..26) {
+            0..=4 => self.cut_some(),
+            5..=7 => {
+                databases.cut(now, 0, |_| true);
+                for entry in &mut self.sim.entries {
+                    (entry.side, entry.disconnected) = (0, false);
+                }
+            }
+            8..=11 if count < 9 => {
+                let beside = databases.copies.iter().find(|copy| copy.up && copy.leads);
+                let side = beside.map_or(0, |primary| primary.side);
+                let unheard = self.random.random_bool(0.5);
+                databases.join(now, side, unheard);
+                if self.random.random_bool(0.5) {
+                    self.leave(number, Departure::WithoutSuccessor);
+                }
+            }
+            12 | 13 if count < 9 => self.leave(number, Departure::WithSuccessor),
+            14 => self.leave(number, Departure::WithoutSuccessor),
+            15 | 16 => databases.crash(now, number, millis),
+            17 => drop(databases.wipe(now, number, millis, self.random.random())),
+            18 => databases.copies[number].disconnected = true,
+            19 => databases.copies[number].isolated = true,
+            20 => databases.copies[number].hidden_from_entries = true,
+            21 => {
+                for copy in &mut databases.copies {
+                    (copy.disconnected, copy.hidden_from_entries, copy.isolated) =
+                        (false, false, false);
+                }
+            }
+            22 => drop(self.sim.disconnected_members.insert(member)),
+            23 => self.sim.stop(member),
+            _ => {
+                self.sim.disconnected_members.clear();
+                for member in 0..3 {
+                    if !self.sim.runs(member) {
+                        self.sim.start(member);
+                    }
+                }
+            }
+        }
+    }
+}
+
+#[test_case(0)]
+#[test_case(1)]
+#[test_case(2)]
+fn no_commit_of_which_a_client_heard_is_lost(lane: u64) {
+    for number in (lane..runs()).step_by(3) {
+        let seed = first_seed() + number;
+        println!("seed {seed}");
+        RandomRun::new(seed).play(14);
+    }
+}
+
+/// Starts a fleet in which control no longer hears from `copy-1`, which goes on receiving commits.
+fn fleet_with_silent_copy() -> Simulation {
+    let mut sim = start_fleet(3, 1, false);
+    group(&mut sim).copies[1].disconnected = true;
+    sim
+}
+
+fn listed(sim: &Simulation) -> usize {
+    let leader = sim.leader().expect("a leader");
+    sim.core(leader).fleet().view().upstreams.len()
+}
+
+/// Drops the silent `copy-1`, and isolates `copy-2` some milliseconds before.
+fn drop_beside_an_isolated_copy(millis: u64) -> Simulation {
+    let mut sim = fleet_with_silent_copy();
+    sim.advance_until("it is dropped", |sim| listed(sim) == 2);
+    let dropped_at = sim.now;
+    let mut sim = fleet_with_silent_copy();
+    sim.advance(dropped_at - millis - sim.now);
+    group(&mut sim).copies[2].isolated = true;
+    sim.entries[0].disconnected = true;
+    sim.advance(3_000);
+    sim
+}
+
+/// Expects that nobody takes over from a crashed primary until it is back.
+fn wait_for_the_primary_alone(sim: &mut Simulation) {
+    let now = sim.now;
+    let before = promotions(sim);
+    group(sim).crash(now, 0, 20_000);
+    sim.advance(15_000);
+    assert_eq!(promotions(sim), before, "the log of the primary is missing");
+    heal(sim);
+}
+
+#[test_case(1)]
+#[test_case(150)]
+fn a_copy_dropped_while_an_entry_counts_it_is_missed_by_elections(millis: u64) {
+    let mut sim = drop_beside_an_isolated_copy(millis);
+    wait_for_the_primary_alone(&mut sim);
+}
