Test that a database dropped while an entry counts it is not forgotten by time alone

An entry that has not got that view yet goes on to count it under its lease. The other replica is isolated from 30 ms before the drop on.

--- a/crates/daisyseam-control/tests/unlisted.rs
+++ b/crates/daisyseam-control/tests/unlisted.rs
@@ -349,3 +349,16 @@
     let mut sim = drop_beside_an_isolated_copy(millis);
     wait_for_the_primary_alone(&mut sim);
 }
+
+#[test_case(30)]
+#[test_case(700)]
+fn a_copy_dropped_while_an_entry_counts_it_is_not_forgotten_by_time_alone(millis: u64) {
+    let mut sim = drop_beside_an_isolated_copy(millis);
+    sim.writes = false;
+    sim.advance(62_000);
+    let now = sim.now;
+    group(&mut sim).crash(now, 0, 20_000);
+    sim.advance(15_000);
+    sim.writes = true;
+    heal(&mut sim);
+}
