Drop a silent database only once no instance counts it any more

The survey now shows a silent database as leaving first, by the command that departures use, so it is on no list of an entry to count. The place is read once every instance has confirmed such a view or lost its lease. It is kept apart from the place for catching up, and is read again if the database was counted in between: before, a place from an earlier silence, or from its start, could be used. The 60 s stay as they are, for what databases acknowledge by themselves.

Forgetting only after a place reached later was ruled out: with the primary lost and a new leader of control, which doesn't know that place, nobody could be promoted any more, where 60 s suffice today.

--- a/crates/daisyseam-control/src/core/announcements.rs
+++ b/crates/daisyseam-control/src/core/announcements.rs
@@ -238,7 +238,7 @@
     }
 }
 
-fn leave_command(name: &UpstreamId, listed: &UpstreamView) -> FleetCommand {
+pub(super) fn leave_command(name: &UpstreamId, listed: &UpstreamView) -> FleetCommand {
     FleetCommand::Upstream(UpstreamCommand {
         upstream: name.clone(),
         group: listed.group.clone(),
--- a/crates/daisyseam-control/src/core/survey.rs
+++ b/crates/daisyseam-control/src/core/survey.rs
@@ -3,10 +3,12 @@
 //! A restarted database counts in an election only once its log has reached a position that the
 //! primary had reached after the restart, because its former process may have had commits that the
 //! new one lacks. Likewise, a stopped database is dropped only once enough other members have
-//! reached a position that the primary had reached after the stop.
+//! reached a position that the primary had reached after each instance knew that it leaves. A silent
+//! one is marked as leaving first, since it may run on and receive commits that instances count.
 
 use super::{
     ControlCore,
+    announcements::leave_command,
     leader::LeaderState, //
 };
 use crate::admin::AdminCall;
@@ -30,6 +32,7 @@
     Term,
     UpstreamId,
     UpstreamView,
+    ViewNumber,
     announce::UpstreamRole,
     document::CommitPolicy, //
 };
@@ -61,8 +64,14 @@
     /// Databases, with their process start times, that get a goal from the next answer of the
     /// primary. They are noted before the primary is asked, so that its answer is newer.
     awaiting_goal: Vec<(UpstreamId, u64)>,
+    /// Likewise, departing databases that no instance counts any more.
+    awaiting_drop_goal: Vec<(UpstreamId, u64)>,
     /// Log positions to reach, with the start time of the process for which each was set.
     goals: BTreeMap<UpstreamId, (u64, LogPosition)>,
+    /// Log positions that others must reach before a departing database is dropped.
+    drop_goals: BTreeMap<UpstreamId, (u64, LogPosition)>,
+    /// Departing databases that the view shows as leaving, with the first view in which they were found so.
+    leaving_since: BTreeMap<UpstreamId, ViewNumber>,
     /// The primary, and the minimum term that it must lead.
     primary: Option<(UpstreamId, Term)>,
 }
@@ -93,6 +102,9 @@
             for (name, born_ms) in self.awaiting_goal.drain(..) {
                 self.goals.insert(name, (born_ms, state.end));
             }
+            for (name, born_ms) in self.awaiting_drop_goal.drain(..) {
+                self.drop_goals.insert(name, (born_ms, state.end));
+            }
         }
         let note = StateRecord {
             born_ms,
@@ -102,12 +114,6 @@
         self.states.insert(upstream.clone(), note);
     }
 
-    fn goal(&self, name: &UpstreamId, born_ms: u64) -> Option<LogPosition> {
-        let goal = self.goals.get(name);
-        let (_, position) = goal.filter(|(born, _)| *born == born_ms)?;
-        Some(*position)
-    }
-
     fn state(&self, name: &UpstreamId, upstream: &UpstreamView) -> Option<StateRecord> {
         let note = self.states.get(name).copied();
         note.filter(|note| note.born_ms == upstream.born_ms)
@@ -166,13 +172,21 @@
         };
         let survey = leader.surveys.entry(group.clone()).or_default();
         survey.reset_on_primary_change(&facts);
+        survey.note_leaving(view.number, &facts);
         let command = survey.next_command(&facts, &self.fleet);
-        let asks = survey.next_round(now, &facts);
+        let is_confirmed = |number| leader.leases.is_change_complete(now, number);
+        let asks = survey.next_round(now, &facts, is_confirmed);
         if let Some(command) = command {
             log::info!("group {group}: {command:?}");
-            if let FleetCommand::DropUpstream(name) = &command {
-                // Otherwise its last announcement would add it to the view again.
-                leader.announced.remove(name);
+            // Otherwise its last announcement would undo the change.
+            match &command {
+                FleetCommand::DropUpstream(name) => drop(leader.announced.remove(name)),
+                FleetCommand::Upstream(leave) => {
+                    if let Some(known) = leader.announced.get_mut(&leave.upstream) {
+                        known.command.leaving = leave.leaving;
+                    }
+                }
+                _ => {}
             }
             self.propose_reconcile(now, &command);
         }
@@ -256,7 +270,32 @@
         let gone = facts.members.iter().find(|(name, upstream)| {
             facts.departing.contains(name) && self.may_drop(facts, fleet, name, upstream)
         });
-        gone.map(|(name, _)| FleetCommand::DropUpstream((*name).clone()))
+        if let Some((name, _)) = gone {
+            return Some(FleetCommand::DropUpstream((*name).clone()));
+        }
+        let mut silent = facts.members.iter().filter(|(name, upstream)| {
+            let unanswered = self.unanswered.contains(*name);
+            facts.departing.contains(name) && !upstream.leaving && unanswered
+        });
+        let (name, upstream) = silent.next()?;
+        Some(leave_command(name, upstream))
+    }
+
+    /// Notes since which view instances can know that a departing database leaves.
+    fn note_leaving(&mut self, number: ViewNumber, facts: &SurveyFacts<'_>) {
+        let leaving = facts.members.iter();
+        let leaving =
+            leaving.filter(|(name, upstream)| upstream.leaving && facts.departing.contains(name));
+        let known = std::mem::take(&mut self.leaving_since);
+        let since = |name: &UpstreamId| known.get(name).copied().unwrap_or(number);
+        self.leaving_since = leaving
+            .map(|(name, _)| ((*name).clone(), since(name)))
+            .collect();
+        // One that was counted again in the meantime needs a later position.
+        let leaving = &self.leaving_since;
+        self.drop_goals.retain(|name, _| leaving.contains_key(name));
+        self.awaiting_drop_goal
+            .retain(|(name, _)| leaving.contains_key(name));
     }
 
     fn has_caught_up(
@@ -268,7 +307,7 @@
         if name == facts.primary {
             return self.state(name, upstream).is_some_and(|note| note.leads);
         }
-        let goal = self.goal(name, upstream.born_ms);
+        let goal = position_of(&self.goals, name, upstream.born_ms);
         goal.is_some_and(|goal| self.has_reached(facts, (name, upstream), goal))
     }
 
@@ -280,12 +319,9 @@
         name: &UpstreamId,
         upstream: &UpstreamView,
     ) -> bool {
-        let Some(goal) = self.goal(name, upstream.born_ms) else {
+        let Some(goal) = position_of(&self.drop_goals, name, upstream.born_ms) else {
             return false;
         };
-        if !upstream.leaving && !self.unanswered.contains(name) {
-            return false;
-        }
         let needed = facts.replicas.copies(facts.members.len() - 1);
         let reached = facts.members.iter().filter(|(other, upstream)| {
             let leads = *other == facts.primary;
@@ -296,19 +332,32 @@
     }
 
     /// Starts the next round if it is due, and returns the databases to ask.
-    fn next_round(&mut self, now: Moment, facts: &SurveyFacts<'_>) -> Vec<UpstreamId> {
+    fn next_round(
+        &mut self,
+        now: Moment,
+        facts: &SurveyFacts<'_>,
+        is_confirmed: impl Fn(ViewNumber) -> bool,
+    ) -> Vec<UpstreamId> {
         let due = |at: Moment| now.since(at) >= SURVEY_INTERVAL;
         if !self.asked_at.is_none_or(due) || !self.pending.is_empty() {
             return Vec::new();
         }
         self.asked_at = Some(now);
+        let named =
+            |(name, upstream): &(&UpstreamId, &UpstreamView)| ((*name).clone(), upstream.born_ms);
         let waiting = facts.members.iter().filter(|(name, upstream)| {
-            let open = facts.unsettled.contains(name) || facts.departing.contains(name);
-            open && self.goal(name, upstream.born_ms).is_none()
+            let goal = position_of(&self.goals, name, upstream.born_ms);
+            facts.unsettled.contains(name) && goal.is_none()
         });
-        let waiting = waiting.map(|(name, upstream)| ((*name).clone(), upstream.born_ms));
-        self.awaiting_goal = waiting.collect();
-        let asks_primary = !self.awaiting_goal.is_empty();
+        self.awaiting_goal = waiting.map(named).collect();
+        let waiting = facts.members.iter().filter(|(name, upstream)| {
+            let goal = position_of(&self.drop_goals, name, upstream.born_ms);
+            // Until then, instances may count what it receives.
+            let since = self.leaving_since.get(*name).copied();
+            since.is_some_and(&is_confirmed) && goal.is_none()
+        });
+        self.awaiting_drop_goal = waiting.map(named).collect();
+        let asks_primary = !self.awaiting_goal.is_empty() || !self.awaiting_drop_goal.is_empty();
         let asked = facts.members.iter().filter(|(name, _)| {
             if *name == facts.primary {
                 return asks_primary;
@@ -322,3 +371,13 @@
         self.pending.keys().cloned().collect()
     }
 }
+
+/// Returns the position that was noted for a process of a database.
+fn position_of(
+    goals: &BTreeMap<UpstreamId, (u64, LogPosition)>,
+    name: &UpstreamId,
+    born_ms: u64,
+) -> Option<LogPosition> {
+    let (_, position) = goals.get(name).filter(|(born, _)| *born == born_ms)?;
+    Some(*position)
+}
