Show that a promotion that takes effect late loses commits

The simulated platform can now read a call and act on it seconds later without an answer, or be down. The primary is cut off, another database is asked to take over, and the platform acts on that call after 9 s.

--- a/crates/daisyseam-control/tests/core_support/direct.rs
+++ b/crates/daisyseam-control/tests/core_support/direct.rs
@@ -118,6 +118,17 @@
     }
 }
 
+/// How the platform handles promotion calls.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum PlatformState {
+    /// It answers, and acts within some hundred milliseconds.
+    Prompt,
+    /// It reads them, acts this number of milliseconds later, and does not answer.
+    Slow(u64),
+    /// It does not receive them.
+    Down,
+}
+
 /// A group of databases and all acknowledged writes.
 pub(crate) struct DirectGroup {
     pub(crate) copies: Vec<DatabaseCopy>,
@@ -131,6 +142,9 @@
     promoted: BTreeMap<u64, String>,
     pub(crate) promotions: usize,
     fence: u64,
+    pub(crate) platform: PlatformState,
+    /// Promotions that the platform has not acted on: when it does, the copy, and its start time.
+    orders: Vec<(u64, usize, u64)>,
     /// Copy whose log was wiped and has not been restored. At most one log may be missing.
     wiped: Option<usize>,
 }
@@ -170,6 +184,8 @@
             promoted: BTreeMap::new(),
             promotions: 0,
             fence: 0,
+            platform: PlatformState::Prompt,
+            orders: Vec::new(),
             wiped: None,
         }
     }
@@ -209,6 +225,7 @@
     /// Runs one step of starts, promotions, replication, acknowledgements and step-downs.
     pub(crate) fn advance(&mut self, now: u64) {
         self.start(now);
+        self.obey(now);
         self.lead(now);
         for number in 0..self.copies.len() {
             self.replicate(number);
@@ -234,6 +251,27 @@
         }
     }
 
+    /// Lets the platform act on the promotions that are due, unless the process has ended.
+    fn obey(&mut self, now: u64) {
+        let orders = std::mem::take(&mut self.orders);
+        for (due, number, born) in orders {
+            let copy = &mut self.copies[number];
+            if due > now {
+                self.orders.push((due, number, born));
+            } else if copy.up && copy.born == born && copy.takes_over_at.is_none() {
+                copy.takes_over_at = Some(now);
+            }
+        }
+    }
+
+    /// Returns the copies with a promotion that has not taken effect.
+    pub(crate) fn ordered(&self) -> Vec<String> {
+        let ordered = self.orders.iter().map(|(_, number, _)| *number);
+        ordered
+            .map(|number| self.copies[number].name.clone())
+            .collect()
+    }
+
     fn lead(&mut self, now: u64) {
         let latest = self.latest();
         for number in 0..self.copies.len() {
@@ -362,7 +400,13 @@
             return CallOutcome::Lost;
         };
         if let AdminCall::Promote(promote) = &call.call {
+            if self.platform == PlatformState::Down {
+                return CallOutcome::Lost;
+            }
             self.promote(now, number, promote.term.0, call.fence);
+            if self.platform != PlatformState::Prompt {
+                return CallOutcome::Lost;
+            }
             if !self.copies[number].up {
                 return CallOutcome::Refused;
             }
@@ -401,8 +445,13 @@
             *promoted, copy.name,
             "two databases are promoted under term {term}"
         );
-        if copy.up && copy.takes_over_at.is_none() {
-            copy.takes_over_at = Some(now + 300 + (term * 97 + now) % 500);
+        let takes_over_at = now + 300 + (term * 97 + now) % 500;
+        if let PlatformState::Slow(delay) = self.platform {
+            if copy.up {
+                self.orders.push((takes_over_at + delay, number, copy.born));
+            }
+        } else if copy.up && copy.takes_over_at.is_none() {
+            copy.takes_over_at = Some(takes_over_at);
         }
     }
 
@@ -462,6 +511,7 @@
     }
 
     pub(crate) fn heal(&mut self) {
+        self.platform = PlatformState::Prompt;
         for copy in &mut self.copies {
             (copy.disconnected, copy.hidden_from_entries, copy.isolated) = (false, false, false);
             (copy.drops_answers, copy.leaving) = (false, false);
--- a/crates/daisyseam-control/tests/direct.rs
+++ b/crates/daisyseam-control/tests/direct.rs
@@ -12,7 +12,8 @@
     Simulation,
     direct::{
         DatabaseCopy,
-        DirectGroup, //
+        DirectGroup,
+        PlatformState, //
     },
     document, //
 };
@@ -616,6 +617,98 @@
     heal(&mut sim);
 }
 
+/// Cuts the primary off until another database is asked to take over, on which the platform acts
+/// only after 9 s. The primary then has commits that no other database has, and the platform is down.
+/// Returns the other one.
+fn start_late_promotion(sim: &mut Simulation) -> String {
+    let set_cut = |sim: &mut Simulation, cut: bool| {
+        let primary = copy(sim, "copy-0");
+        (primary.disconnected, primary.hidden_from_entries) = (cut, cut);
+        primary.isolated = cut;
+    };
+    copy(sim, "copy-0").isolated = true;
+    sim.advance(100);
+    set_cut(sim, true);
+    sim.direct.as_mut().expect("a group").platform = PlatformState::Slow(9_000);
+    sim.advance_until("another is asked to take over", |sim| {
+        !group(sim).ordered().is_empty()
+    });
+    let chosen = group(sim).ordered().remove(0);
+    assert_ne!(chosen, "copy-0");
+    sim.direct.as_mut().expect("a group").platform = PlatformState::Down;
+    set_cut(sim, false);
+    chosen
+}
+
+/// Guards against the loss of commits that a second choice acknowledged before the promotion of the
+/// first one took effect.
+#[test_case(false, false; "while it answers")]
+#[test_case(true, false; "while control does not reach it")]
+#[test_case(false, true; "under the next leader of control")]
+#[test_case(true, true; "while the next leader of control does not reach it")]
+fn a_promotion_that_takes_effect_late_loses_no_commit(disconnected: bool, stops_leader: bool) {
+    let mut sim = start_fleet(3, false);
+    let chosen = start_late_promotion(&mut sim);
+    copy(&mut sim, &chosen).disconnected = disconnected;
+    if stops_leader {
+        let leader = sim.leader().expect("a leader");
+        sim.stop(leader);
+    }
+    let before = group(&sim).acknowledged.len();
+    sim.advance(3_500);
+    sim.direct.as_mut().expect("a group").platform = PlatformState::Prompt;
+    sim.advance(8_500);
+    copy(&mut sim, &chosen).disconnected = false;
+    sim.advance_until("it takes writes", |sim| {
+        group(sim).acknowledged.len() > before && sim.active().is_some()
+    });
+}
+
+/// Guards against a group that waits for a chosen database that never comes back.
+#[test_case(false, 5_000; "and the platform answers again")]
+#[test_case(true, 20_000; "and the leader of control is lost")]
+fn a_chosen_database_that_is_gone_is_replaced(stops_leader: bool, within: u64) {
+    let mut sim = start_fleet(3, false);
+    let chosen = start_late_promotion(&mut sim);
+    let now = sim.now;
+    let databases = sim.direct.as_mut().expect("a group");
+    let mut copies = databases.copies.iter();
+    let number = copies.position(|copy| copy.name == chosen);
+    databases.crash(now, number.expect("a copy"), 900_000);
+    databases.platform = PlatformState::Prompt;
+    if stops_leader {
+        let leader = sim.leader().expect("a leader");
+        sim.stop(leader);
+    }
+    sim.advance_until("another is primary", |sim| sim.active().is_some());
+    let took = sim.now - now;
+    println!("{took} ms of virtual time");
+    assert!(took < within, "{took} ms of virtual time");
+}
+
+/// The same as [`no_acknowledged_commit_is_lost`] beside a platform that is slow at times.
+#[test_case(0)]
+#[test_case(1)]
+#[test_case(2)]
+fn no_acknowledged_commit_is_lost_to_late_promotions(offset: u64) {
+    let seed = first_seed() + offset;
+    println!("seed {seed}");
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut sim = start_fleet_in(Simulation::new(3, 0, 2), 3, random.random());
+    for _ in 0..steps() / 2 {
+        let databases = sim.direct.as_mut().expect("a group");
+        match random.random_range(0..8) {
+            0 => databases.platform = PlatformState::Slow(random.random_range(1_000..8_000)),
+            1 => databases.platform = PlatformState::Down,
+            2 | 3 => databases.platform = PlatformState::Prompt,
+            _ => inject_fault(&mut sim, &mut random, 3),
+        }
+        let millis = random.random_range(1..1_200);
+        sim.advance(millis);
+    }
+    heal(&mut sim);
+}
+
 fn start(sim: &mut Simulation, member: usize) {
     if !sim.runs(member) {
         sim.start(member);
