Keep one choice of a primary until it can no longer take effect late

Cause: only the leader's memory knew which database it had asked to become primary. After 3 s without effect, or under the next leader of control, another one could be chosen while the platform still held the first call. When that took effect, the commits acknowledged at the second one were lost.

Ruled out: a longer wait (only moves the window); asking the platform again for a database that control cannot query, to learn that it is not running (it might have restarted without its log).

Change: the log names the chosen database and the end of its log (FleetCommand::Choose) before it is asked, beside the query that was made anyway. While the group is fenced, it stays the only choice in later terms and under later leaders; it needs no quorum again while its log reaches that end. It is withdrawn if the platform refuses it, its log is shorter, it has left, it was never asked, each call was answered but it is unreachable 3 s later, or it did not answer control for 15 s. It is not part of the view.

--- a/crates/daisyseam-control/src/core.rs
+++ b/crates/daisyseam-control/src/core.rs
@@ -357,6 +357,16 @@
         if let (FleetCommand::Join(join), CommandOutcome::Joined(incarnation)) = (command, answer) {
             leader.leases.register(now, &join.instance, *incarnation);
         }
+        if let FleetCommand::Choose(choice) = command {
+            log::info!(
+                "group {}: term {}, chosen {:?}: {answer:?}",
+                choice.group,
+                choice.term,
+                choice.chosen
+            );
+            let group = choice.group.clone();
+            return self.step_group(now, &group);
+        }
         if let FleetCommand::Group(group) = command {
             let number = self.fleet.view().number;
             leader.group_changes.insert(group.group.clone(), number);
--- a/crates/daisyseam-control/src/core/groups.rs
+++ b/crates/daisyseam-control/src/core/groups.rs
@@ -131,6 +131,7 @@
                 .dropped_upstreams()
                 .filter(|(_, of)| *of == group)
                 .count(),
+            chosen: self.fleet.chosen_primary(group),
             commit: entry.commit,
             confirmed: moving && leader.leases.is_change_complete(now, changed),
             open_transactions: open
@@ -159,6 +160,10 @@
                 self.propose(now, &FleetCommand::Group(command));
                 return;
             }
+            PromotionAction::Choose(command) => {
+                self.propose(now, &FleetCommand::Choose(command));
+                return;
+            }
             PromotionAction::State(upstream) => (upstream, CallKind::State, AdminCall::State),
             PromotionAction::Await(upstream, at) => {
                 (upstream, CallKind::Await, AdminCall::Await(at))
--- a/crates/daisyseam-control/tests/direct.rs
+++ b/crates/daisyseam-control/tests/direct.rs
@@ -665,17 +665,22 @@
 }
 
 /// Guards against a group that waits for a chosen database that never comes back.
-#[test_case(false, 5_000; "and the platform answers again")]
-#[test_case(true, 20_000; "and the leader of control is lost")]
-fn a_chosen_database_that_is_gone_is_replaced(stops_leader: bool, within: u64) {
+#[test_case(true, false, 5_000; "after a crash")]
+#[test_case(true, true, 20_000; "after a crash and the loss of the leader of control")]
+#[test_case(false, false, 25_000; "while control does not reach it")]
+fn a_chosen_database_that_is_gone_is_replaced(crashes: bool, stops_leader: bool, within: u64) {
     let mut sim = start_fleet(3, false);
     let chosen = start_late_promotion(&mut sim);
     let now = sim.now;
+    copy(&mut sim, &chosen).disconnected = true;
     let databases = sim.direct.as_mut().expect("a group");
-    let mut copies = databases.copies.iter();
-    let number = copies.position(|copy| copy.name == chosen);
-    databases.crash(now, number.expect("a copy"), 900_000);
-    databases.platform = PlatformState::Prompt;
+    let number = databases.copies.iter().position(|copy| copy.name == chosen);
+    if crashes {
+        databases.crash(now, number.expect("a copy"), 900_000);
+    } else {
+        sim.advance(3_500);
+    }
+    sim.direct.as_mut().expect("a group").platform = PlatformState::Prompt;
     if stops_leader {
         let leader = sim.leader().expect("a leader");
         sim.stop(leader);
--- a/crates/daisyseam-coord/src/fleet.rs
+++ b/crates/daisyseam-coord/src/fleet.rs
@@ -41,6 +41,8 @@
     },
     command::{
         CaughtUpCommand,
+        ChooseCommand,
+        ChosenPrimary,
         CloseUsageCommand,
         CommandOutcome,
         EvacuateCommand,
--- a/crates/daisyseam-coord/src/fleet/command.rs
+++ b/crates/daisyseam-coord/src/fleet/command.rs
@@ -34,6 +34,8 @@
     ForgetUpstream(UpstreamId),
     /// Changes a group's term or primary.
     Group(GroupCommand),
+    /// Records or withdraws the choice of a group's next primary.
+    Choose(ChooseCommand),
     /// Changes the holder of a database.
     Holder(HolderCommand),
     /// Takes a data centre out of service, or puts it back.
@@ -159,6 +161,26 @@
     pub lineage_start: LogPosition,
 }
 
+/// Records or withdraws the choice of the next primary of a fenced group.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ChooseCommand {
+    /// The group.
+    pub group: GroupId,
+    /// Term in which it must be fenced for the command to apply.
+    pub term: Term,
+    /// The choice; `None` to withdraw it. A choice must be withdrawn before another one can be made.
+    pub chosen: Option<ChosenPrimary>,
+}
+
+/// The only database that may be promoted until a primary is active or the choice is withdrawn.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ChosenPrimary {
+    /// The database.
+    pub upstream: UpstreamId,
+    /// End of its log when it was chosen; while it has this log, it has each acknowledged commit.
+    pub end: LogPosition,
+}
+
 /// Changes the holder of a database.
 #[derive(Clone, Debug, PartialEq)]
 pub struct HolderCommand {
--- a/crates/daisyseam-coord/src/fleet/record.rs
+++ b/crates/daisyseam-coord/src/fleet/record.rs
@@ -3,6 +3,8 @@
 use super::{
     AcceptedDocument,
     CaughtUpCommand,
+    ChooseCommand,
+    ChosenPrimary,
     CloseUsageCommand,
     EvacuateCommand,
     FleetCommand,
@@ -109,6 +111,10 @@
                 Body::CloseUsage(WindowRecord::of(command.window, &command.counts))
             }
             Self::AcknowledgeUsage(window) => Body::AcknowledgeUsage(*window),
+            Self::Choose(command) => {
+                let (term, chosen) = (command.term, command.chosen.as_ref());
+                Body::Choose(ChoiceRecord::of(command.group.as_str(), term, chosen))
+            }
         };
         Bytes::from(CommandRecord { body: Some(body) }.encode_to_vec())
     }
@@ -181,6 +187,11 @@
                 counts: record.to_counts()?,
             }),
             Body::AcknowledgeUsage(window) => Self::AcknowledgeUsage(window),
+            Body::Choose(record) => Self::Choose(ChooseCommand {
+                group: read(&record.group)?,
+                term: Term(record.term),
+                chosen: record.to_chosen()?,
+            }),
         })
     }
 }
@@ -235,6 +246,13 @@
                 })
                 .collect(),
             usage: (self.usage != UsageHistory::default()).then(|| UsageRecord::of(&self.usage)),
+            choices: self
+                .choices
+                .iter()
+                .map(|(group, chosen)| {
+                    ChoiceRecord::of(group.as_str(), Term::default(), Some(chosen))
+                })
+                .collect(),
         };
         Bytes::from(record.encode_to_vec())
     }
@@ -286,6 +304,10 @@
             };
             state.dropped.insert(read(&record.upstream)?, dropped);
         }
+        for record in &record.choices {
+            let chosen = record.to_chosen()??;
+            state.choices.insert(read(&record.group)?, chosen);
+        }
         if let Some(usage) = &record.usage {
             state.usage = usage.to_history()?;
         }
@@ -296,7 +318,7 @@
 
 #[derive(Clone, PartialEq, prost::Message)]
 struct CommandRecord {
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14")]
     body: Option<Body>,
 }
 
@@ -328,6 +350,8 @@
     CloseUsage(WindowRecord),
     #[prost(uint64, tag = "13")]
     AcknowledgeUsage(u64),
+    #[prost(message, tag = "14")]
+    Choose(ChoiceRecord),
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -434,6 +458,46 @@
     dropped: Vec<DroppedRecord>,
     #[prost(message, optional, tag = "10")]
     usage: Option<UsageRecord>,
+    #[prost(message, repeated, tag = "11")]
+    choices: Vec<ChoiceRecord>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct ChoiceRecord {
+    #[prost(string, tag = "1")]
+    group: String,
+    /// Term of the command; 0 in a snapshot.
+    #[prost(uint64, tag = "2")]
+    term: u64,
+    /// The chosen database; empty if the choice is withdrawn.
+    #[prost(string, tag = "3")]
+    upstream: String,
+    #[prost(uint64, tag = "4")]
+    end_term: u64,
+    #[prost(uint64, tag = "5")]
+    end_position: u64,
+}
+
+impl ChoiceRecord {
+    fn of(group: &str, term: Term, chosen: Option<&ChosenPrimary>) -> Self {
+        let end = chosen.map(|chosen| chosen.end).unwrap_or_default();
+        Self {
+            group: group.to_owned(),
+            term: term.0,
+            upstream: name_or_empty(chosen.map(|chosen| &chosen.upstream)),
+            end_term: end.term.0,
+            end_position: end.position.0,
+        }
+    }
+
+    fn to_chosen(&self) -> Option<Option<ChosenPrimary>> {
+        let end = LogPosition {
+            term: Term(self.end_term),
+            position: Position(self.end_position),
+        };
+        let upstream = read_optional(&self.upstream)?;
+        Some(upstream.map(|upstream| ChosenPrimary { upstream, end }))
+    }
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
--- a/crates/daisyseam-coord/src/fleet/state.rs
+++ b/crates/daisyseam-coord/src/fleet/state.rs
@@ -2,6 +2,8 @@
 
 use super::{
     CaughtUpCommand,
+    ChooseCommand,
+    ChosenPrimary,
     CommandOutcome,
     DocumentHistory,
     EvacuateCommand,
@@ -51,6 +53,8 @@
     pub(super) caught_up: BTreeMap<UpstreamId, u64>,
     /// Databases that were removed from the view and may still run.
     pub(super) dropped: BTreeMap<UpstreamId, DroppedUpstream>,
+    /// The chosen next primary of fenced groups.
+    pub(super) choices: BTreeMap<GroupId, ChosenPrimary>,
     pub(super) change_history: ChangeHistory,
     pub(super) usage: UsageHistory,
 }
@@ -92,6 +96,11 @@
         dropped.map(|(name, upstream)| (name, &upstream.group))
     }
 
+    /// Returns the database that has been chosen as the next primary of a fenced group.
+    pub fn chosen_primary(&self, group: &GroupId) -> Option<&ChosenPrimary> {
+        self.choices.get(group)
+    }
+
     /// Returns the changes since a view, if they are still known.
     pub fn changes_since(&self, held: ViewNumber) -> Option<ViewChanges> {
         self.change_history.since(held, self.view.number)
@@ -108,6 +117,7 @@
             FleetCommand::DropUpstream(upstream) => self.drop_upstream(upstream),
             FleetCommand::ForgetUpstream(upstream) => self.forget_upstream(upstream),
             FleetCommand::Group(group) => self.update_group(group),
+            FleetCommand::Choose(command) => self.choose_primary(command),
             FleetCommand::Holder(holder) => self.update_holder(holder),
             FleetCommand::Evacuate(order) => self.evacuate(order),
             FleetCommand::CaughtUp(command) => self.record_caught_up(command),
@@ -303,6 +313,9 @@
         if known.is_some_and(|known| reuses_term(known, &next)) {
             return CommandOutcome::Refused(RefusalReason::TermUsed);
         }
+        if next.primary != PrimaryState::Fenced {
+            self.choices.remove(&command.group);
+        }
         if known != Some(&next) {
             self.change(ViewChanges::of_group(&command.group), |view| {
                 view.groups.insert(command.group.clone(), next);
@@ -311,6 +324,25 @@
         CommandOutcome::Done
     }
 
+    fn choose_primary(&mut self, command: &ChooseCommand) -> CommandOutcome {
+        let Some(known) = self.view.groups.get(&command.group) else {
+            return CommandOutcome::Refused(RefusalReason::Unknown);
+        };
+        if known.term != command.term || known.primary != PrimaryState::Fenced {
+            return CommandOutcome::Refused(RefusalReason::Superseded);
+        }
+        let Some(chosen) = &command.chosen else {
+            self.choices.remove(&command.group);
+            return CommandOutcome::Done;
+        };
+        let recorded = self.choices.entry(command.group.clone());
+        let recorded = recorded.or_insert_with(|| chosen.clone());
+        match recorded == chosen {
+            true => CommandOutcome::Done,
+            false => CommandOutcome::Refused(RefusalReason::Superseded),
+        }
+    }
+
     fn update_holder(&mut self, command: &HolderCommand) -> CommandOutcome {
         let Some(upstream) = self.view.upstreams.get(&command.upstream) else {
             return CommandOutcome::Refused(RefusalReason::Unknown);
--- a/crates/daisyseam-coord/src/promotion/group.rs
+++ b/crates/daisyseam-coord/src/promotion/group.rs
@@ -6,7 +6,11 @@
 };
 use crate::{
     Moment,
-    fleet::GroupCommand, //
+    fleet::{
+        ChooseCommand,
+        ChosenPrimary,
+        GroupCommand, //
+    }, //
 };
 use daisyseam_model::{
     GroupId,
@@ -87,6 +91,8 @@
     pub expected: usize,
     /// Number of databases that were removed from the view but may still run and receive commits.
     pub dropped: usize,
+    /// The database that the log names as the next primary, if the group is fenced.
+    pub chosen: Option<&'a ChosenPrimary>,
     /// When a commit of the group counts as durable.
     pub commit: CommitPolicy,
     /// Whether no instance may act on an earlier state of the group.
@@ -169,6 +175,8 @@
 pub enum PromotionAction {
     /// Propose a command to the log.
     Propose(GroupCommand),
+    /// Propose the choice of the next primary, or its withdrawal, to the log.
+    Choose(ChooseCommand),
     /// Query the state of a database.
     State(UpstreamId),
     /// Wait until a database has reached a position.
--- a/crates/daisyseam-coord/src/promotion/synchronous.rs
+++ b/crates/daisyseam-coord/src/promotion/synchronous.rs
@@ -13,6 +13,8 @@
 //! - Otherwise all databases are stopped, and enough must respond that at least one of them has each
 //!   acknowledged commit. A process counts only if its log has caught up with a primary since it
 //!   started.
+//! - The log names the chosen database before it is asked to become primary. A call may take effect
+//!   long after it was sent, so no other one is asked until the choice is withdrawn.
 
 mod discovery;
 mod election;
@@ -36,7 +38,11 @@
 };
 use crate::{
     Moment,
-    fleet::GroupCommand, //
+    fleet::{
+        ChooseCommand,
+        ChosenPrimary,
+        GroupCommand, //
+    }, //
 };
 use daisyseam_model::{
     GroupView,
@@ -91,6 +97,8 @@
     initialized: bool,
     /// Databases that report to be primary in an outdated term.
     stale_primaries: BTreeSet<UpstreamId>,
+    /// The database that the log names as the next primary, and when it last answered.
+    chosen_heard: Option<(UpstreamId, Moment)>,
     move_after: Moment,
     actions: Vec<PromotionAction>,
 }
@@ -108,6 +116,7 @@
             stopped: BTreeMap::new(),
             initialized: false,
             stale_primaries: BTreeSet::new(),
+            chosen_heard: None,
             move_after: Moment::ORIGIN,
             actions: Vec::new(),
         }
@@ -115,6 +124,7 @@
 
     pub(super) fn step(&mut self, now: Moment, facts: GroupFacts<'_>) -> Vec<PromotionAction> {
         self.initialize(facts);
+        self.observe_choice(now, facts);
         match facts.view {
             None => self.discover_primary(now, facts),
             Some(view) => {
@@ -147,6 +157,13 @@
         }
     }
 
+    fn observe_choice(&mut self, now: Moment, facts: GroupFacts<'_>) {
+        let chosen = facts.chosen.map(|chosen| &chosen.upstream);
+        if self.chosen_heard.as_ref().map(|(name, _)| name) != chosen {
+            self.chosen_heard = chosen.map(|name| (name.clone(), now));
+        }
+    }
+
     pub(super) fn record_outcome(
         &mut self,
         now: Moment,
@@ -159,6 +176,11 @@
             // A call without a response may still have taken effect.
             self.stopped.insert(upstream.clone(), None);
         }
+        if let (Some((chosen, heard_at)), CallOutcome::State(_)) = (&mut self.chosen_heard, outcome)
+            && chosen == upstream
+        {
+            *heard_at = now;
+        }
         if kind == CallKind::Follow {
             if matches!(outcome, CallOutcome::State(_)) {
                 self.stopped.insert(upstream.clone(), Some(term));
@@ -273,6 +295,20 @@
         }));
     }
 
+    /// Proposes a choice of the next primary, or its withdrawal.
+    fn push_choice(
+        &mut self,
+        facts: GroupFacts<'_>,
+        view: &GroupView,
+        chosen: Option<ChosenPrimary>,
+    ) {
+        self.actions.push(PromotionAction::Choose(ChooseCommand {
+            group: facts.group.clone(),
+            term: view.term,
+            chosen,
+        }));
+    }
+
     /// Proposes as primary a database that reports to be primary already.
     fn propose_existing_primary(
         &mut self,
--- a/crates/daisyseam-coord/src/promotion/synchronous/election.rs
+++ b/crates/daisyseam-coord/src/promotion/synchronous/election.rs
@@ -7,6 +7,7 @@
 };
 use crate::{
     Moment,
+    fleet::ChosenPrimary,
     promotion::{
         CallKind,
         CallOutcome,
@@ -38,6 +39,8 @@
 const UNREACHABLE_FAILURES: u32 = 2;
 /// Interval between two promotion calls to the same database.
 const PROMOTE_RETRY: Duration = Duration::from_millis(700);
+/// Time without an answer after which a chosen database is not expected to become primary any more.
+const CHOICE_TIMEOUT: Duration = Duration::from_secs(15);
 
 /// Responses of the databases in one election term.
 #[derive(Debug)]
@@ -79,11 +82,14 @@
 pub(super) struct SyncPromotionAttempt {
     pub(super) term: Term,
     since: Moment,
-    chosen: UpstreamId,
-    /// End of the log for which it was chosen.
-    end: LogPosition,
-    /// Whether it confirmed after the choice that its log still reaches `end`; it may have restarted.
+    chosen: ChosenPrimary,
+    /// Whether it may have been asked to become primary.
+    asked: bool,
+    /// Whether a call that asked it may have had no answer, so that it can take effect at any time.
+    unanswered: bool,
+    /// Whether it confirmed after the choice that it still has its log; it may have restarted.
     verified: bool,
+    /// Number of queries without an answer since its last one.
     failures: u32,
     accepted: bool,
     refused: bool,
@@ -296,28 +302,36 @@
         (upstream, kind): (&UpstreamId, CallKind),
         outcome: &CallOutcome,
     ) {
-        if *upstream != self.chosen {
+        if *upstream != self.chosen.upstream {
             return;
         }
         match outcome {
             CallOutcome::State(state) => {
                 self.accepted |= kind == CallKind::Promote;
-                if !self.verified {
-                    self.verified = state.end >= self.end;
-                    self.refused |= state.end < self.end;
-                }
+                self.failures = 0;
+                self.verified |= state.end >= self.chosen.end;
+                self.refused |= state.end < self.chosen.end;
                 if state.role == UpstreamRole::Primary && state.promised > base {
                     self.became_primary = Some((state.promised, state.end));
                 }
             }
             CallOutcome::Refused => self.refused |= kind == CallKind::Promote,
-            CallOutcome::Lost => self.failures += 1,
+            CallOutcome::Lost => {
+                self.unanswered |= kind == CallKind::Promote;
+                self.failures += u32::from(kind == CallKind::State);
+            }
         }
     }
 
-    /// Returns whether the chosen database became unreachable before it was asked to become primary.
     fn is_unreachable(&self) -> bool {
-        !self.verified && self.failures >= UNREACHABLE_FAILURES
+        self.failures >= UNREACHABLE_FAILURES
+    }
+
+    /// Returns whether another database may be chosen after this attempt: this one does not have its
+    /// log or does not run, was not asked, or was asked so long ago that the call has taken effect.
+    fn is_settled(&self) -> bool {
+        let answered = self.accepted && !self.unanswered;
+        self.refused || !self.asked || answered && self.is_unreachable()
     }
 }
 
@@ -365,7 +379,11 @@
             let term = higher_term.max(view.term).next();
             return self.propose_fence(now, facts, view, term);
         }
-        if let Some(chosen) = self.choose(now, facts) {
+        let chosen = match facts.chosen {
+            Some(chosen) => self.resume_choice(now, facts, view, chosen),
+            None => self.choose(now, facts),
+        };
+        if let Some(chosen) = chosen {
             if facts.confirmed {
                 self.begin_promotion(now, facts, view, chosen);
             }
@@ -374,6 +392,35 @@
         self.query_all(now, facts, view.term);
     }
 
+    /// Returns the recorded choice if it still has its log. Proposes to withdraw one that does not,
+    /// that has left, or that did not answer for long.
+    ///
+    /// As instances confirmed the fence before the choice, no commit was acknowledged since.
+    fn resume_choice(
+        &mut self,
+        now: Moment,
+        facts: GroupFacts<'_>,
+        view: &GroupView,
+        chosen: &ChosenPrimary,
+    ) -> Option<ChosenPrimary> {
+        let SyncStage::Electing(round) = &self.stage else {
+            return None;
+        };
+        let mut members = facts.members.iter();
+        let member = members.find(|member| member.upstream == chosen.upstream);
+        let report = member.and_then(|member| round.report(member));
+        if report.is_some_and(|report| report.end >= chosen.end) {
+            return Some(chosen.clone());
+        }
+        let gone = member.is_none_or(|member| round.is_gone(member));
+        let heard_at = self.chosen_heard.as_ref().map(|(_, at)| *at);
+        let silent = heard_at.is_some_and(|at| now.since(at) >= CHOICE_TIMEOUT);
+        if report.is_some() || gone || silent {
+            self.propose_choice(now, facts, view, None);
+        }
+        None
+    }
+
     /// Returns whether the query phase is over and all databases have to be stopped.
     fn must_stop_all(&self, now: Moment, facts: GroupFacts<'_>) -> bool {
         let SyncStage::Electing(round) = &self.stage else {
@@ -396,15 +443,20 @@
         answered || round.committed_at.is_some_and(timed_out)
     }
 
-    fn choose(&self, now: Moment, facts: GroupFacts<'_>) -> Option<UpstreamId> {
+    fn choose(&self, now: Moment, facts: GroupFacts<'_>) -> Option<ChosenPrimary> {
         let SyncStage::Electing(round) = &self.stage else {
             return None;
         };
-        if let Some((end, at)) = round.stopped_end(facts, self.former_primary.as_ref()) {
-            let waits = now.since(at) < self.settings.reach_timeout;
-            return round.choose_caught_up(facts, end, waits);
-        }
-        round.choose_stopped(facts).filter(|_| round.stop_all)
+        let former_end = round.stopped_end(facts, self.former_primary.as_ref());
+        let upstream = match former_end {
+            Some((end, at)) => {
+                let waits = now.since(at) < self.settings.reach_timeout;
+                round.choose_caught_up(facts, end, waits)
+            }
+            None => round.choose_stopped(facts).filter(|_| round.stop_all),
+        }?;
+        let end = round.ends.get(&upstream)?.end;
+        Some(ChosenPrimary { upstream, end })
     }
 
     /// Queries or stops each database that has not been found stopped.
@@ -422,7 +474,9 @@
             let former_stopped = round
                 .stopped_end(facts, self.former_primary.as_ref())
                 .is_some();
-            let stop = (former || round.stop_all && !former_stopped) && !stopped;
+            let chosen = facts.chosen.map(|chosen| &chosen.upstream);
+            let awaited = chosen == Some(&member.upstream);
+            let stop = (former || round.stop_all && !former_stopped && !awaited) && !stopped;
             let refused = round.refused.contains(&member.upstream);
             if stopped {
                 continue;
@@ -443,19 +497,14 @@
         now: Moment,
         facts: GroupFacts<'_>,
         view: &GroupView,
-        chosen: UpstreamId,
+        chosen: ChosenPrimary,
     ) {
-        let SyncStage::Electing(round) = &self.stage else {
-            return;
-        };
-        let Some(report) = round.ends.get(&chosen) else {
-            return;
-        };
         self.stage = SyncStage::Promoting(SyncPromotionAttempt {
             term: view.term,
             since: now,
             chosen,
-            end: report.end,
+            asked: facts.chosen.is_some(),
+            unanswered: facts.chosen.is_some(),
             verified: false,
             failures: 0,
             accepted: false,
@@ -471,7 +520,7 @@
         let SyncStage::Promoting(attempt) = &self.stage else {
             return;
         };
-        let chosen = attempt.chosen.clone();
+        let chosen = attempt.chosen.upstream.clone();
         if let Some((became_primary, end)) = attempt.became_primary {
             if self.former_primary.as_ref() == Some(&chosen) {
                 // No other database was able to take over, so do not retry the move at once.
@@ -480,15 +529,52 @@
             return self.propose_existing_primary(now, facts, view, (chosen, became_primary, end));
         }
         let timed_out = now.since(attempt.since) >= self.settings.promote_sync_timeout;
-        if attempt.refused || attempt.is_unreachable() || timed_out {
+        let unreachable = !attempt.verified && attempt.is_unreachable();
+        if attempt.refused || unreachable || timed_out {
+            if attempt.is_settled() {
+                self.push_choice(facts, view, None);
+            }
             return self.propose_fence(now, facts, view, view.term.next());
         }
         let promote_due = attempt.verified && !attempt.accepted;
-        if promote_due && self.is_due(now, &chosen, CallKind::Promote, PROMOTE_RETRY) {
-            let end = LogPosition::default();
-            let action = PromotionAction::Promote(chosen.clone(), view.term, end);
-            self.actions.push(action);
+        match facts.chosen {
+            None => {
+                let choice = attempt.chosen.clone();
+                self.propose_choice(now, facts, view, Some(choice));
+            }
+            Some(recorded) if recorded.upstream != chosen => {
+                return self.propose_fence(now, facts, view, view.term.next());
+            }
+            Some(_) if promote_due => self.promote(now, view, &chosen),
+            Some(_) => {}
         }
         self.query(now, &chosen, self.settings.call_interval);
     }
+
+    /// Proposes a choice, or its withdrawal, unless something was proposed within `call_interval`.
+    fn propose_choice(
+        &mut self,
+        now: Moment,
+        facts: GroupFacts<'_>,
+        view: &GroupView,
+        chosen: Option<ChosenPrimary>,
+    ) {
+        let is_recent = |at: Moment| now.since(at) < self.settings.call_interval;
+        if !self.proposed_at.is_some_and(is_recent) {
+            self.proposed_at = Some(now);
+            self.push_choice(facts, view, chosen);
+        }
+    }
+
+    fn promote(&mut self, now: Moment, view: &GroupView, chosen: &UpstreamId) {
+        if !self.is_due(now, chosen, CallKind::Promote, PROMOTE_RETRY) {
+            return;
+        }
+        if let SyncStage::Promoting(attempt) = &mut self.stage {
+            attempt.asked = true;
+        }
+        let end = LogPosition::default();
+        let action = PromotionAction::Promote(chosen.clone(), view.term, end);
+        self.actions.push(action);
+    }
 }
--- a/crates/daisyseam-coord/tests/promotion_support/mod.rs
+++ b/crates/daisyseam-coord/tests/promotion_support/mod.rs
@@ -339,6 +339,7 @@
             members: &members,
             expected: self.databases.len(),
             dropped: 0,
+            chosen: None,
             commit: CommitPolicy::Majority,
             confirmed: self.instance_view.0 >= self.changed,
             open_transactions: (self.instance_view.0 >= self.changed).then_some(0),
@@ -447,7 +448,7 @@
             return;
         }
         let (upstream, kind, term) = match action {
-            PromotionAction::Propose(_) => return,
+            PromotionAction::Propose(_) | PromotionAction::Choose(_) => return,
             PromotionAction::State(upstream) => (upstream, CallKind::State, asked),
             PromotionAction::Await(upstream, _) => (upstream, CallKind::Await, asked),
             PromotionAction::Fence(upstream, term) => (upstream, CallKind::Fence, term),
