Miss a database that left until its successor is listed

In the failing test the primary and the only replica with the last commits left, and copy-2 alone was taken for all: 142 commits of which clients had heard were lost.

Now a database that is gone counts as missing until another one with a later start is listed at its address, or for 10 s, since databases may leave without a successor.

--- a/crates/daisyseam-control/src/core/groups.rs
+++ b/crates/daisyseam-control/src/core/groups.rs
@@ -56,6 +56,8 @@
 const HEALTH_REPORT_MAX_AGE: Duration = Duration::from_millis(1_000);
 /// Time without a heartbeat after which a holder's report on a database no longer counts.
 const HOLDER_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time after a departure within which the next database at the address is expected to announce itself.
+const SUCCESSOR_TIMEOUT: Duration = Duration::from_secs(10);
 
 impl ControlCore {
     pub(super) fn schedule_reconcile(&mut self, now: Moment) {
@@ -262,6 +264,7 @@
             true => self.instance_reports(now, live, name),
             false => self.holder_report(now, view, name, upstream),
         };
+        let gone = self.is_gone(name, upstream.born_ms);
         MemberFacts {
             upstream: name.clone(),
             leaving: upstream.leaving,
@@ -272,7 +275,8 @@
             reachable_from_most: reports.reachable_from_most,
             born_ms,
             caught_up: fleet.has_caught_up(name) && born_ms == upstream.born_ms,
-            gone: self.is_gone(name, upstream.born_ms),
+            gone,
+            vacated: gone && self.is_vacated(now, view, name, upstream),
             reported_end: self
                 .reports_on(name)
                 .filter_map(|(_, note)| note.log_end)
@@ -281,6 +285,24 @@
         }
     }
 
+    /// Returns whether another database is listed at the address of a departed one, or none has
+    /// announced itself there for long.
+    fn is_vacated(
+        &self,
+        now: Moment,
+        view: &FleetView,
+        name: &UpstreamId,
+        upstream: &UpstreamView,
+    ) -> bool {
+        let departed = self.departed.get(name);
+        let is_overdue = departed.is_some_and(|gone| now.since(gone.at) >= SUCCESSOR_TIMEOUT);
+        let mut others = view.upstreams.iter();
+        let succeeded = others.any(|(other, known)| {
+            other != name && known.address == upstream.address && known.born_ms > upstream.born_ms
+        });
+        is_overdue || succeeded
+    }
+
     /// Returns whether the current process of a database has announced that it is gone.
     pub(super) fn is_gone(&self, name: &UpstreamId, born_ms: u64) -> bool {
         let departed = self.departed.get(name);
--- a/crates/daisyseam-coord/src/promotion/group.rs
+++ b/crates/daisyseam-coord/src/promotion/group.rs
@@ -130,6 +130,9 @@
     pub caught_up: bool,
     /// Whether it announced that it has shut down.
     pub gone: bool,
+    /// Whether nothing more is to be expected of its log once it is gone: the database that took over
+    /// its address is listed, or none has announced itself for long.
+    pub vacated: bool,
     /// Highest end of its log that instances have reported.
     pub reported_end: Option<LogPosition>,
     /// The state that it last announced, and when.
--- a/crates/daisyseam-coord/src/promotion/synchronous/election.rs
+++ b/crates/daisyseam-coord/src/promotion/synchronous/election.rs
@@ -325,7 +325,9 @@
             |member: &&MemberFacts| member.caught_up && self.is_log_complete(member, highest);
         let counted = stopped.clone().filter(counts).count();
         let present = facts.members.iter();
-        let present = present.filter(|member| !self.is_gone(member)).count();
+        // The log of one that is gone may be on the next database at its address.
+        let vacated = |member: &&MemberFacts| self.is_gone(member) && member.vacated;
+        let present = present.filter(|member| !vacated(member)).count();
         // If all databases are stopped, no other one can have more commits.
         let present = present + facts.dropped;
         let all = stopped.clone().count() >= present.max(facts.expected).max(1);
--- a/crates/daisyseam-coord/tests/promotion_support/mod.rs
+++ b/crates/daisyseam-coord/tests/promotion_support/mod.rs
@@ -373,6 +373,7 @@
             born_ms: 0,
             caught_up: true,
             gone: false,
+            vacated: false,
             reported_end: None,
             announced: Some((announced, database.disconnected_since.unwrap_or(self.now))),
         }
