Take the number of copies for elections from the log

Cause: an election stops members + 1 - copies databases, with the copies of the newest document. Commits acknowledged under an earlier document have fewer copies, so one stopped database of three was taken as enough. Ruled out: entries that confirm with too few replicas after the change; all lost commits were acknowledged before it.

Change: the log records on how many databases each acknowledged commit is. A document that asks for fewer lowers the number as it is applied. A command of its own raises it, once no instance may act on an earlier document and enough databases have reached a position of the primary from after that.

--- a/crates/daisyseam-control/src/core/groups.rs
+++ b/crates/daisyseam-control/src/core/groups.rs
@@ -35,7 +35,8 @@
     announce::{
         FollowCall,
         PromoteCall, //
-    }, //
+    },
+    document::CommitPolicy, //
 };
 use std::{
     collections::{
@@ -116,9 +117,15 @@
         let (Some(entry), Some(leader), true) = (entry, &mut self.leader, acting) else {
             return;
         };
+        let copies = self.fleet.guaranteed_copies(group);
+        let state = view.groups.get(group);
+        let records_copies = matches!(entry.commit, CommitPolicy::Replicas(_));
+        if state.is_none() && records_copies && copies.is_none() {
+            // The record of copies begins before any commit can be acknowledged.
+            return;
+        }
         let changed = leader.group_changes.get(group).copied();
         let changed = changed.unwrap_or(leader.start_view);
-        let state = view.groups.get(group);
         // `confirmed` and `open_transactions` iterate over all instances, and neither is needed
         // while a primary is active.
         let moving = state.is_some_and(|state| state.primary.active().is_none());
@@ -135,6 +142,7 @@
                 .count(),
             chosen: self.fleet.chosen_primary(group),
             commit: entry.commit,
+            copies: copies.map_or(0, |guarantee| guarantee.copies),
             confirmed: moving && leader.leases.is_change_complete(now, changed),
             open_transactions: open
                 .and_then(|state| leader.open_transaction_count(view, group, state.term)),
--- a/crates/daisyseam-control/src/core/survey.rs
+++ b/crates/daisyseam-control/src/core/survey.rs
@@ -5,6 +5,9 @@
 //! new one lacks. Likewise, a stopped database is dropped only once enough other members have
 //! reached a position that the primary had reached after each instance knew that it leaves. A silent
 //! one is marked as leaving first, since it may run on and receive commits that instances count.
+//!
+//! The number of copies that elections rely on is raised in the same way: once all instances ask for
+//! more copies, and enough members have reached a position that the primary had reached afterwards.
 
 use super::{
     ControlCore,
@@ -14,11 +17,7 @@
 use crate::admin::AdminCall;
 use daisyseam_coord::{
     Moment,
-    fleet::{
-        CaughtUpCommand, //
-        FleetCommand,
-        FleetState,
-    },
+    fleet::{CaughtUpCommand, CopiesCommand, CopyGuarantee, FleetCommand, FleetState},
     promotion::{
         CallKind, //
         CallOutcome,
@@ -70,6 +69,11 @@
     goals: BTreeMap<UpstreamId, (u64, LogPosition)>,
     /// Log positions that others must reach before a departing database is dropped.
     drop_goals: BTreeMap<UpstreamId, (u64, LogPosition)>,
+    /// View that instances had confirmed before the primary was asked for the next `copies_goal`.
+    awaiting_copies_goal: Option<ViewNumber>,
+    /// Log position that members must reach before commits count as having more copies, with the view
+    /// that instances had confirmed before.
+    copies_goal: Option<(ViewNumber, LogPosition)>,
     /// Departing databases that the view shows as leaving, with the first view in which they were found so.
     leaving_since: BTreeMap<UpstreamId, ViewNumber>,
     /// The primary, and the minimum term that it must lead.
@@ -105,6 +109,9 @@
             for (name, born_ms) in self.awaiting_drop_goal.drain(..) {
                 self.drop_goals.insert(name, (born_ms, state.end));
             }
+            if let Some(since) = self.awaiting_copies_goal.take() {
+                self.copies_goal = Some((since, state.end));
+            }
         }
         let note = StateRecord {
             born_ms,
@@ -134,8 +141,11 @@
 struct SurveyFacts<'a> {
     members: Vec<(&'a UpstreamId, &'a UpstreamView)>,
     primary: &'a UpstreamId,
+    name: &'a GroupId,
     group: &'a GroupView,
     replicas: CommitPolicy,
+    /// The recorded number of copies of each acknowledged commit.
+    copies: Option<CopyGuarantee>,
     /// Members that have not caught up since their process started.
     unsettled: BTreeSet<&'a UpstreamId>,
     /// Members that announced that they are gone, or that have been silent for too long.
@@ -149,9 +159,18 @@
             return;
         };
         for (group, entry) in &document.groups {
-            if matches!(entry.commit, CommitPolicy::Replicas(_)) {
-                self.survey_group(now, &view, group, entry.commit);
+            if !matches!(entry.commit, CommitPolicy::Replicas(_)) {
+                continue;
             }
+            if self.fleet.guaranteed_copies(group).is_none() {
+                let command = FleetCommand::Copies(CopiesCommand {
+                    group: group.clone(),
+                    copies: 0,
+                    since: ViewNumber::default(),
+                });
+                self.propose_reconcile(now, &command);
+            }
+            self.survey_group(now, &view, group, entry.commit);
         }
     }
 
@@ -232,15 +251,23 @@
             departing,
             members,
             primary,
+            name: group,
             group: state,
             replicas,
+            copies: fleet.guaranteed_copies(group),
         })
     }
 }
 
 impl SurveyFacts<'_> {
     fn has_work(&self) -> bool {
-        !self.unsettled.is_empty() || !self.departing.is_empty()
+        !self.unsettled.is_empty() || !self.departing.is_empty() || self.lacks_copies()
+    }
+
+    /// Returns whether commits may get more copies than elections rely on.
+    fn lacks_copies(&self) -> bool {
+        let wanted = self.replicas.copies(self.members.len());
+        self.copies.is_some_and(|known| known.copies < wanted)
     }
 }
 
@@ -273,6 +300,9 @@
         if let Some((name, _)) = gone {
             return Some(FleetCommand::DropUpstream((*name).clone()));
         }
+        if let Some(command) = self.copies_command(facts, fleet) {
+            return Some(FleetCommand::Copies(command));
+        }
         let mut silent = facts.members.iter().filter(|(name, upstream)| {
             let unanswered = self.unanswered.contains(*name);
             facts.departing.contains(name) && !upstream.leaving && unanswered
@@ -281,6 +311,37 @@
         Some(leave_command(name, upstream))
     }
 
+    /// Returns a command that raises the number of copies that elections rely on, if enough members
+    /// provably have each acknowledged commit.
+    fn copies_command(&self, facts: &SurveyFacts<'_>, fleet: &FleetState) -> Option<CopiesCommand> {
+        let known = facts.copies?;
+        let (since, goal) = self
+            .copies_goal
+            .filter(|(since, _)| *since == known.since)?;
+        let reached = self.count_reached(facts, fleet, goal);
+        let copies = reached.min(facts.replicas.copies(facts.members.len()));
+        (copies > known.copies).then(|| CopiesCommand {
+            group: facts.name.clone(),
+            copies,
+            since,
+        })
+    }
+
+    /// Returns how many members have caught up, stay, and have reached a position of the primary's log.
+    fn count_reached(
+        &self,
+        facts: &SurveyFacts<'_>,
+        fleet: &FleetState,
+        goal: LogPosition,
+    ) -> usize {
+        let reached = facts.members.iter().filter(|(name, upstream)| {
+            let leads = *name == facts.primary;
+            let stays = fleet.has_caught_up(name) && !facts.departing.contains(name);
+            stays && (leads || self.has_reached(facts, (name, upstream), goal))
+        });
+        reached.count()
+    }
+
     /// Notes since which view instances can know that a departing database leaves.
     fn note_leaving(&mut self, number: ViewNumber, facts: &SurveyFacts<'_>) {
         let leaving = facts.members.iter();
@@ -323,12 +384,7 @@
             return false;
         };
         let needed = facts.replicas.copies(facts.members.len() - 1);
-        let reached = facts.members.iter().filter(|(other, upstream)| {
-            let leads = *other == facts.primary;
-            let caught_up = fleet.has_caught_up(other) && !facts.departing.contains(other);
-            caught_up && (leads || self.has_reached(facts, (other, upstream), goal))
-        });
-        reached.count() >= needed
+        self.count_reached(facts, fleet, goal) >= needed
     }
 
     /// Starts the next round if it is due, and returns the databases to ask.
@@ -357,13 +413,22 @@
             since.is_some_and(&is_confirmed) && goal.is_none()
         });
         self.awaiting_drop_goal = waiting.map(named).collect();
-        let asks_primary = !self.awaiting_goal.is_empty() || !self.awaiting_drop_goal.is_empty();
+        let since = facts.copies.filter(|_| facts.lacks_copies());
+        let since = since.map(|known| known.since);
+        let since = since.filter(|since| is_confirmed(*since));
+        self.awaiting_copies_goal = since.filter(|since| {
+            let known = self.copies_goal.map(|(known, _)| known);
+            known != Some(*since)
+        });
+        let asks_primary = !self.awaiting_goal.is_empty()
+            || !self.awaiting_drop_goal.is_empty()
+            || self.awaiting_copies_goal.is_some();
         let asked = facts.members.iter().filter(|(name, _)| {
             if *name == facts.primary {
                 return asks_primary;
             }
             // Whether a member can be dropped depends on how far all others have caught up.
-            facts.unsettled.contains(name) || !facts.departing.is_empty()
+            facts.unsettled.contains(name) || !facts.departing.is_empty() || since.is_some()
         });
         self.pending = asked
             .map(|(name, upstream)| ((*name).clone(), upstream.born_ms))
--- a/crates/daisyseam-control/tests/core_support/clients.rs
+++ b/crates/daisyseam-control/tests/core_support/clients.rs
@@ -48,7 +48,7 @@
 #[derive(Debug)]
 pub(crate) struct ClientLedger {
     /// Replicas that the document asks for.
-    replicas: usize,
+    pub(crate) replicas: usize,
     /// Whether clients are told as soon as the database acknowledges.
     trusts_databases: bool,
     pub(crate) told: BTreeSet<u64>,
--- a/crates/daisyseam-control/tests/unlisted.rs
+++ b/crates/daisyseam-control/tests/unlisted.rs
@@ -431,3 +431,95 @@
     assert_eq!(told(&sim), before, "entries do not count it");
     wait_for_the_primary_alone(&mut sim);
 }
+
+/// Makes the document ask for a number of replicas, as entries and databases do from then on.
+fn require_replicas(sim: &mut Simulation, number: u64, replicas: usize) {
+    let policy = format!("acknowledging_replicas = {replicas}");
+    sim.order(Body::SubmitNewest(SubmitNewestRequest {
+        number,
+        text: document(number).replace("databases = 3", &policy),
+        source: String::new(),
+        operator: "amalia".to_owned(),
+    }));
+    let databases = group(sim);
+    databases.replicas = replicas;
+    if let Some(clients) = &mut databases.clients {
+        clients.replicas = replicas;
+    }
+}
+
+/// Loses the primary for good while `copy-2` lacks commits and `copy-1` is silent for 7 s.
+fn lose_the_primary_beside_a_deaf_and_a_silent_copy(sim: &mut Simulation) {
+    sim.advance(500);
+    let now = sim.now;
+    let databases = group(sim);
+    databases.crash(now, 0, 900_000);
+    let silent = &mut databases.copies[1];
+    (
+        silent.disconnected,
+        silent.hidden_from_entries,
+        silent.isolated,
+    ) = (true, true, true);
+    sim.advance(7_000);
+    assert_eq!(
+        promotions(sim),
+        0,
+        "the only copy with all commits is silent"
+    );
+    let silent = &mut group(sim).copies[1];
+    (
+        silent.disconnected,
+        silent.hidden_from_entries,
+        silent.isolated,
+    ) = (false, false, false);
+    sim.advance_until("it takes over", |sim| sim.active().is_some());
+    assert_eq!(sim.active().as_deref(), Some("copy-1"));
+    heal(sim);
+}
+
+/// Guards against the loss of commits that were acknowledged before the document asked for more
+/// replicas: elections must not count on copies that these commits do not have.
+#[test_case(false; "under the same leader of control")]
+#[test_case(true; "under the next leader of control")]
+fn raising_the_number_of_replicas_loses_no_earlier_commit(stops_leader: bool) {
+    let mut sim = start_fleet(3, 1, false);
+    sim.advance(3_000);
+    group(&mut sim).copies[2].isolated = true;
+    sim.advance(500);
+    require_replicas(&mut sim, 2, 2);
+    if stops_leader {
+        let leader = sim.leader().expect("a leader");
+        sim.stop(leader);
+    }
+    lose_the_primary_beside_a_deaf_and_a_silent_copy(&mut sim);
+}
+
+/// Guards against commits that count as having more copies than they got under a document that asked
+/// for fewer replicas in between.
+#[test]
+fn lowering_and_raising_the_number_of_replicas_loses_no_commit() {
+    let mut sim = start_fleet(3, 2, false);
+    sim.advance(3_000);
+    require_replicas(&mut sim, 2, 1);
+    sim.advance(1_000);
+    group(&mut sim).copies[2].isolated = true;
+    sim.advance(500);
+    require_replicas(&mut sim, 3, 2);
+    lose_the_primary_beside_a_deaf_and_a_silent_copy(&mut sim);
+}
+
+/// Guards against a group that keeps the larger quorum although all commits have more copies.
+#[test]
+fn elections_need_fewer_databases_once_all_commits_have_more_copies() {
+    let mut sim = start_fleet(3, 1, false);
+    require_replicas(&mut sim, 2, 2);
+    sim.advance(3_000);
+    let now = sim.now;
+    let databases = group(&mut sim);
+    databases.crash(now, 0, 900_000);
+    databases.crash(now, 1, 900_000);
+    sim.advance_until("the last copy takes over", |sim| {
+        sim.active().is_some_and(|primary| primary == "copy-2")
+    });
+    group(&mut sim).check_all_told();
+}
--- a/crates/daisyseam-coord/src/fleet.rs
+++ b/crates/daisyseam-coord/src/fleet.rs
@@ -28,6 +28,7 @@
 
 mod changes;
 mod command;
+mod copies;
 mod documents;
 mod record;
 mod state;
@@ -45,6 +46,7 @@
         ChosenPrimary,
         CloseUsageCommand,
         CommandOutcome,
+        CopiesCommand,
         EvacuateCommand,
         FleetCommand,
         GroupCommand,
@@ -57,6 +59,7 @@
         SubmitOutcome,
         UpstreamCommand, //
     },
+    copies::CopyGuarantee,
     documents::{
         AcceptedDocument,
         DocumentHistory,
--- a/crates/daisyseam-coord/src/fleet/command.rs
+++ b/crates/daisyseam-coord/src/fleet/command.rs
@@ -10,7 +10,8 @@
     LogPosition,
     PrimaryState,
     Term,
-    UpstreamId, //
+    UpstreamId,
+    ViewNumber, //
 };
 use std::net::SocketAddr;
 
@@ -42,6 +43,8 @@
     Evacuate(EvacuateCommand),
     /// Records that a database has caught up with its primary since it started.
     CaughtUp(CaughtUpCommand),
+    /// Records how many databases have each acknowledged commit of a group.
+    Copies(CopiesCommand),
     /// Decides the request counts of a window.
     CloseUsage(CloseUsageCommand),
     /// Records that the report of a window was acknowledged.
@@ -96,6 +99,19 @@
     pub born_ms: u64,
 }
 
+/// Records how many databases have each acknowledged commit of a group. The first one of a group
+/// begins the record, with the number of the document if the group has no state yet.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CopiesCommand {
+    /// The group.
+    pub group: GroupId,
+    /// Least number of databases that have each acknowledged commit; 0 if it is not known.
+    pub copies: usize,
+    /// View in which commits last began to get fewer copies or a database was removed; a later change
+    /// invalidates the command.
+    pub since: ViewNumber,
+}
+
 /// Decides the request counts of a window; they do not change afterwards.
 #[derive(Clone, Debug, PartialEq)]
 pub struct CloseUsageCommand {
--- a/crates/daisyseam-coord/src/fleet/record.rs
+++ b/crates/daisyseam-coord/src/fleet/record.rs
@@ -6,6 +6,8 @@
     ChooseCommand,
     ChosenPrimary,
     CloseUsageCommand,
+    CopiesCommand,
+    CopyGuarantee,
     EvacuateCommand,
     FleetCommand,
     FleetState,
@@ -107,6 +109,11 @@
                 upstream: command.upstream.to_string(),
                 born_ms: command.born_ms,
             }),
+            Self::Copies(command) => Body::Copies(CopiesRecord::of(
+                command.group.as_str(),
+                command.copies,
+                command.since,
+            )),
             Self::CloseUsage(command) => {
                 Body::CloseUsage(WindowRecord::of(command.window, &command.counts))
             }
@@ -182,6 +189,14 @@
                 upstream: read(&record.upstream)?,
                 born_ms: record.born_ms,
             }),
+            Body::Copies(record) => {
+                let guarantee = record.to_guarantee()?;
+                Self::Copies(CopiesCommand {
+                    group: read(&record.group)?,
+                    copies: guarantee.copies,
+                    since: guarantee.since,
+                })
+            }
             Body::CloseUsage(record) => Self::CloseUsage(CloseUsageCommand {
                 window: record.window,
                 counts: record.to_counts()?,
@@ -236,6 +251,13 @@
                     born_ms: *born_ms,
                 })
                 .collect(),
+            copies: self
+                .copies
+                .iter()
+                .map(|(group, guarantee)| {
+                    CopiesRecord::of(group.as_str(), guarantee.copies, guarantee.since)
+                })
+                .collect(),
             dropped: self
                 .dropped
                 .iter()
@@ -304,6 +326,10 @@
             };
             state.dropped.insert(read(&record.upstream)?, dropped);
         }
+        for record in &record.copies {
+            let guarantee = record.to_guarantee()?;
+            state.copies.insert(read(&record.group)?, guarantee);
+        }
         for record in &record.choices {
             let chosen = record.to_chosen()??;
             state.choices.insert(read(&record.group)?, chosen);
@@ -318,7 +344,10 @@
 
 #[derive(Clone, PartialEq, prost::Message)]
 struct CommandRecord {
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14")]
+    #[prost(
+        oneof = "Body",
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15"
+    )]
     body: Option<Body>,
 }
 
@@ -352,6 +381,8 @@
     AcknowledgeUsage(u64),
     #[prost(message, tag = "14")]
     Choose(ChoiceRecord),
+    #[prost(message, tag = "15")]
+    Copies(CopiesRecord),
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -460,6 +491,35 @@
     usage: Option<UsageRecord>,
     #[prost(message, repeated, tag = "11")]
     choices: Vec<ChoiceRecord>,
+    #[prost(message, repeated, tag = "12")]
+    copies: Vec<CopiesRecord>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct CopiesRecord {
+    #[prost(string, tag = "1")]
+    group: String,
+    #[prost(uint64, tag = "2")]
+    copies: u64,
+    #[prost(uint64, tag = "3")]
+    since: u64,
+}
+
+impl CopiesRecord {
+    fn of(group: &str, copies: usize, since: ViewNumber) -> Self {
+        Self {
+            group: group.to_owned(),
+            copies: copies as u64,
+            since: since.0,
+        }
+    }
+
+    fn to_guarantee(&self) -> Option<CopyGuarantee> {
+        Some(CopyGuarantee {
+            copies: self.copies.try_into().ok()?,
+            since: ViewNumber(self.since),
+        })
+    }
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
--- a/crates/daisyseam-coord/src/fleet/state.rs
+++ b/crates/daisyseam-coord/src/fleet/state.rs
@@ -5,6 +5,7 @@
     ChooseCommand,
     ChosenPrimary,
     CommandOutcome,
+    CopyGuarantee,
     DocumentHistory,
     EvacuateCommand,
     FleetCommand,
@@ -53,6 +54,8 @@
     pub(super) caught_up: BTreeMap<UpstreamId, u64>,
     /// Databases that were removed from the view and may still run.
     pub(super) dropped: BTreeMap<UpstreamId, DroppedUpstream>,
+    /// How many databases have each acknowledged commit of a group.
+    pub(super) copies: BTreeMap<GroupId, CopyGuarantee>,
     /// The chosen next primary of fenced groups.
     pub(super) choices: BTreeMap<GroupId, ChosenPrimary>,
     pub(super) change_history: ChangeHistory,
@@ -121,6 +124,7 @@
             FleetCommand::Holder(holder) => self.update_holder(holder),
             FleetCommand::Evacuate(order) => self.evacuate(order),
             FleetCommand::CaughtUp(command) => self.record_caught_up(command),
+            FleetCommand::Copies(command) => self.record_copies(command),
             FleetCommand::CloseUsage(command) => self.usage.close(command),
             FleetCommand::AcknowledgeUsage(window) => self.usage.acknowledge(*window),
         }
@@ -147,10 +151,12 @@
         let number = self.documents.number();
         // The text was validated before it was proposed, but possibly by another program version.
         let document = Document::parse(text).ok();
+        let former = self.view.document.clone();
         self.change(ViewChanges::of_document(from), |view| {
             view.document_number = number;
             view.document = document.map(Arc::new);
         });
+        self.adjust_copies(former.as_deref());
     }
 
     fn evacuate(&mut self, command: &EvacuateCommand) -> CommandOutcome {
@@ -270,10 +276,13 @@
             };
             self.dropped.insert(name.clone(), dropped);
         }
+        let group = upstream.group.clone();
         self.caught_up.remove(name);
         self.change(ViewChanges::of_upstream(name), |view| {
             view.upstreams.remove(name);
         });
+        let remaining = self.view.members(&group).count();
+        self.reduce_copies(&group, remaining);
         CommandOutcome::Done
     }
 
@@ -371,7 +380,7 @@
         held.map(|(name, _)| name.clone()).collect()
     }
 
-    fn change(&mut self, changes: ViewChanges, edit: impl FnOnce(&mut FleetView)) {
+    pub(super) fn change(&mut self, changes: ViewChanges, edit: impl FnOnce(&mut FleetView)) {
         // Sessions may still read the former view, in which case it is cloned.
         let view = Arc::make_mut(&mut self.view);
         edit(view);
--- a/crates/daisyseam-coord/src/promotion/group.rs
+++ b/crates/daisyseam-coord/src/promotion/group.rs
@@ -98,6 +98,8 @@
     pub chosen: Option<&'a ChosenPrimary>,
     /// When a commit of the group counts as durable.
     pub commit: CommitPolicy,
+    /// Least number of databases that have each acknowledged commit, by the log; 0 if not known.
+    pub copies: usize,
     /// Whether no instance may act on an earlier state of the group.
     pub confirmed: bool,
     /// Number of transactions still open in the group according to the reports of all instances;
--- a/crates/daisyseam-coord/src/promotion/synchronous/election.rs
+++ b/crates/daisyseam-coord/src/promotion/synchronous/election.rs
@@ -346,7 +346,7 @@
 fn stop_quorum(facts: GroupFacts<'_>) -> usize {
     let members = facts.members.len() + facts.dropped;
     let members = members.max(facts.expected);
-    members + 1 - facts.commit.copies(members)
+    members + 1 - facts.copies.min(members)
 }
 
 impl SyncPromotionAttempt {
--- /dev/null
+++ b/crates/daisyseam-coord/tests/copies.rs
@@ -0,0 +1,170 @@
+//! Tests the record of how many databases have each acknowledged commit of a group.
+
+use daisyseam_coord::fleet::{
+    CommandOutcome,
+    CopiesCommand,
+    FleetCommand,
+    FleetState,
+    GroupCommand,
+    RefusalReason,
+    SubmitNewestCommand,
+    UpstreamCommand, //
+};
+use daisyseam_model::{
+    DocumentNumber,
+    GroupId,
+    LogPosition,
+    PrimaryState,
+    Term,
+    ViewNumber, //
+};
+
+const SUPERSEDED: CommandOutcome = CommandOutcome::Refused(RefusalReason::Superseded);
+
+fn group() -> GroupId {
+    "bookings-db".parse().unwrap()
+}
+
+/// Applies a command as it is read from the log.
+fn apply(state: &mut FleetState, command: &FleetCommand) -> CommandOutcome {
+    let read = FleetCommand::decode(&command.encode()).expect("a command");
+    assert_eq!(read, *command);
+    state.apply(&read)
+}
+
+fn submit(state: &mut FleetState, number: u64, replicas: usize) {
+    let text = format!(
+        "number = {number}\ncluster = \"shellrest\"\n\n\
+         [[region]]\nname = \"khomas\"\n\n\
+         [[data_centre]]\nname = \"khomas-1\"\nregion = \"khomas\"\n\n\
+         [[group]]\nname = \"bookings-db\"\nacknowledging_replicas = {replicas}\nslots = 5\n\n\
+         [[service]]\nname = \"bookings\"\ngroup = \"bookings-db\"\n"
+    );
+    let command = SubmitNewestCommand {
+        number: DocumentNumber(number),
+        text,
+        source: String::new(),
+        operator: "amalia".to_owned(),
+        accepted_unix_ms: 0,
+    };
+    apply(state, &FleetCommand::SubmitNewest(command));
+    let document = state.view().document.as_ref().expect("a sound document");
+    assert!(document.groups.contains_key(&group()));
+}
+
+fn found(state: &mut FleetState) {
+    let command = GroupCommand {
+        group: group(),
+        expected: Term(0),
+        term: Term(1),
+        primary: PrimaryState::Active("copy-0".parse().unwrap()),
+        lineage_start: LogPosition::default(),
+    };
+    assert_eq!(
+        apply(state, &FleetCommand::Group(command)),
+        CommandOutcome::Done
+    );
+}
+
+fn list(state: &mut FleetState, number: u16) {
+    let address = format!("127.0.0.1:{}", 6_000 + number).parse().unwrap();
+    let command = UpstreamCommand {
+        upstream: format!("copy-{number}").parse().unwrap(),
+        group: group(),
+        data_centre: "khomas-1".parse().unwrap(),
+        address,
+        admin_address: address,
+        leaving: false,
+        born_ms: 1,
+    };
+    assert_eq!(
+        apply(state, &FleetCommand::Upstream(command)),
+        CommandOutcome::Done
+    );
+}
+
+fn record(state: &mut FleetState, copies: usize, since: ViewNumber) -> CommandOutcome {
+    let command = CopiesCommand {
+        group: group(),
+        copies,
+        since,
+    };
+    apply(state, &FleetCommand::Copies(command))
+}
+
+/// Returns the recorded number, and the view that raises of it have to name.
+fn known(state: &FleetState) -> (usize, ViewNumber) {
+    let restored = FleetState::decode(&state.encode()).expect("a snapshot");
+    let guarantee = state.guaranteed_copies(&group());
+    assert_eq!(restored.guaranteed_copies(&group()), guarantee);
+    let guarantee = guarantee.expect("a record");
+    (guarantee.copies, guarantee.since)
+}
+
+/// Starts a group that asks for one replica, with three databases.
+fn start() -> FleetState {
+    let mut state = FleetState::default();
+    submit(&mut state, 1, 1);
+    assert_eq!(record(&mut state, 0, ViewNumber(0)), CommandOutcome::Done);
+    found(&mut state);
+    for number in 0..3 {
+        list(&mut state, number);
+    }
+    assert_eq!(known(&state).0, 2, "no commit was acknowledged before");
+    state
+}
+
+#[test]
+fn a_group_that_an_earlier_version_ran_has_no_known_number() {
+    let mut state = FleetState::default();
+    submit(&mut state, 1, 1);
+    found(&mut state);
+    assert_eq!(state.guaranteed_copies(&group()), None);
+    let before = state.view().number;
+    record(&mut state, 0, ViewNumber(0));
+    assert_eq!(known(&state).0, 0);
+    assert!(known(&state).1 > before, "instances confirm a new view");
+}
+
+#[test]
+fn a_document_that_asks_for_more_replicas_does_not_raise_the_number() {
+    let mut state = start();
+    submit(&mut state, 2, 2);
+    let (copies, since) = known(&state);
+    assert_eq!(copies, 2);
+    assert_eq!(record(&mut state, 3, since), CommandOutcome::Done);
+    assert_eq!(known(&state), (3, since));
+}
+
+#[test]
+fn a_document_that_asks_for_fewer_replicas_lowers_the_number() {
+    let mut state = start();
+    submit(&mut state, 2, 2);
+    let (_, since) = known(&state);
+    record(&mut state, 3, since);
+    submit(&mut state, 3, 1);
+    assert_eq!(known(&state).0, 2);
+}
+
+#[test]
+fn a_raise_that_was_decided_before_fewer_copies_were_asked_for_is_refused() {
+    let mut state = start();
+    submit(&mut state, 2, 2);
+    let (_, since) = known(&state);
+    submit(&mut state, 3, 1);
+    submit(&mut state, 4, 2);
+    assert_eq!(record(&mut state, 3, since), SUPERSEDED);
+    assert_eq!(known(&state).0, 2);
+}
+
+#[test]
+fn a_removed_database_lowers_the_number_and_invalidates_raises() {
+    let mut state = start();
+    let (_, since) = known(&state);
+    for number in 1..3 {
+        let name = format!("copy-{number}").parse().unwrap();
+        apply(&mut state, &FleetCommand::DropUpstream(name));
+    }
+    assert_eq!(known(&state).0, 1);
+    assert_eq!(record(&mut state, 2, since), SUPERSEDED);
+}
--- a/crates/daisyseam-coord/tests/promotion_support/mod.rs
+++ b/crates/daisyseam-coord/tests/promotion_support/mod.rs
@@ -341,6 +341,7 @@
             dropped: 0,
             chosen: None,
             commit: CommitPolicy::Majority,
+            copies: 0,
             confirmed: self.instance_view.0 >= self.changed,
             open_transactions: (self.instance_view.0 >= self.changed).then_some(0),
         };
