Count only databases that have caught up, in entries and elections alike

Cause: an election needs a number of all listed databases, but counts only those that have caught up, and none catches up without a primary. A database that only announced itself raises the number and can't help to reach it. Ruled out: the parser alone, as a sound ping of a database that never runs does the same; and a change of elections alone, since entries count commits on databases that joined a moment ago.

Change: a listed database is a learner until it has caught up, then a voter. The view says which. Entries confirm commits by voters, the primary included; elections need voters + 1 - copies. A view of an earlier version doesn't say, and counts all.

--- a/crates/daisyseam-control/src/core/announcements.rs
+++ b/crates/daisyseam-control/src/core/announcements.rs
@@ -280,6 +280,7 @@
         holder: known.holder.clone(),
         leaving: command.leaving,
         born_ms: command.born_ms,
+        voter: known.voter,
     };
     *known != announced
 }
--- a/crates/daisyseam-control/src/core/groups.rs
+++ b/crates/daisyseam-control/src/core/groups.rs
@@ -273,6 +273,7 @@
             false => self.holder_report(now, view, name, upstream),
         };
         let gone = self.is_gone(name, upstream.born_ms);
+        let successor = gone.then(|| successor_of(view, name, upstream)).flatten();
         MemberFacts {
             upstream: name.clone(),
             leaving: upstream.leaving,
@@ -282,9 +283,11 @@
             unreachable_from_half: reports.unreachable_from_half,
             reachable_from_most: reports.reachable_from_most,
             born_ms,
+            voter: fleet.is_voter(name),
             caught_up: fleet.has_caught_up(name) && born_ms == upstream.born_ms,
             gone,
-            vacated: gone && self.is_vacated(now, view, name, upstream),
+            vacated: gone && (successor.is_some() || self.is_overdue(now, name)),
+            successor: successor.cloned(),
             reported_end: self
                 .reports_on(name)
                 .filter_map(|(_, note)| note.log_end)
@@ -293,22 +296,10 @@
         }
     }
 
-    /// Returns whether another database is listed at the address of a departed one, or none has
-    /// announced itself there for long.
-    fn is_vacated(
-        &self,
-        now: Moment,
-        view: &FleetView,
-        name: &UpstreamId,
-        upstream: &UpstreamView,
-    ) -> bool {
+    /// Returns whether a database departed so long ago that no other one is expected at its address.
+    fn is_overdue(&self, now: Moment, name: &UpstreamId) -> bool {
         let departed = self.departed.get(name);
-        let is_overdue = departed.is_some_and(|gone| now.since(gone.at) >= SUCCESSOR_TIMEOUT);
-        let mut others = view.upstreams.iter();
-        let succeeded = others.any(|(other, known)| {
-            other != name && known.address == upstream.address && known.born_ms > upstream.born_ms
-        });
-        is_overdue || succeeded
+        departed.is_some_and(|gone| now.since(gone.at) >= SUCCESSOR_TIMEOUT)
     }
 
     /// Returns whether the current process of a database has announced that it is gone.
@@ -404,6 +395,19 @@
     }
 }
 
+/// Returns a later database that is listed at the address of a departed one.
+fn successor_of<'a>(
+    view: &'a FleetView,
+    name: &UpstreamId,
+    upstream: &UpstreamView,
+) -> Option<&'a UpstreamId> {
+    let mut others = view.upstreams.iter();
+    let successor = others.find(|(other, known)| {
+        *other != name && known.address == upstream.address && known.born_ms > upstream.born_ms
+    });
+    successor.map(|(name, _)| name)
+}
+
 /// Health of a database, as reported by instances.
 #[derive(Clone, Copy, Debug)]
 struct ReportedHealth {
--- a/crates/daisyseam-control/src/core/survey.rs
+++ b/crates/daisyseam-control/src/core/survey.rs
@@ -1,8 +1,8 @@
 //! Checks whether the logs of databases that acknowledge commits by themselves have caught up.
 //!
-//! A restarted database counts in an election only once its log has reached a position that the
-//! primary had reached after the restart, because its former process may have had commits that the
-//! new one lacks. Likewise, a stopped database is dropped only once enough other members have
+//! A new database becomes a voter, whose copies of commits count, once its log has reached a position
+//! that the primary had reached after it started. A restarted one counts again only after the same,
+//! because its former process may have had commits that the new one lacks. Likewise, a stopped database is dropped only once enough other members have
 //! reached a position that the primary had reached after each instance knew that it leaves. A silent
 //! one is marked as leaving first, since it may run on and receive commits that instances count.
 //!
@@ -146,6 +146,8 @@
     replicas: CommitPolicy,
     /// The recorded number of copies of each acknowledged commit.
     copies: Option<CopyGuarantee>,
+    /// Number of members that elections count.
+    voters: usize,
     /// Members that have not caught up since their process started.
     unsettled: BTreeSet<&'a UpstreamId>,
     /// Members that announced that they are gone, or that have been silent for too long.
@@ -255,6 +257,7 @@
             group: state,
             replicas,
             copies: fleet.guaranteed_copies(group),
+            voters: fleet.voter_count(group),
         })
     }
 }
@@ -266,7 +269,7 @@
 
     /// Returns whether commits may get more copies than elections rely on.
     fn lacks_copies(&self) -> bool {
-        let wanted = self.replicas.copies(self.members.len());
+        let wanted = self.replicas.copies(self.voters);
         self.copies.is_some_and(|known| known.copies < wanted)
     }
 }
@@ -319,7 +322,7 @@
             .copies_goal
             .filter(|(since, _)| *since == known.since)?;
         let reached = self.count_reached(facts, fleet, goal);
-        let copies = reached.min(facts.replicas.copies(facts.members.len()));
+        let copies = reached.min(facts.replicas.copies(facts.voters));
         (copies > known.copies).then(|| CopiesCommand {
             group: facts.name.clone(),
             copies,
@@ -383,7 +386,8 @@
         let Some(goal) = position_of(&self.drop_goals, name, upstream.born_ms) else {
             return false;
         };
-        let needed = facts.replicas.copies(facts.members.len() - 1);
+        let voters = facts.voters - usize::from(fleet.is_voter(name));
+        let needed = facts.replicas.copies(voters);
         self.count_reached(facts, fleet, goal) >= needed
     }
 
--- a/crates/daisyseam-control/tests/unlisted.rs
+++ b/crates/daisyseam-control/tests/unlisted.rs
@@ -8,6 +8,7 @@
 mod core_support;
 
 use crate::core_support::{
+    GROUP,
     Simulation,
     clients::ClientLedger,
     direct::{
@@ -17,7 +18,9 @@
     document, //
 };
 use daisyseam_wire::{
+    AnnounceRequest,
     SubmitNewestRequest,
+    UpstreamReport,
     control_message::Body, //
 };
 use rand::Rng;
@@ -523,3 +526,97 @@
     });
     group(&mut sim).check_all_told();
 }
+
+/// Guards against clients that hear of commits that only the primary and a database off the list have.
+#[test]
+fn a_copy_that_left_the_list_while_it_ran_makes_no_client_hear_of_a_commit() {
+    let mut sim = start_fleet(3, 1, false);
+    let silent = &mut group(&mut sim).copies[1];
+    (silent.disconnected, silent.isolated) = (true, true);
+    sim.advance_until("it is dropped", |sim| listed(sim) == 2);
+    // Control still does not hear from it, but commits reach only it and the primary.
+    group(&mut sim).copies[1].isolated = false;
+    group(&mut sim).copies[2].isolated = true;
+    sim.advance(100);
+    let (before, acknowledged) = (told(&sim), group(&mut sim).acknowledged.len());
+    sim.advance(5_000);
+    assert!(
+        group(&mut sim).acknowledged.len() > acknowledged,
+        "it counts for the primary"
+    );
+    assert_eq!(told(&sim), before, "entries do not count it");
+    let now = sim.now;
+    group(&mut sim).crash(now, 0, 9_000);
+    sim.advance(8_000);
+    heal(&mut sim);
+    sim.advance_until("all are settled", |sim| settled(sim) == 3);
+    group(&mut sim).check_all_told();
+}
+
+/// Expects that a lost primary is replaced within the time that an undisturbed loss takes.
+fn expect_replacement(sim: &mut Simulation, former: &str) {
+    let begun = sim.now;
+    sim.advance_until("another is primary", |sim| {
+        sim.active().is_some_and(|primary| primary != former)
+    });
+    let took = sim.now - begun;
+    assert!(took < 4_500, "{took} ms of virtual time");
+    heal(sim);
+}
+
+/// Guards against a group that stays without a primary because an announced database doesn't exist,
+/// never runs or never catches up.
+#[test_case(0; "without a start time")]
+#[test_case(77; "with a start time")]
+fn an_announced_database_that_never_runs_blocks_no_election(born_ms: u64) {
+    let mut sim = start_fleet(3, 1, false);
+    sim.advance(1_000);
+    sim.order(Body::Announce(AnnounceRequest {
+        report: Some(UpstreamReport {
+            upstream: "nowhere".to_owned(),
+            group: GROUP.to_owned(),
+            data_centre: "khomas-1".to_owned(),
+            address: "127.0.0.1:9".to_owned(),
+            admin_address: "127.0.0.1:9".to_owned(),
+            born_ms,
+            sequence: 1,
+            ..UpstreamReport::default()
+        }),
+        gone: false,
+    }));
+    sim.advance(3_000);
+    assert_eq!(listed(&sim), 4);
+    let now = sim.now;
+    group(&mut sim).crash(now, 0, 900_000);
+    expect_replacement(&mut sim, "copy-0");
+}
+
+/// Guards against a group that stays without a primary because a database joined and cannot catch up
+/// after the loss of the primary (review/7).
+#[test_case(0; "with the loss")]
+#[test_case(300; "after the loss")]
+#[test_case(1_500; "during the election")]
+fn a_database_that_joins_beside_the_loss_of_a_primary_blocks_no_election(millis: u64) {
+    let mut sim = start_fleet(3, 1, false);
+    sim.advance(1_000);
+    let now = sim.now;
+    group(&mut sim).crash(now, 0, 900_000);
+    sim.advance(millis);
+    let now = sim.now;
+    group(&mut sim).join(now, 0, false);
+    expect_replacement(&mut sim, "copy-0");
+}
+
+/// Guards against a group that stays without a primary because the lost one has an empty successor at
+/// its address (review/6).
+#[test]
+fn a_successor_at_the_address_of_a_lost_primary_blocks_no_election() {
+    let mut sim = start_fleet(3, 1, false);
+    sim.advance(1_000);
+    let now = sim.now;
+    let databases = group(&mut sim);
+    databases.crash(now, 0, 900_000);
+    let successor = databases.join(now, 0, false);
+    databases.copies[successor].address = databases.copies[0].address;
+    expect_replacement(&mut sim, "copy-0");
+}
--- a/crates/daisyseam-coord/src/fleet/record.rs
+++ b/crates/daisyseam-coord/src/fleet/record.rs
@@ -315,9 +315,11 @@
             view.evacuated.insert(read(data_centre)?);
         }
         for record in &record.caught_up {
-            state
-                .caught_up
-                .insert(read(&record.upstream)?, record.born_ms);
+            let name = read(&record.upstream)?;
+            if let Some(upstream) = view.upstreams.get_mut(&name) {
+                upstream.voter = upstream.born_ms == record.born_ms;
+            }
+            state.caught_up.insert(name, record.born_ms);
         }
         for record in &record.dropped {
             let dropped = DroppedUpstream {
@@ -695,6 +697,7 @@
             holder: read_optional(&self.holder)?,
             leaving: self.leaving,
             born_ms: self.born_ms,
+            voter: false,
         })
     }
 }
--- a/crates/daisyseam-coord/src/fleet/state.rs
+++ b/crates/daisyseam-coord/src/fleet/state.rs
@@ -50,7 +50,7 @@
     pub(super) view: Arc<FleetView>,
     pub(super) documents: DocumentHistory,
     pub(super) last_incarnation: Incarnation,
-    /// Databases that have caught up, with the start time of the process that has.
+    /// Databases whose copies of commits count, with the start time of the last process that caught up.
     pub(super) caught_up: BTreeMap<UpstreamId, u64>,
     /// Databases that were removed from the view and may still run.
     pub(super) dropped: BTreeMap<UpstreamId, DroppedUpstream>,
@@ -92,6 +92,18 @@
         known.is_some_and(|known| caught_up == Some(&known.born_ms))
     }
 
+    /// Returns whether elections count a database: one of its processes has caught up, and it was not
+    /// removed since.
+    pub fn is_voter(&self, upstream: &UpstreamId) -> bool {
+        self.caught_up.contains_key(upstream)
+    }
+
+    /// Counts the databases of a group that elections count.
+    pub fn voter_count(&self, group: &GroupId) -> usize {
+        let members = self.view.members(group);
+        members.filter(|(name, _)| self.is_voter(name)).count()
+    }
+
     /// Iterates over the databases that were removed from the view and may still run without contact
     /// to control, with the group whose commits they may receive.
     pub fn dropped_upstreams(&self) -> impl Iterator<Item = (&UpstreamId, &GroupId)> {
@@ -245,6 +257,7 @@
             holder: known.and_then(|known| known.holder.clone()),
             leaving: command.leaving,
             born_ms: command.born_ms,
+            voter: self.caught_up.get(&command.upstream) == Some(&command.born_ms),
         };
         if known != Some(&upstream) {
             self.change(ViewChanges::of_upstream(&command.upstream), |view| {
@@ -277,12 +290,13 @@
             self.dropped.insert(name.clone(), dropped);
         }
         let group = upstream.group.clone();
-        self.caught_up.remove(name);
+        let was_voter = self.caught_up.remove(name).is_some();
         self.change(ViewChanges::of_upstream(name), |view| {
             view.upstreams.remove(name);
         });
-        let remaining = self.view.members(&group).count();
-        self.reduce_copies(&group, remaining);
+        if was_voter {
+            self.reduce_copies(&group, self.voter_count(&group));
+        }
         CommandOutcome::Done
     }
 
@@ -300,8 +314,16 @@
         if upstream.born_ms != command.born_ms {
             return CommandOutcome::Refused(RefusalReason::Superseded);
         }
+        let is_voter = upstream.voter;
         self.caught_up
             .insert(command.upstream.clone(), command.born_ms);
+        if !is_voter {
+            self.change(ViewChanges::of_upstream(&command.upstream), |view| {
+                if let Some(upstream) = view.upstreams.get_mut(&command.upstream) {
+                    upstream.voter = true;
+                }
+            });
+        }
         CommandOutcome::Done
     }
 
--- a/crates/daisyseam-coord/src/promotion/group.rs
+++ b/crates/daisyseam-coord/src/promotion/group.rs
@@ -90,7 +90,8 @@
     pub view: Option<&'a GroupView>,
     /// Its databases, sorted by name.
     pub members: &'a [MemberFacts],
-    /// Number of databases according to the document; 0 for as many as there are members.
+    /// Number of databases according to the document; 0 for as many as there are members. Groups with
+    /// synchronous replication do not use it.
     pub expected: usize,
     /// Number of databases that were removed from the view but may still run and receive commits.
     pub dropped: usize,
@@ -127,6 +128,8 @@
     pub reachable_from_most: bool,
     /// Start time of its process, in Unix milliseconds; 0 if unknown.
     pub born_ms: u64,
+    /// Whether one of its processes was counted for commits, so that elections count it.
+    pub voter: bool,
     /// Whether its current process has caught up with a primary since it started, so that its log
     /// has all commits that earlier processes of this database had confirmed.
     pub caught_up: bool,
@@ -135,6 +138,8 @@
     /// Whether nothing more is to be expected of its log once it is gone: the database that took over
     /// its address is listed, or none has announced itself for long.
     pub vacated: bool,
+    /// The listed database that took over its address, if it is gone. It may have its log.
+    pub successor: Option<UpstreamId>,
     /// Highest end of its log that instances have reported.
     pub reported_end: Option<LogPosition>,
     /// The state that it last announced, and when.
--- a/crates/daisyseam-coord/src/promotion/synchronous/election.rs
+++ b/crates/daisyseam-coord/src/promotion/synchronous/election.rs
@@ -90,6 +90,8 @@
     ends: Vec<(UpstreamId, EndReport)>,
     /// Number of stopped databases needed when the former primary is not one of them.
     quorum: usize,
+    /// Number of databases that elections count.
+    voters: usize,
     /// Number of databases in the view.
     listed: usize,
     /// Number of databases that were removed from the view and may still run.
@@ -102,7 +104,11 @@
             Some(end) => write!(out, "the former primary was stopped at {end}")?,
             None => write!(out, "{} stopped databases were needed", self.quorum)?,
         }
-        write!(out, "; {} listed, {} dropped", self.listed, self.dropped)?;
+        let (voters, listed, dropped) = (self.voters, self.listed, self.dropped);
+        write!(
+            out,
+            "; {voters} voters of {listed} listed, {dropped} dropped"
+        )?;
         for (name, report) in &self.ends {
             let state = match report.stopped {
                 true => "stopped",
@@ -248,6 +254,7 @@
             former_end: self.stopped_end(facts, former).map(|(end, _)| end),
             ends: ends.collect(),
             quorum: stop_quorum(facts),
+            voters: voters(facts).count(),
             listed: facts.members.len(),
             dropped: facts.dropped,
         }
@@ -313,6 +320,30 @@
         report.end >= highest || seen || announced
     }
 
+    /// Returns whether each database that may have acknowledged commits has been stopped, so that no
+    /// other one can have more.
+    fn is_every_log_stopped(&self, facts: GroupFacts<'_>) -> bool {
+        let is_stopped =
+            |member: &MemberFacts| self.report(member).is_some_and(|report| report.stopped);
+        let is_successor_stopped = |successor: &UpstreamId| {
+            let mut members = facts.members.iter();
+            let successor = members.find(|member| member.upstream == *successor);
+            successor.is_none_or(is_stopped)
+        };
+        // The log of one that is gone may be on the next database at its address.
+        let is_vacated = |member: &MemberFacts| {
+            let successor = member.successor.as_ref();
+            self.is_gone(member) && member.vacated && successor.is_none_or(is_successor_stopped)
+        };
+        // Without a known number of copies, learners may have been counted by earlier versions. Without
+        // voters, the databases may have commits from before the group was adopted.
+        let counts_learners = facts.copies == 0 || voters(facts).next().is_none();
+        let mut needed = facts.members.iter();
+        let is_needed = |member: &MemberFacts| member.voter || counts_learners;
+        facts.dropped == 0
+            && needed.all(|member| !is_needed(member) || is_stopped(member) || is_vacated(member))
+    }
+
     /// Chooses the stopped database whose log ends last, if at least one of the stopped databases has
     /// each acknowledged commit.
     fn choose_stopped(&self, facts: GroupFacts<'_>) -> Option<UpstreamId> {
@@ -324,14 +355,7 @@
         let counts =
             |member: &&MemberFacts| member.caught_up && self.is_log_complete(member, highest);
         let counted = stopped.clone().filter(counts).count();
-        let present = facts.members.iter();
-        // The log of one that is gone may be on the next database at its address.
-        let vacated = |member: &&MemberFacts| self.is_gone(member) && member.vacated;
-        let present = present.filter(|member| !vacated(member)).count();
-        // If all databases are stopped, no other one can have more commits.
-        let present = present + facts.dropped;
-        let all = stopped.clone().count() >= present.max(facts.expected).max(1);
-        if counted < stop_quorum(facts) && !all {
+        if counted < stop_quorum(facts) && !self.is_every_log_stopped(facts) {
             return None;
         }
         let best = stopped.rev().max_by_key(|member| {
@@ -344,11 +368,15 @@
 
 /// Returns how many databases must be stopped so that at least one has each acknowledged commit.
 fn stop_quorum(facts: GroupFacts<'_>) -> usize {
-    let members = facts.members.len() + facts.dropped;
-    let members = members.max(facts.expected);
+    let members = voters(facts).count() + facts.dropped;
     members + 1 - facts.copies.min(members)
 }
 
+/// Iterates over the databases that elections count. A learner has no copy that counts for a commit.
+fn voters<'a>(facts: GroupFacts<'a>) -> impl Iterator<Item = &'a MemberFacts> {
+    facts.members.iter().filter(|member| member.voter)
+}
+
 impl SyncPromotionAttempt {
     /// Returns what the choice of the database was based on.
     pub(super) fn basis(&self) -> &ElectionBasis {
--- a/crates/daisyseam-coord/tests/promotion_support/mod.rs
+++ b/crates/daisyseam-coord/tests/promotion_support/mod.rs
@@ -372,9 +372,11 @@
             unreachable_from_half: false,
             reachable_from_most: false,
             born_ms: 0,
+            voter: true,
             caught_up: true,
             gone: false,
             vacated: false,
+            successor: None,
             reported_end: None,
             announced: Some((announced, database.disconnected_since.unwrap_or(self.now))),
         }
--- a/crates/daisyseam-engine/src/confirmation.rs
+++ b/crates/daisyseam-engine/src/confirmation.rs
@@ -1,10 +1,10 @@
 //! Confirmation of commits before they are acknowledged to callers.
 //!
 //! A primary with synchronous replication acknowledges a commit once any replicas have received it,
-//! including replicas that control has not heard of. An election counts only the databases that the
-//! view lists. So a commit is acknowledged to its caller only once as many replicas that the view
-//! lists as the document asks for have reported its position; each election then finds it on one of
-//! the databases it stops.
+//! including replicas that control has not heard of. An election counts only the voters of the view:
+//! databases that have caught up since they started. So a commit is acknowledged to its caller only
+//! once as many voters as the document asks for, besides the primary, have reported its position; each
+//! election then finds it on one of the databases it stops.
 
 mod awaited;
 mod unconfirmed_log;
@@ -101,7 +101,8 @@
         position: Option<LogPosition>,
         until: Instant,
     ) -> bool {
-        if self.needed_replicas(&self.settings.cell.held().view, route) == Some(0) {
+        let view = &self.settings.cell.held().view;
+        if self.needed_replicas(view, route) == Some(0) && is_voter(view, &route.upstream) {
             return true;
         }
         let Some(position) = position else {
@@ -158,7 +159,8 @@
         };
         let copies = replicas(view, mark).filter(has_commit).count();
         let needed = self.needed_replicas(view, mark.route);
-        needed.is_some_and(|needed| copies >= needed)
+        let primary_counts = is_voter(view, &mark.route.upstream);
+        needed.is_some_and(|needed| copies >= needed) && primary_counts
     }
 
     /// Requests the ends of the replicas' logs, of the nearest one first and of the others after a
@@ -393,6 +395,11 @@
     })
 }
 
+fn is_voter(view: &FleetView, upstream: &UpstreamId) -> bool {
+    let listed = view.upstreams.get(upstream);
+    listed.is_some_and(|listed| listed.voter)
+}
+
 /// Iterates over the replicas whose copies of a commit count. The log of one that leaves goes with
 /// it.
 fn replicas<'a>(
@@ -401,6 +408,6 @@
 ) -> impl Iterator<Item = (&'a UpstreamId, &'a UpstreamView)> {
     let members = view.members(&mark.route.group);
     members.filter(move |(name, upstream_view)| {
-        **name != mark.route.upstream && !upstream_view.leaving
+        **name != mark.route.upstream && upstream_view.voter && !upstream_view.leaving
     })
 }
--- a/crates/daisyseam-engine/src/pool/shares/tests.rs
+++ b/crates/daisyseam-engine/src/pool/shares/tests.rs
@@ -109,6 +109,7 @@
         holder: None,
         leaving: false,
         born_ms: 0,
+        voter: true,
     }
 }
 
--- a/crates/daisyseam-engine/src/pool/upstream/tests.rs
+++ b/crates/daisyseam-engine/src/pool/upstream/tests.rs
@@ -142,6 +142,7 @@
             holder: None,
             leaving: false,
             born_ms: 0,
+            voter: true,
         };
         let budget = ConnectionBudget {
             share: 30,
--- a/crates/daisyseam-engine/tests/confirmation.rs
+++ b/crates/daisyseam-engine/tests/confirmation.rs
@@ -103,6 +103,27 @@
     assert_eq!(result, Err(ErrorKind::OutcomeUnknown));
 }
 
+/// Guards against the loss of an acknowledged commit whose copies elections do not count.
+#[test_case("a"; "of the replica that has it")]
+#[test_case("p"; "of the primary")]
+#[tokio::test(start_paused = true)]
+async fn a_commit_waits_until_its_copies_count(learner: &str) {
+    let mut fleet = start("a");
+    let set_voter = |voter: bool| {
+        move |view: &mut FleetView| view.upstreams.get_mut(learner).unwrap().voter = voter
+    };
+    fleet.change_view(set_voter(false));
+    let mut caller = fleet.session("primary").await;
+    let result = try_write(&mut caller, false).await;
+    assert_eq!(result, Err(ErrorKind::OutcomeUnknown));
+    let mut caller = fleet.session("primary").await;
+    caller.send(write("write 2"));
+    sleep(Duration::from_millis(100)).await;
+    fleet.change_view(set_voter(true));
+    let answer = caller.answer().await;
+    assert!(answer.outcome.is_ok(), "{answer:?}");
+}
+
 #[test_case(false; "of a single write")]
 #[test_case(true; "of a transaction")]
 #[tokio::test(start_paused = true)]
--- a/crates/daisyseam-engine/tests/support/mod.rs
+++ b/crates/daisyseam-engine/tests/support/mod.rs
@@ -234,6 +234,7 @@
             holder: None,
             leaving: false,
             born_ms: 0,
+            voter: true,
         };
         view.upstreams.insert(name, upstream);
     }
--- a/crates/daisyseam-entry/tests/links_suite/support/control.rs
+++ b/crates/daisyseam-entry/tests/links_suite/support/control.rs
@@ -117,6 +117,7 @@
             holder: holder.map(|holder| holder.parse().expect("a name")),
             leaving: false,
             born_ms: 0,
+            voter: true,
         };
         self.0.upstreams.insert(upstream(name), entry);
         self
--- a/crates/daisyseam-model/src/view.rs
+++ b/crates/daisyseam-model/src/view.rs
@@ -128,6 +128,9 @@
     /// When its process started, by its own clock, in milliseconds since 1970; 0 if unknown. A
     /// later start at the same address or under the same name supersedes an earlier one.
     pub born_ms: u64,
+    /// Whether its process has had each acknowledged commit since it started, so that its copy of a
+    /// commit counts. A process that has not caught up yet is a learner.
+    pub voter: bool,
 }
 
 /// One entry instance.
--- a/crates/daisyseam-wire/examples/view_size.rs
+++ b/crates/daisyseam-wire/examples/view_size.rs
@@ -63,6 +63,7 @@
                 holder: Some(format!("entry-{index:04}").parse()?),
                 leaving: false,
                 born_ms: 0,
+                voter: true,
             };
             view.upstreams
                 .insert(format!("{name}-{member}").parse()?, upstream);
--- a/crates/daisyseam-wire/src/convert.rs
+++ b/crates/daisyseam-wire/src/convert.rs
@@ -296,6 +296,7 @@
                 .unwrap_or_default(),
             leaving: upstream.leaving,
             born_ms: upstream.born_ms,
+            voter: Some(upstream.voter),
         }
     }
 
@@ -312,6 +313,7 @@
             holder,
             leaving: self.leaving,
             born_ms: self.born_ms,
+            voter: self.voter.unwrap_or(true),
         })
     }
 }
--- a/crates/daisyseam-wire/src/view.rs
+++ b/crates/daisyseam-wire/src/view.rs
@@ -105,6 +105,10 @@
     /// When its process started, in milliseconds since 1970; 0 if unknown.
     #[prost(uint64, tag = "9")]
     pub born_ms: u64,
+    /// Whether its copies of commits count. Missing in views of earlier program versions, which count
+    /// the copies of all databases.
+    #[prost(bool, optional, tag = "10")]
+    pub voter: Option<bool>,
 }
 
 /// An entry instance.
--- a/crates/daisyseam-wire/tests/updates.rs
+++ b/crates/daisyseam-wire/tests/updates.rs
@@ -1,7 +1,10 @@
 //! Updates of the view are compressed above a size, and decompressed within a bound.
 
 use bytes::Bytes;
-use daisyseam_model::DocumentNumber;
+use daisyseam_model::{
+    DocumentNumber,
+    FleetView, //
+};
 use daisyseam_wire::{
     ConvertError,
     DocumentPatch,
@@ -10,6 +13,7 @@
     HeartbeatReply,
     UPDATE_BYTES_MAX,
     WireGroup,
+    WireUpstream,
     WireView, //
 };
 use flate2::{
@@ -106,3 +110,31 @@
         assert_eq!(refused, Err(ConvertError::Oversized(UPDATE_BYTES_MAX)));
     }
 }
+
+/// Guards against entries of this version that acknowledge nothing under members of control of an
+/// earlier one, whose views do not say which databases are voters.
+#[test]
+fn a_view_of_an_earlier_version_counts_the_copies_of_all_databases() {
+    let upstream = |name: &str, voter| WireUpstream {
+        name: name.to_owned(),
+        group: "bookings-db".to_owned(),
+        data_centre: "khomas-1".to_owned(),
+        address: "127.0.0.1:6000".to_owned(),
+        admin_address: "127.0.0.1:6000".to_owned(),
+        voter,
+        ..WireUpstream::default()
+    };
+    let update = WireView {
+        number: 9,
+        upstreams: vec![
+            upstream("earlier", None),
+            upstream("learner", Some(false)),
+            upstream("voter", Some(true)),
+        ],
+        ..WireView::default()
+    };
+    let (view, _) = update.apply(&FleetView::default(), "").expect("a view");
+    let voters = view.upstreams.iter().filter(|(_, upstream)| upstream.voter);
+    let voters: Vec<_> = voters.map(|(name, _)| name.as_str()).collect();
+    assert_eq!(voters, ["earlier", "voter"]);
+}
