Tell a database that was replaced from one that refuses a call

Cause: an election leaves a departed database out after two calls without an answer. The successor answers each call with MOVED, which was taken for the refusal of a database that runs, so the departed one never counted as gone.

Change: such an answer is an outcome of its own. It shows that a departed database has ended; without the departure it shows nothing, as the listed address may come from a stray announcement. The simulated databases answer so, too.

--- a/crates/daisyseam-control/src/core/leader.rs
+++ b/crates/daisyseam-control/src/core/leader.rs
@@ -235,6 +235,7 @@
             let result = match answer {
                 CallOutcome::State(state) => format!("it is {:?}", state.role),
                 CallOutcome::Refused => "refused".to_owned(),
+                CallOutcome::Replaced => "another database has its address".to_owned(),
                 CallOutcome::Lost => "no answer".to_owned(),
             };
             log::warn!("group {group}: the call to promote {upstream} in term {term}: {result}");
--- a/crates/daisyseam-control/tests/core_support/direct.rs
+++ b/crates/daisyseam-control/tests/core_support/direct.rs
@@ -531,6 +531,10 @@
                 return CallOutcome::Refused;
             }
         }
+        if !disconnected && self.is_succeeded(number) {
+            // The database that listens at its address now is not the one that was called.
+            return CallOutcome::Replaced;
+        }
         let raises = self.raises;
         let copy = &mut self.copies[number];
         if !copy.up || copy.disconnected || disconnected || copy.side != 0 {
@@ -552,6 +556,14 @@
         }
     }
 
+    /// Returns whether control reaches another database at the address of one that has ended.
+    fn is_succeeded(&self, number: usize) -> bool {
+        let former = &self.copies[number];
+        let reached = |copy: &DatabaseCopy| copy.up && !copy.disconnected && copy.side == 0;
+        let mut others = self.copies.iter();
+        !former.up && others.any(|copy| copy.address == former.address && reached(copy))
+    }
+
     fn promote(&mut self, now: u64, number: usize, term: u64, fence: u64) {
         assert!(fence >= self.fence, "a former leader promotes a database");
         self.fence = fence;
--- a/crates/daisyseam-coord/src/promotion/group.rs
+++ b/crates/daisyseam-coord/src/promotion/group.rs
@@ -179,6 +179,8 @@
     State(UpstreamState),
     /// The database refused the call.
     Refused,
+    /// Another database answered at its address, so its process has ended.
+    Replaced,
     /// No response arrived; the call may have taken effect.
     Lost,
 }
--- a/crates/daisyseam-coord/src/promotion/stage.rs
+++ b/crates/daisyseam-coord/src/promotion/stage.rs
@@ -103,7 +103,7 @@
                 self.ends.insert(upstream.clone(), state.end);
             }
             CallOutcome::Refused => self.refused = Some(upstream.clone()),
-            CallOutcome::State(_) | CallOutcome::Lost => {}
+            CallOutcome::State(_) | CallOutcome::Replaced | CallOutcome::Lost => {}
         }
     }
 }
@@ -426,7 +426,7 @@
         }
         match &mut self.stage {
             PromotionStage::Probing { failures } if kind == CallKind::State => match outcome {
-                CallOutcome::Lost => *failures += 1,
+                CallOutcome::Lost | CallOutcome::Replaced => *failures += 1,
                 CallOutcome::State(state) if !Self::is_promoted(state, term) => {
                     *failures = FAILED_PROBES;
                 }
@@ -457,7 +457,9 @@
                         attempt.outcome = Some(Self::is_promoted(state, term));
                     }
                     // A retried call may be refused because the first one took effect.
-                    CallOutcome::Refused => attempt.outcome = attempt.outcome.or(Some(false)),
+                    CallOutcome::Refused | CallOutcome::Replaced => {
+                        attempt.outcome = attempt.outcome.or(Some(false));
+                    }
                     CallOutcome::Lost => {}
                 }
             }
--- a/crates/daisyseam-coord/src/promotion/synchronous/election.rs
+++ b/crates/daisyseam-coord/src/promotion/synchronous/election.rs
@@ -61,6 +61,8 @@
     ends: BTreeMap<UpstreamId, EndReport>,
     failures: BTreeMap<UpstreamId, u32>,
     refused: BTreeSet<UpstreamId>,
+    /// Databases at whose address another one answered.
+    replaced: BTreeSet<UpstreamId>,
     /// A later term that some database knows.
     higher_term: Option<Term>,
     /// A database that is primary in a later term than the last primary.
@@ -151,6 +153,7 @@
             ends: BTreeMap::new(),
             failures: BTreeMap::new(),
             refused: BTreeSet::new(),
+            replaced: BTreeSet::new(),
             higher_term: None,
             later_primary: None,
             outdated_primary: None,
@@ -175,8 +178,13 @@
                 self.refused.insert(upstream.clone());
                 return;
             }
+            CallOutcome::Replaced => {
+                self.replaced.insert(upstream.clone());
+                return;
+            }
         };
         let refused = self.refused.remove(upstream);
+        self.replaced.remove(upstream);
         self.failures.remove(upstream);
         if state.role == UpstreamRole::Primary {
             match state.promised > base {
@@ -266,15 +274,18 @@
         report.filter(|report| report.born_ms == member.born_ms)
     }
 
-    /// Returns whether a database has announced its departure and does not respond any more. The
-    /// announcement alone may be a late one, of a process before the one that runs.
+    /// Returns whether a database has announced its departure and does not respond any more, or
+    /// another one responds at its address. The announcement alone may be a late one, of a process
+    /// before the one that runs.
     fn is_gone(&self, member: &MemberFacts) -> bool {
-        member.gone && self.failures.get(&member.upstream) >= Some(&UNREACHABLE_FAILURES)
+        let is_silent = self.failures.get(&member.upstream) >= Some(&UNREACHABLE_FAILURES);
+        member.gone && (is_silent || self.replaced.contains(&member.upstream))
     }
 
     fn has_answered(&self, member: &MemberFacts, calls: u32) -> bool {
         self.failures.get(&member.upstream) >= Some(&calls)
             || self.refused.contains(&member.upstream)
+            || self.replaced.contains(&member.upstream)
             || self.report(member).is_some()
     }
 
@@ -403,6 +414,10 @@
                 }
             }
             CallOutcome::Refused => self.refused |= kind == CallKind::Promote,
+            CallOutcome::Replaced => {
+                self.refused |= kind == CallKind::Promote;
+                self.failures += u32::from(kind == CallKind::State);
+            }
             CallOutcome::Lost => {
                 self.unanswered |= kind == CallKind::Promote;
                 self.failures += u32::from(kind == CallKind::State);
--- a/crates/daisyseam-coord/src/promotion/synchronous/watch.rs
+++ b/crates/daisyseam-coord/src/promotion/synchronous/watch.rs
@@ -63,7 +63,7 @@
     ) -> bool {
         let state = match outcome {
             CallOutcome::State(state) => state,
-            CallOutcome::Lost | CallOutcome::Refused => {
+            CallOutcome::Lost | CallOutcome::Refused | CallOutcome::Replaced => {
                 self.failures += u32::from(from_primary);
                 return false;
             }
