Count no database in elections that was removed in order

Cause: a removed database counted as missing for 60 s from the start of each leader of control, as it may run on and make the primary acknowledge commits. Entries confirm commits by voters of their view by now, and a voter is removed only once every instance knows that it leaves and enough others have all commits of before. So nothing that a caller heard of depends on it.

Change: the record of removed databases and its timer are gone.

--- a/crates/daisyseam-control/src/core.rs
+++ b/crates/daisyseam-control/src/core.rs
@@ -16,7 +16,6 @@
 mod unlisted;
 mod updates;
 mod usage;
-mod vacancies;
 
 pub use self::usage::{
     UsageCall,
@@ -477,7 +476,6 @@
         self.update_holders(now);
         self.drop_departed(now);
         self.survey_groups(now);
-        self.forget_vacant(now);
         self.repair_members(now);
     }
 }
--- a/crates/daisyseam-control/src/core/groups.rs
+++ b/crates/daisyseam-control/src/core/groups.rs
@@ -135,11 +135,6 @@
             view: state,
             members,
             expected: entry.databases,
-            dropped: self
-                .fleet
-                .dropped_upstreams()
-                .filter(|(_, of)| *of == group)
-                .count(),
             chosen: self.fleet.chosen_primary(group),
             commit: entry.commit,
             copies: copies.map_or(0, |guarantee| guarantee.copies),
--- a/crates/daisyseam-control/src/core/leader.rs
+++ b/crates/daisyseam-control/src/core/leader.rs
@@ -79,8 +79,6 @@
     /// Last health report of each instance on each database.
     pub(super) health: BTreeMap<UpstreamId, BTreeMap<InstanceId, HealthRecord>>,
     pub(super) surveys: BTreeMap<GroupId, GroupSurvey>,
-    /// When this leader first saw each database that was dropped from the view but still counts.
-    pub(super) vacant_since: BTreeMap<UpstreamId, Moment>,
     /// Open transactions of each incarnation in draining groups.
     pub(super) open_transactions: BTreeMap<(Incarnation, GroupId), OpenTransactions>,
     /// Incarnations that announced that they are leaving.
@@ -180,7 +178,6 @@
             departed: BTreeMap::new(),
             health: BTreeMap::new(),
             surveys: BTreeMap::new(),
-            vacant_since: BTreeMap::new(),
             open_transactions: BTreeMap::new(),
             leaving: BTreeSet::new(),
             spares: BTreeMap::new(),
--- a/crates/daisyseam-coord/src/fleet/command.rs
+++ b/crates/daisyseam-coord/src/fleet/command.rs
@@ -28,11 +28,8 @@
     Leave(LeaveCommand),
     /// Adds a database that announced itself, or updates it.
     Upstream(UpstreamCommand),
-    /// Removes a database. Elections still count it until it is forgotten, announces itself again or
-    /// another one announces itself at its address.
+    /// Removes a database, on whose log no acknowledged commit depends any more.
     DropUpstream(UpstreamId),
-    /// Stops counting a removed database in elections.
-    ForgetUpstream(UpstreamId),
     /// Changes a group's term or primary.
     Group(GroupCommand),
     /// Records or withdraws the choice of a group's next primary.
--- a/crates/daisyseam-coord/src/fleet/record.rs
+++ b/crates/daisyseam-coord/src/fleet/record.rs
@@ -19,7 +19,6 @@
     SubmitNewestCommand,
     UpstreamCommand,
     UsageHistory,
-    state::DroppedUpstream,
     usage_record::{
         UsageRecord,
         WindowRecord, //
@@ -86,7 +85,6 @@
                 born_ms: command.born_ms,
             }),
             Self::DropUpstream(upstream) => Body::DropUpstream(upstream.to_string()),
-            Self::ForgetUpstream(upstream) => Body::ForgetUpstream(upstream.to_string()),
             Self::Group(command) => Body::Group(GroupChangeRecord {
                 expected: command.expected.0,
                 group: Some(GroupRecord::of(
@@ -163,7 +161,6 @@
                 born_ms: record.born_ms,
             }),
             Body::DropUpstream(name) => Self::DropUpstream(read(&name)?),
-            Body::ForgetUpstream(name) => Self::ForgetUpstream(read(&name)?),
             Body::Group(record) => {
                 let expected = Term(record.expected);
                 let record = record.group?;
@@ -258,15 +255,6 @@
                     CopiesRecord::of(group.as_str(), guarantee.copies, guarantee.since)
                 })
                 .collect(),
-            dropped: self
-                .dropped
-                .iter()
-                .map(|(upstream, dropped)| DroppedRecord {
-                    upstream: upstream.to_string(),
-                    group: dropped.group.to_string(),
-                    address: dropped.address.to_string(),
-                })
-                .collect(),
             usage: (self.usage != UsageHistory::default()).then(|| UsageRecord::of(&self.usage)),
             choices: self
                 .choices
@@ -321,13 +309,6 @@
             }
             state.caught_up.insert(name, record.born_ms);
         }
-        for record in &record.dropped {
-            let dropped = DroppedUpstream {
-                group: read(&record.group)?,
-                address: read(&record.address)?,
-            };
-            state.dropped.insert(read(&record.upstream)?, dropped);
-        }
         for record in &record.copies {
             let guarantee = record.to_guarantee()?;
             state.copies.insert(read(&record.group)?, guarantee);
@@ -346,13 +327,11 @@
 
 #[derive(Clone, PartialEq, prost::Message)]
 struct CommandRecord {
-    #[prost(
-        oneof = "Body",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15"
-    )]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 12, 13, 14, 15")]
     body: Option<Body>,
 }
 
+/// Tag 11 is reserved: earlier versions removed databases from elections with it.
 #[derive(Clone, PartialEq, prost::Oneof)]
 enum Body {
     #[prost(message, tag = "1")]
@@ -375,8 +354,6 @@
     Evacuate(EvacuateRecord),
     #[prost(message, tag = "10")]
     CaughtUp(CaughtUpRecord),
-    #[prost(string, tag = "11")]
-    ForgetUpstream(String),
     #[prost(message, tag = "12")]
     CloseUsage(WindowRecord),
     #[prost(uint64, tag = "13")]
@@ -431,16 +408,6 @@
     born_ms: u64,
 }
 
-#[derive(Clone, PartialEq, prost::Message)]
-struct DroppedRecord {
-    #[prost(string, tag = "1")]
-    upstream: String,
-    #[prost(string, tag = "2")]
-    group: String,
-    #[prost(string, tag = "3")]
-    address: String,
-}
-
 #[derive(Clone, PartialEq, prost::Message)]
 struct LeaveRecord {
     #[prost(string, tag = "1")]
@@ -469,6 +436,7 @@
     holder: String,
 }
 
+/// Tag 9 is reserved: earlier versions listed databases there that elections still counted.
 #[derive(Clone, PartialEq, prost::Message)]
 struct StateRecord {
     #[prost(uint64, tag = "1")]
@@ -487,8 +455,6 @@
     evacuated: Vec<String>,
     #[prost(message, repeated, tag = "8")]
     caught_up: Vec<CaughtUpRecord>,
-    #[prost(message, repeated, tag = "9")]
-    dropped: Vec<DroppedRecord>,
     #[prost(message, optional, tag = "10")]
     usage: Option<UsageRecord>,
     #[prost(message, repeated, tag = "11")]
--- a/crates/daisyseam-coord/src/fleet/state.rs
+++ b/crates/daisyseam-coord/src/fleet/state.rs
@@ -40,7 +40,6 @@
         BTreeMap,
         BTreeSet, //
     },
-    net::SocketAddr,
     sync::Arc, //
 };
 
@@ -52,8 +51,6 @@
     pub(super) last_incarnation: Incarnation,
     /// Databases whose copies of commits count, with the start time of the last process that caught up.
     pub(super) caught_up: BTreeMap<UpstreamId, u64>,
-    /// Databases that were removed from the view and may still run.
-    pub(super) dropped: BTreeMap<UpstreamId, DroppedUpstream>,
     /// How many databases have each acknowledged commit of a group.
     pub(super) copies: BTreeMap<GroupId, CopyGuarantee>,
     /// The chosen next primary of fenced groups.
@@ -62,13 +59,6 @@
     pub(super) usage: UsageHistory,
 }
 
-/// A database that was removed from the view and may still run.
-#[derive(Clone, Debug)]
-pub(super) struct DroppedUpstream {
-    pub(super) group: GroupId,
-    pub(super) address: SocketAddr,
-}
-
 impl FleetState {
     /// Returns the current view.
     pub fn view(&self) -> &Arc<FleetView> {
@@ -104,13 +94,6 @@
         members.filter(|(name, _)| self.is_voter(name)).count()
     }
 
-    /// Iterates over the databases that were removed from the view and may still run without contact
-    /// to control, with the group whose commits they may receive.
-    pub fn dropped_upstreams(&self) -> impl Iterator<Item = (&UpstreamId, &GroupId)> {
-        let dropped = self.dropped.iter();
-        dropped.map(|(name, upstream)| (name, &upstream.group))
-    }
-
     /// Returns the database that has been chosen as the next primary of a fenced group.
     pub fn chosen_primary(&self, group: &GroupId) -> Option<&ChosenPrimary> {
         self.choices.get(group)
@@ -130,7 +113,6 @@
             FleetCommand::Leave(leave) => self.leave(leave),
             FleetCommand::Upstream(upstream) => self.update_upstream(upstream),
             FleetCommand::DropUpstream(upstream) => self.drop_upstream(upstream),
-            FleetCommand::ForgetUpstream(upstream) => self.forget_upstream(upstream),
             FleetCommand::Group(group) => self.update_group(group),
             FleetCommand::Choose(command) => self.choose_primary(command),
             FleetCommand::Holder(holder) => self.update_holder(holder),
@@ -244,11 +226,6 @@
             // A late announcement of a process that has been replaced.
             return CommandOutcome::Refused(RefusalReason::Superseded);
         }
-        // A database that announces itself is back in the view, and any removed database at its
-        // address has shut down.
-        self.dropped.retain(|name, dropped| {
-            *name != command.upstream && dropped.address != command.address
-        });
         let upstream = UpstreamView {
             group: command.group.clone(),
             data_centre: command.data_centre.clone(),
@@ -279,16 +256,6 @@
         if in_use {
             return CommandOutcome::Refused(RefusalReason::Superseded);
         }
-        let mut others = self.view.upstreams.iter();
-        let replaced =
-            others.any(|(other, known)| other != name && known.address == upstream.address);
-        if !replaced && self.view.groups.contains_key(&upstream.group) {
-            let dropped = DroppedUpstream {
-                group: upstream.group.clone(),
-                address: upstream.address,
-            };
-            self.dropped.insert(name.clone(), dropped);
-        }
         let group = upstream.group.clone();
         let was_voter = self.caught_up.remove(name).is_some();
         self.change(ViewChanges::of_upstream(name), |view| {
@@ -300,13 +267,6 @@
         CommandOutcome::Done
     }
 
-    fn forget_upstream(&mut self, name: &UpstreamId) -> CommandOutcome {
-        match self.dropped.remove(name) {
-            Some(_) => CommandOutcome::Done,
-            None => CommandOutcome::Refused(RefusalReason::Unknown),
-        }
-    }
-
     fn record_caught_up(&mut self, command: &CaughtUpCommand) -> CommandOutcome {
         let Some(upstream) = self.view.upstreams.get(&command.upstream) else {
             return CommandOutcome::Refused(RefusalReason::Unknown);
--- a/crates/daisyseam-coord/src/promotion/group.rs
+++ b/crates/daisyseam-coord/src/promotion/group.rs
@@ -93,8 +93,6 @@
     /// Number of databases according to the document; 0 for as many as there are members. Groups with
     /// synchronous replication do not use it.
     pub expected: usize,
-    /// Number of databases that were removed from the view but may still run and receive commits.
-    pub dropped: usize,
     /// The database that the log names as the next primary, if the group is fenced.
     pub chosen: Option<&'a ChosenPrimary>,
     /// When a commit of the group counts as durable.
--- a/crates/daisyseam-coord/src/promotion/synchronous/election.rs
+++ b/crates/daisyseam-coord/src/promotion/synchronous/election.rs
@@ -96,8 +96,6 @@
     voters: usize,
     /// Number of databases in the view.
     listed: usize,
-    /// Number of databases that were removed from the view and may still run.
-    dropped: usize,
 }
 
 impl fmt::Display for ElectionBasis {
@@ -106,11 +104,8 @@
             Some(end) => write!(out, "the former primary was stopped at {end}")?,
             None => write!(out, "{} stopped databases were needed", self.quorum)?,
         }
-        let (voters, listed, dropped) = (self.voters, self.listed, self.dropped);
-        write!(
-            out,
-            "; {voters} voters of {listed} listed, {dropped} dropped"
-        )?;
+        let (voters, listed) = (self.voters, self.listed);
+        write!(out, "; {voters} voters of {listed} listed")?;
         for (name, report) in &self.ends {
             let state = match report.stopped {
                 true => "stopped",
@@ -264,7 +259,6 @@
             quorum: stop_quorum(facts),
             voters: voters(facts).count(),
             listed: facts.members.len(),
-            dropped: facts.dropped,
         }
     }
 
@@ -351,8 +345,7 @@
         let counts_learners = facts.copies == 0 || voters(facts).next().is_none();
         let mut needed = facts.members.iter();
         let is_needed = |member: &MemberFacts| member.voter || counts_learners;
-        facts.dropped == 0
-            && needed.all(|member| !is_needed(member) || is_stopped(member) || is_vacated(member))
+        needed.all(|member| !is_needed(member) || is_stopped(member) || is_vacated(member))
     }
 
     /// Chooses the stopped database whose log ends last, if at least one of the stopped databases has
@@ -379,8 +372,8 @@
 
 /// Returns how many databases must be stopped so that at least one has each acknowledged commit.
 fn stop_quorum(facts: GroupFacts<'_>) -> usize {
-    let members = voters(facts).count() + facts.dropped;
-    members + 1 - facts.copies.min(members)
+    let voters = voters(facts).count();
+    voters + 1 - facts.copies.min(voters)
 }
 
 /// Iterates over the databases that elections count. A learner has no copy that counts for a commit.
--- a/crates/daisyseam-coord/src/promotion/synchronous/election/tests.rs
+++ b/crates/daisyseam-coord/src/promotion/synchronous/election/tests.rs
@@ -36,11 +36,10 @@
         quorum: 2,
         voters: 3,
         listed: 4,
-        dropped: 1,
     };
     assert_eq!(
         basis.to_string(),
-        "2 stopped databases were needed; 3 voters of 4 listed, 1 dropped; \
+        "2 stopped databases were needed; 3 voters of 4 listed; \
          a stopped at 2:0/20; b running at 2:0/1F"
     );
 }
