--- a/crates/daisyseam-control/tests/core_support/clients.rs
+++ b/crates/daisyseam-control/tests/core_support/clients.rs
@@ -14,7 +14,8 @@
     LogPosition,
     Position,
     PrimaryState,
-    Term, //
+    Term,
+    document::CommitPolicy, //
 };
 use std::collections::{
     BTreeMap,
@@ -34,6 +35,8 @@
     primary: String,
     at: LogPosition,
     write: u64,
+    /// Replicas that the document asked for when it began.
+    replicas: usize,
     acknowledged: bool,
 }
 
@@ -47,8 +50,6 @@
 /// What clients were told of their commits.
 #[derive(Debug)]
 pub(crate) struct ClientLedger {
-    /// Replicas that the document asks for.
-    pub(crate) replicas: usize,
     /// Whether clients are told as soon as the database acknowledges.
     trusts_databases: bool,
     pub(crate) told: BTreeSet<u64>,
@@ -60,9 +61,8 @@
 }
 
 impl ClientLedger {
-    pub(crate) fn new(replicas: usize, trusts_databases: bool) -> Self {
+    pub(crate) fn new(trusts_databases: bool) -> Self {
         Self {
-            replicas,
             trusts_databases,
             told: BTreeSet::new(),
             missing: 0,
@@ -71,7 +71,13 @@
         }
     }
 
-    pub(super) fn begin(&mut self, now: u64, entry: usize, primary: &DatabaseCopy, write: u64) {
+    pub(super) fn begin(
+        &mut self,
+        now: u64,
+        (entry, replicas): (usize, usize),
+        primary: &DatabaseCopy,
+        write: u64,
+    ) {
         self.pending.push(PendingCommit {
             begun: now,
             entry,
@@ -81,6 +87,7 @@
                 position: Position(primary.log.len() as u64),
             },
             write,
+            replicas,
             acknowledged: false,
         });
     }
@@ -105,7 +112,7 @@
             });
             name.as_str() != commit.primary && upstream.voter && !upstream.leaving && has
         });
-        let enough = listed.count() >= self.replicas;
+        let enough = listed.count() >= commit.replicas.max(entry.replicas());
         let mut listed = entry.view.upstreams.iter();
         let primary = listed.find(|(name, _)| name.as_str() == commit.primary);
         let enough = enough && primary.is_some_and(|(_, primary)| primary.voter);
@@ -113,6 +120,18 @@
     }
 }
 
+impl Entry {
+    /// Returns how many replicas must have a commit by the document of its view.
+    pub(super) fn replicas(&self) -> usize {
+        let document = self.view.document.as_ref();
+        let entry = document.and_then(|document| document.groups.get(GROUP));
+        match entry.map(|entry| entry.commit) {
+            Some(CommitPolicy::Replicas(replicas)) => replicas,
+            Some(CommitPolicy::Majority) | None => usize::MAX,
+        }
+    }
+}
+
 impl Simulation {
     /// Asks the databases for their positions, and tells clients of commits.
     pub(super) fn tell_clients(&mut self) {
--- a/crates/daisyseam-control/tests/core_support/direct.rs
+++ b/crates/daisyseam-control/tests/core_support/direct.rs
@@ -494,7 +494,7 @@
     }
 
     /// Writes to the database that an entry considers the primary.
-    pub(crate) fn write(&mut self, now: u64, entry: (usize, u8), name: &str) {
+    pub(crate) fn write(&mut self, now: u64, entry: (usize, u8), replicas: usize, name: &str) {
         let Some(number) = self.position(name) else {
             return;
         };
@@ -504,7 +504,7 @@
             self.written += 1;
             copy.log.push((copy.term, self.written));
             if let Some(clients) = &mut self.clients {
-                clients.begin(now, entry, copy, self.written);
+                clients.begin(now, (entry, replicas), copy, self.written);
             }
         }
     }
@@ -764,7 +764,8 @@
                 && now < entry.lease_until
                 && (!entry.disconnected || group.clients.is_some())
             {
-                group.write(now, (number, entry.side), primary.as_str());
+                let replicas = entry.replicas();
+                group.write(now, (number, entry.side), replicas, primary.as_str());
             }
         }
     }
--- a/crates/daisyseam-control/tests/unlisted.rs
+++ b/crates/daisyseam-control/tests/unlisted.rs
@@ -35,17 +35,10 @@
 fn start_fleet(copies: usize, replicas: usize, trusts_databases: bool) -> Simulation {
     let mut sim = Simulation::new(3, 0, 2);
     let mut databases = DirectGroup::new(copies, false);
-    databases.clients = Some(ClientLedger::new(replicas, trusts_databases));
+    databases.clients = Some(ClientLedger::new(trusts_databases));
     databases.replicas = replicas;
     sim.direct = Some(databases);
-    let policy = format!("acknowledging_replicas = {replicas}");
-    let text = document(1).replace("databases = 3", &policy);
-    sim.order(Body::SubmitNewest(SubmitNewestRequest {
-        number: 1,
-        text,
-        source: String::new(),
-        operator: "amalia".to_owned(),
-    }));
+    sim.order(submit_replicas(1, replicas));
     sim.writes = true;
     sim.advance_until("the fleet is up", |sim| {
         sim.primary(0).is_some() && sim.primary(1).is_some() && settled(sim) == copies
@@ -53,6 +46,17 @@
     sim
 }
 
+/// Returns the submission of a document that asks for a number of replicas.
+fn submit_replicas(number: u64, replicas: usize) -> Body {
+    let policy = format!("acknowledging_replicas = {replicas}");
+    Body::SubmitNewest(SubmitNewestRequest {
+        number,
+        text: document(number).replace("databases = 3", &policy),
+        source: String::new(),
+        operator: "amalia".to_owned(),
+    })
+}
+
 fn group(sim: &mut Simulation) -> &mut DirectGroup {
     sim.direct.as_mut().expect("a group")
 }
@@ -105,14 +109,19 @@
     sim
 }
 
-/// Ends all faults, and expects that clients are told of commits again and that none is missing.
-fn heal(sim: &mut Simulation) {
+/// Ends all faults of control.
+fn heal_control(sim: &mut Simulation) {
     sim.disconnected_members.clear();
     for member in 0..3 {
         if !sim.runs(member) {
             sim.start(member);
         }
     }
+}
+
+/// Ends all faults, and expects that clients are told of commits again and that none is missing.
+fn heal(sim: &mut Simulation) {
+    heal_control(sim);
     for entry in &mut sim.entries {
         (entry.side, entry.disconnected) = (0, false);
     }
@@ -172,6 +181,8 @@
     sim: Simulation,
     random: ChaCha8Rng,
     leaving: Vec<(u64, usize, Departure)>,
+    /// Number of the document in force, if the run changes documents.
+    document: Option<u64>,
 }
 
 impl RandomRun {
@@ -187,11 +198,13 @@
             sim: start_fleet(copies, replicas, false),
             random: ChaCha8Rng::seed_from_u64(seed),
             leaving: Vec::new(),
+            document: None,
         }
     }
 
     fn play(mut self, faults: usize) {
         for _ in 0..faults {
+            self.change_document();
             self.inject_fault();
             let until = self.sim.now + self.random.random_range(1..700);
             while self.sim.now < until {
@@ -203,9 +216,34 @@
             self.sim.advance(1);
             self.end_leaving();
         }
+        if let Some(number) = self.document {
+            heal_control(&mut self.sim);
+            require_replicas(&mut self.sim, number + 1, 1);
+        }
         heal(&mut self.sim);
     }
 
+    /// Changes the number of replicas at times, or has a database announced that never runs.
+    fn change_document(&mut self) {
+        let Some(number) = &mut self.document else {
+            return;
+        };
+        match self.random.random_range(0..5) {
+            0 | 1 => {
+                *number += 1;
+                let replicas = self.random.random_range(0..=2);
+                let submit = submit_replicas(*number, replicas);
+                group(&mut self.sim).replicas = replicas;
+                request_everywhere(&mut self.sim, &submit);
+            }
+            2 => {
+                let announce = announce_nowhere(&format!("nowhere-{number}"), 77);
+                request_everywhere(&mut self.sim, &announce);
+            }
+            _ => {}
+        }
+    }
+
     fn end_leaving(&mut self) {
         let now = self.sim.now;
         let databases = self.sim.direct.as_mut().expect("a group");
@@ -317,6 +355,20 @@
     }
 }
 
+/// Guards against elections that rely on more copies than the documents of the past asked for.
+#[test_case(0)]
+#[test_case(1)]
+#[test_case(2)]
+fn no_commit_is_lost_while_the_number_of_replicas_changes(lane: u64) {
+    for number in (lane..runs()).step_by(3) {
+        let seed = first_seed() + number;
+        println!("seed {seed}");
+        let mut run = RandomRun::of(seed, 3 + (seed % 2) as usize, 1);
+        run.document = Some(1);
+        run.play(14);
+    }
+}
+
 /// Starts a fleet in which control no longer hears from `copy-1`, which goes on receiving commits.
 fn fleet_with_silent_copy() -> Simulation {
     let mut sim = start_fleet(3, 1, false);
@@ -477,18 +529,8 @@
 
 /// Makes the document ask for a number of replicas, as entries and databases do from then on.
 fn require_replicas(sim: &mut Simulation, number: u64, replicas: usize) {
-    let policy = format!("acknowledging_replicas = {replicas}");
-    sim.order(Body::SubmitNewest(SubmitNewestRequest {
-        number,
-        text: document(number).replace("databases = 3", &policy),
-        source: String::new(),
-        operator: "amalia".to_owned(),
-    }));
-    let databases = group(sim);
-    databases.replicas = replicas;
-    if let Some(clients) = &mut databases.clients {
-        clients.replicas = replicas;
-    }
+    sim.order(submit_replicas(number, replicas));
+    group(sim).replicas = replicas;
 }
 
 /// Loses the primary for good while `copy-2` lacks commits and `copy-1` is silent for 7 s.
@@ -604,16 +646,11 @@
     heal(sim);
 }
 
-/// Guards against a group that stays without a primary because an announced database doesn't exist,
-/// never runs or never catches up.
-#[test_case(0; "without a start time")]
-#[test_case(77; "with a start time")]
-fn an_announced_database_that_never_runs_blocks_no_election(born_ms: u64) {
-    let mut sim = start_fleet(3, 1, false);
-    sim.advance(1_000);
-    sim.order(Body::Announce(AnnounceRequest {
+/// Returns the announcement of a database that does not exist.
+fn announce_nowhere(name: &str, born_ms: u64) -> Body {
+    Body::Announce(AnnounceRequest {
         report: Some(UpstreamReport {
-            upstream: "nowhere".to_owned(),
+            upstream: name.to_owned(),
             group: GROUP.to_owned(),
             data_centre: "khomas-1".to_owned(),
             address: "127.0.0.1:9".to_owned(),
@@ -623,7 +660,24 @@
             ..UpstreamReport::default()
         }),
         gone: false,
-    }));
+    })
+}
+
+/// Sends a request to each member of control, which may all be cut off.
+fn request_everywhere(sim: &mut Simulation, body: &Body) {
+    for member in 0..3 {
+        sim.request(member, body.clone(), 1);
+    }
+}
+
+/// Guards against a group that stays without a primary because an announced database doesn't exist,
+/// never runs or never catches up.
+#[test_case(0; "without a start time")]
+#[test_case(77; "with a start time")]
+fn an_announced_database_that_never_runs_blocks_no_election(born_ms: u64) {
+    let mut sim = start_fleet(3, 1, false);
+    sim.advance(1_000);
+    sim.order(announce_nowhere("nowhere", born_ms));
     sim.advance(3_000);
     assert_eq!(listed(&sim), 4);
     let now = sim.now;
