Demote a voter that is silent or restarted while enough others remain

What callers saw: a service lost one of three databases for good, and nine seconds later its primary.

Cause: a voter counted in elections until it left the list, after 15 s of silence, and nothing recorded that the others had all commits long before.

Change: two steps make it a learner that stays on the list. The view shows that its copies no longer count; once no instance acts on an earlier view and as many others as a commit has copies have reached a later position of the primary, elections stop counting it. It stays a voter if fewer than that would remain. A restarted voter goes the same way if it doesn't catch up.

Tests of unlisted.rs that isolated a copy some milliseconds before another one was dropped now do so before it is demoted, which comes first; they check the same.

--- a/crates/daisyseam-control/src/core/survey.rs
+++ b/crates/daisyseam-control/src/core/survey.rs
@@ -17,10 +17,17 @@
 use crate::admin::AdminCall;
 use daisyseam_coord::{
     Moment,
-    fleet::{CaughtUpCommand, CopiesCommand, CopyGuarantee, FleetCommand, FleetState},
+    fleet::{
+        CaughtUpCommand,
+        CopiesCommand,
+        CopyGuarantee,
+        FleetCommand,
+        FleetState,
+        VoterCommand, //
+    },
     promotion::{
-        CallKind, //
-        CallOutcome,
+        CallKind,
+        CallOutcome, //
     }, //
 };
 use daisyseam_model::{
@@ -46,6 +53,8 @@
 
 /// Time between two rounds of state requests.
 const SURVEY_INTERVAL: Duration = Duration::from_millis(500);
+/// Time without an announcement after which a voter that answers no calls either is suspended.
+const SUSPEND_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time without an announcement after which a leaving database counts as gone.
 const GONE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time without an announcement after which a database that answers no calls either counts as gone.
@@ -63,19 +72,20 @@
     /// Databases, with their process start times, that get a goal from the next answer of the
     /// primary. They are noted before the primary is asked, so that its answer is newer.
     awaiting_goal: Vec<(UpstreamId, u64)>,
-    /// Likewise, departing databases that no instance counts any more.
+    /// Likewise, departing databases and voters that no instance counts any more.
     awaiting_drop_goal: Vec<(UpstreamId, u64)>,
     /// Log positions to reach, with the start time of the process for which each was set.
     goals: BTreeMap<UpstreamId, (u64, LogPosition)>,
-    /// Log positions that others must reach before a departing database is dropped.
+    /// Log positions that others must reach before a departing database is dropped or a voter demoted.
     drop_goals: BTreeMap<UpstreamId, (u64, LogPosition)>,
     /// View that instances had confirmed before the primary was asked for the next `copies_goal`.
     awaiting_copies_goal: Option<ViewNumber>,
     /// Log position that members must reach before commits count as having more copies, with the view
     /// that instances had confirmed before.
     copies_goal: Option<(ViewNumber, LogPosition)>,
-    /// Departing databases that the view shows as leaving, with the first view in which they were found so.
-    leaving_since: BTreeMap<UpstreamId, ViewNumber>,
+    /// Departing databases and voters whose copies do not count by the view, with the first view in
+    /// which they were found so.
+    uncounted_since: BTreeMap<UpstreamId, ViewNumber>,
     /// The primary, and the minimum term that it must lead.
     primary: Option<(UpstreamId, Term)>,
 }
@@ -152,6 +162,10 @@
     unsettled: BTreeSet<&'a UpstreamId>,
     /// Members that announced that they are gone, or that have been silent for too long.
     departing: BTreeSet<&'a UpstreamId>,
+    /// Voters that are silent, while enough others are not.
+    silent: BTreeSet<&'a UpstreamId>,
+    /// Voters whose copies do not count by the view.
+    suspended: BTreeSet<&'a UpstreamId>,
 }
 
 impl ControlCore {
@@ -193,7 +207,7 @@
         };
         let survey = leader.surveys.entry(group.clone()).or_default();
         survey.reset_on_primary_change(&facts);
-        survey.note_leaving(view.number, &facts);
+        survey.note_uncounted(view.number, &facts);
         let command = survey.next_command(&facts, &self.fleet);
         let is_confirmed = |number| leader.leases.is_change_complete(now, number);
         let asks = survey.next_round(now, &facts, is_confirmed);
@@ -245,12 +259,28 @@
             .filter(is_departing)
             .map(|(name, _)| *name)
             .collect();
-        let unsettled = members.iter().map(|(name, _)| *name);
-        let unsettled =
-            unsettled.filter(|name| !fleet.has_caught_up(name) && !departing.contains(name));
+        let unsettled = members
+            .iter()
+            .filter(|(name, upstream)| !upstream.voter && !departing.contains(name));
+        let unsettled = unsettled.map(|(name, _)| *name).collect();
+        let suspended = members
+            .iter()
+            .filter(|(name, upstream)| *name != primary && !upstream.voter && fleet.is_voter(name));
+        let suspended = suspended.map(|(name, _)| *name).collect();
+        let counted = members
+            .iter()
+            .filter(|(_, upstream)| upstream.voter && !upstream.leaving);
+        let (silent, heard): (Vec<_>, Vec<_>) =
+            counted.partition(|(name, _)| *name != primary && silence(name) >= SUSPEND_TIMEOUT);
+        let silent = match heard.len() >= replicas.copies(usize::MAX) {
+            true => silent.iter().map(|(name, _)| *name).collect(),
+            false => BTreeSet::new(),
+        };
         Some(SurveyFacts {
-            unsettled: unsettled.collect(),
+            unsettled,
             departing,
+            silent,
+            suspended,
             members,
             primary,
             name: group,
@@ -264,7 +294,11 @@
 
 impl SurveyFacts<'_> {
     fn has_work(&self) -> bool {
-        !self.unsettled.is_empty() || !self.departing.is_empty() || self.lacks_copies()
+        !self.unsettled.is_empty()
+            || !self.departing.is_empty()
+            || !self.silent.is_empty()
+            || !self.suspended.is_empty()
+            || self.lacks_copies()
     }
 
     /// Returns whether commits may get more copies than elections rely on.
@@ -303,9 +337,12 @@
         if let Some((name, _)) = gone {
             return Some(FleetCommand::DropUpstream((*name).clone()));
         }
-        if let Some(command) = self.copies_command(facts, fleet) {
+        if let Some(command) = self.copies_command(facts) {
             return Some(FleetCommand::Copies(command));
         }
+        if let Some(command) = self.voter_command(facts) {
+            return Some(command);
+        }
         let mut silent = facts.members.iter().filter(|(name, upstream)| {
             let unanswered = self.unanswered.contains(*name);
             facts.departing.contains(name) && !upstream.leaving && unanswered
@@ -314,14 +351,39 @@
         Some(leave_command(name, upstream))
     }
 
+    /// Returns a command that stops counting a silent voter, or demotes one that no instance counts
+    /// any more once enough others have each acknowledged commit.
+    fn voter_command(&self, facts: &SurveyFacts<'_>) -> Option<FleetCommand> {
+        let command = |(name, upstream): &(&UpstreamId, &UpstreamView)| VoterCommand {
+            upstream: (*name).clone(),
+            born_ms: upstream.born_ms,
+        };
+        let mut members = facts.members.iter();
+        let silent = members
+            .find(|(name, _)| facts.silent.contains(name) && self.unanswered.contains(*name));
+        if let Some(silent) = silent {
+            return Some(FleetCommand::SuspendVoter(command(silent)));
+        }
+        let mut members = facts.members.iter();
+        let suspended = members.find(|(name, upstream)| {
+            let goal = position_of(&self.drop_goals, name, upstream.born_ms);
+            let is_enough = |goal| {
+                let needed = facts.replicas.copies(usize::MAX);
+                self.count_reached(facts, goal) >= needed
+            };
+            facts.suspended.contains(name) && goal.is_some_and(is_enough)
+        });
+        Some(FleetCommand::DemoteVoter(command(suspended?)))
+    }
+
     /// Returns a command that raises the number of copies that elections rely on, if enough members
     /// provably have each acknowledged commit.
-    fn copies_command(&self, facts: &SurveyFacts<'_>, fleet: &FleetState) -> Option<CopiesCommand> {
+    fn copies_command(&self, facts: &SurveyFacts<'_>) -> Option<CopiesCommand> {
         let known = facts.copies?;
         let (since, goal) = self
             .copies_goal
             .filter(|(since, _)| *since == known.since)?;
-        let reached = self.count_reached(facts, fleet, goal);
+        let reached = self.count_reached(facts, goal);
         let copies = reached.min(facts.replicas.copies(facts.voters));
         (copies > known.copies).then(|| CopiesCommand {
             group: facts.name.clone(),
@@ -330,36 +392,33 @@
         })
     }
 
-    /// Returns how many members have caught up, stay, and have reached a position of the primary's log.
-    fn count_reached(
-        &self,
-        facts: &SurveyFacts<'_>,
-        fleet: &FleetState,
-        goal: LogPosition,
-    ) -> usize {
+    /// Returns how many voters stay, count for commits, and have reached a position of the primary's log.
+    fn count_reached(&self, facts: &SurveyFacts<'_>, goal: LogPosition) -> usize {
         let reached = facts.members.iter().filter(|(name, upstream)| {
             let leads = *name == facts.primary;
-            let stays = fleet.has_caught_up(name) && !facts.departing.contains(name);
+            let stays = upstream.voter && !facts.departing.contains(name);
             stays && (leads || self.has_reached(facts, (name, upstream), goal))
         });
         reached.count()
     }
 
-    /// Notes since which view instances can know that a departing database leaves.
-    fn note_leaving(&mut self, number: ViewNumber, facts: &SurveyFacts<'_>) {
-        let leaving = facts.members.iter();
-        let leaving =
-            leaving.filter(|(name, upstream)| upstream.leaving && facts.departing.contains(name));
-        let known = std::mem::take(&mut self.leaving_since);
+    /// Notes since which view instances can know that the copies of a database do not count.
+    fn note_uncounted(&mut self, number: ViewNumber, facts: &SurveyFacts<'_>) {
+        let uncounted = facts.members.iter().filter(|(name, upstream)| {
+            let is_leaving = upstream.leaving && facts.departing.contains(name);
+            is_leaving || facts.suspended.contains(name)
+        });
+        let known = std::mem::take(&mut self.uncounted_since);
         let since = |name: &UpstreamId| known.get(name).copied().unwrap_or(number);
-        self.leaving_since = leaving
+        self.uncounted_since = uncounted
             .map(|(name, _)| ((*name).clone(), since(name)))
             .collect();
         // One that was counted again in the meantime needs a later position.
-        let leaving = &self.leaving_since;
-        self.drop_goals.retain(|name, _| leaving.contains_key(name));
+        let uncounted = &self.uncounted_since;
+        self.drop_goals
+            .retain(|name, _| uncounted.contains_key(name));
         self.awaiting_drop_goal
-            .retain(|(name, _)| leaving.contains_key(name));
+            .retain(|(name, _)| uncounted.contains_key(name));
     }
 
     fn has_caught_up(
@@ -388,7 +447,7 @@
         };
         let voters = facts.voters - usize::from(fleet.is_voter(name));
         let needed = facts.replicas.copies(voters);
-        self.count_reached(facts, fleet, goal) >= needed
+        self.count_reached(facts, goal) >= needed
     }
 
     /// Starts the next round if it is due, and returns the databases to ask.
@@ -413,7 +472,7 @@
         let waiting = facts.members.iter().filter(|(name, upstream)| {
             let goal = position_of(&self.drop_goals, name, upstream.born_ms);
             // Until then, instances may count what it receives.
-            let since = self.leaving_since.get(*name).copied();
+            let since = self.uncounted_since.get(*name).copied();
             since.is_some_and(&is_confirmed) && goal.is_none()
         });
         self.awaiting_drop_goal = waiting.map(named).collect();
@@ -432,7 +491,11 @@
                 return asks_primary;
             }
             // Whether a member can be dropped depends on how far all others have caught up.
-            facts.unsettled.contains(name) || !facts.departing.is_empty() || since.is_some()
+            facts.unsettled.contains(name)
+                || facts.silent.contains(name)
+                || !facts.departing.is_empty()
+                || !facts.suspended.is_empty()
+                || since.is_some()
         });
         self.pending = asked
             .map(|(name, upstream)| ((*name).clone(), upstream.born_ms))
--- a/crates/daisyseam-control/tests/unlisted.rs
+++ b/crates/daisyseam-control/tests/unlisted.rs
@@ -381,13 +381,13 @@
     sim.core(leader).fleet().view().upstreams.len()
 }
 
-/// Drops the silent `copy-1`, and isolates `copy-2` some milliseconds before.
-fn drop_beside_an_isolated_copy(millis: u64) -> Simulation {
+/// Demotes the silent `copy-1`, and isolates `copy-2` some milliseconds before.
+fn demote_beside_an_isolated_copy(millis: u64) -> Simulation {
     let mut sim = fleet_with_silent_copy();
-    sim.advance_until("it is dropped", |sim| listed(sim) == 2);
-    let dropped_at = sim.now;
+    sim.advance_until("it is demoted", |sim| voters(sim) == 2);
+    let demoted_at = sim.now;
     let mut sim = fleet_with_silent_copy();
-    sim.advance(dropped_at - millis - sim.now);
+    sim.advance(demoted_at - millis - sim.now);
     group(&mut sim).copies[2].isolated = true;
     sim.entries[0].disconnected = true;
     sim.advance(3_000);
@@ -404,25 +404,25 @@
     heal(sim);
 }
 
-/// Guards against the loss of commits that an entry confirmed by a copy just before it was dropped,
-/// and against elections that wait for a dropped copy. Each promotion is checked for lost commits.
+/// Guards against the loss of commits that an entry confirmed by a copy just before it was demoted,
+/// and against elections that wait for a demoted copy. Each promotion is checked for lost commits.
 #[test_case(1)]
 #[test_case(30)]
-fn no_commit_depends_on_a_copy_that_was_dropped_while_an_entry_counted_it(millis: u64) {
-    let mut sim = drop_beside_an_isolated_copy(millis);
-    assert_eq!(listed(&sim), 2);
+fn no_commit_depends_on_a_copy_that_was_demoted_while_an_entry_counted_it(millis: u64) {
+    let mut sim = demote_beside_an_isolated_copy(millis);
+    assert_eq!(voters(&sim), 2);
     let now = sim.now;
     group(&mut sim).crash(now, 0, 900_000);
     expect_replacement(&mut sim, "copy-0");
 }
 
 /// Guards against the loss of commits of a silent copy that the other ones may lack, so that it is not
-/// dropped.
+/// demoted.
 #[test_case(150)]
 #[test_case(700)]
 fn a_copy_whose_commits_the_others_may_lack_is_missed_by_elections(millis: u64) {
-    let mut sim = drop_beside_an_isolated_copy(millis);
-    assert_eq!(listed(&sim), 3);
+    let mut sim = demote_beside_an_isolated_copy(millis);
+    assert_eq!(voters(&sim), 3);
     wait_for_the_primary_alone(&mut sim);
 }
 
@@ -453,8 +453,8 @@
 
 #[test_case(30)]
 #[test_case(700)]
-fn a_copy_dropped_while_an_entry_counts_it_is_not_forgotten_by_time_alone(millis: u64) {
-    let mut sim = drop_beside_an_isolated_copy(millis);
+fn a_copy_demoted_while_an_entry_counts_it_is_not_forgotten_by_time_alone(millis: u64) {
+    let mut sim = demote_beside_an_isolated_copy(millis);
     sim.writes = false;
     sim.advance(62_000);
     let now = sim.now;
@@ -714,3 +714,76 @@
     databases.copies[successor].address = databases.copies[0].address;
     expect_replacement(&mut sim, "copy-0");
 }
+
+/// Sets whether a database is silent: it runs, and neither control nor other databases reach it.
+fn set_silent(sim: &mut Simulation, number: usize, is_silent: bool) {
+    let copy = &mut group(sim).copies[number];
+    copy.disconnected = is_silent;
+    copy.hidden_from_entries = is_silent;
+    copy.isolated = is_silent;
+}
+
+fn voters(sim: &Simulation) -> usize {
+    let leader = sim.leader().expect("a leader");
+    let fleet = sim.core(leader).fleet();
+    fleet.voter_count(&GROUP.parse().expect("a sound name"))
+}
+
+/// Guards against a group that waits for a database lost before, although the others have had each
+/// acknowledged commit for seconds.
+#[test_case(6_000)]
+#[test_case(9_000)]
+fn two_losses_in_a_row_leave_a_group_with_a_primary(millis: u64) {
+    let mut sim = start_fleet(3, 1, false);
+    let now = sim.now;
+    group(&mut sim).crash(now, 0, 900_000);
+    sim.advance(millis);
+    let second = sim.active().expect("a primary");
+    assert_ne!(second, "copy-0");
+    let now = sim.now;
+    let databases = group(&mut sim);
+    let number = databases.copies.iter().position(|copy| copy.name == second);
+    databases.crash(now, number.expect("a copy"), 900_000);
+    expect_replacement(&mut sim, &second);
+}
+
+/// Guards against a replica that lost its log and never catches up.
+#[test]
+fn a_restarted_replica_that_never_catches_up_blocks_no_election() {
+    let mut sim = start_fleet(3, 1, false);
+    let now = sim.now;
+    assert!(group(&mut sim).wipe(now, 2, 300, false));
+    sim.advance(400);
+    group(&mut sim).copies[2].isolated = true;
+    sim.advance(3_000);
+    let now = sim.now;
+    group(&mut sim).crash(now, 0, 900_000);
+    expect_replacement(&mut sim, "copy-0");
+}
+
+/// Guards against a replica that was silent for seconds and is not counted any more.
+#[test]
+fn a_silent_replica_is_demoted_and_counts_again_once_it_is_back() {
+    let mut sim = start_fleet(3, 1, false);
+    set_silent(&mut sim, 2, true);
+    sim.advance(6_000);
+    assert_eq!(voters(&sim), 2);
+    set_silent(&mut sim, 2, false);
+    sim.advance(3_000);
+    assert_eq!((voters(&sim), settled(&sim)), (3, 3));
+    heal(&mut sim);
+}
+
+/// Guards against the demotion of the only replica, whose log is the only one besides the primary's.
+#[test]
+fn the_last_replica_is_not_demoted() {
+    let mut sim = start_fleet(2, 1, false);
+    set_silent(&mut sim, 1, true);
+    sim.advance(6_000);
+    assert_eq!(voters(&sim), 2);
+    let now = sim.now;
+    group(&mut sim).crash(now, 0, 900_000);
+    sim.advance(2_000);
+    set_silent(&mut sim, 1, false);
+    expect_replacement(&mut sim, "copy-0");
+}
--- a/crates/daisyseam-coord/src/fleet.rs
+++ b/crates/daisyseam-coord/src/fleet.rs
@@ -34,6 +34,7 @@
 mod state;
 mod usage;
 mod usage_record;
+mod voters;
 
 pub use self::{
     changes::{
@@ -57,7 +58,8 @@
         SubmitCommand,
         SubmitNewestCommand,
         SubmitOutcome,
-        UpstreamCommand, //
+        UpstreamCommand,
+        VoterCommand, //
     },
     copies::CopyGuarantee,
     documents::{
--- a/crates/daisyseam-coord/src/fleet/command.rs
+++ b/crates/daisyseam-coord/src/fleet/command.rs
@@ -40,6 +40,10 @@
     Evacuate(EvacuateCommand),
     /// Records that a database has caught up with its primary since it started.
     CaughtUp(CaughtUpCommand),
+    /// Stops counting the copies of a voter for later commits.
+    SuspendVoter(VoterCommand),
+    /// Makes a voter, whose copies are no longer counted, a learner that elections don't count.
+    DemoteVoter(VoterCommand),
     /// Records how many databases have each acknowledged commit of a group.
     Copies(CopiesCommand),
     /// Decides the request counts of a window.
@@ -96,6 +100,15 @@
     pub born_ms: u64,
 }
 
+/// Names a voter.
+#[derive(Clone, Debug, PartialEq)]
+pub struct VoterCommand {
+    /// The database.
+    pub upstream: UpstreamId,
+    /// Start time of its listed process in Unix milliseconds; the command does not affect a later one.
+    pub born_ms: u64,
+}
+
 /// Records how many databases have each acknowledged commit of a group. The first one of a group
 /// begins the record, with the number of the document if the group has no state yet.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/daisyseam-coord/src/fleet/record.rs
+++ b/crates/daisyseam-coord/src/fleet/record.rs
@@ -19,10 +19,12 @@
     SubmitNewestCommand,
     UpstreamCommand,
     UsageHistory,
+    VoterCommand,
     usage_record::{
         UsageRecord,
         WindowRecord, //
-    }, //
+    },
+    voters::VoterRecord, //
 };
 use bytes::Bytes;
 use daisyseam_model::{
@@ -35,6 +37,7 @@
     Position,
     PrimaryState,
     Term,
+    UpstreamId,
     UpstreamView,
     ViewNumber,
     document::Document, //
@@ -103,10 +106,18 @@
                 data_centre: command.data_centre.to_string(),
                 out: command.out,
             }),
-            Self::CaughtUp(command) => Body::CaughtUp(CaughtUpRecord {
-                upstream: command.upstream.to_string(),
-                born_ms: command.born_ms,
-            }),
+            Self::CaughtUp(command) => Body::CaughtUp(CaughtUpRecord::of(
+                command.upstream.as_str(),
+                command.born_ms,
+            )),
+            Self::SuspendVoter(command) => Body::SuspendVoter(CaughtUpRecord::of(
+                command.upstream.as_str(),
+                command.born_ms,
+            )),
+            Self::DemoteVoter(command) => Body::DemoteVoter(CaughtUpRecord::of(
+                command.upstream.as_str(),
+                command.born_ms,
+            )),
             Self::Copies(command) => Body::Copies(CopiesRecord::of(
                 command.group.as_str(),
                 command.copies,
@@ -194,6 +205,14 @@
                     since: guarantee.since,
                 })
             }
+            Body::SuspendVoter(record) => Self::SuspendVoter(VoterCommand {
+                upstream: read(&record.upstream)?,
+                born_ms: record.born_ms,
+            }),
+            Body::DemoteVoter(record) => Self::DemoteVoter(VoterCommand {
+                upstream: read(&record.upstream)?,
+                born_ms: record.born_ms,
+            }),
             Body::CloseUsage(record) => Self::CloseUsage(CloseUsageCommand {
                 window: record.window,
                 counts: record.to_counts()?,
@@ -241,11 +260,11 @@
                 .collect(),
             evacuated: view.evacuated.iter().map(ToString::to_string).collect(),
             caught_up: self
-                .caught_up
+                .voters
                 .iter()
-                .map(|(upstream, born_ms)| CaughtUpRecord {
-                    upstream: upstream.to_string(),
-                    born_ms: *born_ms,
+                .map(|(upstream, voter)| CaughtUpRecord {
+                    is_suspended: voter.is_suspended,
+                    ..CaughtUpRecord::of(upstream.as_str(), voter.born_ms)
                 })
                 .collect(),
             copies: self
@@ -303,11 +322,15 @@
             view.evacuated.insert(read(data_centre)?);
         }
         for record in &record.caught_up {
-            let name = read(&record.upstream)?;
+            let name: UpstreamId = read(&record.upstream)?;
+            let voter = VoterRecord {
+                born_ms: record.born_ms,
+                is_suspended: record.is_suspended,
+            };
+            state.voters.insert(name.clone(), voter);
             if let Some(upstream) = view.upstreams.get_mut(&name) {
-                upstream.voter = upstream.born_ms == record.born_ms;
+                upstream.voter = state.counts_copies(&name, upstream.born_ms);
             }
-            state.caught_up.insert(name, record.born_ms);
         }
         for record in &record.copies {
             let guarantee = record.to_guarantee()?;
@@ -327,7 +350,10 @@
 
 #[derive(Clone, PartialEq, prost::Message)]
 struct CommandRecord {
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 12, 13, 14, 15")]
+    #[prost(
+        oneof = "Body",
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 12, 13, 14, 15, 16, 17"
+    )]
     body: Option<Body>,
 }
 
@@ -362,6 +388,10 @@
     Choose(ChoiceRecord),
     #[prost(message, tag = "15")]
     Copies(CopiesRecord),
+    #[prost(message, tag = "16")]
+    SuspendVoter(CaughtUpRecord),
+    #[prost(message, tag = "17")]
+    DemoteVoter(CaughtUpRecord),
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -406,6 +436,19 @@
     upstream: String,
     #[prost(uint64, tag = "2")]
     born_ms: u64,
+    /// Only in a snapshot.
+    #[prost(bool, tag = "3")]
+    is_suspended: bool,
+}
+
+impl CaughtUpRecord {
+    fn of(upstream: &str, born_ms: u64) -> Self {
+        Self {
+            upstream: upstream.to_owned(),
+            born_ms,
+            is_suspended: false,
+        }
+    }
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
--- a/crates/daisyseam-coord/src/fleet/state.rs
+++ b/crates/daisyseam-coord/src/fleet/state.rs
@@ -1,7 +1,6 @@
 //! The replicated state of the control instances.
 
 use super::{
-    CaughtUpCommand,
     ChooseCommand,
     ChosenPrimary,
     CommandOutcome,
@@ -19,7 +18,8 @@
     UpstreamCommand,
     UsageHistory,
     ViewChanges,
-    changes::ChangeHistory, //
+    changes::ChangeHistory,
+    voters::VoterRecord, //
 };
 use daisyseam_model::{
     DocumentNumber,
@@ -49,8 +49,8 @@
     pub(super) view: Arc<FleetView>,
     pub(super) documents: DocumentHistory,
     pub(super) last_incarnation: Incarnation,
-    /// Databases whose copies of commits count, with the start time of the last process that caught up.
-    pub(super) caught_up: BTreeMap<UpstreamId, u64>,
+    /// Databases that elections count.
+    pub(super) voters: BTreeMap<UpstreamId, VoterRecord>,
     /// How many databases have each acknowledged commit of a group.
     pub(super) copies: BTreeMap<GroupId, CopyGuarantee>,
     /// The chosen next primary of fenced groups.
@@ -75,25 +75,6 @@
         &self.usage
     }
 
-    /// Returns whether the current process of a database has caught up since it started.
-    pub fn has_caught_up(&self, upstream: &UpstreamId) -> bool {
-        let known = self.view.upstreams.get(upstream);
-        let caught_up = self.caught_up.get(upstream);
-        known.is_some_and(|known| caught_up == Some(&known.born_ms))
-    }
-
-    /// Returns whether elections count a database: one of its processes has caught up, and it was not
-    /// removed since.
-    pub fn is_voter(&self, upstream: &UpstreamId) -> bool {
-        self.caught_up.contains_key(upstream)
-    }
-
-    /// Counts the databases of a group that elections count.
-    pub fn voter_count(&self, group: &GroupId) -> usize {
-        let members = self.view.members(group);
-        members.filter(|(name, _)| self.is_voter(name)).count()
-    }
-
     /// Returns the database that has been chosen as the next primary of a fenced group.
     pub fn chosen_primary(&self, group: &GroupId) -> Option<&ChosenPrimary> {
         self.choices.get(group)
@@ -118,6 +99,8 @@
             FleetCommand::Holder(holder) => self.update_holder(holder),
             FleetCommand::Evacuate(order) => self.evacuate(order),
             FleetCommand::CaughtUp(command) => self.record_caught_up(command),
+            FleetCommand::SuspendVoter(command) => self.suspend_voter(command),
+            FleetCommand::DemoteVoter(command) => self.demote_voter(command),
             FleetCommand::Copies(command) => self.record_copies(command),
             FleetCommand::CloseUsage(command) => self.usage.close(command),
             FleetCommand::AcknowledgeUsage(window) => self.usage.acknowledge(*window),
@@ -234,7 +217,7 @@
             holder: known.and_then(|known| known.holder.clone()),
             leaving: command.leaving,
             born_ms: command.born_ms,
-            voter: self.caught_up.get(&command.upstream) == Some(&command.born_ms),
+            voter: self.counts_copies(&command.upstream, command.born_ms),
         };
         if known != Some(&upstream) {
             self.change(ViewChanges::of_upstream(&command.upstream), |view| {
@@ -257,7 +240,7 @@
             return CommandOutcome::Refused(RefusalReason::Superseded);
         }
         let group = upstream.group.clone();
-        let was_voter = self.caught_up.remove(name).is_some();
+        let was_voter = self.voters.remove(name).is_some();
         self.change(ViewChanges::of_upstream(name), |view| {
             view.upstreams.remove(name);
         });
@@ -267,26 +250,6 @@
         CommandOutcome::Done
     }
 
-    fn record_caught_up(&mut self, command: &CaughtUpCommand) -> CommandOutcome {
-        let Some(upstream) = self.view.upstreams.get(&command.upstream) else {
-            return CommandOutcome::Refused(RefusalReason::Unknown);
-        };
-        if upstream.born_ms != command.born_ms {
-            return CommandOutcome::Refused(RefusalReason::Superseded);
-        }
-        let is_voter = upstream.voter;
-        self.caught_up
-            .insert(command.upstream.clone(), command.born_ms);
-        if !is_voter {
-            self.change(ViewChanges::of_upstream(&command.upstream), |view| {
-                if let Some(upstream) = view.upstreams.get_mut(&command.upstream) {
-                    upstream.voter = true;
-                }
-            });
-        }
-        CommandOutcome::Done
-    }
-
     fn update_group(&mut self, command: &GroupCommand) -> CommandOutcome {
         let known = self.view.groups.get(&command.group);
         let term = known.map_or_else(Default::default, |known| known.term);
--- a/crates/daisyseam-coord/tests/copies.rs
+++ b/crates/daisyseam-coord/tests/copies.rs
@@ -9,7 +9,8 @@
     GroupCommand,
     RefusalReason,
     SubmitNewestCommand,
-    UpstreamCommand, //
+    UpstreamCommand,
+    VoterCommand, //
 };
 use daisyseam_model::{
     DocumentNumber,
@@ -213,3 +214,48 @@
     let restored = FleetState::decode(&state.encode()).expect("a snapshot");
     assert_eq!(restored.view().upstreams, state.view().upstreams);
 }
+
+fn voter_command(number: u16, born_ms: u64) -> VoterCommand {
+    VoterCommand {
+        upstream: format!("copy-{number}").parse().unwrap(),
+        born_ms,
+    }
+}
+
+fn suspend(state: &mut FleetState, number: u16) -> CommandOutcome {
+    let command = voter_command(number, 1);
+    apply(state, &FleetCommand::SuspendVoter(command))
+}
+
+fn demote(state: &mut FleetState, number: u16) -> CommandOutcome {
+    let command = voter_command(number, 1);
+    apply(state, &FleetCommand::DemoteVoter(command))
+}
+
+#[test]
+fn a_suspended_voter_counts_for_elections_but_not_for_commits() {
+    let mut state = start();
+    assert_eq!(suspend(&mut state, 2), CommandOutcome::Done);
+    let name: UpstreamId = "copy-2".parse().unwrap();
+    assert!(!state.view().upstreams[&name].voter);
+    assert!(state.has_caught_up(&name), "its log has what it confirmed");
+    assert_eq!(state.voter_count(&group()), 3);
+    let restored = FleetState::decode(&state.encode()).expect("a snapshot");
+    assert_eq!(restored.view().upstreams, state.view().upstreams);
+    list(&mut state, 2, 1);
+    assert!(!state.view().upstreams[&name].voter, "until it catches up");
+}
+
+#[test]
+fn a_voter_is_only_demoted_while_no_instance_counts_it() {
+    let mut state = start();
+    assert_eq!(demote(&mut state, 2), SUPERSEDED);
+    suspend(&mut state, 2);
+    catch_up(&mut state, 2, 1);
+    assert_eq!(demote(&mut state, 2), SUPERSEDED);
+    suspend(&mut state, 2);
+    let (_, since) = known(&state);
+    assert_eq!(demote(&mut state, 2), CommandOutcome::Done);
+    assert_eq!(state.voter_count(&group()), 2);
+    assert_eq!(record(&mut state, 3, since), SUPERSEDED);
+}
