Confirm commits of groups whose databases don't acknowledge by themselves

Cause: commits wait until the primary is a voter, and no database of a group with the majority policy is one.

Change: the primary has to be a voter only where databases acknowledge by themselves. Measured: a_commit_of_a_group_without_voters_is_acknowledged failed before and passes.

--- a/crates/daisyseam-engine/src/confirmation.rs
+++ b/crates/daisyseam-engine/src/confirmation.rs
@@ -102,7 +102,7 @@
         until: Instant,
     ) -> bool {
         let view = &self.settings.cell.held().view;
-        if self.needed_replicas(view, route) == Some(0) && is_voter(view, &route.upstream) {
+        if self.needed_replicas(view, route) == Some(0) && primary_counts(view, route) {
             return true;
         }
         let Some(position) = position else {
@@ -159,8 +159,7 @@
         };
         let copies = replicas(view, mark).filter(has_commit).count();
         let needed = self.needed_replicas(view, mark.route);
-        let primary_counts = is_voter(view, &mark.route.upstream);
-        needed.is_some_and(|needed| copies >= needed) && primary_counts
+        needed.is_some_and(|needed| copies >= needed) && primary_counts(view, mark.route)
     }
 
     /// Requests the ends of the replicas' logs, of the nearest one first and of the others after a
@@ -395,9 +394,16 @@
     })
 }
 
-fn is_voter(view: &FleetView, upstream: &UpstreamId) -> bool {
-    let listed = view.upstreams.get(upstream);
-    listed.is_some_and(|listed| listed.voter)
+/// Returns whether elections find a commit on the primary of a route.
+fn primary_counts(view: &FleetView, route: &Route) -> bool {
+    let document = view.document.as_ref();
+    let entry = document.and_then(|document| document.groups.get(&route.group));
+    let listed = view.upstreams.get(&route.upstream);
+    entry.is_some_and(|entry| match entry.commit {
+        CommitPolicy::Replicas(_) => listed.is_some_and(|listed| listed.voter),
+        // No database of such a group is a voter.
+        CommitPolicy::Majority => true,
+    })
 }
 
 /// Iterates over the replicas whose copies of a commit count. The log of one that leaves goes with
--- a/crates/daisyseam-engine/tests/confirmation.rs
+++ b/crates/daisyseam-engine/tests/confirmation.rs
@@ -93,6 +93,24 @@
     assert_eq!(fleet.databases.with("p", |p| p.committed.len()), 1);
 }
 
+/// Guards against commits that wait for voters in a group whose databases do not acknowledge by
+/// themselves.
+#[tokio::test(start_paused = true)]
+async fn a_commit_of_a_group_without_voters_is_acknowledged() {
+    let mut fleet = start("a");
+    fleet.change_view(|view| {
+        let mut document = view.document.as_deref().unwrap().clone();
+        let group = document.groups.get_mut("g").unwrap();
+        group.commit = CommitPolicy::Majority;
+        view.document = Some(Arc::new(document));
+        for upstream in view.upstreams.values_mut() {
+            upstream.voter = false;
+        }
+    });
+    let mut caller = fleet.session("primary").await;
+    assert_eq!(try_write(&mut caller, false).await, Ok(()));
+}
+
 /// Guards against the loss of an acknowledged commit with a replica that leaves.
 #[tokio::test(start_paused = true)]
 async fn a_commit_that_only_a_leaving_replica_has_is_not_acknowledged() {
