Read the primary's position anew for a voter that counted between two demotions

Cause: a suspended voter that catches up, and leaves before the next round of the survey, kept the position that was read for its suspension, although it may have counted for commits since.

Change: a position is kept only while a database is uncounted for the same reason.

--- a/crates/daisyseam-control/src/core/survey.rs
+++ b/crates/daisyseam-control/src/core/survey.rs
@@ -2,12 +2,15 @@
 //!
 //! A new database becomes a voter, whose copies of commits count, once its log has reached a position
 //! that the primary had reached after it started. A restarted one counts again only after the same,
-//! because its former process may have had commits that the new one lacks. Likewise, a stopped database is dropped only once enough other members have
-//! reached a position that the primary had reached after each instance knew that it leaves. A silent
-//! one is marked as leaving first, since it may run on and receive commits that instances count.
+//! because its former process may have had commits that the new one lacks.
 //!
-//! The number of copies that elections rely on is raised in the same way: once all instances ask for
-//! more copies, and enough members have reached a position that the primary had reached afterwards.
+//! Whatever elections stop counting, instances stop counting first. The following changes therefore
+//! wait until no instance may act on an earlier view, and then until enough voters have reached a
+//! position that the primary had reached after that:
+//!
+//! - A silent voter is suspended and then demoted to a learner. It may run on and receive commits.
+//! - A stopped database is marked as leaving and then dropped.
+//! - After the document asks for more replicas, elections rely on more copies of each commit.
 
 use super::{
     ControlCore,
@@ -83,13 +86,21 @@
     /// Log position that members must reach before commits count as having more copies, with the view
     /// that instances had confirmed before.
     copies_goal: Option<(ViewNumber, LogPosition)>,
-    /// Departing databases and voters whose copies do not count by the view, with the first view in
-    /// which they were found so.
-    uncounted_since: BTreeMap<UpstreamId, ViewNumber>,
+    /// Departing databases and voters whose copies do not count by the view.
+    uncounted: BTreeMap<UpstreamId, UncountedSince>,
     /// The primary, and the minimum term that it must lead.
     primary: Option<(UpstreamId, Term)>,
 }
 
+/// Since when, and why, no copy of a database counts.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct UncountedSince {
+    /// First view in which it was found so.
+    view: ViewNumber,
+    /// Whether it leaves, rather than being suspended. It may have counted between the two.
+    is_leaving: bool,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct StateRecord {
     born_ms: u64,
@@ -158,7 +169,7 @@
     copies: Option<CopyGuarantee>,
     /// Number of members that elections count.
     voters: usize,
-    /// Members that have not caught up since their process started.
+    /// Members whose copies do not count, because their process has not caught up or was suspended.
     unsettled: BTreeSet<&'a UpstreamId>,
     /// Members that announced that they are gone, or that have been silent for too long.
     departing: BTreeSet<&'a UpstreamId>,
@@ -404,21 +415,28 @@
 
     /// Notes since which view instances can know that the copies of a database do not count.
     fn note_uncounted(&mut self, number: ViewNumber, facts: &SurveyFacts<'_>) {
-        let uncounted = facts.members.iter().filter(|(name, upstream)| {
+        let former = std::mem::take(&mut self.uncounted);
+        let uncounted = facts.members.iter().filter_map(|(name, upstream)| {
             let is_leaving = upstream.leaving && facts.departing.contains(name);
-            is_leaving || facts.suspended.contains(name)
+            let known = former
+                .get(*name)
+                .filter(|known| known.is_leaving == is_leaving);
+            let found = UncountedSince {
+                view: number,
+                is_leaving,
+            };
+            let is_uncounted = is_leaving || facts.suspended.contains(name);
+            is_uncounted.then(|| ((*name).clone(), known.copied().unwrap_or(found)))
         });
-        let known = std::mem::take(&mut self.uncounted_since);
-        let since = |name: &UpstreamId| known.get(name).copied().unwrap_or(number);
-        self.uncounted_since = uncounted
-            .map(|(name, _)| ((*name).clone(), since(name)))
-            .collect();
+        self.uncounted = uncounted.collect();
         // One that was counted again in the meantime needs a later position.
-        let uncounted = &self.uncounted_since;
-        self.drop_goals
-            .retain(|name, _| uncounted.contains_key(name));
-        self.awaiting_drop_goal
-            .retain(|(name, _)| uncounted.contains_key(name));
+        let uncounted = &self.uncounted;
+        let is_same = |name: &UpstreamId| {
+            let known = uncounted.get(name);
+            known.is_some() && known == former.get(name)
+        };
+        self.drop_goals.retain(|name, _| is_same(name));
+        self.awaiting_drop_goal.retain(|(name, _)| is_same(name));
     }
 
     fn has_caught_up(
@@ -472,7 +490,7 @@
         let waiting = facts.members.iter().filter(|(name, upstream)| {
             let goal = position_of(&self.drop_goals, name, upstream.born_ms);
             // Until then, instances may count what it receives.
-            let since = self.uncounted_since.get(*name).copied();
+            let since = self.uncounted.get(*name).map(|uncounted| uncounted.view);
             since.is_some_and(&is_confirmed) && goal.is_none()
         });
         self.awaiting_drop_goal = waiting.map(named).collect();
