--- a/crates/daisyseam-control/tests/core_support/mod.rs
+++ b/crates/daisyseam-control/tests/core_support/mod.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod clients;
 pub(crate) mod direct;
+pub(crate) mod told;
 pub(crate) mod usage;
 
 use self::{
--- a/crates/daisyseam-control/tests/unlisted.rs
+++ b/crates/daisyseam-control/tests/unlisted.rs
@@ -8,20 +8,23 @@
 mod core_support;
 
 use crate::core_support::{
-    GROUP,
     Simulation,
-    clients::ClientLedger,
-    direct::{
-        DatabaseCopy,
-        DirectGroup, //
-    },
-    document, //
-};
-use daisyseam_wire::{
-    AnnounceRequest,
-    SubmitNewestRequest,
-    UpstreamReport,
-    control_message::Body, //
+    direct::DatabaseCopy,
+    told::{
+        announce_nowhere,
+        group,
+        heal,
+        heal_control,
+        listed,
+        missing,
+        request_everywhere,
+        require_replicas,
+        settled,
+        start_fleet,
+        submit_replicas,
+        told,
+        wait_for_the_primary_alone, //
+    }, //
 };
 use rand::Rng;
 use rand_chacha::{
@@ -30,60 +33,6 @@
 };
 use test_case::test_case;
 
-/// Starts a fleet of databases that have all caught up, with entries that tell their clients of
-/// commits.
-fn start_fleet(copies: usize, replicas: usize, trusts_databases: bool) -> Simulation {
-    let mut sim = Simulation::new(3, 0, 2);
-    let mut databases = DirectGroup::new(copies, false);
-    databases.clients = Some(ClientLedger::new(trusts_databases));
-    databases.replicas = replicas;
-    sim.direct = Some(databases);
-    sim.order(submit_replicas(1, replicas));
-    sim.writes = true;
-    sim.advance_until("the fleet is up", |sim| {
-        sim.primary(0).is_some() && sim.primary(1).is_some() && settled(sim) == copies
-    });
-    sim
-}
-
-/// Returns the submission of a document that asks for a number of replicas.
-fn submit_replicas(number: u64, replicas: usize) -> Body {
-    let policy = format!("acknowledging_replicas = {replicas}");
-    Body::SubmitNewest(SubmitNewestRequest {
-        number,
-        text: document(number).replace("databases = 3", &policy),
-        source: String::new(),
-        operator: "amalia".to_owned(),
-    })
-}
-
-fn group(sim: &mut Simulation) -> &mut DirectGroup {
-    sim.direct.as_mut().expect("a group")
-}
-
-fn told(sim: &Simulation) -> usize {
-    let group = sim.direct.as_ref().expect("a group");
-    group.clients.as_ref().expect("clients").told.len()
-}
-
-fn missing(sim: &Simulation) -> usize {
-    let group = sim.direct.as_ref().expect("a group");
-    group.clients.as_ref().expect("clients").missing
-}
-
-fn promotions(sim: &Simulation) -> usize {
-    sim.direct.as_ref().expect("a group").promotions
-}
-
-fn settled(sim: &Simulation) -> usize {
-    let Some(leader) = sim.leader() else {
-        return 0;
-    };
-    let fleet = sim.core(leader).fleet();
-    let names = fleet.view().upstreams.keys();
-    names.filter(|name| fleet.has_caught_up(name)).count()
-}
-
 /// Cuts databases and entries off from everything else.
 fn cut(sim: &mut Simulation, entries: &[usize], is_cut: impl Fn(&DatabaseCopy) -> bool) {
     let now = sim.now;
@@ -109,37 +58,6 @@
     sim
 }
 
-/// Ends all faults of control.
-fn heal_control(sim: &mut Simulation) {
-    sim.disconnected_members.clear();
-    for member in 0..3 {
-        if !sim.runs(member) {
-            sim.start(member);
-        }
-    }
-}
-
-/// Ends all faults, and expects that clients are told of commits again and that none is missing.
-fn heal(sim: &mut Simulation) {
-    heal_control(sim);
-    for entry in &mut sim.entries {
-        (entry.side, entry.disconnected) = (0, false);
-    }
-    let now = sim.now;
-    let databases = group(sim);
-    databases.heal();
-    let remaining = databases.copies.iter().filter(|copy| !copy.gone).count();
-    for _ in remaining..databases.replicas + 1 {
-        databases.join(now, 0, false);
-    }
-    sim.advance(2_000);
-    let before = told(sim);
-    sim.advance_until("clients of a healed group are told of commits", |sim| {
-        told(sim) > before && sim.active().is_some()
-    });
-    group(sim).check_all_told();
-}
-
 #[test]
 #[should_panic(expected = "commits from")]
 fn a_databases_acknowledgement_alone_promises_nothing() {
@@ -369,101 +287,6 @@
     }
 }
 
-/// Starts a fleet in which control no longer hears from `copy-1`, which goes on receiving commits.
-fn fleet_with_silent_copy() -> Simulation {
-    let mut sim = start_fleet(3, 1, false);
-    group(&mut sim).copies[1].disconnected = true;
-    sim
-}
-
-fn listed(sim: &Simulation) -> usize {
-    let leader = sim.leader().expect("a leader");
-    sim.core(leader).fleet().view().upstreams.len()
-}
-
-/// Demotes the silent `copy-1`, and isolates `copy-2` some milliseconds before.
-fn demote_beside_an_isolated_copy(millis: u64) -> Simulation {
-    let mut sim = fleet_with_silent_copy();
-    sim.advance_until("it is demoted", |sim| voters(sim) == 2);
-    let demoted_at = sim.now;
-    let mut sim = fleet_with_silent_copy();
-    sim.advance(demoted_at - millis - sim.now);
-    group(&mut sim).copies[2].isolated = true;
-    sim.entries[0].disconnected = true;
-    sim.advance(3_000);
-    sim
-}
-
-/// Expects that nobody takes over from a crashed primary until it is back.
-fn wait_for_the_primary_alone(sim: &mut Simulation) {
-    let now = sim.now;
-    let before = promotions(sim);
-    group(sim).crash(now, 0, 20_000);
-    sim.advance(15_000);
-    assert_eq!(promotions(sim), before, "the log of the primary is missing");
-    heal(sim);
-}
-
-/// Guards against the loss of commits that an entry confirmed by a copy just before it was demoted,
-/// and against elections that wait for a demoted copy. Each promotion is checked for lost commits.
-#[test_case(1)]
-#[test_case(30)]
-fn no_commit_depends_on_a_copy_that_was_demoted_while_an_entry_counted_it(millis: u64) {
-    let mut sim = demote_beside_an_isolated_copy(millis);
-    assert_eq!(voters(&sim), 2);
-    let now = sim.now;
-    group(&mut sim).crash(now, 0, 900_000);
-    expect_replacement(&mut sim, "copy-0");
-}
-
-/// Guards against the loss of commits of a silent copy that the other ones may lack, so that it is not
-/// demoted.
-#[test_case(150)]
-#[test_case(700)]
-fn a_copy_whose_commits_the_others_may_lack_is_missed_by_elections(millis: u64) {
-    let mut sim = demote_beside_an_isolated_copy(millis);
-    assert_eq!(voters(&sim), 3);
-    wait_for_the_primary_alone(&mut sim);
-}
-
-/// Guards against a database that left in order and is waited for by the next election (review/8).
-#[test_case(false; "under the same leader of control")]
-#[test_case(true; "under the next leader of control")]
-fn a_database_that_was_replaced_in_order_blocks_no_election(stops_leader: bool) {
-    let mut sim = start_fleet(3, 1, false);
-    let now = sim.now;
-    group(&mut sim).join(now, 0, false);
-    sim.advance_until("it has caught up", |sim| settled(sim) == 4);
-    let former = &mut group(&mut sim).copies[1];
-    former.leaving = true;
-    former.announce_now();
-    sim.advance(2_000);
-    let now = sim.now;
-    assert!(group(&mut sim).depart(now, 1));
-    sim.advance_until("it is dropped", |sim| listed(sim) == 3);
-    if stops_leader {
-        let leader = sim.leader().expect("a leader");
-        sim.stop(leader);
-    }
-    sim.advance(10_000);
-    let now = sim.now;
-    group(&mut sim).crash(now, 0, 900_000);
-    expect_replacement(&mut sim, "copy-0");
-}
-
-#[test_case(30)]
-#[test_case(700)]
-fn a_copy_demoted_while_an_entry_counts_it_is_not_forgotten_by_time_alone(millis: u64) {
-    let mut sim = demote_beside_an_isolated_copy(millis);
-    sim.writes = false;
-    sim.advance(62_000);
-    let now = sim.now;
-    group(&mut sim).crash(now, 0, 20_000);
-    sim.advance(15_000);
-    sim.writes = true;
-    heal(&mut sim);
-}
-
 #[test_case(0, 2)]
 #[test_case(1, 2)]
 #[test_case(0, 4)]
@@ -527,88 +350,6 @@
     wait_for_the_primary_alone(&mut sim);
 }
 
-/// Makes the document ask for a number of replicas, as entries and databases do from then on.
-fn require_replicas(sim: &mut Simulation, number: u64, replicas: usize) {
-    sim.order(submit_replicas(number, replicas));
-    group(sim).replicas = replicas;
-}
-
-/// Loses the primary for good while `copy-2` lacks commits and `copy-1` is silent for 7 s.
-fn lose_the_primary_beside_a_deaf_and_a_silent_copy(sim: &mut Simulation) {
-    sim.advance(500);
-    let now = sim.now;
-    let databases = group(sim);
-    databases.crash(now, 0, 900_000);
-    let silent = &mut databases.copies[1];
-    (
-        silent.disconnected,
-        silent.hidden_from_entries,
-        silent.isolated,
-    ) = (true, true, true);
-    sim.advance(7_000);
-    assert_eq!(
-        promotions(sim),
-        0,
-        "the only copy with all commits is silent"
-    );
-    let silent = &mut group(sim).copies[1];
-    (
-        silent.disconnected,
-        silent.hidden_from_entries,
-        silent.isolated,
-    ) = (false, false, false);
-    sim.advance_until("it takes over", |sim| sim.active().is_some());
-    assert_eq!(sim.active().as_deref(), Some("copy-1"));
-    heal(sim);
-}
-
-/// Guards against the loss of commits that were acknowledged before the document asked for more
-/// replicas: elections must not count on copies that these commits do not have.
-#[test_case(false; "under the same leader of control")]
-#[test_case(true; "under the next leader of control")]
-fn raising_the_number_of_replicas_loses_no_earlier_commit(stops_leader: bool) {
-    let mut sim = start_fleet(3, 1, false);
-    sim.advance(3_000);
-    group(&mut sim).copies[2].isolated = true;
-    sim.advance(500);
-    require_replicas(&mut sim, 2, 2);
-    if stops_leader {
-        let leader = sim.leader().expect("a leader");
-        sim.stop(leader);
-    }
-    lose_the_primary_beside_a_deaf_and_a_silent_copy(&mut sim);
-}
-
-/// Guards against commits that count as having more copies than they got under a document that asked
-/// for fewer replicas in between.
-#[test]
-fn lowering_and_raising_the_number_of_replicas_loses_no_commit() {
-    let mut sim = start_fleet(3, 2, false);
-    sim.advance(3_000);
-    require_replicas(&mut sim, 2, 1);
-    sim.advance(1_000);
-    group(&mut sim).copies[2].isolated = true;
-    sim.advance(500);
-    require_replicas(&mut sim, 3, 2);
-    lose_the_primary_beside_a_deaf_and_a_silent_copy(&mut sim);
-}
-
-/// Guards against a group that keeps the larger quorum although all commits have more copies.
-#[test]
-fn elections_need_fewer_databases_once_all_commits_have_more_copies() {
-    let mut sim = start_fleet(3, 1, false);
-    require_replicas(&mut sim, 2, 2);
-    sim.advance(3_000);
-    let now = sim.now;
-    let databases = group(&mut sim);
-    databases.crash(now, 0, 900_000);
-    databases.crash(now, 1, 900_000);
-    sim.advance_until("the last copy takes over", |sim| {
-        sim.active().is_some_and(|primary| primary == "copy-2")
-    });
-    group(&mut sim).check_all_told();
-}
-
 /// Guards against clients that hear of commits that only the primary and a database off the list have.
 #[test]
 fn a_copy_that_left_the_list_while_it_ran_makes_no_client_hear_of_a_commit() {
@@ -634,156 +375,3 @@
     sim.advance_until("all are settled", |sim| settled(sim) == 3);
     group(&mut sim).check_all_told();
 }
-
-/// Expects that a lost primary is replaced within the time that an undisturbed loss takes.
-fn expect_replacement(sim: &mut Simulation, former: &str) {
-    let begun = sim.now;
-    sim.advance_until("another is primary", |sim| {
-        sim.active().is_some_and(|primary| primary != former)
-    });
-    let took = sim.now - begun;
-    assert!(took < 4_500, "{took} ms of virtual time");
-    heal(sim);
-}
-
-/// Returns the announcement of a database that does not exist.
-fn announce_nowhere(name: &str, born_ms: u64) -> Body {
-    Body::Announce(AnnounceRequest {
-        report: Some(UpstreamReport {
-            upstream: name.to_owned(),
-            group: GROUP.to_owned(),
-            data_centre: "khomas-1".to_owned(),
-            address: "127.0.0.1:9".to_owned(),
-            admin_address: "127.0.0.1:9".to_owned(),
-            born_ms,
-            sequence: 1,
-            ..UpstreamReport::default()
-        }),
-        gone: false,
-    })
-}
-
-/// Sends a request to each member of control, which may all be cut off.
-fn request_everywhere(sim: &mut Simulation, body: &Body) {
-    for member in 0..3 {
-        sim.request(member, body.clone(), 1);
-    }
-}
-
-/// Guards against a group that stays without a primary because an announced database doesn't exist,
-/// never runs or never catches up.
-#[test_case(0; "without a start time")]
-#[test_case(77; "with a start time")]
-fn an_announced_database_that_never_runs_blocks_no_election(born_ms: u64) {
-    let mut sim = start_fleet(3, 1, false);
-    sim.advance(1_000);
-    sim.order(announce_nowhere("nowhere", born_ms));
-    sim.advance(3_000);
-    assert_eq!(listed(&sim), 4);
-    let now = sim.now;
-    group(&mut sim).crash(now, 0, 900_000);
-    expect_replacement(&mut sim, "copy-0");
-}
-
-/// Guards against a group that stays without a primary because a database joined and cannot catch up
-/// after the loss of the primary (review/7).
-#[test_case(0; "with the loss")]
-#[test_case(300; "after the loss")]
-#[test_case(1_500; "during the election")]
-fn a_database_that_joins_beside_the_loss_of_a_primary_blocks_no_election(millis: u64) {
-    let mut sim = start_fleet(3, 1, false);
-    sim.advance(1_000);
-    let now = sim.now;
-    group(&mut sim).crash(now, 0, 900_000);
-    sim.advance(millis);
-    let now = sim.now;
-    group(&mut sim).join(now, 0, false);
-    expect_replacement(&mut sim, "copy-0");
-}
-
-/// Guards against a group that stays without a primary because the lost one has an empty successor at
-/// its address (review/6).
-#[test]
-fn a_successor_at_the_address_of_a_lost_primary_blocks_no_election() {
-    let mut sim = start_fleet(3, 1, false);
-    sim.advance(1_000);
-    let now = sim.now;
-    let databases = group(&mut sim);
-    databases.crash(now, 0, 900_000);
-    let successor = databases.join(now, 0, false);
-    databases.copies[successor].address = databases.copies[0].address;
-    expect_replacement(&mut sim, "copy-0");
-}
-
-/// Sets whether a database is silent: it runs, and neither control nor other databases reach it.
-fn set_silent(sim: &mut Simulation, number: usize, is_silent: bool) {
-    let copy = &mut group(sim).copies[number];
-    copy.disconnected = is_silent;
-    copy.hidden_from_entries = is_silent;
-    copy.isolated = is_silent;
-}
-
-fn voters(sim: &Simulation) -> usize {
-    let leader = sim.leader().expect("a leader");
-    let fleet = sim.core(leader).fleet();
-    fleet.voter_count(&GROUP.parse().expect("a sound name"))
-}
-
-/// Guards against a group that waits for a database lost before, although the others have had each
-/// acknowledged commit for seconds.
-#[test_case(6_000)]
-#[test_case(9_000)]
-fn two_losses_in_a_row_leave_a_group_with_a_primary(millis: u64) {
-    let mut sim = start_fleet(3, 1, false);
-    let now = sim.now;
-    group(&mut sim).crash(now, 0, 900_000);
-    sim.advance(millis);
-    let second = sim.active().expect("a primary");
-    assert_ne!(second, "copy-0");
-    let now = sim.now;
-    let databases = group(&mut sim);
-    let number = databases.copies.iter().position(|copy| copy.name == second);
-    databases.crash(now, number.expect("a copy"), 900_000);
-    expect_replacement(&mut sim, &second);
-}
-
-/// Guards against a replica that lost its log and never catches up.
-#[test]
-fn a_restarted_replica_that_never_catches_up_blocks_no_election() {
-    let mut sim = start_fleet(3, 1, false);
-    let now = sim.now;
-    assert!(group(&mut sim).wipe(now, 2, 300, false));
-    sim.advance(400);
-    group(&mut sim).copies[2].isolated = true;
-    sim.advance(3_000);
-    let now = sim.now;
-    group(&mut sim).crash(now, 0, 900_000);
-    expect_replacement(&mut sim, "copy-0");
-}
-
-/// Guards against a replica that was silent for seconds and is not counted any more.
-#[test]
-fn a_silent_replica_is_demoted_and_counts_again_once_it_is_back() {
-    let mut sim = start_fleet(3, 1, false);
-    set_silent(&mut sim, 2, true);
-    sim.advance(6_000);
-    assert_eq!(voters(&sim), 2);
-    set_silent(&mut sim, 2, false);
-    sim.advance(3_000);
-    assert_eq!((voters(&sim), settled(&sim)), (3, 3));
-    heal(&mut sim);
-}
-
-/// Guards against the demotion of the only replica, whose log is the only one besides the primary's.
-#[test]
-fn the_last_replica_is_not_demoted() {
-    let mut sim = start_fleet(2, 1, false);
-    set_silent(&mut sim, 1, true);
-    sim.advance(6_000);
-    assert_eq!(voters(&sim), 2);
-    let now = sim.now;
-    group(&mut sim).crash(now, 0, 900_000);
-    sim.advance(2_000);
-    set_silent(&mut sim, 1, false);
-    expect_replacement(&mut sim, "copy-0");
-}
