Look for the log of a departed database at the last one at its address

Cause: an election that needs every log waits for the successor of a departed voter, and took the first one listed at the address. That one had left in turn.

Change: the successor is the one that started last.

--- a/crates/daisyseam-control/src/core/groups.rs
+++ b/crates/daisyseam-control/src/core/groups.rs
@@ -390,16 +390,16 @@
     }
 }
 
-/// Returns a later database that is listed at the address of a departed one.
+/// Returns the last database that is listed at the address of a departed one after it.
 fn successor_of<'a>(
     view: &'a FleetView,
     name: &UpstreamId,
     upstream: &UpstreamView,
 ) -> Option<&'a UpstreamId> {
-    let mut others = view.upstreams.iter();
-    let successor = others.find(|(other, known)| {
+    let later = view.upstreams.iter().filter(|(other, known)| {
         *other != name && known.address == upstream.address && known.born_ms > upstream.born_ms
     });
+    let successor = later.max_by_key(|(_, known)| known.born_ms);
     successor.map(|(name, _)| name)
 }
 
--- a/crates/daisyseam-control/tests/unlisted.rs
+++ b/crates/daisyseam-control/tests/unlisted.rs
@@ -330,6 +330,29 @@
     drop(move_both_databases_with_all(millis));
 }
 
+/// Guards against a group that waits for a successor that has left in turn: the log is on the last
+/// database at the address.
+#[test]
+fn a_log_that_moved_twice_is_found_at_its_last_database() {
+    let mut sim = start_fleet(3, 1, false);
+    group(&mut sim).copies[2].isolated = true;
+    sim.advance(500);
+    let now = sim.now;
+    let databases = group(&mut sim);
+    databases.succeed(now, 1);
+    let successor = databases.succeed(now, 0);
+    let name = databases.copies[successor].name.clone();
+    databases.copies[successor].isolated = true;
+    sim.advance_until("it is listed", |sim| {
+        let leader = sim.leader().expect("a leader");
+        let view = sim.core(leader).fleet().view();
+        view.upstreams.keys().any(|listed| listed.as_str() == name)
+    });
+    let now = sim.now;
+    group(&mut sim).succeed(now, successor);
+    heal(&mut sim);
+}
+
 #[test]
 fn a_process_that_control_has_not_heard_of_makes_no_client_hear_of_a_commit() {
     let mut sim = start_fleet(3, 1, false);
