Add review case 11: a primary that starts again empty is promoted

In a service with two voters an election takes the former primary's process for the one that it knew until its first ping. If it has started again under its id and holds nothing, it is the first stopped database, one is enough, and it is promoted with an empty log although the other replica has every acknowledged commit and answers.

Shown by review/11/run.sh: processes of the deploy file, three databases of which one is lost for good 12 s before.

--- /dev/null
+++ b/review/cases-3.rs
@@ -0,0 +1,49 @@
+/// Runs a case by its number.
+fn run_case(case: &str, root: &Path, record: &Record, trouble: bool) -> Verdict {
+    match case {
+        "11" => primary_starts_empty(root, record, trouble),
+        _ => Verdict::NotRun,
+    }
+}
+
+/// Reads a number from the environment.
+fn number(name: &str, default: u64) -> u64 {
+    let given = env::var(name).ok();
+    given.and_then(|text| text.parse().ok()).unwrap_or(default)
+}
+
+/// A replica is lost for good; much later the primary starts again under its id and holds nothing.
+///
+/// `DATABASES=2` leaves out the lost replica, `GAP_MS` is the time for which the primary is down, and
+/// `PING_MS` the time from its start to its first ping.
+fn primary_starts_empty(root: &Path, record: &Record, trouble: bool) -> Verdict {
+    let count = number("DATABASES", 3) as usize;
+    let gap = millis(number("GAP_MS", 500));
+    let first_ping = millis(number("PING_MS", 1_200));
+    let Some((system, fleet)) = start(root, record, count) else {
+        return Verdict::NotRun;
+    };
+    thread::sleep(Duration::from_secs(3));
+    if trouble && count > 2 {
+        fleet.end_database(2);
+    }
+    thread::sleep(Duration::from_secs(12));
+    note_counts(&fleet, "before the restart");
+    if trouble {
+        fleet.end_database(0);
+        fleet.forget(0);
+        thread::sleep(gap);
+        fleet.start_database(0, first_ping);
+    }
+    thread::sleep(Duration::from_secs(15));
+    note_counts(&fleet, "at the end");
+    fleet.over.store(true, Ordering::SeqCst);
+    system.note_logs(record);
+    let lost = fleet.world().lost.len();
+    record.note(format!("{lost} acknowledged commits are not in the log of a promoted database"));
+    drop(system);
+    match lost {
+        0 => Verdict::Held,
+        _ => Verdict::Broken,
+    }
+}
