Add review case 12: an entry that restarts reads from an empty primary

An entry asks the primary of a view for the highest position that it has itself seen of it. One that starts together with a primary that has lost its log knows none, and answers reads on a primary route from the empty log.

--- a/review/cases-3.rs
+++ b/review/cases-3.rs
@@ -2,6 +2,7 @@
 fn run_case(case: &str, root: &Path, record: &Record, trouble: bool) -> Verdict {
     match case {
         "11" => primary_starts_empty(root, record, trouble),
+        "12" => zone_restarts(root, record, trouble),
         _ => Verdict::NotRun,
     }
 }
@@ -20,7 +21,7 @@
     let count = number("DATABASES", 3) as usize;
     let gap = millis(number("GAP_MS", 500));
     let first_ping = millis(number("PING_MS", 1_200));
-    let Some((system, fleet)) = start(root, record, count) else {
+    let Some((system, fleet)) = start(root, record, count, millis(30), 0) else {
         return Verdict::NotRun;
     };
     thread::sleep(Duration::from_secs(3));
@@ -40,10 +41,62 @@
     fleet.over.store(true, Ordering::SeqCst);
     system.note_logs(record);
     let lost = fleet.world().lost.len();
-    record.note(format!("{lost} acknowledged commits are not in the log of a promoted database"));
+    record.note(format!(
+        "{lost} acknowledged commits are not in the log of a promoted database"
+    ));
     drop(system);
     match lost {
         0 => Verdict::Held,
         _ => Verdict::Broken,
     }
 }
+
+/// A zone loses power for a moment: a control machine, an entry and the primary in it start again, the
+/// primary under its id and holding nothing.
+///
+/// `GAP_MS` is the time without power, `PING_MS` the time from the primary's start to its first ping, and
+/// `BESIDE=0` puts the primary into the zone of the control leader.
+fn zone_restarts(root: &Path, record: &Record, trouble: bool) -> Verdict {
+    let gap = millis(number("GAP_MS", 100));
+    let first_ping = millis(number("PING_MS", 1_200));
+    let beside = number("BESIDE", 1) as usize;
+    let Some((system, fleet)) = start(root, record, 3, millis(number("PAUSE_MS", 100)), beside)
+    else {
+        return Verdict::NotRun;
+    };
+    thread::sleep(Duration::from_secs(8));
+    note_counts(&fleet, "before the loss of power");
+    let primary_zone = fleet.world().databases[0].zone;
+    let zone = ZONES
+        .iter()
+        .position(|zone| *zone == primary_zone)
+        .unwrap_or(0);
+    let (reader, entry) = (fleet.clone(), system.entries[zone]);
+    thread::spawn(move || reader.read_back(entry, millis(10)));
+    thread::sleep(Duration::from_secs(2));
+    let machines = [zone, 3 + zone];
+    if trouble {
+        system.kill(&machines);
+        fleet.end_database(0);
+        fleet.forget(0);
+        thread::sleep(gap);
+        fleet.start_database(0, first_ping);
+        system.restart(&machines);
+    }
+    thread::sleep(Duration::from_secs(12));
+    note_counts(&fleet, "at the end");
+    fleet.over.store(true, Ordering::SeqCst);
+    system.note_logs(record);
+    let (stale, reads) = {
+        let world = fleet.world();
+        (world.stale.len(), world.reads)
+    };
+    record.note(format!(
+        "{stale} of {reads} reads lacked a commit that was acknowledged before"
+    ));
+    drop(system);
+    match stale {
+        0 => Verdict::Held,
+        _ => Verdict::Broken,
+    }
+}
--- a/review/fleet-3.rs
+++ b/review/fleet-3.rs
@@ -159,6 +159,9 @@
     committed: BTreeMap<String, u32>,
     newest_term: u64,
     lost: Vec<String>,
+    /// Reads that lacked a commit which was acknowledged before.
+    stale: Vec<String>,
+    reads: u64,
     promotions: u32,
     fences: Vec<(u64, String)>,
 }
@@ -631,6 +634,42 @@
         }
     }
 
+    /// Reads items through an entry whose writes were acknowledged before, a session each, until the
+    /// run is over.
+    fn read_back(&self, entry: SocketAddr, pause: Duration) {
+        let mut count = 0_usize;
+        while !self.is_over() {
+            thread::sleep(pause);
+            count += 1;
+            let item = {
+                let world = self.world();
+                let known = world.acknowledged.len();
+                world
+                    .acknowledged
+                    .iter()
+                    .nth(count * 17 % known.max(1))
+                    .cloned()
+            };
+            let Some(item) = item else {
+                continue;
+            };
+            let Some((outcome, row)) = read_item(entry, count, &item) else {
+                continue;
+            };
+            if !outcome.starts_with("COMPLETE") {
+                continue;
+            }
+            let mut world = self.world();
+            world.reads += 1;
+            if row != item {
+                let text = format!("read r{count} of {item} at {entry}: row `{row}`, {outcome}");
+                world.stale.push(text.clone());
+                drop(world);
+                self.record.note(format!("STALE: {text}"));
+            }
+        }
+    }
+
     fn acknowledged(&self) -> usize {
         self.world().acknowledged.len()
     }
@@ -665,6 +704,32 @@
     }
 }
 
+/// Reads one item in a session of its own; returns the outcome and the row.
+fn read_item(entry: SocketAddr, count: usize, item: &str) -> Option<(String, String)> {
+    let mut socket = TcpStream::connect_timeout(&entry, millis(500)).ok()?;
+    socket.set_read_timeout(Some(Duration::from_secs(3))).ok()?;
+    let mut lines = Lines::new(socket.try_clone().ok()?);
+    socket
+        .write_all(format!("STARTUP main {KEY}\r\n").as_bytes())
+        .ok()?;
+    if !lines.next()?.starts_with("READY") {
+        return None;
+    }
+    socket
+        .write_all(format!("QUERY r{count} FETCH {item}\r\n").as_bytes())
+        .ok()?;
+    let mut row = String::new();
+    let mut outcome = String::new();
+    loop {
+        let line = lines.next()?;
+        match line.split_once(' ') {
+            Some(("READY", _)) => return Some((outcome, row)),
+            Some(("DATAROW", text)) => row = text.to_owned(),
+            _ => outcome = line,
+        }
+    }
+}
+
 /// Reads an answer up to its READY line; returns its COMPLETE or ERROR line.
 fn read_answer(lines: &mut Lines) -> Option<String> {
     let mut outcome = String::new();
@@ -897,7 +962,7 @@
 }
 
 impl System {
-    /// Writes the settings of three control and two entry machines.
+    /// Writes the settings of a control and an entry machine in each zone.
     fn prepare(root: &Path) -> Self {
         let prefix = free_prefix();
         let folder = env::temp_dir().join(format!("fleet-3-{}", std::process::id()));
@@ -917,15 +982,15 @@
             });
         };
         (0..3).for_each(|zone| add(11 + zone as u32, true, zone));
-        (0..2).for_each(|zone| add(21 + zone as u32, false, zone));
+        (0..3).for_each(|zone| add(21 + zone as u32, false, zone));
         let at = |host: u32, port: u16| {
             format!("{prefix}.{host}:{port}")
                 .parse()
                 .expect("an address")
         };
         Self {
-            entries: vec![at(21, 8465), at(22, 8465)],
-            ready: vec![at(21, 8460), at(22, 8460)],
+            entries: vec![at(21, 8465), at(22, 8465), at(23, 8465)],
+            ready: vec![at(21, 8460), at(22, 8460), at(23, 8460)],
             control: vec![at(11, 8462), at(12, 8462), at(13, 8462)],
             programs: Arc::new(Mutex::new(programs)),
             folder,
@@ -937,8 +1002,36 @@
         lock(&self.programs).iter_mut().for_each(Program::start);
     }
 
-    fn kill_all(&self) {
-        lock(&self.programs).iter_mut().for_each(Program::end);
+    /// Returns the zone of the control leader; the others redirect to it.
+    fn leader_zone(&self) -> Option<usize> {
+        let answers = |index: &usize| {
+            let answer = call(self.control[*index], "GET", "/config", "", millis(500));
+            answer.map(|(status, head, _)| (status, head))
+        };
+        let redirect = (0..3).find_map(|index| {
+            let (_, head) = answers(&index).filter(|(status, _)| *status == 307)?;
+            let to = head.split("http://").nth(1)?.split('/').next()?.to_owned();
+            to.parse::<SocketAddr>().ok()
+        })?;
+        self.control.iter().position(|address| *address == redirect)
+    }
+
+    /// Ends some of the processes: 0 to 2 are control, 3 to 5 the entries.
+    fn kill(&self, indexes: &[usize]) {
+        let mut programs = lock(&self.programs);
+        indexes.iter().for_each(|index| programs[*index].end());
+    }
+
+    /// Starts them again, with settings that no longer name this the first start.
+    fn restart(&self, indexes: &[usize]) {
+        let mut programs = lock(&self.programs);
+        for index in indexes {
+            let program = &mut programs[*index];
+            let text = fs::read_to_string(&program.boot).expect("the settings are there");
+            let text = text.replace("bootstrap: true", "bootstrap: false");
+            fs::write(&program.boot, text).expect("the settings can be written");
+            program.start();
+        }
     }
 
     /// Copies what the control processes said of elections to the record.
@@ -999,16 +1092,34 @@
     NotRun,
 }
 
-/// Starts the system with `count` databases, of which the first is primary, and some writers.
-fn start(root: &Path, record: &Record, count: usize) -> Option<(System, Fleet)> {
+/// Starts the system with `count` databases, of which the first is primary, and some writers. The
+/// primary is in the zone of the control leader, or in one `beside` it.
+fn start(
+    root: &Path,
+    record: &Record,
+    count: usize,
+    pause: Duration,
+    beside: usize,
+) -> Option<(System, Fleet)> {
     let system = System::prepare(root);
+    system.start_all();
+    let mut leader = None;
+    wait_until(Duration::from_secs(10), || {
+        leader = system.leader_zone();
+        leader.is_some()
+    });
+    let first = (leader? + beside) % 3;
+    record.note(format!(
+        "the primary is in {}, the control leader in {}",
+        ZONES[first], ZONES[leader?]
+    ));
     let prefix = &system.prefix;
     let databases = (0..count).map(|index| Database {
         id: format!("i-{index}a{index}b"),
         address: format!("{prefix}.{}:8080", 31 + index)
             .parse()
             .expect("an address"),
-        zone: ZONES[index % 3],
+        zone: ZONES[(first + index) % 3],
         runs: false,
         process: 0,
         born_ms: 0,
@@ -1029,6 +1140,8 @@
             committed: BTreeMap::new(),
             newest_term: 1,
             lost: Vec::new(),
+            stale: Vec::new(),
+            reads: 0,
             promotions: 0,
             fences: Vec::new(),
         })),
@@ -1046,7 +1159,6 @@
         eprintln!("the run took too long");
         std::process::exit(2);
     });
-    system.start_all();
     for index in 0..count {
         fleet.start_database(index, millis(10));
     }
@@ -1070,10 +1182,10 @@
     if !wait_until(Duration::from_secs(10), ready) {
         return None;
     }
-    for name in 0..4 {
+    for name in 0..6 {
         let writer = fleet.clone();
-        let entry = system.entries[name % 2];
-        thread::spawn(move || writer.consume(name, entry, millis(30)));
+        let entry = system.entries[name % 3];
+        thread::spawn(move || writer.consume(name, entry, pause));
     }
     let writes = fleet.clone();
     wait_until(Duration::from_secs(10), || writes.acknowledged() > 100).then_some((system, fleet))
