Add review case 13: an evacuated primary is promoted again and again

With two voters the election needs one stopped database. A planned move stops the former primary first and so chooses it again, every 5 to 6 s. After one replica has left as planned, the zone of the primary is evacuated and all processes are killed right after the confirmation, no write is served any more although the other database, in another zone, has the same log (RECOVER).

--- a/review/cases-3.rs
+++ b/review/cases-3.rs
@@ -3,6 +3,7 @@
     match case {
         "11" => primary_starts_empty(root, record, trouble),
         "12" => zone_restarts(root, record, trouble),
+        "13" => zone_is_evacuated(root, record, trouble),
         _ => Verdict::NotRun,
     }
 }
@@ -100,3 +101,46 @@
         _ => Verdict::Broken,
     }
 }
+
+/// Time after the processes are back from which requests count for RECOVER (`recovery_s`).
+const RECOVERY: Duration = Duration::from_secs(12);
+
+/// A replica leaves as planned; later the zone of the primary is evacuated, and right after the
+/// confirmation all processes of the system are killed and come back.
+///
+/// `KEEP=1` keeps the third database.
+fn zone_is_evacuated(root: &Path, record: &Record, trouble: bool) -> Verdict {
+    let Some((system, fleet)) = start(root, record, 3, millis(30), 0) else {
+        return Verdict::NotRun;
+    };
+    if trouble && number("KEEP", 0) == 0 {
+        fleet.leave(2, Duration::from_secs(8));
+    }
+    thread::sleep(Duration::from_secs(6));
+    let before = fleet.share_served(Duration::from_secs(5));
+    let zone = fleet.world().databases[0].zone;
+    if trouble {
+        let path = format!("/evacuations/{zone}");
+        if !order(&fleet, "POST", &path, "", Duration::from_secs(6)) {
+            return Verdict::NotRun;
+        }
+        record.note("all processes of the system are killed");
+        system.kill(&[0, 1, 2, 3, 4, 5]);
+        thread::sleep(millis(800));
+        system.restart(&[0, 1, 2, 3, 4, 5]);
+        record.note("all processes of the system are started again");
+    }
+    thread::sleep(RECOVERY);
+    let after = fleet.share_served(Duration::from_secs(30));
+    fleet.over.store(true, Ordering::SeqCst);
+    system.note_logs(record);
+    let promotions = fleet.world().promotions;
+    record.note(format!(
+        "served before: {before:.2}, from {RECOVERY:?} after the return on: {after:.2}; {promotions} promotions"
+    ));
+    drop(system);
+    match before >= 0.25 && after < 0.25 {
+        true => Verdict::Broken,
+        false => Verdict::Held,
+    }
+}
--- a/review/fleet-3.rs
+++ b/review/fleet-3.rs
@@ -230,6 +230,26 @@
         self.record.note(format!("database {id} ends"));
     }
 
+    /// Has a database leave as planned: it says so, serves on for the drain time, deregisters and ends.
+    fn leave(&self, index: usize, serves_for: Duration) {
+        let process = {
+            let mut world = self.world();
+            world.databases[index].draining = true;
+            world.databases[index].process
+        };
+        let id = self.world().databases[index].id.clone();
+        self.record
+            .note(format!("database {id} says that it leaves"));
+        self.ping(index, process);
+        thread::sleep(serves_for);
+        let path = format!("/instances/{id}");
+        if !order(self, "DELETE", &path, "", Duration::from_secs(5)) {
+            self.record
+                .note(format!("database {id} ends without a confirmation"));
+        }
+        self.end_database(index);
+    }
+
     /// Forgets all that a process held, as a database that starts again under its id.
     fn forget(&self, index: usize) {
         let mut world = self.world();
@@ -670,6 +690,18 @@
         }
     }
 
+    /// Returns the share of the writes sent in the next time that is acknowledged.
+    fn share_served(&self, time: Duration) -> f64 {
+        let (sent, served) = (self.sent.load(Ordering::SeqCst), self.acknowledged());
+        thread::sleep(time);
+        let sent = self.sent.load(Ordering::SeqCst) - sent;
+        let served = self.acknowledged() - served;
+        self.record.note(format!(
+            "in {time:?}: {sent} writes sent, {served} acknowledged"
+        ));
+        served as f64 / sent.max(1) as f64
+    }
+
     fn acknowledged(&self) -> usize {
         self.world().acknowledged.len()
     }
@@ -1049,7 +1081,7 @@
     }
 }
 
-/// Sends an order of the operator until it is acknowledged; returns whether it was in time.
+/// Sends an order until it is acknowledged; returns whether it was in time.
 fn order(fleet: &Fleet, method: &str, path: &str, body: &str, within: Duration) -> bool {
     let daemons = fleet.world().control.clone();
     let until = Instant::now() + within;
@@ -1059,9 +1091,7 @@
             if let Some((status, _)) = answer
                 && (200..300).contains(&status)
             {
-                fleet
-                    .record
-                    .note(format!("operator: {method} {path}: {status}"));
+                fleet.record.note(format!("sent {method} {path}: {status}"));
                 return true;
             }
         }
@@ -1069,7 +1099,7 @@
     }
     fleet
         .record
-        .note(format!("operator: {method} {path}: not acknowledged"));
+        .note(format!("sent {method} {path}: not acknowledged"));
     false
 }
 
