Add review case 13: control stops a primary and finds none again

A primary whose only running replica has left as planned can't commit until the new database with that log starts. Control takes it for lost and stops it. If the third database was lost for good before, the election then waits for ever: two of three voters are needed, and the end of the stopped primary's log is not used.

The case of the evacuated primary is review/14 now.

--- a/review/cases-3.rs
+++ b/review/cases-3.rs
@@ -3,7 +3,8 @@
     match case {
         "11" => primary_starts_empty(root, record, trouble),
         "12" => zone_restarts(root, record, trouble),
-        "13" => zone_is_evacuated(root, record, trouble),
+        "13" => replica_is_replaced(root, record, trouble),
+        "14" => zone_is_evacuated(root, record, trouble),
         _ => Verdict::NotRun,
     }
 }
@@ -146,3 +147,54 @@
         false => Verdict::Held,
     }
 }
+
+/// One replica is lost for good while the other is replaced as planned: it leaves, and its log is transferred
+/// to a new database at its address. Later all processes of the system are killed and come back.
+///
+/// `LATE_MS` is the time from the announcement of the departure to the loss, `GAP_MS` the time from the end
+/// of the one that leaves to the start of the new one.
+fn replica_is_replaced(root: &Path, record: &Record, trouble: bool) -> Verdict {
+    let Some((system, fleet)) = start(root, record, 3, millis(30), 0) else {
+        return Verdict::NotRun;
+    };
+    let counts = || (fleet.sent.load(Ordering::SeqCst), fleet.acknowledged());
+    let (sent, acknowledged) = counts();
+    thread::sleep(Duration::from_secs(20));
+    let late = number("LATE_MS", 3_000);
+    if trouble {
+        let lost = fleet.clone();
+        thread::spawn(move || {
+            thread::sleep(millis(late));
+            lost.end_database(1);
+        });
+    }
+    fleet.leave(2, Duration::from_secs(8));
+    thread::sleep(millis(number("GAP_MS", 3_000)));
+    fleet.succeed(2);
+    thread::sleep(Duration::from_secs(4));
+    let text = manifest(2);
+    if !order(&fleet, "PUT", "/config", &text, Duration::from_secs(6)) {
+        return Verdict::NotRun;
+    }
+    let (sent, acknowledged) = (counts().0 - sent, counts().1 - acknowledged);
+    let before = acknowledged as f64 / sent.max(1) as f64;
+    if trouble {
+        record.note("all processes of the system are killed");
+        system.kill(&[0, 1, 2, 3, 4, 5]);
+        thread::sleep(millis(800));
+        system.restart(&[0, 1, 2, 3, 4, 5]);
+        record.note("all processes of the system are started again");
+    }
+    thread::sleep(RECOVERY);
+    let after = fleet.share_served(Duration::from_secs(30));
+    fleet.over.store(true, Ordering::SeqCst);
+    system.note_logs(record);
+    record.note(format!(
+        "served before: {before:.2} of {sent}, from {RECOVERY:?} after the return on: {after:.2}"
+    ));
+    drop(system);
+    match before >= 0.25 && after < 0.25 {
+        true => Verdict::Broken,
+        false => Verdict::Held,
+    }
+}
--- a/review/fleet-3.rs
+++ b/review/fleet-3.rs
@@ -250,6 +250,34 @@
         self.end_database(index);
     }
 
+    /// Starts a new database with the log of one that has left, at its address; it pings at once.
+    fn succeed(&self, former: usize) {
+        let index = {
+            let mut world = self.world();
+            let index = world.databases.len();
+            let former = &world.databases[former];
+            let successor = Database {
+                id: format!("i-{index}a{index}b"),
+                address: former.address,
+                zone: former.zone,
+                runs: false,
+                process: 0,
+                born_ms: 0,
+                is_primary: false,
+                draining: false,
+                term: former.term,
+                paused_term: 0,
+                log: former.log.clone(),
+                sequence: 0,
+                ping_to: None,
+                sockets: Vec::new(),
+            };
+            world.databases.push(successor);
+            index
+        };
+        self.start_database(index, millis(10));
+    }
+
     /// Forgets all that a process held, as a database that starts again under its id.
     fn forget(&self, index: usize) {
         let mut world = self.world();
