End the processes of a case also where a stand-in cannot start

A stand-in that could not listen, or a program that could not be started, ended the script without ending the processes that ran. Such a run now ends with 2 and leaves none.

--- a/review/fleet-3.rs
+++ b/review/fleet-3.rs
@@ -17,6 +17,10 @@
         TcpListener,
         TcpStream, //
     },
+    panic::{
+        self,
+        AssertUnwindSafe, //
+    },
     path::{
         Path,
         PathBuf, //
@@ -195,9 +199,16 @@
             database.ping_to = None;
             (database.address, database.process, database.id.clone())
         };
-        let listener = TcpListener::bind(address).unwrap_or_else(|error| {
-            eprintln!("cannot listen on {address}: {error}");
-            std::process::exit(2)
+        // A process that has just ended may still listen for a moment.
+        let mut bound = TcpListener::bind(address);
+        wait_until(Duration::from_secs(2), || {
+            if bound.is_err() {
+                bound = TcpListener::bind(address);
+            }
+            bound.is_ok()
+        });
+        let listener = bound.unwrap_or_else(|error| {
+            panic!("cannot listen on {address}: {error}");
         });
         listener
             .set_nonblocking(true)
@@ -911,10 +922,8 @@
             .stderr(Stdio::from(copy));
         match command.spawn() {
             Ok(child) => self.child = Some(child),
-            Err(error) => {
-                eprintln!("cannot start {}: {error}", self.binary.display());
-                std::process::exit(2);
-            }
+            // The unwinding ends the processes that run.
+            Err(error) => panic!("cannot start {}: {error}", self.binary.display()),
         }
     }
 
@@ -1272,7 +1281,8 @@
     };
     let trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
     record.note(format!("case {case}, trouble: {trouble}"));
-    let verdict = run_case(case, Path::new(root), &record, trouble);
+    let run = || run_case(case, Path::new(root), &record, trouble);
+    let verdict = panic::catch_unwind(AssertUnwindSafe(run)).unwrap_or(Verdict::NotRun);
     let (code, text) = match verdict {
         Verdict::Held => (0, "held"),
         Verdict::Broken => (1, "BROKEN"),
