Choose by the end of a primary that stepped down, on the platform too

Cause: an election held that a former primary had stepped down if it answered the fence with a role other than Detached. The platform stops a primary and then pauses it, so it always answered as Detached, the end of its log was not used, and the choice was made among stopped databases alone: with two voters only the former primary, which is stopped first. The simulation did not pause a leader.

Ruled out: the restart of control and a shorter log of the other database; the trace names equal ends and one stopped database.

Change: a fence reports the term that the database led until it stepped down. Both ways to a choice now determine a position that includes each acknowledged commit and prefer, among the databases that reach it, one that may stay. The simulated databases pause like those of the platform. Calls to stop a database are logged.

--- a/crates/daisyseam-control/src/core/leader.rs
+++ b/crates/daisyseam-control/src/core/leader.rs
@@ -228,14 +228,18 @@
             }
             return;
         }
-        if kind == CallKind::Promote {
-            let result = match answer {
-                CallOutcome::State(state) => format!("it is {:?}", state.role),
-                CallOutcome::Refused => "refused".to_owned(),
-                CallOutcome::Replaced => "another database has its address".to_owned(),
-                CallOutcome::Lost => "no answer".to_owned(),
-            };
-            log::warn!("group {group}: the call to promote {upstream} in term {term}: {result}");
+        match kind {
+            CallKind::Promote => {
+                let result = describe(answer);
+                log::warn!(
+                    "group {group}: the call to promote {upstream} in term {term}: {result}"
+                );
+            }
+            CallKind::Fence => {
+                let result = describe(answer);
+                log::info!("group {group}: the call to stop {upstream} in term {term}: {result}");
+            }
+            _ => {}
         }
         if let Some(promotion) = self.groups.get_mut(group) {
             promotion.handle_outcome(now, upstream, kind, term, answer);
@@ -360,3 +364,20 @@
         sequence: report.sequence,
     })
 }
+
+/// Describes the answer to a call that changes a database.
+fn describe(answer: &CallOutcome) -> String {
+    match answer {
+        CallOutcome::State(state) => format!("it is {:?}", state.role),
+        CallOutcome::Fenced(fence) => {
+            let (role, end) = (fence.state.role, fence.state.end);
+            match fence.led {
+                Some(led) => format!("it stepped down in term {led} and is {role:?} at {end}"),
+                None => format!("it was no primary and is {role:?} at {end}"),
+            }
+        }
+        CallOutcome::Refused => "refused".to_owned(),
+        CallOutcome::Replaced => "another database has its address".to_owned(),
+        CallOutcome::Lost => "no answer".to_owned(),
+    }
+}
--- a/crates/daisyseam-control/tests/core_support/direct.rs
+++ b/crates/daisyseam-control/tests/core_support/direct.rs
@@ -11,7 +11,10 @@
     AdminCall,
     DatabaseCall, //
 };
-use daisyseam_coord::promotion::CallOutcome;
+use daisyseam_coord::promotion::{
+    CallOutcome,
+    FenceOutcome, //
+};
 use daisyseam_model::{
     LogPosition,
     Position,
@@ -49,7 +52,7 @@
     pub(crate) term: u64,
     /// Highest term that it led or replicated from.
     applied_term: u64,
-    /// Term of the fence that stopped it as a replica, or 0.
+    /// Term of the fence that stopped it, or 0.
     fenced_term: u64,
     pub(crate) leads: bool,
     pub(crate) up: bool,
@@ -122,11 +125,8 @@
         if term <= self.term {
             return false;
         }
-        if self.leads {
-            self.leads = false;
-        } else {
-            self.fenced_term = term;
-        }
+        self.leads = false;
+        self.fenced_term = term;
         if raises {
             self.term = term;
         }
@@ -540,6 +540,7 @@
         if !copy.up || copy.disconnected || disconnected || copy.side != 0 {
             return CallOutcome::Lost;
         }
+        let led = copy.leads.then_some(Term(copy.term));
         let taken = match &call.call {
             AdminCall::Fence(_) if drops_fences => return CallOutcome::Lost,
             AdminCall::Fence(term) => copy.fence(term.0, raises),
@@ -549,10 +550,12 @@
             }
             AdminCall::State | AdminCall::Await(_) | AdminCall::Promote(_) => true,
         };
-        match (copy.drops_answers, taken) {
-            (true, _) => CallOutcome::Lost,
-            (false, true) => CallOutcome::State(copy.state()),
-            (false, false) => CallOutcome::Refused,
+        let state = copy.state();
+        match (copy.drops_answers, taken, &call.call) {
+            (true, _, _) => CallOutcome::Lost,
+            (false, true, AdminCall::Fence(_)) => CallOutcome::Fenced(FenceOutcome { state, led }),
+            (false, true, _) => CallOutcome::State(state),
+            (false, false, _) => CallOutcome::Refused,
         }
     }
 
--- a/crates/daisyseam-control/tests/direct.rs
+++ b/crates/daisyseam-control/tests/direct.rs
@@ -230,6 +230,35 @@
     assert_eq!(active(&sim), "copy-2");
 }
 
+/// Guards against a move that stops the primary and promotes it again where two databases are left.
+#[test_case(false; "while control lives")]
+#[test_case(true; "and all of control restarts")]
+fn an_evacuated_primary_of_two_moves_once(restarts: bool) {
+    let mut sim = start_fleet(2, false);
+    let former = active(&sim);
+    for database in &mut sim.direct.as_mut().expect("a group").copies {
+        if database.name != former {
+            database.data_centre = "khomas-2";
+        }
+        database.announce_now();
+    }
+    sim.advance(2_000);
+    sim.order(Body::Evacuate(EvacuateRequest {
+        data_centre: "khomas-1".to_owned(),
+        out: true,
+    }));
+    if restarts {
+        for member in 0..3 {
+            sim.stop(member);
+            sim.start(member);
+        }
+    }
+    wait_for_new_primary(&mut sim, &former);
+    sim.advance(20_000);
+    assert_ne!(active(&sim), former);
+    assert_eq!(group(&sim).promotions, 1);
+}
+
 #[test]
 fn nobody_is_promoted_while_an_instance_may_act_on_the_former() {
     for delay in 0..10 {
--- a/crates/daisyseam-coord/src/promotion.rs
+++ b/crates/daisyseam-coord/src/promotion.rs
@@ -28,6 +28,7 @@
         AnnouncedState,
         CallKind,
         CallOutcome,
+        FenceOutcome,
         GroupFacts,
         GroupPromotion,
         MemberFacts,
--- a/crates/daisyseam-coord/src/promotion/group.rs
+++ b/crates/daisyseam-coord/src/promotion/group.rs
@@ -170,11 +170,22 @@
     Survey,
 }
 
+/// What a fence found at a database, and what it left.
+#[derive(Clone, Debug, PartialEq)]
+pub struct FenceOutcome {
+    /// State after the fence.
+    pub state: UpstreamState,
+    /// Term in which the database was primary until this call made it step down.
+    pub led: Option<Term>,
+}
+
 /// Result of a call.
 #[derive(Clone, Debug, PartialEq)]
 pub enum CallOutcome {
     /// The database responded with its state.
     State(UpstreamState),
+    /// The database carried out a fence.
+    Fenced(FenceOutcome),
     /// The database refused the call.
     Refused,
     /// Another database answered at its address, so its process has ended.
@@ -183,6 +194,17 @@
     Lost,
 }
 
+impl CallOutcome {
+    /// Returns the state that the database responded with, if it did.
+    pub fn state(&self) -> Option<&UpstreamState> {
+        match self {
+            Self::State(state) => Some(state),
+            Self::Fenced(fence) => Some(&fence.state),
+            Self::Refused | Self::Replaced | Self::Lost => None,
+        }
+    }
+}
+
 /// An action to perform.
 #[derive(Clone, Debug, PartialEq)]
 pub enum PromotionAction {
--- a/crates/daisyseam-coord/src/promotion/stage.rs
+++ b/crates/daisyseam-coord/src/promotion/stage.rs
@@ -3,6 +3,7 @@
 use super::{
     CallKind,
     CallOutcome,
+    FenceOutcome,
     GroupFacts,
     GroupPromotion,
     MemberFacts,
@@ -95,15 +96,15 @@
 
 impl FenceRound {
     fn record_outcome(&mut self, upstream: &UpstreamId, kind: CallKind, outcome: &CallOutcome) {
-        match outcome {
-            CallOutcome::State(state) if state.promised > self.term => {
+        match outcome.state() {
+            Some(state) if state.promised > self.term => {
                 self.higher_term = self.higher_term.max(Some(state.promised));
             }
-            CallOutcome::State(state) if kind == CallKind::Fence && state.promised == self.term => {
+            Some(state) if kind == CallKind::Fence && state.promised == self.term => {
                 self.ends.insert(upstream.clone(), state.end);
             }
-            CallOutcome::Refused => self.refused = Some(upstream.clone()),
-            CallOutcome::State(_) | CallOutcome::Replaced | CallOutcome::Lost => {}
+            None if *outcome == CallOutcome::Refused => self.refused = Some(upstream.clone()),
+            Some(_) | None => {}
         }
     }
 }
@@ -430,7 +431,9 @@
                 CallOutcome::State(state) if !Self::is_promoted(state, term) => {
                     *failures = FAILED_PROBES;
                 }
-                CallOutcome::State(_) | CallOutcome::Refused => *failures = 0,
+                CallOutcome::State(_) | CallOutcome::Fenced(_) | CallOutcome::Refused => {
+                    *failures = 0;
+                }
             },
             PromotionStage::Draining(planned) if planned.term == term => {
                 let CallOutcome::State(state) = outcome else {
@@ -453,7 +456,7 @@
                     && attempt.chosen == *upstream =>
             {
                 match outcome {
-                    CallOutcome::State(state) => {
+                    CallOutcome::State(state) | CallOutcome::Fenced(FenceOutcome { state, .. }) => {
                         attempt.outcome = Some(Self::is_promoted(state, term));
                     }
                     // A retried call may be refused because the first one took effect.
--- a/crates/daisyseam-coord/src/promotion/synchronous.rs
+++ b/crates/daisyseam-coord/src/promotion/synchronous.rs
@@ -10,9 +10,11 @@
 //!   a later term than the last primary of the view is adopted and never replaced.
 //! - If the former primary can be reached, only it is stopped: every database whose log reaches the
 //!   end of its log has each acknowledged commit.
-//! - Otherwise all databases are stopped, and enough must respond that at least one of them has each
-//!   acknowledged commit. A process counts only if its log has caught up with a primary since it
-//!   started.
+//! - Otherwise, or if none that may stay reaches that end in time, all databases are stopped. Once
+//!   enough have responded that at least one of them has each acknowledged commit, every database
+//!   whose log reaches the longest of theirs has them too. A process counts only if its log has
+//!   caught up with a primary since it started.
+//! - Among the databases that have each acknowledged commit, one that may stay is preferred.
 //! - The log names the chosen database before it is asked to become primary. A call may take effect
 //!   long after it was sent, so no other one is asked until the choice is withdrawn.
 
@@ -25,6 +27,7 @@
     discovery::DiscoveryRound,
     election::{
         ElectionRound,
+        FormerEnd,
         SyncPromotionAttempt, //
     },
     watch::ProbeResults, //
@@ -32,6 +35,7 @@
 use super::{
     CallKind,
     CallOutcome,
+    FenceOutcome,
     GroupFacts,
     MemberFacts,
     PromotionAction,
@@ -92,6 +96,8 @@
     base: Term,
     /// The last active primary that this state machine has observed.
     former_primary: Option<UpstreamId>,
+    /// End of its log, once it has stepped down.
+    former_end: Option<FormerEnd>,
     /// Databases that may be stopped, with the term in which each last agreed to follow a primary.
     stopped: BTreeMap<UpstreamId, Option<Term>>,
     /// Whether `stopped` has been initialised.
@@ -114,6 +120,7 @@
             active_since: None,
             base: Term::default(),
             former_primary: None,
+            former_end: None,
             stopped: BTreeMap::new(),
             initialized: false,
             stale_primaries: BTreeSet::new(),
@@ -181,11 +188,14 @@
         term: Term,
         outcome: &CallOutcome,
     ) {
-        if kind == CallKind::Fence && matches!(outcome, CallOutcome::State(_) | CallOutcome::Lost) {
+        if kind == CallKind::Fence && (outcome.state().is_some() || *outcome == CallOutcome::Lost) {
             // A call without a response may still have taken effect.
             self.stopped.insert(upstream.clone(), None);
         }
-        if let (Some((chosen, heard_at)), CallOutcome::State(_)) = (&mut self.chosen_heard, outcome)
+        if let CallOutcome::Fenced(fence) = outcome {
+            self.record_step_down(now, upstream, fence);
+        }
+        if let (Some((chosen, heard_at)), Some(_)) = (&mut self.chosen_heard, outcome.state())
             && chosen == upstream
         {
             *heard_at = now;
@@ -206,8 +216,7 @@
                 }
             }
             SyncStage::Electing(round) if round.term == term => {
-                let former = self.former_primary.as_ref() == Some(upstream);
-                round.record_outcome(now, self.base, former, (upstream, kind), outcome);
+                round.record_outcome(now, self.base, (upstream, kind), outcome);
             }
             SyncStage::Promoting(attempt) if attempt.term == term => {
                 attempt.record_outcome(self.base, (upstream, kind), outcome);
@@ -216,10 +225,28 @@
         }
     }
 
+    /// Records the end of the log of the primary of the view, if that has just stepped down.
+    ///
+    /// It was primary until then, so its log has each acknowledged commit. Later answers of the
+    /// database may come from another process.
+    fn record_step_down(&mut self, now: Moment, upstream: &UpstreamId, fence: &FenceOutcome) {
+        let is_electing = matches!(self.stage, SyncStage::Electing(_) | SyncStage::Promoting(_));
+        let is_former = self
+            .former_primary
+            .as_ref()
+            .is_none_or(|name| name == upstream);
+        if is_electing && is_former && fence.led == Some(self.base) && self.former_end.is_none() {
+            self.former_primary = Some(upstream.clone());
+            let end = fence.state.end;
+            self.former_end = Some(FormerEnd { end, at: now });
+        }
+    }
+
     fn record_active(&mut self, now: Moment, term: Term, primary: &UpstreamId) {
         if self.active_since.is_none_or(|(known, _)| known != term) {
             self.active_since = Some((term, now));
             self.stale_primaries.clear();
+            self.former_end = None;
         }
         if self.former_primary.as_ref() != Some(primary) {
             self.former_primary = Some(primary.clone());
--- a/crates/daisyseam-coord/src/promotion/synchronous/election.rs
+++ b/crates/daisyseam-coord/src/promotion/synchronous/election.rs
@@ -14,6 +14,7 @@
     promotion::{
         CallKind,
         CallOutcome,
+        FenceOutcome,
         GroupFacts,
         MemberFacts,
         PromotionAction, //
@@ -29,6 +30,7 @@
         UpstreamState, //
     }, //
 };
+use smallvec::SmallVec;
 use std::{
     collections::{
         BTreeMap,
@@ -79,14 +81,20 @@
     at: Moment,
     born_ms: u64,
     stopped: bool,
-    /// Whether the database was primary until it was fenced.
-    stepped_down: bool,
+}
+
+/// The end of the log of the former primary, which has each acknowledged commit.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct FormerEnd {
+    pub(super) end: LogPosition,
+    /// When the report arrived.
+    pub(super) at: Moment,
 }
 
 /// The databases that a primary was chosen among, to explain the choice afterwards.
 #[derive(Clone, Debug)]
 pub struct ElectionBasis {
-    /// End of the former primary's log, if that was stopped.
+    /// End of the former primary's log, if that stepped down.
     former_end: Option<LogPosition>,
     /// The last reported end of each log.
     ends: Vec<(UpstreamId, EndReport)>,
@@ -159,12 +167,12 @@
         &mut self,
         now: Moment,
         base: Term,
-        former: bool,
         (upstream, kind): (&UpstreamId, CallKind),
         outcome: &CallOutcome,
     ) {
-        let state = match outcome {
-            CallOutcome::State(state) => state,
+        let (state, led) = match outcome {
+            CallOutcome::State(state) => (state, None),
+            CallOutcome::Fenced(fence) => (&fence.state, fence.led),
             CallOutcome::Lost => {
                 *self.failures.entry(upstream.clone()).or_default() += 1;
                 return;
@@ -189,16 +197,13 @@
             return;
         }
         let fenced = kind == CallKind::Fence;
-        let not_stopped = (refused || fenced && !former) && self.is_running(state);
+        let not_stopped = (refused || fenced && led.is_none()) && self.is_running(state);
         if state.promised > self.term || not_stopped {
             self.higher_term = self.higher_term.max(Some(state.promised));
             return;
         }
-        let detached = state.role == UpstreamRole::Detached && state.promised == self.term;
-        let stopped = detached || fenced && former;
-        // A database that stepped down on the fence was primary until then, so its log is complete.
-        let stepped_down = fenced && former && !detached;
-        self.record_end(upstream, (state.end, now), stopped, stepped_down);
+        let stopped = state.role == UpstreamRole::Detached && state.promised == self.term;
+        self.record_end(upstream, (state.end, now), stopped);
     }
 
     /// Returns whether a replica runs in this term or a later one, so that a fence in this term
@@ -212,7 +217,6 @@
         upstream: &UpstreamId,
         (end, at): (LogPosition, Moment),
         stopped: bool,
-        stepped_down: bool,
     ) {
         let Some(born_ms) = self.queried.get(upstream).copied() else {
             return;
@@ -228,33 +232,17 @@
             at: known.map_or(at, |known| known.at),
             born_ms,
             stopped,
-            stepped_down: stepped_down || known.is_some_and(|known| known.stepped_down),
         };
         self.ends.insert(upstream.clone(), report);
     }
 
-    /// Returns the end of the stopped former primary's log, and when it was first reported.
-    ///
-    /// The process must have been primary until it was stopped: one that has restarted since could
-    /// have an empty log.
-    fn stopped_end(
-        &self,
-        facts: GroupFacts<'_>,
-        former: Option<&UpstreamId>,
-    ) -> Option<(LogPosition, Moment)> {
-        let mut members = facts.members.iter();
-        let former = members.find(|member| Some(&member.upstream) == former)?;
-        let report = self.report(former).filter(|report| report.stopped)?;
-        report.stepped_down.then_some((report.end, report.at))
-    }
-
-    fn basis(&self, facts: GroupFacts<'_>, former: Option<&UpstreamId>) -> ElectionBasis {
+    fn basis(&self, facts: GroupFacts<'_>, former_end: Option<FormerEnd>) -> ElectionBasis {
         let ends = facts.members.iter().filter_map(|member| {
             let report = self.report(member)?;
             Some((member.upstream.clone(), report))
         });
         ElectionBasis {
-            former_end: self.stopped_end(facts, former).map(|(end, _)| end),
+            former_end: former_end.map(|former| former.end),
             ends: ends.collect(),
             quorum: stop_quorum(facts),
             voters: voters(facts).count(),
@@ -283,36 +271,6 @@
             || self.report(member).is_some()
     }
 
-    /// Chooses among databases whose logs reach the end of the stopped former primary's log.
-    fn choose_caught_up(
-        &self,
-        facts: GroupFacts<'_>,
-        end: LogPosition,
-        eligible_only: bool,
-    ) -> Option<UpstreamId> {
-        let reaches = |other: LogPosition| {
-            let known = facts.view.is_some_and(|view| view.reaches(other, end));
-            known || other >= end
-        };
-        let reached = facts.members.iter().filter(|member| {
-            let report = self.report(member);
-            !member.gone && report.is_some_and(|report| reaches(report.end))
-        });
-        let able = reached.filter(|member| {
-            !eligible_only || is_eligible(member) && !member.unreachable_from_half
-        });
-        let best = able.rev().max_by_key(|member| {
-            let end = self.report(member).map(|report| report.end);
-            (
-                is_eligible(member),
-                !member.unreachable_from_half,
-                !member.reported_unreachable,
-                end,
-            )
-        });
-        best.map(|member| member.upstream.clone())
-    }
-
     /// Returns whether the report is certainly from the known process of a stopped database.
     ///
     /// A process that has just restarted without having announced itself has a shorter log.
@@ -348,23 +306,60 @@
         needed.all(|member| !is_needed(member) || is_stopped(member) || is_vacated(member))
     }
 
-    /// Chooses the stopped database whose log ends last, if at least one of the stopped databases has
-    /// each acknowledged commit.
-    fn choose_stopped(&self, facts: GroupFacts<'_>) -> Option<UpstreamId> {
-        let stopped =
-            |member: &&MemberFacts| self.report(member).is_some_and(|report| report.stopped);
-        let stopped = facts.members.iter().filter(stopped);
-        let highest = stopped.clone().filter_map(|member| self.report(member));
-        let highest = highest.map(|report| report.end).max()?;
-        let counts =
-            |member: &&MemberFacts| member.caught_up && self.is_log_complete(member, highest);
-        let counted = stopped.clone().filter(counts).count();
-        if counted < stop_quorum(facts) && !self.is_every_log_stopped(facts) {
-            return None;
-        }
-        let best = stopped.rev().max_by_key(|member| {
+    /// Returns the lowest position known to include each acknowledged commit.
+    ///
+    /// It is the end of the former primary's log, or of the longest log of any set of stopped
+    /// databases of which at least one must have each such commit.
+    fn required_end(
+        &self,
+        facts: GroupFacts<'_>,
+        former_end: Option<FormerEnd>,
+    ) -> Option<LogPosition> {
+        let stopped = facts.members.iter().filter_map(|member| {
+            let report = self.report(member).filter(|report| report.stopped)?;
+            Some((member, report.end))
+        });
+        let highest = stopped.clone().map(|(_, end)| end).max();
+        let counts = |member: &MemberFacts| {
+            let highest = highest.unwrap_or_default();
+            member.caught_up && self.is_log_complete(member, highest)
+        };
+        let counted = stopped.filter(|(member, _)| counts(member));
+        let mut counted: SmallVec<[LogPosition; 4]> = counted.map(|(_, end)| end).collect();
+        counted.sort_unstable();
+        let quorum_end = counted.get(stop_quorum(facts) - 1).copied();
+        let last_end = highest.filter(|_| self.is_every_log_stopped(facts));
+        let former_end = former_end.map(|former| former.end);
+        let ends = [former_end, quorum_end, last_end];
+        ends.into_iter().flatten().min()
+    }
+
+    /// Chooses among databases whose logs reach a position.
+    fn choose_reaching(
+        &self,
+        facts: GroupFacts<'_>,
+        end: LogPosition,
+        eligible_only: bool,
+    ) -> Option<UpstreamId> {
+        let reaches = |other: LogPosition| {
+            let known = facts.view.is_some_and(|view| view.reaches(other, end));
+            known || other >= end
+        };
+        let reached = facts.members.iter().filter(|member| {
+            let report = self.report(member);
+            !self.is_gone(member) && report.is_some_and(|report| reaches(report.end))
+        });
+        let able = reached.filter(|member| {
+            !eligible_only || is_eligible(member) && !member.unreachable_from_half
+        });
+        let best = able.rev().max_by_key(|member| {
             let end = self.report(member).map(|report| report.end);
-            (end, is_eligible(member), !member.unreachable_from_half)
+            (
+                is_eligible(member),
+                !member.unreachable_from_half,
+                !member.reported_unreachable,
+                end,
+            )
         });
         best.map(|member| member.upstream.clone())
     }
@@ -397,7 +392,7 @@
             return;
         }
         match outcome {
-            CallOutcome::State(state) => {
+            CallOutcome::State(state) | CallOutcome::Fenced(FenceOutcome { state, .. }) => {
                 self.accepted |= kind == CallKind::Promote;
                 self.failures = 0;
                 self.verified |= state.end >= self.chosen.end;
@@ -521,8 +516,8 @@
         let SyncStage::Electing(round) = &self.stage else {
             return false;
         };
-        if let Some((_, at)) = round.stopped_end(facts, self.former_primary.as_ref()) {
-            return now.since(at) >= self.settings.reach_timeout;
+        if let Some(former) = self.former_end {
+            return now.since(former.at) >= self.settings.reach_timeout;
         }
         let former = self.former_primary.as_ref();
         let answered = facts.members.iter().all(|member| {
@@ -542,14 +537,15 @@
         let SyncStage::Electing(round) = &self.stage else {
             return None;
         };
-        let former_end = round.stopped_end(facts, self.former_primary.as_ref());
-        let upstream = match former_end {
-            Some((end, at)) => {
-                let waits = now.since(at) < self.settings.reach_timeout;
-                round.choose_caught_up(facts, end, waits)
-            }
-            None => round.choose_stopped(facts).filter(|_| round.stop_all),
-        }?;
+        if self.former_end.is_none() && !round.stop_all {
+            return None;
+        }
+        let end = round.required_end(facts, self.former_end)?;
+        // After that, the former primary itself may be the only one.
+        let timeout = self.settings.reach_timeout;
+        let waits = |former: FormerEnd| now.since(former.at) < timeout;
+        let eligible_only = self.former_end.is_some_and(waits);
+        let upstream = round.choose_reaching(facts, end, eligible_only)?;
         let end = round.ends.get(&upstream)?.end;
         Some(ChosenPrimary { upstream, end })
     }
@@ -566,12 +562,9 @@
             }
             let report = round.report(member);
             let stopped = report.is_some_and(|report| report.stopped);
-            let former_stopped = round
-                .stopped_end(facts, self.former_primary.as_ref())
-                .is_some();
             let chosen = facts.chosen.map(|chosen| &chosen.upstream);
             let awaited = chosen == Some(&member.upstream);
-            let stop = (former || round.stop_all && !former_stopped && !awaited) && !stopped;
+            let stop = (former || round.stop_all && !awaited) && !stopped;
             let refused = round.refused.contains(&member.upstream);
             if stopped {
                 continue;
@@ -597,7 +590,7 @@
         let SyncStage::Electing(round) = &self.stage else {
             return;
         };
-        let basis = round.basis(facts, self.former_primary.as_ref());
+        let basis = round.basis(facts, self.former_end);
         self.stage = SyncStage::Promoting(SyncPromotionAttempt {
             term: view.term,
             since: now,
--- a/crates/daisyseam-coord/src/promotion/synchronous/election/tests.rs
+++ b/crates/daisyseam-coord/src/promotion/synchronous/election/tests.rs
@@ -20,7 +20,6 @@
         at: Moment::ORIGIN,
         born_ms: 1,
         stopped,
-        stepped_down: false,
     }
 }
 
--- a/crates/daisyseam-coord/src/promotion/synchronous/watch.rs
+++ b/crates/daisyseam-coord/src/promotion/synchronous/watch.rs
@@ -61,12 +61,9 @@
         from_primary: bool,
         outcome: &CallOutcome,
     ) -> bool {
-        let state = match outcome {
-            CallOutcome::State(state) => state,
-            CallOutcome::Lost | CallOutcome::Refused | CallOutcome::Replaced => {
-                self.failures += u32::from(from_primary);
-                return false;
-            }
+        let Some(state) = outcome.state() else {
+            self.failures += u32::from(from_primary);
+            return false;
         };
         let primary = state.role == UpstreamRole::Primary;
         if !from_primary {
