Ask an evacuated replica for its log where no other can confirm commits

Cause: an entry confirms a commit by the position that another voter reports, and never asked databases of an evacuated data centre. Here the only other voter is there.

Change: where the voters that remain in service are too few for any commit, the others are asked as well. They get no statement of a caller either way.

The test fails before (2 of 2 cases).

--- a/crates/daisyseam-engine/src/confirmation.rs
+++ b/crates/daisyseam-engine/src/confirmation.rs
@@ -181,8 +181,8 @@
         }
     }
 
-    /// Returns the nearest replica that has not been asked yet. Nothing is sent to databases of an
-    /// evacuated data centre.
+    /// Returns the nearest replica that has not been asked yet. Databases of an evacuated data centre
+    /// are asked only where the other replicas are too few for any commit to be confirmed.
     fn next_replica<'v>(
         &self,
         view: &'v FleetView,
@@ -190,12 +190,17 @@
         requested: &[UpstreamId],
     ) -> Option<&'v UpstreamId> {
         let router = self.router();
+        let in_service = |upstream_view: &UpstreamView| view.in_service(&upstream_view.data_centre);
+        let remaining = replicas(view, mark).filter(|(_, upstream_view)| in_service(upstream_view));
+        let needed = self.needed_replicas(view, mark.route);
+        let suffices = needed.is_some_and(|needed| remaining.count() >= needed);
         let candidates = replicas(view, mark).filter(|(name, upstream_view)| {
-            !requested.contains(name) && view.in_service(&upstream_view.data_centre)
+            !requested.contains(name) && (in_service(upstream_view) || !suffices)
         });
         let nearest = candidates.min_by_key(|(name, upstream_view)| {
             let is_avoided = self.health.is_avoided(name, view.number);
             (
+                !in_service(upstream_view),
                 is_avoided,
                 router.distance(view, &upstream_view.data_centre),
             )
--- a/crates/daisyseam-engine/tests/confirmation.rs
+++ b/crates/daisyseam-engine/tests/confirmation.rs
@@ -309,6 +309,24 @@
     assert!(queries(&fleet, "a") > 0);
 }
 
+/// Guards against a group that confirms no commit because its only other voter is in an evacuated
+/// data centre.
+#[test_case(false; "where it is the only other database")]
+#[test_case(true; "beside a database that does not count")]
+#[tokio::test(start_paused = true)]
+async fn the_only_replica_confirms_commits_from_an_evacuated_data_centre(has_learner: bool) {
+    let mut fleet = start("b");
+    fleet.change_view(|view| {
+        view.evacuated.insert(support::data_centre("dc-2"));
+        match has_learner {
+            true => view.upstreams.get_mut("a").unwrap().voter = false,
+            false => drop(view.upstreams.remove("a")),
+        }
+    });
+    let mut caller = fleet.session("primary").await;
+    assert_eq!(try_write(&mut caller, false).await, Ok(()));
+}
+
 #[tokio::test]
 async fn a_commit_that_is_confirmed_early_closes_no_connection() {
     let mut fleet = RelayFleet::start(12, 10).await;
