Count a stopped database only if its process is known to have its log

Cause: a stopped database counted if it reached the longest stopped log, which the only stopped one always does; and control knew no ends of logs, as instances did not report any.

Change: while a group has no primary, instances report the log ends that they know, with the heartbeat that confirms the view. A stopped database counts if its log keeps the highest position seen there, or if none was seen and the process has announced itself since it was stopped.

--- a/crates/daisyseam-control/src/core/leader.rs
+++ b/crates/daisyseam-control/src/core/leader.rs
@@ -137,7 +137,7 @@
     pub(super) answered_at: Moment,
     /// Whether the instance still holds connections to it as its holder.
     pub(super) holds_connections: bool,
-    /// End of the database's log, if reported.
+    /// Highest end of the database's log that was reported.
     pub(super) log_end: Option<LogPosition>,
     /// When the report arrived.
     pub(super) reported_at: Moment,
@@ -284,14 +284,17 @@
         let Ok(upstream) = report.upstream.parse() else {
             return;
         };
+        let log_end = (report.position != 0).then_some(LogPosition {
+            term: Term(report.term),
+            position: Position(report.position),
+        });
+        let known = self.health.get(&upstream);
+        let known = known.and_then(|notes| notes.get(instance)?.log_end);
         let note = HealthRecord {
             reachable: report.reachable,
             answered_at: now - Duration::from_millis(report.silent_ms),
             holds_connections: report.held_for_view != 0,
-            log_end: (report.position != 0).then_some(LogPosition {
-                term: Term(report.term),
-                position: Position(report.position),
-            }),
+            log_end: log_end.max(known),
             reported_at: now,
         };
         let reachable = note.reachable;
--- a/crates/daisyseam-control/tests/core_support/direct.rs
+++ b/crates/daisyseam-control/tests/core_support/direct.rs
@@ -61,6 +61,8 @@
     born: u64,
     sequence: u64,
     announce_at: u64,
+    /// Time from its start until it announces itself, in milliseconds.
+    pub(crate) announce_delay: u64,
     pub(crate) leaving: bool,
     pub(crate) gone: bool,
     /// Whether it and control cannot reach each other.
@@ -184,6 +186,7 @@
             born: 1 + number as u64,
             sequence: 0,
             announce_at: 50 * number as u64,
+            announce_delay: 0,
             leaving: false,
             gone: false,
             disconnected: false,
@@ -356,7 +359,7 @@
                 copy.born = now;
                 copy.fenced_term = 0;
                 copy.sequence = 0;
-                copy.announce_at = now;
+                copy.announce_at = now + copy.announce_delay;
                 copy.leads &= copy.term >= latest;
                 copy.takes_over_at = None;
                 (copy.gone, copy.leaving) = (false, false);
@@ -590,9 +593,25 @@
         }
     }
 
-    /// Returns the health reports of an entry on all databases.
-    pub(super) fn health(&self, now: u64, side: u8) -> Vec<HealthReport> {
+    /// Notes the ends of logs that an entry on one side of a cut sees.
+    pub(super) fn note_ends(&self, side: u8, ends: &mut BTreeMap<String, LogPosition>) {
+        let seen = |copy: &&DatabaseCopy| copy.up && !copy.hidden_from_entries && copy.side == side;
+        for copy in self.copies.iter().filter(seen) {
+            let known = ends.entry(copy.name.clone()).or_default();
+            *known = copy.end().max(*known);
+        }
+    }
+
+    /// Returns the health reports of an entry on all databases, with the ends of logs to report.
+    pub(super) fn health(
+        &self,
+        now: u64,
+        side: u8,
+        ends: Option<&BTreeMap<String, LogPosition>>,
+    ) -> Vec<HealthReport> {
         let report = |copy: &DatabaseCopy| {
+            let end = ends.and_then(|ends| ends.get(&copy.name).copied());
+            let end = end.unwrap_or_default();
             let silent_ms = match copy.up {
                 true if copy.side == side => 0,
                 true => now - copy.side_since,
@@ -602,6 +621,8 @@
                 upstream: copy.name.clone(),
                 reachable: !copy.hidden_from_entries && silent_ms < UNREACHABLE_AFTER,
                 silent_ms,
+                term: end.term.0,
+                position: end.position.0,
                 ..HealthReport::default()
             }
         };
--- a/crates/daisyseam-control/tests/core_support/mod.rs
+++ b/crates/daisyseam-control/tests/core_support/mod.rs
@@ -106,6 +106,8 @@
     awaits_reply: bool,
     joined: bool,
     process: u64,
+    /// Highest ends of the databases' logs that it has seen.
+    seen_ends: BTreeMap<String, LogPosition>,
 }
 
 /// A database that consists of its state only.
@@ -743,8 +745,15 @@
         };
         let now = self.now;
         let side = self.entries[number].side;
-        let health = self.direct.as_ref().map(|group| group.health(now, side));
         let entry = &mut self.entries[number];
+        let fenced = entry.view.groups.values();
+        let is_fenced = fenced
+            .clone()
+            .any(|group| group.primary == PrimaryState::Fenced);
+        let health = self.direct.as_ref().map(|group| {
+            group.note_ends(side, &mut entry.seen_ends);
+            group.health(now, side, is_fenced.then_some(&entry.seen_ends))
+        });
         if entry.awaits_reply && now >= entry.asked_at + RETRY_TIMEOUT {
             entry.awaits_reply = false;
             entry.joined = false;
@@ -869,6 +878,7 @@
         awaits_reply: false,
         joined: false,
         process: 0,
+        seen_ends: BTreeMap::new(),
     }
 }
 
--- a/crates/daisyseam-control/tests/direct.rs
+++ b/crates/daisyseam-control/tests/direct.rs
@@ -259,6 +259,44 @@
     assert_eq!(group(&sim).promotions, 1);
 }
 
+/// Guards against the loss of acknowledged commits with a primary that has started again without its
+/// log and is promoted, where one stopped database is enough for an election.
+#[test_case(0; "and announces itself at once")]
+#[test_case(400; "and announces itself soon")]
+#[test_case(1_200; "and announces itself late")]
+#[test_case(20_000; "and does not announce itself")]
+fn a_primary_of_two_that_starts_again_empty_is_not_promoted(announces_after: u64) {
+    for raises in [false, true] {
+        let mut sim = start_fleet(2, raises);
+        sim.advance(2_000);
+        let former = active(&sim);
+        let now = sim.now;
+        assert!(
+            sim.direct
+                .as_mut()
+                .expect("a group")
+                .wipe(now, 0, 100, false)
+        );
+        copy(&mut sim, &former).hidden_from_entries = true;
+        copy(&mut sim, &former).announce_delay = announces_after;
+        copy(&mut sim, "copy-1").disconnected = true;
+        sim.advance(2_500);
+        assert_eq!(
+            group(&sim).promotions,
+            0,
+            "control does not reach the other"
+        );
+        copy(&mut sim, "copy-1").disconnected = false;
+        wait_for_new_primary_without_writes(&mut sim, &former);
+        assert_eq!(group(&sim).promotions, 1);
+        sim.direct.as_mut().expect("a group").heal();
+        copy(&mut sim, &former).announce_now();
+        let before = group(&sim).acknowledged.len();
+        sim.advance(8_000);
+        assert!(group(&sim).acknowledged.len() > before, "it takes writes");
+    }
+}
+
 #[test]
 fn nobody_is_promoted_while_an_instance_may_act_on_the_former() {
     for delay in 0..10 {
--- a/crates/daisyseam-coord/src/promotion/synchronous/election.rs
+++ b/crates/daisyseam-coord/src/promotion/synchronous/election.rs
@@ -271,16 +271,18 @@
             || self.report(member).is_some()
     }
 
-    /// Returns whether the report is certainly from the known process of a stopped database.
+    /// Returns whether the report of a stopped database is certainly from its known process.
     ///
-    /// A process that has just restarted without having announced itself has a shorter log.
-    fn is_log_complete(&self, member: &MemberFacts, highest: LogPosition) -> bool {
+    /// One that restarted without having announced itself has lost its log. Its log ends before a
+    /// position that instances have seen there, and its announcements name another process.
+    fn is_known_process(&self, facts: GroupFacts<'_>, member: &MemberFacts) -> bool {
         let Some(report) = self.report(member) else {
             return false;
         };
-        let seen = member.reported_end.is_some_and(|least| report.end >= least);
-        let announced = member.announced.is_some_and(|(_, at)| at >= report.at);
-        report.end >= highest || seen || announced
+        match (member.reported_end, facts.view) {
+            (Some(seen), Some(view)) => view.keeps(report.end, seen),
+            _ => member.announced.is_some_and(|(_, at)| at >= report.at),
+        }
     }
 
     /// Returns whether each database that may have acknowledged commits has been stopped, so that no
@@ -320,10 +322,8 @@
             Some((member, report.end))
         });
         let highest = stopped.clone().map(|(_, end)| end).max();
-        let counts = |member: &MemberFacts| {
-            let highest = highest.unwrap_or_default();
-            member.caught_up && self.is_log_complete(member, highest)
-        };
+        let counts =
+            |member: &MemberFacts| member.caught_up && self.is_known_process(facts, member);
         let counted = stopped.filter(|(member, _)| counts(member));
         let mut counted: SmallVec<[LogPosition; 4]> = counted.map(|(_, end)| end).collect();
         counted.sort_unstable();
--- a/crates/daisyseam-engine/src/attempt.rs
+++ b/crates/daisyseam-engine/src/attempt.rs
@@ -504,7 +504,8 @@
         let term = held.view.groups.get(&route.group).map(|group| group.term);
         let is_primary = held.is_valid() && primary == Some(&route.upstream);
         if is_primary && term == Some(position.term) {
-            self.samples.record(&route.group, sent_at, position);
+            self.samples
+                .record(&route.group, &route.upstream, sent_at, position);
         }
     }
 }
--- a/crates/daisyseam-engine/src/health.rs
+++ b/crates/daisyseam-engine/src/health.rs
@@ -267,6 +267,18 @@
         reports
     }
 
+    /// Returns the health of a database, as of now.
+    pub(crate) fn current(&self, upstream: &UpstreamId) -> Option<UpstreamHealthReport> {
+        let now = Instant::now();
+        let upstreams = self.upstreams.lock();
+        let health = upstreams.get(upstream)?;
+        Some(UpstreamHealthReport {
+            upstream: upstream.clone(),
+            reachable: !health.is_unreachable(now),
+            silence: health.silence(now),
+        })
+    }
+
     /// Returns the unreachable databases that have not been tried for a while, and marks them as
     /// tried now.
     pub(crate) fn take_probes(&self) -> Vec<UpstreamId> {
--- a/crates/daisyseam-engine/src/observer.rs
+++ b/crates/daisyseam-engine/src/observer.rs
@@ -40,6 +40,42 @@
     }
 }
 
+impl<D: DatabaseConnector, G: RateGate> EngineObserver<D, G> {
+    /// Reports the ends of logs in groups without a primary, so that an election recognizes a
+    /// database that has lost its log.
+    ///
+    /// No commit is acknowledged under such a view, so the ends include each one that was.
+    fn report_log_ends(
+        &self,
+        reports: &mut Vec<HealthReport>,
+        named: ViewNumber,
+        held: &FleetView,
+    ) {
+        let fenced = held.groups.iter();
+        let fenced = fenced.filter(|(_, group)| group.primary == PrimaryState::Fenced);
+        for (name, upstream_view) in fenced.flat_map(|(group, _)| held.members(group)) {
+            let as_replica = self.shared.log_ends.highest(name, upstream_view.born_ms);
+            let as_primary = self.shared.samples.highest_of(&upstream_view.group, name);
+            let Some(end) = as_replica.max(as_primary) else {
+                continue;
+            };
+            let mut known = reports.iter_mut();
+            let known = known.find(|report| report.upstream == name.as_str());
+            let report = match known {
+                Some(report) => report,
+                None => {
+                    let Some(health) = self.shared.health.current(name) else {
+                        continue;
+                    };
+                    reports.push(health_report(&health, named));
+                    reports.last_mut().expect("a report was added")
+                }
+            };
+            (report.term, report.position) = (end.term.0, end.position.0);
+        }
+    }
+}
+
 impl<D: DatabaseConnector, G> Clone for EngineObserver<D, G> {
     fn clone(&self) -> Self {
         Self {
@@ -101,12 +137,12 @@
             term: term.0,
             open_transactions: self.shared.writers.in_progress(group, term),
         });
+        let health = reports.iter().map(|health| health_report(health, named));
+        let mut health: Vec<HealthReport> = health.collect();
+        self.report_log_ends(&mut health, named, held);
         ObserverReport {
             upstreams: Vec::new(),
-            health: reports
-                .iter()
-                .map(|health| health_report(health, named))
-                .collect(),
+            health,
             groups: groups.collect(),
         }
     }
--- a/crates/daisyseam-engine/src/samples.rs
+++ b/crates/daisyseam-engine/src/samples.rs
@@ -3,7 +3,8 @@
 use daisyseam_model::{
     GroupId,
     LogPosition,
-    Term, //
+    Term,
+    UpstreamId, //
 };
 use parking_lot::Mutex;
 use std::{
@@ -37,22 +38,39 @@
     /// Sorted by time; positions never decrease.
     samples: VecDeque<(Instant, LogPosition)>,
     highest: Option<LogPosition>,
+    /// The database that reported last.
+    primary: Option<UpstreamId>,
 }
 
 impl PositionSamples {
     /// Records the position that a primary reported in reply to a call sent at `sent_at`.
     ///
     /// The caller must have checked that no other database could be primary when the reply came.
-    pub(crate) fn record(&self, group: &GroupId, sent_at: Instant, position: LogPosition) {
+    pub(crate) fn record(
+        &self,
+        group: &GroupId,
+        primary: &UpstreamId,
+        sent_at: Instant,
+        position: LogPosition,
+    ) {
         let mut groups = self.groups.lock();
-        match groups.get_mut(group) {
-            Some(samples) => samples.record(sent_at, position),
-            None => {
-                let mut samples = GroupSamples::default();
-                samples.record(sent_at, position);
-                groups.insert(group.clone(), samples);
-            }
+        let samples = match groups.get_mut(group) {
+            Some(samples) => samples,
+            None => groups.entry(group.clone()).or_default(),
+        };
+        if samples.primary.as_ref() != Some(primary) {
+            samples.primary = Some(primary.clone());
         }
+        samples.record(sent_at, position);
+    }
+
+    /// Returns the highest position that was reported in a group, if a database was its last known
+    /// primary.
+    pub(crate) fn highest_of(&self, group: &GroupId, primary: &UpstreamId) -> Option<LogPosition> {
+        let groups = self.groups.lock();
+        let samples = groups.get(group)?;
+        let is_primary = samples.primary.as_ref() == Some(primary);
+        samples.highest.filter(|_| is_primary)
     }
 
     /// Returns the highest position that the primary of a term has reported. Its log keeps that
--- a/crates/daisyseam-model/src/view.rs
+++ b/crates/daisyseam-model/src/view.rs
@@ -98,6 +98,16 @@
             place.position == self.lineage_start.position && place.term == self.lineage_start.term;
         end >= place || unwritten && end.position == place.position
     }
+
+    /// Returns whether a log that ends at one position may be one that has reached another.
+    ///
+    /// What a log had beyond the start of the lineage before that began may have been rolled back.
+    pub fn keeps(&self, end: LogPosition, seen: LogPosition) -> bool {
+        match seen.term < self.lineage_start.term {
+            true => end.position >= seen.position.min(self.lineage_start.position),
+            false => self.reaches(end, seen),
+        }
+    }
 }
 
 impl PrimaryState {
