Stop a primary that answers only if another database can take over

Cause: instances get no answer from a primary that waits, report it as unreachable, and control replaced it though it answered control and no other database could be chosen.

Change: such a primary is replaced only if another database has caught up and could have taken over for 3 s. Planned moves ask for a caught-up one too.

--- a/crates/daisyseam-control/tests/direct.rs
+++ b/crates/daisyseam-control/tests/direct.rs
@@ -477,6 +477,39 @@
     wait_for_new_primary(&mut sim, &former);
 }
 
+/// Guards against an outage of a group whose primary waits for its last replica and is stopped,
+/// though no other database can take over.
+#[test]
+fn a_primary_that_waits_for_a_replica_is_not_stopped() {
+    let mut sim = start_fleet(3, false);
+    let former = active(&sim);
+    let now = sim.now;
+    copy(&mut sim, "copy-2").leaving = true;
+    copy(&mut sim, "copy-2").announce_now();
+    let databases = sim.direct.as_mut().expect("a group");
+    databases.crash(now, 1, 900_000);
+    sim.advance(3_000);
+    let now = sim.now;
+    let databases = sim.direct.as_mut().expect("a group");
+    let successor = databases.succeed(now, 2);
+    databases.copies[successor].disconnected = true;
+    databases.copies[successor].isolated = true;
+    copy(&mut sim, &former).hidden_from_entries = true;
+    sim.advance(5_000);
+    let databases = sim.direct.as_mut().expect("a group");
+    assert!(databases.copies[0].leads, "it still leads");
+    databases.copies[successor].isolated = false;
+    copy(&mut sim, &former).hidden_from_entries = false;
+    sim.advance(1_000);
+    let databases = sim.direct.as_mut().expect("a group");
+    databases.copies[successor].disconnected = false;
+    let before = group(&sim).acknowledged.len();
+    sim.advance(3_000);
+    assert!(group(&sim).acknowledged.len() > before, "it takes writes");
+    assert_eq!(group(&sim).promotions, 0);
+    assert_eq!(active(&sim), former);
+}
+
 #[test]
 fn a_primary_that_only_control_misses_stays_a_while() {
     let mut sim = start_fleet(3, false);
--- a/crates/daisyseam-coord/src/promotion/synchronous.rs
+++ b/crates/daisyseam-coord/src/promotion/synchronous.rs
@@ -393,13 +393,21 @@
 
 /// Returns whether the primary must move and another database can take over.
 fn must_move(facts: GroupFacts<'_>, primary: &UpstreamId, patience: Duration) -> bool {
-    let mut present = facts.members.iter();
-    let present = present.find(|member| &member.upstream == primary);
+    let mut members = facts.members.iter();
+    let present = members.find(|member| &member.upstream == primary);
+    present.is_some_and(|member| !is_eligible(member)) && has_successor(facts, primary, patience)
+}
+
+/// Returns whether another database has caught up, responds and may stay primary.
+fn has_successor(facts: GroupFacts<'_>, primary: &UpstreamId, patience: Duration) -> bool {
     let can_take_over = |member: &MemberFacts| {
         let is_reachable = member.announced.is_some() && member.silence < patience;
-        is_eligible(member) && is_reachable && !member.reported_unreachable
+        is_eligible(member)
+            && member.caught_up
+            && is_reachable
+            && !member.reported_unreachable
+            && !member.unreachable_from_half
     };
     let mut others = facts.members.iter();
-    present.is_some_and(|member| !is_eligible(member))
-        && others.any(|member| &member.upstream != primary && can_take_over(member))
+    others.any(|member| &member.upstream != primary && can_take_over(member))
 }
--- a/crates/daisyseam-coord/src/promotion/synchronous/watch.rs
+++ b/crates/daisyseam-coord/src/promotion/synchronous/watch.rs
@@ -3,6 +3,7 @@
 use super::{
     SyncPromotion,
     SyncStage,
+    has_successor,
     must_move, //
 };
 use crate::{
@@ -43,6 +44,8 @@
     demoted: bool,
     /// A later term in which another database is primary.
     later_term: Option<Term>,
+    /// Since when another database could take over.
+    successor_since: Option<Moment>,
 }
 
 impl ProbeResults {
@@ -53,6 +56,13 @@
             && self.later_term.is_none()
     }
 
+    /// Returns how long another database could have taken over.
+    fn note_successor(&mut self, now: Moment, is_present: bool) -> Duration {
+        let since = self.successor_since.filter(|_| is_present);
+        self.successor_since = is_present.then(|| since.unwrap_or(now));
+        since.map_or(Duration::ZERO, |since| now.since(since))
+    }
+
     /// Records a response; returns whether it is from a primary of an outdated term.
     pub(super) fn record_outcome(
         &mut self,
@@ -162,7 +172,14 @@
             // Probes of a primary that is not suspected do not count towards its loss.
             probes.failures = 0;
         }
-        let is_lost = (suspected || unknown) && self.probe(now, member);
+        let patience = self.settings.suspect_sync_after;
+        let has_successor = has_successor(facts, primary, patience);
+        let SyncStage::Watching(probes) = &mut self.stage else {
+            return None;
+        };
+        // The primary may have waited for that database, and not have been reached since.
+        let can_move = probes.note_successor(now, has_successor) >= patience;
+        let is_lost = (suspected || unknown) && self.probe(now, member, can_move);
         is_lost.then_some(next)
     }
 
@@ -189,7 +206,10 @@
     }
 
     /// Probes a suspected primary; returns whether it counts as lost.
-    fn probe(&mut self, now: Moment, member: &MemberFacts) -> bool {
+    ///
+    /// One that responds, but that instances cannot reach, counts as lost only if another database can
+    /// take over: it may itself wait for a replica.
+    fn probe(&mut self, now: Moment, member: &MemberFacts, can_move: bool) -> bool {
         let SyncStage::Watching(probes) = &mut self.stage else {
             return false;
         };
@@ -205,9 +225,9 @@
         {
             return true;
         }
-        // It responds to control, but instances cannot reach it.
         let settled = self.active_for(now) >= self.settings.suspect_sync_after;
-        if confirmed && member.unreachable_from_half && settled && now >= self.move_after {
+        let may_move = can_move && settled && now >= self.move_after;
+        if confirmed && member.unreachable_from_half && may_move {
             return true;
         }
         let every = match confirmed {
