Check that a primary leads before reads where nothing of its log is known

Cause: reads carry the highest position that this instance knows of the primary, which such a database refuses. An instance that has just started knows none.

Change: where no position is known, the instance first begins a transaction that may write, which only a primary does, and rolls it back. Reads that wait together share one check. Also tests that instances report ends of logs while there is no primary.

--- a/crates/daisyseam-engine/src/counters.rs
+++ b/crates/daisyseam-engine/src/counters.rs
@@ -30,6 +30,9 @@
 /// Queries for the end of a database's log.
 pub(crate) const LOG_END_QUERIED: &str = "log_end_queried";
 
+/// Checks that a database of whose log no position is known leads.
+pub(crate) const PRIMARY_CHECKED: &str = "primary_checked";
+
 /// Links opened to connections that other instances hold.
 pub(crate) const LINK_RELAYED: &str = "link_relayed";
 
--- a/crates/daisyseam-engine/src/engine.rs
+++ b/crates/daisyseam-engine/src/engine.rs
@@ -13,6 +13,7 @@
     observer::EngineObserver,
     outages::OutageTracker,
     pool::ConnectionPool,
+    primary_check::PrimaryChecks,
     relay::{
         self,
         AdmissionClient,
@@ -111,6 +112,7 @@
     pub(crate) health: HealthTable,
     pub(crate) reads: ReadRouting,
     pub(crate) samples: PositionSamples,
+    pub(crate) checks: PrimaryChecks,
     pub(crate) log_ends: LogEnds,
     pub(crate) awaited: AwaitedEnds,
     pub(crate) unconfirmed: UnconfirmedLog,
@@ -152,6 +154,7 @@
             health: HealthTable::default(),
             reads: ReadRouting::new(),
             samples: PositionSamples::default(),
+            checks: PrimaryChecks::default(),
             log_ends: LogEnds::default(),
             awaited: AwaitedEnds::default(),
             unconfirmed: UnconfirmedLog::default(),
--- a/crates/daisyseam-engine/src/lib.rs
+++ b/crates/daisyseam-engine/src/lib.rs
@@ -19,6 +19,7 @@
 mod observer;
 mod outages;
 mod pool;
+mod primary_check;
 mod relay;
 mod request;
 mod route;
--- a/crates/daisyseam-engine/src/observer.rs
+++ b/crates/daisyseam-engine/src/observer.rs
@@ -101,6 +101,7 @@
         self.shared.log_ends.retain(known);
         let known = |group: &_| view.groups.contains_key(group);
         self.shared.samples.retain(known);
+        self.shared.checks.retain(known);
         self.shared.reads.retain(known);
         self.shared.unconfirmed.retain(known);
         let draining = draining_groups(view).next().is_some();
--- a/crates/daisyseam-engine/src/session/single.rs
+++ b/crates/daisyseam-engine/src/session/single.rs
@@ -16,7 +16,6 @@
     StatementKind,
     TransactionState,
     attempt::{
-        AttemptContext,
         AttemptError,
         Fence,
         Statement, //
@@ -42,6 +41,7 @@
     ErrorKind,
     GroupId,
     LogPosition,
+    Position,
     RequestError,
     UpstreamId, //
 };
@@ -80,11 +80,15 @@
                 Ok(route) => route,
                 Err(kind) => return Err(last_error.unwrap_or_else(|| kind.into())),
             };
-            let call = LinkCall {
-                at_least: self.at_least(&route, floor),
-                ..call
+            let reply = match self.check_reader(&route, floor, times).await {
+                Ok(None) => {
+                    let at_least = self.at_least(&route, floor);
+                    let call = LinkCall { at_least, ..call };
+                    self.try_once(&route, call, times).await
+                }
+                Ok(Some(refusal)) => Ok(refusal),
+                Err(error) => Err(error),
             };
-            let reply = self.try_once(&route, call, times).await;
             let outcome = match TryOutcome::of(reply, StatementKind::Read) {
                 TryOutcome::Done(reply, receipt) => {
                     return answer::from_database(reply.rows, receipt, reply.position);
@@ -157,6 +161,22 @@
         self.floor.read_floor(rights, samples, times.received_at())
     }
 
+    /// Checks that a primary leads if no position is known that its log must have reached; returns
+    /// its refusal if it does not.
+    pub(super) async fn check_reader(
+        &self,
+        route: &Route,
+        floor: ReadFloor,
+        times: &OperationTimes,
+    ) -> Result<Option<DatabaseReply>, AttemptError> {
+        let required = self.at_least(route, floor).map(|at| at.position);
+        if route.term.is_none() || required.unwrap_or_default() > Position::default() {
+            return Ok(None);
+        }
+        let context = self.attempt_context(route, times);
+        self.engine.check_primary(context).await
+    }
+
     /// Returns the log position that the database of a route must have reached.
     ///
     /// For a primary this includes the highest position it has reported, which detects a primary
@@ -251,12 +271,7 @@
         call: LinkCall<'_>,
         times: &OperationTimes,
     ) -> Result<DatabaseReply, AttemptError> {
-        let context = AttemptContext {
-            route,
-            organisation: self.identity.organisation(),
-            values: &self.values,
-            times,
-        };
+        let context = self.attempt_context(route, times);
         let mut link = self.engine.connect(context).await?;
         let reply = self.engine.run(&mut link, context, call).await?;
         release_if_idle(link, &reply);
--- a/crates/daisyseam-engine/src/session/transaction.rs
+++ b/crates/daisyseam-engine/src/session/transaction.rs
@@ -260,8 +260,7 @@
                 Err(kind) => return Err(last_error.unwrap_or_else(|| kind.into())),
             };
             tried.push(route.upstream.clone());
-            let at_least = self.at_least(&route, floor);
-            let outcome = match self.try_begin(route, mode, at_least, times).await {
+            let outcome = match self.try_begin(route, mode, floor, times).await {
                 Ok(running) => return Ok(running),
                 Err(outcome) => outcome,
             };
@@ -283,9 +282,17 @@
         &self,
         mut route: Route,
         mode: TransactionMode,
-        at_least: Option<LogPosition>,
+        floor: ReadFloor,
         times: &OperationTimes,
     ) -> Result<RunningTransaction<D::Connection>, TryOutcome> {
+        // A transaction that may write begins only on a primary.
+        if mode == TransactionMode::ReadOnly {
+            let check = self.check_reader(&route, floor, times).await;
+            if let Some(refusal) = check.map_err(TryOutcome::NoReply)? {
+                return Err(TryOutcome::of(Ok(refusal), StatementKind::Read));
+            }
+        }
+        let at_least = self.at_least(&route, floor);
         let term = route.term.filter(|_| mode == TransactionMode::ReadWrite);
         let writer_guard = term.map(|term| self.engine.writers.start(&route.group, term));
         let begun = self.send_begin(&route, mode, at_least, times).await;
@@ -515,7 +522,7 @@
         })
     }
 
-    fn attempt_context<'a>(
+    pub(super) fn attempt_context<'a>(
         &'a self,
         route: &'a Route,
         times: &'a OperationTimes,
--- a/crates/daisyseam-engine/tests/fleet.rs
+++ b/crates/daisyseam-engine/tests/fleet.rs
@@ -206,3 +206,27 @@
         .unwrap();
     assert_eq!(open(&fleet), [0]);
 }
+
+/// Guards against elections that know no position which a database must have if it kept its log.
+#[tokio::test(start_paused = true)]
+async fn control_learns_the_ends_of_logs_while_there_is_no_primary() {
+    let mut fleet = Fleet::start(30);
+    let observer = fleet.engine.observer();
+    let mut caller = fleet.session("primary").await;
+    caller.ok(write("write 1")).await;
+    let mut caller = fleet.session("session").await;
+    caller.ok(read("read 1")).await;
+    let ends = |fleet: &Fleet| {
+        let reports = observer.report(ViewNumber(7), &view(fleet)).health;
+        let ends = reports.iter().filter(|report| report.position != 0);
+        let ends = ends.map(|report| (report.upstream.clone(), report.term, report.position));
+        ends.collect::<Vec<_>>()
+    };
+    assert_eq!(ends(&fleet), []);
+    fleet.change_view(|view| view.groups.get_mut("g").unwrap().primary = PrimaryState::Fenced);
+    observer.apply(&view(&fleet)).await;
+    let (primary, replica) = (("p".to_owned(), 1, 101), ("a".to_owned(), 1, 100));
+    let reported = ends(&fleet);
+    assert!(reported.contains(&primary), "{reported:?}");
+    assert!(reported.contains(&replica), "{reported:?}");
+}
