Give the lead back to a primary whose answer to the stop was lost

Change: a former primary that is found stopped counts as one that stepped down if it is certainly the process that was primary. The log keeps the last primary of a fenced group, from commands that it has already.

Evidence: a_primary_that_stepped_down_unheard_gets_the_lead_back fails without the first part in both cases, and without the second under a new leader.

--- a/crates/daisyseam-control/src/core/groups.rs
+++ b/crates/daisyseam-control/src/core/groups.rs
@@ -136,6 +136,7 @@
             members,
             expected: entry.databases,
             chosen: self.fleet.chosen_primary(group),
+            former: self.fleet.former_primary(group),
             commit: entry.commit,
             copies: copies.map_or(0, |guarantee| guarantee.copies),
             confirmed: moving && leader.leases.is_change_complete(now, changed),
--- a/crates/daisyseam-control/tests/direct.rs
+++ b/crates/daisyseam-control/tests/direct.rs
@@ -510,6 +510,32 @@
     assert_eq!(active(&sim), former);
 }
 
+/// Guards against an election without end after the answers of a primary that steps down were lost,
+/// where no other database can be chosen.
+#[test_case(false; "under the same leader of control")]
+#[test_case(true; "under the next leader of control")]
+fn a_primary_that_stepped_down_unheard_gets_the_lead_back(changes_leader: bool) {
+    let mut sim = start_fleet(3, false);
+    sim.advance(2_000);
+    let former = active(&sim);
+    let now = sim.now;
+    copy(&mut sim, &former).hidden_from_entries = true;
+    copy(&mut sim, &former).drops_answers = true;
+    let databases = sim.direct.as_mut().expect("a group");
+    databases.crash(now, 1, 900_000);
+    databases.crash(now, 2, 900_000);
+    sim.advance_until("it has stepped down", |sim| !group(sim).copies[0].leads);
+    sim.advance(300);
+    if changes_leader {
+        let leader = sim.leader().expect("a leader");
+        sim.stop(leader);
+    }
+    copy(&mut sim, &former).hidden_from_entries = false;
+    copy(&mut sim, &former).drops_answers = false;
+    sim.advance_until("it leads again", |sim| group(sim).copies[0].leads);
+    assert_eq!(group(&sim).promotions, 1);
+}
+
 #[test]
 fn a_primary_that_only_control_misses_stays_a_while() {
     let mut sim = start_fleet(3, false);
--- a/crates/daisyseam-coord/src/fleet/record.rs
+++ b/crates/daisyseam-coord/src/fleet/record.rs
@@ -282,6 +282,14 @@
                     ChoiceRecord::of(group.as_str(), Term::default(), Some(chosen))
                 })
                 .collect(),
+            former_primaries: self
+                .former_primaries
+                .iter()
+                .map(|(group, upstream)| FormerPrimaryRecord {
+                    group: group.to_string(),
+                    upstream: upstream.to_string(),
+                })
+                .collect(),
         };
         Bytes::from(record.encode_to_vec())
     }
@@ -340,6 +348,12 @@
             let chosen = record.to_chosen()??;
             state.choices.insert(read(&record.group)?, chosen);
         }
+        for record in &record.former_primaries {
+            let upstream = read(&record.upstream)?;
+            state
+                .former_primaries
+                .insert(read(&record.group)?, upstream);
+        }
         if let Some(usage) = &record.usage {
             state.usage = usage.to_history()?;
         }
@@ -504,6 +518,16 @@
     choices: Vec<ChoiceRecord>,
     #[prost(message, repeated, tag = "12")]
     copies: Vec<CopiesRecord>,
+    #[prost(message, repeated, tag = "13")]
+    former_primaries: Vec<FormerPrimaryRecord>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct FormerPrimaryRecord {
+    #[prost(string, tag = "1")]
+    group: String,
+    #[prost(string, tag = "2")]
+    upstream: String,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
--- a/crates/daisyseam-coord/src/fleet/state.rs
+++ b/crates/daisyseam-coord/src/fleet/state.rs
@@ -55,6 +55,8 @@
     pub(super) copies: BTreeMap<GroupId, CopyGuarantee>,
     /// The chosen next primary of fenced groups.
     pub(super) choices: BTreeMap<GroupId, ChosenPrimary>,
+    /// The last primary of fenced groups.
+    pub(super) former_primaries: BTreeMap<GroupId, UpstreamId>,
     pub(super) change_history: ChangeHistory,
     pub(super) usage: UsageHistory,
 }
@@ -80,6 +82,11 @@
         self.choices.get(group)
     }
 
+    /// Returns the last primary of a fenced group, if it is known.
+    pub fn former_primary(&self, group: &GroupId) -> Option<&UpstreamId> {
+        self.former_primaries.get(group)
+    }
+
     /// Returns the changes since a view, if they are still known.
     pub fn changes_since(&self, held: ViewNumber) -> Option<ViewChanges> {
         self.change_history.since(held, self.view.number)
@@ -267,8 +274,15 @@
         if known.is_some_and(|known| reuses_term(known, &next)) {
             return CommandOutcome::Refused(RefusalReason::TermUsed);
         }
+        let former = known.and_then(|known| match &known.primary {
+            PrimaryState::Active(former) | PrimaryState::Draining(former) => Some(former.clone()),
+            PrimaryState::Fenced => None,
+        });
         if next.primary != PrimaryState::Fenced {
             self.choices.remove(&command.group);
+            self.former_primaries.remove(&command.group);
+        } else if let Some(former) = former {
+            self.former_primaries.insert(command.group.clone(), former);
         }
         if known != Some(&next) {
             self.change(ViewChanges::of_group(&command.group), |view| {
--- a/crates/daisyseam-coord/src/promotion/group.rs
+++ b/crates/daisyseam-coord/src/promotion/group.rs
@@ -95,6 +95,8 @@
     pub expected: usize,
     /// The database that the log names as the next primary, if the group is fenced.
     pub chosen: Option<&'a ChosenPrimary>,
+    /// The last primary, if the group is fenced and the log names one.
+    pub former: Option<&'a UpstreamId>,
     /// When a commit of the group counts as durable.
     pub commit: CommitPolicy,
     /// Least number of databases that have each acknowledged commit, by the log; 0 if not known.
--- a/crates/daisyseam-coord/src/promotion/synchronous/election.rs
+++ b/crates/daisyseam-coord/src/promotion/synchronous/election.rs
@@ -236,6 +236,19 @@
         self.ends.insert(upstream.clone(), report);
     }
 
+    /// Returns the end of the former primary's log if it was found stopped and is certainly the
+    /// process that was primary: the call that made it step down may have had no answer.
+    fn former_end(&self, facts: GroupFacts<'_>, former: Option<&UpstreamId>) -> Option<FormerEnd> {
+        let mut members = facts.members.iter();
+        let former = members.find(|member| Some(&member.upstream) == former)?;
+        let report = self.report(former).filter(|report| report.stopped)?;
+        let is_same = former.caught_up && self.is_known_process(facts, former);
+        is_same.then_some(FormerEnd {
+            end: report.end,
+            at: report.at,
+        })
+    }
+
     fn basis(&self, facts: GroupFacts<'_>, former_end: Option<FormerEnd>) -> ElectionBasis {
         let ends = facts.members.iter().filter_map(|member| {
             let report = self.report(member)?;
@@ -449,13 +462,16 @@
             return;
         };
         round.committed_at.get_or_insert(now);
-        if let Some((upstream, _)) = round
+        let found = round
             .outdated_primary
-            .take_if(|(_, term)| *term == self.base)
-            && self.former_primary.is_none()
-        {
+            .take_if(|(_, term)| *term == self.base);
+        if self.former_primary.is_none() {
             // An earlier control leader knew it as the primary.
-            self.former_primary = Some(upstream);
+            let found = found.map(|(upstream, _)| upstream);
+            self.former_primary = facts.former.cloned().or(found);
+        }
+        if self.former_end.is_none() {
+            self.former_end = round.former_end(facts, self.former_primary.as_ref());
         }
         round.stop_all |= stop_all;
         if let Some(later_primary) = round.later_primary.clone() {
--- a/crates/daisyseam-coord/tests/choice.rs
+++ b/crates/daisyseam-coord/tests/choice.rs
@@ -115,3 +115,19 @@
     let restored = FleetState::decode(&before).expect("a snapshot");
     assert_eq!(restored.chosen_primary(&group()), None);
 }
+
+#[test]
+fn a_snapshot_keeps_the_former_primary_until_there_is_another() {
+    let mut state = fenced();
+    let former = state.former_primary(&group()).cloned();
+    assert!(former.is_some());
+    let mut restored = FleetState::decode(&state.encode()).expect("a snapshot");
+    assert_eq!(restored.former_primary(&group()), former.as_ref());
+    change(
+        &mut restored,
+        4,
+        4,
+        PrimaryState::Active("db-1".parse().unwrap()),
+    );
+    assert_eq!(restored.former_primary(&group()), None);
+}
--- a/crates/daisyseam-coord/tests/promotion_support/mod.rs
+++ b/crates/daisyseam-coord/tests/promotion_support/mod.rs
@@ -339,6 +339,7 @@
             members: &members,
             expected: self.databases.len(),
             chosen: None,
+            former: None,
             commit: CommitPolicy::Majority,
             copies: 0,
             confirmed: self.instance_view.0 >= self.changed,
