--- a/crates/daisyseam-coord/tests/choice.rs
+++ b/crates/daisyseam-coord/tests/choice.rs
@@ -118,7 +118,7 @@
 
 #[test]
 fn a_snapshot_keeps_the_former_primary_until_there_is_another() {
-    let mut state = fenced();
+    let state = fenced();
     let former = state.former_primary(&group()).cloned();
     assert!(former.is_some());
     let mut restored = FleetState::decode(&state.encode()).expect("a snapshot");
